--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+# Every target installs what it needs into .venv and prints its result last.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+READY := $(VENV)/.ready
+
+.PHONY: run test lint format clean
+
+$(READY): requirements.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check \
+	    --requirement requirements.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check \
+	    --no-deps --editable .
+	touch $(READY)
+
+test: $(READY)
+	$(BIN)/python -m test
+
+lint: $(READY)
+	$(BIN)/ruff check --quiet berylhollow test tools
+	$(BIN)/ruff format --check --quiet berylhollow test tools
+	$(BIN)/flake8 berylhollow test tools
+	@echo 'lint: clean'
+
+format: $(READY)
+	$(BIN)/ruff format berylhollow test tools
+
+clean:
+	rm -rf $(VENV) build dist .ruff_cache
--- /dev/null
+++ b/test/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of berylhollow; the modules mirror those of the package."""
