--- /dev/null
+++ b/berylhollow/clock.py
@@ -0,0 +1,38 @@
+"""Time in whole milliseconds, from the machine or set by a test."""
+
+import dataclasses
+import time
+import typing
+
+MS_PER_SECOND = 1000
+NS_PER_MS = 1_000_000
+
+
+class Clock(typing.Protocol):
+    """Tell the time that events carry."""
+
+    def now_ms(self) -> int:
+        """Return milliseconds since an arbitrary, fixed start."""
+
+
+class MonotonicClock:
+    """The machine's monotonic clock, never set back."""
+
+    def now_ms(self) -> int:
+        return time.monotonic_ns() // NS_PER_MS
+
+
+@dataclasses.dataclass
+class VirtualClock:
+    """A clock that moves only when it is told to."""
+
+    time_ms: int = 0
+
+    def now_ms(self) -> int:
+        return self.time_ms
+
+    def advance(self, duration_ms: int) -> None:
+        """Move forward; a negative duration raises ``ValueError``."""
+        if duration_ms < 0:
+            raise ValueError('a clock does not go back')
+        self.time_ms += duration_ms
--- /dev/null
+++ b/berylhollow/errors.py
@@ -0,0 +1,187 @@
+"""The closed list of error kinds and the answer that each one gives."""
+
+import dataclasses
+import enum
+
+
+class Ran(enum.Enum):
+    """Whether the request that an answer speaks of has run."""
+
+    NOT_RUN = 'not_run'
+    RAN = 'ran'
+    UNKNOWN = 'unknown'
+
+
+class Retry(enum.Enum):
+    """What the caller may do next."""
+
+    NEVER = 'never'
+    LATER = 'later'
+    CHANGED = 'changed'
+    IF_IDEMPOTENT = 'if_idempotent'
+
+
+class Kind(enum.Enum):
+    """Every way in which a request can fail; nothing else is answered."""
+
+    ALREADY_RAN = 'already_ran'
+    BAD_HEADER = 'bad_header'
+    BAD_REQUEST = 'bad_request'
+    BODY_TOO_LARGE = 'body_too_large'
+    CALLER_LIMIT = 'caller_limit'
+    CALLER_TOO_SLOW = 'caller_too_slow'
+    CANCELLED = 'cancelled'
+    CANNOT_BE_ON_TIME = 'cannot_be_on_time'
+    CLAIMS_UNAVAILABLE = 'claims_unavailable'
+    CONFIGURATION_UNAVAILABLE = 'configuration_unavailable'
+    DEADLINE_EXCEEDED = 'deadline_exceeded'
+    ENDPOINT_FAILED = 'endpoint_failed'
+    ENDPOINT_UNREACHABLE = 'endpoint_unreachable'
+    ENGINE_RESTARTED = 'engine_restarted'
+    INTERNAL = 'internal'
+    KEY_IN_PROGRESS = 'key_in_progress'
+    KEY_REUSED = 'key_reused'
+    LEAVING = 'leaving'
+    LOAD_FAILED = 'load_failed'
+    MALFORMED_JSON = 'malformed_json'
+    METHOD_NOT_ALLOWED = 'method_not_allowed'
+    NO_ENDPOINT = 'no_endpoint'
+    NOT_FOUND = 'not_found'
+    OUTCOME_UNKNOWN = 'outcome_unknown'
+    OVERLOADED = 'overloaded'
+    QUARANTINED = 'quarantined'
+    STREAM_BROKEN = 'stream_broken'
+    UNKNOWN_ADAPTER = 'unknown_adapter'
+    UNKNOWN_SERVICE = 'unknown_service'
+    UNKNOWN_VERSION = 'unknown_version'
+    UNSUPPORTED_MEDIA_TYPE = 'unsupported_media_type'
+    WRONG_ADAPTER = 'wrong_adapter'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """What a caller is told of one kind.
+
+    ``status`` is the HTTP status, ``ran`` what holds unless the failure
+    itself says more, ``title`` one readable sentence.
+    """
+
+    status: int
+    ran: Ran
+    retry: Retry
+    title: str
+
+
+_NOT = Ran.NOT_RUN
+_MAYBE = Ran.UNKNOWN
+
+ANSWERS: dict[Kind, Answer] = {
+    Kind.ALREADY_RAN: Answer(
+        409, Ran.RAN, Retry.NEVER, 'This key ran; its answer is not kept.'
+    ),
+    Kind.BAD_HEADER: Answer(
+        400, _NOT, Retry.CHANGED, 'A request header is not valid.'
+    ),
+    Kind.BAD_REQUEST: Answer(
+        400, _NOT, Retry.CHANGED, 'The request is not valid.'
+    ),
+    Kind.BODY_TOO_LARGE: Answer(
+        413, _NOT, Retry.CHANGED, 'The request body is too large.'
+    ),
+    Kind.CALLER_LIMIT: Answer(
+        429, _NOT, Retry.LATER, 'The caller is over its limit.'
+    ),
+    Kind.CALLER_TOO_SLOW: Answer(
+        408, _NOT, Retry.LATER, 'The request was sent too slowly.'
+    ),
+    Kind.CANCELLED: Answer(
+        499, _MAYBE, Retry.IF_IDEMPOTENT, 'The caller went away.'
+    ),
+    Kind.CANNOT_BE_ON_TIME: Answer(
+        503, _NOT, Retry.LATER, 'The request cannot be done by its deadline.'
+    ),
+    Kind.CLAIMS_UNAVAILABLE: Answer(
+        503, _NOT, Retry.LATER, 'The key cannot be claimed at present.'
+    ),
+    Kind.CONFIGURATION_UNAVAILABLE: Answer(
+        503, _NOT, Retry.LATER, 'No configuration has been read yet.'
+    ),
+    Kind.DEADLINE_EXCEEDED: Answer(
+        504, _MAYBE, Retry.IF_IDEMPOTENT, 'The deadline passed.'
+    ),
+    Kind.ENDPOINT_FAILED: Answer(
+        502, _MAYBE, Retry.IF_IDEMPOTENT, 'The endpoint failed.'
+    ),
+    Kind.ENDPOINT_UNREACHABLE: Answer(
+        503, _NOT, Retry.LATER, 'The endpoint could not be reached.'
+    ),
+    Kind.ENGINE_RESTARTED: Answer(
+        502, _MAYBE, Retry.IF_IDEMPOTENT, 'The engine restarted.'
+    ),
+    Kind.INTERNAL: Answer(
+        500, _MAYBE, Retry.IF_IDEMPOTENT, 'An unexpected failure.'
+    ),
+    Kind.KEY_IN_PROGRESS: Answer(
+        409, _MAYBE, Retry.LATER, 'A request with this key is running.'
+    ),
+    Kind.KEY_REUSED: Answer(
+        422, _NOT, Retry.CHANGED, 'The key was used for another request.'
+    ),
+    Kind.LEAVING: Answer(
+        503, _NOT, Retry.LATER, 'The process is shutting down.'
+    ),
+    Kind.LOAD_FAILED: Answer(
+        503, _NOT, Retry.LATER, 'The adapter could not be loaded.'
+    ),
+    Kind.MALFORMED_JSON: Answer(
+        400, _NOT, Retry.CHANGED, 'The request body is not valid JSON.'
+    ),
+    Kind.METHOD_NOT_ALLOWED: Answer(
+        405, _NOT, Retry.CHANGED, 'The method is not allowed here.'
+    ),
+    Kind.NO_ENDPOINT: Answer(
+        503, _NOT, Retry.LATER, 'No endpoint of the service is live.'
+    ),
+    Kind.NOT_FOUND: Answer(
+        404, _NOT, Retry.CHANGED, 'There is nothing at this path.'
+    ),
+    Kind.OUTCOME_UNKNOWN: Answer(
+        502, _MAYBE, Retry.IF_IDEMPOTENT, 'Whether it ran is not known.'
+    ),
+    Kind.OVERLOADED: Answer(
+        503, _NOT, Retry.LATER, 'The service is overloaded.'
+    ),
+    Kind.QUARANTINED: Answer(
+        422, _NOT, Retry.NEVER, 'This request has crashed endpoints.'
+    ),
+    Kind.STREAM_BROKEN: Answer(
+        502, _MAYBE, Retry.IF_IDEMPOTENT, 'The answer ended early.'
+    ),
+    Kind.UNKNOWN_ADAPTER: Answer(
+        404, _NOT, Retry.CHANGED, 'The adapter is not declared.'
+    ),
+    Kind.UNKNOWN_SERVICE: Answer(
+        404, _NOT, Retry.CHANGED, 'The service is not declared.'
+    ),
+    Kind.UNKNOWN_VERSION: Answer(
+        404, _NOT, Retry.CHANGED, 'The version is not declared.'
+    ),
+    Kind.UNSUPPORTED_MEDIA_TYPE: Answer(
+        415, _NOT, Retry.CHANGED, 'The content type is not supported.'
+    ),
+    Kind.WRONG_ADAPTER: Answer(
+        502, Ran.RAN, Retry.IF_IDEMPOTENT, 'The endpoint ran another adapter.'
+    ),
+}
+
+
+class BerylhollowError(Exception):
+    """A failure with its kind; the message is fit to show a user."""
+
+    def __init__(self, kind: Kind, message: str = ''):
+        super().__init__(message or ANSWERS[kind].title)
+        self.kind = kind
+
+    @property
+    def answer(self) -> Answer:
+        return ANSWERS[self.kind]
--- /dev/null
+++ b/berylhollow/messages.py
@@ -0,0 +1,276 @@
+"""Messages between our own processes, one frozen class each.
+
+On the wire a message is an array of its tag and its fields in order. Fields
+are only ever appended, with a default, so that two software versions can
+talk to each other.
+"""
+
+import dataclasses
+
+from berylhollow import errors
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdapterVersion:
+    """An adapter and its version, written ``adapter@version``."""
+
+    adapter: str
+    version: str
+
+    def __str__(self) -> str:
+        return f'{self.adapter}@{self.version}'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Header:
+    """One HTTP header."""
+
+    name: str
+    value: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Offer:
+    """A gateway asks a sidecar to run one attempt of a request.
+
+    ``remaining_ms`` counts from the moment of sending, since instances do
+    not share a clock. ``fingerprint`` is a digest of service, adapter,
+    version and body. ``service``, ``adapter`` and so on come from the caller.
+    """
+
+    attempt_id: str
+    request_id: str
+    caller: str
+    service: str
+    adapter: AdapterVersion | None
+    idempotent: bool
+    priority: int
+    remaining_ms: int
+    fingerprint: str
+    method: str
+    path: str
+    headers: tuple[Header, ...]
+    body: bytes
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    revision: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cancel:
+    """The gateway no longer wants the attempt."""
+
+    attempt_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Resume:
+    """After a broken link: send again from ``next_sequence`` on."""
+
+    attempt_id: str
+    next_sequence: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Acknowledge:
+    """Everything before ``next_sequence`` has arrived."""
+
+    attempt_id: str
+    next_sequence: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Started:
+    """The endpoint began to answer; the head of its answer.
+
+    ``adapter`` is what the endpoint says it runs, checked by the sidecar
+    against the name in the offer before this is sent.
+    """
+
+    attempt_id: str
+    status: int
+    headers: tuple[Header, ...]
+    adapter: AdapterVersion | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Data:
+    """Part of the answer's body; sequence numbers count from 0."""
+
+    attempt_id: str
+    sequence: int
+    payload: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class End:
+    """The answer is whole: ``count`` data messages came before."""
+
+    attempt_id: str
+    count: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failed:
+    """The attempt has ended without a whole answer.
+
+    ``ran`` is NOT_RUN only if the sidecar knows that the endpoint never
+    began it.
+    """
+
+    attempt_id: str
+    kind: errors.Kind
+    ran: errors.Ran
+    retry_after_ms: int = 0
+    detail: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlotReport:
+    """One adapter slot as the sidecar knows it."""
+
+    slot: int
+    adapter: AdapterVersion | None
+    ready: bool
+    pins: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """What a sidecar tells its gateways of its endpoint now and then.
+
+    A hint only. ``capacity`` is how many requests run at once, ``queued``
+    counts those waiting for a slot, a load or room; ``wanted`` names the
+    adapters that requests wait for.
+    """
+
+    instance: str
+    service: str
+    failure_domain: str
+    epoch: str
+    ready: bool
+    leaving: bool
+    slots: tuple[SlotReport, ...]
+    wanted: tuple[AdapterVersion, ...]
+    running: int
+    queued: int
+    capacity: int
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadWanted:
+    """A sidecar asks the load coordinator for a permit to load."""
+
+    instance: str
+    service: str
+    adapter: AdapterVersion
+    waiting: int
+    oldest_wait_ms: int
+    priority: int
+    value: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadGranted:
+    """The coordinator lets the sidecar load; lapses by itself."""
+
+    adapter: AdapterVersion
+    permit: int
+    for_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadEnded:
+    """The sidecar gives its permit back, used or not."""
+
+    instance: str
+    permit: int
+    loaded: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LogEntry:
+    """A record of the platform's log, passed on as it was read."""
+
+    offset: int
+    at_ms: int
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationAt:
+    """How far the sender has read the configuration."""
+
+    instance: str
+    revision: int
+    next_offset: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationEntries:
+    """Records of the configuration stream, in order, without gaps."""
+
+    entries: tuple[LogEntry, ...]
+    next_offset: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationSnapshot:
+    """A whole configuration, for a peer that lags behind retention."""
+
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Quarantine:
+    """A fingerprint that crashes endpoints, until ``for_ms`` from now.
+
+    ``for_ms`` of 0 lifts it.
+    """
+
+    fingerprint: str
+    service: str
+    for_ms: int
+    crashes: int
+    offset: int = -1
+
+
+Message = (
+    Offer
+    | Cancel
+    | Resume
+    | Acknowledge
+    | Started
+    | Data
+    | End
+    | Failed
+    | Report
+    | LoadWanted
+    | LoadGranted
+    | LoadEnded
+    | ConfigurationAt
+    | ConfigurationEntries
+    | ConfigurationSnapshot
+    | Quarantine
+)
+
+# A tag is never given to another message once it was released.
+TAGS: dict[int, type] = {
+    1: Offer,
+    2: Cancel,
+    3: Resume,
+    4: Acknowledge,
+    5: Started,
+    6: Data,
+    7: End,
+    8: Failed,
+    9: Report,
+    10: LoadWanted,
+    11: LoadGranted,
+    12: LoadEnded,
+    13: ConfigurationAt,
+    14: ConfigurationEntries,
+    15: ConfigurationSnapshot,
+    16: Quarantine,
+}
