Add the program, its exit codes and the settings

Cause: every role needs a command line and checked settings, and a gateway can't afford to import what other commands use. Change: one table of commands with lazily imported modules; exit codes; options declared once as dataclass fields, from which come the check, the defaults file, the reference page and the settings command; tests for these. json5 is pinned for settings, since pyjson5 drops repeated keys silently. Conclusion: own declarations over jsonschema, docs/design/0002-settings.md.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: run test lint format clean
+.PHONY: run test lint format generate clean
 
 $(READY): requirements.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -26,5 +26,8 @@
 format: $(READY)
 	$(BIN)/ruff format berylhollow test tools
 
+generate: $(READY)
+	$(BIN)/python -m tools.generate
+
 clean:
 	rm -rf $(VENV) build dist .ruff_cache
--- /dev/null
+++ b/berylhollow/__main__.py
@@ -0,0 +1,14 @@
+"""Entry point of the program ``berylhollow``."""
+
+import sys
+
+from berylhollow import ui
+
+
+def main() -> int:
+    """Run the command that the command line names; return its exit code."""
+    return ui.main(sys.argv[1:])
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/berylhollow/ui/commands.py
@@ -0,0 +1,34 @@
+"""The table of commands; adding a command is one line here."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class Command:
+    """A command of the program.
+
+    ``name`` is one word, or two for a command of a group. The module at
+    ``module`` has ``EXAMPLE`` (a command line shown by ``--help``),
+    ``add_arguments(parser)`` and ``run(arguments) -> int``.
+    """
+
+    name: str
+    module: str
+    help: str
+
+    @property
+    def words(self) -> tuple[str, ...]:
+        return tuple(self.name.split())
+
+
+COMMANDS = (
+    Command(
+        'settings',
+        'berylhollow.ui.settings_command',
+        'list every setting with its default, unit and meaning',
+    ),
+)
+
+GROUPS = {
+    'stand-in': 'run a small stand-in for the platform, an engine or a service'
+}
--- /dev/null
+++ b/berylhollow/util/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers with no knowledge of the roles."""
--- /dev/null
+++ b/test/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the settings."""
