Add the stand-ins of the outside systems and the clients to them

Cause: gateways and sidecars need a log, an instance list, a weight store, engines and plain services to run against, in tests and by hand.

Change: models without I/O or clock (log, instances, weights, engine), the same models over aiohttp, and clients that say of every failed call whether it was not done, maybe done or refused. aiohttp sends GET, PUT and DELETE again after a broken connection, fresh ones too, not only reused ones: a middleware of the session stops that, and a test shows two heads without it and one with it.

--- /dev/null
+++ b/berylhollow/outgoing.py
@@ -0,0 +1,177 @@
+"""Outgoing HTTP calls of which it is known whether they took effect.
+
+Every failure is one of three: ``NotDone`` if no byte of the call left,
+``Refused`` if the server said no before doing anything, else ``MaybeDone``.
+"""
+
+import dataclasses
+import json
+
+import aiohttp
+
+CONNECT_TIMEOUT_MS = 1000
+CALL_TIMEOUT_MS = 5000
+MS_PER_SECOND = 1000
+REFUSING_STATUSES = frozenset({400, 404, 405, 409, 410, 413, 422, 429, 503})
+
+
+class CallError(Exception):
+    """A call that brought no answer, or one that says no."""
+
+
+class NotDone(CallError):
+    """The connection could not be opened: the call was never sent."""
+
+
+class MaybeDone(CallError):
+    """The call may have left and no whole answer came back."""
+
+
+class Refused(CallError):
+    """The server refused the call, which has taken no effect.
+
+    ``kind`` is the server's own code, ``detail`` the rest of its answer.
+    """
+
+    def __init__(self, kind: str, status: int, detail: dict | None = None):
+        super().__init__(f'{kind} (HTTP {status})')
+        self.kind = kind
+        self.status = status
+        self.detail = detail or {}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """A whole answer."""
+
+    status: int
+    body: bytes
+
+    def value(self) -> dict:
+        """Return the JSON object of the body; ``MaybeDone`` if none."""
+        try:
+            value = json.loads(self.body)
+        except ValueError as error:
+            raise MaybeDone('the answer is not JSON') from error
+        if not isinstance(value, dict):
+            raise MaybeDone('the answer is not a JSON object')
+        return value
+
+
+async def send_once(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Send a request and turn its failures into ours.
+
+    Guards against a call that runs twice. aiohttp sends GET, PUT, DELETE
+    and the like again when a connection breaks before the answer, also when
+    the server had read the request: a PUT that must not be repeated would
+    show as two runs in the server's record. It does so on its own kinds of
+    error only, and none of those leaves this function but for a failed
+    connect, which it does not repeat.
+    """
+    try:
+        return await handler(request)
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+        raise
+    except (aiohttp.ClientError, OSError) as error:
+        raise MaybeDone(str(error) or type(error).__name__) from error
+
+
+def open_session(reuse: bool = True) -> aiohttp.ClientSession:
+    """Return a session that sends each call at most once.
+
+    Without ``reuse`` every call has a connection of its own.
+    """
+    if reuse:
+        connector = aiohttp.TCPConnector(limit=0)
+    else:
+        connector = aiohttp.TCPConnector(limit=0, force_close=True)
+    return aiohttp.ClientSession(
+        connector=connector,
+        middlewares=(send_once,),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+    )
+
+
+def time_limit(timeout_ms: int | None) -> aiohttp.ClientTimeout:
+    """Return the limits of a call; None leaves all but the connect open."""
+    return aiohttp.ClientTimeout(
+        total=None if timeout_ms is None else timeout_ms / MS_PER_SECOND,
+        sock_connect=CONNECT_TIMEOUT_MS / MS_PER_SECOND,
+    )
+
+
+async def open_call(
+    session: aiohttp.ClientSession,
+    method: str,
+    url: str,
+    timeout_ms: int | None = None,
+    **options,
+) -> aiohttp.ClientResponse:
+    """Send a call and return its answer when the headers are here.
+
+    Redirects are not followed: one with status 307 would send the call
+    twice. Raises ``NotDone`` or ``MaybeDone``.
+    """
+    try:
+        return await session.request(
+            method,
+            url,
+            timeout=time_limit(timeout_ms),
+            allow_redirects=False,
+            **options,
+        )
+    except (
+        aiohttp.ClientConnectorError,
+        aiohttp.ConnectionTimeoutError,
+        aiohttp.InvalidURL,
+    ) as error:
+        raise NotDone(str(error)) from error
+    except (aiohttp.ClientError, OSError) as error:
+        raise MaybeDone(str(error) or type(error).__name__) from error
+
+
+async def read_body(response: aiohttp.ClientResponse) -> bytes:
+    """Return the whole body; ``MaybeDone`` if it ends early."""
+    try:
+        return await response.read()
+    except (aiohttp.ClientError, OSError) as error:
+        raise MaybeDone(str(error) or type(error).__name__) from error
+
+
+async def call(
+    session: aiohttp.ClientSession,
+    method: str,
+    url: str,
+    timeout_ms: int | None = CALL_TIMEOUT_MS,
+    **options,
+) -> Reply:
+    """Send a call and return its whole answer if that has status 2xx.
+
+    Raises ``NotDone``, ``MaybeDone`` or ``Refused``.
+    """
+    response = await open_call(session, method, url, timeout_ms, **options)
+    async with response:
+        reply = Reply(response.status, await read_body(response))
+    if reply.status // 100 == 2:
+        return reply
+    raise refusal(reply)
+
+
+def refusal(reply: Reply) -> CallError:
+    """Return what an answer that is no success means.
+
+    Only an answer with a code of the server's own is a refusal. A bare 503
+    may come from something in between that had passed the call on.
+    """
+    if reply.status in REFUSING_STATUSES:
+        try:
+            detail = reply.value()
+        except MaybeDone:
+            detail = {}
+        kind = detail.get('error')
+        if isinstance(kind, str):
+            return Refused(kind, reply.status, detail)
+    return MaybeDone(f'HTTP {reply.status}')
--- /dev/null
+++ b/berylhollow/platform/__init__.py
@@ -0,0 +1,17 @@
+"""The platform's services as the system's processes see them."""
+
+from berylhollow.platform import _instance_client
+from berylhollow.platform import _log_client
+from berylhollow.platform import _types
+
+Instance = _types.Instance
+InstanceClient = _instance_client.InstanceClient
+LogClient = _log_client.LogClient
+OffsetGone = _log_client.OffsetGone
+ReadResult = _types.ReadResult
+Record = _types.Record
+Role = _types.Role
+State = _types.State
+
+instance_value = _instance_client.instance_value
+parse_instance = _instance_client.parse_instance
--- /dev/null
+++ b/berylhollow/platform/_log_client.py
@@ -0,0 +1,107 @@
+"""Client of the platform's append-only log service."""
+
+import base64
+import urllib.parse
+
+import aiohttp
+
+from berylhollow import outgoing
+from berylhollow.platform import _types
+
+APPEND_TIMEOUT_MS = 3000
+READ_TIMEOUT_MS = 5000
+READ_LIMIT = 1000
+OFFSET_GONE = 'offset_gone'
+
+
+class OffsetGone(outgoing.Refused):
+    """The offset was retired; ``first_offset`` is the first one kept."""
+
+    def __init__(self, refused: outgoing.Refused):
+        super().__init__(refused.kind, refused.status, refused.detail)
+        self.first_offset = int(refused.detail['first_offset'])
+
+
+class LogClient:
+    """Append to and read from streams of the log at ``url``."""
+
+    def __init__(self, url: str, session: aiohttp.ClientSession | None = None):
+        self.url = url.rstrip('/')
+        self.session = session or outgoing.open_session()
+
+    async def append(
+        self, stream: str, data: bytes, timeout_ms: int = APPEND_TIMEOUT_MS
+    ) -> int:
+        """Append a record and return its offset.
+
+        Raises ``outgoing.NotDone`` or ``Refused`` (kind ``unavailable`` or
+        ``rate_limited``) if nothing was appended and ``MaybeDone`` if only a
+        later read can tell.
+        """
+        reply = await outgoing.call(
+            self.session,
+            'POST',
+            self.records_url(stream),
+            timeout_ms,
+            data=data,
+        )
+        try:
+            return int(reply.value()['offset'])
+        except (KeyError, TypeError, ValueError) as error:
+            raise outgoing.MaybeDone('the answer has no offset') from error
+
+    async def read(
+        self,
+        stream: str,
+        from_offset: int,
+        limit: int = READ_LIMIT,
+        wait_ms: int = 0,
+    ) -> _types.ReadResult:
+        """Return up to ``limit`` records from an offset on.
+
+        If there are none yet, wait for the first up to ``wait_ms``. Raises
+        ``OffsetGone`` and the kinds of ``outgoing.CallError``.
+        """
+        params = {
+            'from': str(from_offset),
+            'limit': str(limit),
+            'wait_ms': str(wait_ms),
+        }
+        try:
+            reply = await outgoing.call(
+                self.session,
+                'GET',
+                self.records_url(stream),
+                READ_TIMEOUT_MS + wait_ms,
+                params=params,
+            )
+        except outgoing.Refused as refused:
+            if refused.kind == OFFSET_GONE:
+                raise OffsetGone(refused) from refused
+            raise
+        try:
+            return _read_result(reply.value())
+        except (KeyError, TypeError, ValueError) as error:
+            raise outgoing.MaybeDone('the answer is no page') from error
+
+    def records_url(self, stream: str) -> str:
+        name = urllib.parse.quote(stream, safe='')
+        return f'{self.url}/log/streams/{name}/records'
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self.session.close()
+
+
+def _read_result(value: dict) -> _types.ReadResult:
+    records = tuple(
+        _types.Record(
+            int(item['offset']),
+            int(item['at_ms']),
+            base64.b64decode(item['data'], validate=True),
+        )
+        for item in value['records']
+    )
+    return _types.ReadResult(
+        records, int(value['first_offset']), int(value['next_offset'])
+    )
--- /dev/null
+++ b/berylhollow/standin/engine.py
@@ -0,0 +1,263 @@
+"""Model of a model engine with a few adapter slots.
+
+It does what it is told, also what no caller should want: from the moment of
+a load ordered over a slot with running requests, their tokens come from the
+new adapter. Real engines differ; here our own mistakes become visible, in
+the answers and in ``runs``.
+"""
+
+import collections
+import math
+
+from berylhollow import endpoint
+from berylhollow import messages
+from berylhollow.standin import batch
+from berylhollow.standin import engine_types
+from berylhollow.standin import failures
+from berylhollow.standin import faults
+from berylhollow.standin import lagged
+from berylhollow.standin import prefix_cache
+from berylhollow.standin import slots
+
+MOST_RUNS = 20_000
+
+
+class EngineModel:
+    """Slots, a continuous batch, a prefix cache, and their failures."""
+
+    def __init__(
+        self,
+        name: str = 'engine',
+        limits: engine_types.EngineLimits | None = None,
+        switches: faults.FaultSwitches | None = None,
+    ):
+        self.name = name
+        self.limits = limits or engine_types.EngineLimits()
+        self.faults = switches or faults.FaultSwitches()
+        self.lives = 0
+        self.tickets = 0
+        self.up_ms: float = 0
+        self.outputs: list[engine_types.Output] = []
+        self.ended: collections.deque[engine_types.Run] = collections.deque(
+            maxlen=MOST_RUNS
+        )
+        self.cache = prefix_cache.PrefixCache(
+            self.limits.cache_tokens,
+            self.limits.event_lag_ms,
+            self.limits.event_gap_every,
+        )
+        self.begin_life(0)
+
+    def begin_life(self, now_ms: float) -> None:
+        """Start cold: a new epoch, empty slots, nothing cached."""
+        self.lives += 1
+        self.epoch = f'{self.name}-{self.lives}'
+        self.slots = slots.SlotTable(self.epoch, self.limits)
+        self.batch = batch.Batch(self.limits)
+        self.cache.clear()
+        self.step_end_ms = math.inf
+        self.reports = lagged.Lagged(
+            self.limits.status_lag_ms, self.present_status(), now_ms
+        )
+
+    # Orders
+
+    def begin_load(self, order: endpoint.SlotOrder, now_ms: float) -> None:
+        """Accept a load; ``finish_load`` ends it once the weights are here.
+
+        Raises ``Unavailable``, ``WrongEpoch``, ``StaleFence`` or
+        ``UnknownSlot``; then nothing has changed.
+        """
+        self.check_up(now_ms)
+        self.slots.begin_load(order)
+        self.note_status(now_ms)
+
+    def finish_load(self, order_id: str, loaded: bool, now_ms: float) -> bool:
+        """End a load; return whether the adapter is ready in its slot.
+
+        False too when the engine restarted or a later order took the slot.
+        """
+        self.run_until(now_ms)
+        ready = self.slots.finish_load(order_id, loaded)
+        self.note_status(now_ms)
+        return ready
+
+    def unload(self, order: endpoint.SlotOrder, now_ms: float) -> None:
+        """Empty a slot; raises as ``begin_load`` does."""
+        self.check_up(now_ms)
+        self.slots.unload(order)
+        self.note_status(now_ms)
+
+    # Requests
+
+    def submit(
+        self, request: engine_types.EngineRequest, now_ms: float
+    ) -> int:
+        """Take a request in; return the ticket that its outputs carry.
+
+        Raises ``Unavailable`` or ``AdapterNotLoaded``: it did not run.
+        """
+        self.check_up(now_ms)
+        slot = self.slots.ready_slot(request.adapter)
+        self.tickets += 1
+        self.batch.waiting.append(batch.Job(self.tickets, slot, request))
+        if self.step_end_ms == math.inf:
+            self.begin_step(now_ms)
+        self.note_status(now_ms)
+        return self.tickets
+
+    def cancel(self, request: str, now_ms: float) -> bool:
+        """Drop a request, waiting or running; return whether it was here."""
+        self.run_until(now_ms)
+        jobs = self.batch.find(request)
+        for job in jobs:
+            self.drop(job, now_ms)
+        self.note_status(now_ms)
+        return bool(jobs)
+
+    def abandon(self, ticket: int, now_ms: float) -> None:
+        """Drop one submission, if it is still here: its client has gone."""
+        self.run_until(now_ms)
+        for job in self.batch.waiting + self.batch.running:
+            if job.ticket == ticket:
+                self.drop(job, now_ms)
+        self.note_status(now_ms)
+
+    def drop(self, job: batch.Job, now_ms: float) -> None:
+        if self.batch.drop(job):
+            self.end_run(job, engine_types.RunOutcome.CANCELLED)
+        self.outputs.append(engine_types.Broken(job.ticket, now_ms))
+
+    def advance(self, now_ms: float) -> list[engine_types.Output]:
+        """Return what came out since the last call, in order."""
+        self.run_until(now_ms)
+        outputs = self.outputs
+        self.outputs = []
+        return outputs
+
+    def next_event_ms(self) -> float:
+        """Return when the step under way ends; infinity if idle."""
+        return self.step_end_ms
+
+    # Life
+
+    def crash(self, now_ms: float, down_ms: float | None = None) -> None:
+        """Break everything under way and come back cold after a while."""
+        self.run_until(now_ms)
+        if down_ms is None:
+            down_ms = self.limits.restart_ms
+        self.die(now_ms, down_ms)
+
+    def die(self, now_ms: float, down_ms: float) -> None:
+        for job in self.batch.running:
+            self.end_run(job, engine_types.RunOutcome.BROKEN)
+        for job in self.batch.running + self.batch.waiting:
+            self.outputs.append(engine_types.Broken(job.ticket, now_ms))
+        self.up_ms = now_ms + down_ms
+        self.begin_life(now_ms)
+
+    def check_up(self, now_ms: float) -> None:
+        """Raise ``Unavailable`` if the engine is down."""
+        self.run_until(now_ms)
+        if now_ms < self.up_ms:
+            raise failures.Unavailable('the engine is down')
+
+    # Reports
+
+    def status(self, now_ms: float) -> endpoint.EngineStatus:
+        """Return the status as it was some time ago in the present life.
+
+        While it is stale, what was shown last. Raises ``Unavailable``.
+        """
+        self.check_up(now_ms)
+        if self.faults.active(faults.EngineFault.STATUS_STALE, now_ms):
+            return self.reports.shown
+        return self.reports.show(now_ms)
+
+    def events(
+        self, after: int, now_ms: float
+    ) -> tuple[endpoint.CacheEvent, ...]:
+        """Return cache events past a number, late and with gaps."""
+        self.check_up(now_ms)
+        return self.cache.events(after, now_ms)
+
+    def runs(self) -> tuple[engine_types.Run, ...]:
+        """Return the record of every request that began to run."""
+        running = engine_types.RunOutcome.RUNNING
+        return tuple(self.ended) + tuple(
+            job.run(self.epoch, running) for job in self.batch.running
+        )
+
+    def note_status(self, now_ms: float) -> None:
+        self.reports.note(self.present_status(), now_ms)
+
+    def present_status(self) -> endpoint.EngineStatus:
+        """Return the status without lag."""
+        return endpoint.EngineStatus(
+            self.epoch,
+            self.limits.base_model,
+            tuple(self.slots.slots),
+            self.limits.batch_limit,
+            len(self.batch.running),
+            len(self.batch.waiting),
+            self.slots.highest_fence,
+        )
+
+    # Steps
+
+    def run_until(self, now_ms: float) -> None:
+        while self.step_end_ms <= now_ms:
+            self.end_step(self.step_end_ms)
+
+    def begin_step(self, now_ms: float) -> None:
+        for job in self.batch.admit():
+            job.cached_tokens = self.cache.use(job.request, now_ms)
+            job.prefill_left = job.request.prompt_tokens - job.cached_tokens
+        if not self.batch.running:
+            self.step_end_ms = math.inf
+            return
+        prefilled = self.batch.prefill()
+        adapters = {self.holds(job) for job in self.batch.running}
+        step_ms = self.batch.step_ms(prefilled, len(adapters))
+        if self.faults.active(faults.EngineFault.SLOW, now_ms):
+            step_ms *= self.limits.slow_factor
+        start_ms = now_ms
+        if self.faults.active(faults.EngineFault.HANG, now_ms):
+            start_ms = self.faults.end_ms(faults.EngineFault.HANG)
+        self.step_end_ms = start_ms + step_ms
+
+    def end_step(self, now_ms: float) -> None:
+        if any(job.request.crashes_engine for job in self.batch.running):
+            self.die(now_ms, self.limits.restart_ms)
+            return
+        for job in list(self.batch.running):
+            if job.prefill_left == 0:
+                self.produce(job, now_ms)
+        self.begin_step(now_ms)
+        self.note_status(now_ms)
+
+    def produce(self, job: batch.Job, now_ms: float) -> None:
+        adapter = self.holds(job)
+        job.note_adapter(adapter)
+        self.outputs.append(
+            engine_types.Token(job.ticket, job.tokens, adapter, now_ms)
+        )
+        job.tokens += 1
+        if job.tokens < job.request.output_tokens:
+            return
+        self.batch.drop(job)
+        self.end_run(job, engine_types.RunOutcome.FINISHED)
+        self.outputs.append(
+            engine_types.Finished(
+                job.ticket, adapter, job.cached_tokens, now_ms
+            )
+        )
+
+    def holds(self, job: batch.Job) -> messages.AdapterVersion:
+        """Return the adapter that serves a job: whatever its slot holds."""
+        return self.slots.holds(job.slot)
+
+    def end_run(
+        self, job: batch.Job, outcome: engine_types.RunOutcome
+    ) -> None:
+        self.ended.append(job.run(self.epoch, outcome))
--- /dev/null
+++ b/berylhollow/standin/failures.py
@@ -0,0 +1,65 @@
+"""How the models fail."""
+
+
+class StandInError(Exception):
+    """A model refuses or breaks; ``code`` is what goes over the wire."""
+
+    code = 'failed'
+
+
+class Unavailable(StandInError):
+    """The system is down; nothing was done."""
+
+    code = 'unavailable'
+
+
+class RateLimited(StandInError):
+    """Over the rate; nothing was done."""
+
+    code = 'rate_limited'
+
+
+class AnswerLost(StandInError):
+    """The action took effect, but its answer never arrives."""
+
+    code = 'answer_lost'
+
+
+class OffsetGone(StandInError):
+    """The offset was retired; ``first_offset`` is the first one kept."""
+
+    code = 'offset_gone'
+
+    def __init__(self, first_offset: int):
+        super().__init__(f'the first offset kept is {first_offset}')
+        self.first_offset = first_offset
+
+
+class UnknownAdapter(StandInError):
+    """The weight store holds no such adapter."""
+
+    code = 'unknown_adapter'
+
+
+class StaleFence(StandInError):
+    """The order carries a lower fencing number than one seen before."""
+
+    code = 'stale_fence'
+
+
+class WrongEpoch(StandInError):
+    """The order or request is for another life of the engine."""
+
+    code = 'wrong_epoch'
+
+
+class UnknownSlot(StandInError):
+    """The engine has no such slot."""
+
+    code = 'unknown_slot'
+
+
+class AdapterNotLoaded(StandInError):
+    """No ready slot holds the adapter; the request did not run."""
+
+    code = 'adapter_not_loaded'
--- /dev/null
+++ b/berylhollow/standin/platform_server.py
@@ -0,0 +1,195 @@
+"""The platform over HTTP: log service, instance list and weight store."""
+
+import asyncio
+import base64
+import itertools
+
+from aiohttp import web
+
+from berylhollow import messages
+from berylhollow import platform
+from berylhollow.standin import _http
+from berylhollow.standin import faults
+from berylhollow.standin import instances
+from berylhollow.standin import log
+from berylhollow.standin import weights
+
+LARGEST_READ = 10_000
+LONGEST_WAIT_MS = 60_000
+
+
+class LogRoutes:
+    """The log service."""
+
+    def __init__(self, model: log.LogModel):
+        self.model = model
+        self.appended: dict[str, asyncio.Event] = {}
+
+    def add_to(self, application: web.Application) -> None:
+        path = '/log/streams/{stream}/records'
+        application.router.add_post(path, self.append)
+        application.router.add_get(path, self.read)
+
+    async def append(self, request: web.Request) -> web.Response:
+        data = await request.read()
+        await self.delay()
+        stream = request.match_info['stream']
+        try:
+            offset = self.model.append(stream, data, _http.wall_ms())
+        finally:
+            self.wake(stream)
+        return web.json_response({'offset': offset}, status=201)
+
+    async def read(self, request: web.Request) -> web.Response:
+        stream = request.match_info['stream']
+        from_offset = int(request.query.get('from', '0'))
+        limit = min(int(request.query.get('limit', '1000')), LARGEST_READ)
+        wait_ms = min(int(request.query.get('wait_ms', '0')), LONGEST_WAIT_MS)
+        await self.delay()
+        result = self.model.read(stream, from_offset, limit, _http.wall_ms())
+        if not result.records and wait_ms > 0:
+            await self.wait(stream, wait_ms)
+            result = self.model.read(
+                stream, from_offset, limit, _http.wall_ms()
+            )
+        return web.json_response(_page(result))
+
+    async def delay(self) -> None:
+        delay_ms = self.model.delay_ms(_http.wall_ms())
+        if delay_ms:
+            await asyncio.sleep(delay_ms / _http.MS_PER_SECOND)
+
+    async def wait(self, stream: str, wait_ms: int) -> None:
+        """Wait until a record is appended to the stream."""
+        event = self.appended.setdefault(stream, asyncio.Event())
+        try:
+            async with asyncio.timeout(wait_ms / _http.MS_PER_SECOND):
+                await event.wait()
+        except TimeoutError:
+            return
+
+    def wake(self, stream: str) -> None:
+        event = self.appended.pop(stream, None)
+        if event is not None:
+            event.set()
+
+
+def _page(result: platform.ReadResult) -> dict:
+    records = [
+        {
+            'offset': record.offset,
+            'at_ms': record.at_ms,
+            'data': base64.b64encode(record.data).decode('ascii'),
+        }
+        for record in result.records
+    ]
+    return {
+        'first_offset': result.first_offset,
+        'next_offset': result.next_offset,
+        'records': records,
+    }
+
+
+class InstanceRoutes:
+    """The instance list."""
+
+    def __init__(self, model: instances.InstanceListModel):
+        self.model = model
+
+    def add_to(self, application: web.Application) -> None:
+        application.router.add_get('/instances', self.list)
+        application.router.add_put('/instances/{instance}', self.put)
+        application.router.add_delete('/instances/{instance}', self.delete)
+
+    async def list(self, request: web.Request) -> web.Response:
+        entries = self.model.visible(_http.wall_ms())
+        return web.json_response(
+            {'instances': [platform.instance_value(x) for x in entries]}
+        )
+
+    async def put(self, request: web.Request) -> web.Response:
+        value = await request.json()
+        value['instance'] = request.match_info['instance']
+        self.model.put(platform.parse_instance(value), _http.wall_ms())
+        return web.Response(status=204)
+
+    async def delete(self, request: web.Request) -> web.Response:
+        self.model.delete(request.match_info['instance'], _http.wall_ms())
+        return web.Response(status=204)
+
+
+class WeightRoutes:
+    """The weight store."""
+
+    def __init__(self, model: weights.WeightStoreModel):
+        self.model = model
+        self.numbers = itertools.count()
+        self.waiting: dict[str, asyncio.Future] = {}
+        self.alarm = _http.Alarm(_http.wall_ms, self.advance)
+
+    def add_to(self, application: web.Application) -> None:
+        application.router.add_get('/weights/{adapter}/{version}', self.load)
+
+    async def load(self, request: web.Request) -> web.Response:
+        adapter = messages.AdapterVersion(
+            request.match_info['adapter'], request.match_info['version']
+        )
+        load = str(next(self.numbers))
+        self.model.start(load, adapter, _http.wall_ms())
+        done = asyncio.get_running_loop().create_future()
+        self.waiting[load] = done
+        self.advance()
+        try:
+            loaded = await done
+        finally:
+            del self.waiting[load]
+            self.model.cancel(load, _http.wall_ms())
+            self.advance()
+        if not loaded:
+            return _http.error_answer('load_failed', 503)
+        return web.Response(text=str(adapter))
+
+    def advance(self) -> None:
+        """Answer the loads that have ended and wait for the next one."""
+        for ended in self.model.advance(_http.wall_ms()):
+            done = self.waiting.get(ended.load)
+            if done is not None and not done.done():
+                done.set_result(ended.loaded)
+        self.alarm.set(self.model.next_event_ms())
+
+
+def make_application(settings) -> web.Application:
+    """Return the platform of a ``settings.PlatformSettings``."""
+    switches = faults.FaultSwitches()
+    log_limits = log.LogLimits(
+        appends_per_s=settings.log.appends_per_s,
+        burst=max(1, int(settings.log.appends_per_s)),
+        retention_ms=settings.log.retention_ms,
+    )
+    weight_limits = weights.WeightLimits(
+        loads_per_s=settings.weights.loads_per_s,
+        burst=max(1, int(settings.weights.loads_per_s)),
+        full_speed_ms=settings.weights.load_ms,
+    )
+    instance_list = instances.InstanceListModel(
+        settings.instances.lag_ms, switches
+    )
+    weight_routes = WeightRoutes(
+        weights.WeightStoreModel(weight_limits, switches)
+    )
+    application = _http.make_application()
+    LogRoutes(log.LogModel(log_limits, switches)).add_to(application)
+    InstanceRoutes(instance_list).add_to(application)
+    weight_routes.add_to(application)
+    set_fault = _http.fault_handler(
+        switches, faults.PlatformFault, _http.wall_ms
+    )
+
+    async def start_fault(request: web.Request) -> web.Response:
+        weight_routes.advance()
+        answer = await set_fault(request)
+        weight_routes.advance()
+        return answer
+
+    application.router.add_post('/faults', start_fault)
+    return application
--- /dev/null
+++ b/test/test_outgoing.py
@@ -0,0 +1,151 @@
+"""Tests of what is known of an outgoing call after it failed."""
+
+import asyncio
+import unittest
+
+import aiohttp
+
+from berylhollow import endpoint
+from berylhollow import messages
+from berylhollow import outgoing
+
+BROKEN_HEAD = b'HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf'
+WHOLE = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+BARE_503 = b'HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy'
+CODED_503 = (
+    b'HTTP/1.1 503 Busy\r\nContent-Length: 23\r\n\r\n{"error":"unavailable"}'
+)
+
+
+class RecordingServer:
+    """Reads each request's head, sends what is scripted and closes."""
+
+    def __init__(self, script: bytes = b'', keep_open: bool = False):
+        self.script = script
+        self.keep_open = keep_open
+        self.heads: list[bytes] = []
+        self.connections = 0
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        try:
+            while True:
+                self.heads.append(await reader.readuntil(b'\r\n\r\n'))
+                writer.write(self.script)
+                await writer.drain()
+                if not self.keep_open:
+                    break
+        except asyncio.IncompleteReadError:
+            pass
+        finally:
+            writer.close()
+
+    async def start(self, case) -> str:
+        server = await asyncio.start_server(self.serve, '127.0.0.1', 0)
+        case.addCleanup(server.close)
+        return f'http://127.0.0.1:{server.sockets[0].getsockname()[1]}/x'
+
+
+class OutgoingTest(unittest.IsolatedAsyncioTestCase):
+    async def session(self, reuse=True):
+        session = outgoing.open_session(reuse)
+        self.addAsyncCleanup(session.close)
+        return session
+
+    async def call(self, server, method='PUT'):
+        url = await server.start(self)
+        return await outgoing.call(await self.session(), method, url)
+
+    async def test_call_is_never_sent_twice(self):
+        """A porting order goes out as a PUT and runs twice.
+
+        The endpoint reads the order, runs it and dies before it answers.
+        The library takes a PUT for idempotent and sends it again.
+        """
+        for method in ('GET', 'PUT', 'DELETE', 'POST'):
+            with self.subTest(method):
+                server = RecordingServer()
+                with self.assertRaises(outgoing.MaybeDone):
+                    await self.call(server, method)
+                self.assertEqual(len(server.heads), 1)
+
+    async def test_bare_session_does_send_twice(self):
+        """Show that the test above can fail, and why the guard is needed."""
+        server = RecordingServer()
+        url = await server.start(self)
+        async with aiohttp.ClientSession() as session:
+            with self.assertRaises(aiohttp.ServerDisconnectedError):
+                await session.put(url)
+        self.assertEqual(len(server.heads), 2)
+
+    async def test_call_that_never_left_is_not_done(self):
+        server = await asyncio.start_server(lambda *_: None, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        server.close()
+        await server.wait_closed()
+        with self.assertRaises(outgoing.NotDone):
+            await outgoing.call(
+                await self.session(), 'POST', f'http://127.0.0.1:{port}/'
+            )
+
+    async def test_half_an_answer_is_maybe_done(self):
+        with self.assertRaises(outgoing.MaybeDone):
+            await self.call(RecordingServer(BROKEN_HEAD))
+
+    async def test_no_answer_in_time_is_maybe_done(self):
+        url = await RecordingServer(keep_open=True).start(self)
+        with self.assertRaises(outgoing.MaybeDone):
+            await outgoing.call(
+                await self.session(), 'POST', url, timeout_ms=20
+            )
+
+    async def test_refusal_needs_the_servers_own_code(self):
+        with self.assertRaises(outgoing.MaybeDone):
+            await self.call(RecordingServer(BARE_503))
+        with self.assertRaises(outgoing.Refused) as caught:
+            await self.call(RecordingServer(CODED_503))
+        self.assertEqual(caught.exception.kind, 'unavailable')
+
+    async def test_redirect_is_not_followed(self):
+        server = RecordingServer(
+            b'HTTP/1.1 307 Moved\r\nLocation: /y\r\nContent-Length: 0\r\n\r\n'
+        )
+        with self.assertRaises(outgoing.MaybeDone):
+            await self.call(server, 'POST')
+        self.assertEqual(len(server.heads), 1)
+
+
+class EndpointClientTest(unittest.IsolatedAsyncioTestCase):
+    async def open_twice(self, idempotent):
+        server = RecordingServer(WHOLE, keep_open=True)
+        url = await server.start(self)
+        client = endpoint.EndpointClient(url, engine=False)
+        self.addAsyncCleanup(client.close)
+        headers = (
+            messages.Header('X-Kept', '1'),
+            messages.Header('Connection', 'keep-alive'),
+            messages.Header('Host', 'caller.example'),
+        )
+        for _ in range(2):
+            answer = await client.open(
+                endpoint.EndpointRequest(
+                    'PUT', '/', headers, idempotent=idempotent
+                )
+            )
+            self.assertEqual([x async for x in answer.chunks()], [b'ok'])
+        return server
+
+    async def test_only_idempotent_requests_reuse_a_connection(self):
+        """A booking is answered with an unknown outcome for no reason.
+
+        The endpoint closes an idle connection at the moment at which the
+        booking is written to it: nobody can tell whether it was read.
+        """
+        self.assertEqual((await self.open_twice(True)).connections, 1)
+        self.assertEqual((await self.open_twice(False)).connections, 2)
+
+    async def test_only_end_to_end_headers_pass(self):
+        head = (await self.open_twice(True)).heads[0]
+        self.assertIn(b'X-Kept: 1\r\n', head)
+        for name in (b'keep-alive', b'caller.example', b'Accept-Encoding'):
+            self.assertNotIn(name, head)
