Add thin reducers of gateway and sidecar

Cause: the shells, the fault matrix and the policy need reducers to drive. Change: a gateway reducer (membership from a lagging list, one attempt at a time, retry only after a true not-run or for an idempotent request, resume after a broken link) and a sidecar reducer (slot table per engine epoch, pins, fenced load orders, tombstones for attempts that were denied).

--- a/berylhollow/effects.py
+++ b/berylhollow/effects.py
@@ -107,6 +107,18 @@
     count: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ResumeAnswer:
+    """Ask the peer for the frames of an attempt that did not arrive.
+
+    The shell sends ``Resume`` with the next sequence number that its
+    receiver waits for, 0 if the answer has not begun.
+    """
+
+    peer: str
+    attempt_id: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class BreakAnswer:
     """The answer can't be completed: end the caller's stream with an error.
@@ -163,6 +175,19 @@
     attempt_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ResendFrames:
+    """Send the frames of a run again, from ``next_sequence`` on, to a peer.
+
+    What follows goes to this peer too; a link that was used for the attempt
+    before is out of date.
+    """
+
+    attempt_id: str
+    peer: str
+    next_sequence: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ForgetRun:
     """Drop the frames that were kept for an attempt."""
@@ -209,11 +234,13 @@
     | AnswerStored
     | BeginAnswer
     | CompleteAnswer
+    | ResumeAnswer
     | BreakAnswer
     | ReadStatus
     | LoadAdapter
     | StartRun
     | CancelRun
+    | ResendFrames
     | ForgetRun
     | Count
     | Log
--- /dev/null
+++ b/berylhollow/following.py
@@ -0,0 +1,47 @@
+"""What the reducers need of the configuration, whoever follows it."""
+
+import typing
+
+from berylhollow import effects
+from berylhollow import errors
+from berylhollow import events
+from berylhollow import messages
+
+
+class View(typing.Protocol):
+    """One accepted revision of the configuration; it never changes."""
+
+    revision: int
+
+    def refuse(
+        self, service: str, adapter: messages.AdapterVersion | None
+    ) -> errors.Kind | None:
+        """Return why this can't be served, None if it can.
+
+        An adapter's service comes from the configuration, so ``service``
+        may be empty when an adapter is named.
+        """
+
+    def service_of(self, adapter: str) -> str:
+        """Return the service of a declared adapter."""
+
+
+class Follower(typing.Protocol):
+    """Follows the configuration on the log and from peers."""
+
+    current: View | None
+
+    def start(self, at_ms: int) -> list[effects.Effect]:
+        """Begin to read."""
+
+    def handle(self, event: events.Event) -> list[effects.Effect]:
+        """Take in what concerns the configuration; ignore the rest."""
+
+    def tick(
+        self,
+        at_ms: int,
+        live_gateways: list[str],
+        peers: list[str],
+        self_id: str,
+    ) -> list[effects.Effect]:
+        """Ask for what is missing and pass on what others miss."""
--- /dev/null
+++ b/berylhollow/gateway/_attempts.py
@@ -0,0 +1,252 @@
+"""Attempts: offer a request to a sidecar, follow it, try another.
+
+An attempt is offered once and to one sidecar. After a broken link the
+gateway asks to resume; it never offers the same attempt again, since the
+first offer may have arrived.
+"""
+
+from berylhollow import effects
+from berylhollow import errors
+from berylhollow import events
+from berylhollow.gateway import _routing
+from berylhollow.gateway import _state
+from berylhollow import messages
+
+Effects = list[effects.Effect]
+
+
+def place(
+    state: _state.State, active: _state.ActiveRequest, at_ms: int
+) -> Effects:
+    """Offer a waiting request to the endpoint that suits it best."""
+    if active.attempts >= state.options.attempts:
+        return give_up(
+            state, active, errors.Kind.OVERLOADED, errors.Ran.NOT_RUN
+        )
+    name = _routing.choose(state, active)
+    if name is None:
+        return give_up(
+            state, active, errors.Kind.NO_ENDPOINT, errors.Ran.NOT_RUN
+        )
+    return _offer(state, active, name, at_ms)
+
+
+def started(state: _state.State, event: events.MessageReceived) -> Effects:
+    """The endpoint began to answer: this attempt's answer is the one."""
+    message = event.message
+    active = _current(state, event)
+    if active is None or active.phase is not _state.Phase.OFFERED:
+        return []
+    active.phase = _state.Phase.RELAYING
+    return [
+        effects.BeginAnswer(
+            active.request.request_id,
+            active.attempt_id,
+            event.peer,
+            message.status,
+            message.headers,
+            message.adapter,
+        )
+    ]
+
+
+def ended(state: _state.State, event: events.MessageReceived) -> Effects:
+    """The endpoint's answer is whole at the sidecar."""
+    active = _current(state, event)
+    if active is None or active.phase is not _state.Phase.RELAYING:
+        return []
+    return [
+        effects.CompleteAnswer(
+            active.request.request_id,
+            active.attempt_id,
+            event.message.count,
+        )
+    ]
+
+
+def failed(state: _state.State, event: events.MessageReceived) -> Effects:
+    """An attempt ended without a whole answer: try another, or give up."""
+    message = event.message
+    active = _current(state, event)
+    if active is None:
+        return []
+    if message.kind is errors.Kind.LEAVING:
+        state.endpoints[event.peer].leaving = True
+    return _attempt_lost(state, active, message, event.at_ms)
+
+
+def link_opened(state: _state.State, event: events.LinkOpened) -> Effects:
+    """Resume what was in flight on this link before it broke."""
+    endpoint = state.endpoints.get(event.peer)
+    if endpoint is None:
+        return state.follower.handle(event)
+    endpoint.link = _state.LinkPhase.OPEN
+    if endpoint.incarnation != event.incarnation:
+        endpoint.leaving = endpoint.instance.leaving
+        endpoint.report = None
+    endpoint.incarnation = event.incarnation
+    done = state.follower.handle(event)
+    for attempt_id in sorted(endpoint.placed):
+        active = state.request_of(attempt_id)
+        if active is not None:
+            done += _resume(state, active, event)
+    return done
+
+
+def link_closed(state: _state.State, event: events.LinkClosed) -> Effects:
+    """Give the attempts on a broken link some time to be resumed."""
+    endpoint = state.endpoints.get(event.peer)
+    if endpoint is None:
+        return state.follower.handle(event)
+    endpoint.link = _state.LinkPhase.CLOSED
+    endpoint.retry_link_at_ms = event.at_ms
+    for attempt_id in endpoint.placed:
+        active = state.request_of(attempt_id)
+        if active is not None and active.resume_by_ms is None:
+            active.resume_by_ms = event.at_ms + state.options.resume_ms
+    return state.follower.handle(event)
+
+
+def resume_failed(
+    state: _state.State, active: _state.ActiveRequest, at_ms: int
+) -> Effects:
+    """The sidecar did not come back in time: what ran there is unknown."""
+    lost = messages.Failed(
+        active.attempt_id, errors.Kind.OUTCOME_UNKNOWN, errors.Ran.UNKNOWN
+    )
+    return _attempt_lost(state, active, lost, at_ms)
+
+
+def cancel(state: _state.State, active: _state.ActiveRequest) -> Effects:
+    """Tell the sidecar that nobody waits for the attempt any more."""
+    if active.phase is _state.Phase.WAITING:
+        return []
+    message = messages.Cancel(active.attempt_id)
+    return [effects.Send(active.endpoint, message)]
+
+
+def finish(state: _state.State, active: _state.ActiveRequest) -> Effects:
+    """Forget a request that has had its final answer."""
+    _release(state, active)
+    state.requests.pop(active.request.request_id, None)
+    return []
+
+
+def give_up(
+    state: _state.State,
+    active: _state.ActiveRequest,
+    kind: errors.Kind,
+    ran: errors.Ran,
+    retry_after_ms: int = 0,
+) -> Effects:
+    """Give the final answer: an error, or a stream that ends as broken."""
+    request_id = active.request.request_id
+    if active.may_have_run and ran is errors.Ran.NOT_RUN:
+        ran = errors.Ran.UNKNOWN
+    if active.phase is _state.Phase.RELAYING:
+        answer = effects.BreakAnswer(request_id, active.attempt_id, kind, ran)
+    else:
+        answer = effects.AnswerError(request_id, kind, ran, retry_after_ms)
+    return [answer, *finish(state, active)]
+
+
+def _offer(
+    state: _state.State,
+    active: _state.ActiveRequest,
+    name: str,
+    at_ms: int,
+) -> Effects:
+    request = active.request
+    endpoint = state.endpoints[name]
+    active.attempts += 1
+    active.attempt_id = f'{request.request_id}.{active.attempts}'
+    active.phase = _state.Phase.OFFERED
+    active.endpoint = name
+    active.incarnation = endpoint.incarnation
+    active.tried.add(name)
+    endpoint.placed.add(active.attempt_id)
+    state.attempts[active.attempt_id] = request.request_id
+    offer = messages.Offer(
+        attempt_id=active.attempt_id,
+        request_id=request.request_id,
+        caller=request.caller,
+        service=endpoint.instance.service,
+        adapter=request.adapter,
+        idempotent=request.idempotent,
+        priority=request.priority,
+        remaining_ms=active.deadline_ms - at_ms,
+        fingerprint=request.fingerprint,
+        method=request.method,
+        path=request.path,
+        headers=request.headers,
+        body=request.body,
+        prompt_tokens=request.prompt_tokens,
+        output_tokens=request.output_tokens,
+        revision=state.follower.current.revision,
+    )
+    return [effects.Send(name, offer)]
+
+
+def _current(
+    state: _state.State, event: events.MessageReceived
+) -> _state.ActiveRequest | None:
+    """Return the request whose current attempt a message speaks of.
+
+    Guards against the late word of an older attempt, or of a sidecar that
+    the attempt was not offered to: it would show as another attempt's
+    answer. Attempt ids are never used twice, so the id alone decides.
+    """
+    attempt_id = event.message.attempt_id
+    active = state.request_of(attempt_id)
+    if active is None or active.attempt_id != attempt_id:
+        return None
+    if active.endpoint != event.peer:
+        return None
+    return active
+
+
+def _attempt_lost(
+    state: _state.State,
+    active: _state.ActiveRequest,
+    lost: messages.Failed,
+    at_ms: int,
+) -> Effects:
+    """Decide between another attempt and the final answer.
+
+    No second attempt once the caller has part of an answer, and none for a
+    non-idempotent request that may have run.
+    """
+    if lost.ran is not errors.Ran.NOT_RUN:
+        active.may_have_run = True
+    relaying = active.phase is _state.Phase.RELAYING
+    repeatable = active.request.idempotent or not active.may_have_run
+    left = active.attempts < state.options.attempts
+    if relaying or not repeatable or not left:
+        return give_up(state, active, lost.kind, lost.ran, lost.retry_after_ms)
+    _release(state, active)
+    active.phase = _state.Phase.WAITING
+    return place(state, active, at_ms)
+
+
+def _resume(
+    state: _state.State,
+    active: _state.ActiveRequest,
+    event: events.LinkOpened,
+) -> Effects:
+    """Resume at the same process, or take the attempt for lost.
+
+    A new incarnation never heard of the attempt, but the old one may have
+    run it: the outcome is unknown.
+    """
+    if active.incarnation != event.incarnation:
+        return resume_failed(state, active, event.at_ms)
+    active.resume_by_ms = None
+    return [effects.ResumeAnswer(event.peer, active.attempt_id)]
+
+
+def _release(state: _state.State, active: _state.ActiveRequest) -> None:
+    endpoint = state.endpoints.get(active.endpoint)
+    if endpoint is not None:
+        endpoint.placed.discard(active.attempt_id)
+    state.attempts.pop(active.attempt_id, None)
+    active.resume_by_ms = None
--- /dev/null
+++ b/berylhollow/gateway/_reducer.py
@@ -0,0 +1,72 @@
+"""One reducer over all events of a gateway."""
+
+from berylhollow import effects
+from berylhollow import events
+from berylhollow.gateway import _attempts
+from berylhollow.gateway import _membership
+from berylhollow.gateway import _requests
+from berylhollow.gateway import _shutdown
+from berylhollow.gateway import _state
+from berylhollow import messages
+
+Effects = list[effects.Effect]
+
+
+def reduce(
+    state: _state.State, event: events.Event
+) -> tuple[_state.State, Effects]:
+    """Take one event in and return the state and what is to be done."""
+    handler = _HANDLERS.get(type(event))
+    if handler is None:
+        return state, []
+    return state, handler(state, event)
+
+
+def _started(state: _state.State, event: events.Started) -> Effects:
+    state.incarnation = event.incarnation
+    wanted = state.follower.start(event.at_ms)
+    return wanted + _membership.tick(state, event.at_ms)
+
+
+def _ticked(state: _state.State, event: events.Ticked) -> Effects:
+    done = _membership.tick(state, event.at_ms)
+    done += _membership.tick_follower(state, event.at_ms)
+    done += _requests.tick(state, event.at_ms)
+    done += _shutdown.tick(state, event.at_ms)
+    return done
+
+
+def _received(state: _state.State, event: events.MessageReceived) -> Effects:
+    handler = _MESSAGES.get(type(event.message))
+    if handler is None:
+        return state.follower.handle(event)
+    return handler(state, event)
+
+
+def _followed(state: _state.State, event: events.Event) -> Effects:
+    return state.follower.handle(event)
+
+
+_HANDLERS = {
+    events.Started: _started,
+    events.Ticked: _ticked,
+    events.StopRequested: _shutdown.requested,
+    events.InstancesListed: _membership.listed,
+    events.LinkOpened: _attempts.link_opened,
+    events.LinkRefused: _membership.link_refused,
+    events.LinkClosed: _attempts.link_closed,
+    events.MessageReceived: _received,
+    events.RequestArrived: _requests.arrived,
+    events.CallerGone: _requests.caller_gone,
+    events.AnswerRelayed: _requests.relayed,
+    events.AnswerBroken: _requests.broken,
+    events.LogRead: _followed,
+    events.LogReadFailed: _followed,
+}
+
+_MESSAGES = {
+    messages.Report: _membership.reported,
+    messages.Started: _attempts.started,
+    messages.End: _attempts.ended,
+    messages.Failed: _attempts.failed,
+}
--- /dev/null
+++ b/berylhollow/gateway/_requests.py
@@ -0,0 +1,96 @@
+"""A request from its arrival to its final answer."""
+
+from berylhollow import effects
+from berylhollow import errors
+from berylhollow import events
+from berylhollow.gateway import _attempts
+from berylhollow.gateway import _state
+
+Effects = list[effects.Effect]
+
+
+def arrived(state: _state.State, event: events.RequestArrived) -> Effects:
+    """Check a request against the configuration and place it."""
+    request = event.request
+    if state.stopping:
+        return [refusal(request.request_id, errors.Kind.LEAVING)]
+    kind = _undeclared(state, request)
+    if kind is not None:
+        return [refusal(request.request_id, kind)]
+    active = _state.ActiveRequest(
+        request=request,
+        arrived_ms=event.at_ms,
+        deadline_ms=event.at_ms + request.deadline_ms,
+        seed=event.seed,
+    )
+    state.requests[request.request_id] = active
+    return _attempts.place(state, active, event.at_ms)
+
+
+def caller_gone(state: _state.State, event: events.CallerGone) -> Effects:
+    """Cancel what runs for a caller that is no longer there."""
+    active = state.requests.get(event.request_id)
+    if active is None:
+        return []
+    return _attempts.cancel(state, active) + _attempts.finish(state, active)
+
+
+def relayed(state: _state.State, event: events.AnswerRelayed) -> Effects:
+    """The caller has its whole answer."""
+    active = state.requests.get(event.request_id)
+    if active is None:
+        return []
+    return _attempts.finish(state, active)
+
+
+def broken(state: _state.State, event: events.AnswerBroken) -> Effects:
+    """Frames are missing that will not come: the answer can't be whole."""
+    active = state.requests.get(event.request_id)
+    if active is None or active.attempt_id != event.attempt_id:
+        return []
+    return _attempts.give_up(
+        state, active, errors.Kind.STREAM_BROKEN, errors.Ran.UNKNOWN
+    )
+
+
+def tick(state: _state.State, at_ms: int) -> Effects:
+    """End what is past its deadline, place what still waits."""
+    done: Effects = []
+    for active in list(state.requests.values()):
+        if at_ms >= active.deadline_ms:
+            done += _expire(state, active)
+        elif active.resume_by_ms is not None and at_ms >= active.resume_by_ms:
+            done += _attempts.resume_failed(state, active, at_ms)
+    return done
+
+
+def refusal(
+    request_id: str, kind: errors.Kind, retry_after_ms: int = 0
+) -> effects.AnswerError:
+    """Return the answer of a request that never had an attempt."""
+    return effects.AnswerError(
+        request_id, kind, errors.Ran.NOT_RUN, retry_after_ms
+    )
+
+
+def _undeclared(
+    state: _state.State, request: events.Request
+) -> errors.Kind | None:
+    configuration = state.follower.current
+    if configuration is None:
+        return errors.Kind.CONFIGURATION_UNAVAILABLE
+    return configuration.refuse(request.service, request.adapter)
+
+
+def _expire(state: _state.State, active: _state.ActiveRequest) -> Effects:
+    """Give the final answer at the deadline.
+
+    Only a request without an attempt, now or before, is known not to have
+    run; any other may have.
+    """
+    ran = errors.Ran.UNKNOWN
+    if active.phase is _state.Phase.WAITING and not active.may_have_run:
+        ran = errors.Ran.NOT_RUN
+    done = _attempts.cancel(state, active)
+    kind = errors.Kind.DEADLINE_EXCEEDED
+    return done + _attempts.give_up(state, active, kind, ran)
--- /dev/null
+++ b/berylhollow/gateway/_shutdown.py
@@ -0,0 +1,25 @@
+"""Graceful shutdown of a gateway."""
+
+from berylhollow import effects
+from berylhollow import events
+from berylhollow.gateway import _state
+
+Effects = list[effects.Effect]
+
+
+def requested(state: _state.State, event: events.StopRequested) -> Effects:
+    """Take no new request; those in flight go on to their end."""
+    if not state.stopping:
+        state.stopping = True
+        state.stop_by_ms = event.at_ms + state.options.stop_grace_ms
+    return tick(state, event.at_ms)
+
+
+def tick(state: _state.State, at_ms: int) -> Effects:
+    """Exit once nothing is in flight, or the grace period is over."""
+    if not state.stopping or state.exited:
+        return []
+    if state.requests and at_ms < state.stop_by_ms:
+        return []
+    state.exited = True
+    return [effects.Exit(1 if state.requests else 0)]
--- /dev/null
+++ b/berylhollow/sidecar/__init__.py
@@ -0,0 +1,7 @@
+"""The sidecar: all requests and all orders to its endpoint pass it."""
+
+from berylhollow.sidecar._options import Options
+from berylhollow.sidecar._reducer import reduce
+from berylhollow.sidecar._state import State
+
+__all__ = ['Options', 'State', 'reduce']
--- /dev/null
+++ b/berylhollow/sidecar/_admission.py
@@ -0,0 +1,155 @@
+"""Which attempts are taken, and what becomes of those that wait."""
+
+from berylhollow import effects
+from berylhollow import errors
+from berylhollow import events
+from berylhollow import messages
+from berylhollow.sidecar import _loads
+from berylhollow.sidecar import _runs
+from berylhollow.sidecar import _state
+
+Effects = list[effects.Effect]
+
+
+def offered(state: _state.State, event: events.MessageReceived) -> Effects:
+    """Take an attempt or refuse it; a refused one truly did not run.
+
+    Guards against a doubled offer (a link that broke and came back): it
+    would run the request twice. The attempt id is remembered from the first
+    offer, or from a resume that came before it.
+    """
+    offer = event.message
+    if offer.attempt_id in state.attempts:
+        return [effects.Count('berylhollow.sidecar.offers.doubled')]
+    attempt = _state.Attempt(
+        offer=offer,
+        peer=event.peer,
+        arrived_ms=event.at_ms,
+        deadline_ms=event.at_ms + offer.remaining_ms,
+    )
+    state.attempts[offer.attempt_id] = attempt
+    kind = _refusal(state, offer)
+    if kind is not None:
+        return _runs.end_unrun(state, attempt, kind, event.at_ms)
+    state.queue.append(offer.attempt_id)
+    done = _runs.dispatch(state, event.at_ms)
+    return done + _loads.order(state, event.at_ms)
+
+
+def cancelled(state: _state.State, event: events.MessageReceived) -> Effects:
+    """Stop an attempt that nobody waits for."""
+    attempt = state.attempts.get(event.message.attempt_id)
+    if attempt is None or attempt.cancelled:
+        return []
+    attempt.cancelled = True
+    if attempt.phase is _state.Phase.QUEUED:
+        return _runs.end_unrun(
+            state, attempt, errors.Kind.CANCELLED, event.at_ms
+        )
+    if attempt.phase is _state.Phase.RUNNING:
+        return [effects.CancelRun(attempt.offer.attempt_id)]
+    return [effects.ForgetRun(attempt.offer.attempt_id)]
+
+
+def resumed(state: _state.State, event: events.MessageReceived) -> Effects:
+    """Send the answer of an attempt again from where the gateway has it.
+
+    An attempt that this process never saw did not run here. Its id is kept,
+    so that an offer still under way on the old link can't run after we have
+    said so.
+    """
+    message = event.message
+    attempt = state.attempts.get(message.attempt_id)
+    if attempt is None:
+        return _never_seen(state, event)
+    attempt.peer = event.peer
+    done: Effects = []
+    if attempt.started is not None:
+        done.append(effects.Send(event.peer, attempt.started))
+        done.append(
+            effects.ResendFrames(
+                message.attempt_id, event.peer, message.next_sequence
+            )
+        )
+    if attempt.outcome is not None:
+        done.append(effects.Send(event.peer, attempt.outcome))
+    return done
+
+
+def tick(state: _state.State, at_ms: int) -> Effects:
+    """End waiting attempts at their deadline, forget old ended ones."""
+    done: Effects = []
+    for attempt_id in list(state.queue):
+        attempt = state.attempts[attempt_id]
+        if at_ms >= attempt.deadline_ms:
+            done += _runs.end_unrun(
+                state, attempt, errors.Kind.DEADLINE_EXCEEDED, at_ms
+            )
+    return done + _forget(state, at_ms)
+
+
+def _refusal(state: _state.State, offer: messages.Offer) -> errors.Kind | None:
+    if state.stopping:
+        return errors.Kind.LEAVING
+    if offer.remaining_ms <= 0:
+        return errors.Kind.DEADLINE_EXCEEDED
+    if not state.reachable:
+        return errors.Kind.ENDPOINT_UNREACHABLE
+    if len(state.queue) >= state.options.queue_limit:
+        return errors.Kind.OVERLOADED
+    if offer.service != state.options.service:
+        return errors.Kind.UNKNOWN_SERVICE
+    return None
+
+
+def _never_seen(state: _state.State, event: events.MessageReceived) -> Effects:
+    failed = messages.Failed(
+        event.message.attempt_id,
+        errors.Kind.ENDPOINT_UNREACHABLE,
+        errors.Ran.NOT_RUN,
+    )
+    state.attempts[event.message.attempt_id] = _tombstone(event, failed)
+    return [effects.Send(event.peer, failed)]
+
+
+def _tombstone(
+    event: events.MessageReceived, failed: messages.Failed
+) -> _state.Attempt:
+    offer = messages.Offer(
+        attempt_id=event.message.attempt_id,
+        request_id='',
+        caller='',
+        service='',
+        adapter=None,
+        idempotent=False,
+        priority=0,
+        remaining_ms=0,
+        fingerprint='',
+        method='',
+        path='',
+        headers=(),
+        body=b'',
+    )
+    return _state.Attempt(
+        offer=offer,
+        peer=event.peer,
+        arrived_ms=event.at_ms,
+        deadline_ms=event.at_ms,
+        phase=_state.Phase.ENDED,
+        outcome=failed,
+        ended_ms=event.at_ms,
+    )
+
+
+def _forget(state: _state.State, at_ms: int) -> Effects:
+    oldest = at_ms - state.options.keep_ended_ms
+    done: Effects = []
+    old = [
+        attempt_id
+        for attempt_id, attempt in state.attempts.items()
+        if attempt.phase is _state.Phase.ENDED and attempt.ended_ms < oldest
+    ]
+    for attempt_id in old:
+        del state.attempts[attempt_id]
+        done.append(effects.ForgetRun(attempt_id))
+    return done
--- /dev/null
+++ b/berylhollow/sidecar/_runs.py
@@ -0,0 +1,183 @@
+"""Runs at the endpoint: begin them, follow them, end them."""
+
+from berylhollow import effects
+from berylhollow import errors
+from berylhollow import events
+from berylhollow import messages
+from berylhollow.sidecar import _state
+
+Effects = list[effects.Effect]
+
+
+def dispatch(state: _state.State, at_ms: int) -> Effects:
+    """Give waiting attempts to the endpoint while there is room."""
+    done: Effects = []
+    if not state.reachable:
+        return done
+    for attempt_id in list(state.queue):
+        if len(state.running) >= state.capacity:
+            break
+        done += _begin(state, state.attempts[attempt_id], at_ms)
+    return done
+
+
+def started(state: _state.State, event: events.RunStarted) -> Effects:
+    """Pass the head of an answer on, if it is of the adapter asked for.
+
+    Guards against an engine whose slot was changed by somebody else: it
+    would show as an answer of another adapter. The endpoint's own word for
+    what it runs is compared before a byte is passed on.
+    """
+    attempt = _running(state, event.attempt_id)
+    if attempt is None:
+        return []
+    asked = attempt.offer.adapter
+    if asked is not None and event.adapter != asked:
+        _distrust(state, attempt)
+        wrong = messages.Failed(
+            event.attempt_id, errors.Kind.WRONG_ADAPTER, errors.Ran.RAN
+        )
+        attempt.cancelled = True
+        done = _tell(state, attempt, wrong, event.at_ms)
+        return [*done, effects.CancelRun(event.attempt_id)]
+    attempt.started = messages.Started(
+        event.attempt_id, event.status, event.headers, event.adapter
+    )
+    return [effects.Send(attempt.peer, attempt.started)]
+
+
+def ended(state: _state.State, event: events.RunEnded) -> Effects:
+    """The endpoint's answer is whole."""
+    attempt = _running(state, event.attempt_id)
+    if attempt is None:
+        return []
+    _unpin(state, attempt, event.at_ms)
+    outcome = messages.End(event.attempt_id, event.count)
+    done = _tell(state, attempt, outcome, event.at_ms)
+    return done + dispatch(state, event.at_ms)
+
+
+def failed(state: _state.State, event: events.RunFailed) -> Effects:
+    """A run broke off; what it used stays pinned while it may still run."""
+    attempt = _running(state, event.attempt_id)
+    if attempt is None:
+        return []
+    outcome = messages.Failed(event.attempt_id, event.kind, event.ran)
+    done = _tell(state, attempt, outcome, event.at_ms)
+    if event.ran is errors.Ran.NOT_RUN or state.options.plain:
+        _unpin(state, attempt, event.at_ms)
+        return done
+    return [*done, effects.CancelRun(event.attempt_id)]
+
+
+def cancel_confirmed(
+    state: _state.State, event: events.CancelConfirmed
+) -> Effects:
+    """The endpoint no longer runs a cancelled attempt: free its slot."""
+    attempt = state.attempts.get(event.attempt_id)
+    if attempt is None:
+        return []
+    _unpin(state, attempt, event.at_ms)
+    done: Effects = []
+    if attempt.phase is not _state.Phase.ENDED:
+        outcome = messages.Failed(
+            event.attempt_id, errors.Kind.CANCELLED, errors.Ran.UNKNOWN
+        )
+        done = _tell(state, attempt, outcome, event.at_ms)
+    return done + dispatch(state, event.at_ms)
+
+
+def end_unrun(
+    state: _state.State,
+    attempt: _state.Attempt,
+    kind: errors.Kind,
+    at_ms: int,
+) -> Effects:
+    """End an attempt that was never given to the endpoint."""
+    outcome = messages.Failed(
+        attempt.offer.attempt_id, kind, errors.Ran.NOT_RUN
+    )
+    return _tell(state, attempt, outcome, at_ms)
+
+
+def all_lost(state: _state.State, at_ms: int) -> Effects:
+    """End every run: the engine that ran them is gone."""
+    done: Effects = []
+    for attempt_id in sorted(state.running):
+        attempt = state.attempts[attempt_id]
+        attempt.slot = None
+        if attempt.phase is _state.Phase.ENDED:
+            continue
+        outcome = messages.Failed(
+            attempt_id, errors.Kind.ENGINE_RESTARTED, errors.Ran.UNKNOWN
+        )
+        done += _tell(state, attempt, outcome, at_ms)
+    state.running.clear()
+    return done
+
+
+def _begin(
+    state: _state.State, attempt: _state.Attempt, at_ms: int
+) -> Effects:
+    """Pin the slot that an attempt needs and start it there.
+
+    The pin is the guard against evicting an adapter in use: loads are
+    ordered only into slots without pins, and a pin is given back only after
+    the last byte, a true "not run" or a confirmed cancel.
+    """
+    adapter = attempt.offer.adapter
+    if adapter is not None:
+        slot = state.slot_with(adapter)
+        if slot is None:
+            return []
+        slot.pins += 1
+        slot.used_ms = at_ms
+        attempt.slot = slot.number
+    state.queue.remove(attempt.offer.attempt_id)
+    attempt.phase = _state.Phase.RUNNING
+    state.running.add(attempt.offer.attempt_id)
+    return [
+        effects.StartRun(
+            attempt.offer.attempt_id,
+            attempt.offer,
+            state.epoch,
+            attempt.peer,
+        )
+    ]
+
+
+def _running(state: _state.State, attempt_id: str) -> _state.Attempt | None:
+    attempt = state.attempts.get(attempt_id)
+    if attempt is None or attempt.phase is not _state.Phase.RUNNING:
+        return None
+    return attempt
+
+
+def _tell(
+    state: _state.State,
+    attempt: _state.Attempt,
+    outcome: messages.End | messages.Failed,
+    at_ms: int,
+) -> Effects:
+    attempt_id = attempt.offer.attempt_id
+    if attempt_id in state.queue:
+        state.queue.remove(attempt_id)
+    attempt.phase = _state.Phase.ENDED
+    attempt.outcome = outcome
+    attempt.ended_ms = at_ms
+    return [effects.Send(attempt.peer, outcome)]
+
+
+def _unpin(state: _state.State, attempt: _state.Attempt, at_ms: int) -> None:
+    state.running.discard(attempt.offer.attempt_id)
+    if attempt.slot is None:
+        return
+    slot = state.slots[attempt.slot]
+    slot.pins -= 1
+    slot.used_ms = at_ms
+    attempt.slot = None
+
+
+def _distrust(state: _state.State, attempt: _state.Attempt) -> None:
+    slot = state.slots[attempt.slot]
+    slot.phase = _state.SlotPhase.UNCERTAIN
--- /dev/null
+++ b/berylhollow/sidecar/_state.py
@@ -0,0 +1,124 @@
+"""What a sidecar knows: its engine's slots and the attempts it took."""
+
+import dataclasses
+import enum
+
+from berylhollow import errors
+from berylhollow import following
+from berylhollow import messages
+from berylhollow.sidecar import _options
+
+
+class SlotPhase(enum.Enum):
+    """What is known of a slot.
+
+    Only READY says that we loaded the adapter ourselves in this epoch.
+    UNCERTAIN is a slot whose last order has no known outcome.
+    """
+
+    EMPTY = 'empty'
+    LOADING = 'loading'
+    READY = 'ready'
+    UNCERTAIN = 'uncertain'
+
+
+@dataclasses.dataclass(slots=True)
+class Slot:
+    """One adapter slot of the engine.
+
+    ``pins`` counts the runs that use it: a slot with pins is never ordered
+    to load anything.
+    """
+
+    number: int
+    phase: SlotPhase = SlotPhase.EMPTY
+    adapter: messages.AdapterVersion | None = None
+    order_id: str = ''
+    pins: int = 0
+    used_ms: int = 0
+
+
+class Phase(enum.Enum):
+    """How far an attempt is.
+
+    ENDED attempts are kept for a while, so that a resume or a doubled offer
+    of one is recognised.
+    """
+
+    QUEUED = 'queued'
+    RUNNING = 'running'
+    ENDED = 'ended'
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """One attempt that a gateway offered."""
+
+    offer: messages.Offer
+    peer: str
+    arrived_ms: int
+    deadline_ms: int
+    phase: Phase = Phase.QUEUED
+    slot: int | None = None
+    started: messages.Started | None = None
+    outcome: messages.End | messages.Failed | None = None
+    ended_ms: int = 0
+    cancelled: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Backoff:
+    """Pause before a load that failed is ordered again."""
+
+    failures: int = 0
+    until_ms: int = 0
+    reason: errors.Kind = errors.Kind.LOAD_FAILED
+
+
+@dataclasses.dataclass(slots=True)
+class State:
+    """Everything that a sidecar's reducer remembers."""
+
+    options: _options.Options
+    follower: following.Follower
+    incarnation: str = ''
+    epoch: str = ''
+    retired_epochs: set[str] = dataclasses.field(default_factory=set)
+    fence: int = 0
+    batch_limit: int = 0
+    reachable: bool = False
+    slots: list[Slot] = dataclasses.field(default_factory=list)
+    attempts: dict[str, Attempt] = dataclasses.field(default_factory=dict)
+    queue: list[str] = dataclasses.field(default_factory=list)
+    running: set[str] = dataclasses.field(default_factory=set)
+    links: dict[str, str] = dataclasses.field(default_factory=dict)
+    backoffs: dict[messages.AdapterVersion, Backoff] = dataclasses.field(
+        default_factory=dict
+    )
+    orders: int = 0
+    status_read_ms: int = -1_000_000
+    reported_ms: int = -1_000_000
+    stopping: bool = False
+    stop_by_ms: int = 0
+    exited: bool = False
+
+    @property
+    def capacity(self) -> int:
+        """How many runs the endpoint may have at once."""
+        if self.options.plain or not self.batch_limit:
+            return self.options.concurrency
+        return self.batch_limit
+
+    def slot_with(self, adapter: messages.AdapterVersion) -> Slot | None:
+        """Return the slot that is ready with an adapter version."""
+        for slot in self.slots:
+            if slot.phase is SlotPhase.READY and slot.adapter == adapter:
+                return slot
+        return None
+
+    def slot_of_order(self, order_id: str) -> Slot | None:
+        """Return the slot whose last order this is."""
+        for slot in self.slots:
+            if slot.order_id == order_id:
+                return slot
+        return None
--- /dev/null
+++ b/test/builders.py
@@ -0,0 +1,131 @@
+"""Builders of test data, with defaults that a test need not care about."""
+
+import dataclasses
+
+from berylhollow import errors
+from berylhollow import events
+from berylhollow import gateway
+from berylhollow import messages
+from berylhollow import sidecar
+
+SERVICE = 'modelos'
+PLAIN_SERVICE = 'balcao'
+DEADLINE_MS = 30_000
+
+
+@dataclasses.dataclass
+class FixedView:
+    """A configuration that declares everything with version ``1`` or 2."""
+
+    revision: int = 1
+
+    def refuse(self, service, adapter):
+        if adapter is None and service not in (SERVICE, PLAIN_SERVICE):
+            return errors.Kind.UNKNOWN_SERVICE
+        if adapter is not None and adapter.version not in ('1', '2'):
+            return errors.Kind.UNKNOWN_VERSION
+        return None
+
+    def service_of(self, adapter):
+        return SERVICE
+
+
+@dataclasses.dataclass
+class FixedFollower:
+    """A follower that has read everything and asks for nothing."""
+
+    current: FixedView | None = dataclasses.field(default_factory=FixedView)
+
+    def start(self, at_ms):
+        return []
+
+    def handle(self, event):
+        return []
+
+    def tick(self, at_ms, live_gateways, peers, self_id):
+        return []
+
+
+def adapter(name='a1', version='1'):
+    return messages.AdapterVersion(name, version)
+
+
+def request(request_id='r1', **changes):
+    values = {
+        'request_id': request_id,
+        'caller': 'caller-1',
+        'service': SERVICE,
+        'adapter': adapter(),
+        'key': None,
+        'priority': 5,
+        'deadline_ms': DEADLINE_MS,
+        'fingerprint': f'print-of-{request_id}',
+        'method': 'POST',
+        'path': '/v1/completions',
+        'headers': (),
+        'body': b'{}',
+    }
+    return events.Request(**(values | changes))
+
+
+def offer(attempt_id='r1.1', **changes):
+    values = {
+        'attempt_id': attempt_id,
+        'request_id': attempt_id.split('.')[0],
+        'caller': 'caller-1',
+        'service': SERVICE,
+        'adapter': adapter(),
+        'idempotent': True,
+        'priority': 5,
+        'remaining_ms': DEADLINE_MS,
+        'fingerprint': f'print-of-{attempt_id}',
+        'method': 'POST',
+        'path': '/v1/completions',
+        'headers': (),
+        'body': b'{}',
+    }
+    return messages.Offer(**(values | changes))
+
+
+def instance(name='e1', role=events.Role.ENDPOINT, **changes):
+    values = {
+        'instance': name,
+        'role': role,
+        'service': SERVICE,
+        'failure_domain': 'sul-a',
+        'region': 'sul',
+        'address': f'127.0.0.1:{name}',
+        'leaving': False,
+    }
+    return events.Instance(**(values | changes))
+
+
+def engine_status(epoch='epoch-1', slots=2, at_ms=0, **changes):
+    values = {
+        'at_ms': at_ms,
+        'epoch': epoch,
+        'base_model': 'base',
+        'slots': tuple(
+            events.SlotState(number, None, False) for number in range(slots)
+        ),
+        'batch_limit': 4,
+        'running': 0,
+        'waiting': 0,
+        'highest_fence': 0,
+    }
+    return events.EngineStatus(**(values | changes))
+
+
+def gateway_state(instance_name='g1', **options):
+    return gateway.State(
+        options=gateway.Options(instance=instance_name, **options),
+        follower=FixedFollower(),
+    )
+
+
+def sidecar_state(instance_name='e1', **options):
+    values = {'service': SERVICE} | options
+    return sidecar.State(
+        options=sidecar.Options(instance=instance_name, **values),
+        follower=FixedFollower(),
+    )
--- /dev/null
+++ b/test/test_sidecar.py
@@ -0,0 +1,115 @@
+"""Tests of the sidecar's reducer: slots, pins, attempts and loads."""
+
+from berylhollow import effects
+from berylhollow import errors
+from berylhollow import events
+from berylhollow import messages
+from berylhollow import sidecar
+from test import builders
+from test import helper
+
+
+class SidecarTestCase(helper.ReducerTestCase):
+    def setUp(self):
+        self.begin(sidecar.reduce, builders.sidecar_state())
+        self.feed(events.Appended(0, 'takeovers', 'incarnation-1', 6))
+        self.feed(builders.engine_status())
+        gateway = events.Role.GATEWAY
+        self.feed(events.LinkOpened(0, 'g1', gateway, 'i1'))
+
+    def offer(self, attempt_id='r1.1', **changes):
+        self.receive(builders.offer(attempt_id, **changes), peer='g1')
+
+    def run_offer(self, attempt_id='r1.1', **changes):
+        """Offer an attempt and load its adapter; it is given a run."""
+        self.offer(attempt_id, **changes)
+        (order,) = self.of_type(effects.LoadAdapter)
+        self.feed(events.LoadSucceeded(1, order.order_id, 'epoch-1'))
+        (run,) = self.of_type(effects.StartRun)
+        return run
+
+
+class SlotTest(SidecarTestCase):
+    def test_load_carries_the_fencing_number_of_the_log(self):
+        self.offer()
+        (order,) = self.of_type(effects.LoadAdapter)
+        self.assertEqual(7, order.fence)
+
+    def test_attempt_runs_once_its_adapter_is_loaded(self):
+        run = self.run_offer()
+        self.assertEqual('r1.1', run.attempt_id)
+
+    def test_pinned_slot_is_not_loaded_over(self):
+        """A running answer changes to another adapter in mid-sentence.
+
+        Both slots run a request when a third adapter is asked for; loading
+        it now would evict one in use. Cause: eviction without pins.
+        """
+        self.run_offer('r1.1')
+        self.run_offer('r2.1', adapter=builders.adapter('a2'))
+        self.offer('r3.1', adapter=builders.adapter('a3'))
+        self.assertEqual([], self.of_type(effects.LoadAdapter))
+        self.feed(events.RunEnded(5, 'r1.1', 0), events.Ticked(6))
+        (order,) = self.of_type(effects.LoadAdapter)
+        self.assertEqual(0, order.slot)
+
+    def test_restarted_engine_holds_nothing(self):
+        """Requests run on whatever a restarted engine happens to hold.
+
+        The engine restarts cold; the slot table of the old epoch would send
+        requests to empty slots. Cause: a table without an epoch.
+        """
+        self.run_offer()
+        self.feed(builders.engine_status('epoch-2', at_ms=10))
+        self.assertIs(errors.Kind.ENGINE_RESTARTED, self.failure().kind)
+        self.offer('r2.1')
+        self.assertEqual([], self.of_type(effects.StartRun))
+        self.assertEqual(1, len(self.of_type(effects.LoadAdapter)))
+
+    def test_lagging_report_of_a_left_epoch_is_ignored(self):
+        self.feed(builders.engine_status('epoch-2', at_ms=10))
+        self.feed(builders.engine_status('epoch-1', at_ms=20))
+        self.assertEqual('epoch-2', self.state.epoch)
+
+    def test_answer_of_another_adapter_is_not_passed_on(self):
+        self.run_offer()
+        other = builders.adapter('a2')
+        self.feed(events.RunStarted(2, 'r1.1', 'epoch-1', 200, (), other))
+        self.assertEqual([], self.sent(messages.Started))
+        self.assertIs(errors.Kind.WRONG_ADAPTER, self.failure().kind)
+
+
+class AttemptTest(SidecarTestCase):
+    def test_doubled_offer_runs_once(self):
+        self.run_offer()
+        self.offer()
+        self.assertEqual([], self.of_type(effects.StartRun))
+
+    def test_offer_after_its_resume_does_not_run(self):
+        """A request that was answered "not run" runs after all.
+
+        The link breaks with the offer still in the socket; the gateway
+        resumes on a new link, is told "not run", and then the old socket
+        delivers the offer. Cause: no memory of what was denied.
+        """
+        self.receive(messages.Resume('r1.1', 0), peer='g1')
+        self.assertIs(errors.Ran.NOT_RUN, self.failure().ran)
+        self.offer()
+        self.assertEqual([], self.of_type(effects.LoadAdapter))
+
+    def test_pin_is_kept_until_the_cancel_is_confirmed(self):
+        self.run_offer()
+        self.receive(messages.Cancel('r1.1'), peer='g1')
+        self.assertEqual(1, self.state.slots[0].pins)
+        self.feed(events.CancelConfirmed(3, 'r1.1'))
+        self.assertEqual(0, self.state.slots[0].pins)
+
+    def test_leaving_sidecar_hands_back_what_never_began(self):
+        self.run_offer('r1.1')
+        self.offer('r2.1', adapter=builders.adapter('a2'))
+        self.feed(events.StopRequested(3))
+        self.assertEqual('r2.1', self.failure().attempt_id)
+        self.assertIs(errors.Ran.NOT_RUN, self.failure().ran)
+        self.assertEqual([], self.of_type(effects.Exit))
+        self.feed(events.RunEnded(4, 'r1.1', 1), events.Ticked(5))
+        self.assertEqual([effects.Exit(0)], self.of_type(effects.Exit))
