Take an answer without a marked end for broken

Cause: an answer with neither length nor chunks ends with the close of its connection, so half of one looked whole to the client of an endpoint.

Change: such an answer raises MaybeDone at its end. The platform stand-in answers waiting reads when it stops, so that its stop does not wait.

Conclusion: plain services must send a length or chunks.

--- a/berylhollow/endpoint/_endpoint_client.py
+++ b/berylhollow/endpoint/_endpoint_client.py
@@ -12,6 +12,9 @@
 EPOCH_HEADER = 'X-Engine-Epoch'
 ADAPTER_NOT_LOADED = 'adapter_not_loaded'
 NOT_FOUND = 404
+WITHOUT_BODY = frozenset({204, 304})
+HEAD = 'HEAD'
+CHUNKED = 'chunked'
 HOP_BY_HOP = frozenset(
     {
         'connection',
@@ -54,7 +57,8 @@
     async def chunks(self) -> typing.AsyncIterator[bytes]:
         """Give the body as it comes; its normal end means it is whole.
 
-        Raises ``outgoing.MaybeDone`` if the connection breaks before.
+        Raises ``outgoing.MaybeDone`` if the connection breaks before, and
+        at the end of an answer that has no length and no chunks.
         """
         if self.body is not None:
             yield self.body
@@ -67,6 +71,22 @@
             raise outgoing.MaybeDone(
                 str(error) or type(error).__name__
             ) from error
+        if not self.has_end():
+            raise outgoing.MaybeDone('the answer has no marked end')
+
+    def has_end(self) -> bool:
+        """Return whether the end of the body can be told from a break.
+
+        Guards against half an answer that passes for a whole one: without
+        a length or chunks, an endpoint that dies looks like one that is
+        done, and the caller would get the part as the whole.
+        """
+        return (
+            self.response.method == HEAD
+            or self.status in WITHOUT_BODY
+            or 'Content-Length' in self.response.headers
+            or self.response.headers.get('Transfer-Encoding') == CHUNKED
+        )
 
     def close(self) -> None:
         """Drop the connection, unless the whole body was read."""
--- a/berylhollow/standin/platform_server.py
+++ b/berylhollow/standin/platform_server.py
@@ -24,8 +24,10 @@
     def __init__(self, model: log.LogModel):
         self.model = model
         self.appended: dict[str, asyncio.Event] = {}
+        self.stopping = False
 
     def add_to(self, application: web.Application) -> None:
+        application.on_shutdown.append(self.stop_waiting)
         path = '/log/streams/{stream}/records'
         application.router.add_post(path, self.append)
         application.router.add_get(path, self.read)
@@ -47,7 +49,7 @@
         wait_ms = min(int(request.query.get('wait_ms', '0')), LONGEST_WAIT_MS)
         await self.delay()
         result = self.model.read(stream, from_offset, limit, _http.wall_ms())
-        if not result.records and wait_ms > 0:
+        if not result.records and wait_ms > 0 and not self.stopping:
             await self.wait(stream, wait_ms)
             result = self.model.read(
                 stream, from_offset, limit, _http.wall_ms()
@@ -68,6 +70,12 @@
         except TimeoutError:
             return
 
+    async def stop_waiting(self, application: web.Application) -> None:
+        """Answer all reads that wait, so that the stop need not."""
+        self.stopping = True
+        for stream in list(self.appended):
+            self.wake(stream)
+
     def wake(self, stream: str) -> None:
         event = self.appended.pop(stream, None)
         if event is not None:
--- a/test/test_outgoing.py
+++ b/test/test_outgoing.py
@@ -144,6 +144,22 @@
         self.assertEqual((await self.open_twice(True)).connections, 1)
         self.assertEqual((await self.open_twice(False)).connections, 2)
 
+    async def test_answer_without_an_end_is_not_whole(self):
+        """A technician reads half of the steps and takes them for all.
+
+        The service marks no end but the close of its connection, and dies
+        half-way: the close looks the same.
+        """
+        for head in (b'', b'Content-Length: 9\r\n'):
+            script = b'HTTP/1.1 200 OK\r\n' + head + b'\r\nhalf'
+            url = await RecordingServer(script).start(self)
+            client = endpoint.EndpointClient(url, engine=False)
+            self.addAsyncCleanup(client.close)
+            answer = await client.open(endpoint.EndpointRequest('GET', '/'))
+            with self.assertRaises(outgoing.MaybeDone):
+                async for chunk in answer.chunks():
+                    self.assertEqual(chunk, b'half')
+
     async def test_only_end_to_end_headers_pass(self):
         head = (await self.open_twice(True)).heads[0]
         self.assertIn(b'X-Kept: 1\r\n', head)
