Claim keys on the log before a run

Cause: a non-idempotent request could run twice through two gateways or after every process was replaced. Change: claims as batches on a log stream, a ledger that is a fold over the stream (first claim by offset wins, NOT_RUN frees the key, a voided claim that arrives late holds nothing), settlement of lost append answers by reading, stored answers for resends. Ruled out: deciding on the append's confirmation (two gateways both confirmed). Conclusion: at most once rests on the log's order alone; with the log down keyed requests are refused as not run.

--- a/berylhollow/gateway/_attempts.py
+++ b/berylhollow/gateway/_attempts.py
@@ -9,6 +9,7 @@
 from berylhollow import errors
 from berylhollow import events
 from berylhollow.gateway import _routing
+from berylhollow.gateway import _settlement
 from berylhollow.gateway import _state
 from berylhollow import messages
 
@@ -119,7 +120,7 @@
 
 def cancel(state: _state.State, active: _state.ActiveRequest) -> Effects:
     """Tell the sidecar that nobody waits for the attempt any more."""
-    if active.phase is _state.Phase.WAITING:
+    if not active.offered:
         return []
     message = messages.Cancel(active.attempt_id)
     return [effects.Send(active.endpoint, message)]
@@ -147,6 +148,7 @@
         answer = effects.BreakAnswer(request_id, active.attempt_id, kind, ran)
     else:
         answer = effects.AnswerError(request_id, kind, ran, retry_after_ms)
+    _settlement.settle(state, active, ran)
     return [answer, *finish(state, active)]
 
 
--- a/berylhollow/gateway/_reducer.py
+++ b/berylhollow/gateway/_reducer.py
@@ -1,8 +1,10 @@
 """One reducer over all events of a gateway."""
 
+from berylhollow import claims
 from berylhollow import effects
 from berylhollow import events
 from berylhollow.gateway import _attempts
+from berylhollow.gateway import _claims
 from berylhollow.gateway import _membership
 from berylhollow.gateway import _requests
 from berylhollow.gateway import _shutdown
@@ -32,6 +34,7 @@
     done = _membership.tick(state, event.at_ms)
     done += _membership.tick_follower(state, event.at_ms)
     done += _requests.tick(state, event.at_ms)
+    done += _claims.tick(state, event.at_ms)
     done += _shutdown.tick(state, event.at_ms)
     return done
 
@@ -43,7 +46,29 @@
     return handler(state, event)
 
 
-def _followed(state: _state.State, event: events.Event) -> Effects:
+def _log_read(state: _state.State, event: events.LogRead) -> Effects:
+    if event.stream.startswith(claims.STREAM_PREFIX):
+        return _claims.log_read(state, event)
+    return state.follower.handle(event)
+
+
+def _log_read_failed(
+    state: _state.State, event: events.LogReadFailed
+) -> Effects:
+    if event.stream.startswith(claims.STREAM_PREFIX):
+        return _claims.log_read_failed(state, event)
+    return state.follower.handle(event)
+
+
+def _appended(state: _state.State, event: events.Appended) -> Effects:
+    if event.stream.startswith(claims.STREAM_PREFIX):
+        return _claims.appended(state, event)
+    return state.follower.handle(event)
+
+
+def _append_failed(state: _state.State, event: events.AppendFailed) -> Effects:
+    if event.stream.startswith(claims.STREAM_PREFIX):
+        return _claims.append_failed(state, event)
     return state.follower.handle(event)
 
 
@@ -60,8 +85,10 @@
     events.CallerGone: _requests.caller_gone,
     events.AnswerRelayed: _requests.relayed,
     events.AnswerBroken: _requests.broken,
-    events.LogRead: _followed,
-    events.LogReadFailed: _followed,
+    events.LogRead: _log_read,
+    events.LogReadFailed: _log_read_failed,
+    events.Appended: _appended,
+    events.AppendFailed: _append_failed,
 }
 
 _MESSAGES = {
--- a/berylhollow/gateway/_requests.py
+++ b/berylhollow/gateway/_requests.py
@@ -1,9 +1,12 @@
 """A request from its arrival to its final answer."""
 
+from berylhollow import claims
 from berylhollow import effects
 from berylhollow import errors
 from berylhollow import events
 from berylhollow.gateway import _attempts
+from berylhollow.gateway import _claims
+from berylhollow.gateway import _settlement
 from berylhollow.gateway import _state
 
 Effects = list[effects.Effect]
@@ -24,14 +27,24 @@
         seed=event.seed,
     )
     state.requests[request.request_id] = active
+    if not request.idempotent:
+        return _claims.claim(state, active, event.at_ms)
     return _attempts.place(state, active, event.at_ms)
 
 
 def caller_gone(state: _state.State, event: events.CallerGone) -> Effects:
-    """Cancel what runs for a caller that is no longer there."""
+    """Cancel what runs for a caller that is no longer there.
+
+    A non-idempotent run goes on: its caller will send the key again, and
+    can be told how it ended only if it ends.
+    """
     active = state.requests.get(event.request_id)
     if active is None:
         return []
+    if not active.request.idempotent:
+        if active.offered:
+            return []
+        _settlement.settle(state, active, errors.Ran.NOT_RUN)
     return _attempts.cancel(state, active) + _attempts.finish(state, active)
 
 
@@ -40,6 +53,10 @@
     active = state.requests.get(event.request_id)
     if active is None:
         return []
+    stored = None
+    if event.body is not None:
+        stored = claims.StoredAnswer(event.status, event.headers, event.body)
+    _settlement.settle(state, active, errors.Ran.RAN, stored)
     return _attempts.finish(state, active)
 
 
@@ -89,7 +106,7 @@
     run; any other may have.
     """
     ran = errors.Ran.UNKNOWN
-    if active.phase is _state.Phase.WAITING and not active.may_have_run:
+    if not active.offered and not active.may_have_run:
         ran = errors.Ran.NOT_RUN
     done = _attempts.cancel(state, active)
     kind = errors.Kind.DEADLINE_EXCEEDED
--- a/berylhollow/gateway/_shutdown.py
+++ b/berylhollow/gateway/_shutdown.py
@@ -2,6 +2,7 @@
 
 from berylhollow import effects
 from berylhollow import events
+from berylhollow.gateway import _settlement
 from berylhollow.gateway import _state
 
 Effects = list[effects.Effect]
@@ -16,10 +17,15 @@
 
 
 def tick(state: _state.State, at_ms: int) -> Effects:
-    """Exit once nothing is in flight, or the grace period is over."""
+    """Exit once nothing is in flight, or the grace period is over.
+
+    How claimed requests ended goes to the log first: without it a caller
+    that sends its key again would be told that the outcome is unknown.
+    """
     if not state.stopping or state.exited:
         return []
-    if state.requests and at_ms < state.stop_by_ms:
+    busy = bool(state.requests) or _settlement.unsettled(state)
+    if busy and at_ms < state.stop_by_ms:
         return []
     state.exited = True
-    return [effects.Exit(1 if state.requests else 0)]
+    return [effects.Exit(1 if busy else 0)]
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 
+from berylhollow import claims
 from berylhollow import events
 from berylhollow import following
 from berylhollow.gateway import _options
@@ -42,10 +43,12 @@
 class Phase(enum.Enum):
     """How far a request is.
 
-    WAITING has no attempt at an endpoint, OFFERED one that has not begun to
-    answer, RELAYING one whose answer is on its way to the caller.
+    CLAIMING waits for the log to decide about its key, WAITING has no
+    attempt at an endpoint, OFFERED one that has not begun to answer,
+    RELAYING one whose answer is on its way to the caller.
     """
 
+    CLAIMING = 'claiming'
     WAITING = 'waiting'
     OFFERED = 'offered'
     RELAYING = 'relaying'
@@ -67,6 +70,34 @@
     resume_by_ms: int | None = None
     tried: set[str] = dataclasses.field(default_factory=set)
     may_have_run: bool = False
+    key: bytes = b''
+    claim_id: str = ''
+    claim_by_ms: int = 0
+    claim_lost: bool = False
+
+    @property
+    def offered(self) -> bool:
+        """Tell whether an attempt is at an endpoint."""
+        return self.phase in (Phase.OFFERED, Phase.RELAYING)
+
+
+@dataclasses.dataclass(slots=True)
+class Partition:
+    """One stream of claims, as far as this gateway uses it.
+
+    ``undecided`` maps the claims that the log has not decided to their
+    requests. ``queue`` waits to be appended, ``appending`` is on its way.
+    """
+
+    stream: str
+    ledger: claims.Ledger
+    undecided: dict[str, str] = dataclasses.field(default_factory=dict)
+    queue: list[claims.Entry] = dataclasses.field(default_factory=list)
+    appending: list[claims.Entry] = dataclasses.field(default_factory=list)
+    append_id: str = ''
+    append_from_ms: int = 0
+    reading: bool = False
+    read_from_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -82,6 +113,8 @@
         default_factory=dict
     )
     attempts: dict[str, str] = dataclasses.field(default_factory=dict)
+    partitions: dict[int, Partition] = dataclasses.field(default_factory=dict)
+    appends: int = 0
     instances_read_ms: int = -1_000_000
     stopping: bool = False
     stop_by_ms: int = 0
--- a/test/helper.py
+++ b/test/helper.py
@@ -5,6 +5,7 @@
 from berylhollow import effects
 from berylhollow import events
 from berylhollow import messages
+from berylhollow.standin import failures
 
 
 class ReducerTestCase(unittest.TestCase):
@@ -26,6 +27,17 @@
     def receive(self, message, at_ms=0, peer='e1'):
         return self.feed(events.MessageReceived(at_ms, peer, message))
 
+    def answer_log(self, model, at_ms=0):
+        """Carry appends and reads out at a log until none is asked for."""
+        kept = self.effects
+        while True:
+            calls = [item for item in self.effects if _is_call(item)]
+            if not calls:
+                break
+            self.feed(*[_answer(model, call, at_ms) for call in calls])
+            kept = [*kept, *self.effects]
+        self.effects = kept
+
     def of_type(self, effect_type):
         return [item for item in self.effects if type(item) is effect_type]
 
@@ -41,3 +53,39 @@
         """Return the only Failed message that was sent."""
         (failed,) = self.sent(messages.Failed)
         return failed
+
+
+def _is_call(effect):
+    return isinstance(effect, effects.Append | effects.ReadLog)
+
+
+def _answer(model, call, at_ms):
+    if isinstance(call, effects.ReadLog):
+        return _read(model, call, at_ms)
+    try:
+        offset = model.append(call.stream, call.data, at_ms)
+    except failures.AnswerLost:
+        unknown = events.Certainty.UNKNOWN
+        return events.AppendFailed(at_ms, call.stream, call.append_id, unknown)
+    except failures.StandInError:
+        not_done = events.Certainty.NOT_DONE
+        return events.AppendFailed(
+            at_ms, call.stream, call.append_id, not_done
+        )
+    return events.Appended(at_ms, call.stream, call.append_id, offset)
+
+
+def _read(model, call, at_ms):
+    try:
+        read = model.read(call.stream, call.from_offset, 100, at_ms)
+    except failures.OffsetGone as e:
+        return events.LogReadFailed(at_ms, call.stream, e.first_offset)
+    except failures.StandInError:
+        return events.LogReadFailed(at_ms, call.stream)
+    entries = tuple(
+        messages.LogEntry(record.offset, record.at_ms, record.data)
+        for record in read.records
+    )
+    return events.LogRead(
+        at_ms, call.stream, entries, read.first_offset, read.next_offset
+    )
--- a/test/test_gateway.py
+++ b/test/test_gateway.py
@@ -5,6 +5,7 @@
 from berylhollow import events
 from berylhollow import gateway
 from berylhollow import messages
+from berylhollow.standin import log
 from test import builders
 from test import helper
 
@@ -26,6 +27,7 @@
 
     def arrive(self, **changes):
         self.feed(events.RequestArrived(0, builders.request(**changes)))
+        self.answer_log(log.LogModel())
         (send,) = self.of_type(effects.Send)
         return send.peer, send.message.attempt_id
 
