Link our processes with authenticated, coalescing websockets

Cause: gateways and sidecars need one connection per pair that carries typed messages, keeps strangers out and never grows without bound.

Change: berylhollow.link with a server and a client on websockets, CBOR arrays checked against the declared messages, mutual HMAC-SHA256 with nonces before anything else, messages within a flush delay sharing one frame, a high-water mark and a hard limit of what is queued, typed reasons for each end.

--- /dev/null
+++ b/berylhollow/link/__init__.py
@@ -0,0 +1,23 @@
+"""Authenticated links between our own processes, carrying typed messages."""
+
+from berylhollow.link._client import LinkClient
+from berylhollow.link._codec import Codec
+from berylhollow.link._codec import CodecError
+from berylhollow.link._handshake import Identity
+from berylhollow.link._link import Handler
+from berylhollow.link._link import Link
+from berylhollow.link._link import Options
+from berylhollow.link._reason import Reason
+from berylhollow.link._server import LinkServer
+
+__all__ = [
+    'Codec',
+    'CodecError',
+    'Handler',
+    'Identity',
+    'Link',
+    'LinkClient',
+    'LinkServer',
+    'Options',
+    'Reason',
+]
--- /dev/null
+++ b/berylhollow/link/_link.py
@@ -0,0 +1,272 @@
+"""One authenticated connection between two of our processes."""
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import logging
+import typing
+
+from websockets import exceptions
+
+from berylhollow.link import _codec
+from berylhollow.link import _handshake
+from berylhollow.link import _reason
+
+LOG = logging.getLogger(__name__)
+
+MILLISECONDS = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Options:
+    """Bounds of a link: times in milliseconds, sizes in bytes."""
+
+    flush_delay_ms: float = 2
+    """How long a message may wait for others to share a frame with."""
+    flush_bytes: int = 64 * 1024
+    """A frame is sent at once when this much is queued."""
+    congested_bytes: int = 1024 * 1024
+    """Above this much queued the link reports that it is congested."""
+    overflow_bytes: int = 8 * 1024 * 1024
+    """Above this much queued the link is closed."""
+    maximum_bytes: int = 4 * 1024 * 1024
+    """Largest frame taken from a peer, and largest message sent."""
+    handshake_timeout_ms: int = 2000
+    """Each of connecting and authenticating must end within this time."""
+    close_timeout_ms: int = 2000
+    """How long a closing link may flush what is queued."""
+    ping_interval_ms: int = 5000
+    """Time between keepalive pings."""
+    ping_timeout_ms: int = 5000
+    """A ping unanswered for this long takes the link down."""
+
+    @property
+    def handshake_timeout(self) -> float:
+        """``handshake_timeout_ms`` in seconds."""
+        return self.handshake_timeout_ms / MILLISECONDS
+
+    @property
+    def close_timeout(self) -> float:
+        """``close_timeout_ms`` in seconds."""
+        return self.close_timeout_ms / MILLISECONDS
+
+    @property
+    def ping_interval(self) -> float:
+        """``ping_interval_ms`` in seconds."""
+        return self.ping_interval_ms / MILLISECONDS
+
+    @property
+    def ping_timeout(self) -> float:
+        """``ping_timeout_ms`` in seconds."""
+        return self.ping_timeout_ms / MILLISECONDS
+
+
+class Handler(typing.Protocol):
+    """What the owner of links is told; none of these may block."""
+
+    def link_up(self, link: 'Link') -> None:
+        """Take a link whose peer has proved itself."""
+
+    def message(self, link: 'Link', message: typing.Any) -> None:
+        """Take one message of the peer."""
+
+    def link_down(self, link: 'Link', reason: _reason.Reason) -> None:
+        """Take the end of a link; called once, also if it never was up."""
+
+
+class Link:
+    """One end of a connection.
+
+    ``peer`` names the other end and is None until it has proved itself;
+    ``address`` is where the connection leads. ``up`` tells whether messages
+    may be sent. ``sent_messages``, ``sent_frames``, ``received_messages``
+    and ``received_frames`` count.
+    """
+
+    def __init__(
+        self,
+        address: tuple,
+        codec: _codec.Codec,
+        handler: Handler,
+        options: Options,
+    ):
+        self.address = address
+        self.codec = codec
+        self.handler = handler
+        self.options = options
+        self.peer: _handshake.Identity | None = None
+        self.up = False
+        self.reason: _reason.Reason | None = None
+        self.queued_bytes = 0
+        self.sent_messages = 0
+        self.sent_frames = 0
+        self.received_messages = 0
+        self.received_frames = 0
+        self._parts = collections.deque()
+        self._connection = None
+        self._loop = None
+        self._timer = None
+        self._wake = asyncio.Event()
+
+    @property
+    def congested(self) -> bool:
+        """Whether more is queued than the peer takes for now."""
+        return self.queued_bytes > self.options.congested_bytes
+
+    def send(self, message) -> bool:
+        """Queue a message without blocking; False if the link is not up.
+
+        Raises ValueError for a message that is larger than the peer takes,
+        and TypeError for one without a tag.
+        """
+        if not self.up or self.reason is not None:
+            return False
+        part = self.codec.encode(message)
+        if len(part) > self.options.maximum_bytes - 2:
+            raise ValueError(f'message of {len(part)} bytes is too large')
+        self._parts.append(part)
+        self.queued_bytes += len(part)
+        self.sent_messages += 1
+        if self.queued_bytes > self.options.overflow_bytes:
+            self.abort(_reason.Reason.OVERFLOW)
+            return False
+        if self.queued_bytes >= self.options.flush_bytes:
+            self._wake.set()
+        elif self._timer is None:
+            self._start_timer()
+        return True
+
+    def close(self, reason: _reason.Reason = _reason.Reason.CLOSED) -> None:
+        """Send what is queued, then close; the handler is told at the end.
+
+        A peer that does not take the rest within ``close_timeout_ms`` is cut
+        off.
+        """
+        if self.reason is None:
+            self.reason = reason
+            self._wake.set()
+
+    def abort(self, reason: _reason.Reason) -> None:
+        """Close at once and drop what is queued.
+
+        A stalled peer would otherwise make this process hold its backlog
+        until memory runs out; nothing is lost that the protocols above do
+        not send again on a new link.
+        """
+        if self.reason is None:
+            self.reason = reason
+        self._parts.clear()
+        self.queued_bytes = 0
+        self._wake.set()
+        if self._connection is not None:
+            self._connection.transport.abort()
+
+    def _start_timer(self):
+        delay = self.options.flush_delay_ms / MILLISECONDS
+        self._timer = self._loop.call_later(delay, self._wake.set)
+
+    async def run(self, connection, peer: _handshake.Identity) -> None:
+        """Carry messages both ways until the link goes down."""
+        self._connection = connection
+        self._loop = asyncio.get_running_loop()
+        self.peer = peer
+        self.up = self.reason is None
+        writer = self._loop.create_task(self._write())
+        try:
+            if self.up:
+                self._tell(self.handler.link_up, self)
+            await self._read()
+        finally:
+            self.close(_reason.Reason.LOST)
+            self._wake.set()
+            await writer
+            self.down(_reason.Reason.LOST)
+
+    def down(self, reason: _reason.Reason) -> None:
+        """Report the end; ``reason`` counts if none is known yet."""
+        if self.reason is None:
+            self.reason = reason
+        self.up = False
+        self._stop_timer()
+        self._parts.clear()
+        self.queued_bytes = 0
+        self._tell(self.handler.link_down, self, self.reason)
+
+    async def _read(self):
+        try:
+            while True:
+                data = await self._connection.recv(decode=False)
+                self._receive(data)
+        except exceptions.ConnectionClosed as error:
+            if self.reason is None:
+                self.reason = _reason.of_closed(error)
+
+    def _receive(self, data: bytes):
+        if not self.up:
+            return
+        try:
+            messages = self.codec.decode(data)
+        except _codec.CodecError as error:
+            LOG.warning('link to %s: %s', self.peer, error)
+            self._fail(_reason.Reason.MALFORMED)
+            return
+        self.received_frames += 1
+        self.received_messages += len(messages)
+        for message in messages:
+            if self.up:
+                self._tell(self.handler.message, self, message)
+
+    def _tell(self, callback, *arguments):
+        # A defect in the handling of one message must not end the process,
+        # which serves many other peers: only this link goes.
+        try:
+            callback(*arguments)
+        except Exception:
+            LOG.exception('link to %s: handler failed', self.peer)
+            self._fail(_reason.Reason.HANDLER)
+
+    def _fail(self, reason: _reason.Reason):
+        """Take nothing more from the peer, and close."""
+        self.up = False
+        self.close(reason)
+
+    async def _write(self):
+        with contextlib.suppress(exceptions.ConnectionClosed):
+            while self.reason is None:
+                await self._wake.wait()
+                self._wake.clear()
+                self._stop_timer()
+                await self._flush()
+        await self._finish()
+
+    def _stop_timer(self):
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    async def _flush(self):
+        while self._parts:
+            await self._connection.send(_codec.join(self._take()))
+            self.sent_frames += 1
+
+    def _take(self) -> list[bytes]:
+        """Return the queued messages that share the next frame."""
+        taken = []
+        size = 0
+        while self._parts and size < self.options.flush_bytes:
+            if size + len(self._parts[0]) > self.options.maximum_bytes - 2:
+                break
+            part = self._parts.popleft()
+            size += len(part)
+            taken.append(part)
+        self.queued_bytes -= size
+        return taken
+
+    async def _finish(self):
+        try:
+            async with asyncio.timeout(self.options.close_timeout):
+                await self._flush()
+                await self._connection.close(self.reason)
+        except (exceptions.ConnectionClosed, TimeoutError):
+            self._connection.transport.abort()
--- /dev/null
+++ b/test/test_link.py
@@ -0,0 +1,258 @@
+"""Tests of links over loopback: authentication, order, bounds, the end."""
+
+import asyncio
+import contextlib
+import unittest
+
+import cbor2
+from websockets.asyncio import client
+from websockets import exceptions
+
+from berylhollow import link as links
+from berylhollow.link import _handshake
+from test import link_builders as build
+
+Reason = links.Reason
+
+
+class LinkCase(unittest.IsolatedAsyncioTestCase):
+    async def start_server(self, key=build.KEY, **options):
+        self.served = build.RecordingHandler()
+        self.server = build.server(self.served, key, **options)
+        await self.server.start()
+        self.addAsyncCleanup(self.server.stop)
+
+    async def start_client(self, key=build.KEY, port=None, **options):
+        self.dialled = build.RecordingHandler()
+        port = self.server.port if port is None else port
+        self.client = build.client(port, self.dialled, key, **options)
+        link = self.client.start()
+        await self.dialled.until(lambda: self.dialled.ups or link.reason)
+        return link
+
+    async def connect_raw(self):
+        """Return a websocket to the server that did not say anything yet."""
+        connection = await client.connect(
+            f'ws://127.0.0.1:{self.server.port}/', proxy=None
+        )
+        self.addCleanup(connection.transport.abort)
+        return connection
+
+    async def assert_refused(self, connection, reason):
+        with self.assertRaises(exceptions.ConnectionClosed) as caught:
+            await connection.recv()
+        self.assertEqual(reason, caught.exception.rcvd.code)
+        while not self.server.refused:
+            await asyncio.sleep(0)
+        self.assertEqual([], self.served.ups + self.served.downs)
+
+
+class LinkTest(LinkCase):
+    async def test_both_ends_know_each_other_and_order_is_kept(self):
+        await self.start_server()
+        link = await self.start_client()
+        await self.served.until(lambda: self.served.ups)
+        self.assertEqual(build.SIDECAR, link.peer)
+        back = self.served.ups[0]
+        self.assertEqual(build.GATEWAY, back.peer)
+        for number in range(100):
+            self.assertTrue(link.send(build.note(number)))
+            self.assertTrue(back.send(build.note(-number)))
+        await self.served.until(lambda: len(self.served.messages) == 100)
+        await self.dialled.until(lambda: len(self.dialled.messages) == 100)
+        numbers = [message.number for message in self.served.messages]
+        self.assertEqual(list(range(100)), numbers)
+        self.assertEqual(1, link.sent_frames)
+
+    async def test_close_flushes_and_tells_the_reason(self):
+        await self.start_server()
+        link = await self.start_client(flush_delay_ms=60_000)
+        large = bytes(100_000)
+        for number in range(30):
+            link.send(build.note(number, large))
+        link.close(Reason.LEAVING)
+        self.assertFalse(link.send(build.note(99)))
+        await self.served.until(lambda: self.served.downs)
+        self.assertEqual(30, len(self.served.messages))
+        self.assertEqual([Reason.LEAVING], self.served.downs)
+        await self.client.wait()
+        self.assertEqual([Reason.LEAVING], self.dialled.downs)
+
+    async def test_stopped_server_tells_its_clients(self):
+        await self.start_server()
+        await self.start_client()
+        await self.server.stop()
+        await self.dialled.until(lambda: self.dialled.downs)
+        self.assertEqual([Reason.LEAVING], self.dialled.downs)
+
+    async def test_no_server_is_reported_once(self):
+        await self.start_server()
+        await self.server.stop()
+        await self.start_client()
+        await self.client.wait()
+        self.assertEqual([Reason.CONNECT], self.dialled.downs)
+        self.assertEqual([], self.dialled.ups)
+
+    async def test_connection_cut_off(self):
+        await self.start_server()
+        link = await self.start_client()
+        await self.served.until(lambda: self.served.ups)
+        link.abort(Reason.REPLACED)
+        await self.served.until(lambda: self.served.downs)
+        self.assertEqual([Reason.LOST], self.served.downs)
+        await self.client.wait()
+        self.assertEqual([Reason.REPLACED], self.dialled.downs)
+
+    async def test_failing_handler_costs_its_own_link_only(self):
+        await self.start_server()
+        first = await self.start_client()
+        self.served.message = lambda link, message: 1 / 0
+        first.send(build.note(1))
+        with self.assertLogs('berylhollow.link._link', 'ERROR'):
+            await self.client.wait()
+        self.assertEqual([Reason.HANDLER], self.dialled.downs)
+        self.assertTrue((await self.start_client()).up)
+
+    async def test_stalled_peer_does_not_grow_memory(self):
+        """A peer stops reading, while answers for it keep coming.
+
+        Without a bound the backlog grows until the process runs out of
+        memory and takes down the streams of all its other peers.
+        """
+        limits = {'congested_bytes': 200_000, 'overflow_bytes': 400_000}
+        await self.start_server(**limits)
+        connection = await self.connect_raw()
+        await authenticate(connection)
+        connection.transport.pause_reading()
+        await self.served.until(lambda: self.served.ups)
+        link = self.served.ups[0]
+        congested = 0
+        while link.send(build.note(1, bytes(50_000))):
+            congested += link.congested
+            self.assertLessEqual(link.queued_bytes, 400_000)
+            await asyncio.sleep(0)
+        self.assertGreater(congested, 0)
+        await self.served.until(lambda: self.served.downs)
+        self.assertEqual([Reason.OVERFLOW], self.served.downs)
+        self.assertEqual(0, link.queued_bytes)
+
+    async def test_malformed_message_costs_its_own_link_only(self):
+        await self.start_server()
+        healthy = await self.start_client()
+        connection = await self.connect_raw()
+        await authenticate(connection)
+        await connection.send(cbor2.dumps([[10, 'note', 'x', b'']]))
+        with self.assertLogs('berylhollow.link._link', 'WARNING'):
+            await self.served.until(lambda: self.served.downs)
+        self.assertEqual([Reason.MALFORMED], self.served.downs)
+        healthy.send(build.note(5))
+        await self.served.until(lambda: self.served.messages)
+        self.assertEqual([build.note(5)], self.served.messages)
+
+    async def test_message_too_large_for_the_peer_is_refused(self):
+        await self.start_server()
+        link = await self.start_client(maximum_bytes=1000)
+        with self.assertRaises(ValueError):
+            link.send(build.note(1, bytes(1000)))
+        link.send(build.note(2))
+        await self.served.until(lambda: self.served.messages)
+
+
+class AuthenticationTest(LinkCase):
+    async def test_wrong_key(self):
+        await self.start_server()
+        with self.assertLogs('berylhollow.link', 'WARNING'):
+            link = await self.start_client(key=b'another key')
+            await self.client.wait()
+        self.assertEqual([Reason.AUTHENTICATION], self.dialled.downs)
+        self.assertFalse(link.send(build.note(1)))
+        self.assertEqual([], self.served.ups)
+
+    async def test_server_without_the_key(self):
+        """A stranger listens where a sidecar used to be."""
+        await self.start_server()
+        self.server.key = b'another key'
+        accept = _handshake.ServerHandshake.accept
+        _handshake.ServerHandshake.accept = accept_anything
+        self.addCleanup(setattr, _handshake.ServerHandshake, 'accept', accept)
+        with self.assertLogs('berylhollow.link', 'WARNING'):
+            await self.start_client()
+            await self.client.wait()
+        self.assertEqual([Reason.AUTHENTICATION], self.dialled.downs)
+        self.assertEqual([], self.dialled.ups)
+
+    async def test_message_without_handshake(self):
+        await self.start_server()
+        connection = await self.connect_raw()
+        await connection.send(cbor2.dumps([[10, 'note', 1, b'']]))
+        with self.assertLogs('berylhollow.link', 'WARNING'):
+            await self.assert_refused(connection, Reason.AUTHENTICATION)
+
+    async def test_replayed_handshake(self):
+        """Someone recorded a gateway's handshake and sends it again.
+
+        The proof signs the server's nonce, which is new each time.
+        """
+        await self.start_server()
+        recorded = await authenticate(await self.connect_raw())
+        self.served.ups.clear()
+        connection = await self.connect_raw()
+        await connection.send(recorded[0])
+        await connection.recv()
+        await connection.send(recorded[1])
+        with self.assertLogs('berylhollow.link', 'WARNING'):
+            with self.assertRaises(exceptions.ConnectionClosed) as caught:
+                await connection.recv()
+        self.assertEqual(Reason.AUTHENTICATION, caught.exception.rcvd.code)
+        self.assertEqual([], self.served.ups)
+
+    async def test_proof_of_one_end_is_not_the_other_ends(self):
+        """An attacker sends a client's own proof back as the server's."""
+        handshake = _handshake.ClientHandshake(build.KEY, build.GATEWAY)
+        challenge = _handshake.Challenge(bytes(_handshake.NONCE_BYTES))
+        handshake.prove(_handshake.pack(challenge))
+        mac = handshake.mac('client', build.GATEWAY)
+        accept = _handshake.Accept(build.GATEWAY, mac)
+        with self.assertRaises(_handshake.HandshakeError):
+            handshake.finish(_handshake.pack(accept))
+
+    async def test_silent_peers_are_closed(self):
+        await self.start_server(handshake_timeout_ms=50)
+        _, writer = await asyncio.open_connection(
+            '127.0.0.1', self.server.port
+        )
+        self.addCleanup(writer.close)
+        connection = await self.connect_raw()
+        await self.assert_refused(connection, Reason.HANDSHAKE_TIMEOUT)
+
+    async def test_large_frame_before_the_handshake_is_not_read(self):
+        await self.start_server()
+        connection = await self.connect_raw()
+        with contextlib.suppress(exceptions.ConnectionClosed):
+            await connection.send(bytes(_handshake.MAXIMUM_BYTES + 1))
+        await self.assert_refused(connection, 1009)
+
+    async def test_silent_server_is_given_up(self):
+        listener = await asyncio.start_server(
+            lambda reader, writer: None, '127.0.0.1', 0
+        )
+        self.addCleanup(listener.close)
+        port = listener.sockets[0].getsockname()[1]
+        await self.start_client(port=port, handshake_timeout_ms=50)
+        self.assertEqual([Reason.HANDSHAKE_TIMEOUT], self.dialled.downs)
+
+
+async def authenticate(connection):
+    """Prove the key on a raw connection; return what was sent for it."""
+    handshake = _handshake.ClientHandshake(build.KEY, build.GATEWAY)
+    hello = handshake.hello()
+    await connection.send(hello)
+    proof = handshake.prove(await connection.recv())
+    await connection.send(proof)
+    handshake.finish(await connection.recv())
+    return hello, proof
+
+
+def accept_anything(handshake, data):
+    mac = handshake.mac('server', handshake.identity)
+    return _handshake.pack(_handshake.Accept(handshake.identity, mac))
