Number streams so that they survive a broken link

Cause: a link may break in the middle of an answer; the caller must get each part once and in order, or an error, never a shortened answer.

Change: berylhollow.stream, a sender that keeps unacknowledged frames up to a bound and a receiver that drops duplicates and late frames, reports gaps and contradictions, and acknowledges what the caller took.

Conclusion: a paused sender waited forever when an acknowledgement was lost with its link, so one is due after each resume.

--- /dev/null
+++ b/test/test_stream.py
@@ -0,0 +1,232 @@
+"""Tests of numbered streams over links that break."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from berylhollow import messages
+from berylhollow import stream
+
+LIMIT = stream.MINIMUM_LIMIT_BYTES
+
+
+def started(payloads=(), limit=LIMIT):
+    sender = stream.StreamSender('a1', limit)
+    return sender, [sender.push(payload) for payload in payloads]
+
+
+class SenderTest(unittest.TestCase):
+    def test_unacknowledged_frames_are_bounded(self):
+        for payload in (b'', bytes(1000)):
+            sender, _ = started()
+            while not sender.paused:
+                sender.push(payload)
+            with self.assertRaises(stream.PausedError):
+                sender.push(payload)
+            self.assertLess(sender.kept_bytes, LIMIT + 1100)
+            sender.acknowledge(1)
+            self.assertFalse(sender.paused)
+
+    def test_resume_before_what_is_kept_or_beyond_what_was_sent(self):
+        sender, frames = started([b'a', b'b', b'c'])
+        sender.acknowledge(1)
+        sender.acknowledge(0)
+        self.assertEqual(frames[1:], sender.resume(1))
+        self.assertEqual([], sender.resume(3))
+        for wanted in (0, 4):
+            with self.assertRaises(stream.ResumeImpossibleError):
+                sender.resume(wanted)
+        with self.assertRaises(stream.CorruptError):
+            sender.acknowledge(4)
+
+    def test_nothing_follows_the_end(self):
+        sender, _ = started([b'a'])
+        end = sender.finish()
+        with self.assertRaises(stream.StreamError):
+            sender.push(b'b')
+        self.assertEqual([end], sender.resume(1))
+        sender.acknowledge(2)
+        self.assertTrue(sender.released)
+
+
+class ReceiverTest(unittest.TestCase):
+    def setUp(self):
+        self.receiver = stream.StreamReceiver('a1')
+
+    def test_without_its_end_a_stream_is_not_complete(self):
+        """An engine's connection is cut in the middle of an answer.
+
+        The caller must not take the part that came for the whole.
+        """
+        sender, frames = started([b'a', b'b'])
+        for frame in frames:
+            self.receiver.accept(frame)
+        self.assertFalse(self.receiver.complete)
+        self.receiver.accept(sender.finish())
+        self.assertTrue(self.receiver.complete)
+
+    def test_missing_frame_is_a_gap(self):
+        sender, frames = started([b'a', b'b', b'c'])
+        self.receiver.accept(frames[0])
+        for frame in (frames[2], sender.finish()):
+            with self.assertRaises(stream.GapError):
+                self.receiver.accept(frame)
+        self.assertEqual(1, self.receiver.resume().next_sequence)
+        self.assertFalse(self.receiver.complete)
+
+    def test_contradicting_end(self):
+        self.receiver.accept(messages.Data('a1', 0, b'a'))
+        with self.assertRaises(stream.CorruptError):
+            self.receiver.accept(messages.End('a1', 0))
+        self.receiver.accept(messages.End('a1', 1))
+        for late in (messages.Data('a1', 1, b'b'), messages.End('a1', 2)):
+            with self.assertRaises(stream.CorruptError):
+                self.receiver.accept(late)
+
+    def test_frame_of_an_older_attempt_is_dropped(self):
+        """A retry answers, then the first attempt's answer comes after all.
+
+        Mixed in, the caller would get parts of two answers as one.
+        """
+        self.assertIsNone(self.receiver.accept(messages.Data('a0', 0, b'old')))
+        self.assertIsNone(self.receiver.accept(messages.End('a0', 0)))
+        self.assertEqual(2, self.receiver.late)
+        self.assertFalse(self.receiver.complete)
+        self.assertEqual(
+            b'a', self.receiver.accept(messages.Data('a1', 0, b'a'))
+        )
+
+    def test_slow_caller_is_not_acknowledged(self):
+        """What arrived is no room; what the caller took is."""
+        sender, _ = started()
+        for _ in range(stream.ACKNOWLEDGE_FRAMES):
+            self.receiver.accept(sender.push(b'x'))
+        self.assertIsNone(self.receiver.acknowledgement())
+        self.receiver.consumed(stream.ACKNOWLEDGE_FRAMES)
+        due = self.receiver.acknowledgement()
+        self.assertEqual(stream.ACKNOWLEDGE_FRAMES, due.next_sequence)
+        self.assertIsNone(self.receiver.acknowledgement())
+
+    def test_lost_acknowledgement_does_not_hold_up_the_stream(self):
+        """An acknowledgement is lost with its link.
+
+        The sender is paused and waits for it; the receiver has taken all
+        and waits for more: without a second one the answer hangs.
+        """
+        sender, _ = started()
+        while not sender.paused:
+            self.receiver.accept(sender.push(bytes(1000)))
+            self.receiver.consumed()
+        self.assertIsNotNone(self.receiver.acknowledgement())
+        self.receiver.resume()
+        again = self.receiver.acknowledgement()
+        sender.acknowledge(again.next_sequence)
+        self.assertFalse(sender.paused)
+
+
+class Exchange:
+    """A sender and a receiver, and the frames under way between them.
+
+    A link keeps order. When it breaks, frames of the old one may still come
+    after the first ones of the new one, in their own order, or never.
+    """
+
+    def __init__(self, payloads):
+        self.sender, _ = started()
+        self.receiver = stream.StreamReceiver('a1')
+        self.waiting = list(payloads)
+        self.old = []
+        self.new = []
+        self.taken = []
+
+    def send(self):
+        if self.sender.paused or self.sender.finished:
+            return
+        if self.waiting:
+            self.new.append(self.sender.push(self.waiting.pop(0)))
+        else:
+            self.new.append(self.sender.finish())
+
+    def arrive(self, frames):
+        if not frames:
+            return
+        try:
+            payload = self.receiver.accept(frames.pop(0))
+        except stream.GapError:
+            self.resume()
+            return
+        if payload is not None:
+            self.taken.append(payload)
+            self.receiver.consumed()
+
+    def acknowledge(self, arrives=True):
+        message = self.receiver.acknowledgement()
+        if message is not None and arrives:
+            self.sender.acknowledge(message.next_sequence)
+
+    def resume(self):
+        self.old = self.new
+        resume = self.receiver.resume()
+        self.new = self.sender.resume(resume.next_sequence)
+
+    def do(self, step):
+        actions = {
+            'send': self.send,
+            'arrive': lambda: self.arrive(self.new),
+            'arrive old': lambda: self.arrive(self.old),
+            'acknowledge': self.acknowledge,
+            'lose acknowledgement': lambda: self.acknowledge(False),
+            'break': self.resume,
+            'repeat': lambda: self.new.extend(self.new[-1:]),
+            'lose': lambda: self.new.clear(),
+        }
+        actions[step]()
+
+    def finish(self):
+        """Let all go well from now on, after one more reconnect."""
+        self.resume()
+        for _ in range(2 * len(self.waiting) + len(self.sender.kept) + 2):
+            self.acknowledge()
+            self.send()
+            self.arrive(self.new)
+
+
+STEPS = strategies.sampled_from(
+    ['send', 'arrive'] * 3
+    + ['arrive old', 'acknowledge', 'lose acknowledgement']
+    + ['break', 'repeat', 'lose']
+)
+PAYLOADS = strategies.lists(
+    strategies.one_of(
+        strategies.binary(max_size=3),
+        strategies.integers(0, 9000).map(bytes),
+    ),
+    max_size=60,
+)
+
+
+class ExchangeTest(unittest.TestCase):
+    @hypothesis.settings(derandomize=True, max_examples=400, deadline=None)
+    @hypothesis.given(PAYLOADS, strategies.lists(STEPS, max_size=300))
+    def test_payloads_arrive_once_in_order_or_not_completely(
+        self, payloads, steps
+    ):
+        """Links break at any point, repeat and lose what was under way.
+
+        The caller gets a prefix of the answer at any moment, all of it once
+        the stream is complete, and it always can complete in the end.
+        """
+        exchange = Exchange(payloads)
+        for step in steps:
+            exchange.do(step)
+            taken = exchange.taken
+            self.assertEqual(payloads[: len(taken)], taken)
+            if exchange.receiver.complete:
+                self.assertEqual(payloads, taken)
+        exchange.finish()
+        self.assertTrue(exchange.receiver.complete)
+        self.assertEqual(payloads, exchange.taken)
+        exchange.receiver.resume()
+        exchange.acknowledge()
+        self.assertTrue(exchange.sender.released)
