Limit callers, budget retries, eject outliers

Cause: a refusing service got each request three times (600 offers for 200 requests in the new test), and one caller or one bad endpoint could take everything. Change: in-flight and rate limits per caller and adapter, a retry budget as a share of first attempts, a jittered pause for busy endpoints, ejection after failures in a row that leaves half of a service. Conclusion: retries are bounded by traffic; work handed back by a leaving endpoint needs no budget.

--- a/berylhollow/gateway/_attempts.py
+++ b/berylhollow/gateway/_attempts.py
@@ -8,12 +8,27 @@
 from berylhollow import effects
 from berylhollow import errors
 from berylhollow import events
+from berylhollow.gateway import _budget
+from berylhollow.gateway import _ejection
+from berylhollow.gateway import _limits
 from berylhollow.gateway import _routing
 from berylhollow.gateway import _settlement
 from berylhollow.gateway import _state
 from berylhollow import messages
 
 Effects = list[effects.Effect]
+# Another endpoint would say the same.
+FINAL_KINDS = frozenset(
+    {
+        errors.Kind.CANCELLED,
+        errors.Kind.DEADLINE_EXCEEDED,
+        errors.Kind.QUARANTINED,
+    }
+)
+# Tried again after a pause, with jitter: the endpoints are busy.
+PAUSED_KINDS = frozenset(
+    {errors.Kind.OVERLOADED, errors.Kind.CANNOT_BE_ON_TIME}
+)
 
 
 def place(
@@ -24,12 +39,21 @@
         return give_up(
             state, active, errors.Kind.OVERLOADED, errors.Ran.NOT_RUN
         )
-    name = _routing.choose(state, active)
+    active.retry_at_ms = None
+    name = _routing.choose(state, active, at_ms)
     if name is None:
+        return _nowhere(state, active)
+    return _offer(state, active, name, at_ms)
+
+
+def _nowhere(state: _state.State, active: _state.ActiveRequest) -> Effects:
+    """No endpoint is left to try: say what the last one said."""
+    last = active.last_refusal
+    if last is None:
         return give_up(
             state, active, errors.Kind.NO_ENDPOINT, errors.Ran.NOT_RUN
         )
-    return _offer(state, active, name, at_ms)
+    return give_up(state, active, last.kind, last.ran, last.retry_after_ms)
 
 
 def started(state: _state.State, event: events.MessageReceived) -> Effects:
@@ -129,10 +153,18 @@
 def finish(state: _state.State, active: _state.ActiveRequest) -> Effects:
     """Forget a request that has had its final answer."""
     _release(state, active)
-    state.requests.pop(active.request.request_id, None)
+    if state.requests.pop(active.request.request_id, None) is not None:
+        _limits.release(state, active.request)
     return []
 
 
+def succeeded(state: _state.State, active: _state.ActiveRequest) -> None:
+    """The endpoint gave a whole answer."""
+    endpoint = state.endpoints.get(active.endpoint)
+    if endpoint is not None:
+        _ejection.succeeded(endpoint)
+
+
 def give_up(
     state: _state.State,
     active: _state.ActiveRequest,
@@ -160,6 +192,8 @@
 ) -> Effects:
     request = active.request
     endpoint = state.endpoints[name]
+    if active.attempts == 0:
+        _budget.paid_in(state, active)
     active.attempts += 1
     active.attempt_id = f'{request.request_id}.{active.attempts}'
     active.phase = _state.Phase.OFFERED
@@ -220,14 +254,39 @@
     """
     if lost.ran is not errors.Ran.NOT_RUN:
         active.may_have_run = True
-    relaying = active.phase is _state.Phase.RELAYING
-    repeatable = active.request.idempotent or not active.may_have_run
-    left = active.attempts < state.options.attempts
-    if relaying or not repeatable or not left:
+    endpoint = state.endpoints.get(active.endpoint)
+    if endpoint is not None:
+        _ejection.failed(state, endpoint, lost.kind, at_ms)
+    if not _may_retry(state, active, lost):
         return give_up(state, active, lost.kind, lost.ran, lost.retry_after_ms)
     _release(state, active)
     active.phase = _state.Phase.WAITING
-    return place(state, active, at_ms)
+    active.last_refusal = lost
+    if lost.kind not in PAUSED_KINDS:
+        return place(state, active, at_ms)
+    pause_ms = state.options.retry_pause_ms * (1 + active.seed)
+    active.retry_at_ms = at_ms + int(pause_ms * active.attempts)
+    return []
+
+
+def _may_retry(
+    state: _state.State,
+    active: _state.ActiveRequest,
+    lost: messages.Failed,
+) -> bool:
+    if active.phase is _state.Phase.RELAYING:
+        return False
+    if active.may_have_run and not active.request.idempotent:
+        return False
+    if lost.kind in FINAL_KINDS:
+        return False
+    if active.attempts >= state.options.attempts:
+        return False
+    # An endpoint that leaves hands its work back: that is no overload, and
+    # a planned stop must not fail a request for want of budget.
+    if lost.kind is errors.Kind.LEAVING:
+        return True
+    return _budget.take(state, active)
 
 
 def _resume(
--- a/berylhollow/gateway/_options.py
+++ b/berylhollow/gateway/_options.py
@@ -12,7 +12,10 @@
     broken link may take to come back before its answers are given up.
     ``claim_ms`` bounds the wait for the log's decision about a key,
     ``claim_window_ms`` is how long a key is held; it must be shorter than
-    the log's retention.
+    the log's retention. ``retry_share`` retries are allowed for each first
+    attempt, ``retry_reserve`` at once. Limits of callers and adapters are
+    this gateway's own. ``eject_failures`` in a row eject an endpoint for
+    ``eject_ms``, doubled each time.
     """
 
     instance: str
@@ -29,4 +32,16 @@
     claim_poll_ms: int = 20
     claim_retry_ms: int = 500
     claim_batch: int = 512
+    retry_share: float = 0.1
+    retry_reserve: float = 10.0
+    retry_pause_ms: int = 50
+    requests_in_flight: int = 4096
+    caller_in_flight: int = 512
+    caller_rate_per_s: float = 1000.0
+    caller_burst: float = 1000.0
+    caller_idle_ms: int = 60_000
+    adapter_in_flight: int = 2048
+    limit_retry_ms: int = 1000
+    eject_failures: int = 5
+    eject_ms: int = 2000
     stop_grace_ms: int = 600_000
--- a/berylhollow/gateway/_requests.py
+++ b/berylhollow/gateway/_requests.py
@@ -5,7 +5,9 @@
 from berylhollow import errors
 from berylhollow import events
 from berylhollow.gateway import _attempts
+from berylhollow.gateway import _budget
 from berylhollow.gateway import _claims
+from berylhollow.gateway import _limits
 from berylhollow.gateway import _settlement
 from berylhollow.gateway import _state
 
@@ -20,11 +22,15 @@
     kind = _undeclared(state, request)
     if kind is not None:
         return [refusal(request.request_id, kind)]
+    limit = _limits.admit(state, request, event.at_ms)
+    if limit is not None:
+        return [refusal(request.request_id, limit.kind, limit.retry_after_ms)]
     active = _state.ActiveRequest(
         request=request,
         arrived_ms=event.at_ms,
         deadline_ms=event.at_ms + request.deadline_ms,
         seed=event.seed,
+        service=_service(state, request),
     )
     state.requests[request.request_id] = active
     if not request.idempotent:
@@ -57,6 +63,7 @@
     if event.body is not None:
         stored = claims.StoredAnswer(event.status, event.headers, event.body)
     _settlement.settle(state, active, errors.Ran.RAN, stored)
+    _attempts.succeeded(state, active)
     return _attempts.finish(state, active)
 
 
@@ -73,11 +80,15 @@
 def tick(state: _state.State, at_ms: int) -> Effects:
     """End what is past its deadline, place what still waits."""
     done: Effects = []
+    if _limits.forget_idle(state, at_ms):
+        _budget.forget(state)
     for active in list(state.requests.values()):
         if at_ms >= active.deadline_ms:
             done += _expire(state, active)
         elif active.resume_by_ms is not None and at_ms >= active.resume_by_ms:
             done += _attempts.resume_failed(state, active, at_ms)
+        elif active.retry_at_ms is not None and at_ms >= active.retry_at_ms:
+            done += _attempts.place(state, active, at_ms)
     return done
 
 
@@ -99,6 +110,12 @@
     return configuration.refuse(request.service, request.adapter)
 
 
+def _service(state: _state.State, request: events.Request) -> str:
+    if request.adapter is None:
+        return request.service
+    return state.follower.current.service_of(request.adapter.adapter)
+
+
 def _expire(state: _state.State, active: _state.ActiveRequest) -> Effects:
     """Give the final answer at the deadline.
 
--- a/berylhollow/gateway/_routing.py
+++ b/berylhollow/gateway/_routing.py
@@ -6,19 +6,20 @@
 from berylhollow import messages
 
 
-def choose(state: _state.State, active: _state.ActiveRequest) -> str | None:
+def choose(
+    state: _state.State, active: _state.ActiveRequest, at_ms: int
+) -> str | None:
     """Return the endpoint to offer a request to, None if there is none.
 
     An endpoint that holds the adapter goes before one that would load it;
     among holders the least loaded, among others the rendezvous order, so
     that all gateways load an adapter at the same place.
     """
-    service = _service(state, active)
     usable = [
         name
         for name, endpoint in state.endpoints.items()
-        if endpoint.usable
-        and endpoint.instance.service == service
+        if endpoint.usable_at(at_ms)
+        and endpoint.instance.service == active.service
         and name not in active.tried
     ]
     if not usable:
@@ -27,13 +28,6 @@
     return min(usable, key=lambda name: _rank(state, name, adapter))
 
 
-def _service(state: _state.State, active: _state.ActiveRequest) -> str:
-    request = active.request
-    if request.adapter is None:
-        return request.service
-    return state.follower.current.service_of(request.adapter.adapter)
-
-
 def _rank(
     state: _state.State, name: str, adapter: messages.AdapterVersion | None
 ) -> tuple[bool, float, str]:
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -8,6 +8,7 @@
 from berylhollow import following
 from berylhollow.gateway import _options
 from berylhollow import messages
+from berylhollow.util import token_bucket
 
 
 class LinkPhase(enum.Enum):
@@ -34,11 +35,27 @@
     leaving: bool = False
     retry_link_at_ms: int = 0
     placed: set[str] = dataclasses.field(default_factory=set)
+    failures: int = 0
+    ejections: int = 0
+    ejected_until_ms: int = 0
 
     @property
     def usable(self) -> bool:
         return self.link is LinkPhase.OPEN and not self.leaving
 
+    def usable_at(self, at_ms: int) -> bool:
+        """Tell whether the endpoint is usable and not ejected."""
+        return self.usable and at_ms >= self.ejected_until_ms
+
+
+@dataclasses.dataclass(slots=True)
+class Caller:
+    """What one caller has in flight, and the rate it has left."""
+
+    rate: token_bucket.TokenBucket
+    in_flight: int = 0
+    seen_ms: int = 0
+
 
 class Phase(enum.Enum):
     """How far a request is.
@@ -62,14 +79,17 @@
     arrived_ms: int
     deadline_ms: int
     seed: float
+    service: str = ''
     phase: Phase = Phase.WAITING
     attempt_id: str = ''
     endpoint: str = ''
     incarnation: str = ''
     attempts: int = 0
     resume_by_ms: int | None = None
+    retry_at_ms: int | None = None
     tried: set[str] = dataclasses.field(default_factory=set)
     may_have_run: bool = False
+    last_refusal: messages.Failed | None = None
     key: bytes = b''
     claim_id: str = ''
     claim_by_ms: int = 0
@@ -115,6 +135,14 @@
     attempts: dict[str, str] = dataclasses.field(default_factory=dict)
     partitions: dict[int, Partition] = dataclasses.field(default_factory=dict)
     appends: int = 0
+    callers: dict[str, Caller] = dataclasses.field(default_factory=dict)
+    callers_swept_ms: int = 0
+    adapter_in_flight: dict[messages.AdapterVersion | None, int] = (
+        dataclasses.field(default_factory=dict)
+    )
+    retry_budgets: dict[tuple[str, str], float] = dataclasses.field(
+        default_factory=dict
+    )
     instances_read_ms: int = -1_000_000
     stopping: bool = False
     stop_by_ms: int = 0
--- a/berylhollow/standin/log.py
+++ b/berylhollow/standin/log.py
@@ -6,7 +6,7 @@
 from berylhollow import platform
 from berylhollow.standin import failures
 from berylhollow.standin import faults
-from berylhollow.standin import limits
+from berylhollow.util import token_bucket
 
 HOUR_MS = 3_600_000
 
@@ -75,7 +75,7 @@
     ):
         self.limits = log_limits or LogLimits()
         self.faults = switches or faults.FaultSwitches()
-        self.bucket = limits.TokenBucket(
+        self.bucket = token_bucket.TokenBucket(
             self.limits.appends_per_s, self.limits.burst
         )
         self.streams: dict[str, Stream] = {}
--- a/berylhollow/standin/weights.py
+++ b/berylhollow/standin/weights.py
@@ -17,7 +17,7 @@
 from berylhollow import messages
 from berylhollow.standin import failures
 from berylhollow.standin import faults
-from berylhollow.standin import limits
+from berylhollow.util import token_bucket
 
 MISSING_PREFIX = 'missing'
 SMALLEST_WORK_MS = 0.001
@@ -64,7 +64,7 @@
     ):
         self.limits = weight_limits or WeightLimits()
         self.faults = switches or faults.FaultSwitches()
-        self.bucket = limits.TokenBucket(
+        self.bucket = token_bucket.TokenBucket(
             self.limits.loads_per_s, self.limits.burst
         )
         self.loads: dict[str, Load] = {}
--- /dev/null
+++ b/test/test_gateway_limits.py
@@ -0,0 +1,146 @@
+"""Tests of the gateway's limits, retry budgets and outlier ejection."""
+
+from berylhollow import effects
+from berylhollow import errors
+from berylhollow import events
+from berylhollow import gateway
+from berylhollow import messages
+from test import builders
+from test import helper
+
+
+class LimitTestCase(helper.ReducerTestCase):
+    def start(self, endpoints=3, **options):
+        self.begin(gateway.reduce, builders.gateway_state(**options))
+        names = [f'e{number}' for number in range(endpoints)]
+        rows = tuple(builders.instance(name) for name in names)
+        self.feed(events.InstancesListed(0, rows))
+        for name in names:
+            role = events.Role.ENDPOINT
+            self.feed(events.LinkOpened(0, name, role, 'i1'))
+
+    def send(self, number, at_ms=0, **changes):
+        request = builders.request(f'r{number}', **changes)
+        return self.feed(events.RequestArrived(at_ms, request))
+
+    def refuse_last(self, kind=errors.Kind.ENDPOINT_FAILED, at_ms=0):
+        (send,) = [
+            item
+            for item in self.of_type(effects.Send)
+            if isinstance(item.message, messages.Offer)
+        ]
+        failed = messages.Failed(
+            send.message.attempt_id, kind, errors.Ran.NOT_RUN
+        )
+        self.receive(failed, at_ms, send.peer)
+        return send.peer
+
+    def answered(self):
+        return [item.kind for item in self.of_type(effects.AnswerError)]
+
+
+class CallerLimitTest(LimitTestCase):
+    def test_caller_over_its_rate_is_told_when_to_come_back(self):
+        self.start(caller_rate_per_s=10, caller_burst=2)
+        for number in range(3):
+            self.send(number)
+        self.assertEqual([errors.Kind.CALLER_LIMIT], self.answered())
+        (answer,) = self.of_type(effects.AnswerError)
+        self.assertGreater(answer.retry_after_ms, 0)
+        self.send(4, at_ms=1000)
+        self.assertEqual([], self.answered())
+
+    def test_one_caller_does_not_use_up_the_others_room(self):
+        self.start(caller_in_flight=1)
+        self.send(1)
+        self.send(2)
+        self.assertEqual([errors.Kind.CALLER_LIMIT], self.answered())
+        self.send(3, caller='caller-2')
+        self.assertEqual([], self.answered())
+
+    def test_ended_request_gives_its_room_back(self):
+        self.start(caller_in_flight=1, adapter_in_flight=1)
+        self.send(1)
+        self.feed(events.CallerGone(1, 'r1'))
+        self.send(2)
+        self.assertEqual([], self.answered())
+
+    def test_made_up_callers_do_not_fill_the_memory(self):
+        """A gateway's memory grows until it is replaced.
+
+        A caller sends each request under another name. Cause: limits that
+        are remembered for every name for ever.
+        """
+        self.start()
+        for number in range(50):
+            self.send(number, caller=f'caller-{number}')
+            self.feed(events.CallerGone(1, f'r{number}'))
+        self.feed(events.Ticked(130_000))
+        self.assertEqual(0, len(self.state.callers))
+        self.assertEqual(0, len(self.state.retry_budgets))
+
+
+class RetryBudgetTest(LimitTestCase):
+    def test_retries_are_a_share_of_the_traffic(self):
+        """Goodput falls when the offered load rises.
+
+        All endpoints refuse; every request goes to each in turn, so the
+        service does three times the work to refuse it. Cause: retries
+        without a budget.
+        """
+        self.start(eject_failures=10_000)
+        tries = 0
+        for number in range(200):
+            self.send(number)
+            while self.sent(messages.Offer):
+                tries += 1
+                self.refuse_last()
+        self.assertLessEqual(tries, 200 + 200 * 0.1 + 10)
+        self.assertGreater(tries, 200)
+
+    def test_work_handed_back_by_a_leaving_endpoint_needs_no_budget(self):
+        self.start(retry_reserve=0, retry_share=0)
+        self.send(1)
+        self.refuse_last(errors.Kind.LEAVING)
+        self.assertEqual(1, len(self.sent(messages.Offer)))
+
+    def test_busy_endpoint_is_tried_again_after_a_pause(self):
+        self.start()
+        self.send(1)
+        self.refuse_last(errors.Kind.OVERLOADED)
+        self.assertEqual([], self.sent(messages.Offer))
+        self.feed(events.Ticked(200))
+        self.assertEqual(1, len(self.sent(messages.Offer)))
+
+
+class EjectionTest(LimitTestCase):
+    def test_endpoint_that_fails_fast_is_ejected(self):
+        """Most requests of a service fail with one endpoint bad.
+
+        It fails at once, so it always has room and gets everything. Cause:
+        room taken for health.
+        """
+        self.start(eject_failures=3, attempts=1)
+        bad = None
+        for number in range(20):
+            self.send(number)
+            (send,) = self.of_type(effects.Send)
+            bad = bad or send.peer
+            if send.peer == bad:
+                self.refuse_last()
+        self.assertTrue(self.state.endpoints[bad].ejected_until_ms)
+        self.assertNotEqual(bad, send.peer)
+        self.feed(events.Ticked(10_000))
+        self.assertTrue(self.state.endpoints[bad].usable_at(10_000))
+
+    def test_half_of_the_endpoints_stay_whatever_fails(self):
+        self.start(eject_failures=1, attempts=1)
+        for number in range(20):
+            self.send(number)
+            self.refuse_last()
+        ejected = [
+            endpoint
+            for endpoint in self.state.endpoints.values()
+            if not endpoint.usable_at(0)
+        ]
+        self.assertEqual(1, len(ejected))
