Run services on uvloop with a graceful stop and no io_uring

Cause: uvloop opens an io_uring unless told otherwise, and aiomisc puts the default signal handlers back at the first signal, so that a repeated SIGTERM ends a process in the middle of its drain.

--- /dev/null
+++ b/test/util/test_loop.py
@@ -0,0 +1,116 @@
+"""Tests of running services: signals, graceful stop, descriptors."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import unittest
+
+# A process with one service: it prints READY, and its stop waits until a line
+# comes on standard input, then prints the descriptors and children it has.
+PROGRAM = """
+import asyncio, json, os, pathlib, sys
+import aiomisc
+from berylhollow.util import loop
+
+
+class Service(aiomisc.Service):
+    async def start(self):
+        loop_ = asyncio.get_running_loop()
+        self.server = await loop_.create_server(
+            asyncio.Protocol, '127.0.0.1', 0)
+        await loop_.run_in_executor(None, pathlib.Path('/dev/null').read_text)
+        print('READY', flush=True)
+
+    async def stop(self, exception=None):
+        print('STOPPING', flush=True)
+        line = asyncio.Event()
+        asyncio.get_running_loop().add_reader(0, line.set)
+        await line.wait()
+        folder = '/proc/self/fd'
+        links = []
+        for name in os.listdir(folder):
+            try:
+                links.append(os.readlink(f'{folder}/{name}'))
+            except FileNotFoundError:
+                pass
+        task = f'/proc/self/task/{os.getpid()}/children'
+        children = pathlib.Path(task).read_text().split()
+        print(json.dumps({'links': links, 'children': children}), flush=True)
+
+
+def services(lifetime):
+    if 'FAIL' in sys.argv:
+        lifetime.stop(4)
+    return [Service()]
+
+
+sys.exit(loop.run(services, stop_grace_ms=int(sys.argv[1])))
+"""
+LONG_MS = '600000'
+
+
+class RunTest(unittest.TestCase):
+    def start(self, *argv):
+        environment = dict(os.environ)
+        environment.pop('UV_USE_IO_URING', None)
+        process = subprocess.Popen(
+            [sys.executable, '-c', PROGRAM, *argv],
+            env=environment,
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        self.addCleanup(process.wait)
+        self.addCleanup(process.stdin.close)
+        self.addCleanup(process.stdout.close)
+        self.addCleanup(process.kill)
+        self.expect(process, 'READY')
+        return process
+
+    def expect(self, process, line):
+        self.assertEqual(process.stdout.readline().strip(), line)
+
+    def finish(self, process):
+        print(file=process.stdin, flush=True)
+        return json.loads(process.stdout.readline())
+
+    def test_no_io_uring_and_no_child(self):
+        process = self.start(LONG_MS)
+        process.send_signal(signal.SIGTERM)
+        self.expect(process, 'STOPPING')
+        facts = self.finish(process)
+        self.assertTrue(any('eventpoll' in link for link in facts['links']))
+        self.assertFalse(any('io_uring' in link for link in facts['links']))
+        self.assertEqual(facts['children'], [])
+        self.assertEqual(process.wait(), 0)
+
+    def test_second_sigterm_does_not_cut_off_the_stop(self):
+        # A user's long answer breaks off during a planned stop: the platform
+        # sends SIGTERM, the process drains, the platform sends it again, and
+        # the default handler, put back after the first, ends the process.
+        process = self.start(LONG_MS)
+        process.send_signal(signal.SIGTERM)
+        self.expect(process, 'STOPPING')
+        process.send_signal(signal.SIGTERM)
+        self.finish(process)
+        self.assertEqual(process.wait(), 0)
+
+    def test_stop_beyond_its_grace_is_cut_off(self):
+        process = self.start('1')
+        process.send_signal(signal.SIGTERM)
+        self.assertEqual(process.wait(), 70)
+
+    def test_second_interrupt_is_cut_off(self):
+        process = self.start(LONG_MS)
+        process.send_signal(signal.SIGINT)
+        self.expect(process, 'STOPPING')
+        process.send_signal(signal.SIGINT)
+        self.assertEqual(process.wait(), 70)
+
+    def test_service_ends_the_process_with_its_code(self):
+        process = self.start(LONG_MS, 'FAIL')
+        self.expect(process, 'STOPPING')
+        self.finish(process)
+        self.assertEqual(process.wait(), 4)
