Give an error kind its exit code at the command line

Cause: commands raise BerylhollowError, which printed its type. Change: its message alone is printed, and what may be done next picks the code. Conclusion: scripts can tell a retry from a mistake.

--- a/berylhollow/ui/_program.py
+++ b/berylhollow/ui/_program.py
@@ -7,6 +7,7 @@
 import traceback
 
 import berylhollow
+from berylhollow import errors
 from berylhollow.ui import commands
 from berylhollow.util import exits
 
@@ -16,6 +17,14 @@
     '4 unavailable, 5 findings, 70 stop timed out'
 )
 
+# What to tell a script, from what the error says may be done next.
+EXIT_CODES = {
+    errors.Retry.CHANGED: exits.ExitCode.INVALID,
+    errors.Retry.IF_IDEMPOTENT: exits.ExitCode.FAILURE,
+    errors.Retry.LATER: exits.ExitCode.UNAVAILABLE,
+    errors.Retry.NEVER: exits.ExitCode.FAILURE,
+}
+
 
 def main(argv: collections.abc.Sequence[str]) -> int:
     """Run the command in ``argv`` and return the exit code.
@@ -29,6 +38,9 @@
     except exits.UserError as error:
         _report(error.message, arguments.debug)
         return int(error.exit_code)
+    except errors.BerylhollowError as error:
+        _report(str(error), arguments.debug)
+        return int(EXIT_CODES[error.answer.retry])
     except BrokenPipeError:
         # The reader of our output (``| head``) has gone; nobody to tell.
         sys.stderr.close()
--- a/test/ui/test_program.py
+++ b/test/ui/test_program.py
@@ -10,6 +10,7 @@
 import unittest
 from unittest import mock
 
+from berylhollow import errors
 from berylhollow import ui
 from berylhollow.ui import commands
 from berylhollow.util import exits
@@ -60,6 +61,14 @@
         self.assertEqual(code, 1)
         self.assertEqual(err, "berylhollow: KeyError: 'x'\n")
 
+    def test_error_kind_gives_its_exit_code(self):
+        kinds = errors.Kind
+        for kind, expected in ((kinds.LEAVING, 4), (kinds.BAD_REQUEST, 2)):
+            error = errors.BerylhollowError(kind, 'why')
+            with command_that_raises(error):
+                code, _, err = run('settings')
+            self.assertEqual((code, err), (expected, 'berylhollow: why\n'))
+
     def test_debug_shows_the_traceback(self):
         for argv in (('--debug', 'settings'), ('settings', '--debug')):
             with command_that_raises(KeyError('x')):
