Isolate requests that crash endpoints

Cause: a request that crashes its endpoint was tried at the next one beside others, by our own retry and by its caller's resend. Change: the sidecar tells of a crash, with the fingerprints that ran, before it says that the attempts are lost; suspects run with nothing beside them, one that crashes alone is quarantined and refused as not run, with expiry, doubling and an operator's lift on the log; gateways pass crashes on over a few links each (ring with doubling distances). Ruled out: quarantine after the first crash (in a batch of 8 it would refuse 7 innocents). Conclusion: a culprit costs at most one crash beside others and one alone.

--- a/berylhollow/gateway/_attempts.py
+++ b/berylhollow/gateway/_attempts.py
@@ -11,6 +11,7 @@
 from berylhollow.gateway import _budget
 from berylhollow.gateway import _ejection
 from berylhollow.gateway import _limits
+from berylhollow.gateway import _quarantine
 from berylhollow.gateway import _routing
 from berylhollow.gateway import _settlement
 from berylhollow.gateway import _state
@@ -40,6 +41,10 @@
             state, active, errors.Kind.OVERLOADED, errors.Ran.NOT_RUN
         )
     active.retry_at_ms = None
+    refused_ms = _quarantine.refused_ms(state, active.request, at_ms)
+    if refused_ms:
+        kind = errors.Kind.QUARANTINED
+        return give_up(state, active, kind, errors.Ran.NOT_RUN, refused_ms)
     name = _routing.choose(state, active, at_ms)
     if name is None:
         return _nowhere(state, active)
@@ -163,6 +168,7 @@
     endpoint = state.endpoints.get(active.endpoint)
     if endpoint is not None:
         _ejection.succeeded(endpoint)
+    _quarantine.succeeded(state, active)
 
 
 def give_up(
@@ -202,6 +208,7 @@
     active.tried.add(name)
     endpoint.placed.add(active.attempt_id)
     state.attempts[active.attempt_id] = request.request_id
+    active.isolated = _quarantine.must_isolate(state, active, at_ms)
     offer = messages.Offer(
         attempt_id=active.attempt_id,
         request_id=request.request_id,
@@ -219,6 +226,7 @@
         prompt_tokens=request.prompt_tokens,
         output_tokens=request.output_tokens,
         revision=state.follower.current.revision,
+        isolate=active.isolated,
     )
     return [effects.Send(name, offer)]
 
--- a/berylhollow/gateway/_membership.py
+++ b/berylhollow/gateway/_membership.py
@@ -101,8 +101,9 @@
 
 
 def _open_peers(state: _state.State) -> list[str]:
-    return [
+    endpoints = [
         name
         for name, endpoint in state.endpoints.items()
         if endpoint.link is _state.LinkPhase.OPEN
     ]
+    return [*state.peer_links, *endpoints]
--- a/berylhollow/gateway/_options.py
+++ b/berylhollow/gateway/_options.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from berylhollow import quarantine
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Options:
@@ -15,7 +17,8 @@
     the log's retention. ``retry_share`` retries are allowed for each first
     attempt, ``retry_reserve`` at once. Limits of callers and adapters are
     this gateway's own. ``eject_failures`` in a row eject an endpoint for
-    ``eject_ms``, doubled each time.
+    ``eject_ms``, doubled each time. ``peer_fanout`` is how many other
+    gateways this one opens a link to.
     """
 
     instance: str
@@ -44,4 +47,7 @@
     limit_retry_ms: int = 1000
     eject_failures: int = 5
     eject_ms: int = 2000
+    peer_fanout: int = 3
+    quarantine_poll_ms: int = 30_000
+    suspicion: quarantine.Rules = quarantine.Rules()
     stop_grace_ms: int = 600_000
--- a/berylhollow/gateway/_reducer.py
+++ b/berylhollow/gateway/_reducer.py
@@ -6,10 +6,13 @@
 from berylhollow.gateway import _attempts
 from berylhollow.gateway import _claims
 from berylhollow.gateway import _membership
+from berylhollow.gateway import _peers
+from berylhollow.gateway import _quarantine
 from berylhollow.gateway import _requests
 from berylhollow.gateway import _shutdown
 from berylhollow.gateway import _state
 from berylhollow import messages
+from berylhollow import quarantine
 
 Effects = list[effects.Effect]
 
@@ -32,9 +35,11 @@
 
 def _ticked(state: _state.State, event: events.Ticked) -> Effects:
     done = _membership.tick(state, event.at_ms)
+    done += _peers.tick(state, event.at_ms)
     done += _membership.tick_follower(state, event.at_ms)
     done += _requests.tick(state, event.at_ms)
     done += _claims.tick(state, event.at_ms)
+    done += _quarantine.tick(state, event.at_ms)
     done += _shutdown.tick(state, event.at_ms)
     return done
 
@@ -46,9 +51,29 @@
     return handler(state, event)
 
 
+def _link_opened(state: _state.State, event: events.LinkOpened) -> Effects:
+    if event.role is events.Role.GATEWAY:
+        return _peers.opened(state, event)
+    return _attempts.link_opened(state, event)
+
+
+def _link_refused(state: _state.State, event: events.LinkRefused) -> Effects:
+    if event.peer in state.peers:
+        return _peers.refused(state, event)
+    return _membership.link_refused(state, event)
+
+
+def _link_closed(state: _state.State, event: events.LinkClosed) -> Effects:
+    if event.peer in state.endpoints:
+        return _attempts.link_closed(state, event)
+    return _peers.closed(state, event)
+
+
 def _log_read(state: _state.State, event: events.LogRead) -> Effects:
     if event.stream.startswith(claims.STREAM_PREFIX):
         return _claims.log_read(state, event)
+    if event.stream == quarantine.STREAM:
+        return _quarantine.log_read(state, event)
     return state.follower.handle(event)
 
 
@@ -57,6 +82,8 @@
 ) -> Effects:
     if event.stream.startswith(claims.STREAM_PREFIX):
         return _claims.log_read_failed(state, event)
+    if event.stream == quarantine.STREAM:
+        return _quarantine.log_read_failed(state, event)
     return state.follower.handle(event)
 
 
@@ -77,9 +104,9 @@
     events.Ticked: _ticked,
     events.StopRequested: _shutdown.requested,
     events.InstancesListed: _membership.listed,
-    events.LinkOpened: _attempts.link_opened,
-    events.LinkRefused: _membership.link_refused,
-    events.LinkClosed: _attempts.link_closed,
+    events.LinkOpened: _link_opened,
+    events.LinkRefused: _link_refused,
+    events.LinkClosed: _link_closed,
     events.MessageReceived: _received,
     events.RequestArrived: _requests.arrived,
     events.CallerGone: _requests.caller_gone,
@@ -92,6 +119,7 @@
 }
 
 _MESSAGES = {
+    messages.Crashed: _quarantine.crashed,
     messages.Report: _membership.reported,
     messages.Started: _attempts.started,
     messages.End: _attempts.ended,
--- a/berylhollow/gateway/_requests.py
+++ b/berylhollow/gateway/_requests.py
@@ -8,6 +8,7 @@
 from berylhollow.gateway import _budget
 from berylhollow.gateway import _claims
 from berylhollow.gateway import _limits
+from berylhollow.gateway import _quarantine
 from berylhollow.gateway import _settlement
 from berylhollow.gateway import _state
 
@@ -22,6 +23,10 @@
     kind = _undeclared(state, request)
     if kind is not None:
         return [refusal(request.request_id, kind)]
+    refused_ms = _quarantine.refused_ms(state, request, event.at_ms)
+    if refused_ms:
+        kind = errors.Kind.QUARANTINED
+        return [refusal(request.request_id, kind, refused_ms)]
     limit = _limits.admit(state, request, event.at_ms)
     if limit is not None:
         return [refusal(request.request_id, limit.kind, limit.retry_after_ms)]
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -8,6 +8,7 @@
 from berylhollow import following
 from berylhollow.gateway import _options
 from berylhollow import messages
+from berylhollow import quarantine
 from berylhollow.util import token_bucket
 
 
@@ -89,6 +90,7 @@
     retry_at_ms: int | None = None
     tried: set[str] = dataclasses.field(default_factory=set)
     may_have_run: bool = False
+    isolated: bool = False
     last_refusal: messages.Failed | None = None
     key: bytes = b''
     claim_id: str = ''
@@ -140,6 +142,13 @@
     adapter_in_flight: dict[messages.AdapterVersion | None, int] = (
         dataclasses.field(default_factory=dict)
     )
+    suspects: quarantine.Suspects = dataclasses.field(init=False)
+    crashes_told: dict[str, int] = dataclasses.field(default_factory=dict)
+    quarantine_offset: int = 0
+    quarantine_read_at_ms: int = 0
+    peer_links: dict[str, str] = dataclasses.field(default_factory=dict)
+    peers_opening: set[str] = dataclasses.field(default_factory=set)
+    peer_retry_at_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     retry_budgets: dict[tuple[str, str], float] = dataclasses.field(
         default_factory=dict
     )
@@ -148,6 +157,9 @@
     stop_by_ms: int = 0
     exited: bool = False
 
+    def __post_init__(self):
+        self.suspects = quarantine.Suspects(self.options.suspicion)
+
     def request_of(self, attempt_id: str) -> ActiveRequest | None:
         """Return the request whose current attempt this is, if any."""
         request_id = self.attempts.get(attempt_id)
--- a/berylhollow/messages.py
+++ b/berylhollow/messages.py
@@ -35,7 +35,8 @@
 
     ``remaining_ms`` counts from the moment of sending, since instances do
     not share a clock. ``fingerprint`` is a digest of service, adapter,
-    version and body. ``service``, ``adapter`` and so on come from the caller.
+    version and body. ``isolate`` asks for a run with nothing beside it: the
+    request is suspect of crashing endpoints.
     """
 
     attempt_id: str
@@ -54,6 +55,7 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     revision: int = 0
+    isolate: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -223,17 +225,15 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Quarantine:
-    """A fingerprint that crashes endpoints, until ``for_ms`` from now.
+class Crashed:
+    """An endpoint crashed while these fingerprints ran on it.
 
-    ``for_ms`` of 0 lifts it.
+    ``crash_id`` names the endpoint and the epoch that ended.
     """
 
-    fingerprint: str
+    crash_id: str
     service: str
-    for_ms: int
-    crashes: int
-    offset: int = -1
+    fingerprints: tuple[str, ...]
 
 
 Message = (
@@ -252,7 +252,7 @@
     | ConfigurationAt
     | ConfigurationEntries
     | ConfigurationSnapshot
-    | Quarantine
+    | Crashed
 )
 
 # A tag is never given to another message once it was released.
@@ -272,5 +272,5 @@
     13: ConfigurationAt,
     14: ConfigurationEntries,
     15: ConfigurationSnapshot,
-    16: Quarantine,
+    16: Crashed,
 }
--- /dev/null
+++ b/berylhollow/quarantine/__init__.py
@@ -0,0 +1,23 @@
+"""Requests that crash endpoints: records on the log, and who is suspect."""
+
+from berylhollow.quarantine._records import Crash
+from berylhollow.quarantine._records import decode
+from berylhollow.quarantine._records import encode
+from berylhollow.quarantine._records import Lift
+from berylhollow.quarantine._records import Record
+from berylhollow.quarantine._records import RecordError
+from berylhollow.quarantine._records import STREAM
+from berylhollow.quarantine._suspects import Rules
+from berylhollow.quarantine._suspects import Suspects
+
+__all__ = [
+    'STREAM',
+    'Crash',
+    'Lift',
+    'Record',
+    'RecordError',
+    'Rules',
+    'Suspects',
+    'decode',
+    'encode',
+]
--- /dev/null
+++ b/berylhollow/quarantine/_records.py
@@ -0,0 +1,58 @@
+"""Records of the quarantine stream, in CBOR."""
+
+import dataclasses
+
+import cbor2
+
+STREAM = 'quarantine'
+CRASH_TAG = 1
+LIFT_TAG = 2
+
+
+class RecordError(ValueError):
+    """A record is not one of the quarantine stream's."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Crash:
+    """An endpoint crashed while it ran the requests of these fingerprints.
+
+    ``crash_id`` names the endpoint and the epoch that ended, so that a crash
+    that is told twice counts once.
+    """
+
+    crash_id: str
+    service: str
+    fingerprints: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lift:
+    """An operator clears a fingerprint."""
+
+    fingerprint: str
+    operator: str
+
+
+Record = Crash | Lift
+
+
+def encode(record: Record) -> bytes:
+    """Return a record in the form that ``decode`` takes."""
+    if isinstance(record, Crash):
+        fields = [CRASH_TAG, record.crash_id, record.service]
+        return cbor2.dumps([*fields, list(record.fingerprints)])
+    return cbor2.dumps([LIFT_TAG, record.fingerprint, record.operator])
+
+
+def decode(data: bytes) -> Record:
+    """Return the record; raise RecordError if it is none that we know."""
+    try:
+        fields = cbor2.loads(data)
+        if fields[0] == CRASH_TAG:
+            return Crash(fields[1], fields[2], tuple(fields[3]))
+        if fields[0] == LIFT_TAG:
+            return Lift(fields[1], fields[2])
+    except (cbor2.CBORDecodeError, TypeError, LookupError) as e:
+        raise RecordError(str(e)) from e
+    raise RecordError(f'unknown tag {fields[0]!r}')
--- a/berylhollow/sidecar/_admission.py
+++ b/berylhollow/sidecar/_admission.py
@@ -4,6 +4,7 @@
 from berylhollow import errors
 from berylhollow import events
 from berylhollow import messages
+from berylhollow.sidecar import _isolation
 from berylhollow.sidecar import _loads
 from berylhollow.sidecar import _runs
 from berylhollow.sidecar import _state
@@ -26,9 +27,10 @@
         peer=event.peer,
         arrived_ms=event.at_ms,
         deadline_ms=event.at_ms + offer.remaining_ms,
+        isolate=_isolation.needs_isolation(state, offer, event.at_ms),
     )
     state.attempts[offer.attempt_id] = attempt
-    kind = _refusal(state, offer)
+    kind = _refusal(state, offer, event.at_ms)
     if kind is not None:
         return _runs.end_unrun(state, attempt, kind, event.at_ms)
     state.queue.append(offer.attempt_id)
@@ -88,11 +90,15 @@
     return done + _forget(state, at_ms)
 
 
-def _refusal(state: _state.State, offer: messages.Offer) -> errors.Kind | None:
+def _refusal(
+    state: _state.State, offer: messages.Offer, at_ms: int
+) -> errors.Kind | None:
     if state.stopping:
         return errors.Kind.LEAVING
     if offer.remaining_ms <= 0:
         return errors.Kind.DEADLINE_EXCEEDED
+    if state.suspects.quarantined_ms(offer.fingerprint, at_ms):
+        return errors.Kind.QUARANTINED
     if not state.reachable:
         return errors.Kind.ENDPOINT_UNREACHABLE
     if len(state.queue) >= state.options.queue_limit:
--- a/berylhollow/sidecar/_engine.py
+++ b/berylhollow/sidecar/_engine.py
@@ -45,8 +45,9 @@
 
 def _new_epoch(state: _state.State, event: events.EngineStatus) -> Effects:
     """Empty the slot table: a restarted engine holds no adapter of ours."""
+    done = _runs.all_lost(state, event.at_ms)
     if state.epoch:
         state.retired_epochs.add(state.epoch)
     state.epoch = event.epoch
     state.slots = [_state.Slot(slot.slot) for slot in event.slots]
-    return _runs.all_lost(state, event.at_ms)
+    return done
--- a/berylhollow/sidecar/_options.py
+++ b/berylhollow/sidecar/_options.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from berylhollow import quarantine
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Options:
@@ -24,4 +26,6 @@
     status_poll_ms: int = 500
     report_ms: int = 250
     keep_ended_ms: int = 60_000
+    isolation_gap_ms: int = 1000
+    suspicion: quarantine.Rules = quarantine.Rules()
     stop_grace_ms: int = 600_000
--- a/berylhollow/sidecar/_runs.py
+++ b/berylhollow/sidecar/_runs.py
@@ -4,6 +4,7 @@
 from berylhollow import errors
 from berylhollow import events
 from berylhollow import messages
+from berylhollow.sidecar import _isolation
 from berylhollow.sidecar import _state
 
 Effects = list[effects.Effect]
@@ -17,7 +18,11 @@
     for attempt_id in list(state.queue):
         if len(state.running) >= state.capacity:
             break
-        done += _begin(state, state.attempts[attempt_id], at_ms)
+        attempt = state.attempts[attempt_id]
+        done += _begin(state, attempt, at_ms)
+        waits = attempt.phase is _state.Phase.QUEUED
+        if waits and _isolation.holds_back(state, attempt, at_ms):
+            break
     return done
 
 
@@ -62,8 +67,11 @@
     attempt = _running(state, event.attempt_id)
     if attempt is None:
         return []
+    done: Effects = []
+    if event.crashed:
+        done = _isolation.crashed(state, event.at_ms)
     outcome = messages.Failed(event.attempt_id, event.kind, event.ran)
-    done = _tell(state, attempt, outcome, event.at_ms)
+    done += _tell(state, attempt, outcome, event.at_ms)
     if event.ran is errors.Ran.NOT_RUN or state.options.plain:
         _unpin(state, attempt, event.at_ms)
         return done
@@ -102,7 +110,7 @@
 
 def all_lost(state: _state.State, at_ms: int) -> Effects:
     """End every run: the engine that ran them is gone."""
-    done: Effects = []
+    done = _isolation.crashed(state, at_ms)
     for attempt_id in sorted(state.running):
         attempt = state.attempts[attempt_id]
         attempt.slot = None
@@ -126,6 +134,8 @@
     the last byte, a true "not run" or a confirmed cancel.
     """
     adapter = attempt.offer.adapter
+    if not _isolation.may_begin(state, attempt):
+        return []
     if adapter is not None:
         slot = state.slot_with(adapter)
         if slot is None:
@@ -169,6 +179,8 @@
 
 
 def _unpin(state: _state.State, attempt: _state.Attempt, at_ms: int) -> None:
+    if attempt.offer.attempt_id in state.running:
+        _isolation.ended(state, attempt, at_ms)
     state.running.discard(attempt.offer.attempt_id)
     if attempt.slot is None:
         return
--- a/berylhollow/sidecar/_state.py
+++ b/berylhollow/sidecar/_state.py
@@ -6,6 +6,7 @@
 from berylhollow import errors
 from berylhollow import following
 from berylhollow import messages
+from berylhollow import quarantine
 from berylhollow.sidecar import _options
 
 
@@ -64,6 +65,7 @@
     outcome: messages.End | messages.Failed | None = None
     ended_ms: int = 0
     cancelled: bool = False
+    isolate: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -95,6 +97,9 @@
     backoffs: dict[messages.AdapterVersion, Backoff] = dataclasses.field(
         default_factory=dict
     )
+    suspects: quarantine.Suspects = dataclasses.field(init=False)
+    crash_told: str = ''
+    isolated_ended_ms: int = -1_000_000
     orders: int = 0
     status_read_ms: int = -1_000_000
     reported_ms: int = -1_000_000
@@ -102,6 +107,9 @@
     stop_by_ms: int = 0
     exited: bool = False
 
+    def __post_init__(self):
+        self.suspects = quarantine.Suspects(self.options.suspicion)
+
     @property
     def capacity(self) -> int:
         """How many runs the endpoint may have at once."""
--- a/test/helper.py
+++ b/test/helper.py
@@ -49,6 +49,9 @@
             if type(item.message) is message_type
         ]
 
+    def open_link(self, peer, role, at_ms=0, incarnation='i1'):
+        return self.feed(events.LinkOpened(at_ms, peer, role, incarnation))
+
     def failure(self):
         """Return the only Failed message that was sent."""
         (failed,) = self.sent(messages.Failed)
--- /dev/null
+++ b/test/test_quarantine.py
@@ -0,0 +1,195 @@
+"""Tests of requests that crash endpoints: suspects and quarantine."""
+
+import unittest
+
+from berylhollow import effects
+from berylhollow import errors
+from berylhollow import events
+from berylhollow import gateway
+from berylhollow import messages
+from berylhollow import quarantine
+from berylhollow import sidecar
+from test import builders
+from test import helper
+
+GATEWAY = events.Role.GATEWAY
+ENDPOINT = events.Role.ENDPOINT
+CULPRIT = 'print-of-r1'
+
+
+def crash(crash_id, *fingerprints):
+    return messages.Crashed(crash_id, builders.SERVICE, fingerprints)
+
+
+class SidecarCrashTest(helper.ReducerTestCase):
+    def setUp(self):
+        self.begin(sidecar.reduce, builders.sidecar_state())
+        self.feed(events.Appended(0, 'takeovers', 'incarnation-1', 6))
+        self.feed(builders.engine_status())
+        self.open_link('g1', GATEWAY)
+
+    def run_two(self):
+        self.receive(builders.offer('r1.1'), peer='g1')
+        (order,) = self.of_type(effects.LoadAdapter)
+        self.feed(events.LoadSucceeded(1, order.order_id, 'epoch-1'))
+        self.receive(builders.offer('r2.1'), peer='g1')
+
+    def break_run(self, attempt_id, at_ms=5):
+        kind, ran = errors.Kind.ENDPOINT_FAILED, errors.Ran.UNKNOWN
+        self.feed(events.RunFailed(at_ms, attempt_id, kind, ran, True))
+
+    def test_suspects_are_told_before_their_attempts_are_lost(self):
+        """A request crashes one engine after the other.
+
+        Its engine crashes, the gateway hears that the attempt is lost and
+        tries it at the next engine beside others. Cause: the suspicion
+        comes after the retry.
+        """
+        self.run_two()
+        self.break_run('r1.1')
+        kinds = [type(item.message) for item in self.of_type(effects.Send)]
+        self.assertEqual([messages.Crashed, messages.Failed], kinds)
+        (told,) = self.sent(messages.Crashed)
+        self.assertEqual(
+            {'print-of-r1.1', 'print-of-r2.1'}, set(told.fingerprints)
+        )
+
+    def test_crash_is_told_once_an_epoch(self):
+        self.run_two()
+        self.break_run('r1.1')
+        self.break_run('r2.1')
+        self.assertEqual([], self.sent(messages.Crashed))
+
+    def test_crash_seen_only_by_the_new_epoch_is_told(self):
+        self.run_two()
+        self.feed(builders.engine_status('epoch-2', at_ms=9))
+        self.assertEqual(1, len(self.sent(messages.Crashed)))
+
+    def test_suspect_runs_with_nothing_beside_it(self):
+        self.run_two()
+        self.receive(builders.offer('r3.1', isolate=True), peer='g1')
+        self.assertEqual([], self.of_type(effects.StartRun))
+        self.receive(builders.offer('r4.1'), peer='g1')
+        self.assertEqual([], self.of_type(effects.StartRun))
+        self.feed(events.RunEnded(6, 'r1.1', 1), events.RunEnded(6, 'r2.1', 1))
+        (run,) = self.of_type(effects.StartRun)
+        self.assertEqual('r3.1', run.attempt_id)
+        self.feed(events.RunEnded(7, 'r3.1', 1))
+        (run,) = self.of_type(effects.StartRun)
+        self.assertEqual('r4.1', run.attempt_id)
+
+
+class GatewayQuarantineTest(helper.ReducerTestCase):
+    def setUp(self):
+        self.begin(gateway.reduce, builders.gateway_state())
+        rows = tuple(builders.instance(name) for name in ('e1', 'e2'))
+        self.feed(events.InstancesListed(0, rows))
+        for name in ('e1', 'e2'):
+            self.open_link(name, ENDPOINT)
+
+    def send(self, request_id='r1', at_ms=0, **changes):
+        values = {'fingerprint': CULPRIT} | changes
+        request = builders.request(request_id, **values)
+        return self.feed(events.RequestArrived(at_ms, request))
+
+    def kinds(self):
+        return [item.kind for item in self.of_type(effects.AnswerError)]
+
+    def test_resend_of_a_suspect_is_isolated(self):
+        self.receive(crash('c1', CULPRIT, 'innocent'))
+        self.send()
+        (offer,) = self.sent(messages.Offer)
+        self.assertTrue(offer.isolate)
+
+    def test_suspect_that_crashes_alone_is_refused_until_it_expires(self):
+        self.receive(crash('c1', CULPRIT, 'innocent'))
+        self.receive(crash('c2', CULPRIT))
+        self.send()
+        self.assertEqual([errors.Kind.QUARANTINED], self.kinds())
+        (answer,) = self.of_type(effects.AnswerError)
+        self.assertIs(errors.Ran.NOT_RUN, answer.ran)
+        self.send('r2', at_ms=answer.retry_after_ms)
+        self.assertEqual(1, len(self.sent(messages.Offer)))
+
+    def test_own_retry_does_not_walk_a_culprit_through_the_fleet(self):
+        """Three engines restart one after the other.
+
+        The request crashes its engine alone; the gateway's own retry takes
+        it to the next. Cause: a retry that doesn't ask who is suspect.
+        """
+        self.send()
+        (send,) = self.of_type(effects.Send)
+        self.receive(crash('c1', CULPRIT), peer=send.peer)
+        lost = messages.Failed(
+            send.message.attempt_id,
+            errors.Kind.ENGINE_RESTARTED,
+            errors.Ran.UNKNOWN,
+        )
+        self.receive(lost, peer=send.peer)
+        self.assertEqual([], self.sent(messages.Offer))
+        self.assertEqual([errors.Kind.QUARANTINED], self.kinds())
+
+    def test_suspect_that_ran_well_alone_is_cleared(self):
+        self.receive(crash('c1', CULPRIT, 'other'))
+        self.send()
+        (offer,) = self.sent(messages.Offer)
+        self.feed(events.AnswerRelayed(1, 'r1', offer.attempt_id, 200))
+        self.send('r2')
+        (offer,) = self.sent(messages.Offer)
+        self.assertFalse(offer.isolate)
+
+    def test_crash_is_passed_on_once(self):
+        self.open_link('g2', GATEWAY)
+        self.receive(crash('c1', CULPRIT))
+        self.assertEqual(1, len(self.sent(messages.Crashed)))
+        self.receive(crash('c1', CULPRIT), peer='g2')
+        self.assertEqual([], self.sent(messages.Crashed))
+
+    def test_new_gateway_learns_from_the_log_and_a_lift_clears(self):
+        records = [
+            quarantine.Crash('c1', builders.SERVICE, (CULPRIT,)),
+            quarantine.Lift(CULPRIT, 'operator-1'),
+        ]
+        first, second = (
+            messages.LogEntry(offset, 0, quarantine.encode(record))
+            for offset, record in enumerate(records)
+        )
+        stream = quarantine.STREAM
+        self.feed(events.LogRead(1, stream, (first,), 0, 1))
+        self.send()
+        self.assertEqual([errors.Kind.QUARANTINED], self.kinds())
+        self.feed(events.LogRead(2, stream, (second,), 0, 2))
+        self.send('r2')
+        self.assertEqual(1, len(self.sent(messages.Offer)))
+
+
+class SuspectsTest(unittest.TestCase):
+    def test_repeated_quarantine_lasts_longer(self):
+        suspects = quarantine.Suspects(quarantine.Rules(quarantine_ms=100))
+        suspects.crashed(quarantine.Crash('c1', 's', ('f',)), 0)
+        suspects.crashed(quarantine.Crash('c2', 's', ('f',)), 150)
+        self.assertEqual(200, suspects.quarantined_ms('f', 150))
+
+    def test_bystander_of_few_crashes_is_not_quarantined(self):
+        suspects = quarantine.Suspects(quarantine.Rules(crashes=3))
+        for number in range(2):
+            record = quarantine.Crash(f'c{number}', 's', ('f', 'g'))
+            self.assertEqual([], suspects.crashed(record, 0))
+        record = quarantine.Crash('c9', 's', ('f', 'h'))
+        self.assertEqual(['f'], suspects.crashed(record, 0))
+
+    def test_suspicions_are_bounded_and_forgotten(self):
+        suspects = quarantine.Suspects(
+            quarantine.Rules(limit=10, suspect_ms=100)
+        )
+        for number in range(30):
+            prints = (f'f{number}', f'g{number}')
+            suspects.crashed(quarantine.Crash(f'c{number}', 's', prints), 0)
+        self.assertEqual(10, len(suspects.suspicions))
+        suspects.forget(100)
+        self.assertEqual({}, suspects.suspicions)
+
+    def test_garbage_is_a_typed_error(self):
+        for data in (b'', b'\xff', quarantine.encode.__name__.encode()):
+            with self.assertRaises(quarantine.RecordError):
+                quarantine.decode(data)
