Fold the configuration from the log

Acceptance is a pure function of the log's prefix: a change is accepted iff the revision that it is based on is in force at its offset and its result is valid. Each record names its acceptance rule; software that does not know the rule stays before the record, so that two versions never disagree.

--- /dev/null
+++ b/berylhollow/configuration/__init__.py
@@ -0,0 +1,39 @@
+"""The configuration in force: a fold over the platform's log.
+
+Which changes are accepted is a pure function of the log's prefix, the same
+in every process and every software version that knows the rule by which a
+change asks to be judged.
+"""
+
+from berylhollow.configuration import _changes
+from berylhollow.configuration import _codec
+from berylhollow.configuration import _configuration
+from berylhollow.configuration import _fold
+
+STREAM = 'configuration'
+SNAPSHOT_STREAM = 'snapshots'
+
+RULE = _codec.RULE
+Accepted = _fold.Accepted
+Change = _changes.Change
+Configuration = _configuration.Configuration
+Delta = _changes.Delta
+EntityKind = _changes.EntityKind
+MalformedRecord = _codec.MalformedRecord
+Outcome = _fold.Outcome
+Put = _changes.Put
+Remove = _changes.Remove
+State = _fold.State
+UnknownRule = _codec.UnknownRule
+Verdict = _fold.Verdict
+
+EMPTY = _configuration.EMPTY
+INITIAL = _fold.INITIAL
+
+apply = _changes.apply
+decode_change = _codec.decode_change
+difference = _changes.difference
+encode_change = _codec.encode_change
+fold = _fold.fold
+from_snapshot = _fold.from_snapshot
+from_manifest = _configuration.from_manifest
--- /dev/null
+++ b/berylhollow/configuration/_configuration.py
@@ -0,0 +1,109 @@
+"""One accepted revision, with fast look-ups and cheap successors."""
+
+import dataclasses
+
+import immutables
+
+from berylhollow import errors
+from berylhollow import manifest
+from berylhollow import messages
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Configuration:
+    """What is declared at a revision; it never changes.
+
+    The maps are persistent: a successor shares with it all that stays the
+    same. ``revision`` is the offset after the record that was accepted, 0
+    before any.
+    """
+
+    revision: int
+    services: immutables.Map[str, manifest.Service]
+    adapters: immutables.Map[str, manifest.Adapter]
+    callers: immutables.Map[str, manifest.Caller]
+
+    def service(self, name: str) -> manifest.Service | None:
+        """Return a declared service, None if there is none."""
+        return self.services.get(name)
+
+    def adapter(self, name: str) -> manifest.Adapter | None:
+        """Return a declared adapter, None if there is none."""
+        return self.adapters.get(name)
+
+    def caller(self, name: str) -> manifest.Caller:
+        """Return a caller; one that is not declared has the defaults."""
+        return self.callers.get(name) or manifest.Caller(name)
+
+    def service_of(self, adapter: str) -> str:
+        """Return the service of a declared adapter, '' if it is not."""
+        declared = self.adapters.get(adapter)
+        return '' if declared is None else declared.service
+
+    def servable(self, wanted: messages.AdapterVersion) -> bool:
+        """Return whether this version is declared and to be served."""
+        declared = self.adapters.get(wanted.adapter)
+        return declared is not None and any(
+            version.servable and version.version == wanted.version
+            for version in declared.versions
+        )
+
+    def refuse(
+        self, service: str, adapter: messages.AdapterVersion | None
+    ) -> errors.Kind | None:
+        """Return why this can't be served, None if it can.
+
+        An adapter's service is known, so ``service`` may be empty when one
+        is named. An engine service is not run without naming an adapter:
+        the body could name one that was never checked.
+        """
+        if adapter is None:
+            return self.refuse_plain(service)
+        declared = self.adapters.get(adapter.adapter)
+        if declared is None:
+            return errors.Kind.UNKNOWN_ADAPTER
+        if service and service != declared.service:
+            return errors.Kind.UNKNOWN_ADAPTER
+        if not self.servable(adapter):
+            return errors.Kind.UNKNOWN_VERSION
+        return None
+
+    def refuse_plain(self, service: str) -> errors.Kind | None:
+        """Return why a request without an adapter can't be served."""
+        declared = self.services.get(service)
+        if declared is None:
+            return errors.Kind.UNKNOWN_SERVICE
+        if declared.kind is manifest.ServiceKind.ENGINE:
+            return errors.Kind.UNKNOWN_ADAPTER
+        return None
+
+    def manifest(self) -> manifest.Manifest:
+        """Return what is declared, each section sorted by name."""
+        return manifest.Manifest(
+            _sorted(self.services),
+            _sorted(self.adapters),
+            _sorted(self.callers),
+        )
+
+
+def from_manifest(
+    declared: manifest.Manifest, revision: int = 0
+) -> Configuration:
+    """Return the configuration that a valid manifest declares."""
+    return Configuration(
+        revision,
+        _by_name(declared.services),
+        _by_name(declared.adapters),
+        _by_name(declared.callers),
+    )
+
+
+def _sorted(entities: immutables.Map) -> tuple:
+    return tuple(entities[name] for name in sorted(entities))
+
+
+def _by_name(entities: tuple) -> immutables.Map:
+    return immutables.Map({entity.name: entity for entity in entities})
+
+
+EMPTY = from_manifest(manifest.Manifest())
