Let a named policy choose endpoints, loads and victims

Cause: choice of endpoint, load order and eviction were fixed in the reducers, so that no two ways could be compared. Measured: make test 157 passed.

--- a/berylhollow/following.py
+++ b/berylhollow/following.py
@@ -8,6 +8,25 @@
 from berylhollow import messages
 
 
+class Service(typing.Protocol):
+    """What is declared of a service."""
+
+    load_stall_weight: float
+    batch_efficiency_weight: float
+
+
+class Adapter(typing.Protocol):
+    """What is declared of an adapter."""
+
+    priority: int
+
+
+class Caller(typing.Protocol):
+    """What is declared of a caller."""
+
+    weight: float
+
+
 class View(typing.Protocol):
     """One accepted revision of the configuration; it never changes."""
 
@@ -25,6 +44,15 @@
     def service_of(self, adapter: str) -> str:
         """Return the service of a declared adapter."""
 
+    def service(self, name: str) -> Service | None:
+        """Return a declared service, None if there is none."""
+
+    def adapter(self, name: str) -> Adapter | None:
+        """Return a declared adapter, None if there is none."""
+
+    def caller(self, name: str) -> Caller:
+        """Return a caller; one that is not declared has the defaults."""
+
 
 class Follower(typing.Protocol):
     """Follows the configuration on the log and from peers."""
--- a/berylhollow/gateway/_attempts.py
+++ b/berylhollow/gateway/_attempts.py
@@ -113,6 +113,7 @@
     endpoint.link = _state.LinkPhase.OPEN
     if endpoint.incarnation != event.incarnation:
         endpoint.leaving = endpoint.instance.leaving
+        state.placement.replace(event.peer, endpoint.report, None)
         endpoint.report = None
     endpoint.incarnation = event.incarnation
     done = state.follower.handle(event)
--- /dev/null
+++ b/berylhollow/gateway/_fleet.py
@@ -0,0 +1,135 @@
+"""The endpoints of a service as a routing policy sees them."""
+
+import collections.abc
+
+from berylhollow.gateway import _state
+from berylhollow import messages
+from berylhollow import policy
+
+UNKNOWN_CAPACITY = 1
+
+
+class Fleet:
+    """The endpoints that one request may be offered to.
+
+    Implements ``policy.Fleet`` over the state of a gateway.
+    """
+
+    def __init__(
+        self,
+        state: _state.State,
+        active: _state.ActiveRequest,
+        at_ms: int,
+    ):
+        self.state = state
+        self.service = active.service
+        self.tried = active.tried
+        self.at_ms = at_ms
+
+    def names(self) -> list[str]:
+        """Return every endpoint that may be chosen; scans the service."""
+        members = self.state.placement.digests.get(self.service, {})
+        return [name for name in members if self.may_choose(name)]
+
+    def sample(self, seed: float, count: int) -> list[str]:
+        """Return some endpoints, evenly spread, without a scan."""
+        members = self.state.placement.names(self.service)
+        if len(members) <= count:
+            return [name for name in members if self.may_choose(name)]
+        start = int(seed * len(members))
+        stride = max(1, len(members) // count)
+        picked = [
+            members[(start + index * stride) % len(members)]
+            for index in range(count)
+        ]
+        usable = [name for name in picked if self.may_choose(name)]
+        return usable or self.names()
+
+    def may_choose(self, name: str) -> bool:
+        """Tell whether an endpoint takes work and was not tried yet."""
+        endpoint = self.state.endpoints.get(name)
+        return (
+            endpoint is not None
+            and name not in self.tried
+            and endpoint.usable_at(self.at_ms)
+        )
+
+    def holders(self, adapter: messages.AdapterVersion) -> list[str]:
+        """Return those that hold an adapter, ready to run it."""
+        names = self.state.placement.ready.get(adapter, ())
+        return [name for name in names if self.may_choose(name)]
+
+    def awaiting(self, adapter: messages.AdapterVersion) -> list[str]:
+        """Return those that load it, or where requests wait for a load."""
+        names = self.state.placement.awaiting(adapter, self.at_ms)
+        return [name for name in names if self.may_choose(name)]
+
+    def ranked(
+        self, adapter: messages.AdapterVersion
+    ) -> collections.abc.Iterator[str]:
+        """Yield endpoints in the rendezvous order of an adapter.
+
+        All others follow the head of the order that is cached, in a fixed
+        order, so that one is found when the whole head is down.
+        """
+        head = self.state.placement.order(self.service, adapter)
+        yield from (name for name in head if self.may_choose(name))
+        yield from (name for name in self.names() if name not in head)
+
+    def view(self, name: str) -> policy.EndpointView:
+        """Return what is known of one endpoint."""
+        endpoint = self.state.endpoints[name]
+        report = endpoint.report
+        domain = endpoint.instance.failure_domain
+        if report is None:
+            return policy.EndpointView(
+                name,
+                domain,
+                UNKNOWN_CAPACITY,
+                len(endpoint.placed),
+                0.0,
+                0,
+                True,
+                0.0,
+            )
+        return policy.EndpointView(
+            name,
+            domain,
+            report.capacity,
+            self.in_flight(endpoint),
+            report.run_ms,
+            len(report.wanted),
+            report.evictable,
+            report.victim_value,
+        )
+
+    def in_flight(self, endpoint: _state.Endpoint) -> int:
+        """Return how many requests an endpoint has, as far as is known.
+
+        What we placed there is known exactly; a report adds what other
+        gateways placed, as of the time it was made.
+        """
+        own = len(endpoint.placed)
+        report = endpoint.report
+        if report is None:
+            return own
+        others = report.running + report.queued - endpoint.placed_at_report
+        return own + max(0, others)
+
+    def least_loaded(self) -> str | None:
+        """Return the endpoint with the least load for its capacity."""
+        names = self.names()
+        return min(names, key=self.load_of, default=None)
+
+    def load_of(self, name: str) -> tuple[float, str]:
+        """Return the load of an endpoint, and its name to break ties."""
+        endpoint = self.state.endpoints[name]
+        capacity = UNKNOWN_CAPACITY
+        if endpoint.report is not None:
+            capacity = max(1, endpoint.report.capacity)
+        return self.in_flight(endpoint) / capacity, name
+
+    def load_wait_ms(self) -> float:
+        """Return how long a load ordered now takes to be ready."""
+        waiting = self.state.placement.loads_waiting.get(self.service, 0)
+        return (waiting + 1) * self.state.options.load_interval_ms
--- a/berylhollow/gateway/_membership.py
+++ b/berylhollow/gateway/_membership.py
@@ -49,7 +49,11 @@
     for name in [name for name in state.peers if name not in rows]:
         del state.peers[name]
     for name in [name for name in state.endpoints if name not in rows]:
-        if not state.endpoints[name].placed:
+        endpoint = state.endpoints[name]
+        if not endpoint.placed:
+            state.placement.remove(
+                name, endpoint.instance.service, endpoint.report
+            )
             del state.endpoints[name]
             done.append(effects.CloseLink(name))
     return done + tick(state, event.at_ms)
@@ -60,8 +64,10 @@
     endpoint = state.endpoints.get(event.peer)
     if endpoint is None:
         return []
+    state.placement.replace(event.peer, endpoint.report, event.message)
     endpoint.report = event.message
     endpoint.report_at_ms = event.at_ms
+    endpoint.placed_at_report = len(endpoint.placed)
     endpoint.leaving = event.message.leaving
     return []
 
@@ -81,6 +87,7 @@
     if endpoint is None:
         endpoint = _state.Endpoint(instance=row)
         state.endpoints[row.instance] = endpoint
+        state.placement.add(row.instance, row.service)
     moved = endpoint.instance.address != row.address
     endpoint.instance = row
     endpoint.leaving = endpoint.leaving or row.leaving
--- a/berylhollow/gateway/_options.py
+++ b/berylhollow/gateway/_options.py
@@ -18,7 +18,8 @@
     attempt, ``retry_reserve`` at once. Limits of callers and adapters are
     this gateway's own. ``eject_failures`` in a row eject an endpoint for
     ``eject_ms``, doubled each time. ``peer_fanout`` is how many other
-    gateways this one opens a link to.
+    gateways this one opens a link to. ``policy`` names the adapter
+    policy, ``load_interval_ms`` is what one load takes of the weight store.
     """
 
     instance: str
@@ -50,4 +51,6 @@
     peer_fanout: int = 3
     quarantine_poll_ms: int = 30_000
     suspicion: quarantine.Rules = quarantine.Rules()
+    policy: str = 'adaptive'
+    load_interval_ms: int = 500
     stop_grace_ms: int = 600_000
--- a/berylhollow/gateway/_routing.py
+++ b/berylhollow/gateway/_routing.py
@@ -1,9 +1,8 @@
 """Choice of the endpoint for an attempt."""
 
-import hashlib
-
+from berylhollow.gateway import _fleet
 from berylhollow.gateway import _state
-from berylhollow import messages
+from berylhollow import policy
 
 
 def choose(
@@ -11,40 +10,21 @@
 ) -> str | None:
     """Return the endpoint to offer a request to, None if there is none.
 
-    An endpoint that holds the adapter goes before one that would load it;
-    among holders the least loaded, among others the rendezvous order, so
-    that all gateways load an adapter at the same place.
+    The policy named in the settings chooses. Whatever it knows is a hint:
+    the sidecar that gets the offer decides whether it is run.
     """
-    usable = [
-        name
-        for name, endpoint in state.endpoints.items()
-        if endpoint.usable_at(at_ms)
-        and endpoint.instance.service == active.service
-        and name not in active.tried
-    ]
-    if not usable:
-        return None
-    adapter = active.request.adapter
-    return min(usable, key=lambda name: _rank(state, name, adapter))
-
-
-def _rank(
-    state: _state.State, name: str, adapter: messages.AdapterVersion | None
-) -> tuple[bool, float, str]:
-    endpoint = state.endpoints[name]
-    report = endpoint.report
-    capacity = max(1, report.capacity if report else 1)
-    load = len(endpoint.placed) / capacity
-    if adapter is None:
-        return False, load, name
-    holds = report is not None and any(
-        slot.adapter == adapter for slot in report.slots
+    request = active.request
+    query = policy.RouteQuery(
+        adapter=request.adapter,
+        caller=request.caller,
+        priority=request.priority,
+        remaining_ms=active.deadline_ms - at_ms,
+        output_tokens=request.output_tokens,
+        weights=policy.weights_of(state.follower.current, active.service),
+        seed=active.seed,
     )
-    if holds:
-        return False, load, name
-    return True, _rendezvous(name, adapter) + max(0.0, load - 1), name
-
-
-def _rendezvous(name: str, adapter: messages.AdapterVersion) -> float:
-    digest = hashlib.blake2b(f'{name}/{adapter}'.encode(), digest_size=8)
-    return int.from_bytes(digest.digest()) / 2**64
+    fleet = _fleet.Fleet(state, active, at_ms)
+    name = state.adapter_policy.router.choose(query, fleet)
+    if name is not None and request.adapter is not None:
+        state.placement.expect(request.adapter, name, at_ms)
+    return name
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -7,7 +7,9 @@
 from berylhollow import events
 from berylhollow import following
 from berylhollow.gateway import _options
+from berylhollow.gateway import _placement
 from berylhollow import messages
+from berylhollow import policy
 from berylhollow import quarantine
 from berylhollow.util import token_bucket
 
@@ -25,7 +27,8 @@
     """One endpoint's sidecar, from the instance list and from its reports.
 
     ``placed`` is our own record of the attempts that we have in flight
-    there; it is exact where a report lags.
+    there; it is exact where a report lags. ``placed_at_report`` is how many
+    of them the last report could know of.
     """
 
     instance: events.Instance
@@ -33,6 +36,7 @@
     incarnation: str = ''
     report: messages.Report | None = None
     report_at_ms: int = 0
+    placed_at_report: int = 0
     leaving: bool = False
     retry_link_at_ms: int = 0
     placed: set[str] = dataclasses.field(default_factory=set)
@@ -152,6 +156,10 @@
     retry_budgets: dict[tuple[str, str], float] = dataclasses.field(
         default_factory=dict
     )
+    placement: _placement.Placement = dataclasses.field(
+        default_factory=_placement.Placement
+    )
+    adapter_policy: policy.Policy = dataclasses.field(init=False)
     instances_read_ms: int = -1_000_000
     stopping: bool = False
     stop_by_ms: int = 0
@@ -159,6 +167,7 @@
 
     def __post_init__(self):
         self.suspects = quarantine.Suspects(self.options.suspicion)
+        self.adapter_policy = policy.named(self.options.policy)
 
     def request_of(self, attempt_id: str) -> ActiveRequest | None:
         """Return the request whose current attempt this is, if any."""
--- a/berylhollow/messages.py
+++ b/berylhollow/messages.py
@@ -143,7 +143,9 @@
 
     A hint only. ``capacity`` is how many requests run at once, ``queued``
     counts those waiting for a slot, a load or room; ``wanted`` names the
-    adapters that requests wait for.
+    adapters that requests wait for. ``run_ms`` is how long a run takes of
+    late, ``evictable`` tells that a slot is free for a load, which would
+    cost the endpoint ``victim_value`` in expected requests a second.
     """
 
     instance: str
@@ -158,6 +160,9 @@
     queued: int
     capacity: int
     revision: int
+    run_ms: float = 0.0
+    evictable: bool = True
+    victim_value: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/berylhollow/sidecar/_admission.py
+++ b/berylhollow/sidecar/_admission.py
@@ -30,6 +30,8 @@
         isolate=_isolation.needs_isolation(state, offer, event.at_ms),
     )
     state.attempts[offer.attempt_id] = attempt
+    if offer.adapter is not None:
+        state.adapter_policy.demand.note(offer.adapter, event.at_ms)
     kind = _refusal(state, offer, event.at_ms)
     if kind is not None:
         return _runs.end_unrun(state, attempt, kind, event.at_ms)
--- /dev/null
+++ b/berylhollow/sidecar/_demands.py
@@ -0,0 +1,81 @@
+"""What requests wait for and what slots are worth, for the policy."""
+
+from berylhollow import messages
+from berylhollow import policy
+from berylhollow.sidecar import _state
+
+EMPTY_VALUE = -1.0
+
+
+def wants(state: _state.State, at_ms: int) -> list[policy.Want]:
+    """Return the adapters that requests wait for and no slot holds."""
+    waiting: dict[messages.AdapterVersion, list[_state.Attempt]] = {}
+    for attempt_id in state.queue:
+        attempt = state.attempts[attempt_id]
+        adapter = attempt.offer.adapter
+        if adapter is not None:
+            waiting.setdefault(adapter, []).append(attempt)
+    return [
+        _want(state, adapter, attempts, at_ms)
+        for adapter, attempts in waiting.items()
+        if state.slot_with(adapter) is None
+    ]
+
+
+def slot_value(state: _state.State, slot: _state.Slot, at_ms: int) -> float:
+    """Return what a slot's content is worth to the policy."""
+    if slot.phase is _state.SlotPhase.EMPTY or slot.adapter is None:
+        return EMPTY_VALUE
+    return state.adapter_policy.eviction.value(held(state, slot, at_ms), at_ms)
+
+
+def held(state: _state.State, slot: _state.Slot, at_ms: int) -> policy.Held:
+    """Return a slot's adapter as the policy sees it."""
+    return policy.Held(
+        adapter=slot.adapter,
+        loaded_ms=slot.loaded_ms,
+        used_ms=slot.used_ms,
+        runs=slot.runs,
+        rate=state.adapter_policy.demand.rate(slot.adapter, at_ms),
+        priority=priority_of(state, slot.adapter),
+    )
+
+
+def priority_of(state: _state.State, adapter: messages.AdapterVersion) -> int:
+    """Return the priority that the configuration gives to an adapter."""
+    if state.follower.current is None:
+        return 0
+    declared = state.follower.current.adapter(adapter.adapter)
+    return declared.priority if declared is not None else 0
+
+
+def stalled_ms(
+    state: _state.State, attempt: _state.Attempt, at_ms: int
+) -> int:
+    """Return how long an attempt has waited for a load, up to now."""
+    adapter = attempt.offer.adapter
+    if adapter is None:
+        return 0
+    slot = state.slot_with(adapter)
+    until_ms = at_ms if slot is None else min(at_ms, slot.loaded_ms)
+    return max(0, until_ms - attempt.arrived_ms)
+
+
+def _want(
+    state: _state.State,
+    adapter: messages.AdapterVersion,
+    attempts: list[_state.Attempt],
+    at_ms: int,
+) -> policy.Want:
+    return policy.Want(
+        adapter=adapter,
+        waiting=len(attempts),
+        oldest_wait_ms=at_ms - min(x.arrived_ms for x in attempts),
+        slack_ms=min(_slack_ms(state, x, at_ms) for x in attempts),
+        priority=max(x.offer.priority for x in attempts),
+        rate=state.adapter_policy.demand.rate(adapter, at_ms),
+    )
+
+
+def _slack_ms(state: _state.State, attempt: _state.Attempt, at_ms: int) -> int:
+    return int(attempt.deadline_ms - at_ms - state.run_ms)
--- a/berylhollow/sidecar/_loads.py
+++ b/berylhollow/sidecar/_loads.py
@@ -1,11 +1,10 @@
 """Which adapter is loaded next, and into which slot."""
 
-import collections
-
 from berylhollow import effects
 from berylhollow import errors
 from berylhollow import events
 from berylhollow import messages
+from berylhollow.sidecar import _demands
 from berylhollow.sidecar import _runs
 from berylhollow.sidecar import _state
 from berylhollow.sidecar import _takeover
@@ -21,7 +20,7 @@
     if any(slot.phase is _state.SlotPhase.LOADING for slot in state.slots):
         return []
     for adapter in _wanted(state, at_ms):
-        slot = _victim(state)
+        slot = _victim(state, at_ms)
         if slot is None:
             return []
         return [_load(state, slot, adapter)]
@@ -37,6 +36,8 @@
         return []
     slot.phase = _state.SlotPhase.READY
     slot.used_ms = event.at_ms
+    slot.loaded_ms = event.at_ms
+    slot.runs = 0
     state.backoffs.pop(slot.adapter, None)
     done = _runs.dispatch(state, event.at_ms)
     return done + order(state, event.at_ms)
@@ -57,17 +58,15 @@
     return order(state, event.at_ms)
 
 
-def _wanted(state: _state.State, at_ms: int) -> list:
-    """Return the adapters that attempts wait for, most wanted first."""
-    waiting = collections.Counter(
-        state.attempts[attempt_id].offer.adapter for attempt_id in state.queue
-    )
-    waiting.pop(None, None)
-    return [
-        adapter
-        for adapter in waiting
-        if state.slot_with(adapter) is None and _due(state, adapter, at_ms)
-    ]
+def _wanted(state: _state.State, at_ms: int) -> list[messages.AdapterVersion]:
+    """Return the adapters to be loaded, as the policy orders them."""
+    wants = _demands.wants(state, at_ms)
+    scores = {
+        want.adapter: state.adapter_policy.load_order.score(want)
+        for want in wants
+        if _due(state, want.adapter, at_ms)
+    }
+    return sorted(scores, key=lambda adapter: (-scores[adapter], str(adapter)))
 
 
 def _due(
@@ -77,17 +76,17 @@
     return backoff is None or at_ms >= backoff.until_ms
 
 
-def _victim(state: _state.State) -> _state.Slot | None:
-    """Return the slot to load into: an empty one, else the least recent."""
+def _victim(state: _state.State, at_ms: int) -> _state.Slot | None:
+    """Return the slot to load into: an empty one, else the least valuable.
+
+    Only a slot without pins: whatever the policy says, an adapter in use is
+    never evicted.
+    """
     free = [slot for slot in state.slots if slot.pins == 0]
-    if not free:
-        return None
     return min(
         free,
-        key=lambda slot: (
-            slot.phase is not _state.SlotPhase.EMPTY,
-            slot.used_ms,
-        ),
+        key=lambda slot: _demands.slot_value(state, slot, at_ms),
+        default=None,
     )
 
 
--- a/berylhollow/sidecar/_options.py
+++ b/berylhollow/sidecar/_options.py
@@ -11,6 +11,7 @@
 
     ``plain`` marks an endpoint without adapters. ``keep_ended_ms`` is how
     long an ended attempt is remembered for a gateway that resumes.
+    ``policy`` names the adapter policy.
     """
 
     instance: str
@@ -29,3 +30,4 @@
     isolation_gap_ms: int = 1000
     suspicion: quarantine.Rules = quarantine.Rules()
     stop_grace_ms: int = 600_000
+    policy: str = 'adaptive'
--- a/berylhollow/sidecar/_reducer.py
+++ b/berylhollow/sidecar/_reducer.py
@@ -54,7 +54,7 @@
 def _link_opened(state: _state.State, event: events.LinkOpened) -> Effects:
     state.links[event.peer] = event.incarnation
     done = state.follower.handle(event)
-    return done + _reports.tell(state, event.peer)
+    return done + _reports.tell(state, event.peer, event.at_ms)
 
 
 def _link_closed(state: _state.State, event: events.LinkClosed) -> Effects:
--- a/berylhollow/sidecar/_reports.py
+++ b/berylhollow/sidecar/_reports.py
@@ -2,6 +2,7 @@
 
 from berylhollow import effects
 from berylhollow import messages
+from berylhollow.sidecar import _demands
 from berylhollow.sidecar import _state
 
 Effects = list[effects.Effect]
@@ -12,23 +13,28 @@
     if at_ms - state.reported_ms < state.options.report_ms:
         return []
     state.reported_ms = at_ms
-    report = _report(state)
+    report = _report(state, at_ms)
     return [effects.Send(peer, report) for peer in state.links]
 
 
-def tell(state: _state.State, peer: str) -> Effects:
+def tell(state: _state.State, peer: str, at_ms: int) -> Effects:
     """Report to one gateway now."""
-    return [effects.Send(peer, _report(state))]
+    return [effects.Send(peer, _report(state, at_ms))]
 
 
-def tell_all(state: _state.State) -> Effects:
+def tell_all(state: _state.State, at_ms: int) -> Effects:
     """Report to every linked gateway now."""
-    report = _report(state)
+    report = _report(state, at_ms)
     return [effects.Send(peer, report) for peer in state.links]
 
 
-def _report(state: _state.State) -> messages.Report:
+def _report(state: _state.State, at_ms: int) -> messages.Report:
     current = state.follower.current
+    values = [
+        _demands.slot_value(state, slot, at_ms)
+        for slot in state.slots
+        if slot.pins == 0
+    ]
     return messages.Report(
         instance=state.options.instance,
         service=state.options.service,
@@ -42,6 +48,9 @@
         queued=len(state.queue),
         capacity=state.capacity,
         revision=current.revision if current else 0,
+        run_ms=state.run_ms,
+        evictable=bool(values),
+        victim_value=min(values, default=0.0),
     )
 
 
--- a/berylhollow/sidecar/_runs.py
+++ b/berylhollow/sidecar/_runs.py
@@ -4,10 +4,12 @@
 from berylhollow import errors
 from berylhollow import events
 from berylhollow import messages
+from berylhollow.sidecar import _demands
 from berylhollow.sidecar import _isolation
 from berylhollow.sidecar import _state
 
 Effects = list[effects.Effect]
+RUN_SMOOTHING = 0.1
 
 
 def dispatch(state: _state.State, at_ms: int) -> Effects:
@@ -57,6 +59,7 @@
     if attempt is None:
         return []
     _unpin(state, attempt, event.at_ms)
+    _learn(state, attempt, event.at_ms)
     outcome = messages.End(event.attempt_id, event.count)
     done = _tell(state, attempt, outcome, event.at_ms)
     return done + dispatch(state, event.at_ms)
@@ -141,8 +144,11 @@
         if slot is None:
             return []
         slot.pins += 1
+        slot.runs += 1
         slot.used_ms = at_ms
         attempt.slot = slot.number
+    attempt.stalled_ms = _demands.stalled_ms(state, attempt, at_ms)
+    attempt.began_ms = at_ms
     state.queue.remove(attempt.offer.attempt_id)
     attempt.phase = _state.Phase.RUNNING
     state.running.add(attempt.offer.attempt_id)
@@ -170,6 +176,8 @@
     at_ms: int,
 ) -> Effects:
     attempt_id = attempt.offer.attempt_id
+    if attempt.phase is _state.Phase.QUEUED:
+        attempt.stalled_ms = _demands.stalled_ms(state, attempt, at_ms)
     if attempt_id in state.queue:
         state.queue.remove(attempt_id)
     attempt.phase = _state.Phase.ENDED
@@ -190,6 +198,14 @@
     attempt.slot = None
 
 
+def _learn(state: _state.State, attempt: _state.Attempt, at_ms: int) -> None:
+    """Take a whole run into the estimate of how long runs take."""
+    took_ms = at_ms - attempt.began_ms
+    if not state.run_ms:
+        state.run_ms = float(took_ms)
+    state.run_ms += RUN_SMOOTHING * (took_ms - state.run_ms)
+
+
 def _distrust(state: _state.State, attempt: _state.Attempt) -> None:
     slot = state.slots[attempt.slot]
     slot.phase = _state.SlotPhase.UNCERTAIN
--- a/berylhollow/sidecar/_shutdown.py
+++ b/berylhollow/sidecar/_shutdown.py
@@ -16,7 +16,7 @@
         return []
     state.stopping = True
     state.stop_by_ms = event.at_ms + state.options.stop_grace_ms
-    done = _reports.tell_all(state)
+    done = _reports.tell_all(state, event.at_ms)
     for attempt_id in list(state.queue):
         attempt = state.attempts[attempt_id]
         done += _runs.end_unrun(
--- a/berylhollow/sidecar/_state.py
+++ b/berylhollow/sidecar/_state.py
@@ -6,6 +6,7 @@
 from berylhollow import errors
 from berylhollow import following
 from berylhollow import messages
+from berylhollow import policy
 from berylhollow import quarantine
 from berylhollow.sidecar import _options
 
@@ -28,7 +29,7 @@
     """One adapter slot of the engine.
 
     ``pins`` counts the runs that use it: a slot with pins is never ordered
-    to load anything.
+    to load anything. ``runs`` counts those begun since it was loaded.
     """
 
     number: int
@@ -36,6 +37,8 @@
     adapter: messages.AdapterVersion | None = None
     order_id: str = ''
     pins: int = 0
+    runs: int = 0
+    loaded_ms: int = 0
     used_ms: int = 0
 
 
@@ -53,7 +56,11 @@
 
 @dataclasses.dataclass(slots=True)
 class Attempt:
-    """One attempt that a gateway offered."""
+    """One attempt that a gateway offered.
+
+    ``stalled_ms`` is how long it waited for its adapter to be loaded,
+    up to ``began_ms`` or its end.
+    """
 
     offer: messages.Offer
     peer: str
@@ -63,7 +70,9 @@
     slot: int | None = None
     started: messages.Started | None = None
     outcome: messages.End | messages.Failed | None = None
+    began_ms: int = 0
     ended_ms: int = 0
+    stalled_ms: int = 0
     cancelled: bool = False
     isolate: bool = False
 
@@ -100,6 +109,8 @@
     suspects: quarantine.Suspects = dataclasses.field(init=False)
     crash_told: str = ''
     isolated_ended_ms: int = -1_000_000
+    adapter_policy: policy.Policy = dataclasses.field(init=False)
+    run_ms: float = 0.0
     orders: int = 0
     status_read_ms: int = -1_000_000
     reported_ms: int = -1_000_000
@@ -109,6 +120,7 @@
 
     def __post_init__(self):
         self.suspects = quarantine.Suspects(self.options.suspicion)
+        self.adapter_policy = policy.named(self.options.policy)
 
     @property
     def capacity(self) -> int:
--- a/test/builders.py
+++ b/test/builders.py
@@ -13,6 +13,16 @@
 DEADLINE_MS = 30_000
 
 
+@dataclasses.dataclass
+class Declared:
+    """What a test declares of any service, adapter or caller."""
+
+    load_stall_weight: float = 1.0
+    batch_efficiency_weight: float = 1.0
+    priority: int = 0
+    weight: float = 1.0
+
+
 @dataclasses.dataclass
 class FixedView:
     """A configuration that declares everything with version ``1`` or 2."""
@@ -29,6 +39,15 @@
     def service_of(self, adapter):
         return SERVICE
 
+    def service(self, name):
+        return Declared()
+
+    def adapter(self, name):
+        return Declared()
+
+    def caller(self, name):
+        return Declared()
+
 
 @dataclasses.dataclass
 class FixedFollower:
