Number every load order and wait out uncertain ones

Cause: a load that hung could take effect after another adapter was loaded over it; a new sidecar loaded over what its dead predecessor still had running; a failed takeover append was repeated in a hot loop. Change: a fencing number per order (log offset shifted, plus a count), uncertain slots that take only the same adapter on engines that ignore numbers, no order before the engine is at rest, a number from the engine when the log stays down, a sidecar that sees a higher number steps back. Ruled out: one number per sidecar (an own late order passes the check).

--- a/berylhollow/sidecar/_admission.py
+++ b/berylhollow/sidecar/_admission.py
@@ -95,7 +95,7 @@
 def _refusal(
     state: _state.State, offer: messages.Offer, at_ms: int
 ) -> errors.Kind | None:
-    if state.stopping:
+    if state.stopping or state.deposed:
         return errors.Kind.LEAVING
     if offer.remaining_ms <= 0:
         return errors.Kind.DEADLINE_EXCEEDED
--- a/berylhollow/sidecar/_engine.py
+++ b/berylhollow/sidecar/_engine.py
@@ -3,8 +3,10 @@
 from berylhollow import effects
 from berylhollow import events
 from berylhollow.sidecar import _loads
+from berylhollow.sidecar import _orders
 from berylhollow.sidecar import _runs
 from berylhollow.sidecar import _state
+from berylhollow.sidecar import _takeover
 
 Effects = list[effects.Effect]
 
@@ -28,9 +30,10 @@
         return []
     state.reachable = True
     state.batch_limit = event.batch_limit
-    done: Effects = []
+    done = _takeover.status(state, event)
     if event.epoch != state.epoch:
-        done = _new_epoch(state, event)
+        done += _new_epoch(state, event)
+    _orders.status(state, event)
     done += _runs.dispatch(state, event.at_ms)
     return done + _loads.order(state, event.at_ms)
 
--- a/berylhollow/sidecar/_loads.py
+++ b/berylhollow/sidecar/_loads.py
@@ -5,6 +5,7 @@
 from berylhollow import events
 from berylhollow import messages
 from berylhollow.sidecar import _demands
+from berylhollow.sidecar import _orders
 from berylhollow.sidecar import _runs
 from berylhollow.sidecar import _state
 from berylhollow.sidecar import _takeover
@@ -15,14 +16,14 @@
 
 def order(state: _state.State, at_ms: int) -> Effects:
     """Order the load that waits first, if a slot can be had for it."""
-    if state.options.plain or not _takeover.may_order(state):
+    if state.options.plain or not _takeover.may_order(state, at_ms):
         return []
     if any(slot.phase is _state.SlotPhase.LOADING for slot in state.slots):
         return []
     for adapter in _wanted(state, at_ms):
-        slot = _victim(state, at_ms)
+        slot = _victim(state, adapter, at_ms)
         if slot is None:
-            return []
+            continue
         return [_load(state, slot, adapter)]
     return []
 
@@ -32,7 +33,10 @@
     slot = state.slot_of_order(event.order_id)
     if slot is None or event.epoch != state.epoch:
         return []
-    if slot.phase is not _state.SlotPhase.LOADING:
+    if slot.phase not in (
+        _state.SlotPhase.LOADING,
+        _state.SlotPhase.UNCERTAIN,
+    ):
         return []
     slot.phase = _state.SlotPhase.READY
     slot.used_ms = event.at_ms
@@ -50,7 +54,7 @@
         return []
     adapter = slot.adapter
     if event.certainty is events.Certainty.UNKNOWN:
-        slot.phase = _state.SlotPhase.UNCERTAIN
+        _orders.uncertain(slot, event.at_ms)
     else:
         slot.phase = _state.SlotPhase.EMPTY
         slot.adapter = None
@@ -76,13 +80,19 @@
     return backoff is None or at_ms >= backoff.until_ms
 
 
-def _victim(state: _state.State, at_ms: int) -> _state.Slot | None:
+def _victim(
+    state: _state.State, adapter: messages.AdapterVersion, at_ms: int
+) -> _state.Slot | None:
     """Return the slot to load into: an empty one, else the least valuable.
 
     Only a slot without pins: whatever the policy says, an adapter in use is
     never evicted.
     """
-    free = [slot for slot in state.slots if slot.pins == 0]
+    free = [
+        slot
+        for slot in state.slots
+        if _orders.may_load(state, slot, adapter, at_ms)
+    ]
     return min(
         free,
         key=lambda slot: _demands.slot_value(state, slot, at_ms),
@@ -99,11 +109,12 @@
     slot.order_id = f'{state.incarnation}.{state.orders}'
     slot.phase = _state.SlotPhase.LOADING
     slot.adapter = adapter
+    slot.distrusted = False
     return effects.LoadAdapter(
         slot.order_id,
         slot.number,
         adapter,
-        state.fence,
+        _takeover.next_fence(state),
         state.epoch,
         state.options.load_timeout_ms,
     )
--- a/berylhollow/sidecar/_options.py
+++ b/berylhollow/sidecar/_options.py
@@ -12,6 +12,9 @@
     ``plain`` marks an endpoint without adapters. ``keep_ended_ms`` is how
     long an ended attempt is remembered for a gateway that resumes.
     ``policy`` names the adapter policy.
+    ``settle_ms`` must be longer than an order can be under way to an engine;
+    ``takeover_wait_ms`` is how long the log may keep a new sidecar from
+    ordering before it takes its number from the engine.
     """
 
     instance: str
@@ -26,6 +29,9 @@
     load_backoff_ms: int = 1000
     status_poll_ms: int = 500
     report_ms: int = 250
+    takeover_retry_ms: int = 500
+    takeover_wait_ms: int = 5000
+    settle_ms: int = 60_000
     keep_ended_ms: int = 60_000
     isolation_gap_ms: int = 1000
     suspicion: quarantine.Rules = quarantine.Rules()
--- a/berylhollow/sidecar/_reducer.py
+++ b/berylhollow/sidecar/_reducer.py
@@ -37,6 +37,7 @@
     done = _engine.tick(state, at_ms)
     done += _admission.tick(state, at_ms)
     done += state.follower.tick(at_ms, [], list(state.links), '')
+    done += _takeover.tick(state, at_ms)
     done += _runs.dispatch(state, at_ms)
     done += _loads.order(state, at_ms)
     done += _reports.tick(state, at_ms)
--- a/berylhollow/sidecar/_runs.py
+++ b/berylhollow/sidecar/_runs.py
@@ -209,3 +209,4 @@
 def _distrust(state: _state.State, attempt: _state.Attempt) -> None:
     slot = state.slots[attempt.slot]
     slot.phase = _state.SlotPhase.UNCERTAIN
+    slot.distrusted = True
--- a/berylhollow/sidecar/_state.py
+++ b/berylhollow/sidecar/_state.py
@@ -40,6 +40,8 @@
     runs: int = 0
     loaded_ms: int = 0
     used_ms: int = 0
+    uncertain_ms: int = 0
+    distrusted: bool = False
 
 
 class Phase(enum.Enum):
@@ -96,6 +98,11 @@
     epoch: str = ''
     retired_epochs: set[str] = dataclasses.field(default_factory=set)
     fence: int = 0
+    fence_settled: bool = False
+    started_ms: int = 0
+    takeover_retry_ms: int = 0
+    engine_at_rest: bool = False
+    deposed: bool = False
     batch_limit: int = 0
     reachable: bool = False
     slots: list[Slot] = dataclasses.field(default_factory=list)
