Drive the real reducers over a virtual clock

Cause: the policy and the fault matrix need the reducers of both roles to act together, deterministically and fast.

Change: berylhollow/replay is a world of one heap of actions that carries effects out against the stand-in models, over links with a latency. Each action passes one point where a fault may drop, delay, double or hold it; processes can be killed, replaced, paused and resumed. It keeps its own record of facts.

--- /dev/null
+++ b/berylhollow/replay/__init__.py
@@ -0,0 +1,53 @@
+"""Drive the real reducers over a virtual clock, with models around them."""
+
+from berylhollow.replay._actions import Action
+from berylhollow.replay._actions import Point
+from berylhollow.replay._engine import EngineDriver
+from berylhollow.replay._facts import Answered
+from berylhollow.replay._facts import Ending
+from berylhollow.replay._facts import EngineDied
+from berylhollow.replay._facts import Exchange
+from berylhollow.replay._facts import Offered
+from berylhollow.replay._facts import ProcessEnded
+from berylhollow.replay._facts import ProcessStarted
+from berylhollow.replay._facts import Produced
+from berylhollow.replay._facts import Record
+from berylhollow.replay._facts import Relayed
+from berylhollow.replay._facts import RunBegan
+from berylhollow.replay._facts import RunOver
+from berylhollow.replay._facts import Said
+from berylhollow.replay._facts import SlotTaken
+from berylhollow.replay._facts import StopAsked
+from berylhollow.replay._gateway import GatewayProcess
+from berylhollow.replay._network import Link
+from berylhollow.replay._service import ServiceDriver
+from berylhollow.replay._sidecar import SidecarProcess
+from berylhollow.replay._world import Latencies
+from berylhollow.replay._world import World
+
+__all__ = [
+    'Action',
+    'Answered',
+    'Ending',
+    'EngineDied',
+    'EngineDriver',
+    'Exchange',
+    'GatewayProcess',
+    'Latencies',
+    'Link',
+    'Offered',
+    'Point',
+    'ProcessEnded',
+    'ProcessStarted',
+    'Produced',
+    'Record',
+    'Relayed',
+    'RunBegan',
+    'RunOver',
+    'Said',
+    'ServiceDriver',
+    'SidecarProcess',
+    'SlotTaken',
+    'StopAsked',
+    'World',
+]
