--- a/berylhollow/ui/commands.py
+++ b/berylhollow/ui/commands.py
@@ -27,6 +27,21 @@
         'berylhollow.ui.settings_command',
         'list every setting with its default, unit and meaning',
     ),
+    Command(
+        'stand-in platform',
+        'berylhollow.ui.standin_platform',
+        'serve a small stand-in of the platform',
+    ),
+    Command(
+        'stand-in engine',
+        'berylhollow.ui.standin_engine',
+        'serve a small stand-in of a model engine',
+    ),
+    Command(
+        'stand-in service',
+        'berylhollow.ui.standin_service',
+        'serve a small stand-in of a plain service',
+    ),
 )
 
 GROUPS = {
--- /dev/null
+++ b/berylhollow/ui/standin_engine.py
@@ -0,0 +1,18 @@
+"""The command ``stand-in engine``."""
+
+import argparse
+
+from berylhollow import settings
+from berylhollow.standin import engine_server
+from berylhollow.ui import _standin
+
+EXAMPLE = 'berylhollow stand-in engine --settings engine.jsonc'
+
+add_arguments = _standin.add_arguments
+
+
+def run(arguments: argparse.Namespace) -> int:
+    """Serve until the process is told to stop."""
+    return _standin.run(
+        arguments, settings.Role.ENGINE, engine_server.make_application
+    )
--- /dev/null
+++ b/test/ui/test_standin.py
@@ -0,0 +1,69 @@
+"""Tests of the stand-in commands."""
+
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import unittest
+import urllib.request
+
+from berylhollow import settings
+from berylhollow.ui import commands
+from berylhollow.util import exits
+from test import standin_helper
+
+PLATFORM_URL = 'http://127.0.0.1:1'
+
+
+class StandInCommandTest(unittest.TestCase):
+    def start(self, role, **options):
+        values = {
+            **standin_helper.COMMON,
+            'instance': f'{role}-1',
+            'listen': {'port': 0},
+            **options,
+        }
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        path = pathlib.Path(folder, 'settings.jsonc')
+        path.write_text(json.dumps(values))
+        words = (sys.executable, '-m', 'berylhollow', 'stand-in', role)
+        process = subprocess.Popen(
+            [*words, '--settings', str(path)],
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+        self.addCleanup(process.stderr.close)
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        return process
+
+    def test_each_serves_when_it_says_so_and_stops_with_0(self):
+        link = {'platform': {'url': PLATFORM_URL}}
+        for role, options in (
+            (settings.Role.PLATFORM, {}),
+            (settings.Role.ENGINE, link),
+            (settings.Role.SERVICE, {}),
+        ):
+            with self.subTest(role):
+                process = self.start(role, **options)
+                line = json.loads(process.stderr.readline())
+                address = line['message'].removeprefix('listening on ')
+                url = f'http://{address}/healthz'
+                with urllib.request.urlopen(url) as answer:
+                    self.assertEqual(answer.status, 200)
+                process.send_signal(signal.SIGTERM)
+                self.assertEqual(process.wait(), exits.ExitCode.OK)
+
+    def test_invalid_settings_start_nothing(self):
+        process = self.start(settings.Role.ENGINE)
+        _, errors = process.communicate()
+        self.assertEqual(process.returncode, exits.ExitCode.INVALID)
+        self.assertIn('platform', errors)
+
+    def test_every_role_that_stands_in_has_a_command(self):
+        names = {command.name for command in commands.COMMANDS}
+        roles = {f'stand-in {role}' for role in settings.Role}
+        roles -= {'stand-in gateway', 'stand-in sidecar'}
+        self.assertLessEqual(roles, names)
