Forget ended attempts in order, and only once they are over

Cause: each tick scanned every attempt of the last minute; and an ended attempt whose cancel stayed unconfirmed for that long was forgotten while it was still counted as running, so that a restart of the engine then ended the sidecar with a KeyError.

Change: ended attempts stand in a queue in the order they ended; the oldest is forgotten once nothing runs for it.

Conclusion: a tick costs the same however many attempts are remembered.

--- a/berylhollow/sidecar/_admission.py
+++ b/berylhollow/sidecar/_admission.py
@@ -116,7 +116,9 @@
         errors.Kind.ENDPOINT_UNREACHABLE,
         errors.Ran.NOT_RUN,
     )
-    state.attempts[event.message.attempt_id] = _tombstone(event, failed)
+    tombstone = _tombstone(event, failed)
+    state.attempts[event.message.attempt_id] = tombstone
+    state.ended.append(tombstone)
     return [effects.Send(event.peer, failed)]
 
 
@@ -150,14 +152,18 @@
 
 
 def _forget(state: _state.State, at_ms: int) -> Effects:
+    """Forget what ended long ago, the oldest first, as far as it is over.
+
+    An ended attempt whose cancel is not confirmed still holds its pin, and
+    its record is what gives the pin back.
+    """
     oldest = at_ms - state.options.keep_ended_ms
     done: Effects = []
-    old = [
-        attempt_id
-        for attempt_id, attempt in state.attempts.items()
-        if attempt.phase is _state.Phase.ENDED and attempt.ended_ms < oldest
-    ]
-    for attempt_id in old:
+    while state.ended and state.ended[0].ended_ms < oldest:
+        attempt_id = state.ended[0].offer.attempt_id
+        if attempt_id in state.running:
+            break
+        state.ended.popleft()
         del state.attempts[attempt_id]
         done.append(effects.ForgetRun(attempt_id))
     return done
--- a/berylhollow/sidecar/_runs.py
+++ b/berylhollow/sidecar/_runs.py
@@ -183,6 +183,7 @@
     attempt.phase = _state.Phase.ENDED
     attempt.outcome = outcome
     attempt.ended_ms = at_ms
+    state.ended.append(attempt)
     return [effects.Send(attempt.peer, outcome)]
 
 
--- a/berylhollow/sidecar/_state.py
+++ b/berylhollow/sidecar/_state.py
@@ -1,5 +1,6 @@
 """What a sidecar knows: its engine's slots and the attempts it took."""
 
+import collections
 import dataclasses
 import enum
 
@@ -90,7 +91,10 @@
 
 @dataclasses.dataclass(slots=True)
 class State:
-    """Everything that a sidecar's reducer remembers."""
+    """Everything that a sidecar's reducer remembers.
+
+    ``ended`` holds the ended ones of ``attempts`` in the order they ended.
+    """
 
     options: _options.Options
     follower: following.Follower
@@ -107,6 +111,9 @@
     reachable: bool = False
     slots: list[Slot] = dataclasses.field(default_factory=list)
     attempts: dict[str, Attempt] = dataclasses.field(default_factory=dict)
+    ended: collections.deque[Attempt] = dataclasses.field(
+        default_factory=collections.deque
+    )
     queue: list[str] = dataclasses.field(default_factory=list)
     running: set[str] = dataclasses.field(default_factory=set)
     links: dict[str, str] = dataclasses.field(default_factory=dict)
--- a/test/test_sidecar.py
+++ b/test/test_sidecar.py
@@ -113,3 +113,23 @@
         self.assertEqual([], self.of_type(effects.Exit))
         self.feed(events.RunEnded(4, 'r1.1', 1), events.Ticked(5))
         self.assertEqual([effects.Exit(0)], self.of_type(effects.Exit))
+
+    def test_an_ended_attempt_is_remembered_while_its_cancel_is_open(self):
+        """A sidecar dies when its engine comes back after a long hang.
+
+        The connection to a hung engine breaks, the answer is given up, and
+        its cancel stays unconfirmed beyond the time for which ended attempts
+        are kept; then the engine restarts. Cause: the attempt was forgotten
+        while it still held its pin.
+        """
+        self.run_offer()
+        failed = events.RunFailed(
+            2, 'r1.1', errors.Kind.ENDPOINT_FAILED, errors.Ran.UNKNOWN
+        )
+        self.feed(failed, events.Ticked(100_000))
+        self.assertEqual([], self.of_type(effects.ForgetRun))
+        self.feed(builders.engine_status('epoch-2', at_ms=100_001))
+        self.feed(events.Ticked(200_000))
+        self.assertEqual(
+            [effects.ForgetRun('r1.1')], self.of_type(effects.ForgetRun)
+        )
