Read the configuration from the log and publish to it

A publication whose answer was lost is appended again and settled by reading: copies share a base revision, so at most one is accepted. Commands validate, plan, publish and settle, with an exit code for each outcome.

--- a/berylhollow/configuration/__init__.py
+++ b/berylhollow/configuration/__init__.py
@@ -9,9 +9,11 @@
 from berylhollow.configuration import _codec
 from berylhollow.configuration import _configuration
 from berylhollow.configuration import _fold
+from berylhollow.configuration import _history
+from berylhollow.configuration import _log_reader
 
-STREAM = 'configuration'
-SNAPSHOT_STREAM = 'snapshots'
+STREAM = _log_reader.STREAM
+SNAPSHOT_STREAM = _log_reader.SNAPSHOT_STREAM
 
 RULE = _codec.RULE
 Accepted = _fold.Accepted
@@ -19,6 +21,9 @@
 Configuration = _configuration.Configuration
 Delta = _changes.Delta
 EntityKind = _changes.EntityKind
+KINDS = _changes.KINDS
+History = _history.History
+LogReader = _log_reader.LogReader
 MalformedRecord = _codec.MalformedRecord
 Outcome = _fold.Outcome
 Put = _changes.Put
--- a/berylhollow/configuration/_codec.py
+++ b/berylhollow/configuration/_codec.py
@@ -118,6 +118,11 @@
     )
 
 
+def rule_of(data: bytes) -> int:
+    """Return the rule by which a well-formed record asks to be judged."""
+    return int.from_bytes(data[len(CHANGE_MAGIC) : HEADER_BYTES], 'big')
+
+
 def _pack(magic: bytes, body: list) -> bytes:
     packed = zlib.compress(cbor2.dumps(body), COMPRESSION_LEVEL)
     return magic + RULE.to_bytes(RULE_BYTES, 'big') + packed
@@ -126,7 +131,7 @@
 def _unpack(magic: bytes, data: bytes, count: int) -> list:
     if len(data) < HEADER_BYTES or not data.startswith(magic):
         raise MalformedRecord('no record of this kind')
-    rule = int.from_bytes(data[len(magic) : HEADER_BYTES], 'big')
+    rule = rule_of(data)
     if rule > RULE:
         raise UnknownRule(rule)
     if rule != RULE:
--- /dev/null
+++ b/berylhollow/configuration/_history.py
@@ -0,0 +1,97 @@
+"""What a process has read of the configuration stream."""
+
+import collections
+import collections.abc
+
+from berylhollow.configuration import _codec
+from berylhollow.configuration import _fold
+from berylhollow import messages
+
+KEPT_ENTRIES = 256
+KEPT_BYTES = 256 * 1024
+KEPT_VERDICTS = 64
+
+
+class History:
+    """The fold over what was read, and the end of the stream itself.
+
+    ``recent`` holds the last entries as they were read, without gaps, for
+    peers that lag. ``unknown_rule`` is the rule of the record before which
+    the fold had to stop, None if it did not. A snapshot that reaches further
+    than ``reach`` is not taken over.
+    """
+
+    def __init__(self, kept_verdicts: int = KEPT_VERDICTS):
+        self.state = _fold.INITIAL
+        self.reach: int | None = None
+        self.recent: collections.deque[messages.LogEntry] = collections.deque()
+        self.recent_bytes = 0
+        self.verdicts: collections.deque[_fold.Verdict] = collections.deque(
+            maxlen=kept_verdicts
+        )
+        self.unknown_rule: int | None = None
+
+    def add(
+        self, entries: collections.abc.Iterable[messages.LogEntry]
+    ) -> tuple[messages.LogEntry, ...]:
+        """Fold the entries that are new; return them.
+
+        Entries that were read before are passed over, whoever sends them and
+        however late; those behind a gap are left for another reading.
+        """
+        added = []
+        for entry in entries:
+            if entry.offset == self.state.next_offset and self.fold(entry):
+                added.append(entry)
+        return tuple(added)
+
+    def fold(self, entry: messages.LogEntry) -> bool:
+        """Fold the next entry; return whether it could be judged."""
+        self.state, verdict = _fold.fold(self.state, entry)
+        if verdict.outcome is _fold.Outcome.UNKNOWN_RULE:
+            self.unknown_rule = _codec.rule_of(entry.data)
+            return False
+        self.verdicts.append(verdict)
+        self.keep(entry)
+        return True
+
+    def keep(self, entry: messages.LogEntry) -> None:
+        """Keep an entry for peers, within bounds."""
+        self.recent.append(entry)
+        self.recent_bytes += len(entry.data)
+        while self.recent and (
+            len(self.recent) > KEPT_ENTRIES or self.recent_bytes > KEPT_BYTES
+        ):
+            self.recent_bytes -= len(self.recent.popleft().data)
+
+    def install(self, data: bytes) -> bool:
+        """Take over a snapshot if it reaches further; return whether it did.
+
+        Guards against a revert. A snapshot may have been written late, by a
+        process that was paused or by two at once, or come from a peer that
+        lags; taken over, it would bring back a configuration that was
+        replaced. All that is known before an offset follows from the log
+        alone, so the one that reaches further holds all of the other.
+        """
+        try:
+            state = _fold.from_snapshot(data)
+        except (_codec.MalformedRecord, _codec.UnknownRule):
+            return False
+        if state.next_offset <= self.state.next_offset:
+            return False
+        if self.reach is not None and state.next_offset > self.reach:
+            return False
+        self.state = state
+        self.unknown_rule = None
+        self.recent.clear()
+        self.recent_bytes = 0
+        return True
+
+    def entries_from(
+        self, offset: int
+    ) -> tuple[messages.LogEntry, ...] | None:
+        """Return what follows an offset, None if it is no longer kept."""
+        first = self.state.next_offset - len(self.recent)
+        if not first <= offset <= self.state.next_offset:
+            return None
+        return tuple(entry for entry in self.recent if entry.offset >= offset)
--- a/berylhollow/ui/commands.py
+++ b/berylhollow/ui/commands.py
@@ -42,6 +42,26 @@
         'berylhollow.ui.standin_service',
         'serve a small stand-in of a plain service',
     ),
+    Command(
+        'validate',
+        'berylhollow.ui.validate_command',
+        'check a manifest and name every fault',
+    ),
+    Command(
+        'plan',
+        'berylhollow.ui.plan_command',
+        'show what publishing a manifest would change',
+    ),
+    Command(
+        'publish',
+        'berylhollow.ui.publish_command',
+        'bring a manifest into force as one change',
+    ),
+    Command(
+        'settle',
+        'berylhollow.ui.settle_command',
+        'tell what became of a change whose answer was lost',
+    ),
 )
 
 GROUPS = {
--- /dev/null
+++ b/berylhollow/ui/publish_command.py
@@ -0,0 +1,52 @@
+"""The command ``publish``: bring a manifest into force."""
+
+import argparse
+import getpass
+
+from berylhollow import manifest
+from berylhollow import publishing
+from berylhollow.ui import _log_options
+from berylhollow.util import exits
+
+EXAMPLE = (
+    'berylhollow publish manifest.jsonc --platform http://127.0.0.1:8001 '
+    '--base 17'
+)
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument('file', help='manifest to bring into force')
+    _log_options.add_arguments(parser)
+    _log_options.add_base_argument(parser)
+    parser.add_argument(
+        '--operator',
+        metavar='NAME',
+        help='who publishes, shown to others (the name of the user)',
+    )
+
+
+def run(arguments: argparse.Namespace) -> int:
+    """Say which revision was accepted; a conflict exits with code 3."""
+    wanted = manifest.load(arguments.file)
+    operator = arguments.operator or _user_name()
+
+    async def publish(publisher: publishing.Publisher) -> str:
+        plan = await publisher.plan(wanted, arguments.base)
+        if not plan.deltas:
+            return f'nothing to change at revision {plan.base.revision}'
+        revision = await publisher.publish(plan, wanted, operator)
+        return (
+            f'accepted: revision {revision}, {len(plan.deltas)} changes '
+            f'against revision {plan.base.revision}'
+        )
+
+    print(_log_options.with_publisher(arguments, publish))
+    return exits.ExitCode.OK
+
+
+def _user_name() -> str:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        # An account without a name, as in many containers.
+        return 'unknown'
--- a/test/configuration_builders.py
+++ b/test/configuration_builders.py
@@ -42,10 +42,11 @@
 
 
 def declared(*names):
+    """A manifest of two services and adapters, sorted by name."""
     return manifest.Manifest(
         services=(
-            manifest.Service(SERVICE, base_model='base'),
             manifest.Service(PLAIN_SERVICE, manifest.ServiceKind.PLAIN),
+            manifest.Service(SERVICE, base_model='base'),
         ),
         adapters=tuple(adapter(name) for name in names),
     )
--- /dev/null
+++ b/test/publishing/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of ``berylhollow.publishing``."""
