Let a leader append the claims of a partition for many gateways

Cause: 1,900 gateways that append their own batches would need thousands of appends a second where the log takes several hundred. Change: with more than claim_direct_gateways gateways each partition has a leader by rendezvous hashing that appends forwarded batches, reads the stream and passes the verdicts on; a gateway falls back to its own appends when the leader does not take a batch or its link closes. Ruled out: a leader that must be unique (a paused one would need a lease on the log). Conclusion: verdicts come from the log alone, so the leader is only a saver of appends.

--- a/berylhollow/gateway/_claims.py
+++ b/berylhollow/gateway/_claims.py
@@ -4,29 +4,20 @@
 that the append was confirmed says nothing about who came first.
 """
 
-import dataclasses
-
 from berylhollow import claims
 from berylhollow import effects
 from berylhollow import errors
 from berylhollow import events
 from berylhollow.gateway import _attempts
+from berylhollow.gateway import _claim_leader
+from berylhollow.gateway import _claim_verdict
 from berylhollow.gateway import _settlement
 from berylhollow.gateway import _state
+from berylhollow import messages
 
 Effects = list[effects.Effect]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Verdict:
-    """Why a key can't be run, or the answer kept from when it ran."""
-
-    kind: errors.Kind | None = None
-    ran: errors.Ran = errors.Ran.NOT_RUN
-    retry_after_ms: int = 0
-    answer: claims.StoredAnswer | None = None
-
-
 def claim(
     state: _state.State, active: _state.ActiveRequest, at_ms: int
 ) -> Effects:
@@ -40,14 +31,7 @@
     active.claim_by_ms = at_ms + state.options.claim_ms
     partition = _settlement.partition_of(state, active.key)
     partition.undecided[active.claim_id] = request.request_id
-    partition.queue.append(
-        claims.Claim(
-            active.key,
-            active.claim_id,
-            request.fingerprint.encode(),
-            request.deadline_ms,
-        )
-    )
+    partition.queue.append(_state.QueuedEntry(_settlement.claim_entry(active)))
     return _flush(state, partition, at_ms)
 
 
@@ -56,6 +40,7 @@
     done: Effects = []
     for partition in state.partitions.values():
         done += _give_up_late(state, partition, at_ms)
+        _claim_leader.tick(state, partition, at_ms)
         done += _flush(state, partition, at_ms)
         done += _read(state, partition, at_ms)
     return done
@@ -66,9 +51,10 @@
     partition = _settlement.partition_with(state, event.stream)
     if partition is None or partition.append_id != event.append_id:
         return []
+    done = _claim_leader.taken(partition)
     partition.appending = []
     partition.append_id = ''
-    done = _flush(state, partition, event.at_ms)
+    done += _flush(state, partition, event.at_ms)
     return done + _read(state, partition, event.at_ms)
 
 
@@ -86,14 +72,14 @@
     partition.append_id = ''
     partition.append_from_ms = event.at_ms + state.options.claim_retry_ms
     partition.queue[:0] = [
-        entry for entry in batch if isinstance(entry, claims.Settled)
+        item for item in batch if isinstance(item.entry, claims.Settled)
     ]
     if event.certainty is events.Certainty.UNKNOWN:
         return _read(state, partition, event.at_ms)
     done: Effects = []
-    for entry in batch:
-        if isinstance(entry, claims.Claim):
-            done += _unavailable(state, partition, entry.claim_id)
+    for item in batch:
+        if isinstance(item.entry, claims.Claim):
+            done += _not_appended(state, partition, item)
     return done
 
 
@@ -150,20 +136,26 @@
         return []
     if at_ms < partition.append_from_ms:
         return []
+    leader = _claim_leader.route(state, partition, at_ms)
     size = state.options.claim_batch
     partition.appending = partition.queue[:size]
     del partition.queue[:size]
     state.appends += 1
     partition.append_id = f'{state.incarnation}/{state.appends}'
     partition.append_from_ms = at_ms + state.options.claim_flush_ms
-    data = claims.encode(partition.appending)
+    data = claims.encode([item.entry for item in partition.appending])
+    partition.leader = leader
+    if leader:
+        return _claim_leader.forward(state, partition, data, at_ms)
     return [effects.Append(partition.stream, partition.append_id, data)]
 
 
 def _read(
     state: _state.State, partition: _state.Partition, at_ms: int
 ) -> Effects:
-    if partition.reading or not partition.undecided:
+    if partition.reading or partition.leader:
+        return []
+    if not partition.undecided and not partition.forwarded:
         return []
     if partition.append_id or at_ms < partition.read_from_ms:
         return []
@@ -179,53 +171,63 @@
     at_ms: int,
 ) -> Effects:
     """Run the request if its claim holds the key, else say what does."""
-    request_id = partition.undecided.pop(entry.claim_id, None)
+    holding = partition.ledger.holdings.get(entry.key)
+    peer = partition.forwarded.pop(entry.claim_id, None)
+    if peer is not None:
+        verdict = _claim_verdict.judge(entry, holding, log_ms)
+        return [
+            effects.Send(
+                peer,
+                _claim_verdict.to_message(
+                    partition.number, entry.claim_id, verdict
+                ),
+            )
+        ]
+    if entry.claim_id not in partition.undecided:
+        return []
+    verdict = _claim_verdict.judge(entry, holding, log_ms)
+    return _settle_claim(state, partition, entry.claim_id, verdict, at_ms)
+
+
+def decided(state: _state.State, event: events.MessageReceived) -> Effects:
+    """The leader of a partition read what the log says of our claim."""
+    message: messages.ClaimDecided = event.message
+    partition = state.partitions.get(message.partition)
+    if partition is None:
+        return []
+    verdict = _claim_verdict.from_message(message)
+    return _settle_claim(
+        state, partition, message.claim_id, verdict, event.at_ms
+    )
+
+
+def _settle_claim(
+    state: _state.State,
+    partition: _state.Partition,
+    claim_id: str,
+    verdict: _claim_verdict.Verdict,
+    at_ms: int,
+) -> Effects:
+    """Run a request whose claim holds its key, answer any other.
+
+    A verdict that comes twice, or after the request was given up, finds
+    nothing undecided: the request is never begun by it.
+    """
+    request_id = partition.undecided.pop(claim_id, None)
     active = state.requests.get(request_id)
     if active is None:
         return []
-    holding = partition.ledger.holdings.get(entry.key)
-    if holding is not None and holding.claim_id == entry.claim_id:
+    if verdict.holds:
         active.phase = _state.Phase.WAITING
         return _attempts.place(state, active, at_ms)
     active.claim_lost = True
-    return _refuse(state, active, _judge(active, holding, log_ms))
-
-
-def _judge(
-    active: _state.ActiveRequest,
-    holding: claims.Holding | None,
-    log_ms: int,
-) -> Verdict:
-    if holding is None:
-        return Verdict(errors.Kind.CLAIMS_UNAVAILABLE)
-    if holding.fingerprint != active.request.fingerprint.encode():
-        return Verdict(errors.Kind.KEY_REUSED)
-    if holding.answer is not None:
-        return Verdict(answer=holding.answer)
-    if holding.outcome is claims.Outcome.RAN:
-        return Verdict(errors.Kind.ALREADY_RAN, errors.Ran.RAN)
-    if holding.outcome is claims.Outcome.UNKNOWN:
-        return Verdict(errors.Kind.OUTCOME_UNKNOWN, errors.Ran.UNKNOWN)
-    return _judge_unsettled(holding, log_ms)
-
-
-def _judge_unsettled(holding: claims.Holding, log_ms: int) -> Verdict:
-    """Tell a request in flight from one whose gateway is gone.
-
-    The holder has until its lifetime is over to say how it ended. Nobody
-    else may run the key after that either: a paused gateway may wake up and
-    still have its run in flight.
-    """
-    left_ms = holding.claimed_ms + holding.lifetime_ms - log_ms
-    if left_ms > 0:
-        return Verdict(
-            errors.Kind.KEY_IN_PROGRESS, errors.Ran.UNKNOWN, left_ms
-        )
-    return Verdict(errors.Kind.OUTCOME_UNKNOWN, errors.Ran.UNKNOWN)
+    return _refuse(state, active, verdict)
 
 
 def _refuse(
-    state: _state.State, active: _state.ActiveRequest, verdict: Verdict
+    state: _state.State,
+    active: _state.ActiveRequest,
+    verdict: _claim_verdict.Verdict,
 ) -> Effects:
     if verdict.answer is not None:
         stored = verdict.answer
@@ -241,6 +243,26 @@
     )
 
 
+def _not_appended(
+    state: _state.State,
+    partition: _state.Partition,
+    item: _state.QueuedEntry,
+) -> Effects:
+    """Refuse a claim that is surely not on the log: nothing to void."""
+    claim_id = item.entry.claim_id
+    peer = partition.forwarded.pop(claim_id, None)
+    if peer is not None:
+        verdict = _claim_verdict.unavailable(state.options.claim_retry_ms)
+        message = _claim_verdict.to_message(
+            partition.number, claim_id, verdict
+        )
+        return [effects.Send(peer, message)]
+    active = state.requests.get(partition.undecided.get(claim_id))
+    if active is not None:
+        active.claim_lost = True
+    return _unavailable(state, partition, claim_id)
+
+
 def _give_up_late(
     state: _state.State, partition: _state.Partition, at_ms: int
 ) -> Effects:
--- a/berylhollow/gateway/_options.py
+++ b/berylhollow/gateway/_options.py
@@ -14,8 +14,10 @@
     broken link may take to come back before its answers are given up.
     ``claim_ms`` bounds the wait for the log's decision about a key,
     ``claim_window_ms`` is how long a key is held; it must be shorter than
-    the log's retention. ``retry_share`` retries are allowed for each first
-    attempt, ``retry_reserve`` at once. Limits of callers and adapters are
+    the log's retention. With more than ``claim_direct_gateways`` gateways
+    claims go through a leader for each partition. ``retry_share`` retries
+    are allowed for each first attempt, ``retry_reserve`` at once. Limits of
+    callers and adapters are
     this gateway's own. ``eject_failures`` in a row eject an endpoint for
     ``eject_ms``, doubled each time. ``peer_fanout`` is how many other
     gateways this one opens a link to. ``policy`` names the adapter
@@ -36,6 +38,9 @@
     claim_poll_ms: int = 20
     claim_retry_ms: int = 500
     claim_batch: int = 512
+    claim_direct_gateways: int = 16
+    claim_forward_ms: int = 500
+    claim_fallback_ms: int = 5000
     retry_share: float = 0.1
     retry_reserve: float = 10.0
     retry_pause_ms: int = 50
--- a/berylhollow/gateway/_peers.py
+++ b/berylhollow/gateway/_peers.py
@@ -11,6 +11,7 @@
 
 from berylhollow import effects
 from berylhollow import events
+from berylhollow.gateway import _claim_leader
 from berylhollow.gateway import _state
 
 Effects = list[effects.Effect]
@@ -35,6 +36,7 @@
     own = ring.index(state.options.instance)
     distances = [2**power for power in range(state.options.peer_fanout)]
     names = [ring[(own + step) % len(ring)] for step in distances]
+    names += _claim_leader.leaders(state)
     return [
         name for name in dict.fromkeys(names) if name != state.options.instance
     ]
@@ -59,6 +61,7 @@
     """A link to a peer is gone; the next tick opens one again."""
     state.peers_opening.discard(event.peer)
     state.peer_links.pop(event.peer, None)
+    _claim_leader.link_closed(state, event)
     return state.follower.handle(event)
 
 
--- a/berylhollow/gateway/_reducer.py
+++ b/berylhollow/gateway/_reducer.py
@@ -4,6 +4,7 @@
 from berylhollow import effects
 from berylhollow import events
 from berylhollow.gateway import _attempts
+from berylhollow.gateway import _claim_leader
 from berylhollow.gateway import _claims
 from berylhollow.gateway import _membership
 from berylhollow.gateway import _peers
@@ -119,6 +120,9 @@
 }
 
 _MESSAGES = {
+    messages.ClaimDecided: _claims.decided,
+    messages.ClaimsForwarded: _claim_leader.forwarded,
+    messages.ClaimsTaken: _claim_leader.confirmed,
     messages.Crashed: _quarantine.crashed,
     messages.Report: _membership.reported,
     messages.Started: _attempts.started,
--- a/berylhollow/gateway/_settlement.py
+++ b/berylhollow/gateway/_settlement.py
@@ -21,7 +21,7 @@
     entry = claims.Settled(
         active.key, active.claim_id, claims.Outcome(ran.value), answer
     )
-    partition.queue.append(entry)
+    partition.queue.append(_state.QueuedEntry(entry))
 
 
 def unsettled(state: _state.State) -> bool:
@@ -35,11 +35,16 @@
 def partition_of(state: _state.State, key: bytes) -> _state.Partition:
     """Return the partition of a key; its ledger is empty at first."""
     number = claims.partition_of(key, state.options.claim_partitions)
+    return partition_numbered(state, number)
+
+
+def partition_numbered(state: _state.State, number: int) -> _state.Partition:
+    """Return a partition by its number."""
     partition = state.partitions.get(number)
     if partition is None:
         ledger = claims.Ledger(state.options.claim_window_ms)
         stream = claims.stream_of(number)
-        partition = _state.Partition(stream=stream, ledger=ledger)
+        partition = _state.Partition(number, stream, ledger)
         state.partitions[number] = partition
     return partition
 
@@ -52,3 +57,13 @@
         if partition.stream == stream:
             return partition
     return None
+
+
+def claim_entry(active: _state.ActiveRequest) -> claims.Claim:
+    """Return the log entry that claims a request's key."""
+    return claims.Claim(
+        active.key,
+        active.claim_id,
+        active.request.fingerprint.encode(),
+        active.request.deadline_ms,
+    )
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -107,19 +107,43 @@
         return self.phase in (Phase.OFFERED, Phase.RELAYING)
 
 
+@dataclasses.dataclass(slots=True)
+class ForwardedBatch:
+    """A batch from another gateway; ``left`` entries are not appended."""
+
+    peer: str
+    batch_id: str
+    left: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QueuedEntry:
+    """An entry for the log, ours or part of a forwarded batch."""
+
+    entry: claims.Entry
+    batch: ForwardedBatch | None = None
+
+
 @dataclasses.dataclass(slots=True)
 class Partition:
     """One stream of claims, as far as this gateway uses it.
 
     ``undecided`` maps the claims that the log has not decided to their
-    requests. ``queue`` waits to be appended, ``appending`` is on its way.
+    requests, ``forwarded`` those of other gateways to who asked. ``queue``
+    waits to be appended, ``appending`` is on its way: to the log, or to the
+    partition's ``leader``.
     """
 
+    number: int
     stream: str
     ledger: claims.Ledger
     undecided: dict[str, str] = dataclasses.field(default_factory=dict)
-    queue: list[claims.Entry] = dataclasses.field(default_factory=list)
-    appending: list[claims.Entry] = dataclasses.field(default_factory=list)
+    forwarded: dict[str, str] = dataclasses.field(default_factory=dict)
+    queue: list[QueuedEntry] = dataclasses.field(default_factory=list)
+    appending: list[QueuedEntry] = dataclasses.field(default_factory=list)
+    leader: str = ''
+    taken_by_ms: int = 0
+    direct_until_ms: int = 0
     append_id: str = ''
     append_from_ms: int = 0
     reading: bool = False
--- a/berylhollow/messages.py
+++ b/berylhollow/messages.py
@@ -241,6 +241,45 @@
     fingerprints: tuple[str, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimsForwarded:
+    """Entries for a claims partition, for its leader to append.
+
+    ``batch`` is a record as in ``claims``.
+    """
+
+    partition: int
+    batch_id: str
+    batch: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimsTaken:
+    """The entries of a forwarded batch are on the log."""
+
+    partition: int
+    batch_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimDecided:
+    """What the log says of a forwarded claim.
+
+    If it ``holds`` its key nothing else matters; else ``kind`` and ``ran``
+    are the answer, or ``status`` other than 0 begins a stored one.
+    """
+
+    partition: int
+    claim_id: str
+    holds: bool
+    kind: errors.Kind = errors.Kind.INTERNAL
+    ran: errors.Ran = errors.Ran.NOT_RUN
+    retry_after_ms: int = 0
+    status: int = 0
+    headers: tuple[Header, ...] = ()
+    body: bytes = b''
+
+
 Message = (
     Offer
     | Cancel
@@ -258,6 +297,9 @@
     | ConfigurationEntries
     | ConfigurationSnapshot
     | Crashed
+    | ClaimsForwarded
+    | ClaimsTaken
+    | ClaimDecided
 )
 
 # A tag is never given to another message once it was released.
@@ -278,4 +320,7 @@
     14: ConfigurationEntries,
     15: ConfigurationSnapshot,
     16: Crashed,
+    17: ClaimsForwarded,
+    18: ClaimsTaken,
+    19: ClaimDecided,
 }
--- a/test/helper.py
+++ b/test/helper.py
@@ -34,7 +34,7 @@
             calls = [item for item in self.effects if _is_call(item)]
             if not calls:
                 break
-            self.feed(*[_answer(model, call, at_ms) for call in calls])
+            self.feed(*[answer_call(model, call, at_ms) for call in calls])
             kept = [*kept, *self.effects]
         self.effects = kept
 
@@ -62,7 +62,8 @@
     return isinstance(effect, effects.Append | effects.ReadLog)
 
 
-def _answer(model, call, at_ms):
+def answer_call(model, call, at_ms):
+    """Carry one append or read out and return what came of it."""
     if isinstance(call, effects.ReadLog):
         return _read(model, call, at_ms)
     try:
