Add the command sidecar, its pages and its exit code

Cause: the sidecar's shell had no process around it.

Change: the command binds the link port before anything else and exits with code 6 if it is taken. Health, readiness, status and metrics have a listener of their own, status.host and status.port.

--- a/berylhollow/following.py
+++ b/berylhollow/following.py
@@ -73,3 +73,24 @@
         self_id: str,
     ) -> list[effects.Effect]:
         """Ask for what is missing and pass on what others miss."""
+
+
+class NothingToFollow:
+    """A follower for a process that needs no configuration."""
+
+    current: View | None = None
+
+    def start(self, at_ms: int) -> list[effects.Effect]:
+        return []
+
+    def handle(self, event: events.Event) -> list[effects.Effect]:
+        return []
+
+    def tick(
+        self,
+        at_ms: int,
+        live_gateways: list[str],
+        peers: list[str],
+        self_id: str,
+    ) -> list[effects.Effect]:
+        return []
--- a/berylhollow/settings/_roles.py
+++ b/berylhollow/settings/_roles.py
@@ -195,6 +195,23 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class StatusSettings:
+    enabled: bool = _options.flag(
+        'Whether health, readiness, status and metrics are given out.',
+        default=True,
+    )
+    host: str = _options.address(
+        'Address for health, readiness, status and metrics.',
+        default='127.0.0.1',
+    )
+    port: int = _port(
+        'Port for health, readiness, status and metrics; 0 takes a free '
+        'one.',
+        8101,
+    )
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class EndpointSettings:
     url: str = _options.http_url('The endpoint beside this sidecar.')
@@ -224,6 +241,7 @@
     service: str = _options.text('Service that the endpoint belongs to.')
     endpoint: EndpointSettings = _required_section()
     listen: SidecarListenSettings = _section(SidecarListenSettings)
+    status: StatusSettings = _section(StatusSettings)
     load_timeout_ms: int = _duration(
         'After this an adapter load counts as failed.', 15_000
     )
--- a/berylhollow/sidecar/_shell.py
+++ b/berylhollow/sidecar/_shell.py
@@ -69,6 +69,7 @@
             if error.errno != errno.EADDRINUSE:
                 raise
             raise PortTakenError(self._port_taken()) from error
+        LOG.info('listening', extra={'port': self.links.server.port})
         self._connect()
         now_ms = self.time.now_ms()
         self.driver.feed(events.Started(now_ms, self.incarnation))
--- /dev/null
+++ b/berylhollow/sidecar/service.py
@@ -0,0 +1,94 @@
+"""The sidecar as a process: its shell, its pages and its signals."""
+
+import asyncio
+
+import aiomisc
+
+from berylhollow import following
+from berylhollow import metrics
+from berylhollow import settings as all_settings
+from berylhollow.sidecar import _options
+from berylhollow.sidecar import _pages
+from berylhollow.sidecar import _reducer
+from berylhollow.sidecar import _shell
+from berylhollow.sidecar import _state
+from berylhollow.util import exits
+from berylhollow.util import loop
+
+STOP_MARGIN_MS = 10_000
+"""Time to close the links after the reducer's own grace has ended."""
+
+
+def serve(settings: all_settings.SidecarSettings) -> int:
+    """Run a sidecar until it is told to stop; return its exit code.
+
+    Raises ``exits.UserError`` if another sidecar holds the port.
+    """
+    return loop.run(
+        lambda lifetime: [SidecarService(settings, lifetime)],
+        stop_grace_ms=settings.stop_grace_ms + STOP_MARGIN_MS,
+    )
+
+
+def make_state(
+    settings: all_settings.SidecarSettings, follower: following.Follower
+) -> _state.State:
+    """Return the reducer's first state, as the settings have it."""
+    endpoint = settings.endpoint
+    options = _options.Options(
+        instance=settings.instance,
+        service=settings.service,
+        failure_domain=settings.failure_domain,
+        region=settings.region,
+        plain=endpoint.kind is all_settings.EndpointKind.PLAIN,
+        checks_fencing=endpoint.checks_fencing,
+        concurrency=endpoint.concurrency,
+        queue_limit=settings.queue_limit,
+        load_timeout_ms=settings.load_timeout_ms,
+        status_poll_ms=settings.status_poll_ms,
+        stop_grace_ms=settings.stop_grace_ms,
+    )
+    return _state.State(options, follower)
+
+
+class SidecarService(aiomisc.Service):
+    """Starts and stops one sidecar with its process."""
+
+    def __init__(
+        self, settings: all_settings.SidecarSettings, lifetime: loop.Lifetime
+    ):
+        super().__init__()
+        self.lifetime = lifetime
+        self.settings = settings
+        meters = metrics.Meters(
+            all_settings.Role.SIDECAR,
+            settings.instance,
+            settings.failure_domain,
+        )
+        self.shell = _shell.Shell(
+            settings,
+            _reducer.reduce,
+            make_state(settings, following.NothingToFollow()),
+            meters.add,
+        )
+        self.pages = _pages.Pages(settings, self.shell, meters.render)
+
+    async def start(self) -> None:
+        """Take the port and begin."""
+        try:
+            await self.shell.start()
+        except _shell.PortTakenError as error:
+            raise exits.UserError(
+                str(error), exits.ExitCode.ADDRESS_IN_USE
+            ) from error
+        self.shell.ended.add_done_callback(self._ended)
+        if self.settings.status.enabled:
+            await self.pages.start()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Finish what runs, then close."""
+        self.lifetime.stop(await self.shell.stop())
+        await self.pages.stop()
+
+    def _ended(self, ended: asyncio.Future[int]) -> None:
+        self.lifetime.stop(ended.result())
--- a/berylhollow/ui/_program.py
+++ b/berylhollow/ui/_program.py
@@ -14,7 +14,7 @@
 PROGRAM = 'berylhollow'
 EXIT_CODES_NOTE = (
     'exit codes: 0 done, 1 failure, 2 invalid input, 3 conflict, '
-    '4 unavailable, 5 findings, 70 stop timed out'
+    '4 unavailable, 5 findings, 6 address in use, 70 stop timed out'
 )
 
 # What to tell a script, from what the error says may be done next.
--- a/berylhollow/ui/commands.py
+++ b/berylhollow/ui/commands.py
@@ -22,6 +22,11 @@
 
 
 COMMANDS = (
+    Command(
+        'sidecar',
+        'berylhollow.ui.sidecar_command',
+        'serve beside an endpoint, between it and the gateways',
+    ),
     Command(
         'settings',
         'berylhollow.ui.settings_command',
--- a/berylhollow/util/exits.py
+++ b/berylhollow/util/exits.py
@@ -12,6 +12,7 @@
     CONFLICT = 3
     UNAVAILABLE = 4
     FINDINGS = 5
+    ADDRESS_IN_USE = 6
     STOP_TIMEOUT = 70
 
 
@@ -36,6 +37,10 @@
         'The command ran whole and found what it looks for: an objective '
         'missed or a replay that differs.'
     ),
+    ExitCode.ADDRESS_IN_USE: (
+        'The address to listen on is taken; a sidecar says so if another '
+        'one runs, or is paused, beside its endpoint. Nothing was ordered.'
+    ),
     ExitCode.STOP_TIMEOUT: (
         'A graceful stop took longer than `stop_grace_ms` and was cut off.'
     ),
