--- a/berylhollow/settings/_roles.py
+++ b/berylhollow/settings/_roles.py
@@ -206,8 +206,7 @@
         default='127.0.0.1',
     )
     port: int = _port(
-        'Port for health, readiness, status and metrics; 0 takes a free '
-        'one.',
+        'Port for health, readiness, status and metrics; 0 takes a free one.',
         8101,
     )
 
