Hand frames over without a task in between

Cause: with one stream a link, as between many gateways and many sidecars, each token woke a reading and a writing task through the library's queue.

Change: subclasses of the library's connections pass frames on as they are parsed and write at once; the handshake became a state machine driven by frames; a link has one sleeping task. Opening, keepalive and closing stay the library's. Codecs are shared by all links of a process.

--- a/berylhollow/link/_codec.py
+++ b/berylhollow/link/_codec.py
@@ -15,12 +15,15 @@
 import collections.abc
 import dataclasses
 import enum
+import functools
 import operator
 import types
 import typing
 
 import cbor2
 
+from berylhollow import messages
+
 MAXIMUM_DEPTH = 16
 """Nesting that a peer may send: our own messages need less than half."""
 
@@ -28,6 +31,9 @@
 _LIST_START = b'\x9f'
 _LIST_END = b'\xff'
 
+JOIN_BYTES = len(_LIST_START) + len(_LIST_END)
+"""What ``join`` adds to its parts."""
+
 
 class CodecError(Exception):
     """What a peer sent does not fit the declared messages."""
@@ -96,12 +102,12 @@
         rows = load(data)
         if type(rows) is not list:
             raise CodecError('not a list of messages')
-        messages = []
+        known = []
         for row in rows:
             message = self.from_row(row)
             if message is not None:
-                messages.append(message)
-        return messages
+                known.append(message)
+        return known
 
     def from_row(self, row):
         """Return the message of one array, None for what is unknown."""
@@ -118,6 +124,12 @@
             return None
 
 
+@functools.cache
+def shared() -> Codec:
+    """Return the codec of all declared messages, one for the process."""
+    return Codec(messages.TAGS)
+
+
 def join(parts: collections.abc.Iterable[bytes]) -> bytes:
     """Return the CBOR list of values that are encoded already."""
     return b''.join((_LIST_START, *parts, _LIST_END))
--- a/berylhollow/link/_handshake.py
+++ b/berylhollow/link/_handshake.py
@@ -79,72 +79,96 @@
 
 
 class ClientHandshake:
-    """The client's side of one handshake."""
+    """The client's side of one handshake.
+
+    ``peer`` is the server once it has proved itself; ``spoken`` tells that
+    nothing is left for this side to send.
+    """
 
     def __init__(self, key: bytes, identity: Identity):
         self.key = key
         self.identity = identity
         self.nonce = secrets.token_bytes(NONCE_BYTES)
         self.server_nonce = b''
+        self.spoken = False
+        self.peer: Identity | None = None
 
-    def hello(self) -> bytes:
+    def begin(self) -> bytes | None:
         """Return the greeting that opens the handshake."""
         return pack(Hello(VERSION, self.identity, self.nonce))
 
-    def prove(self, data: bytes) -> bytes:
-        """Return the proof that answers the challenge in ``data``."""
-        challenge = unpack(data, Challenge)
+    def receive(self, data: bytes) -> bytes | None:
+        """Take what the server sent and return the answer, if any.
+
+        Raises HandshakeError if the server can't be trusted.
+        """
+        if self.spoken:
+            self._finish(unpack(data, Accept))
+            return None
+        return self._prove(unpack(data, Challenge))
+
+    def mac(self, label: str, prover: Identity) -> bytes:
+        """Return the MAC that ``prover`` has to send."""
+        nonces = (self.nonce, self.server_nonce)
+        return sign(self.key, label, nonces, self.identity, prover)
+
+    def _prove(self, challenge: Challenge) -> bytes:
         _check_nonce(challenge.nonce)
         self.server_nonce = challenge.nonce
+        self.spoken = True
         return pack(Proof(self.mac('client', self.identity)))
 
-    def finish(self, data: bytes) -> Identity:
-        """Return who the server is, from the acceptance in ``data``."""
-        accept = unpack(data, Accept)
+    def _finish(self, accept: Accept):
         expected = self.mac('server', accept.identity)
         if not hmac.compare_digest(expected, accept.mac):
             raise HandshakeError('the server does not hold the key')
-        return accept.identity
-
-    def mac(self, label: str, prover: Identity) -> bytes:
-        """Return the MAC that ``prover`` has to send."""
-        nonces = (self.nonce, self.server_nonce)
-        return sign(self.key, label, nonces, self.identity, prover)
+        self.peer = accept.identity
 
 
 class ServerHandshake:
-    """The server's side of one handshake."""
+    """The server's side of one handshake; attributes as the client's."""
 
     def __init__(self, key: bytes, identity: Identity):
         self.key = key
         self.identity = identity
         self.nonce = secrets.token_bytes(NONCE_BYTES)
-        self.client_nonce = b''
-        self.peer = None
+        self.hello: Hello | None = None
+        self.spoken = False
+        self.peer: Identity | None = None
+
+    def begin(self) -> bytes | None:
+        """Return nothing: the client speaks first."""
+        return None
 
-    def challenge(self, data: bytes) -> bytes:
-        """Return the challenge that answers the greeting in ``data``."""
-        hello = unpack(data, Hello)
+    def receive(self, data: bytes) -> bytes | None:
+        """Take what the client sent and return the answer.
+
+        Raises HandshakeError if the client can't be trusted.
+        """
+        if self.hello is None:
+            return self._challenge(unpack(data, Hello))
+        return self._accept(unpack(data, Proof))
+
+    def mac(self, label: str, prover: Identity) -> bytes:
+        """Return the MAC that ``prover`` has to send."""
+        nonces = (self.hello.nonce, self.nonce)
+        return sign(self.key, label, nonces, self.hello.identity, prover)
+
+    def _challenge(self, hello: Hello) -> bytes:
         if hello.version != VERSION:
             raise HandshakeError(f'version {hello.version} is not {VERSION}')
         _check_nonce(hello.nonce)
-        self.client_nonce = hello.nonce
-        self.peer = hello.identity
+        self.hello = hello
         return pack(Challenge(self.nonce))
 
-    def accept(self, data: bytes) -> bytes:
-        """Return the acceptance that answers the proof in ``data``."""
-        proof = unpack(data, Proof)
-        expected = self.mac('client', self.peer)
+    def _accept(self, proof: Proof) -> bytes:
+        expected = self.mac('client', self.hello.identity)
         if not hmac.compare_digest(expected, proof.mac):
             raise HandshakeError('the client does not hold the key')
+        self.peer = self.hello.identity
+        self.spoken = True
         return pack(Accept(self.identity, self.mac('server', self.identity)))
 
-    def mac(self, label: str, prover: Identity) -> bytes:
-        """Return the MAC that ``prover`` has to send."""
-        nonces = (self.client_nonce, self.nonce)
-        return sign(self.key, label, nonces, self.peer, prover)
-
 
 def sign(
     key: bytes,
--- a/berylhollow/link/_link.py
+++ b/berylhollow/link/_link.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections
-import contextlib
 import dataclasses
 import logging
 import typing
@@ -80,8 +79,8 @@
 
     ``peer`` names the other end and is None until it has proved itself;
     ``address`` is where the connection leads. ``up`` tells whether messages
-    may be sent. ``sent_messages``, ``sent_frames``, ``received_messages``
-    and ``received_frames`` count.
+    may be sent, ``reason`` why they no longer may. ``sent_messages``,
+    ``sent_frames``, ``received_messages`` and ``received_frames`` count.
     """
 
     def __init__(
@@ -105,16 +104,17 @@
         self.received_frames = 0
         self._parts = collections.deque()
         self._connection = None
+        self._handshake = None
         self._loop = None
         self._timer = None
-        self._wake = asyncio.Event()
+        self._ending = asyncio.Event()
 
     @property
     def congested(self) -> bool:
         """Whether more is queued than the peer takes for now."""
         return self.queued_bytes > self.options.congested_bytes
 
-    def send(self, message) -> bool:
+    def send(self, message: typing.Any) -> bool:
         """Queue a message without blocking; False if the link is not up.
 
         Raises ValueError for a message that is larger than the peer takes,
@@ -123,7 +123,7 @@
         if not self.up or self.reason is not None:
             return False
         part = self.codec.encode(message)
-        if len(part) > self.options.maximum_bytes - 2:
+        if len(part) > self.options.maximum_bytes - _codec.JOIN_BYTES:
             raise ValueError(f'message of {len(part)} bytes is too large')
         self._parts.append(part)
         self.queued_bytes += len(part)
@@ -132,7 +132,7 @@
             self.abort(_reason.Reason.OVERFLOW)
             return False
         if self.queued_bytes >= self.options.flush_bytes:
-            self._wake.set()
+            self._flush()
         elif self._timer is None:
             self._start_timer()
         return True
@@ -145,7 +145,7 @@
         """
         if self.reason is None:
             self.reason = reason
-            self._wake.set()
+        self._ending.set()
 
     def abort(self, reason: _reason.Reason) -> None:
         """Close at once and drop what is queued.
@@ -154,57 +154,86 @@
         until memory runs out; nothing is lost that the protocols above do
         not send again on a new link.
         """
-        if self.reason is None:
-            self.reason = reason
+        self.close(reason)
         self._parts.clear()
         self.queued_bytes = 0
-        self._wake.set()
         if self._connection is not None:
             self._connection.transport.abort()
 
-    def _start_timer(self):
-        delay = self.options.flush_delay_ms / MILLISECONDS
-        self._timer = self._loop.call_later(delay, self._wake.set)
+    async def run(self, connection, handshake) -> None:
+        """Authenticate and carry messages until the connection is closed.
 
-    async def run(self, connection, peer: _handshake.Identity) -> None:
-        """Carry messages both ways until the link goes down."""
+        The owner then has to call ``down``.
+        """
         self._connection = connection
+        self._handshake = handshake
         self._loop = asyncio.get_running_loop()
-        self.peer = peer
-        self.up = self.reason is None
-        writer = self._loop.create_task(self._write())
-        try:
-            if self.up:
-                self._tell(self.handler.link_up, self)
-            await self._read()
-        finally:
-            self.close(_reason.Reason.LOST)
-            self._wake.set()
-            await writer
-            self.down(_reason.Reason.LOST)
+        # A connection without the key must not hold memory for long, however
+        # slowly it sends: one timeout spans the whole handshake.
+        self._timer = self._loop.call_later(
+            self.options.handshake_timeout,
+            self._fail,
+            _reason.Reason.HANDSHAKE_TIMEOUT,
+        )
+        greeting = handshake.begin()
+        if greeting is not None:
+            connection.transmit(greeting)
+        connection.attach(self)
+        await self._ending.wait()
+        self._stop_timer()
+        await self._finish()
 
     def down(self, reason: _reason.Reason) -> None:
         """Report the end; ``reason`` counts if none is known yet."""
         if self.reason is None:
             self.reason = reason
         self.up = False
-        self._stop_timer()
         self._parts.clear()
         self.queued_bytes = 0
         self._tell(self.handler.link_down, self, self.reason)
 
-    async def _read(self):
+    def frame(self, data: bytes) -> None:
+        """Take a frame from the connection."""
+        if self.up:
+            self._receive(data)
+        elif self._handshake is not None and self.reason is None:
+            self._authenticate(data)
+
+    def writable(self) -> None:
+        """Go on writing after the connection's buffer was full."""
+        self._flush()
+
+    def lost(self) -> None:
+        """Learn from the connection that it is closed."""
+        self.up = False
+        self.close(_reason.of_closed(self._connection.close_exc))
+
+    def _authenticate(self, data: bytes):
         try:
-            while True:
-                data = await self._connection.recv(decode=False)
-                self._receive(data)
-        except exceptions.ConnectionClosed as error:
-            if self.reason is None:
-                self.reason = _reason.of_closed(error)
+            answer = self._handshake.receive(data)
+        except _handshake.HandshakeError as error:
+            LOG.warning('peer %s: %s', self.address, error)
+            self._fail(_reason.Reason.AUTHENTICATION)
+            return
+        if self._handshake.spoken:
+            # Frames stay small until the peer has proved itself. The other
+            # end may send more along with its last proof, in one read, so
+            # the limit is lifted before that arrives.
+            limit = self.options.maximum_bytes
+            self._connection.protocol.max_message_size = limit
+        if answer is not None:
+            self._connection.transmit(answer)
+        if self._handshake.peer is not None:
+            self._begin(self._handshake.peer)
+
+    def _begin(self, peer: _handshake.Identity):
+        self._handshake = None
+        self._stop_timer()
+        self.peer = peer
+        self.up = True
+        self._tell(self.handler.link_up, self)
 
     def _receive(self, data: bytes):
-        if not self.up:
-            return
         try:
             messages = self.codec.decode(data)
         except _codec.CodecError as error:
@@ -231,42 +260,42 @@
         self.up = False
         self.close(reason)
 
-    async def _write(self):
-        with contextlib.suppress(exceptions.ConnectionClosed):
-            while self.reason is None:
-                await self._wake.wait()
-                self._wake.clear()
-                self._stop_timer()
-                await self._flush()
-        await self._finish()
+    def _start_timer(self):
+        delay = self.options.flush_delay_ms / MILLISECONDS
+        self._timer = self._loop.call_later(delay, self._flush)
 
     def _stop_timer(self):
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
 
-    async def _flush(self):
-        while self._parts:
-            await self._connection.send(_codec.join(self._take()))
-            self.sent_frames += 1
+    def _flush(self):
+        if self.reason is not None:
+            return
+        self._stop_timer()
+        while self._parts and not self._connection.paused:
+            self._connection.transmit(self._take())
 
-    def _take(self) -> list[bytes]:
-        """Return the queued messages that share the next frame."""
+    def _take(self) -> bytes:
+        """Return the next frame, of queued messages that share it."""
         taken = []
         size = 0
+        limit = self.options.maximum_bytes - _codec.JOIN_BYTES
         while self._parts and size < self.options.flush_bytes:
-            if size + len(self._parts[0]) > self.options.maximum_bytes - 2:
+            if size + len(self._parts[0]) > limit:
                 break
             part = self._parts.popleft()
             size += len(part)
             taken.append(part)
         self.queued_bytes -= size
-        return taken
+        self.sent_frames += 1
+        return _codec.join(taken)
 
     async def _finish(self):
         try:
             async with asyncio.timeout(self.options.close_timeout):
-                await self._flush()
+                while self._parts:
+                    await self._connection.send(self._take())
                 await self._connection.close(self.reason)
         except (exceptions.ConnectionClosed, TimeoutError):
             self._connection.transport.abort()
--- a/test/test_link.py
+++ b/test/test_link.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import unittest
+from unittest import mock
 
 import cbor2
 from websockets.asyncio import client
@@ -172,9 +173,10 @@
         """A stranger listens where a sidecar used to be."""
         await self.start_server()
         self.server.key = b'another key'
-        accept = _handshake.ServerHandshake.accept
-        _handshake.ServerHandshake.accept = accept_anything
-        self.addCleanup(setattr, _handshake.ServerHandshake, 'accept', accept)
+        anything = mock.patch.object(
+            _handshake.ServerHandshake, 'receive', accept_anything
+        )
+        self.enterContext(anything)
         with self.assertLogs('berylhollow.link', 'WARNING'):
             await self.start_client()
             await self.client.wait()
@@ -210,11 +212,11 @@
         """An attacker sends a client's own proof back as the server's."""
         handshake = _handshake.ClientHandshake(build.KEY, build.GATEWAY)
         challenge = _handshake.Challenge(bytes(_handshake.NONCE_BYTES))
-        handshake.prove(_handshake.pack(challenge))
+        handshake.receive(_handshake.pack(challenge))
         mac = handshake.mac('client', build.GATEWAY)
         accept = _handshake.Accept(build.GATEWAY, mac)
         with self.assertRaises(_handshake.HandshakeError):
-            handshake.finish(_handshake.pack(accept))
+            handshake.receive(_handshake.pack(accept))
 
     async def test_silent_peers_are_closed(self):
         await self.start_server(handshake_timeout_ms=50)
@@ -245,14 +247,18 @@
 async def authenticate(connection):
     """Prove the key on a raw connection; return what was sent for it."""
     handshake = _handshake.ClientHandshake(build.KEY, build.GATEWAY)
-    hello = handshake.hello()
+    hello = handshake.begin()
     await connection.send(hello)
-    proof = handshake.prove(await connection.recv())
+    proof = handshake.receive(await connection.recv())
     await connection.send(proof)
-    handshake.finish(await connection.recv())
+    handshake.receive(await connection.recv())
     return hello, proof
 
 
 def accept_anything(handshake, data):
+    """Answer as a server does that has no key to check the proof with."""
+    if handshake.hello is None:
+        handshake.hello = _handshake.unpack(data, _handshake.Hello)
+        return _handshake.pack(_handshake.Challenge(handshake.nonce))
     mac = handshake.mac('server', handshake.identity)
     return _handshake.pack(_handshake.Accept(handshake.identity, mac))
