Replay traces through the real reducers

Cause: nothing measured what a policy does to load stalls and batches. Change: the trace format with its reader and writer, a seeded tool for nine shapes of demand in both users' sizes, a deployment on paper from settings of their own role, the command replay with figures per service (stall, charged stall, loads, waste, batch, tokens per busy engine second, fairness), the two users' manifests with their weights. The engine model counts its busy time.

--- a/berylhollow/replay/__init__.py
+++ b/berylhollow/replay/__init__.py
@@ -2,6 +2,8 @@
 
 from berylhollow.replay._actions import Action
 from berylhollow.replay._actions import Point
+from berylhollow.replay._deployment import configure
+from berylhollow.replay._deployment import load_manifest
 from berylhollow.replay._engine import EngineDriver
 from berylhollow.replay._facts import Answered
 from berylhollow.replay._facts import Ending
@@ -20,14 +22,24 @@
 from berylhollow.replay._facts import StopAsked
 from berylhollow.replay._gateway import GatewayProcess
 from berylhollow.replay._network import Link
+from berylhollow.replay._replay import Replay
+from berylhollow.replay._replay import ServiceResult
 from berylhollow.replay._service import ServiceDriver
 from berylhollow.replay._sidecar import SidecarProcess
+from berylhollow.replay._statistics import Distribution
+from berylhollow.replay._trace import read_trace
+from berylhollow.replay._trace import TraceError
+from berylhollow.replay._trace import TraceFault
+from berylhollow.replay._trace import TraceItem
+from berylhollow.replay._trace import TraceRequest
+from berylhollow.replay._trace import write_trace
 from berylhollow.replay._world import Latencies
 from berylhollow.replay._world import World
 
 __all__ = [
     'Action',
     'Answered',
+    'Distribution',
     'Ending',
     'EngineDied',
     'EngineDriver',
@@ -42,12 +54,22 @@
     'Produced',
     'Record',
     'Relayed',
+    'Replay',
     'RunBegan',
     'RunOver',
     'Said',
     'ServiceDriver',
+    'ServiceResult',
     'SidecarProcess',
     'SlotTaken',
     'StopAsked',
+    'TraceError',
+    'TraceFault',
+    'TraceItem',
+    'TraceRequest',
     'World',
+    'configure',
+    'load_manifest',
+    'read_trace',
+    'write_trace',
 ]
--- a/berylhollow/replay/_facts.py
+++ b/berylhollow/replay/_facts.py
@@ -209,7 +209,8 @@
 class Record:
     """Facts in order, and the exchanges of all callers.
 
-    ``observe`` is called with each fact. A lean record keeps exchanges only.
+    The observers are called with each fact. A lean record keeps exchanges
+    only, but shows the facts there are to its observers.
     """
 
     def __init__(self, lean: bool = False):
@@ -220,8 +221,7 @@
 
     def note(self, fact: Fact) -> None:
         """Keep a fact and show it to the observers."""
-        if self.lean:
-            return
-        self.facts.append(fact)
+        if not self.lean:
+            self.facts.append(fact)
         for observe in self.observers:
             observe(fact)
--- a/berylhollow/settings/__init__.py
+++ b/berylhollow/settings/__init__.py
@@ -8,6 +8,7 @@
 from berylhollow.settings import _check
 from berylhollow.settings import _describe
 from berylhollow.settings import _load
+from berylhollow.settings import _replay
 from berylhollow.settings import _roles
 
 EndpointKind = _roles.EndpointKind
@@ -16,6 +17,7 @@
 GatewaySettings = _roles.GatewaySettings
 LogLevel = _roles.LogLevel
 PlatformSettings = _roles.PlatformSettings
+ReplaySettings = _replay.ReplaySettings
 Role = _roles.Role
 ServiceSettings = _roles.ServiceSettings
 SettingsError = _check.SettingsError
--- a/berylhollow/settings/_roles.py
+++ b/berylhollow/settings/_roles.py
@@ -5,6 +5,7 @@
 import typing
 
 from berylhollow.settings import _options
+from berylhollow.settings import _replay
 
 DAY_MS = 24 * 60 * 60 * 1000
 HOUR_MS = 60 * 60 * 1000
@@ -13,13 +14,14 @@
 
 
 class Role(enum.StrEnum):
-    """The processes that read settings."""
+    """The commands that read settings: the processes, and the replay."""
 
     GATEWAY = 'gateway'
     SIDECAR = 'sidecar'
     PLATFORM = 'platform'
     ENGINE = 'engine'
     SERVICE = 'service'
+    REPLAY = 'replay'
 
 
 class LogLevel(enum.StrEnum):
@@ -378,4 +380,5 @@
     Role.PLATFORM: PlatformSettings,
     Role.ENGINE: EngineSettings,
     Role.SERVICE: ServiceSettings,
+    Role.REPLAY: _replay.ReplaySettings,
 }
--- a/berylhollow/standin/engine.py
+++ b/berylhollow/standin/engine.py
@@ -36,6 +36,7 @@
         self.faults = switches or faults.FaultSwitches()
         self.lives = 0
         self.tickets = 0
+        self.usage = engine_types.Usage()
         self.up_ms: float = 0
         self.outputs: list[engine_types.Output] = []
         self.ended: collections.deque[engine_types.Run] = collections.deque(
@@ -221,6 +222,9 @@
         step_ms = self.batch.step_ms(prefilled, len(adapters))
         if self.faults.active(faults.EngineFault.SLOW, now_ms):
             step_ms *= self.limits.slow_factor
+        self.usage.busy_ms += step_ms
+        self.usage.steps += 1
+        self.usage.places += len(self.batch.running)
         start_ms = now_ms
         if self.faults.active(faults.EngineFault.HANG, now_ms):
             start_ms = self.faults.end_ms(faults.EngineFault.HANG)
@@ -243,6 +247,7 @@
             engine_types.Token(job.ticket, job.tokens, adapter, now_ms)
         )
         job.tokens += 1
+        self.usage.tokens += 1
         if job.tokens < job.request.output_tokens:
             return
         self.batch.drop(job)
--- a/berylhollow/standin/engine_types.py
+++ b/berylhollow/standin/engine_types.py
@@ -38,6 +38,20 @@
     checks_fencing: bool = True
 
 
+@dataclasses.dataclass
+class Usage:
+    """How an engine spent its time, over all its lives.
+
+    ``busy_ms`` is the time in steps, ``places`` the sum of their batch
+    sizes, ``tokens`` what they produced.
+    """
+
+    busy_ms: float = 0
+    steps: int = 0
+    places: int = 0
+    tokens: int = 0
+
+
 @dataclasses.dataclass(frozen=True)
 class EngineRequest:
     """A request as the engine sees it; a larger priority goes first.
--- a/berylhollow/ui/commands.py
+++ b/berylhollow/ui/commands.py
@@ -27,6 +27,11 @@
         'berylhollow.ui.sidecar_command',
         'serve beside an endpoint, between it and the gateways',
     ),
+    Command(
+        'replay',
+        'berylhollow.ui.replay_command',
+        'run a trace through the real decisions on a virtual clock',
+    ),
     Command(
         'settings',
         'berylhollow.ui.settings_command',
--- /dev/null
+++ b/berylhollow/ui/replay_command.py
@@ -0,0 +1,74 @@
+"""The command ``replay``: run a trace through the real reducers."""
+
+import argparse
+import dataclasses
+import json
+import pathlib
+
+from berylhollow import policy
+from berylhollow import replay
+from berylhollow import settings
+from berylhollow.util import exits
+
+EXAMPLE = (
+    'berylhollow replay --settings examples/association/replay.jsonc '
+    '--trace traces/association-steady-zipf.jsonl.gz --format json'
+)
+FORMATS = ('text', 'json')
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        '--settings',
+        metavar='FILE',
+        required=True,
+        help='the deployment to replay in, JSON with comments',
+    )
+    parser.add_argument(
+        '--trace',
+        metavar='FILE',
+        required=True,
+        help='the trace, one JSON object a line; .gz is decompressed',
+    )
+    parser.add_argument(
+        '--policy',
+        choices=list(policy.POLICIES),
+        help='instead of the policy that the settings name',
+    )
+    parser.add_argument(
+        '--seed', type=int, default=0, help='randomness of the run (0)'
+    )
+    parser.add_argument('--format', choices=FORMATS, default='text')
+
+
+def run(arguments: argparse.Namespace) -> int:
+    """Print what became of the trace, for each service."""
+    path = pathlib.Path(arguments.settings)
+    declared = settings.load(path, settings.Role.REPLAY)
+    items = replay.read_trace(arguments.trace)
+    chosen = arguments.policy or declared.policy
+    if chosen not in policy.POLICIES:
+        raise exits.UserError(
+            f'policy: there is no {chosen!r}, only '
+            + ', '.join(policy.POLICIES),
+            exits.ExitCode.INVALID,
+        )
+    given = replay.load_manifest(path, declared)
+    view = replay.configure(given, declared, items)
+    results = replay.Replay(
+        declared, view, items, chosen, arguments.seed
+    ).run()
+    rows = [dataclasses.asdict(result) for result in results]
+    if arguments.format == 'json':
+        print(json.dumps(rows, indent=2))
+    else:
+        _print_text(rows)
+    return exits.ExitCode.OK
+
+
+def _print_text(rows: list[dict]) -> None:
+    for row in rows:
+        print(f'{row["service"]} under {row["policy"]}')
+        for name, value in row.items():
+            if name not in ('service', 'policy'):
+                print(f'    {name} = {value}')
--- a/test/settings/test_settings.py
+++ b/test/settings/test_settings.py
@@ -167,7 +167,7 @@
         url = {'url': 'http://127.0.0.1:1'}
         for role, section in shipped.items():
             with self.subTest(role):
-                bare = dict(REQUIRED)
+                bare = {} if role == 'replay' else dict(REQUIRED)
                 if 'platform' in section:
                     bare['platform'] = url
                 if role == 'sidecar':
--- a/test/ui/test_standin.py
+++ b/test/ui/test_standin.py
@@ -65,5 +65,6 @@
     def test_every_role_that_stands_in_has_a_command(self):
         names = {command.name for command in commands.COMMANDS}
         roles = {f'stand-in {role}' for role in settings.Role}
-        roles -= {'stand-in gateway', 'stand-in sidecar'}
+        # These are no stand-ins: two real processes, and no process.
+        roles -= {'stand-in gateway', 'stand-in sidecar', 'stand-in replay'}
         self.assertLessEqual(roles, names)
