--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: run test lint format generate clean
+.PHONY: run test lint format generate binary clean
 
 $(READY): requirements.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -29,5 +29,9 @@
 generate: $(READY)
 	$(BIN)/python -m tools.generate
 
+binary: $(READY)
+	$(BIN)/python -m tools.binary.build dist/berylhollow
+	$(BIN)/python -m test 'binary_test.py'
+
 clean:
 	rm -rf $(VENV) build dist .ruff_cache
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for development; no part of the program."""
--- /dev/null
+++ b/tools/binary/__init__.py
@@ -0,0 +1,1 @@
+"""Build berylhollow as one program file that runs as one process."""
