Count what the reducers decide, under names of the table

Cause: the metrics table named instruments that nothing fed, and the one count of a reducer was not in it. Change: both reducers read their counts off events and effects in one module each; gauges are observed at rendering; dropped log lines are counted in every process; a test compares the names in the code with the table both ways. Rows without a source are taken out until they have one, HTTP durations among them. Conclusion: load stalls, loads and batch sizes are on /metrics of a sidecar.

--- a/berylhollow/gateway/_reducer.py
+++ b/berylhollow/gateway/_reducer.py
@@ -6,6 +6,7 @@
 from berylhollow.gateway import _attempts
 from berylhollow.gateway import _claim_leader
 from berylhollow.gateway import _claims
+from berylhollow.gateway import _counts
 from berylhollow.gateway import _membership
 from berylhollow.gateway import _peers
 from berylhollow.gateway import _quarantine
@@ -25,7 +26,8 @@
     handler = _HANDLERS.get(type(event))
     if handler is None:
         return state, []
-    return state, handler(state, event)
+    done = handler(state, event)
+    return state, done + _counts.of(state, done)
 
 
 def _started(state: _state.State, event: events.Started) -> Effects:
--- a/berylhollow/logs.py
+++ b/berylhollow/logs.py
@@ -121,6 +121,15 @@
     return handler
 
 
+def dropped() -> int:
+    """Return how many lines this process has dropped."""
+    return sum(
+        handler.dropped
+        for handler in logging.getLogger().handlers
+        if isinstance(handler, QueuedHandler)
+    )
+
+
 def extra(
     fields: collections.abc.Iterable[tuple[str, object]],
 ) -> dict[str, object]:
--- a/berylhollow/metrics/_instruments.py
+++ b/berylhollow/metrics/_instruments.py
@@ -14,9 +14,9 @@
     """How values of an instrument are put together."""
 
     COUNTER = 'counter'
-    UP_DOWN_COUNTER = 'up-down counter'
     HISTOGRAM = 'histogram'
-    GAUGE = 'gauge'
+    OBSERVED_COUNTER = 'observed counter'
+    OBSERVED_GAUGE = 'observed gauge'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -35,13 +35,13 @@
 
 
 COUNTER = InstrumentKind.COUNTER
-UP_DOWN_COUNTER = InstrumentKind.UP_DOWN_COUNTER
 HISTOGRAM = InstrumentKind.HISTOGRAM
-GAUGE = InstrumentKind.GAUGE
+OBSERVED_COUNTER = InstrumentKind.OBSERVED_COUNTER
+OBSERVED_GAUGE = InstrumentKind.OBSERVED_GAUGE
 
 SERVICE = 'berylhollow.service'
-STATUS = 'http.response.status_code'
 ERROR = 'error.type'
+RAN = 'berylhollow.ran'
 
 # Fine around the objectives: 0.45 s to the first token, 32 ms between tokens.
 SECONDS = (
@@ -52,47 +52,35 @@
 
 _TABLE = (
     Instrument(
-        'http.server.request.duration',
-        HISTOGRAM,
-        's',
-        'From the request line to the last byte of the answer.',
-        ('http.request.method', STATUS, SERVICE, ERROR),
-        SECONDS,
-    ),
-    Instrument(
-        'http.server.active_requests',
-        UP_DOWN_COUNTER,
-        '{request}',
-        'Requests being served.',
-        (SERVICE,),
-    ),
-    Instrument(
-        'berylhollow.first_token.duration',
-        HISTOGRAM,
-        's',
-        'From the request line to the first byte of the answer body.',
-        (SERVICE,),
-        SECONDS,
+        'berylhollow.attempts',
+        COUNTER,
+        '{attempt}',
+        'Attempts that a gateway offered to an endpoint, first ones and '
+        'retries.',
+        (SERVICE, 'berylhollow.retry'),
     ),
     Instrument(
         'berylhollow.errors',
         COUNTER,
         '{request}',
-        'Requests answered with an error, by its kind and whether it ran.',
-        (SERVICE, ERROR, 'berylhollow.ran'),
+        'Requests that a gateway answered with an error, by its kind and '
+        'whether they ran.',
+        (ERROR, RAN),
     ),
     Instrument(
-        'berylhollow.retries',
+        'berylhollow.attempts.failed',
         COUNTER,
         '{attempt}',
-        'Attempts after the first.',
-        (SERVICE,),
+        'Attempts that a sidecar refused or saw fail, by kind and whether '
+        'they ran.',
+        (SERVICE, ERROR, RAN),
     ),
     Instrument(
         'berylhollow.load_stall.duration',
         HISTOGRAM,
         's',
-        'Time that a request waited for its adapter to be loaded.',
+        'Time that an attempt waited for its adapter to be loaded, taken '
+        'when it begins to run.',
         (SERVICE,),
         SECONDS,
     ),
@@ -100,46 +88,40 @@
         'berylhollow.loads',
         COUNTER,
         '{load}',
-        'Adapter loads that ended, by outcome.',
+        'Answers to orders to load an adapter, by outcome.',
         (SERVICE, 'berylhollow.outcome'),
     ),
-    Instrument(
-        'berylhollow.evictions',
-        COUNTER,
-        '{adapter}',
-        'Adapters evicted from a slot.',
-        (SERVICE,),
-    ),
     Instrument(
         'berylhollow.batch_size',
         HISTOGRAM,
-        '{request}',
-        'Requests running on the endpoint, seen at each admission.',
+        '{attempt}',
+        'Attempts running on the endpoint, taken when one begins to run.',
         (SERVICE,),
         BATCH,
     ),
     Instrument(
-        'berylhollow.queue_length',
-        GAUGE,
-        '{request}',
-        'Requests that wait for the endpoint.',
+        'berylhollow.running',
+        OBSERVED_GAUGE,
+        '{attempt}',
+        'Attempts running on the endpoint.',
         (SERVICE,),
     ),
     Instrument(
-        'berylhollow.revision',
-        GAUGE,
-        '{revision}',
-        'Revision of the configuration in force, as its log offset.',
+        'berylhollow.queue_length',
+        OBSERVED_GAUGE,
+        '{attempt}',
+        'Attempts that wait for the endpoint.',
+        (SERVICE,),
     ),
     Instrument(
-        'berylhollow.late_frames',
+        'berylhollow.sidecar.offers.doubled',
         COUNTER,
-        '{frame}',
-        'Frames dropped because they belong to an attempt that is over.',
+        '{attempt}',
+        'Offers of an attempt that the sidecar already had; ignored.',
     ),
     Instrument(
         'berylhollow.log_lines_dropped',
-        COUNTER,
+        OBSERVED_COUNTER,
         '{line}',
         'Log lines dropped because the reader of stderr has stalled.',
     ),
--- a/berylhollow/sidecar/_reducer.py
+++ b/berylhollow/sidecar/_reducer.py
@@ -4,6 +4,7 @@
 from berylhollow import events
 from berylhollow import messages
 from berylhollow.sidecar import _admission
+from berylhollow.sidecar import _counts
 from berylhollow.sidecar import _engine
 from berylhollow.sidecar import _loads
 from berylhollow.sidecar import _reports
@@ -22,7 +23,8 @@
     handler = _HANDLERS.get(type(event))
     if handler is None:
         return state, []
-    return state, handler(state, event)
+    done = handler(state, event)
+    return state, done + _counts.of(state, event, done)
 
 
 def _started(state: _state.State, event: events.Started) -> Effects:
--- a/berylhollow/sidecar/service.py
+++ b/berylhollow/sidecar/service.py
@@ -71,8 +71,19 @@
             make_state(settings, following.NothingToFollow()),
             meters.add,
         )
+        self._observe(meters)
         self.pages = _pages.Pages(settings, self.shell, meters.render)
 
+    def _observe(self, meters: metrics.Meters) -> None:
+        state = self.shell.driver.state
+        service = [('berylhollow.service', state.options.service)]
+        meters.observe(
+            'berylhollow.queue_length', lambda: len(state.queue), service
+        )
+        meters.observe(
+            'berylhollow.running', lambda: len(state.running), service
+        )
+
     async def start(self) -> None:
         """Take the port and begin."""
         try:
--- /dev/null
+++ b/test/test_counts.py
@@ -0,0 +1,87 @@
+"""Tests of what the reducers count."""
+
+from berylhollow import effects
+from berylhollow import errors
+from berylhollow import events
+from berylhollow import messages
+from berylhollow import metrics
+from test import test_gateway
+from test import test_sidecar
+
+
+class Counting:
+    """Reads the counts of the last event."""
+
+    def counts(self, name):
+        """Return value and attributes of each count; all must be declared."""
+        found = []
+        for count in self.of_type(effects.Count):
+            attributes = dict(count.attributes)
+            metrics.check(count.name, attributes)
+            if count.name == name:
+                found.append((count.value, attributes))
+        return found
+
+
+class GatewayCountsTest(Counting, test_gateway.GatewayTestCase):
+    def retries(self):
+        return [
+            attributes['berylhollow.retry']
+            for _, attributes in self.counts('berylhollow.attempts')
+        ]
+
+    def test_first_attempt_and_retry(self):
+        peer, attempt_id = self.arrive(key='k')
+        self.assertEqual(['false'], self.retries())
+        refused = messages.Failed(
+            attempt_id, errors.Kind.LEAVING, errors.Ran.NOT_RUN
+        )
+        self.receive(refused, peer=peer)
+        self.assertEqual(['true'], self.retries())
+
+    def test_error_with_whether_it_ran(self):
+        peer, attempt_id = self.arrive(key='k')
+        unknown = messages.Failed(
+            attempt_id, errors.Kind.ENDPOINT_FAILED, errors.Ran.UNKNOWN
+        )
+        self.receive(unknown, peer=peer)
+        (answer,) = self.of_type(effects.AnswerError)
+        expected = {
+            'error.type': answer.kind.value,
+            'berylhollow.ran': 'unknown',
+        }
+        self.assertEqual([(1, expected)], self.counts('berylhollow.errors'))
+
+
+class SidecarCountsTest(Counting, test_sidecar.SidecarTestCase):
+    def test_stall_and_batch_at_the_start_of_a_run(self):
+        self.offer()
+        (order,) = self.of_type(effects.LoadAdapter)
+        self.feed(events.LoadSucceeded(250, order.order_id, 'epoch-1'))
+        service = {'berylhollow.service': self.state.options.service}
+        self.assertEqual(
+            [(0.25, service)], self.counts('berylhollow.load_stall.duration')
+        )
+        self.assertEqual([(1, service)], self.counts('berylhollow.batch_size'))
+        loaded = service | {'berylhollow.outcome': 'loaded'}
+        self.assertEqual([(1, loaded)], self.counts('berylhollow.loads'))
+
+    def test_failed_load(self):
+        self.offer()
+        (order,) = self.of_type(effects.LoadAdapter)
+        self.feed(
+            events.LoadFailed(
+                5,
+                order.order_id,
+                events.Certainty.NOT_DONE,
+                events.LoadFailure.WEIGHTS,
+            )
+        )
+        ((_, attributes),) = self.counts('berylhollow.loads')
+        self.assertEqual('weights', attributes['berylhollow.outcome'])
+
+    def test_refused_attempt(self):
+        self.offer(service='other')
+        ((_, attributes),) = self.counts('berylhollow.attempts.failed')
+        self.assertEqual('unknown_service', attributes['error.type'])
+        self.assertEqual('not_run', attributes['berylhollow.ran'])
--- a/test/test_metrics.py
+++ b/test/test_metrics.py
@@ -1,10 +1,15 @@
 """Tests of the metrics and their Prometheus rendering."""
 
+import ast
+import pathlib
 import re
 import unittest
 
+import berylhollow
 from berylhollow import metrics
 
+TAKERS = ('Count', 'add', 'observe')
+PREFIXES = ('berylhollow.', 'http.')
 SERVICE = ('berylhollow.service', 'vaxel-ai')
 
 
@@ -16,19 +21,23 @@
         return self.meters.render().decode()
 
     def test_each_kind_is_rendered(self):
-        self.meters.add('berylhollow.retries', 2, [SERVICE])
-        self.meters.add('berylhollow.queue_length', 7, [SERVICE])
-        self.meters.add('http.server.active_requests', 2, [SERVICE])
-        self.meters.add('http.server.active_requests', -1, [SERVICE])
-        self.meters.add('berylhollow.first_token.duration', 0.4, [SERVICE])
+        loads = [SERVICE, ('berylhollow.outcome', 'loaded')]
+        self.meters.add('berylhollow.loads', 2, loads)
+        self.meters.add('berylhollow.load_stall.duration', 0.4, [SERVICE])
+        self.meters.observe('berylhollow.running', lambda: 7, [SERVICE])
         text = self.rendered()
-        label = '{berylhollow_service="vaxel-ai"}'
-        self.assertIn(f'berylhollow_retries_total{label} 2.0\n', text)
-        self.assertIn(f'berylhollow_queue_length{label} 7.0\n', text)
-        self.assertIn(f'http_server_active_requests{label} 1.0\n', text)
+        self.assertIn(
+            'berylhollow_loads_total{berylhollow_outcome="loaded",'
+            'berylhollow_service="vaxel-ai"} 2.0\n',
+            text,
+        )
+        self.assertIn(
+            'berylhollow_running{berylhollow_service="vaxel-ai"} 7.0\n', text
+        )
+        self.assertIn('berylhollow_log_lines_dropped_total 0.0\n', text)
         buckets = dict(
             re.findall(
-                r'^berylhollow_first_token_duration_seconds_bucket'
+                r'^berylhollow_load_stall_duration_seconds_bucket'
                 r'\{.*le="(.*?)".*\} (\S+)$',
                 text,
                 re.MULTILINE,
@@ -37,8 +46,6 @@
         self.assertEqual((buckets['0.3'], buckets['0.45']), ('0.0', '1.0'))
 
     def test_process_and_target_are_named(self):
-        # The exporter names its target only once there is a value.
-        self.meters.add('berylhollow.late_frames')
         text = self.rendered()
         self.assertIn('process_resident_memory_bytes', text)
         self.assertIn('service_instance_id="one"', text)
@@ -48,18 +55,24 @@
         # with the adapter, and each of thousands became a series.
         adapter = [('berylhollow.adapter', 'a')]
         with self.assertLogs('berylhollow.metrics', 'ERROR') as caught:
-            self.meters.add('berylhollow.retries', 1, adapter)
-            self.meters.add('berylhollow.retries', 1, adapter)
+            self.meters.add('berylhollow.loads', 1, adapter)
+            self.meters.add('berylhollow.loads', 1, adapter)
             self.meters.add('berylhollow.nonsense')
-        self.assertEqual(len(caught.records), 2)
+            self.meters.add('berylhollow.running')
+        self.assertEqual(len(caught.records), 3)
         text = self.rendered()
-        self.assertIn('berylhollow_metrics_rejected_total 3.0\n', text)
+        self.assertIn('berylhollow_metrics_rejected_total 4.0\n', text)
         self.assertNotIn('berylhollow_adapter', text)
 
     def test_two_sets_of_meters_are_apart(self):
-        self.meters.add('berylhollow.late_frames')
+        self.meters.add('berylhollow.loads')
         other = metrics.Meters('sidecar', 'two', 'sal-kista')
-        self.assertNotIn('berylhollow_late_frames', other.render().decode())
+        self.assertNotIn('berylhollow_loads', other.render().decode())
+
+    def test_observing_what_is_not_observed_is_a_mistake(self):
+        for name in ('berylhollow.loads', 'berylhollow.nonsense'):
+            with self.subTest(name), self.assertRaises(ValueError):
+                self.meters.observe(name, lambda: 1)
 
 
 class TableTest(unittest.TestCase):
@@ -77,3 +90,23 @@
                 self.assertEqual(
                     sorted(instrument.buckets), list(instrument.buckets)
                 )
+
+    def test_table_and_code_name_the_same_metrics(self):
+        # A dashboard stays empty: its metric is documented and nothing takes
+        # it, or it is taken under a name that the table lacks.
+        self.assertEqual(taken_names(), set(metrics.INSTRUMENTS))
+
+
+def taken_names():
+    """Return the names that the package gives to Count, add and observe."""
+    folder = pathlib.Path(berylhollow.__file__).parent
+    return {
+        call.args[0].value
+        for path in folder.rglob('*.py')
+        for call in ast.walk(ast.parse(path.read_text(encoding='utf-8')))
+        if isinstance(call, ast.Call)
+        and getattr(call.func, 'attr', '') in TAKERS
+        and call.args
+        and isinstance(call.args[0], ast.Constant)
+        and str(call.args[0].value).startswith(PREFIXES)
+    }
