Log fields of an effect under names that logging takes

Cause: logging raises when a field has the name of one of its own, which would break the sidecar over a log line. Change: the fields pass through logs.extra. Measured: lint clean; the naming itself is tested in test_logs. Conclusion: no field of an effect can raise.

--- a/berylhollow/sidecar/_shell.py
+++ b/berylhollow/sidecar/_shell.py
@@ -10,6 +10,7 @@
 from berylhollow import effects
 from berylhollow import endpoint
 from berylhollow import events
+from berylhollow import logs
 from berylhollow import messages
 from berylhollow import settings as all_settings
 from berylhollow import shell
@@ -143,7 +144,7 @@
 
     def _log(self, effect: effects.Log) -> None:
         level = logging.WARNING if effect.warning else logging.INFO
-        LOG.log(level, effect.text, extra=dict(effect.fields))
+        LOG.log(level, effect.text, extra=logs.extra(effect.fields))
 
     def _exit(self, effect: effects.Exit) -> None:
         if not self.ended.done():
