Grant permits for loads from one gateway

Cause: each sidecar loaded as it liked, and the weight store refused more loads than it did. Change: a gateway that all sidecars find by rendezvous over their links grants permits, one at a time within two a second, the wish of most value first; a permit lapses; a sidecar whose coordinator is silent, or that has none, loads at its own jittered pace, wider after each refusal; a load that hangs no longer blocks the others; a load under way is not ordered twice.

--- a/berylhollow/gateway/_options.py
+++ b/berylhollow/gateway/_options.py
@@ -22,6 +22,9 @@
     ``eject_ms``, doubled each time. ``peer_fanout`` is how many other
     gateways this one opens a link to. ``policy`` names the adapter
     policy, ``load_interval_ms`` is what one load takes of the weight store.
+    ``loads_per_s`` and ``loads_burst`` are its limits, ``loads_at_once`` is
+    how many it serves at full speed. A permit lapses after ``load_lapse_ms``
+    at least, a wish that is not said again after ``load_wish_ms``.
     """
 
     instance: str
@@ -58,4 +61,9 @@
     suspicion: quarantine.Rules = quarantine.Rules()
     policy: str = 'adaptive'
     load_interval_ms: int = 500
+    loads_per_s: float = 2.0
+    loads_burst: float = 2.0
+    loads_at_once: int = 1
+    load_lapse_ms: int = 3000
+    load_wish_ms: int = 1500
     stop_grace_ms: int = 600_000
--- a/berylhollow/gateway/_reducer.py
+++ b/berylhollow/gateway/_reducer.py
@@ -6,6 +6,7 @@
 from berylhollow.gateway import _attempts
 from berylhollow.gateway import _claim_leader
 from berylhollow.gateway import _claims
+from berylhollow.gateway import _coordinator
 from berylhollow.gateway import _counts
 from berylhollow.gateway import _membership
 from berylhollow.gateway import _peers
@@ -43,6 +44,7 @@
     done += _requests.tick(state, event.at_ms)
     done += _claims.tick(state, event.at_ms)
     done += _quarantine.tick(state, event.at_ms)
+    done += _coordinator.tick(state, event.at_ms)
     done += _shutdown.tick(state, event.at_ms)
     return done
 
@@ -127,6 +129,8 @@
     messages.ClaimsTaken: _claim_leader.confirmed,
     messages.Crashed: _quarantine.crashed,
     messages.Report: _membership.reported,
+    messages.LoadWanted: _coordinator.wanted,
+    messages.LoadEnded: _coordinator.ended,
     messages.Started: _attempts.started,
     messages.End: _attempts.ended,
     messages.Failed: _attempts.failed,
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -150,6 +150,38 @@
     read_from_ms: int = 0
 
 
+@dataclasses.dataclass(slots=True)
+class Wish:
+    """The load that a sidecar wants most, as it said at ``at_ms``."""
+
+    message: messages.LoadWanted
+    at_ms: int
+
+
+@dataclasses.dataclass(slots=True)
+class Permit:
+    """A permit that a sidecar has not given back."""
+
+    peer: str
+    granted_ms: int
+    lapses_ms: int
+
+
+@dataclasses.dataclass(slots=True)
+class LoadBook:
+    """What a gateway knows as coordinator of loads.
+
+    ``wishes`` has one entry a sidecar. ``granted`` numbers the permits,
+    ``load_ms`` is how long a load takes of late.
+    """
+
+    rate: token_bucket.TokenBucket
+    load_ms: float
+    wishes: dict[str, Wish] = dataclasses.field(default_factory=dict)
+    permits: dict[int, Permit] = dataclasses.field(default_factory=dict)
+    granted: int = 0
+
+
 @dataclasses.dataclass(slots=True)
 class State:
     """Everything that a gateway's reducer remembers."""
@@ -184,6 +216,7 @@
         default_factory=_placement.Placement
     )
     adapter_policy: policy.Policy = dataclasses.field(init=False)
+    load_book: LoadBook = dataclasses.field(init=False)
     instances_read_ms: int = -1_000_000
     stopping: bool = False
     stop_by_ms: int = 0
@@ -192,6 +225,12 @@
     def __post_init__(self):
         self.suspects = quarantine.Suspects(self.options.suspicion)
         self.adapter_policy = policy.named(self.options.policy)
+        self.load_book = LoadBook(
+            token_bucket.TokenBucket(
+                self.options.loads_per_s, self.options.loads_burst
+            ),
+            self.options.load_interval_ms,
+        )
 
     def request_of(self, attempt_id: str) -> ActiveRequest | None:
         """Return the request whose current attempt this is, if any."""
--- a/berylhollow/messages.py
+++ b/berylhollow/messages.py
@@ -187,6 +187,17 @@
     for_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadDeferred:
+    """The coordinator knows of the wish and will grant it in its turn.
+
+    ``for_ms`` is how long that may take, a guess.
+    """
+
+    adapter: AdapterVersion
+    for_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoadEnded:
     """The sidecar gives its permit back, used or not."""
@@ -292,6 +303,7 @@
     | Report
     | LoadWanted
     | LoadGranted
+    | LoadDeferred
     | LoadEnded
     | ConfigurationAt
     | ConfigurationEntries
@@ -323,4 +335,5 @@
     17: ClaimsForwarded,
     18: ClaimsTaken,
     19: ClaimDecided,
+    20: LoadDeferred,
 }
--- a/berylhollow/sidecar/_demands.py
+++ b/berylhollow/sidecar/_demands.py
@@ -5,20 +5,25 @@
 from berylhollow.sidecar import _state
 
 EMPTY_VALUE = -1.0
+PRESENT = (_state.SlotPhase.READY, _state.SlotPhase.LOADING)
 
 
 def wants(state: _state.State, at_ms: int) -> list[policy.Want]:
-    """Return the adapters that requests wait for and no slot holds."""
+    """Return the adapters that requests wait for and no slot has or gets.
+
+    A load under way is shared by all who wait for its adapter.
+    """
     waiting: dict[messages.AdapterVersion, list[_state.Attempt]] = {}
     for attempt_id in state.queue:
         attempt = state.attempts[attempt_id]
         adapter = attempt.offer.adapter
         if adapter is not None:
             waiting.setdefault(adapter, []).append(attempt)
+    present = {slot.adapter for slot in state.slots if slot.phase in PRESENT}
     return [
         _want(state, adapter, attempts, at_ms)
         for adapter, attempts in waiting.items()
-        if state.slot_with(adapter) is None
+        if adapter not in present
     ]
 
 
--- a/berylhollow/sidecar/_loads.py
+++ b/berylhollow/sidecar/_loads.py
@@ -1,11 +1,15 @@
 """Which adapter is loaded next, and into which slot."""
 
+import dataclasses
+
 from berylhollow import effects
 from berylhollow import errors
 from berylhollow import events
 from berylhollow import messages
+from berylhollow import policy
 from berylhollow.sidecar import _demands
 from berylhollow.sidecar import _orders
+from berylhollow.sidecar import _permits
 from berylhollow.sidecar import _runs
 from berylhollow.sidecar import _state
 from berylhollow.sidecar import _takeover
@@ -14,18 +18,38 @@
 MAX_BACKOFF_DOUBLINGS = 5
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """An adapter that may be loaded next and what that is worth."""
+
+    want: policy.Want
+    value: float
+
+
 def order(state: _state.State, at_ms: int) -> Effects:
-    """Order the load that waits first, if a slot can be had for it."""
+    """Order the load that is worth most, if a slot can be had for it."""
     if state.options.plain or not _takeover.may_order(state, at_ms):
         return []
-    if any(slot.phase is _state.SlotPhase.LOADING for slot in state.slots):
+    if _under_way(state, at_ms):
         return []
-    for adapter in _wanted(state, at_ms):
+    for candidate in _candidates(state, at_ms):
+        adapter = candidate.want.adapter
         slot = _victim(state, adapter, at_ms)
         if slot is None:
             continue
-        return [_load(state, slot, adapter)]
-    return []
+        done: Effects = []
+        if not _permits.may_load(state, at_ms):
+            done += _permits.ask(state, candidate.want, candidate.value, at_ms)
+        if _permits.may_load(state, at_ms):
+            done.append(_load(state, slot, adapter, at_ms))
+        return done
+    return _permits.unneeded(state, at_ms)
+
+
+def granted(state: _state.State, event: events.MessageReceived) -> Effects:
+    """Use a permit for what is wanted most by now, or give it back."""
+    done = _permits.granted(state, event)
+    return done + order(state, event.at_ms)
 
 
 def succeeded(state: _state.State, event: events.LoadSucceeded) -> Effects:
@@ -43,7 +67,8 @@
     slot.loaded_ms = event.at_ms
     slot.runs = 0
     state.backoffs.pop(slot.adapter, None)
-    done = _runs.dispatch(state, event.at_ms)
+    done = _permits.ended(state, True)
+    done += _runs.dispatch(state, event.at_ms)
     return done + order(state, event.at_ms)
 
 
@@ -58,19 +83,35 @@
     else:
         slot.phase = _state.SlotPhase.EMPTY
         slot.adapter = None
-    _back_off(state, adapter, event.at_ms)
-    return order(state, event.at_ms)
+    if event.reason is events.LoadFailure.RATE:
+        _permits.refused_by_rate(state, event.at_ms)
+    else:
+        _back_off(state, adapter, event.at_ms)
+    done = _permits.ended(state, False)
+    return done + order(state, event.at_ms)
 
 
-def _wanted(state: _state.State, at_ms: int) -> list[messages.AdapterVersion]:
+def _under_way(state: _state.State, at_ms: int) -> bool:
+    """Tell whether a load is under way that does not seem to hang.
+
+    One at a time keeps to the weight store's full speed. Guards against a
+    load that hangs: all others would wait until its timeout.
+    """
+    newest_ms = at_ms - state.options.load_hang_ms
+    return any(
+        slot.phase is _state.SlotPhase.LOADING and slot.ordered_ms > newest_ms
+        for slot in state.slots
+    )
+
+
+def _candidates(state: _state.State, at_ms: int) -> list[Candidate]:
     """Return the adapters to be loaded, as the policy orders them."""
-    wants = _demands.wants(state, at_ms)
-    scores = {
-        want.adapter: state.adapter_policy.load_order.score(want)
-        for want in wants
+    found = [
+        Candidate(want, state.adapter_policy.load_order.score(want))
+        for want in _demands.wants(state, at_ms)
         if _due(state, want.adapter, at_ms)
-    }
-    return sorted(scores, key=lambda adapter: (-scores[adapter], str(adapter)))
+    ]
+    return sorted(found, key=lambda x: (-x.value, str(x.want.adapter)))
 
 
 def _due(
@@ -104,7 +145,10 @@
     state: _state.State,
     slot: _state.Slot,
     adapter: messages.AdapterVersion,
+    at_ms: int,
 ) -> effects.LoadAdapter:
+    _permits.used(state, at_ms)
+    slot.ordered_ms = at_ms
     state.orders += 1
     slot.order_id = f'{state.incarnation}.{state.orders}'
     slot.phase = _state.SlotPhase.LOADING
--- a/berylhollow/sidecar/_options.py
+++ b/berylhollow/sidecar/_options.py
@@ -11,7 +11,11 @@
 
     ``plain`` marks an endpoint without adapters. ``keep_ended_ms`` is how
     long an ended attempt is remembered for a gateway that resumes.
-    ``policy`` names the adapter policy.
+    ``policy`` names the adapter policy. A wish to load is said again every
+    ``load_ask_ms``; a coordinator that is silent for
+    ``coordinator_silence_ms`` is done without, at a pace of one load in
+    ``load_interval_ms`` to ``load_longest_interval_ms``. A load that takes
+    longer than ``load_hang_ms`` no longer holds up other slots.
     ``settle_ms`` must be longer than an order can be under way to an engine;
     ``takeover_wait_ms`` is how long the log may keep a new sidecar from
     ordering before it takes its number from the engine.
@@ -37,3 +41,8 @@
     suspicion: quarantine.Rules = quarantine.Rules()
     stop_grace_ms: int = 600_000
     policy: str = 'adaptive'
+    load_ask_ms: int = 500
+    coordinator_silence_ms: int = 1500
+    load_interval_ms: int = 500
+    load_longest_interval_ms: int = 8000
+    load_hang_ms: int = 5000
--- a/berylhollow/sidecar/_reducer.py
+++ b/berylhollow/sidecar/_reducer.py
@@ -7,6 +7,7 @@
 from berylhollow.sidecar import _counts
 from berylhollow.sidecar import _engine
 from berylhollow.sidecar import _loads
+from berylhollow.sidecar import _permits
 from berylhollow.sidecar import _reports
 from berylhollow.sidecar import _runs
 from berylhollow.sidecar import _shutdown
@@ -36,6 +37,7 @@
 
 def _ticked(state: _state.State, event: events.Ticked) -> Effects:
     at_ms = event.at_ms
+    state.pacing.seed = event.seed
     done = _engine.tick(state, at_ms)
     done += _admission.tick(state, at_ms)
     done += state.follower.tick(at_ms, [], list(state.links), '')
@@ -98,4 +100,6 @@
     messages.Offer: _admission.offered,
     messages.Cancel: _admission.cancelled,
     messages.Resume: _admission.resumed,
+    messages.LoadGranted: _loads.granted,
+    messages.LoadDeferred: _permits.deferred,
 }
--- a/berylhollow/sidecar/_state.py
+++ b/berylhollow/sidecar/_state.py
@@ -37,6 +37,7 @@
     phase: SlotPhase = SlotPhase.EMPTY
     adapter: messages.AdapterVersion | None = None
     order_id: str = ''
+    ordered_ms: int = 0
     pins: int = 0
     runs: int = 0
     loaded_ms: int = 0
@@ -89,6 +90,29 @@
     reason: errors.Kind = errors.Kind.LOAD_FAILED
 
 
+@dataclasses.dataclass(slots=True)
+class Pacing:
+    """Permits of the load coordinator, and our own pace without it.
+
+    ``permit`` was granted by ``granter`` and not used yet; 0 is none.
+    ``used_permit`` belongs to the load under way. ``asked`` is our last
+    wish, unanswered since ``unanswered_ms``. Without a coordinator the next
+    load is due at ``next_ms`` and ``interval_ms`` lies between two.
+    """
+
+    permit: int = 0
+    granter: str = ''
+    lapses_ms: int = 0
+    used_permit: int = 0
+    used_granter: str = ''
+    asked: messages.LoadWanted | None = None
+    asked_ms: int = 0
+    unanswered_ms: int | None = None
+    next_ms: int = 0
+    interval_ms: float = 0.0
+    seed: float = 0.5
+
+
 @dataclasses.dataclass(slots=True)
 class State:
     """Everything that a sidecar's reducer remembers.
@@ -124,6 +148,7 @@
     crash_told: str = ''
     isolated_ended_ms: int = -1_000_000
     adapter_policy: policy.Policy = dataclasses.field(init=False)
+    pacing: Pacing = dataclasses.field(default_factory=Pacing)
     run_ms: float = 0.0
     orders: int = 0
     status_read_ms: int = -1_000_000
--- a/test/builders.py
+++ b/test/builders.py
@@ -143,7 +143,9 @@
 
 
 def sidecar_state(instance_name='e1', **options):
-    values = {'service': SERVICE} | options
+    """Return a sidecar that loads at once, without permit or pace."""
+    free = {'coordinator_silence_ms': 0, 'load_interval_ms': 0}
+    values = {'service': SERVICE} | free | options
     return sidecar.State(
         options=sidecar.Options(instance=instance_name, **values),
         follower=FixedFollower(),
--- a/test/replay/worlds.py
+++ b/test/replay/worlds.py
@@ -32,7 +32,13 @@
 
 
 def sidecar_maker(name, **options):
-    return lambda: builders.sidecar_state(name, **options)
+    """Return a maker of sidecars that ask for permits, as real ones do."""
+    real = sidecar.Options(instance=name, service=builders.SERVICE)
+    values = {
+        'coordinator_silence_ms': real.coordinator_silence_ms,
+        'load_interval_ms': real.load_interval_ms,
+    }
+    return lambda: builders.sidecar_state(name, **(values | options))
 
 
 def gateway_maker(name, **options):
--- /dev/null
+++ b/test/test_gateway_coordinator.py
@@ -0,0 +1,91 @@
+"""The gateway as coordinator of loads: permits under the store's limits."""
+
+from berylhollow import events
+from berylhollow import gateway
+from berylhollow import messages
+from test import builders
+from test import helper
+
+
+def wish(instance='e1', name='a1', value=1.0):
+    return messages.LoadWanted(
+        instance,
+        builders.SERVICE,
+        builders.adapter(name),
+        waiting=1,
+        oldest_wait_ms=0,
+        priority=0,
+        value=value,
+    )
+
+
+class CoordinatorTest(helper.ReducerTestCase):
+    def setUp(self):
+        self.begin(gateway.reduce, builders.gateway_state())
+
+    def want(self, instance, at_ms=0, value=1.0):
+        self.receive(wish(instance, value=value), at_ms, instance)
+
+    def end(self, instance, permit, at_ms, loaded=True):
+        ended = messages.LoadEnded(instance, permit, loaded)
+        self.receive(ended, at_ms, instance)
+
+    def granted(self):
+        """Return who got a permit from the last events."""
+        return [
+            item.peer
+            for item in self.effects
+            if isinstance(getattr(item, 'message', None), messages.LoadGranted)
+        ]
+
+    def test_one_at_a_time_and_the_most_valuable_next(self):
+        self.want('e1')
+        self.assertEqual(['e1'], self.granted())
+        self.want('e2', 10, value=1.0)
+        self.assertEqual([], self.granted())
+        self.assertEqual(1, len(self.sent(messages.LoadDeferred)))
+        self.want('e3', 20, value=5.0)
+        self.end('e1', 1, 400)
+        self.assertEqual(['e3'], self.granted())
+
+    def test_no_more_than_the_rate_allows(self):
+        for number, at_ms in enumerate((0, 10, 20)):
+            self.want(f'e{number}', at_ms)
+            for permit in list(self.state.load_book.permits):
+                self.end(f'e{number}', permit, at_ms + 5)
+        self.assertEqual([], self.granted())
+        self.feed(events.Ticked(300))
+        self.assertEqual([], self.granted())
+        self.feed(events.Ticked(600))
+        self.assertEqual(['e2'], self.granted())
+
+    def test_permit_of_a_dead_sidecar_lapses(self):
+        """All loads stand still because one sidecar died.
+
+        It gets a permit, then dies without giving it back. Cause: a permit
+        that never ends.
+        """
+        self.want('e1')
+        self.want('e2', 10)
+        self.feed(events.Ticked(1400))
+        self.want('e2', 1400)
+        self.feed(events.Ticked(2800))
+        self.assertEqual([], self.granted())
+        self.want('e2', 2800)
+        self.feed(events.Ticked(3000))
+        self.assertEqual(['e2'], self.granted())
+
+    def test_wish_that_is_not_repeated_is_forgotten(self):
+        self.want('e1')
+        self.want('e2', 10)
+        self.feed(events.Ticked(1600))
+        self.end('e1', 1, 1700)
+        self.assertEqual([], self.granted())
+
+    def test_permit_given_back_twice_counts_once(self):
+        self.want('e1')
+        self.end('e1', 1, 400)
+        self.end('e1', 1, 401)
+        self.want('e2', 402)
+        self.want('e3', 403)
+        self.assertEqual(1, len(self.state.load_book.permits))
