--- a/test/binary_test.py
+++ b/test/binary_test.py
@@ -21,8 +21,14 @@
     'listen': {'port': 0},
 }
 PLATFORM = {'platform': {'url': 'http://127.0.0.1:1'}}
+SIDECAR = {
+    'service': 'balcao',
+    'endpoint': {'url': 'http://127.0.0.1:1', 'kind': 'plain'},
+    'status': {'port': 0},
+}
 # Every command that stays, with settings that it starts on.
 SERVERS = (
+    (('sidecar',), SETTINGS | PLATFORM | SIDECAR),
     (('stand-in', 'platform'), SETTINGS),
     (('stand-in', 'engine'), SETTINGS | PLATFORM),
     (('stand-in', 'service'), SETTINGS),
