Add the gateway's shell and the command gateway

Cause: nothing carried out the gateway reducer's effects or fed it events. Change: a shell without decisions between callers (aiohttp), links and the platform; frames of an attempt go from its link to its caller without the reducer and are acknowledged as the caller's connection takes them; a broken answer ends with the connection and never with a last chunk, a stream with an error event before; gaps after a reconnect are asked for; of two links between two gateways both ends keep the same one; a stalled or departed caller cancels its attempt; one log line for each answer; graceful stop. Conclusion: the gateway serves; the configuration's follower is still to be connected.

--- /dev/null
+++ b/berylhollow/gateway/_exchange.py
@@ -0,0 +1,78 @@
+"""One caller's request from its arrival to the end of its answer."""
+
+import asyncio
+import logging
+
+from berylhollow import effects
+from berylhollow import errors
+from berylhollow import events
+from berylhollow.gateway import _relay
+
+LOG = logging.getLogger(__name__)
+
+Beginning = effects.AnswerError | effects.AnswerStored | effects.BeginAnswer
+
+
+class Exchange:
+    """What the shell keeps of a request while its caller waits.
+
+    ``shown_id`` is the request id that the caller sees: its own, if it sent
+    one. ``beginning`` is the effect that begins the answer. The other
+    attributes end up in the log line.
+    """
+
+    def __init__(
+        self,
+        request: events.Request,
+        shown_id: str,
+        arrived_ms: int,
+        loop: asyncio.AbstractEventLoop,
+    ):
+        self.request = request
+        self.shown_id = shown_id
+        self.arrived_ms = arrived_ms
+        self.beginning: asyncio.Future[Beginning] = loop.create_future()
+        self.relay: _relay.Relay | None = None
+        self.service = request.service
+        self.first_byte_ms: int | None = None
+        self.status = 0
+        self.kind: errors.Kind | None = None
+        self.ran = errors.Ran.UNKNOWN
+
+    def begin(self, effect: Beginning) -> None:
+        """Take the effect that begins the answer; a second one is ignored."""
+        if not self.beginning.done():
+            self.beginning.set_result(effect)
+
+    def failed(self, kind: errors.Kind, ran: errors.Ran) -> None:
+        """Note how the request failed."""
+        self.kind = kind
+        self.ran = ran
+
+    def log(self, now_ms: int, revision: int) -> None:
+        """Write the one line of an answered request."""
+        request = self.request
+        adapter = request.adapter
+        begin = self.relay.begin if self.relay else None
+        first_byte_ms = None
+        if self.first_byte_ms is not None:
+            first_byte_ms = self.first_byte_ms - self.arrived_ms
+        LOG.info(
+            'answered',
+            extra={
+                'request_id': request.request_id,
+                'shown_id': self.shown_id,
+                'attempt_id': begin.attempt_id if begin else '',
+                'caller': request.caller,
+                'service': self.service,
+                'adapter': adapter.adapter if adapter else '',
+                'version': adapter.version if adapter else '',
+                'endpoint': begin.peer if begin else '',
+                'revision': revision,
+                'status': self.status,
+                'kind': self.kind.value if self.kind else '',
+                'ran': self.ran.value,
+                'duration_ms': now_ms - self.arrived_ms,
+                'first_byte_ms': first_byte_ms,
+            },
+        )
--- /dev/null
+++ b/berylhollow/gateway/_links.py
@@ -0,0 +1,176 @@
+"""The gateway's links: to sidecars, and to and from other gateways."""
+
+import dataclasses
+import logging
+import typing
+
+from berylhollow import clock
+from berylhollow import effects
+from berylhollow import events
+from berylhollow import link as links
+from berylhollow import messages
+from berylhollow import settings as all_settings
+
+LOG = logging.getLogger(__name__)
+
+
+class Owner(typing.Protocol):
+    """What the links report to the shell."""
+
+    def feed(self, event: events.Event) -> None:
+        """Take an event."""
+
+    def message(self, peer: str, message: messages.Message) -> None:
+        """Take a message of a peer."""
+
+
+@dataclasses.dataclass(slots=True)
+class OpenLink:
+    """The link in use with a peer, and which of the two opened it."""
+
+    link: links.Link
+    opener: str
+
+
+class _Handler:
+    """Knows, for the links of one origin, which peer we meant to reach."""
+
+    def __init__(self, owner: 'Links', expected: str | None):
+        self.owner = owner
+        self.expected = expected
+
+    def link_up(self, link: links.Link) -> None:
+        self.owner.link_up(link, self.expected)
+
+    def message(self, link: links.Link, message: messages.Message) -> None:
+        self.owner.message(link, message)
+
+    def link_down(self, link: links.Link, reason: links.Reason) -> None:
+        self.owner.link_down(link, self.expected)
+
+
+class Links:
+    """At most one link in use with each peer.
+
+    Two gateways may open links to each other at the same moment. Both ends
+    then keep the one that the gateway with the lower name opened: if each
+    kept the newest as it sees it, each might close the one that the other
+    kept, again and again.
+    """
+
+    def __init__(
+        self,
+        settings: all_settings.GatewaySettings,
+        incarnation: str,
+        time: clock.Clock,
+        owner: Owner,
+    ):
+        self.instance = settings.instance
+        self.time = time
+        self.owner = owner
+        self.key = settings.link_key.encode()
+        self.identity = links.Identity(
+            settings.instance, events.Role.GATEWAY.value, incarnation
+        )
+        self.server = links.LinkServer(
+            settings.peers.host,
+            settings.peers.port,
+            self.key,
+            self.identity,
+            _Handler(self, None),
+        )
+        self.clients: dict[str, links.LinkClient] = {}
+        self.open_links: dict[str, OpenLink] = {}
+
+    async def start(self) -> None:
+        """Listen for other gateways. Raises OSError."""
+        await self.server.start()
+
+    async def stop(self) -> None:
+        """Close every link and wait for them to end."""
+        clients = tuple(self.clients.values())
+        for client in clients:
+            client.link.close(links.Reason.LEAVING)
+        for client in clients:
+            await client.wait()
+        await self.server.stop()
+
+    def open(self, effect: effects.OpenLink) -> None:
+        """Open a link; feeds LinkOpened or LinkRefused later on."""
+        if effect.peer in self.clients:
+            return
+        host, _, port = effect.address.rpartition(':')
+        client = links.LinkClient(
+            host.strip('[]'),
+            int(port),
+            self.key,
+            self.identity,
+            _Handler(self, effect.peer),
+            codec=self.server.codec,
+        )
+        self.clients[effect.peer] = client
+        client.start()
+
+    def close(self, effect: effects.CloseLink) -> None:
+        """Close the links with a peer after what was sent on them."""
+        client = self.clients.get(effect.peer)
+        if client is not None:
+            client.link.close()
+        current = self.open_links.get(effect.peer)
+        if current is not None:
+            current.link.close()
+
+    def send(self, peer: str, message: messages.Message) -> None:
+        """Send a message if a link to the peer is open."""
+        current = self.open_links.get(peer)
+        if current is not None:
+            current.link.send(message)
+
+    def link_up(self, link: links.Link, expected: str | None) -> None:
+        """Take a new link into use, unless a better one is."""
+        name = link.peer.instance_id
+        if expected is not None and name != expected:
+            # The address now belongs to another instance. Work for the one
+            # that was listed here must not go to it under that name.
+            LOG.warning('link to %s reached %s', expected, name)
+            link.close(links.Reason.REPLACED)
+            return
+        opener = self.instance if expected is not None else name
+        current = self.open_links.get(name)
+        if current is not None:
+            if current.opener != opener and opener != min(name, self.instance):
+                link.close(links.Reason.REPLACED)
+                return
+            self._closed(name)
+            current.link.close(links.Reason.REPLACED)
+        self.open_links[name] = OpenLink(link, opener)
+        self.owner.feed(
+            events.LinkOpened(
+                self.time.now_ms(),
+                name,
+                events.Role(link.peer.role),
+                link.peer.incarnation,
+            )
+        )
+
+    def message(self, link: links.Link, message: messages.Message) -> None:
+        """Pass a message on, unless its link was replaced."""
+        name = link.peer.instance_id
+        current = self.open_links.get(name)
+        if current is not None and current.link is link:
+            self.owner.message(name, message)
+
+    def link_down(self, link: links.Link, expected: str | None) -> None:
+        """Report the end of the link in use, or that none came about."""
+        if expected is not None:
+            self.clients.pop(expected, None)
+        name = link.peer.instance_id if link.peer else None
+        current = self.open_links.get(name) if name else None
+        if current is not None and current.link is link:
+            self._closed(name)
+        elif expected is not None and expected not in self.open_links:
+            self.owner.feed(events.LinkRefused(self.time.now_ms(), expected))
+
+    def _closed(self, name: str) -> None:
+        del self.open_links[name]
+        self.owner.feed(events.LinkClosed(self.time.now_ms(), name))
--- /dev/null
+++ b/berylhollow/gateway/_pages.py
@@ -0,0 +1,98 @@
+"""The gateway's own pages: health, readiness, status and metrics."""
+
+import typing
+
+from aiohttp import web
+
+import berylhollow
+from berylhollow.gateway import _answers
+from berylhollow.gateway import _state
+from berylhollow import settings as all_settings
+from berylhollow import shell
+
+UNAVAILABLE = 503
+
+
+class Owner(typing.Protocol):
+    """What the pages tell of the shell."""
+
+    settings: all_settings.GatewaySettings
+    driver: shell.Driver
+    stopping: bool
+    in_flight: int
+
+
+class Pages:
+    """Answer for the gateway itself; the reducer's state is only read."""
+
+    def __init__(self, owner: Owner, metrics_text: typing.Callable[[], bytes]):
+        self.owner = owner
+        self.metrics_text = metrics_text
+        self.pages = {
+            '/healthz': self.health,
+            '/readyz': self.readiness,
+            '/status': self.status,
+            '/metrics': self.metrics,
+        }
+
+    def get(self, path: str) -> web.Response | None:
+        """Return the page at a path, None if there is none."""
+        page = self.pages.get(path)
+        return page() if page else None
+
+    def health(self) -> web.Response:
+        """The process answers, so it lives."""
+        return _answers.json_response({'alive': True})
+
+    def readiness(self) -> web.Response:
+        """Ready to take callers: configured, and not shutting down."""
+        configured = self.owner.driver.state.follower.current is not None
+        if configured and not self.owner.stopping:
+            return _answers.json_response({'ready': True})
+        return _answers.json_response({'ready': False}, UNAVAILABLE)
+
+    def status(self) -> web.Response:
+        """What the command ``status`` shows."""
+        state = self.owner.driver.state
+        return _answers.json_response(
+            {
+                'instance': self.owner.settings.instance,
+                'role': 'gateway',
+                'version': berylhollow.__version__,
+                'failure_domain': self.owner.settings.failure_domain,
+                'revision': revision(state),
+                'stopping': self.owner.stopping,
+                'in_flight': self.owner.in_flight,
+                'endpoints': [
+                    _endpoint(name, endpoint)
+                    for name, endpoint in sorted(state.endpoints.items())
+                ],
+            }
+        )
+
+    def metrics(self) -> web.Response:
+        """The metrics as Prometheus reads them."""
+        return _answers.text_response(self.metrics_text())
+
+
+def revision(state: _state.State) -> int:
+    """Return the revision of the configuration in force, 0 if none is."""
+    current = state.follower.current
+    return 0 if current is None else current.revision
+
+
+def service_at(state: _state.State, peer: str) -> str:
+    """Return the service of an endpoint, empty if it is not known."""
+    endpoint = state.endpoints.get(peer)
+    return endpoint.instance.service if endpoint else ''
+
+
+def _endpoint(name: str, endpoint: _state.Endpoint) -> dict[str, object]:
+    return {
+        'instance': name,
+        'service': endpoint.instance.service,
+        'failure_domain': endpoint.instance.failure_domain,
+        'link': endpoint.link.value,
+        'leaving': endpoint.leaving,
+        'in_flight': len(endpoint.placed),
+    }
--- /dev/null
+++ b/berylhollow/gateway/_responding.py
@@ -0,0 +1,246 @@
+"""Write the answer of one exchange to its caller, whole or visibly broken.
+
+What a caller must never get is an answer that was cut short and looks
+whole. A body therefore has a length or is chunked, and one that can't be
+completed ends with the connection, without the last chunk.
+"""
+
+import asyncio
+import typing
+
+from aiohttp import abc
+from aiohttp import web
+import multidict
+
+from berylhollow import effects
+from berylhollow import errors
+from berylhollow.gateway import _answers
+from berylhollow.gateway import _exchange
+from berylhollow.gateway import _relay
+
+STORED_ANSWER_BYTES = 16 * 1024
+"""Answers up to this size are kept for a request with a key."""
+
+ERROR_FLUSH_TIMEOUT_S = 1.0
+"""How long a caller may take to receive the error that ends its stream."""
+
+BODILESS_STATUSES = frozenset({204, 304})
+
+
+class StalledError(Exception):
+    """The caller took nothing of its answer for too long."""
+
+
+class Reports(typing.Protocol):
+    """What the writer of an answer reports to the shell."""
+
+    def now_ms(self) -> int:
+        """Return the time."""
+
+    def relayed(
+        self, exchange: _exchange.Exchange, body: bytes | None
+    ) -> None:
+        """The caller's connection took the whole answer."""
+
+    def broken(self, exchange: _exchange.Exchange) -> None:
+        """The answer can't be whole, though its frames are complete."""
+
+
+def whole_answer(
+    exchange: _exchange.Exchange,
+    beginning: effects.AnswerError | effects.AnswerStored,
+) -> web.Response:
+    """Return an answer that is known as a whole."""
+    if isinstance(beginning, effects.AnswerStored):
+        exchange.status = beginning.status
+        exchange.ran = errors.Ran.RAN
+        headers = _answers.relayed_headers(
+            beginning.headers, exchange.shown_id
+        )
+        return web.Response(
+            status=beginning.status,
+            headers=_with_length(headers, len(beginning.body)),
+            body=beginning.body,
+        )
+    exchange.failed(beginning.kind, beginning.ran)
+    exchange.status = errors.ANSWERS[beginning.kind].status
+    return _answers.error_response(
+        beginning.kind,
+        beginning.ran,
+        exchange.shown_id,
+        beginning.retry_after_ms,
+        beginning.detail,
+    )
+
+
+def _with_length(headers, length: int) -> multidict.CIMultiDict:
+    kept = multidict.CIMultiDict(headers)
+    kept['Content-Length'] = str(length)
+    return kept
+
+
+class RelayedAnswer:
+    """One answer that is written while its frames arrive."""
+
+    def __init__(
+        self,
+        request: web.BaseRequest,
+        exchange: _exchange.Exchange,
+        relay: _relay.Relay,
+        reports: Reports,
+        stall_timeout: float,
+        last: bool,
+    ):
+        self.request = request
+        self.exchange = exchange
+        self.relay = relay
+        self.reports = reports
+        self.stall_timeout = stall_timeout
+        self.response = self._response(last)
+        self.length = self.response.content_length
+        self.bodiless = (
+            request.method == 'HEAD' or relay.begin.status in BODILESS_STATUSES
+        )
+        self.written = 0
+        self.kept: list[bytes] | None = None
+        if exchange.request.key is not None:
+            self.kept = []
+
+    def _response(self, last: bool) -> web.StreamResponse:
+        begin = self.relay.begin
+        headers = _answers.relayed_headers(
+            begin.headers, self.exchange.shown_id
+        )
+        response = web.StreamResponse(
+            status=begin.status, headers=multidict.CIMultiDict(headers)
+        )
+        if last:
+            response.force_close()
+        return response
+
+    async def write(self) -> web.StreamResponse:
+        """Write the answer to its end.
+
+        Raises StalledError if the caller takes nothing for too long, and
+        ConnectionError if it is gone.
+        """
+        self.exchange.status = self.relay.begin.status
+        writer = await self.response.prepare(self.request)
+        while True:
+            payloads = await self.relay.take()
+            if payloads:
+                await self._write(writer, payloads)
+            elif self.relay.failure is not None:
+                failure = self.relay.failure
+                await self._break(writer, failure.kind, failure.ran)
+                return self.response
+            else:
+                break
+        if not self._whole():
+            self.reports.broken(self.exchange)
+            kind = errors.Kind.STREAM_BROKEN
+            await self._break(writer, kind, errors.Ran.UNKNOWN)
+            return self.response
+        await self._finish(writer)
+        return self.response
+
+    async def _write(
+        self, writer: abc.AbstractStreamWriter, payloads: list[bytes]
+    ) -> None:
+        if self.exchange.first_byte_ms is None:
+            self.exchange.first_byte_ms = self.reports.now_ms()
+        data = payloads[0] if len(payloads) == 1 else b''.join(payloads)
+        self.written += len(data)
+        self._keep(data)
+        if not self.bodiless:
+            await writer.write(data, drain=False)
+            await self._drain(writer, self.stall_timeout)
+        self.relay.taken(len(payloads))
+
+    def _keep(self, data: bytes) -> None:
+        if self.kept is None:
+            return
+        self.kept.append(data)
+        if self.written > STORED_ANSWER_BYTES:
+            self.kept = None
+
+    def _whole(self) -> bool:
+        """Tell whether the body has the length that its head declares."""
+        if self.bodiless or self.length is None:
+            return True
+        return self.written == self.length
+
+    async def _finish(self, writer: abc.AbstractStreamWriter) -> None:
+        await self.response.write_eof()
+        self.relay.taken(0)
+        await self._flush(writer, self.stall_timeout)
+        self.exchange.ran = errors.Ran.RAN
+        body = None if self.kept is None else b''.join(self.kept)
+        self.reports.relayed(self.exchange, body)
+
+    async def _break(
+        self,
+        writer: abc.AbstractStreamWriter,
+        kind: errors.Kind,
+        ran: errors.Ran,
+    ) -> None:
+        """Cut the connection, after an error event if it is a stream.
+
+        The last chunk is never sent: it would make the answer look whole.
+        """
+        self.exchange.failed(kind, ran)
+        self.response.force_close()
+        try:
+            if self.response.content_type == _answers.EVENT_STREAM_TYPE:
+                event = _answers.error_event(kind, ran, self.exchange.shown_id)
+                await writer.write(event, drain=False)
+            await self._flush(writer, ERROR_FLUSH_TIMEOUT_S)
+        except (StalledError, ConnectionError):
+            pass
+        finally:
+            abort(self.request)
+
+    async def _flush(
+        self, writer: abc.AbstractStreamWriter, timeout: float
+    ) -> None:
+        """Wait until the transport holds nothing more of the answer.
+
+        Guards against callers that stop reading near the end: the library
+        would keep the connection and its buffer for as long as they like.
+        """
+        transport = self.request.transport
+        if transport is None or transport.get_write_buffer_size() == 0:
+            return
+        low, high = transport.get_write_buffer_limits()
+        transport.set_write_buffer_limits(high=0)
+        try:
+            await self._drain(writer, timeout)
+        finally:
+            transport.set_write_buffer_limits(high=high, low=low)
+
+    async def _drain(
+        self, writer: abc.AbstractStreamWriter, timeout: float
+    ) -> None:
+        """Wait until the transport takes more.
+
+        Raises StalledError when nothing at all left within ``timeout``
+        seconds.
+        """
+        transport = self.request.transport
+        while transport is not None:
+            left = transport.get_write_buffer_size()
+            if left == 0:
+                return
+            try:
+                async with asyncio.timeout(timeout):
+                    await writer.drain()
+                    return
+            except TimeoutError:
+                if transport.get_write_buffer_size() >= left:
+                    raise StalledError from None
+
+
+def abort(request: web.BaseRequest) -> None:
+    """Cut the connection of a request at once."""
+    if request.transport is not None:
+        request.transport.abort()
--- /dev/null
+++ b/berylhollow/gateway/_shell.py
@@ -0,0 +1,330 @@
+"""The gateway's shell: it turns I/O into events and carries effects out.
+
+It takes no decision. The payloads of answers pass it without the reducer:
+from the link of an attempt through a relay to the caller.
+"""
+
+import asyncio
+import logging
+import random
+import secrets
+import typing
+
+from aiohttp import web
+
+from berylhollow import clock
+from berylhollow import effects
+from berylhollow import errors
+from berylhollow import events
+from berylhollow.gateway import _exchange
+from berylhollow.gateway import _http
+from berylhollow.gateway import _links
+from berylhollow.gateway import _pages
+from berylhollow.gateway import _relay
+from berylhollow import messages
+from berylhollow import settings as all_settings
+from berylhollow import shell
+from berylhollow import stream
+
+LOG = logging.getLogger(__name__)
+
+LAST_ANSWERS_TIMEOUT_S = 5.0
+"""How long final answers may take to be written once all is decided."""
+
+INCARNATION_BYTES = 8
+DURATION = 'http.server.request.duration'
+FIRST_TOKEN = 'berylhollow.first_token.duration'
+
+Count = typing.Callable[..., None]
+
+
+class Shell:
+    """All I/O of one gateway around one reducer.
+
+    ``exchanges`` holds the requests that still wait for an answer by
+    request id, ``relays`` the answers under way by attempt id. ``ended`` is
+    set to the exit code when the reducer has nothing more to do. ``count``
+    takes the name, value and attributes of metrics.
+    """
+
+    def __init__(
+        self,
+        settings: all_settings.GatewaySettings,
+        reduce: typing.Callable,
+        state: typing.Any,
+        count: Count,
+        metrics_text: typing.Callable[[], bytes],
+        time: clock.Clock | None = None,
+    ):
+        self.settings = settings
+        self.time = time or clock.MonotonicClock()
+        self.pages = _pages.Pages(self, metrics_text)
+        self.count = count
+        self.stopping = False
+        self.incarnation = secrets.token_hex(INCARNATION_BYTES)
+        self.exchanges: dict[str, _exchange.Exchange] = {}
+        self.relays: dict[str, _relay.Relay] = {}
+        self.tasks = shell.Tasks()
+        self.ended: asyncio.Future[int] = asyncio.Future()
+        self.driver = shell.Driver(reduce, state, self.time, {})
+        self.driver.failed.add_done_callback(self._failed)
+        self.feed = self.driver.feed
+        self.platform = shell.PlatformCalls(
+            settings.platform.url, self.feed, self.time, self.tasks
+        )
+        self.links = _links.Links(settings, self.incarnation, self.time, self)
+        self.front_end = _http.FrontEnd(settings, self)
+        self.driver.handlers = self._handlers()
+
+    def _handlers(self) -> dict:
+        return {
+            effects.Send: self._send,
+            effects.OpenLink: self.links.open,
+            effects.CloseLink: self.links.close,
+            effects.AnswerError: self._begin_whole,
+            effects.AnswerStored: self._begin_whole,
+            effects.BeginAnswer: self._begin_relay,
+            effects.CompleteAnswer: self._complete,
+            effects.BreakAnswer: self._break,
+            effects.ResumeAnswer: self._resume,
+            effects.Count: self._count,
+            effects.Log: _log,
+            effects.Exit: self._exit,
+            **self.platform.handlers(),
+        }
+
+    async def start(self) -> None:
+        """Listen, and begin to follow the platform. Raises OSError."""
+        await self.links.start()
+        await self.front_end.start()
+        self.feed(events.Started(self.time.now_ms(), self.incarnation))
+        self.tasks.start(self.driver.tick(self.settings.tick_ms))
+
+    async def stop(self) -> int:
+        """Stop gracefully and return the exit code.
+
+        Everything in flight is finished; the reducer decides when.
+        """
+        if not self.stopping:
+            self.stopping = True
+            self.feed(events.StopRequested(self.time.now_ms()))
+        code = await self.ended
+        self.front_end.stop_listening()
+        await self._last_answers()
+        await self.close()
+        return code
+
+    async def close(self) -> None:
+        """Close everything at once."""
+        await self.front_end.close()
+        await self.tasks.stop()
+        await self.links.stop()
+        await self.platform.close()
+
+    async def _last_answers(self) -> None:
+        """Let the answers that are decided reach their callers."""
+        try:
+            async with asyncio.timeout(LAST_ANSWERS_TIMEOUT_S):
+                await self.front_end.idle()
+        except TimeoutError:
+            LOG.warning('callers cut off', extra={'in_flight': self.in_flight})
+
+    @property
+    def in_flight(self) -> int:
+        """How many requests wait for their answer or for its end."""
+        return len(self.exchanges)
+
+    # What the front end reports.
+
+    def now_ms(self) -> int:
+        return self.time.now_ms()
+
+    def page(self, path: str) -> web.Response | None:
+        return self.pages.get(path)
+
+    def arrived(self, exchange: _exchange.Exchange) -> None:
+        request = exchange.request
+        self.exchanges[request.request_id] = exchange
+        self.feed(
+            events.RequestArrived(
+                exchange.arrived_ms, request, random.random()
+            )
+        )
+
+    def gone(self, exchange: _exchange.Exchange) -> None:
+        self.feed(
+            events.CallerGone(self.now_ms(), exchange.request.request_id)
+        )
+
+    def relayed(
+        self, exchange: _exchange.Exchange, body: bytes | None
+    ) -> None:
+        begin = exchange.relay.begin
+        self.feed(
+            events.AnswerRelayed(
+                self.now_ms(),
+                begin.request_id,
+                begin.attempt_id,
+                begin.status,
+                begin.headers,
+                body,
+            )
+        )
+
+    def broken(self, exchange: _exchange.Exchange) -> None:
+        self._broken(exchange.relay)
+
+    def forget(self, exchange: _exchange.Exchange) -> None:
+        self.exchanges.pop(exchange.request.request_id, None)
+        if exchange.relay is not None:
+            self.relays.pop(exchange.relay.begin.attempt_id, None)
+        exchange.log(self.now_ms(), _pages.revision(self.driver.state))
+        self._measure(exchange)
+
+    def refused(self, kind: errors.Kind) -> None:
+        ran = errors.ANSWERS[kind].ran
+        self._count_error('', kind, ran)
+
+    def _measure(self, exchange: _exchange.Exchange) -> None:
+        service = exchange.service
+        kind = exchange.kind.value if exchange.kind else ''
+        attributes = (
+            ('http.request.method', exchange.request.method),
+            ('http.response.status_code', str(exchange.status)),
+            ('berylhollow.service', service),
+            ('error.type', kind),
+        )
+        duration_ms = self.now_ms() - exchange.arrived_ms
+        self.count(DURATION, duration_ms / clock.MS_PER_SECOND, attributes)
+        if exchange.first_byte_ms is not None:
+            first_ms = exchange.first_byte_ms - exchange.arrived_ms
+            self.count(
+                FIRST_TOKEN,
+                first_ms / clock.MS_PER_SECOND,
+                (('berylhollow.service', service),),
+            )
+        if exchange.kind is not None:
+            self._count_error(service, exchange.kind, exchange.ran)
+
+    def _count_error(
+        self, service: str, kind: errors.Kind, ran: errors.Ran
+    ) -> None:
+        attributes = (
+            ('berylhollow.service', service),
+            ('error.type', kind.value),
+            ('berylhollow.ran', ran.value),
+        )
+        self.count('berylhollow.errors', 1, attributes)
+
+    # What the links report.
+
+    def message(self, peer: str, message: messages.Message) -> None:
+        if type(message) is messages.Data:
+            self._data(peer, message)
+        elif type(message) is messages.End:
+            self._end(peer, message)
+        else:
+            self._received(peer, message)
+
+    def _received(self, peer: str, message: messages.Message) -> None:
+        self.feed(events.MessageReceived(self.now_ms(), peer, message))
+
+    def _relay_of(self, peer: str, frame: _relay.Frame) -> _relay.Relay | None:
+        """Return the relay of a frame; one of no current attempt counts.
+
+        Guards against the frames of an attempt that was given up, or of a
+        peer that was never asked: mixed into an answer they would be part
+        of another one's.
+        """
+        relay = self.relays.get(frame.attempt_id)
+        if relay is None or relay.begin.peer != peer:
+            self.count('berylhollow.late_frames')
+            return None
+        return relay
+
+    def _data(self, peer: str, frame: messages.Data) -> None:
+        relay = self._relay_of(peer, frame)
+        if relay is not None:
+            self._accept(relay, frame)
+
+    def _end(self, peer: str, frame: messages.End) -> None:
+        relay = self._relay_of(peer, frame)
+        # An end that came before its frames comes again after them.
+        if relay is not None and self._accept(relay, frame):
+            self._received(peer, frame)
+
+    def _accept(self, relay: _relay.Relay, frame: _relay.Frame) -> bool:
+        try:
+            return relay.accept(frame)
+        except stream.StreamError as error:
+            LOG.warning('answer is broken: %s', error)
+            self._broken(relay)
+            return False
+
+    def _broken(self, relay: _relay.Relay) -> None:
+        begin = relay.begin
+        self.feed(
+            events.AnswerBroken(
+                self.now_ms(), begin.request_id, begin.attempt_id
+            )
+        )
+
+    # Effects.
+
+    def _send(self, effect: effects.Send) -> None:
+        self.links.send(effect.peer, effect.message)
+
+    def _begin_whole(
+        self, effect: effects.AnswerError | effects.AnswerStored
+    ) -> None:
+        exchange = self.exchanges.get(effect.request_id)
+        if exchange is not None:
+            exchange.begin(effect)
+
+    def _begin_relay(self, effect: effects.BeginAnswer) -> None:
+        exchange = self.exchanges.get(effect.request_id)
+        if exchange is None:
+            return
+        relay = _relay.Relay(effect, self.links.send)
+        self.relays[effect.attempt_id] = relay
+        exchange.relay = relay
+        exchange.service = _pages.service_at(self.driver.state, effect.peer)
+        exchange.begin(effect)
+
+    def _complete(self, effect: effects.CompleteAnswer) -> None:
+        relay = self.relays.get(effect.attempt_id)
+        if relay is None:
+            return
+        try:
+            relay.finish(effect.count)
+        except stream.StreamError as error:
+            LOG.warning('answer is broken: %s', error)
+            self._broken(relay)
+
+    def _break(self, effect: effects.BreakAnswer) -> None:
+        relay = self.relays.get(effect.attempt_id)
+        if relay is not None:
+            relay.fail(effect)
+
+    def _resume(self, effect: effects.ResumeAnswer) -> None:
+        relay = self.relays.get(effect.attempt_id)
+        if relay is not None:
+            relay.resume()
+            return
+        self.links.send(effect.peer, messages.Resume(effect.attempt_id, 0))
+
+    def _count(self, effect: effects.Count) -> None:
+        self.count(effect.name, effect.value, effect.attributes)
+
+    def _exit(self, effect: effects.Exit) -> None:
+        if not self.ended.done():
+            self.ended.set_result(effect.code)
+
+    def _failed(self, failed: asyncio.Future) -> None:
+        if not failed.cancelled() and not self.ended.done():
+            self.ended.set_result(1)
+
+
+def _log(effect: effects.Log) -> None:
+    level = logging.WARNING if effect.warning else logging.INFO
+    LOG.log(level, effect.text, extra=dict(effect.fields))
--- /dev/null
+++ b/berylhollow/gateway/service.py
@@ -0,0 +1,92 @@
+"""The gateway as a process: its shell, its metrics and its signals."""
+
+import asyncio
+import errno
+
+import aiomisc
+
+from berylhollow import following
+from berylhollow.gateway import _options
+from berylhollow.gateway import _reducer
+from berylhollow.gateway import _shell
+from berylhollow.gateway import _state
+from berylhollow import metrics
+from berylhollow import settings as all_settings
+from berylhollow.util import exits
+from berylhollow.util import loop
+
+STOP_MARGIN_MS = 10_000
+"""Time to close everything after the reducer's own grace has ended."""
+
+
+def serve(settings: all_settings.GatewaySettings) -> int:
+    """Run a gateway until it is told to stop; return its exit code.
+
+    Raises ``exits.UserError`` if a port is taken.
+    """
+    return loop.run(
+        lambda lifetime: [GatewayService(settings, lifetime)],
+        stop_grace_ms=settings.stop_grace_ms + STOP_MARGIN_MS,
+    )
+
+
+def make_state(
+    settings: all_settings.GatewaySettings, follower: following.Follower
+) -> _state.State:
+    """Return the reducer's first state, as the settings have it."""
+    options = _options.Options(
+        instance=settings.instance,
+        failure_domain=settings.failure_domain,
+        region=settings.region,
+        instance_poll_ms=settings.instance_poll_ms,
+        retry_share=settings.retry.share,
+        caller_in_flight=settings.limits.caller_in_flight,
+        caller_rate_per_s=settings.limits.caller_rate_per_s,
+        caller_burst=settings.limits.caller_rate_per_s,
+        stop_grace_ms=settings.stop_grace_ms,
+    )
+    return _state.State(options, follower)
+
+
+class GatewayService(aiomisc.Service):
+    """Starts and stops one gateway with its process."""
+
+    def __init__(
+        self,
+        settings: all_settings.GatewaySettings,
+        lifetime: loop.Lifetime,
+    ):
+        super().__init__()
+        self.lifetime = lifetime
+        meters = metrics.Meters(
+            all_settings.Role.GATEWAY,
+            settings.instance,
+            settings.failure_domain,
+        )
+        self.shell = _shell.Shell(
+            settings,
+            _reducer.reduce,
+            make_state(settings, following.NothingToFollow()),
+            meters.add,
+            meters.render,
+        )
+
+    async def start(self) -> None:
+        """Listen and begin."""
+        try:
+            await self.shell.start()
+        except OSError as error:
+            if error.errno != errno.EADDRINUSE:
+                raise
+            raise exits.UserError(
+                f'a port is taken: {error.strerror}',
+                exits.ExitCode.ADDRESS_IN_USE,
+            ) from error
+        self.shell.ended.add_done_callback(self._ended)
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Finish what is in flight, then close."""
+        self.lifetime.stop(await self.shell.stop())
+
+    def _ended(self, ended: asyncio.Future[int]) -> None:
+        self.lifetime.stop(ended.result())
--- a/berylhollow/ui/commands.py
+++ b/berylhollow/ui/commands.py
@@ -22,6 +22,11 @@
 
 
 COMMANDS = (
+    Command(
+        'gateway',
+        'berylhollow.ui.gateway_command',
+        'serve callers and route their requests',
+    ),
     Command(
         'sidecar',
         'berylhollow.ui.sidecar_command',
--- a/test/builders.py
+++ b/test/builders.py
@@ -150,3 +150,24 @@
         options=sidecar.Options(instance=instance_name, **values),
         follower=FixedFollower(),
     )
+
+
+def failed(attempt_id, **changes):
+    values = {
+        'attempt_id': attempt_id,
+        'kind': errors.Kind.ENDPOINT_FAILED,
+        'ran': errors.Ran.UNKNOWN,
+    }
+    return messages.Failed(**(values | changes))
+
+
+def http_post(body, path='/v1/completions', *headers):
+    """Return the bytes of a POST with a JSON body on HTTP/1.1."""
+    lines = [
+        f'POST {path} HTTP/1.1',
+        'Host: gateway',
+        'Content-Type: application/json',
+        f'Content-Length: {len(body)}',
+        *headers,
+    ]
+    return '\r\n'.join([*lines, '', body]).encode()
--- /dev/null
+++ b/test/test_gateway_answers.py
@@ -0,0 +1,268 @@
+"""Tests of the answers that a gateway passes on, whole or broken."""
+
+import asyncio
+import json
+
+import aiohttp
+
+from berylhollow import events
+from berylhollow import messages
+from test import builders
+from test import gateway_helper
+
+SSE = {'Content_Type': 'text/event-stream'}
+
+
+class AnswerTest(gateway_helper.GatewayTestCase):
+    async def asyncSetUp(self):
+        await self.begin()
+        await self.add_sidecar()
+
+    async def test_stream_is_passed_on_whole_and_acknowledged(self):
+        answer = self.post(X_Request_Id='mine')
+        attempt_id = await self.sidecar.offered()
+        self.sidecar.start(attempt_id, **SSE)
+        self.sidecar.answer(attempt_id, b'data: 1\n\n', b'data: 2\n\n')
+        self.sidecar.end(attempt_id, 2)
+        status, headers, body = await answer
+        self.assertEqual((200, b'data: 1\n\ndata: 2\n\n'), (status, body))
+        self.assertEqual('text/event-stream', headers['Content-Type'])
+        self.assertEqual('mine', headers['X-Request-Id'])
+        acknowledged = await self.sidecar.next(messages.Acknowledge)
+        self.assertEqual(3, acknowledged.next_sequence)
+        self.assertEqual({}, self.shell.driver.state.requests)
+        self.assertEqual(({}, {}), (self.shell.relays, self.shell.exchanges))
+
+    async def test_offer_holds_what_the_caller_sent(self):
+        body = b'{"model": "a1@1",\n "max_tokens": 7, "prompt": "12345"}'
+        answer = self.post(
+            body,
+            X_Caller='firm-7',
+            X_Priority='9',
+            X_Deadline_Ms='5000',
+            X_Own='kept',
+        )
+        offer = await self.sidecar.next(messages.Offer)
+        self.assertEqual(body, offer.body)
+        self.assertEqual(builders.adapter(), offer.adapter)
+        self.assertEqual(('firm-7', 9), (offer.caller, offer.priority))
+        self.assertEqual((2, 7), (offer.prompt_tokens, offer.output_tokens))
+        self.assertTrue(4000 < offer.remaining_ms <= 5000)
+        names = {header.name.lower() for header in offer.headers}
+        self.assertIn('x-own', names)
+        self.assertTrue(names.isdisjoint({'host', 'x-caller', 'connection'}))
+        self.sidecar.start(offer.attempt_id, Content_Length='2')
+        self.sidecar.answer(offer.attempt_id, b'ok')
+        self.sidecar.end(offer.attempt_id, 1)
+        status, headers, body = await answer
+        self.assertEqual((200, b'ok'), (status, body))
+        self.assertEqual('2', headers['Content-Length'])
+
+    async def test_two_callers_with_one_request_id_get_their_own(self):
+        """A receptionist reads another firm's call summary.
+
+        Two firms' clients number their requests alike and send the same
+        request id at the same moment; the first answer goes to the second
+        caller. Cause: the caller's id taken for the request's identity.
+        """
+        answers = []
+        for number in range(2):
+            answers.append(self.post({'n': number}, X_Request_Id='1'))
+            attempt_id = await self.sidecar.offered()
+            self.sidecar.start(attempt_id)
+            self.sidecar.answer(attempt_id, b'answer %d' % number)
+            self.sidecar.end(attempt_id, 1)
+        bodies = [(await answer)[2] for answer in answers]
+        self.assertEqual([b'answer 0', b'answer 1'], bodies)
+
+    async def test_late_frames_are_dropped_and_counted(self):
+        answer = self.post()
+        attempt_id = await self.sidecar.offered()
+        self.sidecar.start(attempt_id)
+        self.sidecar.answer('another.1', b'not yours')
+        self.sidecar.answer(attempt_id, b'yours')
+        self.sidecar.end(attempt_id, 1)
+        self.assertEqual(b'yours', (await answer)[2])
+        self.assertEqual(1, self.counted.count('berylhollow.late_frames'))
+
+    async def test_stream_that_fails_ends_with_an_error_and_a_cut(self):
+        """A foreman reads half a damage report as if it were all of it.
+
+        The engine dies in the middle of a stream and the gateway closes the
+        answer cleanly. Cause: a failed attempt ended like a finished one.
+        """
+        answer = self.post()
+        attempt_id = await self.sidecar.offered()
+        self.sidecar.start(attempt_id, **SSE)
+        self.sidecar.answer(attempt_id, b'data: half')
+        self.sidecar.send(builders.failed(attempt_id))
+        with self.assertRaises(aiohttp.ClientPayloadError):
+            await answer
+
+    async def test_error_event_comes_before_the_cut(self):
+        reader, _ = await self.raw(builders.http_post('{"model": "a1@1"}'))
+        attempt_id = await self.sidecar.offered()
+        self.sidecar.start(attempt_id, **SSE)
+        self.sidecar.answer(attempt_id, b'data: half')
+        self.sidecar.send(builders.failed(attempt_id))
+        sent = await self.read_until_cut(reader)
+        self.assertFalse(sent.endswith(b'0\r\n\r\n'))
+        _, _, event = sent.partition(b'event: error\ndata: ')
+        error = json.loads(event.partition(b'\n')[0])['error']
+        self.assertEqual('endpoint_failed', error['kind'])
+        self.assertEqual('unknown', error['ran'])
+
+    async def test_body_that_fails_is_cut(self):
+        reader, _ = await self.raw(builders.http_post('{"model": "a1@1"}'))
+        attempt_id = await self.sidecar.offered()
+        self.sidecar.start(attempt_id, Content_Type='application/json')
+        self.sidecar.answer(attempt_id, b'{"half": ')
+        self.sidecar.send(builders.failed(attempt_id))
+        sent = await self.read_until_cut(reader)
+        self.assertTrue(sent.endswith(b'{"half": \r\n'), sent)
+
+    async def test_body_shorter_than_its_length_is_cut(self):
+        answer = self.post()
+        attempt_id = await self.sidecar.offered()
+        self.sidecar.start(attempt_id, Content_Length='9')
+        self.sidecar.answer(attempt_id, b'short')
+        self.sidecar.end(attempt_id, 1)
+        with self.assertRaises(aiohttp.ClientPayloadError):
+            await answer
+        self.assertEqual({}, self.shell.driver.state.requests)
+
+    async def read_until_cut(self, reader):
+        sent = b''
+        try:
+            while data := await reader.read(1000):
+                sent += data
+        except ConnectionError:
+            pass
+        return sent
+
+    async def test_failure_before_the_head_is_a_problem(self):
+        answer = self.post()
+        attempt_id = await self.sidecar.offered()
+        self.sidecar.send(builders.failed(attempt_id, retry_after_ms=1500))
+        headers, problem = await self.assert_problem(
+            answer, 502, 'endpoint_failed', 'unknown'
+        )
+        self.assertEqual('2', headers['Retry-After'])
+        self.assertEqual('if_idempotent', problem['retry'])
+
+    async def test_answer_goes_on_after_a_broken_link(self):
+        """A caller's answer stops in the middle when a switch is replaced.
+
+        The link breaks after the first frame; the sidecar goes on with the
+        third one on the new link, before it hears where we stopped. Cause:
+        a gap taken for a broken answer instead of being asked for.
+        """
+        answer = self.post()
+        attempt_id = await self.sidecar.offered()
+        self.sidecar.start(attempt_id)
+        self.sidecar.answer(attempt_id, b'one ')
+        await self.until(lambda: attempt_id in self.shell.relays)
+        relay = self.shell.relays[attempt_id]
+        await self.until(lambda: relay.receiver.next_sequence == 1)
+        self.sidecar.links[-1].abort(gateway_helper.links.Reason.LOST)
+        await self.until(lambda: len(self.sidecar.links) == 2)
+        self.sidecar.answer(attempt_id, b'three', first=2)
+        self.sidecar.end(attempt_id, 3)
+        resume = await self.sidecar.next(messages.Resume)
+        self.assertEqual(1, resume.next_sequence)
+        self.sidecar.answer(attempt_id, b'two ', b'three', first=1)
+        self.sidecar.end(attempt_id, 3)
+        self.assertEqual(b'one two three', (await answer)[2])
+
+    async def test_caller_that_leaves_cancels_its_attempt(self):
+        _, writer = await self.raw(builders.http_post('{"model": "a1@1"}'))
+        attempt_id = await self.sidecar.offered()
+        writer.close()
+        cancelled = await self.sidecar.next(messages.Cancel)
+        self.assertEqual(attempt_id, cancelled.attempt_id)
+
+    async def test_services_take_any_method_and_answers_without_body(self):
+        await self.add_sidecar('p1', builders.PLAIN_SERVICE)
+        path = f'/v1/services/{builders.PLAIN_SERVICE}/ports/7%2F8?x=1'
+        answer = asyncio.create_task(self.session.request('DELETE', path))
+        offer = await self.sidecar.next(messages.Offer)
+        self.assertEqual('DELETE', offer.method)
+        self.assertEqual('/ports/7%2F8?x=1', offer.path)
+        self.assertIsNone(offer.adapter)
+        self.sidecar.start(offer.attempt_id, status=204)
+        self.sidecar.end(offer.attempt_id, 0)
+        self.assertEqual(204, (await answer).status)
+
+
+class SlowCallerTest(gateway_helper.GatewayTestCase):
+    async def test_caller_that_stops_reading_holds_up_only_itself(self):
+        """A gateway runs out of memory, and all its callers are cut off.
+
+        One caller stops reading a long answer and the gateway keeps what
+        comes. Cause: frames acknowledged as they arrive, not as the caller
+        takes them, and no bound on how long it may take none.
+        """
+        await self.begin(slow_client_timeout_ms=200)
+        await self.add_sidecar()
+        reader, writer = await self.raw(
+            builders.http_post('{"model": "a1@1"}')
+        )
+        attempt_id = await self.sidecar.offered()
+        self.sidecar.start(attempt_id)
+        part = bytes(64 * 1024)
+        unacknowledged, sent = 0, 0
+        while self.sidecar.received.empty() or unacknowledged < 8:
+            if unacknowledged < 8:
+                self.sidecar.answer(attempt_id, part, first=sent)
+                sent += 1
+                unacknowledged += 1
+            message = await self.next_message()
+            if type(message) is messages.Acknowledge:
+                unacknowledged = sent - message.next_sequence
+            elif type(message) is messages.Cancel:
+                break
+        self.assertEqual({}, self.shell.relays)
+        self.assertEqual({}, self.shell.driver.state.requests)
+
+    async def next_message(self):
+        try:
+            async with asyncio.timeout(0.01):
+                return await self.sidecar.received.get()
+        except TimeoutError:
+            return None
+
+
+class StopTest(gateway_helper.GatewayTestCase):
+    async def test_stop_finishes_what_is_in_flight(self):
+        await self.begin()
+        await self.add_sidecar()
+        answer = self.post()
+        attempt_id = await self.sidecar.offered()
+        stopping = asyncio.create_task(self.shell.stop())
+        await self.until(lambda: self.shell.stopping)
+        await self.assert_problem(self.post(), 503, 'leaving')
+        self.sidecar.start(attempt_id)
+        self.sidecar.answer(attempt_id, b'whole')
+        self.sidecar.end(attempt_id, 1)
+        status, headers, body = await answer
+        self.assertEqual((200, b'whole'), (status, body))
+        self.assertEqual('close', headers['Connection'])
+        self.assertEqual(0, await stopping)
+
+    async def test_other_instance_at_an_address_gets_no_work(self):
+        """A request runs at an endpoint of another service.
+
+        An endpoint was replaced and its address belongs to another one now;
+        the gateway's list is old. Cause: the name in the list trusted over
+        the one that the peer proved.
+        """
+        await self.begin()
+        other = gateway_helper.FakeSidecar('e2')
+        await other.server.start()
+        self.addAsyncCleanup(other.server.stop)
+        address = f'127.0.0.1:{other.server.port}'
+        row = builders.instance('e1', address=address)
+        self.shell.feed(events.InstancesListed(0, (row,)))
+        await self.until(lambda: other.downs)
+        self.assertEqual({}, self.shell.links.open_links)
+        await self.assert_problem(self.post(), 503, 'no_endpoint')
