Tell in ConfigurationAt how old it is and whether an answer is wanted

A process must know whether what a peer has read is the end of the log, and a peer whether it is asked. Both fields have defaults, for older versions.

--- a/berylhollow/messages.py
+++ b/berylhollow/messages.py
@@ -218,11 +218,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigurationAt:
-    """How far the sender has read the configuration."""
+    """How far the sender has read the configuration.
+
+    ``age_ms`` is how long ago the log is known to have held no more than
+    this, -1 if that is not known. A ``wanted`` one asks for what follows.
+    """
 
     instance: str
     revision: int
     next_offset: int
+    age_ms: int = -1
+    wanted: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
