Follow the configuration in every process

A pure machine for both reducers: two gateways of a failure domain read the log, entries are pushed over links, each sidecar is fed by two gateways, whoever is behind asks, and whoever hears nothing reads the log itself. Nothing is served before the end of the log is known, or in an outage what the furthest peer has.

--- a/berylhollow/configuration/__init__.py
+++ b/berylhollow/configuration/__init__.py
@@ -9,12 +9,16 @@
 from berylhollow.configuration import _codec
 from berylhollow.configuration import _configuration
 from berylhollow.configuration import _fold
+from berylhollow.configuration import _follower
 from berylhollow.configuration import _history
 from berylhollow.configuration import _log_reader
+from berylhollow.configuration import _spread
 
 STREAM = _log_reader.STREAM
 SNAPSHOT_STREAM = _log_reader.SNAPSHOT_STREAM
 
+LARGEST_PUSH_BYTES = _spread.LARGEST_PUSH_BYTES
+READERS_PER_DOMAIN = _follower.READERS_PER_DOMAIN
 RULE = _codec.RULE
 Accepted = _fold.Accepted
 Change = _changes.Change
@@ -22,6 +26,7 @@
 Delta = _changes.Delta
 EntityKind = _changes.EntityKind
 KINDS = _changes.KINDS
+Follower = _follower.Follower
 History = _history.History
 LogReader = _log_reader.LogReader
 MalformedRecord = _codec.MalformedRecord
@@ -29,6 +34,7 @@
 Put = _changes.Put
 Remove = _changes.Remove
 State = _fold.State
+Status = _follower.Status
 UnknownRule = _codec.UnknownRule
 Verdict = _fold.Verdict
 
--- a/berylhollow/configuration/_codec.py
+++ b/berylhollow/configuration/_codec.py
@@ -22,6 +22,10 @@
 SNAPSHOT_MAGIC = b'bhsn'
 RULE_BYTES = 2
 HEADER_BYTES = len(CHANGE_MAGIC) + RULE_BYTES
+# A snapshot says in its header how far it reaches, so that one that is not
+# needed is never unpacked.
+REACH_BYTES = 8
+SNAPSHOT_HEADER_BYTES = HEADER_BYTES + REACH_BYTES
 # A body that unpacks to more is malformed: it must not fill the memory of
 # every process. 15,000 adapters take about 1 MB.
 LARGEST_BODY_BYTES = 16 * 1024 * 1024
@@ -91,25 +95,35 @@
 def encode_snapshot(snapshot: Snapshot) -> bytes:
     """Return a snapshot as a record of the snapshots stream."""
     body = [
-        snapshot.next_offset,
         snapshot.revision,
         snapshot.digest,
         snapshot.operator,
         snapshot.change_id,
         _encode_whole(snapshot.declared),
     ]
-    return _pack(SNAPSHOT_MAGIC, body)
+    reach = snapshot.next_offset.to_bytes(REACH_BYTES, 'big')
+    return _pack(SNAPSHOT_MAGIC, body, reach)
+
+
+def reach_of(data: bytes) -> int:
+    """Return the ``next_offset`` of a snapshot without unpacking it.
+
+    Raises as ``decode_change``.
+    """
+    _check_header(SNAPSHOT_MAGIC, data)
+    return int.from_bytes(data[HEADER_BYTES:SNAPSHOT_HEADER_BYTES], 'big')
 
 
 def decode_snapshot(data: bytes) -> Snapshot:
     """Return the snapshot of a record; raises as ``decode_change``."""
-    next_offset, revision, digest, operator, change_id, whole = _unpack(
-        SNAPSHOT_MAGIC, data, 6
+    next_offset = reach_of(data)
+    revision, digest, operator, change_id, whole = _unpack(
+        SNAPSHOT_MAGIC, data, 5, SNAPSHOT_HEADER_BYTES
     )
     if len(_typed(digest, bytes)) != DIGEST_BYTES:
         raise MalformedRecord('the digest is not whole')
     return Snapshot(
-        _offset(next_offset),
+        next_offset,
         _offset(revision),
         digest,
         _text(operator),
@@ -123,12 +137,19 @@
     return int.from_bytes(data[len(CHANGE_MAGIC) : HEADER_BYTES], 'big')
 
 
-def _pack(magic: bytes, body: list) -> bytes:
+def _pack(magic: bytes, body: list, extra: bytes = b'') -> bytes:
     packed = zlib.compress(cbor2.dumps(body), COMPRESSION_LEVEL)
-    return magic + RULE.to_bytes(RULE_BYTES, 'big') + packed
+    return magic + RULE.to_bytes(RULE_BYTES, 'big') + extra + packed
+
+
+def _unpack(
+    magic: bytes, data: bytes, count: int, start: int = HEADER_BYTES
+) -> list:
+    _check_header(magic, data)
+    return _array(_load(_decompress(data[start:])), count)
 
 
-def _unpack(magic: bytes, data: bytes, count: int) -> list:
+def _check_header(magic: bytes, data: bytes) -> None:
     if len(data) < HEADER_BYTES or not data.startswith(magic):
         raise MalformedRecord('no record of this kind')
     rule = rule_of(data)
@@ -136,7 +157,6 @@
         raise UnknownRule(rule)
     if rule != RULE:
         raise MalformedRecord(f'there is no rule {rule}')
-    return _array(_load(_decompress(data[HEADER_BYTES:])), count)
 
 
 def _decompress(packed: bytes) -> bytes:
--- a/berylhollow/configuration/_history.py
+++ b/berylhollow/configuration/_history.py
@@ -30,6 +30,7 @@
             maxlen=kept_verdicts
         )
         self.unknown_rule: int | None = None
+        self.packed: bytes | None = None
 
     def add(
         self, entries: collections.abc.Iterable[messages.LogEntry]
@@ -51,6 +52,7 @@
         if verdict.outcome is _fold.Outcome.UNKNOWN_RULE:
             self.unknown_rule = _codec.rule_of(entry.data)
             return False
+        self.packed = None
         self.verdicts.append(verdict)
         self.keep(entry)
         return True
@@ -74,19 +76,30 @@
         alone, so the one that reaches further holds all of the other.
         """
         try:
+            if not self.wants(_codec.reach_of(data)):
+                return False
             state = _fold.from_snapshot(data)
         except (_codec.MalformedRecord, _codec.UnknownRule):
             return False
-        if state.next_offset <= self.state.next_offset:
-            return False
-        if self.reach is not None and state.next_offset > self.reach:
-            return False
         self.state = state
         self.unknown_rule = None
+        self.packed = data
         self.recent.clear()
         self.recent_bytes = 0
         return True
 
+    def wants(self, next_offset: int) -> bool:
+        """Return whether a snapshot that reaches so far is to be taken."""
+        if self.reach is not None and next_offset > self.reach:
+            return False
+        return next_offset > self.state.next_offset
+
+    def snapshot(self) -> bytes:
+        """Return the state as a record; kept until the state changes."""
+        if self.packed is None:
+            self.packed = self.state.snapshot()
+        return self.packed
+
     def entries_from(
         self, offset: int
     ) -> tuple[messages.LogEntry, ...] | None:
--- a/berylhollow/configuration/_log_reader.py
+++ b/berylhollow/configuration/_log_reader.py
@@ -12,7 +12,7 @@
 # Past any record: the log answers with its bounds and no records. Snapshots
 # are large, so only the last may be read.
 PAST_END = 2**62
-LONG_POLL_MS = 5000
+LONG_POLL_MS = 2000
 READ_TIMEOUT_MS = 8000
 FIRST_PAUSE_MS = 200
 LONGEST_PAUSE_MS = 2000
@@ -45,6 +45,7 @@
         self.caught_up_ms: int | None = None
         self.failed = False
         self.failures = 0
+        self.longest_pause_ms = LONGEST_PAUSE_MS
         self.retry_ms = 0
         self.answer_by_ms = 0
         self.snapshot_cursor: int | None = None
@@ -174,8 +175,8 @@
         """Wait before the next read, longer each time, not in step."""
         self.phase = Phase.IDLE
         self.failed = True
-        pause_ms = min(FIRST_PAUSE_MS << self.failures, LONGEST_PAUSE_MS)
-        if pause_ms < LONGEST_PAUSE_MS:
+        pause_ms = min(FIRST_PAUSE_MS << self.failures, self.longest_pause_ms)
+        if pause_ms < self.longest_pause_ms:
             self.failures += 1
         seed = f'{self.name}/{at_ms}'.encode()
         share = (zlib.crc32(seed) % JITTER_STEPS) / JITTER_STEPS
--- /dev/null
+++ b/test/configuration/test_follower.py
@@ -0,0 +1,341 @@
+"""Tests of following: gaps, outages, late and doubled words, retention."""
+
+import unittest
+
+from berylhollow import configuration
+from berylhollow import events
+from berylhollow import messages
+from test import builders as request_builders
+from test import configuration_builders as builders
+from test import fleet as fleets
+
+
+def changes(count, first=1):
+    """Records that follow ``builders.whole()``, each based on the last."""
+    return [
+        builders.change(
+            base, f'c{base}', builders.put('a2', versions=(str(base),))
+        )
+        for base in range(first, first + count)
+    ]
+
+
+class SpreadTest(unittest.TestCase):
+    def test_all_processes_follow_though_few_read_the_log(self):
+        names = [f'g{number}' for number in range(6)] + ['s1', 's2', 's3']
+        fleet = fleets.Fleet(*names)
+        fleet.link_all()
+        fleet.publish(builders.whole())
+        fleet.run(5000)
+        self.assertEqual(set(fleet.revisions().values()), {1})
+        fleet.reads.clear()
+        fleet.publish(*changes(1))
+        fleet.run(3000)
+        self.assertEqual(set(fleet.revisions().values()), {2})
+        self.assertEqual(
+            len(fleet.reads), configuration.READERS_PER_DOMAIN, fleet.reads
+        )
+
+    def test_a_gap_is_asked_for_again(self):
+        """A push is lost with its link; the next one comes on a new link.
+
+        A naive process would apply it to what it has, and judge it by a
+        base revision that it never saw.
+        """
+        fleet = fleets.Fleet('g1', 's1')
+        fleet.link_all()
+        fleet.publish(builders.whole())
+        fleet.run(3000)
+        lost, kept = changes(2)
+        sidecar = fleet.followers['s1']
+        fleet.publish(lost, kept)
+        entry = messages.LogEntry(2, 0, kept)
+        fleet.feed(
+            's1',
+            events.MessageReceived(
+                fleet.clock.now_ms(),
+                'g1',
+                messages.ConfigurationEntries((entry,), 3),
+            ),
+        )
+        self.assertEqual(sidecar.current.revision, 1)
+        (asked,) = fleet.queues['s1', 'g1']
+        self.assertTrue(asked.wanted)
+        self.assertEqual(asked.next_offset, 1)
+        fleet.run(1000)
+        self.assertEqual(sidecar.current.revision, 3)
+
+    def test_what_a_broken_link_lost_is_made_up_when_it_opens(self):
+        fleet = fleets.Fleet('g1', 's1')
+        fleet.link_all()
+        fleet.publish(builders.whole())
+        fleet.run(3000)
+        fleet.publish(*changes(1))
+        fleet.tick('g1')
+        fleet.answer('g1')
+        self.assertTrue(fleet.queues['g1', 's1'])
+        fleet.cut('g1', 's1')
+        fleet.link('g1', 's1')
+        fleet.deliver_all()
+        self.assertEqual(fleet.revision('s1'), 2)
+
+    def test_large_entries_are_offered_and_sent_once(self):
+        """A whole manifest must not come from every neighbour at once."""
+        fleet = fleets.Fleet('g1', 'g2', 'g3', 's1')
+        fleet.read_fails = {'s1'}
+        fleet.link_all()
+        fleet.run(3000)
+        fleet.sent.clear()
+        names = [f'{"x" * 60}{number * 7919}' for number in range(2000)]
+        large = configuration.encode_change(
+            configuration.Change(0, 'op', 'w', whole=builders.declared(*names))
+        )
+        self.assertGreater(len(large), configuration.LARGEST_PUSH_BYTES)
+        fleet.publish(large)
+        fleet.run(3000)
+        self.assertEqual(set(fleet.revisions().values()), {1})
+        # Two of the gateways read the log; the other processes ask.
+        self.assertLessEqual(fleet.sent[messages.ConfigurationEntries], 2)
+
+    def test_a_request_of_a_newer_revision_makes_a_sidecar_ask(self):
+        fleet = fleets.Fleet('g1', 's1')
+        fleet.link_all()
+        fleet.publish(builders.whole())
+        fleet.run(3000)
+        offer = request_builders.offer(revision=2)
+        fleet.feed(
+            's1', events.MessageReceived(fleet.clock.now_ms(), 'g1', offer)
+        )
+        (asked,) = fleet.queues['s1', 'g1']
+        self.assertTrue(asked.wanted)
+
+
+class LeftAloneTest(unittest.TestCase):
+    def test_readers_that_are_listed_but_gone(self):
+        """The chosen readers are dead; the instance list still shows them.
+
+        A process that trusted the choice would stay on its revision for as
+        long as the list lags.
+        """
+        fleet = fleets.Fleet('g1', 'g2', 'g3', 'g4')
+        fleet.link_all()
+        fleet.publish(builders.whole())
+        fleet.run(3000)
+        readers = [
+            name
+            for name, follower in fleet.followers.items()
+            if follower.status(0).reads_log
+        ]
+        fleet.live = list(fleet.followers)
+        for name in readers:
+            for other in fleet.live:
+                fleet.cut(name, other)
+            del fleet.followers[name]
+        self.assertEqual(len(fleet.followers), 2)
+        fleet.publish(*changes(1))
+        fleet.run(12_000)
+        self.assertEqual(set(fleet.revisions().values()), {2})
+
+    def test_nobody_is_live_by_the_list(self):
+        fleet = fleets.Fleet('g1', 'g2', 's1')
+        fleet.live = []
+        fleet.publish(builders.whole())
+        fleet.run(12_000)
+        self.assertEqual(set(fleet.revisions().values()), {1})
+        fleet.publish(*changes(1))
+        fleet.run(45_000)
+        self.assertEqual(set(fleet.revisions().values()), {2})
+
+
+class StartTest(unittest.TestCase):
+    def test_in_an_outage_a_new_process_learns_the_newest_from_peers(self):
+        """The log is down and a gateway is replaced; its peers differ.
+
+        One peer was cut off and lags. A process that served what the first
+        peer told would answer by an older revision than its predecessor.
+        """
+        fleet = fleets.Fleet('g1', 'g2', 's1')
+        fleet.link_all()
+        fleet.publish(builders.whole())
+        fleet.run(3000)
+        fleet.cut('g1', 's1')
+        fleet.cut('g2', 's1')
+        fleet.read_fails = {'s1'}
+        fleet.publish(*changes(2))
+        fleet.run(3000)
+        self.assertEqual(fleet.revisions(), {'g1': 3, 'g2': 3, 's1': 1})
+        fleet.log.start_fault('log_down', 3_600_000)
+        fleet.begin('g2')
+        fleet.link('g2', 's1')
+        fleet.run(300)
+        self.assertEqual(fleet.revision('g2'), 0)
+        fleet.link('g2', 'g1')
+        fleet.run(3000)
+        self.assertEqual(fleet.revision('g2'), 3)
+        self.assertEqual(fleet.revision('s1'), 3)
+
+    def test_nothing_is_served_before_the_end_of_the_log_is_known(self):
+        """The newest snapshot can be read, the entries after it can't.
+
+        Serving the snapshot would bring back what was changed since.
+        """
+        fleet = fleets.Fleet('g1')
+        fleet.publish(builders.whole())
+        fleet.run(1000)
+        snapshot = fleet.followers['g1'].history.snapshot()
+        fleet.log.put(configuration.SNAPSHOT_STREAM, snapshot)
+        fleet.publish(*changes(3))
+        fleet.begin('g1')
+        for _ in range(2):
+            fleet.answer('g1')
+        self.assertEqual(
+            fleet.followers['g1'].history.state.configuration.revision, 1
+        )
+        fleet.log.start_fault('log_down', 30_000)
+        fleet.run(20_000)
+        self.assertEqual(fleet.revision('g1'), 0)
+        fleet.run(15_000)
+        self.assertEqual(fleet.revision('g1'), 4)
+
+    def test_an_empty_log_gives_no_configuration(self):
+        fleet = fleets.Fleet('g1', 's1')
+        fleet.link_all()
+        fleet.run(5000)
+        self.assertIsNone(fleet.followers['g1'].current)
+        fleet.publish(builders.whole())
+        fleet.run(3000)
+        self.assertEqual(fleet.revisions(), {'g1': 1, 's1': 1})
+
+
+class RevertTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = fleets.Fleet('g1', 's1')
+        self.fleet.link_all()
+        self.fleet.publish(builders.whole())
+        self.fleet.run(3000)
+        self.old = self.fleet.followers['g1'].history.snapshot()
+        self.fleet.publish(*changes(3))
+        self.fleet.run(3000)
+
+    def test_an_old_snapshot_from_a_peer_changes_nothing(self):
+        """A peer that lags sends what it has, as a whole configuration.
+
+        A process that takes a snapshot for the newest state brings back a
+        version that the operators have taken off.
+        """
+        message = messages.ConfigurationSnapshot(self.old)
+        event = events.MessageReceived(
+            self.fleet.clock.now_ms(), 'g1', message
+        )
+        self.fleet.feed('s1', event)
+        self.assertEqual(self.fleet.revision('s1'), 4)
+
+    def test_doubled_and_late_entries_change_nothing(self):
+        digest = self.fleet.followers['s1'].status(0).digest
+        entries = self.fleet.followers['g1'].history.entries_from(0)
+        for part in (entries, entries[:1], entries[2:]):
+            message = messages.ConfigurationEntries(part, 4)
+            self.fleet.feed(
+                's1',
+                events.MessageReceived(
+                    self.fleet.clock.now_ms(), 'g1', message
+                ),
+            )
+        self.assertEqual(self.fleet.revision('s1'), 4)
+        self.assertEqual(self.fleet.followers['s1'].status(0).digest, digest)
+
+    def test_the_served_revision_never_falls_by_a_fault_elsewhere(self):
+        follower = self.fleet.followers['s1']
+        follower.history.state = configuration.from_snapshot(self.old)
+        follower.advance(self.fleet.clock.now_ms())
+        self.assertEqual(follower.current.revision, 4)
+
+
+class RetentionTest(unittest.TestCase):
+    def test_snapshots_outlive_the_log_when_nothing_changes(self):
+        """Nobody publishes for longer than the log keeps records.
+
+        The last change and every snapshot before are cut off. A process
+        that starts then must still find the configuration on the log.
+        """
+        fleet = fleets.Fleet('g1', 'g2', retention_ms=3_600_000)
+        fleet.publish(builders.whole(), *changes(2))
+        fleet.run(2000)
+        for _ in range(10):
+            self.skip(fleet, 20 * 60 * 1000)
+        # All are replaced at once; nothing is left but the log.
+        fleet.begin('g1')
+        fleet.begin('g2')
+        fleet.run(5000)
+        self.assertEqual(fleet.revisions(), {'g1': 3, 'g2': 3})
+        records = fleet.log.model.streams[configuration.STREAM]
+        self.assertEqual(records.first_offset, records.next_offset)
+
+    def skip(self, fleet, duration_ms):
+        """Let time pass in a leap; what is due is done after it."""
+        fleet.clock.advance(duration_ms)
+        fleet.run(1000)
+
+    def test_a_paused_writer_writes_an_old_snapshot_after_the_new(self):
+        """A gateway is paused in the middle of writing a snapshot.
+
+        It wakes after the log has cut off what its snapshot needs, and its
+        old snapshot becomes the last one on the log.
+        """
+        fleet = fleets.Fleet('g1', retention_ms=60_000)
+        fleet.publish(builders.whole())
+        fleet.run(1000)
+        old = fleet.followers['g1'].history.snapshot()
+        fleet.publish(*changes(2))
+        fleet.run(1000)
+        new = fleet.followers['g1'].history.snapshot()
+        fleet.clock.advance(90_000)
+        fleet.publish(*changes(1, first=3))
+        fleet.log.put(configuration.SNAPSHOT_STREAM, new, old)
+        fleet.begin('g1')
+        fleet.run(3000)
+        self.assertEqual(fleet.revision('g1'), 4)
+
+    def test_a_gap_is_told_and_not_skipped(self):
+        fleet = fleets.Fleet('g1', retention_ms=60_000)
+        fleet.publish(builders.whole())
+        fleet.clock.advance(90_000)
+        fleet.publish(*changes(1))
+        fleet.run(5000)
+        status = fleet.followers['g1'].status(fleet.clock.now_ms())
+        self.assertTrue(status.gap)
+        self.assertEqual((status.revision, status.next_offset), (0, 0))
+
+    def test_a_snapshot_that_was_not_taken_is_written_again(self):
+        fleet = fleets.Fleet('g1')
+        fleet.publish(builders.whole())
+        fleet.run(1000)
+        fleet.log.start_fault('log_down', 130_000)
+        fleet.run(125_000)
+        records = fleet.log.model.streams[configuration.SNAPSHOT_STREAM]
+        self.assertEqual(records.next_offset, 0)
+        fleet.run(40_000)
+        self.assertEqual(records.next_offset, 1)
+
+
+class TwoVersionsTest(unittest.TestCase):
+    def test_older_software_stays_and_says_why(self):
+        """Newer software publishes by a rule that a process doesn't know.
+
+        It must stay on the revision that it knows, go on serving, and name
+        the rule; what it is sent afterwards must not move it.
+        """
+        fleet = fleets.Fleet('g1', 's1')
+        fleet.link_all()
+        fleet.publish(builders.whole())
+        fleet.run(3000)
+        newer = builders.with_rule(changes(1)[0], 2)
+        fleet.publish(newer, *changes(2))
+        fleet.run(15_000)
+        for name in ('g1', 's1'):
+            status = fleet.followers[name].status(fleet.clock.now_ms())
+            self.assertEqual(status.revision, 1)
+            self.assertEqual(status.next_offset, 1)
+            self.assertGreater(status.age_ms, 10_000)
+        status = fleet.followers['g1'].status(fleet.clock.now_ms())
+        self.assertEqual(status.unknown_rule, 2)
--- a/test/model_log.py
+++ b/test/model_log.py
@@ -28,9 +28,10 @@
         self.read_fails = lambda: False
 
     def put(self, stream, *records):
-        """Append records as another process would."""
+        """Append records as others would, also just before an outage."""
+        now_ms = self.clock.now_ms()
         for data in records:
-            self.model.append(stream, data, self.clock.now_ms())
+            self.model.retained(stream, now_ms).append(data, now_ms)
 
     def start_fault(self, fault, for_ms):
         self.model.faults.start(fault, self.clock.now_ms(), for_ms)
