Take the gateway's metrics into the table

Cause: the gateway's shell counts under names that the table lacked, so that its durations and errors were rejected, and errors would have been counted by the reducer too. The gateway joins the test of the built program. Conclusion: what /metrics of a gateway documents is there.

--- a/berylhollow/gateway/_counts.py
+++ b/berylhollow/gateway/_counts.py
@@ -6,26 +6,14 @@
 
 
 def of(state: _state.State, done: list[effects.Effect]) -> list[effects.Count]:
-    """Return the counts of one event, from what it led to."""
+    """Return the counts of one event; errors are counted by the shell."""
     counts = []
     for effect in done:
-        if isinstance(effect, effects.AnswerError | effects.BreakAnswer):
-            counts.append(_error(effect))
-        elif isinstance(effect, effects.Send):
+        if isinstance(effect, effects.Send):
             counts += _attempt(state, effect.message)
     return counts
 
 
-def _error(
-    effect: effects.AnswerError | effects.BreakAnswer,
-) -> effects.Count:
-    attributes = (
-        ('error.type', effect.kind.value),
-        ('berylhollow.ran', effect.ran.value),
-    )
-    return effects.Count('berylhollow.errors', 1, attributes)
-
-
 def _attempt(
     state: _state.State, message: messages.Message
 ) -> list[effects.Count]:
--- a/berylhollow/gateway/_shell.py
+++ b/berylhollow/gateway/_shell.py
@@ -21,6 +21,7 @@
 from berylhollow.gateway import _links
 from berylhollow.gateway import _pages
 from berylhollow.gateway import _relay
+from berylhollow import logs
 from berylhollow import messages
 from berylhollow import settings as all_settings
 from berylhollow import shell
@@ -327,4 +328,4 @@
 
 def _log(effect: effects.Log) -> None:
     level = logging.WARNING if effect.warning else logging.INFO
-    LOG.log(level, effect.text, extra=dict(effect.fields))
+    LOG.log(level, effect.text, extra=logs.extra(effect.fields))
--- a/berylhollow/gateway/service.py
+++ b/berylhollow/gateway/service.py
@@ -7,6 +7,7 @@
 
 from berylhollow import following
 from berylhollow.gateway import _options
+from berylhollow.gateway import _pages
 from berylhollow.gateway import _reducer
 from berylhollow.gateway import _shell
 from berylhollow.gateway import _state
@@ -70,6 +71,16 @@
             meters.add,
             meters.render,
         )
+        self._observe(meters)
+
+    def _observe(self, meters: metrics.Meters) -> None:
+        meters.observe(
+            'http.server.active_requests', lambda: self.shell.in_flight
+        )
+        meters.observe(
+            'berylhollow.revision',
+            lambda: _pages.revision(self.shell.driver.state),
+        )
 
     async def start(self) -> None:
         """Listen and begin."""
--- a/berylhollow/metrics/_instruments.py
+++ b/berylhollow/metrics/_instruments.py
@@ -51,6 +51,40 @@
 BATCH = (1.0, 2.0, 4.0, 8.0, 16.0, 32.0, 64.0)
 
 _TABLE = (
+    Instrument(
+        'http.server.request.duration',
+        HISTOGRAM,
+        's',
+        'From the arrival of a request to the last byte of its answer.',
+        ('http.request.method', 'http.response.status_code', SERVICE, ERROR),
+        SECONDS,
+    ),
+    Instrument(
+        'http.server.active_requests',
+        OBSERVED_GAUGE,
+        '{request}',
+        'Requests of callers being served.',
+    ),
+    Instrument(
+        'berylhollow.first_token.duration',
+        HISTOGRAM,
+        's',
+        'From the arrival of a request to the first byte of its answer body.',
+        (SERVICE,),
+        SECONDS,
+    ),
+    Instrument(
+        'berylhollow.revision',
+        OBSERVED_GAUGE,
+        '{revision}',
+        'Revision of the configuration in force, 0 before there is one.',
+    ),
+    Instrument(
+        'berylhollow.late_frames',
+        COUNTER,
+        '{frame}',
+        'Frames that a gateway dropped because their attempt is over.',
+    ),
     Instrument(
         'berylhollow.attempts',
         COUNTER,
@@ -65,7 +99,7 @@
         '{request}',
         'Requests that a gateway answered with an error, by its kind and '
         'whether they ran.',
-        (ERROR, RAN),
+        (SERVICE, ERROR, RAN),
     ),
     Instrument(
         'berylhollow.attempts.failed',
--- a/test/binary_test.py
+++ b/test/binary_test.py
@@ -28,6 +28,7 @@
 }
 # Every command that stays, with settings that it starts on.
 SERVERS = (
+    (('gateway',), SETTINGS | PLATFORM | {'peers': {'port': 0}}),
     (('sidecar',), SETTINGS | PLATFORM | SIDECAR),
     (('stand-in', 'platform'), SETTINGS),
     (('stand-in', 'engine'), SETTINGS | PLATFORM),
