Leave only when every gateway knows of it

Cause: a sidecar that was told to stop and ran nothing exited at once. An offer on its way was lost with it, and its gateway had to answer that the outcome is unknown: a key lost to a planned stop. Found by the fault matrix (keyed request, endpoint leaving at "records claims").

Change: a gateway closes its link to a leaving endpoint once it has nothing placed there; the sidecar exits when every gateway has done so, or after farewell_ms. A gateway that comes back to look is waited for only once.

Conclusion: a planned stop of a sidecar loses no offer, as long as a gateway hears of it within farewell_ms.

--- a/berylhollow/gateway/_attempts.py
+++ b/berylhollow/gateway/_attempts.py
@@ -131,6 +131,8 @@
         return state.follower.handle(event)
     endpoint.link = _state.LinkPhase.CLOSED
     endpoint.retry_link_at_ms = event.at_ms
+    if endpoint.leaving:
+        endpoint.retry_link_at_ms += state.options.leaving_retry_ms
     for attempt_id in endpoint.placed:
         active = state.request_of(attempt_id)
         if active is not None and active.resume_by_ms is None:
--- a/berylhollow/gateway/_membership.py
+++ b/berylhollow/gateway/_membership.py
@@ -20,6 +20,7 @@
         done.append(effects.ReadInstances())
     for name, endpoint in state.endpoints.items():
         done += _open_link(name, endpoint, at_ms)
+        done += _say_farewell(name, endpoint)
     return done
 
 
@@ -107,6 +108,21 @@
     return [effects.OpenLink(name, endpoint.instance.address)]
 
 
+def _say_farewell(
+    name: str, endpoint: _state.Endpoint
+) -> list[effects.Effect]:
+    """Close the link to a leaving endpoint that owes us nothing more.
+
+    Its sidecar waits for this before it exits: after it, no offer of ours
+    can be under way.
+    """
+    if not endpoint.leaving or endpoint.placed:
+        return []
+    if endpoint.link is not _state.LinkPhase.OPEN:
+        return []
+    return [effects.CloseLink(name)]
+
+
 def _open_peers(state: _state.State) -> list[str]:
     endpoints = [
         name
--- a/berylhollow/gateway/_options.py
+++ b/berylhollow/gateway/_options.py
@@ -10,7 +10,8 @@
     """Limits and times of one gateway; durations in milliseconds.
 
     ``attempts`` bounds the attempts of one request. ``link_retry_ms`` is
-    the pause before a refused link is opened again, ``resume_ms`` how long a
+    the pause before a refused link is opened again, ``leaving_retry_ms``
+    before one to an endpoint that was leaving, ``resume_ms`` how long a
     broken link may take to come back before its answers are given up.
     ``claim_ms`` bounds the wait for the log's decision about a key,
     ``claim_window_ms`` is how long a key is held; it must be shorter than
@@ -33,6 +34,7 @@
     attempts: int = 3
     instance_poll_ms: int = 1000
     link_retry_ms: int = 500
+    leaving_retry_ms: int = 500
     resume_ms: int = 3000
     claim_partitions: int = 4
     claim_window_ms: int = 6 * 3600 * 1000
--- a/berylhollow/sidecar/_options.py
+++ b/berylhollow/sidecar/_options.py
@@ -18,7 +18,9 @@
     longer than ``load_hang_ms`` no longer holds up other slots.
     ``settle_ms`` must be longer than an order can be under way to an engine;
     ``takeover_wait_ms`` is how long the log may keep a new sidecar from
-    ordering before it takes its number from the engine.
+    ordering before it takes its number from the engine. ``farewell_ms`` is
+    how long a stop waits for gateways to close their links; it must be
+    longer than a link lasts whose peer is silent.
     """
 
     instance: str
@@ -40,6 +42,7 @@
     isolation_gap_ms: int = 1000
     suspicion: quarantine.Rules = quarantine.Rules()
     stop_grace_ms: int = 600_000
+    farewell_ms: int = 15_000
     policy: str = 'adaptive'
     load_ask_ms: int = 500
     coordinator_silence_ms: int = 1500
--- a/berylhollow/sidecar/_reducer.py
+++ b/berylhollow/sidecar/_reducer.py
@@ -58,13 +58,16 @@
 
 def _link_opened(state: _state.State, event: events.LinkOpened) -> Effects:
     state.links[event.peer] = event.incarnation
+    _shutdown.link_opened(state, event)
     done = state.follower.handle(event)
     return done + _reports.tell(state, event.peer, event.at_ms)
 
 
 def _link_closed(state: _state.State, event: events.LinkClosed) -> Effects:
+    _shutdown.link_closed(state, event)
     state.links.pop(event.peer, None)
-    return state.follower.handle(event)
+    done = state.follower.handle(event)
+    return done + _shutdown.tick(state, event.at_ms)
 
 
 def _appended(state: _state.State, event: events.Event) -> Effects:
--- a/berylhollow/sidecar/_state.py
+++ b/berylhollow/sidecar/_state.py
@@ -117,7 +117,9 @@
 class State:
     """Everything that a sidecar's reducer remembers.
 
-    ``ended`` holds the ended ones of ``attempts`` in the order they ended.
+    ``ended`` holds the ended ones of ``attempts`` in the order they ended,
+    ``farewells`` the gateways that have to close their links before we exit,
+    ``farewells_had`` the incarnations of those that have done so.
     """
 
     options: _options.Options
@@ -155,6 +157,9 @@
     reported_ms: int = -1_000_000
     stopping: bool = False
     stop_by_ms: int = 0
+    farewells: set[str] = dataclasses.field(default_factory=set)
+    farewells_had: set[str] = dataclasses.field(default_factory=set)
+    farewell_by_ms: int = 0
     exited: bool = False
 
     def __post_init__(self):
--- a/test/test_gateway.py
+++ b/test/test_gateway.py
@@ -57,6 +57,20 @@
         self.assertNotEqual(peer, send.peer)
         self.assertNotEqual(attempt_id, send.message.attempt_id)
 
+    def test_link_to_a_leaving_endpoint_is_closed_once_it_owes_nothing(self):
+        peer, attempt_id = self.arrive()
+        self.begin_answer(peer, attempt_id)
+        self.state.endpoints[peer].leaving = True
+        self.feed(events.Ticked(10))
+        self.assertEqual([], self.of_type(effects.CloseLink))
+        self.feed(events.AnswerRelayed(20, 'r1', attempt_id, 200))
+        self.feed(events.Ticked(30))
+        self.assertEqual(
+            [effects.CloseLink(peer)], self.of_type(effects.CloseLink)
+        )
+        self.feed(events.LinkClosed(40, peer), events.Ticked(50))
+        self.assertEqual([], self.of_type(effects.OpenLink))
+
     def test_unknown_outcome_is_not_tried_again(self):
         """A booking is made twice.
 
--- a/test/test_sidecar.py
+++ b/test/test_sidecar.py
@@ -112,6 +112,39 @@
         self.assertIs(errors.Ran.NOT_RUN, self.failure().ran)
         self.assertEqual([], self.of_type(effects.Exit))
         self.feed(events.RunEnded(4, 'r1.1', 1), events.Ticked(5))
+        self.assertEqual([], self.of_type(effects.Exit))
+        self.feed(events.LinkClosed(6, 'g1'))
+        self.assertEqual([effects.Exit(0)], self.of_type(effects.Exit))
+
+    def test_stop_waits_for_offers_that_are_under_way(self):
+        """A porting order is lost to a planned stop.
+
+        The sidecar is idle when it is told to stop and exits at once; an
+        offer sent just before arrives nowhere, and its gateway has to answer
+        that the outcome is unknown. Cause: an exit before each gateway knows.
+        """
+        self.feed(events.StopRequested(3), events.Ticked(4))
+        self.assertEqual([], self.of_type(effects.Exit))
+        self.offer('r1.1')
+        self.assertIs(errors.Kind.LEAVING, self.failure().kind)
+        self.feed(events.LinkClosed(5, 'g1'))
+        self.assertEqual([effects.Exit(0)], self.of_type(effects.Exit))
+
+    def test_stop_waits_only_once_for_each_gateway(self):
+        """A stop never ends under many gateways.
+
+        Each gateway that said farewell looks again whether the endpoint was
+        replaced, and with many of them some link is always open.
+        """
+        gateway = events.Role.GATEWAY
+        self.feed(events.LinkOpened(1, 'g2', gateway, 'i2'))
+        self.feed(events.StopRequested(3), events.LinkClosed(4, 'g2'))
+        self.feed(events.LinkOpened(5, 'g2', gateway, 'i2'))
+        self.feed(events.LinkClosed(6, 'g1'))
+        self.assertEqual([effects.Exit(0)], self.of_type(effects.Exit))
+
+    def test_stop_does_not_wait_for_ever_for_a_gateway(self):
+        self.feed(events.StopRequested(3), events.Ticked(20_000))
         self.assertEqual([effects.Exit(0)], self.of_type(effects.Exit))
 
     def test_an_ended_attempt_is_remembered_while_its_cancel_is_open(self):
