--- /dev/null
+++ b/berylhollow/ui/_quarantine_log.py
@@ -0,0 +1,66 @@
+"""What the commands about quarantine have in common: the log's stream."""
+
+import argparse
+import asyncio
+import collections.abc
+import typing
+
+from berylhollow import outgoing
+from berylhollow import platform
+from berylhollow import quarantine
+from berylhollow.util import exits
+
+Result = typing.TypeVar('Result')
+Action = collections.abc.Callable[
+    [platform.LogClient], collections.abc.Awaitable[Result]
+]
+
+
+def add_platform(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        '--platform',
+        required=True,
+        metavar='URL',
+        help='the platform, whose log service keeps the quarantine stream',
+    )
+
+
+def with_log(url: str, action: Action[Result]) -> Result:
+    """Run an action on the log; say in one line if it gives no answer."""
+    try:
+        return asyncio.run(_with_log(url, action))
+    except outgoing.CallError as error:
+        raise exits.UserError(
+            f'the log gave no answer: {error}', exits.ExitCode.UNAVAILABLE
+        ) from error
+
+
+async def read_all(log: platform.LogClient) -> list[quarantine.Record]:
+    """Return the records of the stream that are kept, oldest first.
+
+    A record that is not understood is passed over, as gateways do.
+    """
+    found: list[quarantine.Record] = []
+    offset = 0
+    while True:
+        try:
+            page = await log.read(quarantine.STREAM, offset)
+        except platform.OffsetGone as gone:
+            offset = gone.first_offset
+            continue
+        if not page.records:
+            return found
+        for record in page.records:
+            offset = record.offset + 1
+            try:
+                found.append(quarantine.decode(record.data))
+            except quarantine.RecordError:
+                continue
+
+
+async def _with_log(url: str, action: Action[Result]) -> Result:
+    log = platform.LogClient(url)
+    try:
+        return await action(log)
+    finally:
+        await log.close()
--- a/berylhollow/ui/commands.py
+++ b/berylhollow/ui/commands.py
@@ -77,8 +77,19 @@
         'berylhollow.ui.settle_command',
         'tell what became of a change whose answer was lost',
     ),
+    Command(
+        'quarantine list',
+        'berylhollow.ui.quarantine_list_command',
+        'show the requests that are suspect of crashing endpoints',
+    ),
+    Command(
+        'quarantine lift',
+        'berylhollow.ui.quarantine_lift_command',
+        'let a request run again',
+    ),
 )
 
 GROUPS = {
-    'stand-in': 'run a small stand-in for the platform, an engine or a service'
+    'quarantine': 'see and lift the quarantine of requests',
+    'stand-in': 'run a small stand-in for the platform, an engine or a service',
 }
