--- a/berylhollow/ui/commands.py
+++ b/berylhollow/ui/commands.py
@@ -91,5 +91,5 @@
 
 GROUPS = {
     'quarantine': 'see and lift the quarantine of requests',
-    'stand-in': 'run a small stand-in for the platform, an engine or a service',
+    'stand-in': 'run a stand-in of the platform, an engine or a service',
 }
