Let gateways and sidecars follow the configuration

Both services used a follower that follows nothing, so no request could be served. The instance list and offers reach the follower; the status pages and two metrics show revision and age.

--- a/berylhollow/configuration/__init__.py
+++ b/berylhollow/configuration/__init__.py
@@ -34,7 +34,6 @@
 Put = _changes.Put
 Remove = _changes.Remove
 State = _fold.State
-Status = _follower.Status
 UnknownRule = _codec.UnknownRule
 Verdict = _fold.Verdict
 
--- a/berylhollow/configuration/_follower.py
+++ b/berylhollow/configuration/_follower.py
@@ -1,7 +1,6 @@
 """Following the configuration: inside the reducers of both roles."""
 
 import collections.abc
-import dataclasses
 
 from berylhollow.configuration import _configuration
 from berylhollow.configuration import _history
@@ -11,6 +10,7 @@
 from berylhollow.configuration import _spread
 from berylhollow import effects
 from berylhollow import events
+from berylhollow import following
 from berylhollow import messages
 
 Effects = list[effects.Effect]
@@ -30,24 +30,6 @@
 PEERS_WAIT_MS = 5000
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Status:
-    """How far a process follows, for operators.
-
-    ``age_ms`` is how long ago the log is known to have held no more, -1 if
-    that was never known; ``unknown_rule`` is set when only newer software
-    could go on; ``gap`` when records are gone that no snapshot holds.
-    """
-
-    revision: int
-    next_offset: int
-    digest: str
-    age_ms: int
-    reads_log: bool
-    unknown_rule: int | None
-    gap: bool
-
-
 class Follower:
     """Keeps ``current`` at the newest accepted revision; a pure machine.
 
@@ -290,10 +272,10 @@
         wait_ms = PEERS_WAIT_MS if self.spread.ahead else PEERS_GRACE_MS
         return at_ms - first_ms >= wait_ms
 
-    def status(self, at_ms: int) -> Status:
+    def status(self, at_ms: int) -> following.Status:
         """Return how far we are, for operators."""
         state = self.history.state
-        return Status(
+        return following.Status(
             0 if self.current is None else self.current.revision,
             state.next_offset,
             state.digest.hex(),
--- a/berylhollow/following.py
+++ b/berylhollow/following.py
@@ -1,7 +1,10 @@
 """What the reducers need of the configuration, whoever follows it."""
 
+import collections.abc
+import dataclasses
 import typing
 
+from berylhollow import clock
 from berylhollow import effects
 from berylhollow import errors
 from berylhollow import events
@@ -54,6 +57,24 @@
         """Return a caller; one that is not declared has the defaults."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Status:
+    """How far a process follows, for operators.
+
+    ``age_ms`` is how long ago the log is known to have held no more, -1 if
+    that was never known; ``unknown_rule`` is set when only newer software
+    could go on; ``gap`` when records are gone that no snapshot holds.
+    """
+
+    revision: int = 0
+    next_offset: int = 0
+    digest: str = ''
+    age_ms: int = -1
+    reads_log: bool = False
+    unknown_rule: int | None = None
+    gap: bool = False
+
+
 class Follower(typing.Protocol):
     """Follows the configuration on the log and from peers."""
 
@@ -74,6 +95,9 @@
     ) -> list[effects.Effect]:
         """Ask for what is missing and pass on what others miss."""
 
+    def status(self, at_ms: int) -> Status:
+        """Return how far we are, for operators."""
+
 
 class NothingToFollow:
     """A follower for a process that needs no configuration."""
@@ -94,3 +118,27 @@
         self_id: str,
     ) -> list[effects.Effect]:
         return []
+
+    def status(self, at_ms: int) -> Status:
+        return Status()
+
+
+class Meters(typing.Protocol):
+    """What takes the values of metrics."""
+
+    def observe(
+        self, name: str, read: collections.abc.Callable[[], float]
+    ) -> None:
+        """Call ``read`` for the value of a metric."""
+
+
+def observe(follower: Follower, time: clock.Clock, meters: Meters) -> None:
+    """Show in the metrics how far a follower is."""
+    meters.observe(
+        'berylhollow.revision',
+        lambda: follower.status(time.now_ms()).revision,
+    )
+    meters.observe(
+        'berylhollow.configuration.age',
+        lambda: follower.status(time.now_ms()).age_ms,
+    )
--- a/berylhollow/gateway/_membership.py
+++ b/berylhollow/gateway/_membership.py
@@ -57,6 +57,7 @@
             )
             del state.endpoints[name]
             done.append(effects.CloseLink(name))
+    done += state.follower.handle(event)
     return done + tick(state, event.at_ms)
 
 
--- a/berylhollow/gateway/_pages.py
+++ b/berylhollow/gateway/_pages.py
@@ -1,5 +1,6 @@
 """The gateway's own pages: health, readiness, status and metrics."""
 
+import dataclasses
 import typing
 
 from aiohttp import web
@@ -61,6 +62,9 @@
                 'version': berylhollow.__version__,
                 'failure_domain': self.owner.settings.failure_domain,
                 'revision': revision(state),
+                'configuration': dataclasses.asdict(
+                    state.follower.status(self.owner.driver.time.now_ms())
+                ),
                 'stopping': self.owner.stopping,
                 'in_flight': self.owner.in_flight,
                 'endpoints': [
--- a/berylhollow/gateway/service.py
+++ b/berylhollow/gateway/service.py
@@ -5,9 +5,10 @@
 
 import aiomisc
 
+from berylhollow import configuration
+from berylhollow import events
 from berylhollow import following
 from berylhollow.gateway import _options
-from berylhollow.gateway import _pages
 from berylhollow.gateway import _reducer
 from berylhollow.gateway import _shell
 from berylhollow.gateway import _state
@@ -49,6 +50,15 @@
     return _state.State(options, follower)
 
 
+def make_follower(
+    settings: all_settings.GatewaySettings,
+) -> configuration.Follower:
+    """Return what follows the configuration for a gateway."""
+    return configuration.Follower(
+        settings.instance, events.Role.GATEWAY, settings.failure_domain
+    )
+
+
 class GatewayService(aiomisc.Service):
     """Starts and stops one gateway with its process."""
 
@@ -67,7 +77,7 @@
         self.shell = _shell.Shell(
             settings,
             _reducer.reduce,
-            make_state(settings, following.NothingToFollow()),
+            make_state(settings, make_follower(settings)),
             meters.add,
             meters.render,
         )
@@ -77,10 +87,8 @@
         meters.observe(
             'http.server.active_requests', lambda: self.shell.in_flight
         )
-        meters.observe(
-            'berylhollow.revision',
-            lambda: _pages.revision(self.shell.driver.state),
-        )
+        driver = self.shell.driver
+        following.observe(driver.state.follower, driver.time, meters)
 
     async def start(self) -> None:
         """Listen and begin."""
--- a/berylhollow/metrics/_instruments.py
+++ b/berylhollow/metrics/_instruments.py
@@ -153,6 +153,13 @@
         '{attempt}',
         'Offers of an attempt that the sidecar already had; ignored.',
     ),
+    Instrument(
+        'berylhollow.configuration.age',
+        OBSERVED_GAUGE,
+        'ms',
+        'How long ago the log is known to have held no newer change; -1 if '
+        'that was never known.',
+    ),
     Instrument(
         'berylhollow.log_lines_dropped',
         OBSERVED_COUNTER,
--- a/berylhollow/sidecar/_pages.py
+++ b/berylhollow/sidecar/_pages.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 
 import berylhollow
+from berylhollow import following
 from berylhollow import metrics
 from berylhollow import settings as all_settings
 from berylhollow.sidecar import _shell
@@ -68,7 +69,11 @@
 
     def _status(self) -> web.Response:
         return web.json_response(
-            dataclasses.asdict(describe(self.shell.driver.state))
+            dataclasses.asdict(
+                describe(
+                    self.shell.driver.state, self.shell.driver.time.now_ms()
+                )
+            )
         )
 
     def _metrics(self) -> web.Response:
@@ -101,9 +106,10 @@
     queued: int
     gateways: tuple[str, ...]
     slots: tuple[SlotStatus, ...]
+    configuration: following.Status
 
 
-def describe(state) -> Status:
+def describe(state, at_ms: int) -> Status:
     """Return the status of a reducer's state."""
     return Status(
         instance=state.options.instance,
@@ -117,6 +123,7 @@
         queued=len(state.queue),
         gateways=tuple(state.links),
         slots=tuple(_slot(slot) for slot in state.slots),
+        configuration=state.follower.status(at_ms),
     )
 
 
--- a/berylhollow/sidecar/_reducer.py
+++ b/berylhollow/sidecar/_reducer.py
@@ -53,7 +53,8 @@
     handler = _MESSAGES.get(type(event.message))
     if handler is None:
         return state.follower.handle(event)
-    return handler(state, event)
+    # An offer tells the gateway's revision, which may be newer than ours.
+    return handler(state, event) + state.follower.handle(event)
 
 
 def _link_opened(state: _state.State, event: events.LinkOpened) -> Effects:
--- a/berylhollow/sidecar/service.py
+++ b/berylhollow/sidecar/service.py
@@ -4,6 +4,8 @@
 
 import aiomisc
 
+from berylhollow import configuration
+from berylhollow import events
 from berylhollow import following
 from berylhollow import metrics
 from berylhollow import settings as all_settings
@@ -51,6 +53,15 @@
     return _state.State(options, follower)
 
 
+def make_follower(
+    settings: all_settings.SidecarSettings,
+) -> configuration.Follower:
+    """Return what follows the configuration for a sidecar."""
+    return configuration.Follower(
+        settings.instance, events.Role.ENDPOINT, settings.failure_domain
+    )
+
+
 class SidecarService(aiomisc.Service):
     """Starts and stops one sidecar with its process."""
 
@@ -68,7 +79,7 @@
         self.shell = _shell.Shell(
             settings,
             _reducer.reduce,
-            make_state(settings, following.NothingToFollow()),
+            make_state(settings, make_follower(settings)),
             meters.add,
         )
         self._observe(meters)
@@ -83,6 +94,7 @@
         meters.observe(
             'berylhollow.running', lambda: len(state.running), service
         )
+        following.observe(state.follower, self.shell.driver.time, meters)
 
     async def start(self) -> None:
         """Take the port and begin."""
--- a/test/builders.py
+++ b/test/builders.py
@@ -4,6 +4,7 @@
 
 from berylhollow import errors
 from berylhollow import events
+from berylhollow import following
 from berylhollow import gateway
 from berylhollow import messages
 from berylhollow import sidecar
@@ -64,6 +65,9 @@
     def tick(self, at_ms, live_gateways, peers, self_id):
         return []
 
+    def status(self, at_ms):
+        return following.Status(self.current.revision)
+
 
 def adapter(name='a1', version='1'):
     return messages.AdapterVersion(name, version)
