Pass tokens to callers without waking a task

Cause: each token woke the task of its request, made a timeout and joined a list of one; uvloop holds what was just written until the end of the loop turn, so the wait for room was taken every time. Change: while the connection takes them, payloads go from the link straight to it; the task sleeps until the answer ends or the connection takes no more.

--- a/berylhollow/gateway/_responding.py
+++ b/berylhollow/gateway/_responding.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections.abc
 import typing
 
 from aiohttp import abc
@@ -101,6 +102,7 @@
         self.bodiless = (
             request.method == 'HEAD' or relay.begin.status in BODILESS_STATUSES
         )
+        self.writer: abc.AbstractStreamWriter | None = None
         self.written = 0
         self.kept: list[bytes] | None = None
         if exchange.request.key is not None:
@@ -124,42 +126,41 @@
         Raises StalledError if the caller takes nothing for too long, and
         ConnectionError if it is gone.
         """
-        self.exchange.status = self.relay.begin.status
-        writer = await self.response.prepare(self.request)
-        while True:
-            payloads = await self.relay.take()
-            if payloads:
-                await self._write(writer, payloads)
-            elif self.relay.failure is not None:
-                failure = self.relay.failure
-                await self._break(writer, failure.kind, failure.ran)
-                return self.response
-            else:
-                break
-        if not self._whole():
+        relay = self.relay
+        self.exchange.status = relay.begin.status
+        self.writer = await self.response.prepare(self.request)
+        relay.open(self)
+        await relay.wait()
+        while relay.blocked:
+            await self._drain(self.stall_timeout)
+            relay.unblock()
+            await relay.wait()
+        if relay.failure is not None:
+            await self._break(relay.failure.kind, relay.failure.ran)
+        elif not self._whole():
             self.reports.broken(self.exchange)
-            kind = errors.Kind.STREAM_BROKEN
-            await self._break(writer, kind, errors.Ran.UNKNOWN)
-            return self.response
-        await self._finish(writer)
+            await self._break(errors.Kind.STREAM_BROKEN, errors.Ran.UNKNOWN)
+        else:
+            await self._finish()
         return self.response
 
-    async def _write(
-        self, writer: abc.AbstractStreamWriter, payloads: list[bytes]
-    ) -> None:
+    def put(self, payload: bytes) -> bool:
+        """Write a payload; False if the connection takes no more for now."""
         if self.exchange.first_byte_ms is None:
             self.exchange.first_byte_ms = self.reports.now_ms()
-        data = payloads[0] if len(payloads) == 1 else b''.join(payloads)
-        self.written += len(data)
-        self._keep(data)
-        if not self.bodiless:
-            await writer.write(data, drain=False)
-            await self._drain(writer, self.stall_timeout)
-        self.relay.taken(len(payloads))
+        self.written += len(payload)
+        if self.kept is not None:
+            self._keep(payload)
+        if self.bodiless:
+            return True
+        try:
+            _now(self.writer.write(payload, drain=False))
+        except ConnectionError:
+            # The task that waits for this answer hears of it when it drains.
+            return False
+        return not self.request.protocol.writing_paused
 
     def _keep(self, data: bytes) -> None:
-        if self.kept is None:
-            return
         self.kept.append(data)
         if self.written > STORED_ANSWER_BYTES:
             self.kept = None
@@ -170,20 +171,15 @@
             return True
         return self.written == self.length
 
-    async def _finish(self, writer: abc.AbstractStreamWriter) -> None:
+    async def _finish(self) -> None:
         await self.response.write_eof()
-        self.relay.taken(0)
-        await self._flush(writer, self.stall_timeout)
+        self.relay.acknowledge(0)
+        await self._flush(self.stall_timeout)
         self.exchange.ran = errors.Ran.RAN
         body = None if self.kept is None else b''.join(self.kept)
         self.reports.relayed(self.exchange, body)
 
-    async def _break(
-        self,
-        writer: abc.AbstractStreamWriter,
-        kind: errors.Kind,
-        ran: errors.Ran,
-    ) -> None:
+    async def _break(self, kind: errors.Kind, ran: errors.Ran) -> None:
         """Cut the connection, after an error event if it is a stream.
 
         The last chunk is never sent: it would make the answer look whole.
@@ -193,16 +189,14 @@
         try:
             if self.response.content_type == _answers.EVENT_STREAM_TYPE:
                 event = _answers.error_event(kind, ran, self.exchange.shown_id)
-                await writer.write(event, drain=False)
-            await self._flush(writer, ERROR_FLUSH_TIMEOUT_S)
+                await self.writer.write(event, drain=False)
+            await self._flush(ERROR_FLUSH_TIMEOUT_S)
         except (StalledError, ConnectionError):
             pass
         finally:
             abort(self.request)
 
-    async def _flush(
-        self, writer: abc.AbstractStreamWriter, timeout: float
-    ) -> None:
+    async def _flush(self, timeout: float) -> None:
         """Wait until the transport holds nothing more of the answer.
 
         Guards against callers that stop reading near the end: the library
@@ -214,32 +208,42 @@
         low, high = transport.get_write_buffer_limits()
         transport.set_write_buffer_limits(high=0)
         try:
-            await self._drain(writer, timeout)
+            await self._drain(timeout)
         finally:
             transport.set_write_buffer_limits(high=high, low=low)
 
-    async def _drain(
-        self, writer: abc.AbstractStreamWriter, timeout: float
-    ) -> None:
+    async def _drain(self, timeout: float) -> None:
         """Wait until the transport takes more.
 
         Raises StalledError when nothing at all left within ``timeout``
         seconds.
         """
         transport = self.request.transport
-        while transport is not None:
-            left = transport.get_write_buffer_size()
-            if left == 0:
-                return
+        while True:
+            left = transport.get_write_buffer_size() if transport else 0
             try:
                 async with asyncio.timeout(timeout):
-                    await writer.drain()
+                    await self.writer.drain()
                     return
             except TimeoutError:
                 if transport.get_write_buffer_size() >= left:
                     raise StalledError from None
 
 
+def _now(coroutine: collections.abc.Coroutine) -> None:
+    """Run a coroutine that has nothing to wait for to its end.
+
+    The library's way to write a chunk is a coroutine that waits only if it
+    is asked to. Run here, it spares a task switch for each token.
+    """
+    try:
+        coroutine.send(None)
+    except StopIteration:
+        return
+    coroutine.close()
+    raise RuntimeError('the library waited')
+
+
 def abort(request: web.BaseRequest) -> None:
     """Cut the connection of a request at once."""
     if request.transport is not None:
--- a/berylhollow/gateway/_shell.py
+++ b/berylhollow/gateway/_shell.py
@@ -221,7 +221,9 @@
 
     def message(self, peer: str, message: messages.Message) -> None:
         if type(message) is messages.Data:
-            self._data(peer, message)
+            relay = self._relay_of(peer, message)
+            if relay is not None:
+                self._accept(relay, message)
         elif type(message) is messages.End:
             self._end(peer, message)
         else:
@@ -243,11 +245,6 @@
             return None
         return relay
 
-    def _data(self, peer: str, frame: messages.Data) -> None:
-        relay = self._relay_of(peer, frame)
-        if relay is not None:
-            self._accept(relay, frame)
-
     def _end(self, peer: str, frame: messages.End) -> None:
         relay = self._relay_of(peer, frame)
         # An end that came before its frames comes again after them.
