Label metrics only with services that are declared

Cause: a caller that makes service names up makes a series of each, until the gateway's memory is full. Change: a request that reached no endpoint is labelled with its service only if the configuration declares it. Conclusion: labels are bounded by the configuration.

--- a/berylhollow/gateway/_pages.py
+++ b/berylhollow/gateway/_pages.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 
 import berylhollow
+from berylhollow import events
 from berylhollow.gateway import _answers
 from berylhollow.gateway import _state
 from berylhollow import settings as all_settings
@@ -91,6 +92,20 @@
     return endpoint.instance.service if endpoint else ''
 
 
+def declared_service(state: _state.State, request: events.Request) -> str:
+    """Return the service of a request, empty if none is declared for it.
+
+    Guards against callers that make names up: each would become a label of
+    the metrics, and their series would fill the memory of the gateway.
+    """
+    current = state.follower.current
+    if current is None or current.refuse(request.service, request.adapter):
+        return ''
+    if request.adapter is None:
+        return request.service
+    return current.service_of(request.adapter.adapter)
+
+
 def _endpoint(name: str, endpoint: _state.Endpoint) -> dict[str, object]:
     return {
         'instance': name,
--- a/berylhollow/gateway/_shell.py
+++ b/berylhollow/gateway/_shell.py
@@ -188,6 +188,9 @@
 
     def _measure(self, exchange: _exchange.Exchange) -> None:
         service = exchange.service
+        if exchange.relay is None:
+            state = self.driver.state
+            service = _pages.declared_service(state, exchange.request)
         kind = exchange.kind.value if exchange.kind else ''
         attributes = (
             ('http.request.method', exchange.request.method),
--- a/test/test_gateway_metrics.py
+++ b/test/test_gateway_metrics.py
@@ -1,9 +1,14 @@
 """Tests of the metrics of a gateway, over real HTTP."""
 
+import unittest
+
+from berylhollow import configuration
 from berylhollow import errors
+from berylhollow.gateway import _pages
 from berylhollow import messages
 from berylhollow import metrics
 from test import builders
+from test import configuration_builders
 from test import gateway_helper
 
 
@@ -53,6 +58,19 @@
         self.assertIn('error_type="wrong_adapter"', line)
         self.assertTrue(line.endswith(' 1.0'))
 
+    async def test_made_up_service_is_no_label(self):
+        # A gateway grows until it is killed: a caller asks for services
+        # under names that it makes up, and each becomes a series.
+        for number in range(3):
+            path = f'/v1/services/made-up-{number}/x'
+            self.assertEqual((await self.post(path=path))[0], 404)
+        await self.until(lambda: not self.shell.in_flight)
+        (line,) = self.lines('berylhollow_errors_total')
+        self.assertIn('berylhollow_service=""', line)
+        self.assertTrue(line.endswith(' 3.0'))
+        (line,) = self.lines('http_server_request_duration_seconds_count')
+        self.assertTrue(line.endswith(' 3.0'))
+
     async def test_frame_of_no_attempt_is_counted(self):
         self.sidecar.answer('r0.1', b'late')
         await self.until(lambda: self.late_frames())
@@ -61,3 +79,29 @@
         return 'berylhollow_late_frames_total 1.0' in (
             self.meters.render().decode()
         )
+
+
+class DeclaredServiceTest(unittest.TestCase):
+    def setUp(self):
+        self.state = builders.gateway_state()
+        declared = configuration_builders.declared('a1')
+        current = configuration.from_manifest(declared, 1)
+        self.state.follower.current = current
+
+    def service(self, **changes):
+        request = builders.request(**changes)
+        return _pages.declared_service(self.state, request)
+
+    def test_service_of_what_is_declared(self):
+        engine = configuration_builders.SERVICE
+        plain = configuration_builders.PLAIN_SERVICE
+        self.assertEqual(engine, self.service(service=''))
+        self.assertEqual(plain, self.service(service=plain, adapter=None))
+
+    def test_nothing_of_what_is_not(self):
+        unknown = builders.adapter('a9')
+        self.assertEqual('', self.service(service='made-up'))
+        self.assertEqual('', self.service(service='x', adapter=None))
+        self.assertEqual('', self.service(service='', adapter=unknown))
+        self.state.follower.current = None
+        self.assertEqual('', self.service(service=''))
