Look at the link before each part, and wake answers without an ack

Cause: with 50 answers of 60 KB parts the link to the gateway was closed for its backlog, and an answer that waited for room was woken only by acknowledgements, of which a fully acknowledged one gets none.

--- a/berylhollow/endpoint/_endpoint_client.py
+++ b/berylhollow/endpoint/_endpoint_client.py
@@ -64,7 +64,7 @@
             yield self.body
             return
         try:
-            async for chunk in self.response.content.iter_any():
+            while chunk := await self.response.content.readany():
                 yield chunk
         except (aiohttp.ClientError, OSError) as error:
             self.close()
--- a/berylhollow/sidecar/_gateway_links.py
+++ b/berylhollow/sidecar/_gateway_links.py
@@ -1,5 +1,6 @@
 """The links that gateways open to a sidecar."""
 
+import asyncio
 import collections.abc
 import logging
 
@@ -8,10 +9,12 @@
 from berylhollow import link as links
 from berylhollow import messages
 from berylhollow import settings as all_settings
+from berylhollow import shell
 
 LOG = logging.getLogger(__name__)
 
 ROLE = 'sidecar'
+ROOM_PAUSE_S = 0.005
 
 
 class GatewayLinks:
@@ -28,9 +31,12 @@
         incarnation: str,
         feed: collections.abc.Callable[[events.Event], None],
         time: clock.Clock,
+        tasks: shell.Tasks,
     ):
         self.feed = feed
         self.time = time
+        self.tasks = tasks
+        self.full: set[str] = set()
         self.by_peer: dict[str, links.Link] = {}
         self.acknowledge: collections.abc.Callable[
             [messages.Acknowledge], None
@@ -59,9 +65,28 @@
             link.send(message)
 
     def congested(self, peer: str) -> bool:
-        """Tell whether the peer's link has enough to send for now."""
+        """Tell whether the peer's link has enough to send for now.
+
+        If it has, ``relieve`` is called once it takes more.
+        """
         link = self.by_peer.get(peer)
-        return link is not None and link.congested
+        if link is None or not link.congested:
+            return False
+        if peer not in self.full:
+            self.full.add(peer)
+            self.tasks.start(self._await_room(peer))
+        return True
+
+    async def _await_room(self, peer: str) -> None:
+        """Look at a full link until it has room, then tell.
+
+        Acknowledgements alone would not do: an answer of which everything
+        has arrived gets none, and would wait for ever.
+        """
+        while self.congested(peer):
+            await asyncio.sleep(ROOM_PAUSE_S)
+        self.full.discard(peer)
+        self.relieve(peer)
 
     def close(self, peer: str) -> None:
         """Close the link to a peer after what was sent on it."""
--- a/berylhollow/sidecar/_run_calls.py
+++ b/berylhollow/sidecar/_run_calls.py
@@ -220,14 +220,19 @@
         answer: endpoint.EndpointAnswer,
         end: _answer_end.EndCheck,
     ) -> None:
-        """Pass the body on as it comes, no faster than it is taken."""
+        """Pass the body on as it comes, no faster than it is taken.
+
+        Guards against a link that is closed for its backlog: many answers
+        whose next part is here send it in the same turn of the loop. Each
+        looks again before it sends, so that one part goes over the bound.
+        """
         async for chunk in answer.chunks():
             end.add(chunk)
             run.body_bytes += len(chunk)
-            self.outbox.send(run.peer, run.sender.push(chunk))
             while run.sender.paused or self.outbox.congested(run.peer):
                 run.room.clear()
                 await run.room.wait()
+            self.outbox.send(run.peer, run.sender.push(chunk))
 
     def _end(self, run: _run.Run) -> None:
         """Report a whole answer; its end is kept like any frame of it."""
--- a/berylhollow/sidecar/_shell.py
+++ b/berylhollow/sidecar/_shell.py
@@ -49,7 +49,11 @@
         self.driver = shell.Driver(reduce, state, self.time, {})
         self.driver.failed.add_done_callback(self._failed)
         self.links = _gateway_links.GatewayLinks(
-            settings, self.incarnation, self.driver.feed, self.time
+            settings,
+            self.incarnation,
+            self.driver.feed,
+            self.time,
+            self.tasks,
         )
         self.platform: shell.PlatformCalls | None = None
         self.endpoint: _endpoint_calls.EndpointCalls | None = None
--- a/test/test_sidecar_runs.py
+++ b/test/test_sidecar_runs.py
@@ -91,15 +91,24 @@
             await asyncio.sleep(0)
         self.assertEqual(size, len(self.outbox.payload()))
 
-    async def test_congested_link_holds_up_the_answer(self):
+    async def test_congested_link_holds_up_all_answers(self):
+        """Every answer of a gateway breaks off at once.
+
+        Its link is full; each answer still adds its next part, and the link
+        is closed for its backlog. Cause: a look at the link after a part was
+        sent instead of before.
+        """
         self.outbox.full = True
-        await self.begin(writes(CHUNKED, chunk(b'a'), chunk(b'b'), LAST_CHUNK))
-        self.start()
-        await self.until_true(lambda: self.outbox.sent)
-        self.assertNotIn(events.RunEnded, self.types())
+        await self.begin(writes(CHUNKED, chunk(b'a'), LAST_CHUNK))
+        self.start('r1.1')
+        self.start('r2.1')
+        runs = self.calls.runs.values()
+        await self.until_true(lambda: all(run.body_bytes for run in runs))
+        self.assertEqual([], self.outbox.sent)
         self.outbox.full = False
         self.calls.relieve('g1')
-        await self.until(events.RunEnded)
+        await self.until_true(lambda: len(self.fed) == 4)
+        self.assertEqual(b'aa', self.outbox.payload())
 
     async def test_frames_are_kept_until_acknowledged(self):
         """A gateway loses the end of an answer when its link breaks.
--- a/test/test_sidecar_shell.py
+++ b/test/test_sidecar_shell.py
@@ -1,5 +1,7 @@
 """Tests of the sidecar's shell, between a gateway's link and stand-ins."""
 
+import asyncio
+
 from berylhollow import clock
 from berylhollow import effects
 from berylhollow import events
@@ -124,6 +126,24 @@
         self.assertEqual(['g1'], list(self.shell.driver.state.links))
 
 
+class CongestionTest(ShellTestCase):
+    async def test_full_link_is_relieved_without_acknowledgements(self):
+        """An answer stops in the middle and never goes on.
+
+        Its link was full as its next part came; what was sent before is
+        acknowledged already. Cause: only an acknowledgement wakes it.
+        """
+        await self.serve()
+        await self.connect()
+        relieved = asyncio.Event()
+        self.shell.links.relieve = lambda peer: relieved.set()
+        link = self.shell.links.by_peer['g1']
+        link.queued_bytes = link.options.congested_bytes + 1
+        self.assertTrue(self.shell.links.congested('g1'))
+        link.queued_bytes = 0
+        await relieved.wait()
+
+
 class PortTest(ShellTestCase):
     async def test_second_sidecar_ends_before_it_orders_anything(self):
         """A request is answered by an adapter that it did not ask for.
