Bound what is held of answers whose readers stall

Cause: 1,000 answers that nobody acknowledged held 335 MB in the sidecar.

Change: 32 KiB of frames a run are kept, the least that the protocol allows, and 16 KiB of the endpoint's bytes, of which the kernel gives no more at once.

--- a/berylhollow/outgoing.py
+++ b/berylhollow/outgoing.py
@@ -5,13 +5,16 @@
 """
 
 import dataclasses
+import functools
 import json
+import socket
 
 import aiohttp
 
 CONNECT_TIMEOUT_MS = 1000
 CALL_TIMEOUT_MS = 5000
 MS_PER_SECOND = 1000
+BUFFER_BYTES = 128 * 1024
 REFUSING_STATUSES = frozenset({400, 404, 405, 409, 410, 413, 422, 429, 503})
 
 
@@ -78,23 +81,42 @@
         raise MaybeDone(str(error) or type(error).__name__) from error
 
 
-def open_session(reuse: bool = True) -> aiohttp.ClientSession:
+def open_session(
+    reuse: bool = True, buffer_bytes: int = BUFFER_BYTES
+) -> aiohttp.ClientSession:
     """Return a session that sends each call at most once.
 
-    Without ``reuse`` every call has a connection of its own.
+    Without ``reuse`` every call has a connection of its own. Of an answer
+    that its reader does not take, about ``buffer_bytes`` are held here, and
+    as much again in the kernel.
     """
-    if reuse:
-        connector = aiohttp.TCPConnector(limit=0)
-    else:
-        connector = aiohttp.TCPConnector(limit=0, force_close=True)
+    connector = aiohttp.TCPConnector(
+        limit=0,
+        force_close=not reuse,
+        socket_factory=functools.partial(_open_socket, buffer_bytes),
+    )
     return aiohttp.ClientSession(
         connector=connector,
+        # The library holds up to twice this before it stops to read.
+        read_bufsize=buffer_bytes // 2,
         middlewares=(send_once,),
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
     )
 
 
+def _open_socket(buffer_bytes: int, address: tuple) -> socket.socket:
+    """Return a socket that receives no more than it may hold at once.
+
+    Guards against one read of a quick answer that is larger than all that
+    its reader is meant to hold: the event loop reads what the kernel has.
+    """
+    family, kind, protocol = address[:3]
+    opened = socket.socket(family, kind, protocol)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes // 2)
+    return opened
+
+
 def time_limit(timeout_ms: int | None) -> aiohttp.ClientTimeout:
     """Return the limits of a call; None leaves all but the connect open."""
     return aiohttp.ClientTimeout(
--- a/berylhollow/sidecar/_run_calls.py
+++ b/berylhollow/sidecar/_run_calls.py
@@ -23,7 +23,7 @@
 LOG = logging.getLogger(__name__)
 
 REQUEST_ID = 'X-Request-Id'
-KEPT_BYTES = 64 * 1024
+KEPT_BYTES = stream.MINIMUM_LIMIT_BYTES
 """Unacknowledged bytes of one answer; then the endpoint is not read."""
 
 CANCEL_PAUSE_MS = 20
--- a/berylhollow/sidecar/_shell.py
+++ b/berylhollow/sidecar/_shell.py
@@ -12,6 +12,7 @@
 from berylhollow import events
 from berylhollow import logs
 from berylhollow import messages
+from berylhollow import outgoing
 from berylhollow import settings as all_settings
 from berylhollow import shell
 from berylhollow.sidecar import _endpoint_calls
@@ -20,6 +21,9 @@
 
 LOG = logging.getLogger(__name__)
 
+ANSWER_BUFFER_BYTES = 16 * 1024
+"""What is held of an answer beside the frames that are kept of it."""
+
 
 class PortTakenError(Exception):
     """Another process holds the port that keeps sidecars apart."""
@@ -109,7 +113,7 @@
             control, feed, self.time, self.tasks
         )
         self.runs = _run_calls.RunCalls(
-            endpoint.EndpointClient(url, is_engine),
+            _open_endpoint(url, is_engine),
             control,
             self.links,
             feed,
@@ -164,3 +168,14 @@
             f'{listen.host}:{listen.port} is taken: another sidecar runs '
             'beside this endpoint, or is paused; end it first'
         )
+
+
+def _open_endpoint(url: str, is_engine: bool) -> endpoint.EndpointClient:
+    """Return the client for runs, which holds little of each answer."""
+    return endpoint.EndpointClient(
+        url,
+        is_engine,
+        fresh=outgoing.open_session(
+            reuse=False, buffer_bytes=ANSWER_BUFFER_BYTES
+        ),
+    )
