Let a sidecar name the role that gateways know

Cause: a sidecar told its peers the role 'sidecar', which events.Role has not: in a gateway the handler of every new link failed with a ValueError, so no gateway ever had an endpoint.

Change: it tells 'endpoint', as the instance list does.

--- a/berylhollow/sidecar/_gateway_links.py
+++ b/berylhollow/sidecar/_gateway_links.py
@@ -13,7 +13,7 @@
 
 LOG = logging.getLogger(__name__)
 
-ROLE = 'sidecar'
+ROLE = events.Role.ENDPOINT.value
 ROOM_PAUSE_S = 0.005
 
 
