--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,9 @@
 	    --no-deps --editable .
 	touch $(READY)
 
+run: $(READY)
+	$(BIN)/python -m tools.run_local
+
 test: $(READY)
 	$(BIN)/python -m test
 
