Show which processes run which revision

The command status asks gateways: their own follower, what linked gateways told, and the reports of sidecars.

--- a/berylhollow/configuration/_follower.py
+++ b/berylhollow/configuration/_follower.py
@@ -283,4 +283,5 @@
             self.chosen,
             self.history.unknown_rule,
             self.reader.gap,
+            self.spread.gateways(at_ms),
         )
--- a/berylhollow/configuration/_spread.py
+++ b/berylhollow/configuration/_spread.py
@@ -13,6 +13,7 @@
 from berylhollow.configuration import _ranking
 from berylhollow import effects
 from berylhollow import events
+from berylhollow import following
 from berylhollow import messages
 
 Effects = list[effects.Effect]
@@ -32,10 +33,15 @@
 
 @dataclasses.dataclass(slots=True)
 class Peer:
-    """A linked process and the offset up to which it has read, if known."""
+    """A linked process and the offset up to which it has read, if known.
+
+    ``revision`` is the one that it last told of, -1 if it never did.
+    """
 
     role: events.Role
     known: int = -1
+    revision: int = -1
+    told_ms: int = LONG_AGO_MS
     snapshot_ms: int = LONG_AGO_MS
 
 
@@ -121,6 +127,14 @@
             _ranking.chosen(self.instance, gateways, MOST_GATEWAY_TARGETS)
         )
 
+    def gateways(self, at_ms: int) -> tuple[following.PeerStatus, ...]:
+        """Return what the linked gateways last told of themselves."""
+        return tuple(
+            following.PeerStatus(name, peer.revision, at_ms - peer.told_ms)
+            for name, peer in sorted(self.peers.items())
+            if peer.role is events.Role.GATEWAY and peer.revision >= 0
+        )
+
     # What peers say.
 
     def at(
@@ -131,6 +145,8 @@
         known = self.peers.get(peer)
         if known is not None:
             known.known = message.next_offset
+            known.revision = message.revision
+            known.told_ms = at_ms
         if message.next_offset > self.next_offset:
             self.ahead[peer] = message.next_offset
             return self.ask(peer, at_ms)
--- a/berylhollow/following.py
+++ b/berylhollow/following.py
@@ -57,6 +57,15 @@
         """Return a caller; one that is not declared has the defaults."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerStatus:
+    """What a linked gateway told, and how long ago."""
+
+    instance: str
+    revision: int
+    told_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Status:
     """How far a process follows, for operators.
@@ -73,6 +82,7 @@
     reads_log: bool = False
     unknown_rule: int | None = None
     gap: bool = False
+    gateways: tuple[PeerStatus, ...] = ()
 
 
 class Follower(typing.Protocol):
--- a/berylhollow/gateway/_pages.py
+++ b/berylhollow/gateway/_pages.py
@@ -107,8 +107,10 @@
 
 
 def _endpoint(name: str, endpoint: _state.Endpoint) -> dict[str, object]:
+    report = endpoint.report
     return {
         'instance': name,
+        'revision': 0 if report is None else report.revision,
         'service': endpoint.instance.service,
         'failure_domain': endpoint.instance.failure_domain,
         'link': endpoint.link.value,
--- a/berylhollow/ui/commands.py
+++ b/berylhollow/ui/commands.py
@@ -77,6 +77,11 @@
         'berylhollow.ui.settle_command',
         'tell what became of a change whose answer was lost',
     ),
+    Command(
+        'status',
+        'berylhollow.ui.status_command',
+        'show which processes run which revision',
+    ),
     Command(
         'quarantine list',
         'berylhollow.ui.quarantine_list_command',
--- /dev/null
+++ b/berylhollow/ui/status_command.py
@@ -0,0 +1,156 @@
+"""The command ``status``: which processes run which revision."""
+
+import argparse
+import asyncio
+import collections.abc
+import dataclasses
+import json
+
+from berylhollow import outgoing
+from berylhollow import publishing
+from berylhollow.ui import _log_options
+from berylhollow.util import exits
+
+EXAMPLE = (
+    'berylhollow status --gateway http://127.0.0.1:8080 '
+    '--platform http://127.0.0.1:8001'
+)
+TIMEOUT_MS = 3000
+FORMATS = ('text', 'json')
+ROW = '{:<24} {:<9} {:>9}  {}'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Row:
+    """One process; ``source`` is who told, ``notes`` what is wrong."""
+
+    instance: str
+    role: str
+    revision: int
+    source: str
+    notes: tuple[str, ...] = ()
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        '--gateway',
+        action='append',
+        required=True,
+        metavar='URL',
+        help='a gateway to ask; may be given more than once',
+    )
+    parser.add_argument(
+        '--platform',
+        metavar='URL',
+        help='show also which revision the log says is in force',
+    )
+    parser.add_argument(
+        '--expect',
+        type=int,
+        metavar='REVISION',
+        help='exit with code 5 if a process runs an older revision',
+    )
+    parser.add_argument('--format', choices=FORMATS, default='text')
+
+
+def run(arguments: argparse.Namespace) -> int:
+    """Print a line per process; code 4 if no gateway answered."""
+    pages = asyncio.run(_read_pages(arguments.gateway))
+    rows = merge(row for page in pages for row in rows_of(page))
+    in_force = _in_force(arguments)
+    if arguments.format == 'json':
+        print(json.dumps([dataclasses.asdict(row) for row in rows], indent=2))
+    else:
+        _print_text(rows, in_force)
+    wanted = arguments.expect
+    if wanted is not None and any(row.revision < wanted for row in rows):
+        return exits.ExitCode.FINDINGS
+    return exits.ExitCode.OK
+
+
+async def _read_pages(urls: list[str]) -> list[dict]:
+    session = outgoing.open_session()
+    try:
+        read = [_read_page(session, url) for url in urls]
+        pages = [page for page in await asyncio.gather(*read) if page]
+    finally:
+        await session.close()
+    if not pages:
+        raise exits.UserError(
+            'no gateway answered', exits.ExitCode.UNAVAILABLE
+        )
+    return pages
+
+
+async def _read_page(session, url: str) -> dict | None:
+    try:
+        reply = await outgoing.call(
+            session, 'GET', f'{url.rstrip("/")}/status', TIMEOUT_MS
+        )
+        return reply.value()
+    except outgoing.CallError:
+        return None
+
+
+def rows_of(page: dict) -> collections.abc.Iterator[Row]:
+    """Yield what the status page of a gateway tells of each process."""
+    name = page['instance']
+    configuration = page['configuration']
+    notes = tuple(_notes(configuration))
+    yield Row(name, 'gateway', configuration['revision'], name, notes)
+    for peer in configuration['gateways']:
+        yield Row(peer['instance'], 'gateway', peer['revision'], name)
+    for endpoint in page['endpoints']:
+        notes = () if endpoint['link'] == 'open' else ('no link',)
+        revision = endpoint['revision']
+        yield Row(endpoint['instance'], 'endpoint', revision, name, notes)
+
+
+def _notes(configuration: dict) -> collections.abc.Iterator[str]:
+    if configuration['unknown_rule'] is not None:
+        yield (
+            f'stopped before a change by rule '
+            f'{configuration["unknown_rule"]}: update this process'
+        )
+    if configuration['gap']:
+        yield 'the log has cut off changes and no snapshot holds them'
+    if configuration['age_ms'] < 0:
+        yield 'has not seen the end of the log'
+    else:
+        yield f'as of {configuration["age_ms"]} ms ago'
+
+
+def merge(rows: collections.abc.Iterable[Row]) -> list[Row]:
+    """Return one row a process: its own word, or else the newest one."""
+    best: dict[str, Row] = {}
+    for row in rows:
+        known = best.get(row.instance)
+        if known is None or _weight(row) > _weight(known):
+            best[row.instance] = row
+    return sorted(best.values(), key=lambda row: (row.role, row.instance))
+
+
+def _weight(row: Row) -> tuple[bool, int]:
+    return row.source == row.instance, row.revision
+
+
+def _in_force(arguments: argparse.Namespace) -> int | None:
+    if arguments.platform is None:
+        return None
+    arguments.timeout = TIMEOUT_MS / 1000
+
+    async def read(publisher: publishing.Publisher) -> int:
+        await publisher.session.catch_up(publisher.timeout_ms)
+        return publisher.session.state.configuration.revision
+
+    return _log_options.with_publisher(arguments, read)
+
+
+def _print_text(rows: list[Row], in_force: int | None) -> None:
+    if in_force is not None:
+        print(f'in force by the log: revision {in_force}')
+    print(ROW.format('instance', 'role', 'revision', 'notes').rstrip())
+    for row in rows:
+        notes = '; '.join(row.notes)
+        line = ROW.format(row.instance, row.role, row.revision, notes)
+        print(line.rstrip())
