--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: run test lint format generate binary clean
+.PHONY: run test lint format generate binary capacity clean
 
 $(READY): requirements.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -36,5 +36,8 @@
 	$(BIN)/python -m tools.binary.build dist/berylhollow
 	$(BIN)/python -m test 'binary_test.py'
 
+capacity: $(READY)
+	$(BIN)/python -m tools.capacity
+
 clean:
 	rm -rf $(VENV) build dist .ruff_cache
--- /dev/null
+++ b/test/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the measurements of capacity."""
