Pass an engine's refusal of a request on to its caller

Change: an error status without an adapter name passes; a 2xx without one does not. Measured: 502 wrong_adapter before, head with 400 after (test). Conclusion: the name check holds for every answer that an adapter can have written.

--- a/berylhollow/sidecar/_runs.py
+++ b/berylhollow/sidecar/_runs.py
@@ -9,6 +9,7 @@
 from berylhollow.sidecar import _state
 
 Effects = list[effects.Effect]
+FIRST_ERROR_STATUS = 400
 RUN_SMOOTHING = 0.1
 
 
@@ -33,13 +34,14 @@
 
     Guards against an engine whose slot was changed by somebody else: it
     would show as an answer of another adapter. The endpoint's own word for
-    what it runs is compared before a byte is passed on.
+    what it runs is compared before a byte is passed on. Only an error that
+    names no adapter passes: it tells the caller what is wrong with its
+    request, and no adapter has written it.
     """
     attempt = _running(state, event.attempt_id)
     if attempt is None:
         return []
-    asked = attempt.offer.adapter
-    if asked is not None and event.adapter != asked:
+    if not _is_as_asked(attempt, event):
         _distrust(state, attempt)
         wrong = messages.Failed(
             event.attempt_id, errors.Kind.WRONG_ADAPTER, errors.Ran.RAN
@@ -53,6 +55,13 @@
     return [effects.Send(attempt.peer, attempt.started)]
 
 
+def _is_as_asked(attempt: _state.Attempt, event: events.RunStarted) -> bool:
+    asked = attempt.offer.adapter
+    if asked is None or event.adapter == asked:
+        return True
+    return event.adapter is None and event.status >= FIRST_ERROR_STATUS
+
+
 def ended(state: _state.State, event: events.RunEnded) -> Effects:
     """The endpoint's answer is whole."""
     attempt = _running(state, event.attempt_id)
--- a/test/test_sidecar.py
+++ b/test/test_sidecar.py
@@ -78,6 +78,23 @@
         self.assertEqual([], self.sent(messages.Started))
         self.assertIs(errors.Kind.WRONG_ADAPTER, self.failure().kind)
 
+    def test_error_that_names_no_adapter_is_the_callers_answer(self):
+        """A caller with a bad body is told that the wrong adapter ran.
+
+        The engine refuses the body with 400 and names no adapter; the slot
+        was distrusted and loaded again for each such request. Cause: an
+        answer without a name taken for one of another adapter.
+        """
+        self.run_offer()
+        self.feed(events.RunStarted(2, 'r1.1', 'epoch-1', 400, (), None))
+        (head,) = self.sent(messages.Started)
+        self.assertEqual(400, head.status)
+
+    def test_answer_without_a_name_is_not_passed_on(self):
+        self.run_offer()
+        self.feed(events.RunStarted(2, 'r1.1', 'epoch-1', 200, (), None))
+        self.assertIs(errors.Kind.WRONG_ADAPTER, self.failure().kind)
+
 
 class AttemptTest(SidecarTestCase):
     def test_doubled_offer_runs_once(self):
