End a test run that hangs, with its stacks

Cause: a landing hung for 9 minutes on a test that waited for a link which was refused over and over. Change: the runner dumps all stacks and ends after 900 s, far above the 36 s that a loaded machine took. Conclusion: a hang is a failure that shows where.

--- a/test/__main__.py
+++ b/test/__main__.py
@@ -6,10 +6,14 @@
 """
 
 import argparse
+import faulthandler
 import pathlib
 import sys
 import unittest
 
+# A test that waits for something that never comes would hang the run; it is
+# ended with the stacks of all threads, which show where.
+HANG_S = 900
 FOLDER = pathlib.Path(__file__).parent
 
 
@@ -22,6 +26,7 @@
 
 def main():
     arguments = parse_arguments()
+    faulthandler.dump_traceback_later(HANG_S, exit=True)
     suite = unittest.TestLoader().discover(
         str(FOLDER), pattern=arguments.pattern, top_level_dir=FOLDER.parent
     )
