End attempts that no gateway resumes

Cause: an answer that nobody takes pauses its run for good, so that its slot stayed pinned and a graceful stop waited for its whole grace. It happens when a gateway dies, and when one gives a request up while its link is down.

Change: an attempt that was not resumed orphan_ms, 10 s, after its link was lost is cancelled at the endpoint, or handed back if it waited.

Conclusion: a gateway's death costs a slot 10 s at most.

--- a/berylhollow/sidecar/_admission.py
+++ b/berylhollow/sidecar/_admission.py
@@ -67,6 +67,7 @@
     if attempt is None:
         return _never_seen(state, event)
     attempt.peer = event.peer
+    attempt.unlinked_ms = None
     done: Effects = []
     if attempt.started is not None:
         done.append(effects.Send(event.peer, attempt.started))
--- a/berylhollow/sidecar/_options.py
+++ b/berylhollow/sidecar/_options.py
@@ -20,7 +20,9 @@
     ``takeover_wait_ms`` is how long the log may keep a new sidecar from
     ordering before it takes its number from the engine. ``farewell_ms`` is
     how long a stop waits for gateways to close their links; it must be
-    longer than a link lasts whose peer is silent.
+    longer than a link lasts whose peer is silent. ``orphan_ms`` is how long
+    an attempt may wait to be resumed after its link was lost; it must be
+    longer than a gateway goes on trying.
     """
 
     instance: str
@@ -43,6 +45,7 @@
     suspicion: quarantine.Rules = quarantine.Rules()
     stop_grace_ms: int = 600_000
     farewell_ms: int = 15_000
+    orphan_ms: int = 10_000
     policy: str = 'adaptive'
     load_ask_ms: int = 500
     coordinator_silence_ms: int = 1500
--- a/berylhollow/sidecar/_reducer.py
+++ b/berylhollow/sidecar/_reducer.py
@@ -7,6 +7,7 @@
 from berylhollow.sidecar import _counts
 from berylhollow.sidecar import _engine
 from berylhollow.sidecar import _loads
+from berylhollow.sidecar import _orphans
 from berylhollow.sidecar import _permits
 from berylhollow.sidecar import _reports
 from berylhollow.sidecar import _runs
@@ -40,6 +41,7 @@
     state.pacing.seed = event.seed
     done = _engine.tick(state, at_ms)
     done += _admission.tick(state, at_ms)
+    done += _orphans.tick(state, at_ms)
     done += state.follower.tick(at_ms, [], list(state.links), '')
     done += _takeover.tick(state, at_ms)
     done += _runs.dispatch(state, at_ms)
@@ -66,6 +68,7 @@
 
 def _link_closed(state: _state.State, event: events.LinkClosed) -> Effects:
     _shutdown.link_closed(state, event)
+    _orphans.link_closed(state, event)
     state.links.pop(event.peer, None)
     done = state.follower.handle(event)
     return done + _shutdown.tick(state, event.at_ms)
--- a/berylhollow/sidecar/_state.py
+++ b/berylhollow/sidecar/_state.py
@@ -63,7 +63,8 @@
     """One attempt that a gateway offered.
 
     ``stalled_ms`` is how long it waited for its adapter to be loaded,
-    up to ``began_ms`` or its end.
+    up to ``began_ms`` or its end. ``unlinked_ms`` is when the link of
+    its gateway was lost, None once the gateway has resumed it.
     """
 
     offer: messages.Offer
@@ -79,6 +80,7 @@
     stalled_ms: int = 0
     cancelled: bool = False
     isolate: bool = False
+    unlinked_ms: int | None = None
 
 
 @dataclasses.dataclass(slots=True)
--- a/test/test_sidecar.py
+++ b/test/test_sidecar.py
@@ -164,6 +164,32 @@
         self.feed(events.StopRequested(3), events.Ticked(20_000))
         self.assertEqual([effects.Exit(0)], self.of_type(effects.Exit))
 
+    def test_run_that_is_not_resumed_gives_its_slot_back(self):
+        """An adapter can't be loaded any more, and a stop takes minutes.
+
+        A gateway dies, or gives a request up while its link is down, and is
+        linked again. Nobody takes the answer any more, and the endpoint is
+        read no further. Cause: runs that end only by themselves.
+        """
+        self.run_offer('r1.1')
+        self.feed(events.LinkClosed(10, 'g1'))
+        gateway = events.Role.GATEWAY
+        self.feed(events.LinkOpened(20, 'g1', gateway, 'i1'))
+        self.offer('r2.1')
+        orphan_ms = self.state.options.orphan_ms
+        self.feed(events.Ticked(9 + orphan_ms))
+        self.assertEqual([], self.of_type(effects.CancelRun))
+        self.feed(events.Ticked(10 + orphan_ms))
+        cancel = self.of_type(effects.CancelRun)
+        self.assertEqual([effects.CancelRun('r1.1')], cancel)
+
+    def test_run_that_is_resumed_goes_on(self):
+        self.run_offer('r1.1')
+        self.feed(events.LinkClosed(10, 'g1'))
+        self.receive(messages.Resume('r1.1', 0), at_ms=20, peer='g1')
+        self.feed(events.Ticked(10 + self.state.options.orphan_ms))
+        self.assertEqual([], self.of_type(effects.CancelRun))
+
     def test_an_ended_attempt_is_remembered_while_its_cancel_is_open(self):
         """A sidecar dies when its engine comes back after a long hang.
 
