Keep the end of an answer at a stop until its gateway is back

Cause: a sidecar whose link broke during its stop ended at once, with frames kept that the gateway would have asked for; frames also went out on a new link before the gateway had resumed, and came as a gap.

Change: a run whose link is lost is detached until its gateway resumes; at a stop the process waits up to 5 s for whole answers of detached runs.

Conclusion: a stop cuts off no answer whose gateway comes back in 5 s.

--- a/berylhollow/sidecar/_gateway_links.py
+++ b/berylhollow/sidecar/_gateway_links.py
@@ -22,7 +22,8 @@
 
     A gateway has one link at a time: a newer one replaces the older, whose
     later messages are dropped. ``acknowledge`` takes acknowledgements, which
-    concern no decision; ``relieve`` is told of a peer that takes more again.
+    concern no decision; ``relieve`` is told of a peer that takes more again,
+    ``detach`` of one whose link is gone.
     """
 
     def __init__(
@@ -42,6 +43,7 @@
             [messages.Acknowledge], None
         ]
         self.relieve: collections.abc.Callable[[str], None]
+        self.detach: collections.abc.Callable[[str], None]
         self.server = links.LinkServer(
             settings.listen.host,
             settings.listen.port,
@@ -64,6 +66,10 @@
         if link is not None:
             link.send(message)
 
+    def linked(self, peer: str) -> bool:
+        """Tell whether there is a link to the peer."""
+        return peer in self.by_peer
+
     def congested(self, peer: str) -> bool:
         """Tell whether the peer's link has enough to send for now.
 
@@ -130,5 +136,5 @@
             self._closed(peer)
 
     def _closed(self, peer: str) -> None:
+        self.detach(peer)
         self.feed(events.LinkClosed(self.time.now_ms(), peer))
-        self.relieve(peer)
--- a/berylhollow/sidecar/_run.py
+++ b/berylhollow/sidecar/_run.py
@@ -15,6 +15,7 @@
     the reducer has passed the head on: before that no byte of the body may
     leave. ``room`` is set when the sender may take more. ``head_seen`` tells
     that the endpoint has the request, ``over`` that its connection is gone,
+    ``detached`` that the gateway's link is gone and that it has not resumed,
     ``cancelling`` that nothing but the confirmation is reported any more.
     """
 
@@ -29,6 +30,7 @@
     status: int = 0
     body_bytes: int = 0
     over: bool = False
+    detached: bool = False
     cancelling: bool = False
 
     @property
--- a/berylhollow/sidecar/_run_calls.py
+++ b/berylhollow/sidecar/_run_calls.py
@@ -45,6 +45,9 @@
     def congested(self, peer: str) -> bool:
         """Tell whether the peer's link has enough to send for now."""
 
+    def linked(self, peer: str) -> bool:
+        """Tell whether there is a link to the peer."""
+
 
 class RunCalls:
     """Carry out what the reducer orders about runs.
@@ -85,6 +88,7 @@
             stream.StreamSender(effect.attempt_id, KEPT_BYTES),
             self.time.now_ms(),
             effect.peer,
+            detached=not self.outbox.linked(effect.peer),
         )
         self.runs[run.attempt_id] = run
         run.task = self.tasks.start(self._follow(run))
@@ -125,6 +129,7 @@
         if run is None:
             return
         run.peer = effect.peer
+        run.detached = False
         try:
             frames = run.sender.resume(effect.next_sequence)
         except stream.StreamError as error:
@@ -147,6 +152,19 @@
             if run.peer == peer:
                 run.room.set()
 
+    def detach(self, peer: str) -> None:
+        """Keep what comes for a peer whose link is gone until it resumes."""
+        for run in self.runs.values():
+            if run.peer == peer:
+                run.detached = True
+                run.room.set()
+
+    def undelivered(self) -> bool:
+        """Tell whether a whole answer waits for its gateway to resume."""
+        return any(
+            run.sender.finished and run.detached for run in self.runs.values()
+        )
+
     async def close(self) -> None:
         """Close the connections to the endpoint."""
         await self.client.close()
@@ -232,7 +250,9 @@
             while run.sender.paused or self.outbox.congested(run.peer):
                 run.room.clear()
                 await run.room.wait()
-            self.outbox.send(run.peer, run.sender.push(chunk))
+            frame = run.sender.push(chunk)
+            if not run.detached:
+                self.outbox.send(run.peer, frame)
 
     def _end(self, run: _run.Run) -> None:
         """Report a whole answer; its end is kept like any frame of it."""
--- a/berylhollow/sidecar/_shell.py
+++ b/berylhollow/sidecar/_shell.py
@@ -21,6 +21,11 @@
 
 LOG = logging.getLogger(__name__)
 
+LAST_FRAMES_MS = 5000
+"""Time for a gateway to come back at a stop; longer than it tries to."""
+
+LAST_FRAMES_PAUSE_MS = 20
+
 ANSWER_BUFFER_BYTES = 16 * 1024
 """What is held of an answer beside the frames that are kept of it."""
 
@@ -89,9 +94,22 @@
         if not self.ended.done():
             self.driver.feed(events.StopRequested(self.time.now_ms()))
         code = await self.ended
+        await self._last_frames()
         await self.close()
         return code
 
+    async def _last_frames(self) -> None:
+        """Let gateways whose link broke come back for the end of answers.
+
+        What went to a link that is open arrives before the link closes.
+        """
+        pause_s = LAST_FRAMES_PAUSE_MS / clock.MS_PER_SECOND
+        for _ in range(LAST_FRAMES_MS // LAST_FRAMES_PAUSE_MS):
+            if not self.runs.undelivered():
+                return
+            await asyncio.sleep(pause_s)
+        LOG.warning('answers that no gateway came back for are dropped')
+
     async def close(self) -> None:
         """End the links after what was sent on them, and every call."""
         await self.links.stop()
@@ -122,6 +140,7 @@
         )
         self.links.acknowledge = self.runs.acknowledge
         self.links.relieve = self.runs.relieve
+        self.links.detach = self.runs.detach
         self.platform = shell.PlatformCalls(
             settings.platform.url, feed, self.time, self.tasks
         )
--- a/test/sidecar_helper.py
+++ b/test/sidecar_helper.py
@@ -74,6 +74,9 @@
     def congested(self, peer):
         return self.full
 
+    def linked(self, peer):
+        return True
+
     def payload(self):
         """Return what was sent of bodies, put together."""
         return b''.join(
--- a/test/test_sidecar_shell.py
+++ b/test/test_sidecar_shell.py
@@ -52,7 +52,9 @@
         settings = make_settings(
             self.platform_url, self.endpoint_url, **changes
         )
-        state = builders.sidecar_state(status_poll_ms=10, report_ms=10)
+        state = builders.sidecar_state(
+            status_poll_ms=10, report_ms=10, farewell_ms=10
+        )
         return _shell.Shell(settings, reduce, state, lambda *_: None)
 
     async def serve(self, reduce=sidecar.reduce, **changes):
@@ -117,6 +119,34 @@
         (end,) = self.of_type(messages.End)
         self.assertEqual(len(self.of_type(messages.Data)), end.count)
 
+    async def test_stop_waits_for_a_gateway_to_fetch_the_end(self):
+        """A rollout leaves a caller with half an answer.
+
+        The gateway's link breaks as the last frames are on it, and the
+        sidecar ends before the gateway is back. Cause: an answer that was
+        sent taken for one that has arrived.
+        """
+        await self.serve()
+        link = await self.connect()
+        self.handler.message = lambda *_: None
+        link.send(builders.offer(body=BODY))
+        runs = self.shell.runs.runs
+        while not any(run.sender.finished for run in runs.values()):
+            await asyncio.sleep(0.001)
+        link.abort(links.Reason.LOST)
+        while self.shell.links.by_peer:
+            await asyncio.sleep(0.001)
+        stop = asyncio.create_task(self.shell.stop())
+        await self.shell.ended
+        self.handler = link_builders.RecordingHandler()
+        link = await self.connect()
+        link.send(messages.Resume('r1.1', 0))
+        await self.handler.until(lambda: self.of_type(messages.End))
+        parts = len(self.of_type(messages.Data))
+        self.assertEqual(parts, self.of_type(messages.End)[0].count)
+        link.send(messages.Acknowledge('r1.1', parts + 1))
+        self.assertEqual(0, await stop)
+
     async def test_newer_link_of_a_gateway_replaces_the_older(self):
         await self.serve()
         await self.connect()
