Flush all links of a process from one timer

Cause: where a batch of an engine fills many links, each had a timer of its own; plain arrays took the same checks as those that need conversion.

Change: a flusher that links share, a short way for arrays whose types are exactly those of the fields, a list and a future in place of a deque and an event; a frame never exceeds what the peer takes.

--- a/berylhollow/link/_client.py
+++ b/berylhollow/link/_client.py
@@ -8,6 +8,7 @@
 
 from berylhollow.link import _codec
 from berylhollow.link import _connection
+from berylhollow.link import _flusher
 from berylhollow.link import _handshake
 from berylhollow.link import _link
 from berylhollow.link import _reason
@@ -19,7 +20,8 @@
     """Connect to a peer once and report how it went.
 
     Whether to connect again is the owner's decision: a failure is reported
-    as ``link_down`` of ``link``, which then never was up.
+    as ``link_down`` of ``link``, which then never was up. The
+    clients of a process should share one ``flusher``.
     """
 
     def __init__(
@@ -31,6 +33,7 @@
         handler: _link.Handler,
         options: _link.Options | None = None,
         codec: _codec.Codec | None = None,
+        flusher: _flusher.Flusher | None = None,
     ):
         self.host = host
         self.port = port
@@ -38,7 +41,10 @@
         self.identity = identity
         self.options = options or _link.Options()
         codec = codec or _codec.shared()
-        self.link = _link.Link((host, port), codec, handler, self.options)
+        flusher = flusher or _flusher.Flusher(self.options.flush_delay_ms)
+        self.link = _link.Link(
+            (host, port), codec, handler, self.options, flusher
+        )
         self.task = None
 
     def start(self) -> _link.Link:
--- a/berylhollow/link/_codec.py
+++ b/berylhollow/link/_codec.py
@@ -117,6 +117,9 @@
         if plan is None:
             self.skipped += 1
             return None
+        # Most arrays need no conversion, above all those of tokens.
+        if [*map(type, row)] == plan.exact:
+            return plan.cls(*row[1:])
         try:
             return plan.from_row(row)
         except UnknownValueError:
@@ -174,8 +177,6 @@
 
     def from_row(self, row: list):
         start = len(self.head)
-        if [type(value) for value in row] == self.exact:
-            return self.cls(*row[start:])
         count = min(len(row) - start, len(self.plans))
         if count < self.required:
             raise CodecError(f'{self.cls.__name__}: too few fields')
--- a/berylhollow/link/_connection.py
+++ b/berylhollow/link/_connection.py
@@ -24,7 +24,7 @@
     def frame(self, data: bytes) -> None:
         """Take the payload of one frame, empty if it is not binary."""
 
-    def writable(self) -> None:
+    def flush(self) -> None:
         """Learn that writing may go on after ``paused``."""
 
     def lost(self) -> None:
@@ -58,7 +58,8 @@
             self.transport.abort()
 
     def process_event(self, event) -> None:
-        if getattr(event, 'opcode', None) not in frames.DATA_OPCODES:
+        is_frame = type(event) is frames.Frame
+        if not is_frame or event.opcode not in frames.DATA_OPCODES:
             super().process_event(event)
             return
         whole = event.fin and event.opcode is frames.Opcode.BINARY
@@ -71,7 +72,7 @@
     def resume_writing(self) -> None:
         super().resume_writing()
         if self.receiver is not None:
-            self.receiver.writable()
+            self.receiver.flush()
 
     def connection_lost(self, exc: Exception | None) -> None:
         super().connection_lost(exc)
--- a/berylhollow/link/_link.py
+++ b/berylhollow/link/_link.py
@@ -1,14 +1,15 @@
 """One authenticated connection between two of our processes."""
 
 import asyncio
-import collections
 import dataclasses
+import itertools
 import logging
 import typing
 
 from websockets import exceptions
 
 from berylhollow.link import _codec
+from berylhollow.link import _flusher
 from berylhollow.link import _handshake
 from berylhollow.link import _reason
 
@@ -89,6 +90,7 @@
         codec: _codec.Codec,
         handler: Handler,
         options: Options,
+        flusher: _flusher.Flusher,
     ):
         self.address = address
         self.codec = codec
@@ -102,12 +104,15 @@
         self.sent_frames = 0
         self.received_messages = 0
         self.received_frames = 0
-        self._parts = collections.deque()
+        self._parts: list[bytes] = []
+        self._message_bytes = options.maximum_bytes - _codec.JOIN_BYTES
+        self._frame_bytes = min(options.flush_bytes, self._message_bytes)
         self._connection = None
         self._handshake = None
-        self._loop = None
+        self._flusher = flusher
+        self._flush_due = False
         self._timer = None
-        self._ending = asyncio.Event()
+        self._ending: asyncio.Future | None = None
 
     @property
     def congested(self) -> bool:
@@ -123,7 +128,7 @@
         if not self.up or self.reason is not None:
             return False
         part = self.codec.encode(message)
-        if len(part) > self.options.maximum_bytes - _codec.JOIN_BYTES:
+        if len(part) > self._message_bytes:
             raise ValueError(f'message of {len(part)} bytes is too large')
         self._parts.append(part)
         self.queued_bytes += len(part)
@@ -132,9 +137,10 @@
             self.abort(_reason.Reason.OVERFLOW)
             return False
         if self.queued_bytes >= self.options.flush_bytes:
-            self._flush()
-        elif self._timer is None:
-            self._start_timer()
+            self.flush()
+        elif not self._flush_due:
+            self._flush_due = True
+            self._flusher.add(self)
         return True
 
     def close(self, reason: _reason.Reason = _reason.Reason.CLOSED) -> None:
@@ -145,7 +151,8 @@
         """
         if self.reason is None:
             self.reason = reason
-        self._ending.set()
+        if self._ending is not None and not self._ending.done():
+            self._ending.set_result(None)
 
     def abort(self, reason: _reason.Reason) -> None:
         """Close at once and drop what is queued.
@@ -165,12 +172,13 @@
 
         The owner then has to call ``down``.
         """
+        loop = asyncio.get_running_loop()
         self._connection = connection
         self._handshake = handshake
-        self._loop = asyncio.get_running_loop()
+        self._ending = loop.create_future()
         # A connection without the key must not hold memory for long, however
         # slowly it sends: one timeout spans the whole handshake.
-        self._timer = self._loop.call_later(
+        self._timer = loop.call_later(
             self.options.handshake_timeout,
             self._fail,
             _reason.Reason.HANDSHAKE_TIMEOUT,
@@ -179,7 +187,8 @@
         if greeting is not None:
             connection.transmit(greeting)
         connection.attach(self)
-        await self._ending.wait()
+        if self.reason is None:
+            await self._ending
         self._stop_timer()
         await self._finish()
 
@@ -199,9 +208,13 @@
         elif self._handshake is not None and self.reason is None:
             self._authenticate(data)
 
-    def writable(self) -> None:
-        """Go on writing after the connection's buffer was full."""
-        self._flush()
+    def flush(self) -> None:
+        """Write what is queued, as far as the connection takes it."""
+        self._flush_due = False
+        if self.reason is not None:
+            return
+        while self._parts and not self._connection.paused:
+            self._connection.transmit(self._take())
 
     def lost(self) -> None:
         """Learn from the connection that it is closed."""
@@ -260,36 +273,33 @@
         self.up = False
         self.close(reason)
 
-    def _start_timer(self):
-        delay = self.options.flush_delay_ms / MILLISECONDS
-        self._timer = self._loop.call_later(delay, self._flush)
-
     def _stop_timer(self):
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
 
-    def _flush(self):
-        if self.reason is not None:
-            return
-        self._stop_timer()
-        while self._parts and not self._connection.paused:
-            self._connection.transmit(self._take())
-
     def _take(self) -> bytes:
         """Return the next frame, of queued messages that share it."""
-        taken = []
-        size = 0
-        limit = self.options.maximum_bytes - _codec.JOIN_BYTES
-        while self._parts and size < self.options.flush_bytes:
-            if size + len(self._parts[0]) > limit:
+        self.sent_frames += 1
+        if self.queued_bytes > self._frame_bytes:
+            return _codec.join(self._take_some())
+        data = _codec.join(self._parts)
+        self._parts.clear()
+        self.queued_bytes = 0
+        return data
+
+    def _take_some(self) -> list[bytes]:
+        size = len(self._parts[0])
+        count = 1
+        for part in itertools.islice(self._parts, 1, None):
+            if size + len(part) > self._frame_bytes:
                 break
-            part = self._parts.popleft()
             size += len(part)
-            taken.append(part)
+            count += 1
+        taken = self._parts[:count]
+        del self._parts[:count]
         self.queued_bytes -= size
-        self.sent_frames += 1
-        return _codec.join(taken)
+        return taken
 
     async def _finish(self):
         try:
--- a/berylhollow/link/_server.py
+++ b/berylhollow/link/_server.py
@@ -6,6 +6,7 @@
 
 from berylhollow.link import _codec
 from berylhollow.link import _connection
+from berylhollow.link import _flusher
 from berylhollow.link import _handshake
 from berylhollow.link import _link
 from berylhollow.link import _reason
@@ -37,6 +38,7 @@
         self.handler = handler
         self.codec = codec or _codec.shared()
         self.options = options or _link.Options()
+        self.flusher = _flusher.Flusher(self.options.flush_delay_ms)
         self.links: set[_link.Link] = set()
         self.refused = 0
         self._server = None
@@ -68,7 +70,9 @@
 
     async def _serve(self, connection):
         address = connection.remote_address
-        link = _link.Link(address, self.codec, self.handler, self.options)
+        link = _link.Link(
+            address, self.codec, self.handler, self.options, self.flusher
+        )
         self.links.add(link)
         handshake = _handshake.ServerHandshake(self.key, self.identity)
         try:
--- a/berylhollow/stream.py
+++ b/berylhollow/stream.py
@@ -80,13 +80,13 @@
         if self.paused:
             raise PausedError(f'{self.attempt_id}: push while paused')
         frame = messages.Data(self.attempt_id, self.next_sequence, payload)
-        self._keep(frame)
+        self._keep(frame, FRAME_BYTES + len(payload))
         return frame
 
     def finish(self) -> messages.End:
         """Return the end, which is sent again like any other frame."""
         frame = messages.End(self.attempt_id, self.next_sequence)
-        self._keep(frame)
+        self._keep(frame, FRAME_BYTES)
         self.finished = True
         return frame
 
@@ -115,11 +115,11 @@
         skipped = next_sequence - self.first_kept
         return list(self.kept)[skipped:]
 
-    def _keep(self, frame: messages.Data | messages.End):
+    def _keep(self, frame: messages.Data | messages.End, size: int):
         if self.finished:
             raise StreamError(f'{self.attempt_id}: is finished')
         self.kept.append(frame)
-        self.kept_bytes += _size(frame)
+        self.kept_bytes += size
         self.next_sequence += 1
 
 
--- a/test/test_link.py
+++ b/test/test_link.py
@@ -158,6 +158,27 @@
         link.send(build.note(2))
         await self.served.until(lambda: self.served.messages)
 
+    async def test_shared_frame_is_not_larger_than_the_peer_takes(self):
+        await self.start_server(maximum_bytes=1000)
+        link = await self.start_client(maximum_bytes=1000)
+        for number in range(5):
+            link.send(build.note(number, bytes(400)))
+        await self.served.until(lambda: len(self.served.messages) == 5)
+        self.assertEqual(3, link.sent_frames)
+
+
+class FlusherTest(unittest.IsolatedAsyncioTestCase):
+    async def test_one_that_fails_does_not_hold_up_the_others(self):
+        flusher = links.Flusher(0)
+        failing = mock.Mock()
+        failing.flush.side_effect = OSError
+        healthy = mock.Mock()
+        flusher.add(failing)
+        flusher.add(healthy)
+        with self.assertLogs('berylhollow.link._flusher', 'ERROR'):
+            await asyncio.sleep(0)
+        healthy.flush.assert_called_once_with()
+
 
 class AuthenticationTest(LinkCase):
     async def test_wrong_key(self):
