--- a/berylhollow/gateway/_links.py
+++ b/berylhollow/gateway/_links.py
@@ -13,6 +13,8 @@
 
 LOG = logging.getLogger(__name__)
 
+ROLES = {role.value: role for role in events.Role}
+
 
 class Owner(typing.Protocol):
     """What the links report to the shell."""
@@ -135,6 +137,11 @@
             LOG.warning('link to %s reached %s', expected, name)
             link.close(links.Reason.REPLACED)
             return
+        role = ROLES.get(link.peer.role)
+        if role is None:
+            LOG.warning('link of %s: unknown role', link.peer)
+            link.close(links.Reason.MALFORMED)
+            return
         opener = self.instance if expected is not None else name
         current = self.open_links.get(name)
         if current is not None:
@@ -148,7 +155,7 @@
             events.LinkOpened(
                 self.time.now_ms(),
                 name,
-                events.Role(link.peer.role),
+                role,
                 link.peer.incarnation,
             )
         )
--- a/test/gateway_helper.py
+++ b/test/gateway_helper.py
@@ -17,6 +17,8 @@
 KEY = 'a link key for the tests'
 JSON = {'Content-Type': 'application/json'}
 NO_PLATFORM = 'http://127.0.0.1:9'
+HANG_S = 30
+"""Far above what any wait takes: a fault then fails instead of hanging."""
 
 
 def gateway_settings(**changes):
@@ -32,6 +34,13 @@
     return settings.parse(values | changes, 'gateway')
 
 
+async def until(condition):
+    """Return once ``condition()`` holds."""
+    async with asyncio.timeout(HANG_S):
+        while not condition():
+            await asyncio.sleep(0.001)
+
+
 class FakeSidecar:
     """Take offers and cancels; the test sends the frames itself."""
 
@@ -63,10 +72,11 @@
 
     async def next(self, message_type):
         """Return the next message of a type, skipping others."""
-        while True:
-            message = await self.received.get()
-            if type(message) is message_type:
-                return message
+        async with asyncio.timeout(HANG_S):
+            while True:
+                message = await self.received.get()
+                if type(message) is message_type:
+                    return message
 
     async def offered(self):
         offer = await self.next(messages.Offer)
@@ -121,8 +131,7 @@
         await self.until(lambda: name in self.shell.links.open_links)
 
     async def until(self, condition):
-        while not condition():
-            await asyncio.sleep(0.001)
+        await until(condition)
 
     def post(self, body=None, path='/v1/completions', **headers):
         """Return a task with the caller's answer."""
