Log what a report on service levels needs

Cause: the line of an answered request lacked load stall, deadline and parts, and loads, restarts and revisions were not logged. Change: Started carries stalled_ms, the gateway counts parts of an event stream without parsing, sidecars log loads and engine restarts, both roles log a revision that comes into force. Conclusion: a report can be made from logs alone.

--- a/berylhollow/effects.py
+++ b/berylhollow/effects.py
@@ -85,7 +85,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BeginAnswer:
-    """Begin to relay the answer of one attempt, the only one to come."""
+    """Begin to relay the answer of one attempt, the only one to come.
+
+    ``stalled_ms`` is how long it waited for its adapter to be loaded.
+    """
 
     request_id: str
     attempt_id: str
@@ -93,6 +96,7 @@
     status: int
     headers: tuple[messages.Header, ...]
     adapter: messages.AdapterVersion | None
+    stalled_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/berylhollow/following.py
+++ b/berylhollow/following.py
@@ -152,3 +152,14 @@
         'berylhollow.configuration.age',
         lambda: follower.status(time.now_ms()).age_ms,
     )
+
+
+def announce(served: int, view: View | None) -> list[effects.Effect]:
+    """Return the log line of a revision that has newly come into force.
+
+    ``served`` is the revision that was served before, 0 for none.
+    """
+    if view is None or view.revision == served:
+        return []
+    fields = (('revision', view.revision),)
+    return [effects.Log('configuration in force', fields)]
--- a/berylhollow/gateway/_attempts.py
+++ b/berylhollow/gateway/_attempts.py
@@ -76,6 +76,7 @@
             message.status,
             message.headers,
             message.adapter,
+            message.stalled_ms,
         )
     ]
 
--- a/berylhollow/gateway/_exchange.py
+++ b/berylhollow/gateway/_exchange.py
@@ -74,5 +74,8 @@
                 'ran': self.ran.value,
                 'duration_ms': now_ms - self.arrived_ms,
                 'first_byte_ms': first_byte_ms,
+                'deadline_ms': request.deadline_ms,
+                'stalled_ms': begin.stalled_ms if begin else None,
+                'parts': self.relay.parts if self.relay else 0,
             },
         )
--- a/berylhollow/gateway/_membership.py
+++ b/berylhollow/gateway/_membership.py
@@ -7,6 +7,7 @@
 
 from berylhollow import effects
 from berylhollow import events
+from berylhollow import following
 from berylhollow.gateway import _state
 
 Effects = list[effects.Effect]
@@ -26,8 +27,11 @@
 
 def tick_follower(state: _state.State, at_ms: int) -> Effects:
     """Let the configuration follower ask for what it is missing."""
+    view = state.follower.current
+    done = following.announce(state.served_revision, view)
+    state.served_revision = view.revision if view else 0
     gateways = [state.options.instance, *state.peers]
-    return state.follower.tick(
+    return done + state.follower.tick(
         at_ms, gateways, _open_peers(state), state.options.instance
     )
 
--- a/berylhollow/gateway/_relay.py
+++ b/berylhollow/gateway/_relay.py
@@ -11,6 +11,8 @@
 MAXIMUM_PENDING_BYTES = 4 * 1024 * 1024
 """More than any sidecar may send unacknowledged; beyond it one is broken."""
 
+END_OF_PART = b'\n\n'
+
 Frame = messages.Data | messages.End
 Send = typing.Callable[[str, messages.Message], None]
 
@@ -44,6 +46,7 @@
         self.blocked = False
         self.pending: collections.deque[bytes] = collections.deque()
         self.pending_bytes = 0
+        self.parts = 0
         self.complete = False
         self.failure: effects.BreakAnswer | None = None
         self.resumed_at: int | None = None
@@ -122,6 +125,9 @@
             self._pass(payload)
 
     def _pass(self, payload: bytes) -> None:
+        # Parts of an event stream are counted, never parsed: about one a
+        # token, for the log line.
+        self.parts += payload.count(END_OF_PART)
         if self.sink.put(payload):
             self.acknowledge(1)
         else:
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -197,6 +197,7 @@
     attempts: dict[str, str] = dataclasses.field(default_factory=dict)
     partitions: dict[int, Partition] = dataclasses.field(default_factory=dict)
     appends: int = 0
+    served_revision: int = 0
     callers: dict[str, Caller] = dataclasses.field(default_factory=dict)
     callers_swept_ms: int = 0
     adapter_in_flight: dict[messages.AdapterVersion | None, int] = (
--- a/berylhollow/messages.py
+++ b/berylhollow/messages.py
@@ -86,13 +86,15 @@
     """The endpoint began to answer; the head of its answer.
 
     ``adapter`` is what the endpoint says it runs, checked by the sidecar
-    against the name in the offer before this is sent.
+    against the name in the offer before this is sent. ``stalled_ms`` is how
+    long the attempt waited for its adapter to be loaded.
     """
 
     attempt_id: str
     status: int
     headers: tuple[Header, ...]
     adapter: AdapterVersion | None
+    stalled_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/berylhollow/sidecar/_engine.py
+++ b/berylhollow/sidecar/_engine.py
@@ -51,6 +51,8 @@
     done = _runs.all_lost(state, event.at_ms)
     if state.epoch:
         state.retired_epochs.add(state.epoch)
+        fields = (('epoch', event.epoch),)
+        done.append(effects.Log('engine restarted', fields, warning=True))
     state.epoch = event.epoch
     state.slots = [_state.Slot(slot.slot) for slot in event.slots]
     return done
--- a/berylhollow/sidecar/_loads.py
+++ b/berylhollow/sidecar/_loads.py
@@ -67,7 +67,8 @@
     slot.loaded_ms = event.at_ms
     slot.runs = 0
     state.backoffs.pop(slot.adapter, None)
-    done = _permits.ended(state, True)
+    done = [_loaded(slot, event.at_ms)]
+    done += _permits.ended(state, True)
     done += _runs.dispatch(state, event.at_ms)
     return done + order(state, event.at_ms)
 
@@ -87,10 +88,33 @@
         _permits.refused_by_rate(state, event.at_ms)
     else:
         _back_off(state, adapter, event.at_ms)
-    done = _permits.ended(state, False)
+    done = [_load_failed(adapter, event)]
+    done += _permits.ended(state, False)
     return done + order(state, event.at_ms)
 
 
+def _loaded(slot: _state.Slot, at_ms: int) -> effects.Log:
+    fields = (
+        ('adapter', slot.adapter.adapter),
+        ('version', slot.adapter.version),
+        ('slot', slot.number),
+        ('duration_ms', at_ms - slot.ordered_ms),
+    )
+    return effects.Log('adapter loaded', fields)
+
+
+def _load_failed(
+    adapter: messages.AdapterVersion, event: events.LoadFailed
+) -> effects.Log:
+    fields = (
+        ('adapter', adapter.adapter),
+        ('version', adapter.version),
+        ('reason', event.reason.value),
+        ('certainty', event.certainty.value),
+    )
+    return effects.Log('load failed', fields, warning=True)
+
+
 def _under_way(state: _state.State, at_ms: int) -> bool:
     """Tell whether a load is under way that does not seem to hang.
 
--- a/berylhollow/sidecar/_reducer.py
+++ b/berylhollow/sidecar/_reducer.py
@@ -2,6 +2,7 @@
 
 from berylhollow import effects
 from berylhollow import events
+from berylhollow import following
 from berylhollow import messages
 from berylhollow.sidecar import _admission
 from berylhollow.sidecar import _counts
@@ -42,7 +43,7 @@
     done = _engine.tick(state, at_ms)
     done += _admission.tick(state, at_ms)
     done += _orphans.tick(state, at_ms)
-    done += state.follower.tick(at_ms, [], list(state.links), '')
+    done += _follow(state, at_ms)
     done += _takeover.tick(state, at_ms)
     done += _runs.dispatch(state, at_ms)
     done += _loads.order(state, at_ms)
@@ -51,6 +52,13 @@
     return done
 
 
+def _follow(state: _state.State, at_ms: int) -> Effects:
+    view = state.follower.current
+    done = following.announce(state.served_revision, view)
+    state.served_revision = view.revision if view else 0
+    return done + state.follower.tick(at_ms, [], list(state.links), '')
+
+
 def _received(state: _state.State, event: events.MessageReceived) -> Effects:
     handler = _MESSAGES.get(type(event.message))
     if handler is None:
--- a/berylhollow/sidecar/_runs.py
+++ b/berylhollow/sidecar/_runs.py
@@ -50,7 +50,11 @@
         done = _tell(state, attempt, wrong, event.at_ms)
         return [*done, effects.CancelRun(event.attempt_id)]
     attempt.started = messages.Started(
-        event.attempt_id, event.status, event.headers, event.adapter
+        event.attempt_id,
+        event.status,
+        event.headers,
+        event.adapter,
+        attempt.stalled_ms,
     )
     return [effects.Send(attempt.peer, attempt.started)]
 
--- a/berylhollow/sidecar/_state.py
+++ b/berylhollow/sidecar/_state.py
@@ -155,6 +155,7 @@
     pacing: Pacing = dataclasses.field(default_factory=Pacing)
     run_ms: float = 0.0
     orders: int = 0
+    served_revision: int = 0
     status_read_ms: int = -1_000_000
     reported_ms: int = -1_000_000
     stopping: bool = False
