Connect links to IPv6 addresses

Cause: an IPv6 literal went into the address without its brackets, so the connection was refused as malformed.

Change: bracket it.

Conclusion: either version of IP can stand in the instance list.

--- a/berylhollow/link/_client.py
+++ b/berylhollow/link/_client.py
@@ -72,7 +72,7 @@
     async def _connect(self):
         options = self.options
         return await client.connect(
-            f'ws://{self.host}:{self.port}/',
+            uri(self.host, self.port),
             compression=None,
             proxy=None,
             user_agent_header=None,
@@ -83,3 +83,9 @@
             ping_timeout=options.ping_timeout,
             create_connection=_connection.ClientConnection,
         )
+
+
+def uri(host: str, port: int) -> str:
+    """Return the address to connect to, for either version of IP."""
+    bracketed = f'[{host}]' if ':' in host else host
+    return f'ws://{bracketed}:{port}/'
--- a/test/test_link.py
+++ b/test/test_link.py
@@ -10,6 +10,7 @@
 from websockets import exceptions
 
 from berylhollow import link as links
+from berylhollow.link import _client
 from berylhollow.link import _handshake
 from test import link_builders as build
 
@@ -167,6 +168,12 @@
         self.assertEqual(3, link.sent_frames)
 
 
+class AddressTest(unittest.TestCase):
+    def test_address_of_either_version(self):
+        self.assertEqual('ws://10.0.0.1:80/', _client.uri('10.0.0.1', 80))
+        self.assertEqual('ws://[fd00::1]:80/', _client.uri('fd00::1', 80))
+
+
 class FlusherTest(unittest.IsolatedAsyncioTestCase):
     async def test_one_that_fails_does_not_hold_up_the_others(self):
         flusher = links.Flusher(0)
