List the models that callers can name

Cause: clients of the usual model APIs ask for /v1/models. Change: the servable versions of the revision in force, made in slices and once for each revision, and one by name.

--- a/berylhollow/gateway/_answers.py
+++ b/berylhollow/gateway/_answers.py
@@ -86,10 +86,15 @@
 
 def json_response(members: object, status: int = 200) -> web.Response:
     """Return a whole answer of our own."""
+    return json_body(json.dumps(members).encode(), status)
+
+
+def json_body(body: bytes, status: int = 200) -> web.Response:
+    """Return a whole answer of our own whose JSON is there already."""
     return web.Response(
         status=status,
         headers={'Content-Type': 'application/json', 'Server': SERVER},
-        body=json.dumps(members).encode(),
+        body=body,
     )
 
 
--- a/berylhollow/gateway/_http.py
+++ b/berylhollow/gateway/_http.py
@@ -56,7 +56,7 @@
     def refused(self, kind: errors.Kind) -> None:
         """A request was refused for its form."""
 
-    def page(self, path: str) -> web.Response | None:
+    async def page(self, path: str) -> web.Response | None:
         """Return a page of the gateway itself, None for an unknown path."""
 
 
@@ -189,7 +189,7 @@
             _check_method(request, SERVICE_METHODS)
             taken = await self._take_service_request(request, request_id)
         else:
-            response = self.owner.page(path)
+            response = await self.owner.page(path)
             if response is None:
                 raise errors.BerylhollowError(errors.Kind.NOT_FOUND)
             _check_method(request, READ_METHODS)
--- a/berylhollow/gateway/_pages.py
+++ b/berylhollow/gateway/_pages.py
@@ -2,16 +2,20 @@
 
 import dataclasses
 import typing
+import urllib.parse
 
 from aiohttp import web
 
 import berylhollow
+from berylhollow import configuration
 from berylhollow import events
 from berylhollow.gateway import _answers
+from berylhollow.gateway import _models
 from berylhollow.gateway import _state
 from berylhollow import settings as all_settings
 from berylhollow import shell
 
+MODEL_PREFIX = f'{_models.PATH}/'
 UNAVAILABLE = 503
 
 
@@ -36,11 +40,18 @@
             '/status': self.status,
             '/metrics': self.metrics,
         }
+        self.models = _models.Models()
 
-    def get(self, path: str) -> web.Response | None:
+    async def get(self, path: str) -> web.Response | None:
         """Return the page at a path, None if there is none."""
         page = self.pages.get(path)
-        return page() if page else None
+        if page is not None:
+            return page()
+        if path == _models.PATH:
+            return await self.list_models()
+        if path.startswith(MODEL_PREFIX):
+            return self.model(path.removeprefix(MODEL_PREFIX))
+        return None
 
     def health(self) -> web.Response:
         """The process answers, so it lives."""
@@ -75,6 +86,21 @@
             }
         )
 
+    async def list_models(self) -> web.Response:
+        """The adapter versions that a caller can name."""
+        return _answers.json_body(
+            await self.models.list(self._configuration())
+        )
+
+    def model(self, quoted: str) -> web.Response:
+        """One adapter version."""
+        name = urllib.parse.unquote(quoted)
+        body = self.models.one(self._configuration(), name)
+        return _answers.json_body(body)
+
+    def _configuration(self) -> configuration.Configuration | None:
+        return self.owner.driver.state.follower.current
+
     def metrics(self) -> web.Response:
         """The metrics as Prometheus reads them."""
         return _answers.text_response(self.metrics_text())
--- a/berylhollow/gateway/_shell.py
+++ b/berylhollow/gateway/_shell.py
@@ -140,8 +140,8 @@
     def now_ms(self) -> int:
         return self.time.now_ms()
 
-    def page(self, path: str) -> web.Response | None:
-        return self.pages.get(path)
+    async def page(self, path: str) -> web.Response | None:
+        return await self.pages.get(path)
 
     def arrived(self, exchange: _exchange.Exchange) -> None:
         request = exchange.request
--- a/test/test_gateway_requests.py
+++ b/test/test_gateway_requests.py
@@ -2,8 +2,11 @@
 
 import json
 
+from berylhollow import configuration
+from berylhollow import manifest
 from berylhollow import messages
 from test import builders
+from test import configuration_builders
 from test import gateway_helper
 
 SERVICE_PATH = f'/v1/services/{builders.PLAIN_SERVICE}'
@@ -160,3 +163,32 @@
         self.assertEqual(
             ('e1', 'open'), (endpoint['instance'], endpoint['link'])
         )
+
+    async def test_models_are_those_that_can_be_named(self):
+        follower = self.shell.driver.state.follower
+        declared = manifest.Manifest(
+            adapters=(
+                configuration_builders.adapter('a2'),
+                manifest.Adapter(
+                    'a1',
+                    builders.SERVICE,
+                    versions=(
+                        manifest.Version('1'),
+                        manifest.Version('2'),
+                        manifest.Version('3', servable=False),
+                    ),
+                ),
+            )
+        )
+        follower.current = configuration.from_manifest(declared, revision=2)
+        answer = await self.request('GET', '/v1/models')
+        listed = json.loads(answer[2])['data']
+        names = [model['id'] for model in listed]
+        self.assertEqual(['a1@1', 'a1@2', 'a2@1'], names)
+        answer = await self.request('GET', '/v1/models/a1%402')
+        self.assertEqual(listed[1], json.loads(answer[2]))
+        missing = self.request('GET', '/v1/models/a1@3')
+        await self.assert_problem(missing, 404, 'not_found')
+        follower.current = None
+        unknown = self.request('GET', '/v1/models')
+        await self.assert_problem(unknown, 503, 'configuration_unavailable')
