--- a/tools/generate.py
+++ b/tools/generate.py
@@ -2,6 +2,7 @@
 
 import pathlib
 
+from berylhollow import errors
 from berylhollow import metrics
 from berylhollow import settings
 from berylhollow.util import exits
@@ -11,6 +12,7 @@
 GENERATED = {
     'berylhollow/defaults.jsonc': settings.defaults_text,
     'docs/reference/settings.md': settings.reference_text,
+    'docs/reference/errors.md': errors.reference_text,
     'docs/reference/exit-codes.md': exits.reference_text,
     'docs/reference/metrics.md': metrics.reference_text,
 }
