Quarantine alone only at the second crash

Change: one crash makes a suspect that runs alone; the second, alone, quarantines. Ruled out: telling a restart from a crash by the engine's word, which it does not give. Conclusion: the design note now says why one crash is no proof.

--- a/berylhollow/quarantine/_suspects.py
+++ b/berylhollow/quarantine/_suspects.py
@@ -11,11 +11,13 @@
 class Rules:
     """When a suspect is quarantined; durations in milliseconds.
 
-    A request that ran alone when the endpoint crashed is quarantined at
-    once, one that ran beside others after ``crashes`` of them. Suspicion
-    is forgotten after ``suspect_ms`` without a crash.
+    A request that ran alone at a crash is quarantined at its second crash,
+    since the first may have had another cause; one that ran beside others
+    after ``crashes`` of them. Suspicion is forgotten after ``suspect_ms``
+    without a crash.
     """
 
+    crashes_alone: int = 2
     crashes: int = 3
     suspect_ms: int = 600_000
     quarantine_ms: int = 600_000
@@ -93,7 +95,8 @@
         suspicion.forget_at_ms = max(
             suspicion.forget_at_ms, at_ms + self.rules.suspect_ms
         )
-        if not alone and len(suspicion.crash_ids) < self.rules.crashes:
+        needed = self.rules.crashes_alone if alone else self.rules.crashes
+        if len(suspicion.crash_ids) < needed:
             return False
         doublings = min(suspicion.quarantines, MAX_DOUBLINGS)
         suspicion.quarantines += 1
