Report on service-level burn from the logs

Cause: nothing showed how services fare against their objectives. Change: berylhollow report reads log lines and writes a self-contained page with plots, or JSON: budget left, burn in four window pairs with alerts, worst adapters and callers, a timeline of revisions, loads and restarts. Ruled out: metrics of the processes (they die with them, and one scrape has no history). Conclusion: logs suffice; the page needs matplotlib, the figures do not.

--- /dev/null
+++ b/berylhollow/report/_plots.py
@@ -0,0 +1,105 @@
+"""Pictures of a report as SVG text, drawn by matplotlib."""
+
+import datetime
+import io
+
+import matplotlib
+from matplotlib import dates
+from matplotlib import figure
+
+from berylhollow import clock
+from berylhollow.report import _records
+from berylhollow.report import _summary
+
+WIDTH_IN = 10
+TIMELINE_HEIGHT_IN = 2.2
+SERIES_HEIGHT_IN = 2.4
+MARK_COLOURS = {
+    _records.MarkKind.CONFIGURATION: 'tab:green',
+    _records.MarkKind.LOAD: 'tab:blue',
+    _records.MarkKind.LOAD_FAILED: 'tab:orange',
+    _records.MarkKind.RESTART: 'tab:red',
+    _records.MarkKind.QUARANTINE: 'tab:purple',
+}
+# A fixed salt makes the ids in the SVG, and so the page, the same each time.
+SVG_SETTINGS = {'svg.hashsalt': 'berylhollow', 'svg.fonttype': 'none'}
+
+
+def timeline(summary: _summary.Summary) -> str:
+    """Return what happened to the deployment, a row for each kind."""
+    kinds = list(_records.MarkKind)
+    drawing = figure.Figure(figsize=(WIDTH_IN, TIMELINE_HEIGHT_IN))
+    axes = drawing.subplots()
+    for row, kind in enumerate(kinds):
+        moments = [_utc(x.at_ms) for x in summary.marks if x.kind is kind]
+        axes.plot(moments, [row] * len(moments), '|', color=MARK_COLOURS[kind])
+    axes.set_yticks(range(len(kinds)), [kind.value for kind in kinds])
+    axes.set_ylim(-0.6, len(kinds) - 0.4)
+    _time_axis(axes, summary)
+    return _svg(drawing)
+
+
+def burn_rates(summary: _summary.Summary, service: str) -> str:
+    """Return the burn rates of a service's objectives over time."""
+    drawing = figure.Figure(figsize=(WIDTH_IN, SERIES_HEIGHT_IN))
+    axes = drawing.subplots()
+    for series in summary.series:
+        if series.service != service:
+            continue
+        points = [
+            (_utc(at_ms), rate)
+            for at_ms, rate in zip(series.starts_ms, series.rates, strict=True)
+            if rate is not None
+        ]
+        axes.plot(
+            [moment for moment, _ in points],
+            [rate for _, rate in points],
+            label=series.objective,
+            linewidth=1.2,
+        )
+    axes.axhline(1, color='grey', linestyle=':', linewidth=1)
+    _draw_restarts(axes, summary)
+    axes.set_ylabel('burn rate')
+    axes.set_ylim(bottom=0)
+    axes.legend(loc='upper right', fontsize=8)
+    _time_axis(axes, summary)
+    return _svg(drawing)
+
+
+def _draw_restarts(axes, summary: _summary.Summary) -> None:
+    for mark in summary.marks:
+        if mark.kind in (
+            _records.MarkKind.RESTART,
+            _records.MarkKind.CONFIGURATION,
+        ):
+            colour = MARK_COLOURS[mark.kind]
+            axes.axvline(_utc(mark.at_ms), color=colour, alpha=0.4)
+
+
+def _time_axis(axes, summary: _summary.Summary) -> None:
+    start, end = _utc(summary.start_ms), _utc(summary.end_ms)
+    if start < end:
+        axes.set_xlim(start, end)
+    locator = dates.AutoDateLocator()
+    axes.xaxis.set_major_locator(locator)
+    axes.xaxis.set_major_formatter(dates.ConciseDateFormatter(locator))
+    axes.grid(True, axis='x', alpha=0.3)
+
+
+def _utc(at_ms: int) -> datetime.datetime:
+    return datetime.datetime.fromtimestamp(
+        at_ms / clock.MS_PER_SECOND, datetime.UTC
+    )
+
+
+def _svg(drawing: figure.Figure) -> str:
+    text = io.StringIO()
+    with matplotlib.rc_context(SVG_SETTINGS):
+        drawing.savefig(
+            text,
+            format='svg',
+            bbox_inches='tight',
+            metadata={'Date': None, 'Creator': None},
+        )
+    svg = text.getvalue()
+    return svg[svg.index('<svg') :]
--- /dev/null
+++ b/berylhollow/report/page.py
@@ -0,0 +1,128 @@
+"""The report as one HTML page that needs nothing beside it."""
+
+import datetime
+import html
+
+from berylhollow import clock
+from berylhollow.report import _burn
+from berylhollow.report import _plots
+from berylhollow.report import _summary
+
+STYLE = """
+body { font: 15px/1.5 sans-serif; margin: 2em auto; max-width: 66em;
+       padding: 0 1em; color: #222; }
+table { border-collapse: collapse; margin: 0.8em 0; }
+th, td { border-bottom: 1px solid #ddd; padding: 0.25em 0.8em;
+         text-align: right; }
+th:first-child, td:first-child { text-align: left; }
+.bad { background: #fdd; font-weight: bold; }
+.thin { color: #888; }
+svg { max-width: 100%; height: auto; }
+"""
+
+
+def render(summary: _summary.Summary) -> str:
+    """Return the page as HTML text."""
+    services = sorted({result.service for result in summary.results})
+    parts = [
+        '<!DOCTYPE html><html lang="en"><head><meta charset="utf-8">',
+        '<title>berylhollow: service-level burn</title>',
+        f'<style>{STYLE}</style></head><body>',
+        '<h1>Service-level burn</h1>',
+        _span(summary),
+        '<h2>Timeline</h2>',
+        _plots.timeline(summary),
+    ]
+    for service in services:
+        parts += _service(summary, service)
+    parts += [
+        '<h2>Worst adapters</h2>',
+        _worst_table('adapter', summary.worst_adapters),
+        '<h2>Worst callers</h2>',
+        _worst_table('caller', summary.worst_callers),
+        '<h2>Errors by kind</h2>',
+        _table(['kind', 'answers'], [list(pair) for pair in summary.kinds]),
+        '</body></html>',
+    ]
+    return '\n'.join(parts)
+
+
+def _span(summary: _summary.Summary) -> str:
+    start, end = _moment(summary.start_ms), _moment(summary.end_ms)
+    text = f'{summary.answers} answers from {start} to {end} UTC.'
+    if summary.skipped:
+        text += f' {summary.skipped} lines were not understood.'
+    return f'<p>{html.escape(text)}</p>'
+
+
+def _service(summary: _summary.Summary, service: str) -> list[str]:
+    results = [x for x in summary.results if x.service == service]
+    windows = [window.name for window in _burn.WINDOWS]
+    header = ['objective', 'target', 'good', 'bad', 'budget left']
+    header += [f'burn {name}' for name in windows]
+    rows = [_objective_row(result) for result in results]
+    return [
+        f'<h2>Service {html.escape(service)}</h2>',
+        _table(header, rows),
+        '<p class="thin">Burn: rate over the long / short window; 1 uses the '
+        'budget up in 28 days. In grey: the logs do not reach over the whole '
+        'long window. In red: an alert.</p>',
+        _plots.burn_rates(summary, service),
+    ]
+
+
+def _objective_row(result: _summary.Result) -> list:
+    burn = result.burn
+    left = f'{burn.budget_left:.1%}'
+    cells: list = [
+        result.objective.title,
+        f'{result.objective.target:.0%}',
+        burn.good,
+        burn.bad,
+        _Cell(left, 'bad' if burn.budget_left < 0 else ''),
+    ]
+    for window in burn.windows:
+        text = f'{window.long_rate:.1f} / {window.short_rate:.1f}'
+        look = 'bad' if window.alert else ''
+        if not window.covered:
+            look += ' thin'
+        cells.append(_Cell(text, look.strip()))
+    return cells
+
+
+class _Cell:
+    """A table cell with a look of its own."""
+
+    def __init__(self, text: str, look: str):
+        self.text = text
+        self.look = look
+
+
+def _worst_table(name: str, worst: tuple[_summary.Worst, ...]) -> str:
+    rows = [[item.name, item.answers, item.bad] for item in worst]
+    return _table([name, 'answers', 'with a missed objective'], rows)
+
+
+def _table(header: list[str], rows: list[list]) -> str:
+    if not rows:
+        return '<p>None.</p>'
+    head = ''.join(f'<th>{html.escape(name)}</th>' for name in header)
+    body = ''.join(
+        '<tr>' + ''.join(_cell(value) for value in row) + '</tr>'
+        for row in rows
+    )
+    return f'<table><tr>{head}</tr>{body}</table>'
+
+
+def _cell(value) -> str:
+    if isinstance(value, _Cell):
+        look = f' class="{value.look}"' if value.look else ''
+        return f'<td{look}>{html.escape(value.text)}</td>'
+    return f'<td>{html.escape(str(value))}</td>'
+
+
+def _moment(at_ms: int) -> str:
+    moment = datetime.datetime.fromtimestamp(
+        at_ms / clock.MS_PER_SECOND, datetime.UTC
+    )
+    return f'{moment:%Y-%m-%d %H:%M:%S}'
--- a/berylhollow/ui/commands.py
+++ b/berylhollow/ui/commands.py
@@ -32,6 +32,11 @@
         'berylhollow.ui.sidecar_command',
         'serve beside an endpoint, between it and the gateways',
     ),
+    Command(
+        'report',
+        'berylhollow.ui.report_command',
+        'report on service-level burn from logs',
+    ),
     Command(
         'replay',
         'berylhollow.ui.replay_command',
--- /dev/null
+++ b/test/report/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the report on service-level burn."""
--- /dev/null
+++ b/test/report/test_report.py
@@ -0,0 +1,115 @@
+"""Tests of the report: records, objectives, burn rates and the page."""
+
+import json
+import unittest
+
+from berylhollow import report
+from berylhollow.report import _burn
+from berylhollow.report import page
+
+MINUTE_MS = 60_000
+
+
+def line(minute=0, message='answered', **changes):
+    fields = {
+        'time': f'2026-12-02T10:{minute:02d}:00.000Z',
+        'message': message,
+        'caller': 'caller-1',
+        'service': 'modelos',
+        'adapter': 'a1',
+        'kind': '',
+        'ran': 'ran',
+        'duration_ms': 1000,
+        'first_byte_ms': 100,
+        'deadline_ms': 30_000,
+        'stalled_ms': 0,
+        'parts': 40,
+    }
+    return json.dumps(fields | changes)
+
+
+def result(summary, name):
+    (found,) = [x for x in summary.results if x.objective.name == name]
+    return found.burn
+
+
+class ReportTest(unittest.TestCase):
+    def summarize(self, *lines):
+        return report.summarize(report.read(lines))
+
+    def test_objectives_judge_answers(self):
+        summary = self.summarize(
+            line(),
+            line(first_byte_ms=451),
+            line(duration_ms=2000),
+            line(stalled_ms=5000),
+            line(duration_ms=31_000, parts=0),
+        )
+        bad = {x.objective.name: x.burn.bad for x in summary.results}
+        expected = {
+            'first_token': 1,
+            'between_tokens': 1,
+            'on_time': 1,
+            'load_stall': 1,
+        }
+        self.assertEqual(expected, bad)
+
+    def test_callers_own_mistakes_do_not_use_the_budget(self):
+        summary = self.summarize(
+            line(), line(kind='unknown_adapter'), line(kind='overloaded')
+        )
+        burn = result(summary, 'on_time')
+        self.assertEqual((1, 1), (burn.good, burn.bad))
+
+    def test_lines_of_others_are_counted_as_skipped(self):
+        records = report.read(
+            ['not json', '[]', '{"message": "answered"}', line(), '{}']
+        )
+        self.assertEqual((1, 4), (len(records.answers), records.skipped))
+
+    def test_alert_needs_the_long_and_the_short_window(self):
+        """An operator is woken for a fault that ended an hour ago.
+
+        All answers of some minutes fail, then all are well. The long window
+        still burns. Cause: an alert on one window only.
+        """
+        bad = [(minute * MINUTE_MS, False) for minute in range(30)]
+        well = [(minute * MINUTE_MS, True) for minute in range(30, 60)]
+        end_ms = 60 * MINUTE_MS
+        during = _burn.burn(bad, 0.05, 0, 29 * MINUTE_MS)
+        after = _burn.burn(bad + well, 0.05, 0, end_ms)
+        self.assertTrue(during.windows[0].alert)
+        self.assertFalse(after.windows[0].alert)
+        self.assertGreater(after.windows[0].long_rate, 1)
+
+    def test_budget_left_is_of_the_answers_seen(self):
+        verdicts = [(number, number >= 5) for number in range(200)]
+        burn = _burn.burn(verdicts, 0.05, 0, 200)
+        self.assertAlmostEqual(0.5, burn.budget_left)
+
+    def test_revision_is_marked_once_however_many_processes_log_it(self):
+        mark = line(message='configuration in force', revision=7)
+        summary = self.summarize(line(), mark, mark)
+        self.assertEqual(1, len(summary.marks))
+
+    def test_page_needs_nothing_beside_it(self):
+        text = page.render(
+            self.summarize(
+                line(service='<b>x</b>'),
+                line(5, message='engine restarted', epoch='e2'),
+                line(9, first_byte_ms=900),
+            )
+        )
+        self.assertIn('<svg', text)
+        self.assertNotIn('<b>x</b>', text)
+        self.assertNotIn('src=', text)
+        self.assertNotIn('href="http', text)
+
+    def test_figures_are_json(self):
+        document = json.loads(report.to_json(self.summarize(line())))
+        self.assertEqual(1, document['answers'])
+        self.assertEqual(4, len(document['objectives']))
+
+    def test_no_answer_is_an_error(self):
+        with self.assertRaises(ValueError):
+            self.summarize('{}')
