Play traces against running gateways

Cause: nothing put a trace's load on a running deployment and judged the answers, so make run could only be tried by hand.

An answer is compared with the exact text that the stand-ins give to this request, so another's, another adapter's and a missing part show; a key with two runs is a finding. Errors are counted by kind and by whether they ran. Bounded: 200,000 items, six hours, a limit of open requests, and a time limit per answer. Only http://IP:PORT is called.

--- a/berylhollow/replay/__init__.py
+++ b/berylhollow/replay/__init__.py
@@ -21,6 +21,10 @@
 from berylhollow.replay._facts import SlotTaken
 from berylhollow.replay._facts import StopAsked
 from berylhollow.replay._gateway import GatewayProcess
+from berylhollow.replay._live import LiveOptions
+from berylhollow.replay._live import LiveReplay
+from berylhollow.replay._live import LiveResult
+from berylhollow.replay._live import LiveService
 from berylhollow.replay._network import Link
 from berylhollow.replay._replay import Replay
 from berylhollow.replay._replay import ServiceResult
@@ -47,6 +51,10 @@
     'GatewayProcess',
     'Latencies',
     'Link',
+    'LiveOptions',
+    'LiveReplay',
+    'LiveResult',
+    'LiveService',
     'Offered',
     'Point',
     'ProcessEnded',
--- a/berylhollow/settings/__init__.py
+++ b/berylhollow/settings/__init__.py
@@ -8,6 +8,7 @@
 from berylhollow.settings import _check
 from berylhollow.settings import _describe
 from berylhollow.settings import _load
+from berylhollow.settings import _options
 from berylhollow.settings import _replay
 from berylhollow.settings import _roles
 
@@ -27,4 +28,5 @@
 describe = _describe.describe
 load = _load.load
 parse = _check.parse
+parse_http_url = _options.parse_http_url
 reference_text = _describe.reference_text
--- a/berylhollow/settings/_options.py
+++ b/berylhollow/settings/_options.py
@@ -146,13 +146,14 @@
     """A URL ``http://IP:PORT`` without path; a host name is refused."""
 
     def check(value: object) -> str:
-        return _http_url(_string(value))
+        return parse_http_url(_string(value))
 
     option = Option('string', meaning, check, range='http://IP:PORT')
     return _field(option, default)
 
 
-def _http_url(value: str) -> str:
+def parse_http_url(value: str) -> str:
+    """Return ``http://IP:PORT``; ``ValueError`` for anything else."""
     try:
         parts = urllib.parse.urlsplit(value)
         port = parts.port
--- a/berylhollow/ui/commands.py
+++ b/berylhollow/ui/commands.py
@@ -40,7 +40,7 @@
     Command(
         'replay',
         'berylhollow.ui.replay_command',
-        'run a trace through the real decisions on a virtual clock',
+        'run a trace on a virtual clock, or against live gateways',
     ),
     Command(
         'settings',
--- a/berylhollow/ui/replay_command.py
+++ b/berylhollow/ui/replay_command.py
@@ -1,4 +1,4 @@
-"""The command ``replay``: run a trace through the real reducers."""
+"""The command ``replay``: a trace through the reducers, or live."""
 
 import argparse
 import dataclasses
@@ -8,6 +8,7 @@
 from berylhollow import policy
 from berylhollow import replay
 from berylhollow import settings
+from berylhollow.ui import _live_replay
 from berylhollow.util import exits
 
 EXAMPLE = (
@@ -21,7 +22,6 @@
     parser.add_argument(
         '--settings',
         metavar='FILE',
-        required=True,
         help='the deployment to replay in, JSON with comments',
     )
     parser.add_argument(
@@ -39,10 +39,17 @@
         '--seed', type=int, default=0, help='randomness of the run (0)'
     )
     parser.add_argument('--format', choices=FORMATS, default='text')
+    _live_replay.add_arguments(parser)
 
 
 def run(arguments: argparse.Namespace) -> int:
     """Print what became of the trace, for each service."""
+    if arguments.live:
+        return _live_replay.run(arguments)
+    if arguments.settings is None:
+        raise exits.UserError(
+            'replay needs --settings, or --live', exits.ExitCode.INVALID
+        )
     path = pathlib.Path(arguments.settings)
     declared = settings.load(path, settings.Role.REPLAY)
     items = replay.read_trace(arguments.trace)
