Stop a sidecar that another has replaced

Cause: a sidecar that saw a higher fencing number refused offers but still reported itself as live, so gateways went on offering. Change: it leaves as in a planned stop, its report says so. Measured: the report said leaving=False before, True after (test).

--- a/berylhollow/sidecar/_takeover.py
+++ b/berylhollow/sidecar/_takeover.py
@@ -7,6 +7,7 @@
 
 from berylhollow import effects
 from berylhollow import events
+from berylhollow.sidecar import _shutdown
 from berylhollow.sidecar import _state
 
 Effects = list[effects.Effect]
@@ -65,7 +66,7 @@
     if late and not state.fence:
         state.fence = event.highest_fence + FALLBACK_GAP
     if event.highest_fence > state.fence and state.fence_settled:
-        return _deposed(state)
+        return _deposed(state, event.at_ms)
     return []
 
 
@@ -88,12 +89,16 @@
     return state.fence
 
 
-def _deposed(state: _state.State) -> Effects:
-    """Another sidecar ordered this engine after us: leave it alone."""
+def _deposed(state: _state.State, at_ms: int) -> Effects:
+    """Another sidecar ordered this engine after us: leave it alone.
+
+    What runs is finished as in a planned stop; gateways are told.
+    """
     if state.deposed:
         return []
     state.deposed = True
-    return [effects.Log('another sidecar has taken over', (), True)]
+    done: Effects = [effects.Log('another sidecar has taken over', (), True)]
+    return done + _shutdown.requested(state, events.StopRequested(at_ms))
 
 
 def _append(state: _state.State, at_ms: int) -> effects.Append:
--- a/test/test_sidecar_orders.py
+++ b/test/test_sidecar_orders.py
@@ -3,6 +3,7 @@
 from berylhollow import effects
 from berylhollow import errors
 from berylhollow import events
+from berylhollow import messages
 from berylhollow import sidecar
 from test import builders
 from test import helper
@@ -149,6 +150,8 @@
         self.start()
         higher = 9 << 20
         self.feed(builders.engine_status(at_ms=5, highest_fence=higher))
+        (report,) = self.sent(messages.Report)
+        self.assertTrue(report.leaving)
         self.assertEqual([], self.ask('a1', 6))
         self.assertIs(errors.Kind.LEAVING, self.failure().kind)
 
