--- a/test/builders.py
+++ b/test/builders.py
@@ -23,7 +23,7 @@
     batch_efficiency_weight: float = 1.0
     priority: int = 0
     weight: float = 1.0
-    limits: manifest.Limits = manifest.NO_LIMITS
+    limits: manifest.Limits = manifest.Limits()
 
 
 @dataclasses.dataclass
@@ -31,7 +31,7 @@
     """A configuration that declares everything with version ``1`` or 2."""
 
     revision: int = 1
-    limits: manifest.Limits = manifest.NO_LIMITS
+    limits: manifest.Limits = manifest.Limits()
 
     def refuse(self, service, adapter):
         if adapter is None and service not in (SERVICE, PLAIN_SERVICE):
