Bound the connections and the bodies of callers

Change: a connection over the limit is told so and closed, a body that would pass the limit of all together is refused as overloaded; only bytes that arrived count, so that an announced length takes no room from others. Reading bodies and keeping connections are modules of their own, the target of a request is parsed in one place. Conclusion: memory is bounded by settings.

--- a/berylhollow/gateway/_http.py
+++ b/berylhollow/gateway/_http.py
@@ -1,41 +1,28 @@
 """The gateway's HTTP front end: take callers' requests, answer each one."""
 
 import asyncio
-import logging
 import typing
 
-import aiohttp
-from aiohttp import http_exceptions
 from aiohttp import web
 
+from berylhollow import clock
 from berylhollow import effects
 from berylhollow import errors
 from berylhollow import events
 from berylhollow.gateway import _answers
+from berylhollow.gateway import _bodies
+from berylhollow.gateway import _connections
 from berylhollow.gateway import _exchange
 from berylhollow.gateway import _parsing
 from berylhollow.gateway import _responding
 from berylhollow import settings as all_settings
 
-LOG = logging.getLogger(__name__)
-
-MS_PER_SECOND = 1000
-KEEPALIVE_TIMEOUT_S = 75
-"""Idle connections, and those whose head does not come, end after this."""
-
-LINGERING_S = 2
-"""How long the rest of a refused body is read, so the refusal arrives."""
-
 IDLE_CHECK_S = 0.01
+CLOSE_S = 0.1
+"""How long handlers may take to end when everything is closed."""
+
 BACKLOG = 1024
-MODEL_PATHS = frozenset({'/v1/chat/completions', '/v1/completions'})
-SERVICES_PREFIX = '/v1/services/'
-SERVICE_METHODS = frozenset(
-    {'DELETE', 'GET', 'HEAD', 'OPTIONS', 'PATCH', 'POST', 'PUT'}
-)
 READ_METHODS = frozenset({'GET', 'HEAD'})
-POST_METHODS = frozenset({'POST'})
-CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 HTTP_1_1 = (1, 1)
 
 
@@ -60,61 +47,6 @@
         """Return a page of the gateway itself, None for an unknown path."""
 
 
-class Connection(web.RequestHandler):
-    """A caller's connection; what is no HTTP gets a typed error too."""
-
-    def __init__(self, ids: _parsing.RequestIds, *given, **options):
-        super().__init__(*given, **options)
-        self.ids = ids
-
-    def handle_error(
-        self,
-        request: web.BaseRequest,
-        status: int = 500,
-        exc: BaseException | None = None,
-        message: str | None = None,
-    ) -> web.StreamResponse:
-        """Return the answer to a failure that no handler answered."""
-        if request.writer.output_size > 0:
-            # Part of another answer is out: only the end of the connection
-            # tells the caller that it is not whole.
-            raise ConnectionError('the answer has begun')
-        kind = errors.Kind.INTERNAL
-        if isinstance(
-            exc, http_exceptions.LineTooLong | http_exceptions.InvalidHeader
-        ):
-            kind = errors.Kind.BAD_HEADER
-        elif isinstance(exc, http_exceptions.HttpProcessingError):
-            kind = errors.Kind.BAD_REQUEST
-        else:
-            LOG.error('request failed', exc_info=exc)
-        shown_id = self.ids.next()
-        response = _answers.error_response(
-            kind, errors.ANSWERS[kind].ran, shown_id
-        )
-        response.force_close()
-        return response
-
-
-class Server(web.Server):
-    """The server for callers' connections."""
-
-    def __init__(self, handler, ids: _parsing.RequestIds):
-        super().__init__(handler, handler_cancellation=True)
-        self.ids = ids
-
-    def __call__(self) -> Connection:
-        return Connection(
-            self.ids,
-            self,
-            loop=asyncio.get_running_loop(),
-            access_log=None,
-            auto_decompress=False,
-            keepalive_timeout=KEEPALIVE_TIMEOUT_S,
-            lingering_time=LINGERING_S,
-        )
-
-
 class FrontEnd:
     """Listen for callers and see every request to its answer."""
 
@@ -122,15 +54,19 @@
         self.settings = settings
         self.owner = owner
         self.ids = _parsing.RequestIds()
-        self.slow_timeout = settings.slow_client_timeout_ms / MS_PER_SECOND
+        self.slow_timeout = (
+            settings.slow_client_timeout_ms / clock.MS_PER_SECOND
+        )
         self.port = settings.listen.port
-        self.server: Server | None = None
-        self.busy: set[asyncio.BaseProtocol] = set()
+        self.bodies = _bodies.Bodies(settings)
+        self.server: _connections.Server | None = None
         self._listener: asyncio.Server | None = None
 
     async def start(self) -> None:
         """Listen; ``port`` then is the real one. Raises OSError."""
-        self.server = Server(self.serve, self.ids)
+        self.server = _connections.Server(
+            self.serve, self.ids, self.settings.listen.connections
+        )
         self._listener = await asyncio.get_running_loop().create_server(
             self.server,
             self.settings.listen.host,
@@ -143,37 +79,31 @@
         """Take no new connection and close those that are idle."""
         if self._listener is not None:
             self._listener.close()
-        for connection in self.server.connections:
-            if connection not in self.busy:
-                connection.force_close()
+        self.server.close_idle()
 
     async def idle(self) -> None:
         """Return once no request is in flight."""
-        while self.busy:
+        while self.server.busy:
             await asyncio.sleep(IDLE_CHECK_S)
 
     async def close(self) -> None:
         """Close everything; what is still in flight is cut off."""
         self.stop_listening()
-        await self.server.shutdown(0)
+        await self.server.shutdown(CLOSE_S)
 
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
         request_id = shown_id = self.ids.next()
         protocol = request.protocol
-        self.busy.add(protocol)
+        self.server.busy.add(protocol)
         try:
             shown_id = _parsing.echoed_id(request.headers) or shown_id
             response = await self._answer(request, request_id, shown_id)
         except errors.BerylhollowError as error:
             self.owner.refused(error.kind)
-            response = _answers.error_response(
-                error.kind, error.answer.ran, shown_id, detail=str(error)
-            )
-            if error.kind is errors.Kind.CALLER_TOO_SLOW:
-                response.force_close()
+            response = _refusal(error, shown_id)
         finally:
-            self.busy.discard(protocol)
+            self.server.busy.discard(protocol)
         if self.owner.stopping and not response.prepared:
             response.force_close()
         return response
@@ -181,60 +111,29 @@
     async def _answer(
         self, request: web.BaseRequest, request_id: str, shown_id: str
     ) -> web.StreamResponse:
-        path = request.raw_path.partition('?')[0]
-        if path in MODEL_PATHS:
-            _check_method(request, POST_METHODS)
-            taken = await self._take_model_request(request, request_id, path)
-        elif path.startswith(SERVICES_PREFIX):
-            _check_method(request, SERVICE_METHODS)
-            taken = await self._take_service_request(request, request_id)
-        else:
-            response = await self.owner.page(path)
-            if response is None:
-                raise errors.BerylhollowError(errors.Kind.NOT_FOUND)
-            _check_method(request, READ_METHODS)
-            return response
-        return await self._see_through(request, taken, shown_id)
-
-    async def _take_model_request(
-        self, request: web.BaseRequest, request_id: str, path: str
-    ) -> events.Request:
+        target = _parsing.target(request.raw_path)
+        if target is None:
+            return await self._page(request)
+        _check_method(request, target.methods)
         terms = self._terms(request)
-        _parsing.check_json_headers(request.headers)
         headers = _parsing.passed_headers(request.headers)
-        body = await self._read_body(request)
-        call = _parsing.model_call(body)
-        return _parsing.build(
-            request_id,
-            terms,
-            terms.service,
-            call,
-            request.method,
-            path,
-            headers,
-            body,
-        )
+        if target.is_model:
+            _parsing.check_json_headers(request.headers)
+        body = await self.bodies.read(request)
+        try:
+            taken = _parsing.build(
+                request_id, terms, target, request.method, headers, body
+            )
+            return await self._see_through(request, taken, shown_id)
+        finally:
+            self.bodies.release(len(body))
 
-    async def _take_service_request(
-        self, request: web.BaseRequest, request_id: str
-    ) -> events.Request:
-        terms = self._terms(request)
-        rest = request.raw_path[len(SERVICES_PREFIX) :]
-        service, _, tail = rest.partition('/')
-        path = f'/{tail}'
-        _parsing.check_service_path(service, path)
-        headers = _parsing.passed_headers(request.headers)
-        body = await self._read_body(request)
-        return _parsing.build(
-            request_id,
-            terms,
-            service,
-            None,
-            request.method,
-            path,
-            headers,
-            body,
-        )
+    async def _page(self, request: web.BaseRequest) -> web.StreamResponse:
+        response = await self.owner.page(request.raw_path.partition('?')[0])
+        if response is None:
+            raise errors.BerylhollowError(errors.Kind.NOT_FOUND)
+        _check_method(request, READ_METHODS)
+        return response
 
     def _terms(self, request: web.BaseRequest) -> _parsing.CallerTerms:
         # Before HTTP/1.1 the end of a connection is the end of an answer:
@@ -247,42 +146,6 @@
             request.headers, self.settings.deadline_ms
         )
 
-    async def _read_body(self, request: web.BaseRequest) -> bytes:
-        """Return the whole body.
-
-        Raises BODY_TOO_LARGE, CALLER_TOO_SLOW if it takes too long as a
-        whole, and BAD_REQUEST if it is cut short or badly chunked.
-        """
-        if (request.content_length or 0) > self.settings.body_limit_bytes:
-            raise errors.BerylhollowError(errors.Kind.BODY_TOO_LARGE)
-        await _expect(request)
-        content = request.content
-        try:
-            if content.is_eof():
-                return self._bounded(content.read_nowait(-1))
-            async with asyncio.timeout(self.slow_timeout):
-                return await self._read_slowly(content)
-        except TimeoutError:
-            raise errors.BerylhollowError(
-                errors.Kind.CALLER_TOO_SLOW
-            ) from None
-        except (aiohttp.ClientError, web.RequestPayloadError) as error:
-            raise errors.BerylhollowError(
-                errors.Kind.BAD_REQUEST, 'The body is not valid.'
-            ) from error
-
-    async def _read_slowly(self, content: aiohttp.StreamReader) -> bytes:
-        data = bytearray()
-        while not content.at_eof():
-            data += await content.readany()
-            self._bounded(data)
-        return bytes(data)
-
-    def _bounded(self, data):
-        if len(data) > self.settings.body_limit_bytes:
-            raise errors.BerylhollowError(errors.Kind.BODY_TOO_LARGE)
-        return data
-
     async def _see_through(
         self, request: web.BaseRequest, taken: events.Request, shown_id: str
     ) -> web.StreamResponse:
@@ -327,20 +190,21 @@
         return await answer.write()
 
 
+def _refusal(error: errors.BerylhollowError, shown_id: str) -> web.Response:
+    kind = error.kind
+    overloaded = kind is errors.Kind.OVERLOADED
+    response = _answers.error_response(
+        kind,
+        error.answer.ran,
+        shown_id,
+        _connections.RETRY_AFTER_MS if overloaded else 0,
+        str(error),
+    )
+    if overloaded or kind is errors.Kind.CALLER_TOO_SLOW:
+        response.force_close()
+    return response
+
+
 def _check_method(request: web.BaseRequest, allowed: frozenset[str]) -> None:
     if request.method not in allowed:
         raise errors.BerylhollowError(errors.Kind.METHOD_NOT_ALLOWED)
-
-
-async def _expect(request: web.BaseRequest) -> None:
-    """Ask for a body that the caller holds back until it is wanted."""
-    expected = request.headers.get('Expect')
-    if expected is None:
-        return
-    if expected.lower() != '100-continue':
-        raise errors.BerylhollowError(
-            errors.Kind.BAD_HEADER, 'Expect is not valid.'
-        )
-    await request.writer.write(CONTINUE)
-    # The interim answer is not part of the answer itself.
-    request.writer.output_size = 0
--- a/berylhollow/gateway/_parsing.py
+++ b/berylhollow/gateway/_parsing.py
@@ -32,6 +32,13 @@
 DIGEST_BYTES = 16
 PREFIX_BYTES = 8
 
+MODEL_PATHS = frozenset({'/v1/chat/completions', '/v1/completions'})
+MODEL_METHODS = frozenset({'POST'})
+SERVICES_PREFIX = '/v1/services/'
+SERVICE_METHODS = frozenset(
+    {'DELETE', 'GET', 'HEAD', 'OPTIONS', 'PATCH', 'POST', 'PUT'}
+)
+
 # ASCII only: a name goes into logs, metrics and the platform's log.
 NAME = re.compile(r'[A-Za-z0-9][A-Za-z0-9._:/@-]{0,127}')
 SERVICE_NAME = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,127}')
@@ -83,6 +90,22 @@
     output_tokens: int
 
 
+PLAIN_CALL = ModelCall(None, 0, 0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """Where a request goes: a path of a model engine, or of a service."""
+
+    is_model: bool
+    service: str
+    path: str
+
+    @property
+    def methods(self) -> frozenset[str]:
+        return MODEL_METHODS if self.is_model else SERVICE_METHODS
+
+
 class RequestIds:
     """Make request ids that no other process and no caller ever makes.
 
@@ -265,14 +288,26 @@
     return errors.BerylhollowError(errors.Kind.BAD_REQUEST, message)
 
 
-def check_service_path(service: str, path: str) -> None:
-    """Raise BAD_REQUEST for a path that leads somewhere else.
+def target(raw_path: str) -> Target | None:
+    """Return where a request goes, None if it is not passed on.
 
-    A dot segment would be resolved by some program further on, to a path
-    that this request did not show.
+    Raises BAD_REQUEST for the path of a service that is not valid.
     """
-    if not SERVICE_NAME.fullmatch(service) or not path.isascii():
+    path = raw_path.partition('?')[0]
+    if path in MODEL_PATHS:
+        return Target(True, '', path)
+    if not path.startswith(SERVICES_PREFIX):
+        return None
+    service, _, tail = raw_path[len(SERVICES_PREFIX) :].partition('/')
+    if not SERVICE_NAME.fullmatch(service) or not tail.isascii():
         raise _bad('The path is not valid.')
+    _check_segments(tail)
+    return Target(False, service, f'/{tail}')
+
+
+def _check_segments(path: str) -> None:
+    # A dot segment would be resolved by some program further on, to a path
+    # that this request did not show.
     plain = path.partition('?')[0].lower().replace('%2e', '.')
     segments = plain.replace('\\', '/').replace('%2f', '/').split('/')
     if '.' in segments or '..' in segments:
@@ -305,28 +340,32 @@
 def build(
     request_id: str,
     terms: CallerTerms,
-    service: str,
-    call: ModelCall | None,
+    goal: Target,
     method: str,
-    path: str,
     headers: tuple[messages.Header, ...],
     body: bytes,
 ) -> events.Request:
-    """Return the request as the reducer takes it."""
-    adapter = call.adapter if call else None
+    """Return the request as the reducer takes it.
+
+    Raises MALFORMED_JSON and BAD_REQUEST for the body of a model request.
+    """
+    call = model_call(body) if goal.is_model else PLAIN_CALL
+    service = goal.service or terms.service
     return events.Request(
         request_id=request_id,
         caller=terms.caller,
         service=service,
-        adapter=adapter,
+        adapter=call.adapter,
         key=terms.key,
         priority=terms.priority,
         deadline_ms=terms.deadline_ms,
-        fingerprint=fingerprint(service, method, path, adapter, body),
+        fingerprint=fingerprint(
+            service, method, goal.path, call.adapter, body
+        ),
         method=method,
-        path=path,
+        path=goal.path,
         headers=headers,
         body=body,
-        prompt_tokens=call.prompt_tokens if call else 0,
-        output_tokens=call.output_tokens if call else 0,
+        prompt_tokens=call.prompt_tokens,
+        output_tokens=call.output_tokens,
     )
--- a/berylhollow/settings/_roles.py
+++ b/berylhollow/settings/_roles.py
@@ -103,6 +103,13 @@
         'Address for callers, health and metrics.', default='127.0.0.1'
     )
     port: int = _port('Port for callers; 0 takes a free one.', 8080)
+    connections: int = _options.integer(
+        'Connections of callers at once; more are told so and closed.',
+        default=2_000,
+        low=1,
+        high=1_000_000,
+        unit='connections',
+    )
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -142,6 +149,13 @@
         high=1_000_000.0,
         unit='requests/s',
     )
+    body_bytes_in_flight: int = _options.integer(
+        'Size of the request bodies held at once, all together.',
+        default=33_554_432,
+        low=1,
+        high=1_000_000_000_000,
+        unit='bytes',
+    )
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -168,6 +182,12 @@
         'disconnected.',
         20_000,
     )
+    stop_notice_ms: int = _duration(
+        'How long a gateway that stops goes on taking requests while '
+        '/readyz says that it is not ready, so that the balancer sees it.',
+        2_000,
+        low=0,
+    )
     stop_grace_ms: int = _duration(
         'Longest graceful stop; far above the longest answer.',
         10 * MINUTE_MS,
