Go on serving until the balancer knows of a stop

Cause: a gateway that was told to stop refused requests at once, though the balancer sends on until it has looked at /readyz; and a defect of the reducer left callers without an answer. Change: /readyz turns at once, requests are served for stop_notice_ms with Connection: close, then the listener and idle connections close and what is in flight is finished; on a defect every caller is told, unknown for what was under way and not run for what comes after. The tests of the stop are replaced by stricter ones: a request in the notice must be answered, where 503 was expected before.

--- a/berylhollow/gateway/_shell.py
+++ b/berylhollow/gateway/_shell.py
@@ -104,17 +104,27 @@
     async def stop(self) -> int:
         """Stop gracefully and return the exit code.
 
-        Everything in flight is finished; the reducer decides when.
+        Guards against requests that are cut off by a planned stop. The
+        balancer goes on sending until it has seen that this gateway is not
+        ready; only then the listener closes, and with it the connections
+        on which nothing is under way. Everything in flight is finished; the
+        reducer decides when.
         """
-        if not self.stopping:
-            self.stopping = True
-            self.feed(events.StopRequested(self.time.now_ms()))
-        code = await self.ended
+        self.stopping = True
+        if not self.ended.done():
+            await self.notice()
         self.front_end.stop_listening()
+        self.feed(events.StopRequested(self.time.now_ms()))
+        code = await self.ended
         await self._last_answers()
         await self.close()
         return code
 
+    async def notice(self) -> None:
+        """Wait until the balancer has seen that this gateway stops."""
+        notice_ms = self.settings.stop_notice_ms
+        await asyncio.sleep(notice_ms / clock.MS_PER_SECOND)
+
     async def close(self) -> None:
         """Close everything at once."""
         await self.front_end.close()
@@ -146,6 +156,9 @@
     def arrived(self, exchange: _exchange.Exchange) -> None:
         request = exchange.request
         self.exchanges[request.request_id] = exchange
+        if self.driver.failed.done():
+            self._answer_failure(exchange, errors.Ran.NOT_RUN)
+            return
         self.feed(
             events.RequestArrived(
                 exchange.arrived_ms, request, random.random()
@@ -322,9 +335,28 @@
             self.ended.set_result(effect.code)
 
     def _failed(self, failed: asyncio.Future) -> None:
-        if not failed.cancelled() and not self.ended.done():
+        if failed.cancelled():
+            return
+        self.stopping = True
+        for exchange in self.exchanges.values():
+            self._answer_failure(exchange, errors.Ran.UNKNOWN)
+        if not self.ended.done():
             self.ended.set_result(1)
 
+    def _answer_failure(
+        self, exchange: _exchange.Exchange, ran: errors.Ran
+    ) -> None:
+        """Tell a caller that no decision will come for its request."""
+        request_id = exchange.request.request_id
+        kind = errors.Kind.INTERNAL
+        if exchange.relay is None:
+            exchange.begin(effects.AnswerError(request_id, kind, ran))
+            return
+        attempt_id = exchange.relay.begin.attempt_id
+        exchange.relay.fail(
+            effects.BreakAnswer(request_id, attempt_id, kind, ran)
+        )
+
 
 def _log(effect: effects.Log) -> None:
     level = logging.WARNING if effect.warning else logging.INFO
--- a/berylhollow/gateway/service.py
+++ b/berylhollow/gateway/service.py
@@ -28,7 +28,9 @@
     """
     return loop.run(
         lambda lifetime: [GatewayService(settings, lifetime)],
-        stop_grace_ms=settings.stop_grace_ms + STOP_MARGIN_MS,
+        stop_grace_ms=(
+            settings.stop_notice_ms + settings.stop_grace_ms + STOP_MARGIN_MS
+        ),
     )
 
 
--- a/test/gateway_helper.py
+++ b/test/gateway_helper.py
@@ -29,6 +29,7 @@
         'platform': {'url': NO_PLATFORM},
         'listen': {'port': 0},
         'peers': {'port': 0},
+        'stop_notice_ms': 0,
         'tick_ms': 10,
     }
     return settings.parse(values | changes, 'gateway')
@@ -41,6 +42,11 @@
             await asyncio.sleep(0.001)
 
 
+def raise_defect(state, event):
+    """A reducer with a defect."""
+    raise RuntimeError('a defect')
+
+
 class FakeSidecar:
     """Take offers and cancels; the test sends the frames itself."""
 
--- a/test/test_gateway_answers.py
+++ b/test/test_gateway_answers.py
@@ -232,23 +232,7 @@
             return None
 
 
-class StopTest(gateway_helper.GatewayTestCase):
-    async def test_stop_finishes_what_is_in_flight(self):
-        await self.begin()
-        await self.add_sidecar()
-        answer = self.post()
-        attempt_id = await self.sidecar.offered()
-        stopping = asyncio.create_task(self.shell.stop())
-        await self.until(lambda: self.shell.stopping)
-        await self.assert_problem(self.post(), 503, 'leaving')
-        self.sidecar.start(attempt_id)
-        self.sidecar.answer(attempt_id, b'whole')
-        self.sidecar.end(attempt_id, 1)
-        status, headers, body = await answer
-        self.assertEqual((200, b'whole'), (status, body))
-        self.assertEqual('close', headers['Connection'])
-        self.assertEqual(0, await stopping)
-
+class AddressTest(gateway_helper.GatewayTestCase):
     async def test_other_instance_at_an_address_gets_no_work(self):
         """A request runs at an endpoint of another service.
 
--- /dev/null
+++ b/test/test_gateway_stop.py
@@ -0,0 +1,108 @@
+"""Tests of a gateway's stop, and of its bounds on what callers hold."""
+
+import asyncio
+
+from test import builders
+from test import gateway_helper
+
+
+class StopTest(gateway_helper.GatewayTestCase):
+    async def asyncSetUp(self):
+        await self.begin()
+        await self.add_sidecar()
+        self.noticed = asyncio.Event()
+        self.shell.notice = self.noticed.wait
+
+    async def answer(self, answer, attempt_id):
+        self.sidecar.start(attempt_id)
+        self.sidecar.answer(attempt_id, b'whole')
+        self.sidecar.end(attempt_id, 1)
+        status, headers, body = await answer
+        self.assertEqual((200, b'whole'), (status, body))
+        return headers
+
+    async def test_stop_cuts_off_no_request(self):
+        """Callers see errors each time that a gateway is replaced.
+
+        The gateway is told to stop; the balancer sends on to it until the
+        next look at /readyz. Cause: a listener that closes, or a request
+        that is refused, before the balancer can know.
+        """
+        first = self.post()
+        attempt_id = await self.sidecar.offered()
+        stopping = asyncio.create_task(self.shell.stop())
+        await self.until(lambda: self.shell.stopping)
+        async with self.session.get('/readyz') as response:
+            self.assertEqual(503, response.status)
+        late = self.post()
+        headers = await self.answer(late, await self.sidecar.offered())
+        self.assertEqual('close', headers['Connection'])
+        self.noticed.set()
+        await self.until(lambda: self.shell.driver.state.stopping)
+        with self.assertRaises(ConnectionRefusedError):
+            await self.raw(b'')
+        await self.answer(first, attempt_id)
+        self.assertEqual(0, await stopping)
+
+    async def test_stop_ends_idle_connections(self):
+        reader, _ = await self.raw(b'GET /healthz HTTP/1.1\r\nHost: g\r\n\r\n')
+        await reader.readuntil(b'}')
+        self.noticed.set()
+        self.assertEqual(0, await self.shell.stop())
+        self.assertEqual(b'', await reader.read())
+
+
+class DefectTest(gateway_helper.GatewayTestCase):
+    async def test_callers_are_told_when_the_reducer_fails(self):
+        """Callers wait for answers that nobody will give.
+
+        A defect stops the reducer of one gateway. Cause: a shell that only
+        ends, without a word to the callers that it holds.
+        """
+        await self.begin()
+        await self.add_sidecar()
+        answer = self.post()
+        await self.sidecar.offered()
+        self.shell.driver.reduce = gateway_helper.raise_defect
+        with self.assertLogs('berylhollow', 'ERROR'):
+            self.sidecar.send(builders.failed('any'))
+            await self.assert_problem(answer, 500, 'internal', 'unknown')
+        await self.assert_problem(self.post(), 500, 'internal', 'not_run')
+        self.assertEqual(1, await self.shell.stop())
+
+
+class BoundsTest(gateway_helper.GatewayTestCase):
+    async def test_connection_too_many_is_told_so(self):
+        await self.begin(listen={'port': 0, 'connections': 1})
+        request = b'GET /healthz HTTP/1.1\r\nHost: g\r\n\r\n'
+        reader, writer = await self.raw(request)
+        await reader.readuntil(b'}')
+        refused, _ = await self.raw(b'')
+        answer = await refused.read()
+        self.assertIn(b' 503 ', answer.partition(b'\r\n')[0])
+        self.assertIn(b'"kind": "overloaded"', answer)
+        writer.write(request)
+        self.assertIn(b' 200 ', await reader.readline())
+
+    async def test_bodies_held_at_once_are_bounded(self):
+        """A gateway runs out of memory when many large bodies come at once.
+
+        Each is within the limit of one. Cause: no bound on all together.
+        """
+        await self.begin(limits={'body_bytes_in_flight': 1500})
+        await self.add_sidecar()
+        large = {'prompt': 'x' * 900}
+        first = self.post(large)
+        attempt_id = await self.sidecar.offered()
+        headers, _ = await self.assert_problem(
+            self.post(large), 503, 'overloaded'
+        )
+        self.assertEqual('1', headers['Retry-After'])
+        await self.finish(first, attempt_id)
+        second = self.post(large)
+        await self.finish(second, await self.sidecar.offered())
+
+    async def finish(self, answer, attempt_id):
+        self.sidecar.start(attempt_id)
+        self.sidecar.end(attempt_id, 0)
+        self.assertEqual(200, (await answer)[0])
