--- a/tools/make_traces.py
+++ b/tools/make_traces.py
@@ -17,8 +17,11 @@
     arguments = parse_arguments()
     folder = pathlib.Path(arguments.folder)
     folder.mkdir(parents=True, exist_ok=True)
-    for user in trace_users.USERS.values():
-        for shape in trace_shapes.SHAPES:
+    users, shapes = trace_users.USERS.values(), trace_shapes.SHAPES
+    if arguments.local:
+        users, shapes = (trace_users.LOCAL,), trace_shapes.LOCAL_SHAPES
+    for user in users:
+        for shape in shapes:
             items = trace_shapes.make(
                 shape,
                 user,
@@ -35,6 +38,11 @@
     parser.add_argument('folder')
     parser.add_argument('--length-s', type=float, default=20.0)
     parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument(
+        '--local',
+        action='store_true',
+        help='make traces for the deployment of make run instead',
+    )
     return parser.parse_args()
 
 
--- a/tools/run_local.py
+++ b/tools/run_local.py
@@ -35,10 +35,15 @@
 class Child:
     """A process of the deployment and the file that it logs to."""
 
-    def __init__(self, member: local_deployment.Member, folder: pathlib.Path):
+    def __init__(
+        self,
+        member: local_deployment.Member,
+        folder: pathlib.Path,
+        logs: pathlib.Path,
+    ):
         self.member = member
         self.settings_path = folder / f'{member.name}.jsonc'
-        self.log_path = folder / f'{member.name}.log'
+        self.log_path = logs / f'{member.name}.log'
         self.process: asyncio.subprocess.Process | None = None
 
     async def start(self) -> None:
@@ -94,10 +99,10 @@
 class Deployment:
     """All children, in the order in which they start."""
 
-    def __init__(self, folder: pathlib.Path):
+    def __init__(self, folder: pathlib.Path, logs: pathlib.Path):
         self.folder = folder
         self.groups = [
-            [Child(member, folder) for member in group]
+            [Child(member, folder, logs) for member in group]
             for group in local_deployment.groups()
         ]
         self.children = [child for group in self.groups for child in group]
@@ -196,13 +201,13 @@
         return int(code != 0)
 
 
-async def run(folder: pathlib.Path, once: bool) -> int:
+async def run(folder: pathlib.Path, logs: pathlib.Path, once: bool) -> int:
     """Run the deployment until a signal; return the exit code."""
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGINT, signal.SIGTERM):
         loop.add_signal_handler(number, stopping.set)
-    deployment = Deployment(folder)
+    deployment = Deployment(folder, logs)
     failed = 0
     work = asyncio.create_task(serve(deployment, once))
     stop = asyncio.create_task(stopping.wait())
@@ -242,12 +247,22 @@
     parser.add_argument(
         '--once', action='store_true', help='stop as soon as all is ready'
     )
+    parser.add_argument(
+        '--logs',
+        metavar='FOLDER',
+        type=pathlib.Path,
+        help='keep the logs of the processes there, a file each',
+    )
     arguments = parser.parse_args()
+    if arguments.logs is not None:
+        arguments.logs.mkdir(parents=True, exist_ok=True)
     parent = MEMORY_FOLDER if MEMORY_FOLDER.is_dir() else None
     with tempfile.TemporaryDirectory(
         prefix='berylhollow-', dir=parent
     ) as folder:
-        return asyncio.run(run(pathlib.Path(folder), arguments.once))
+        settings = pathlib.Path(folder)
+        logs = arguments.logs or settings
+        return asyncio.run(run(settings, logs, arguments.once))
 
 
 if __name__ == '__main__':
--- a/tools/trace_shapes.py
+++ b/tools/trace_shapes.py
@@ -82,7 +82,7 @@
             at_ms=at_ms,
             caller=f'firm-{number % user.callers:03d}',
             service=user.service,
-            adapter=f'lora-{number:04d}',
+            adapter=user.adapter_name(number),
             version=VERSION,
             prompt_tokens=user.prompt_tokens.pick(self.rng),
             output_tokens=user.output_tokens.pick(self.rng),
@@ -208,6 +208,14 @@
                 )
 
 
+def mixed_faults(maker: Maker):
+    """Mixed demand; an engine restarts, then the weight store is slow."""
+    yield from mixed(maker)
+    yield _trace.TraceFault(maker.at(0.3), 'crash', 'engine-1')
+    span_ms = maker.at(0.2)
+    yield _trace.TraceFault(maker.at(0.6), 'weights_slow', 'weights', span_ms)
+
+
 SHAPES = {
     'steady-zipf': steady_zipf,
     'popularity-flip': popularity_flip,
@@ -219,11 +227,18 @@
     'weights-fail': weights_fail,
     'mixed': mixed,
 }
+LOCAL_SHAPES = {
+    'steady-zipf': steady_zipf,
+    'flash-crowd': flash_crowd,
+    'mixed-faults': mixed_faults,
+}
+"""For the deployment of ``make run``, whose adapters are few."""
 
 
 def make(
     shape: str, user: trace_users.User, length_ms: int, seed: int
 ) -> list[_trace.TraceItem]:
     """Return the items of a trace by time."""
-    items = SHAPES[shape](Maker(user, length_ms, seed))
+    shapes = {**SHAPES, **LOCAL_SHAPES}
+    items = shapes[shape](Maker(user, length_ms, seed))
     return sorted(items, key=lambda item: item.at_ms)
--- a/tools/trace_users.py
+++ b/tools/trace_users.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from tools import local_deployment
+
 
 @dataclasses.dataclass(frozen=True)
 class Span:
@@ -33,6 +35,12 @@
     output_tokens: Span
     deadline_ms: Span
     plain_deadline_ms: int = 3000
+    adapter_names: str = 'lora-{:04d}'
+    first_adapter: int = 0
+
+    def adapter_name(self, number: int) -> str:
+        """Return the name of the adapter of a number from 0."""
+        return self.adapter_names.format(self.first_adapter + number)
 
 
 ASSOCIATION = User(
@@ -59,4 +67,20 @@
     output_tokens=Span(60, 200),
     deadline_ms=Span(10_000, 20_000),
 )
+LOCAL = User(
+    name='local',
+    service=local_deployment.ENGINE_SERVICE,
+    plain_service=local_deployment.PLAIN_SERVICE,
+    adapters=local_deployment.ADAPTERS,
+    callers=12,
+    rate_per_s=6.0,
+    exponent=1.4,
+    prompt_tokens=Span(40, 200),
+    output_tokens=Span(10, 60),
+    deadline_ms=Span(5000, 10_000),
+    adapter_names='a{:03d}',
+    first_adapter=1,
+)
+"""Fits the deployment of ``make run``."""
+
 USERS = {user.name: user for user in (ASSOCIATION, GUINDASTE)}
