Name the service in the log line of a refusal

Cause: a model request names no service, so the line of one that failed before its answer began had none, and the report counted it against no budget. Seen in a live load: of 3 deadline_exceeded answers of a service, its objective on_time showed 1.

Change: the line names the service that the configuration declares, as the metrics do.

Measured: python -m test test_gateway_metrics.py: 7 passed; without the change 1 of them fails.

Conclusion: a refusal uses the budget of its service.

--- a/berylhollow/gateway/_shell.py
+++ b/berylhollow/gateway/_shell.py
@@ -192,18 +192,21 @@
         self.exchanges.pop(exchange.request.request_id, None)
         if exchange.relay is not None:
             self.relays.pop(exchange.relay.begin.attempt_id, None)
-        exchange.log(self.now_ms(), _pages.revision(self.driver.state))
-        self._measure(exchange)
+        state = self.driver.state
+        service = exchange.service
+        if exchange.relay is None:
+            service = _pages.declared_service(state, exchange.request)
+            # A refusal belongs to its service too: a report that did not
+            # know it would show an outage as a budget that is whole.
+            exchange.service = service or exchange.service
+        exchange.log(self.now_ms(), _pages.revision(state))
+        self._measure(exchange, service)
 
     def refused(self, kind: errors.Kind) -> None:
         ran = errors.ANSWERS[kind].ran
         self._count_error('', kind, ran)
 
-    def _measure(self, exchange: _exchange.Exchange) -> None:
-        service = exchange.service
-        if exchange.relay is None:
-            state = self.driver.state
-            service = _pages.declared_service(state, exchange.request)
+    def _measure(self, exchange: _exchange.Exchange, service: str) -> None:
         kind = exchange.kind.value if exchange.kind else ''
         attributes = (
             ('http.request.method', exchange.request.method),
--- a/test/test_gateway_metrics.py
+++ b/test/test_gateway_metrics.py
@@ -58,6 +58,27 @@
         self.assertIn('error_type="wrong_adapter"', line)
         self.assertTrue(line.endswith(' 1.0'))
 
+    async def test_line_of_a_refusal_names_the_service(self):
+        """An outage leaves the error budget of its service whole.
+
+        Every request for an adapter fails before its answer begins, and the
+        report counts none of them. Cause: the caller names no service, and
+        the log line of a refusal had only what the caller named.
+        """
+        with self.assertLogs('berylhollow.gateway._exchange') as logs:
+            answer = self.post()
+            attempt_id = await self.sidecar.offered()
+            self.sidecar.send(
+                messages.Failed(
+                    attempt_id, errors.Kind.WRONG_ADAPTER, errors.Ran.RAN
+                )
+            )
+            await answer
+            await self.until(lambda: not self.shell.in_flight)
+        (record,) = logs.records
+        self.assertEqual('wrong_adapter', record.kind)
+        self.assertEqual(builders.SERVICE, record.service)
+
     async def test_made_up_service_is_no_label(self):
         # A gateway grows until it is killed: a caller asks for services
         # under names that it makes up, and each becomes a series.
