Make the report readable, and judge first tokens of streams only

Cause: seen on a picture of a report of a live load. Answers that are not streamed have their first byte at the end and counted as late first tokens; answers of which no service is known counted for nothing; a used-up budget showed as -753%; alerts had to be looked for; time axes did not line up; what a mark stands for was not told; legends covered curves.

Change: the objective first_token leaves whole answers out; answers without a service form one of their own; a list of alerts first; a table of marks; one margin for all pictures.

Conclusion: the page says first what is wrong.

--- a/berylhollow/report/__init__.py
+++ b/berylhollow/report/__init__.py
@@ -12,6 +12,7 @@
 from berylhollow.report._records import Mark
 from berylhollow.report._records import read
 from berylhollow.report._records import Records
+from berylhollow.report._summary import alerts
 from berylhollow.report._summary import summarize
 from berylhollow.report._summary import Summary
 from berylhollow.report._summary import to_json
@@ -25,6 +26,7 @@
     'Objective',
     'Records',
     'Summary',
+    'alerts',
     'read',
     'summarize',
     'to_json',
--- a/berylhollow/report/_objectives.py
+++ b/berylhollow/report/_objectives.py
@@ -55,6 +55,9 @@
         return None
     if answer.first_byte_ms is None:
         return False
+    if not answer.parts:
+        # All of an answer that is not streamed comes at its end.
+        return None
     return answer.first_byte_ms <= FIRST_TOKEN_MS
 
 
--- a/berylhollow/report/_plots.py
+++ b/berylhollow/report/_plots.py
@@ -14,6 +14,11 @@
 WIDTH_IN = 10
 TIMELINE_HEIGHT_IN = 2.2
 SERIES_HEIGHT_IN = 2.4
+# The same in all pictures, so that a moment stands at the same place in each.
+MARGINS = {'left': 0.17, 'right': 0.985, 'bottom': 0.2, 'top': 0.88}
+LEAST_TOP = 1.5
+"""Shows the line of burn rate 1 also where nothing burns."""
+
 MARK_COLOURS = {
     _records.MarkKind.CONFIGURATION: 'tab:green',
     _records.MarkKind.LOAD: 'tab:blue',
@@ -54,14 +59,20 @@
         axes.plot(
             [moment for moment, _ in points],
             [rate for _, rate in points],
-            label=series.objective,
+            label=series.objective.replace('_', ' '),
             linewidth=1.2,
         )
     axes.axhline(1, color='grey', linestyle=':', linewidth=1)
     _draw_restarts(axes, summary)
     axes.set_ylabel('burn rate')
-    axes.set_ylim(bottom=0)
-    axes.legend(loc='upper right', fontsize=8)
+    axes.set_ylim(0, max(LEAST_TOP, axes.get_ylim()[1]))
+    axes.legend(
+        loc='lower left',
+        bbox_to_anchor=(0, 1),
+        ncols=len(summary.series),
+        frameon=False,
+        fontsize=8,
+    )
     _time_axis(axes, summary)
     return _svg(drawing)
 
@@ -93,12 +104,12 @@
 
 
 def _svg(drawing: figure.Figure) -> str:
+    drawing.subplots_adjust(**MARGINS)
     text = io.StringIO()
     with matplotlib.rc_context(SVG_SETTINGS):
         drawing.savefig(
             text,
             format='svg',
-            bbox_inches='tight',
             metadata={'Date': None, 'Creator': None},
         )
     svg = text.getvalue()
--- a/berylhollow/report/_summary.py
+++ b/berylhollow/report/_summary.py
@@ -12,6 +12,8 @@
 WORST = 10
 BUCKETS = 120
 MIN_BUCKET_MS = 1000
+NO_SERVICE = 'not known'
+"""Of requests that failed before a configuration told their service."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -110,13 +112,22 @@
     for answer in answers:
         for objective in _objectives.OBJECTIVES:
             good = objective.judge(answer)
-            if good is None or not answer.service:
+            if good is None:
                 continue
-            key = (answer.service, objective.name)
+            key = (answer.service or NO_SERVICE, objective.name)
             judged.setdefault(key, []).append((answer.at_ms, good))
     return judged
 
 
+def alerts(summary: Summary) -> tuple[Result, ...]:
+    """Return the objectives of which an alert is on."""
+    return tuple(
+        result
+        for result in summary.results
+        if any(window.alert for window in result.burn.windows)
+    )
+
+
 def _by_name(name: str) -> _objectives.Objective:
     return next(x for x in _objectives.OBJECTIVES if x.name == name)
 
--- a/berylhollow/report/page.py
+++ b/berylhollow/report/page.py
@@ -6,6 +6,7 @@
 from berylhollow import clock
 from berylhollow.report import _burn
 from berylhollow.report import _plots
+from berylhollow.report import _records
 from berylhollow.report import _summary
 
 STYLE = """
@@ -13,12 +14,18 @@
        padding: 0 1em; color: #222; }
 table { border-collapse: collapse; margin: 0.8em 0; }
 th, td { border-bottom: 1px solid #ddd; padding: 0.25em 0.8em;
-         text-align: right; }
-th:first-child, td:first-child { text-align: left; }
+         text-align: left; vertical-align: top; }
+.number { text-align: right; }
 .bad { background: #fdd; font-weight: bold; }
 .thin { color: #888; }
 svg { max-width: 100%; height: auto; }
 """
+NOTE = (
+    '<p class="thin">Burn is the rate over the long / the short window; 1 '
+    'uses the budget up in 28 days. Grey: the logs are shorter than the long '
+    'window. Red: an alert, or a budget that is used up.</p>'
+)
+MOST_MARKS = 20
 
 
 def render(summary: _summary.Summary) -> str:
@@ -30,8 +37,12 @@
         f'<style>{STYLE}</style></head><body>',
         '<h1>Service-level burn</h1>',
         _span(summary),
+        '<h2>Alerts</h2>',
+        _alerts(summary),
         '<h2>Timeline</h2>',
         _plots.timeline(summary),
+        _marks(summary),
+        NOTE,
     ]
     for service in services:
         parts += _service(summary, service)
@@ -55,6 +66,45 @@
     return f'<p>{html.escape(text)}</p>'
 
 
+def _alerts(summary: _summary.Summary) -> str:
+    rows = [_alert_row(result) for result in _summary.alerts(summary)]
+    return _table(['service', 'objective', 'alert', 'burn', 'seen'], rows)
+
+
+def _alert_row(result: _summary.Result) -> list:
+    raised = [window for window in result.burn.windows if window.alert]
+    # The windows are listed with the most urgent first.
+    burns = [
+        f'{burn.window.name}: {burn.long_rate:.1f} / {burn.short_rate:.1f}, '
+        f'threshold {burn.window.threshold}'
+        for burn in raised
+    ]
+    covered = any(burn.covered for burn in raised)
+    return [
+        result.service,
+        result.objective.title,
+        raised[0].window.severity,
+        '; '.join(burns),
+        'whole window' if covered else 'logs are shorter',
+    ]
+
+
+def _marks(summary: _summary.Summary) -> str:
+    """Return a table of the last marks, but for loads, which are many."""
+    shown = [
+        mark
+        for mark in summary.marks
+        if mark.kind is not _records.MarkKind.LOAD
+    ]
+    rows = [
+        [_moment(mark.at_ms), mark.kind.value, mark.instance, mark.detail]
+        for mark in shown[-MOST_MARKS:]
+    ]
+    if len(shown) > MOST_MARKS:
+        rows.insert(0, [f'{len(shown) - MOST_MARKS} earlier', '', '', ''])
+    return _table(['time, UTC', 'what', 'where', 'detail'], rows)
+
+
 def _service(summary: _summary.Summary, service: str) -> list[str]:
     results = [x for x in summary.results if x.service == service]
     windows = [window.name for window in _burn.WINDOWS]
@@ -64,9 +114,6 @@
     return [
         f'<h2>Service {html.escape(service)}</h2>',
         _table(header, rows),
-        '<p class="thin">Burn: rate over the long / short window; 1 uses the '
-        'budget up in 28 days. In grey: the logs do not reach over the whole '
-        'long window. In red: an alert.</p>',
         _plots.burn_rates(summary, service),
     ]
 
@@ -74,6 +121,8 @@
 def _objective_row(result: _summary.Result) -> list:
     burn = result.burn
     left = f'{burn.budget_left:.1%}'
+    if burn.budget_left < 0:
+        left = f'none: {1 - burn.budget_left:.0%} used'
     cells: list = [
         result.objective.title,
         f'{result.objective.target:.0%}',
@@ -118,7 +167,8 @@
     if isinstance(value, _Cell):
         look = f' class="{value.look}"' if value.look else ''
         return f'<td{look}>{html.escape(value.text)}</td>'
-    return f'<td>{html.escape(str(value))}</td>'
+    look = ' class="number"' if isinstance(value, int) else ''
+    return f'<td{look}>{html.escape(str(value))}</td>'
 
 
 def _moment(at_ms: int) -> str:
--- a/berylhollow/ui/report_command.py
+++ b/berylhollow/ui/report_command.py
@@ -49,12 +49,9 @@
         print(text, end='')
     else:
         arguments.out.write_text(text, encoding='utf-8')
-    alert = any(
-        window.alert
-        for result in summary.results
-        for window in result.burn.windows
-    )
-    return exits.ExitCode.FINDINGS if alert else exits.ExitCode.OK
+    if report.alerts(summary):
+        return exits.ExitCode.FINDINGS
+    return exits.ExitCode.OK
 
 
 def _page(summary: report.Summary) -> str:
--- a/test/report/test_report.py
+++ b/test/report/test_report.py
@@ -54,6 +54,13 @@
         }
         self.assertEqual(expected, bad)
 
+    def test_first_token_is_judged_only_where_it_can_be_seen(self):
+        whole = {'parts': 0, 'first_byte_ms': 2000, 'duration_ms': 2000}
+        failed = {'kind': 'overloaded', 'first_byte_ms': None, 'parts': 0}
+        summary = self.summarize(line(**whole), line(**failed), line())
+        burn = result(summary, 'first_token')
+        self.assertEqual((1, 1), (burn.good, burn.bad))
+
     def test_callers_own_mistakes_do_not_use_the_budget(self):
         summary = self.summarize(
             line(), line(kind='unknown_adapter'), line(kind='overloaded')
@@ -105,6 +112,33 @@
         self.assertNotIn('src=', text)
         self.assertNotIn('href="http', text)
 
+    def test_an_outage_without_a_service_uses_a_budget(self):
+        """Nothing is served, and the report shows no objective missed.
+
+        Gateways have read no configuration, so they don't know the service
+        of a request. Cause: answers without a service were left out.
+        """
+        outage = line(service='', kind='configuration_unavailable')
+        summary = self.summarize(line(), outage)
+        bad = [
+            x.service
+            for x in summary.results
+            if x.objective.name == 'on_time' and x.burn.bad
+        ]
+        self.assertEqual(['not known'], bad)
+
+    def test_page_lists_alerts_and_what_happened(self):
+        text = page.render(
+            self.summarize(
+                line(kind='overloaded'),
+                line(5, message='engine restarted', epoch='e2', instance='i7'),
+            )
+        )
+        self.assertIn('whole answer by its deadline</td><td>page</td>', text)
+        self.assertIn('logs are shorter', text)
+        self.assertIn('<td>i7</td><td>a1 e2</td>', text)
+        self.assertIn('none: 10000% used', text)
+
     def test_figures_are_json(self):
         document = json.loads(report.to_json(self.summarize(line())))
         self.assertEqual(1, document['answers'])
