Forget the request of an ended attempt

Cause: a sidecar remembers ended attempts for a minute, with their bodies. Change: body and headers are dropped when an attempt ends.

--- a/berylhollow/sidecar/_runs.py
+++ b/berylhollow/sidecar/_runs.py
@@ -1,5 +1,7 @@
 """Runs at the endpoint: begin them, follow them, end them."""
 
+import dataclasses
+
 from berylhollow import effects
 from berylhollow import errors
 from berylhollow import events
@@ -194,6 +196,9 @@
     if attempt_id in state.queue:
         state.queue.remove(attempt_id)
     attempt.phase = _state.Phase.ENDED
+    # The attempt is remembered for a minute; its request is not needed for
+    # that, and at a hundred requests a second it would fill the memory.
+    attempt.offer = dataclasses.replace(attempt.offer, body=b'', headers=())
     attempt.outcome = outcome
     attempt.ended_ms = at_ms
     state.ended.append(attempt)
--- a/test/test_sidecar.py
+++ b/test/test_sidecar.py
@@ -114,6 +114,16 @@
         self.offer()
         self.assertEqual([], self.of_type(effects.LoadAdapter))
 
+    def test_ended_attempt_does_not_keep_its_request(self):
+        """A sidecar under load grows out of its memory.
+
+        Each ended attempt is remembered for a minute, with its body. Cause:
+        a memory for resumes that keeps more than a resume needs.
+        """
+        self.run_offer(body=b'x' * 1000)
+        self.feed(events.RunEnded(4, 'r1.1', 1))
+        self.assertEqual(b'', self.state.attempts['r1.1'].offer.body)
+
     def test_pin_is_kept_until_the_cancel_is_confirmed(self):
         self.run_offer()
         self.receive(messages.Cancel('r1.1'), peer='g1')
