End a run whatever its request makes of the library

Cause: an error of no known kind, as of a header that can't be written, ended the task without a word: the reducer waited for its run for ever, with its slot pinned; an order whose task failed so left its slot loading.

Change: such a run is reported as internal, of unknown outcome, such an order as unknown. How a run ended has a module of its own; the log line names adapter and version as the gateway's does.

Conclusion: no request can hold a slot by what it contains.

--- a/berylhollow/sidecar/_endpoint_calls.py
+++ b/berylhollow/sidecar/_endpoint_calls.py
@@ -169,6 +169,10 @@
         except outgoing.CallError as error:
             LOG.warning('load of %s: %s', order.adapter, error)
             self.feed(_load_failed(order, error, self.time.now_ms()))
+        except Exception as error:
+            # A slot whose order is never answered would load for ever.
+            LOG.exception('load of %s', order.adapter)
+            self.feed(_load_failed(order, error, self.time.now_ms()))
         else:
             now_ms = self.time.now_ms()
             self.feed(
@@ -177,7 +181,7 @@
 
 
 def _load_failed(
-    order: effects.LoadAdapter, error: outgoing.CallError, at_ms: int
+    order: effects.LoadAdapter, error: Exception, at_ms: int
 ) -> events.LoadFailed:
     certainty = events.Certainty.UNKNOWN
     reason = events.LoadFailure.NO_ANSWER
--- a/berylhollow/sidecar/_run_calls.py
+++ b/berylhollow/sidecar/_run_calls.py
@@ -5,8 +5,6 @@
 import logging
 import typing
 
-import aiohttp
-
 from berylhollow import clock
 from berylhollow import effects
 from berylhollow import endpoint
@@ -18,6 +16,7 @@
 from berylhollow.sidecar import _answer_end
 from berylhollow.sidecar import _endpoint_calls
 from berylhollow.sidecar import _run
+from berylhollow.sidecar import _run_end
 from berylhollow import stream
 
 LOG = logging.getLogger(__name__)
@@ -29,12 +28,6 @@
 CANCEL_PAUSE_MS = 20
 LONGEST_CANCEL_PAUSE_MS = 1000
 
-BROKEN_CONNECTION = (
-    aiohttp.ClientPayloadError,
-    aiohttp.ServerDisconnectedError,
-    OSError,
-)
-
 
 class Outbox(typing.Protocol):
     """The links to the gateways, as far as runs need them."""
@@ -170,6 +163,21 @@
         await self.client.close()
 
     async def _follow(self, run: _run.Run) -> None:
+        """Take a run to its end, whatever its request makes of the library.
+
+        Guards against a request that the library can't write, or an answer
+        that it can't read, in a way of which it does not tell: the run would
+        never end, its slot stay pinned, and a resend pin the next one.
+        """
+        try:
+            await self._send_and_relay(run)
+        except Exception:
+            LOG.exception('run %s', run.attempt_id)
+            self._fail(run, errors.Kind.INTERNAL, _MAYBE)
+        finally:
+            run.over = True
+
+    async def _send_and_relay(self, run: _run.Run) -> None:
         try:
             answer = await self.client.open(self._request(run))
         except outgoing.NotDone:
@@ -183,8 +191,6 @@
                 await self._answer(run, answer)
             finally:
                 answer.close()
-        finally:
-            run.over = True
 
     def _request(self, run: _run.Run) -> endpoint.EndpointRequest:
         """Return the call of a run, over a connection of its own.
@@ -259,7 +265,7 @@
         if run.cancelling:
             return
         count = run.sender.finish().count
-        self._log(run, 'whole')
+        _run_end.log(run, 'whole', self.time.now_ms())
         now_ms = self.time.now_ms()
         self.feed(events.RunEnded(now_ms, run.attempt_id, count))
 
@@ -273,9 +279,9 @@
     ) -> None:
         if run.cancelling:
             return
-        crashed = crashed or _connection_broke(error)
+        crashed = crashed or _run_end.connection_broke(error)
         run.over = True
-        self._log(run, kind.value)
+        _run_end.log(run, kind.value, self.time.now_ms())
         now_ms = self.time.now_ms()
         self.feed(events.RunFailed(now_ms, run.attempt_id, kind, ran, crashed))
         if not run.cancelling:
@@ -290,7 +296,7 @@
         await self._cancel_at_endpoint(run)
         run.task.cancel()
         self.runs.pop(run.attempt_id, None)
-        self._log(run, 'cancelled')
+        _run_end.log(run, 'cancelled', self.time.now_ms())
         self._confirm(run.attempt_id)
 
     async def _cancel_at_endpoint(self, run: _run.Run) -> None:
@@ -316,32 +322,6 @@
     def _confirm(self, attempt_id: str) -> None:
         self.feed(events.CancelConfirmed(self.time.now_ms(), attempt_id))
 
-    def _log(self, run: _run.Run, outcome: str) -> None:
-        now_ms = self.time.now_ms()
-        offer = run.effect.offer
-        fields = {
-            'attempt_id': run.attempt_id,
-            'request_id': offer.request_id,
-            'service': offer.service,
-            'adapter': str(offer.adapter or ''),
-            'outcome': outcome,
-            'status': run.status,
-            'bytes': run.body_bytes,
-            'frames': run.sender.next_sequence,
-            'duration_ms': now_ms - run.began_ms,
-        }
-        if run.head_ms is not None:
-            fields['head_ms'] = run.head_ms - run.began_ms
-        LOG.info('attempt ended', extra=fields)
-
 
 _NOT_RUN = errors.Ran.NOT_RUN
 _MAYBE = errors.Ran.UNKNOWN
-
-
-def _connection_broke(error: Exception | None) -> bool:
-    """Tell whether a call failed in the way that a crash makes it fail."""
-    cause = None if error is None else error.__cause__
-    if isinstance(cause, TimeoutError):
-        return False
-    return isinstance(cause, BROKEN_CONNECTION)
--- /dev/null
+++ b/berylhollow/sidecar/_run_end.py
@@ -0,0 +1,48 @@
+"""How a run ended: as a crash or not, and its log line."""
+
+import logging
+
+import aiohttp
+
+from berylhollow.sidecar import _run
+
+LOG = logging.getLogger(__name__)
+
+BROKEN_CONNECTION = (
+    aiohttp.ClientPayloadError,
+    aiohttp.ServerDisconnectedError,
+    OSError,
+)
+
+
+def connection_broke(error: Exception | None) -> bool:
+    """Tell whether a call failed in the way that a crash makes it fail.
+
+    Without an error it did not; a time limit says nothing of a crash.
+    """
+    cause = None if error is None else error.__cause__
+    if isinstance(cause, TimeoutError):
+        return False
+    return isinstance(cause, BROKEN_CONNECTION)
+
+
+def log(run: _run.Run, outcome: str, now_ms: int) -> None:
+    """Write the one line of an attempt that has ended at the endpoint."""
+    offer = run.effect.offer
+    head_ms = None if run.head_ms is None else run.head_ms - run.began_ms
+    LOG.info(
+        'attempt ended',
+        extra={
+            'attempt_id': run.attempt_id,
+            'request_id': offer.request_id,
+            'service': offer.service,
+            'adapter': offer.adapter.adapter if offer.adapter else '',
+            'version': offer.adapter.version if offer.adapter else '',
+            'outcome': outcome,
+            'status': run.status,
+            'bytes': run.body_bytes,
+            'frames': run.sender.next_sequence,
+            'duration_ms': now_ms - run.began_ms,
+            'head_ms': head_ms,
+        },
+    )
--- a/test/sidecar_helper.py
+++ b/test/sidecar_helper.py
@@ -55,8 +55,8 @@
 
     async def serve(self, reader, writer):
         self.handlers.add(asyncio.current_task())
-        self.heads.append(await reader.readuntil(b'\r\n\r\n'))
-        with contextlib.suppress(ConnectionError):
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            self.heads.append(await reader.readuntil(b'\r\n\r\n'))
             await self.script(reader, writer)
         writer.transport.abort()
 
--- a/test/test_sidecar_runs.py
+++ b/test/test_sidecar_runs.py
@@ -206,6 +206,20 @@
         self.start()
         await self.until(events.RunEnded)
 
+    async def test_run_that_the_library_refuses_ends_too(self):
+        """An adapter can't be loaded any more after one odd request.
+
+        Its header can't be written and the library raises an error of no
+        kind we know. Cause: a task that ends without a word of its run.
+        """
+        await self.begin(writes())
+        bad = messages.Header('X-Odd', 'one\r\ntwo')
+        with self.assertLogs(level='ERROR'):
+            self.start(headers=(bad,))
+            failed = await self.until(events.RunFailed)
+        self.assertEqual(errors.Kind.INTERNAL, failed.kind)
+        self.assertFalse(failed.crashed)
+
 
 class CancelTest(sidecar_helper.RunTestCase):
     async def test_cancel_before_the_head_waits_for_the_engine(self):
--- a/test/test_sidecar_shell.py
+++ b/test/test_sidecar_shell.py
@@ -247,6 +247,7 @@
             (_refused('weights_unavailable'), not_done, reasons.WEIGHTS),
             (_refused('rate_limited'), not_done, reasons.RATE),
             (_refused('unknown_slot'), not_done, reasons.REFUSED),
+            (ValueError('a defect'), unknown, reasons.NO_ANSWER),
         )
         for error, certainty, reason in cases:
             with self.subTest(str(error)):
