--- a/berylhollow/ui/gateway_command.py
+++ b/berylhollow/ui/gateway_command.py
@@ -5,7 +5,7 @@
 from berylhollow import logs
 from berylhollow import settings
 
-EXAMPLE = 'berylhollow gateway --settings gateway.jsonc'
+EXAMPLE = 'berylhollow gateway --settings examples/local/gateway.jsonc'
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
--- a/berylhollow/ui/plan_command.py
+++ b/berylhollow/ui/plan_command.py
@@ -7,7 +7,10 @@
 from berylhollow.ui import _log_options
 from berylhollow.util import exits
 
-EXAMPLE = 'berylhollow plan manifest.jsonc --platform http://127.0.0.1:8001'
+EXAMPLE = (
+    'berylhollow plan examples/local/manifest.jsonc '
+    '--platform http://127.0.0.1:8001'
+)
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
--- a/berylhollow/ui/publish_command.py
+++ b/berylhollow/ui/publish_command.py
@@ -9,8 +9,8 @@
 from berylhollow.util import exits
 
 EXAMPLE = (
-    'berylhollow publish manifest.jsonc --platform http://127.0.0.1:8001 '
-    '--base 17'
+    'berylhollow publish examples/local/manifest.jsonc '
+    '--platform http://127.0.0.1:8001 --operator anna'
 )
 
 
--- a/berylhollow/ui/replay_command.py
+++ b/berylhollow/ui/replay_command.py
@@ -12,8 +12,8 @@
 from berylhollow.util import exits
 
 EXAMPLE = (
-    'berylhollow replay --settings examples/association/replay.jsonc '
-    '--trace traces/association-steady-zipf.jsonl.gz --format json'
+    'berylhollow replay --settings examples/local/replay.jsonc '
+    '--trace examples/local/trace.jsonl.gz --format json'
 )
 FORMATS = ('text', 'json')
 
--- a/berylhollow/ui/report_command.py
+++ b/berylhollow/ui/report_command.py
@@ -7,7 +7,10 @@
 from berylhollow import report
 from berylhollow.util import exits
 
-EXAMPLE = 'berylhollow report gateway-0.log gateway-1.log --out report.html'
+EXAMPLE = (
+    'berylhollow report logs/gateway-0.log logs/gateway-1.log '
+    '--out report.html'
+)
 HTML = 'html'
 JSON = 'json'
 
--- a/berylhollow/ui/sidecar_command.py
+++ b/berylhollow/ui/sidecar_command.py
@@ -5,7 +5,7 @@
 from berylhollow import logs
 from berylhollow import settings
 
-EXAMPLE = 'berylhollow sidecar --settings sidecar.jsonc'
+EXAMPLE = 'berylhollow sidecar --settings examples/local/sidecar.jsonc'
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
--- a/berylhollow/ui/standin_engine.py
+++ b/berylhollow/ui/standin_engine.py
@@ -6,7 +6,7 @@
 from berylhollow.standin import engine_server
 from berylhollow.ui import _standin
 
-EXAMPLE = 'berylhollow stand-in engine --settings engine.jsonc'
+EXAMPLE = 'berylhollow stand-in engine --settings examples/local/engine.jsonc'
 
 add_arguments = _standin.add_arguments
 
--- a/berylhollow/ui/standin_platform.py
+++ b/berylhollow/ui/standin_platform.py
@@ -6,7 +6,9 @@
 from berylhollow.standin import platform_server
 from berylhollow.ui import _standin
 
-EXAMPLE = 'berylhollow stand-in platform --settings platform.jsonc'
+EXAMPLE = (
+    'berylhollow stand-in platform --settings examples/local/platform.jsonc'
+)
 
 add_arguments = _standin.add_arguments
 
--- a/berylhollow/ui/standin_service.py
+++ b/berylhollow/ui/standin_service.py
@@ -6,7 +6,9 @@
 from berylhollow.standin import service_server
 from berylhollow.ui import _standin
 
-EXAMPLE = 'berylhollow stand-in service --settings service.jsonc'
+EXAMPLE = (
+    'berylhollow stand-in service --settings examples/local/service.jsonc'
+)
 
 add_arguments = _standin.add_arguments
 
--- a/berylhollow/ui/validate_command.py
+++ b/berylhollow/ui/validate_command.py
@@ -5,7 +5,7 @@
 from berylhollow import manifest
 from berylhollow.util import exits
 
-EXAMPLE = 'berylhollow validate manifest.jsonc'
+EXAMPLE = 'berylhollow validate examples/local/manifest.jsonc'
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
