End requests whose answer meets a defect

Cause: an answer whose head could not be written left its request in the reducer until the deadline, and what the library had set up for one body could have been used for the error after it. Change: the request is cancelled, and the connection cut if a head was begun; the Allow header with 405; a target in absolute form is taken for its path; headers that an endpoint names in Connection are not relayed.

--- a/berylhollow/gateway/_answers.py
+++ b/berylhollow/gateway/_answers.py
@@ -102,10 +102,14 @@
     headers: tuple[messages.Header, ...], request_id: str
 ) -> list[tuple[str, str]]:
     """Return the headers of an endpoint's answer as its caller sees them."""
+    dropped = NOT_RELAYED
+    for header in headers:
+        if header.name.lower() == 'connection':
+            dropped = dropped.union(header.value.lower().split(', '))
     relayed = [
         (header.name, header.value)
         for header in headers
-        if header.name.lower() not in NOT_RELAYED
+        if header.name.lower() not in dropped
     ]
     relayed.append(('Server', SERVER))
     relayed.append((_parsing.REQUEST_ID_HEADER, request_id))
--- a/berylhollow/gateway/_http.py
+++ b/berylhollow/gateway/_http.py
@@ -1,6 +1,7 @@
 """The gateway's HTTP front end: take callers' requests, answer each one."""
 
 import asyncio
+import logging
 import typing
 
 from aiohttp import web
@@ -17,6 +18,8 @@
 from berylhollow.gateway import _responding
 from berylhollow import settings as all_settings
 
+LOG = logging.getLogger(__name__)
+
 IDLE_CHECK_S = 0.01
 CLOSE_S = 0.1
 """How long handlers may take to end when everything is closed."""
@@ -47,6 +50,14 @@
         """Return a page of the gateway itself, None for an unknown path."""
 
 
+class MethodNotAllowedError(errors.BerylhollowError):
+    """A method that the path does not have; ``allowed`` are those it has."""
+
+    def __init__(self, allowed: frozenset[str]):
+        super().__init__(errors.Kind.METHOD_NOT_ALLOWED)
+        self.allowed = allowed
+
+
 class FrontEnd:
     """Listen for callers and see every request to its answer."""
 
@@ -111,9 +122,10 @@
     async def _answer(
         self, request: web.BaseRequest, request_id: str, shown_id: str
     ) -> web.StreamResponse:
-        target = _parsing.target(request.raw_path)
+        raw_path = _parsing.origin_form(request.raw_path)
+        target = _parsing.target(raw_path)
         if target is None:
-            return await self._page(request)
+            return await self._page(request, raw_path.partition('?')[0])
         _check_method(request, target.methods)
         terms = self._terms(request)
         headers = _parsing.passed_headers(request.headers)
@@ -128,8 +140,10 @@
         finally:
             self.bodies.release(len(body))
 
-    async def _page(self, request: web.BaseRequest) -> web.StreamResponse:
-        response = await self.owner.page(request.raw_path.partition('?')[0])
+    async def _page(
+        self, request: web.BaseRequest, path: str
+    ) -> web.StreamResponse:
+        response = await self.owner.page(path)
         if response is None:
             raise errors.BerylhollowError(errors.Kind.NOT_FOUND)
         _check_method(request, READ_METHODS)
@@ -166,6 +180,10 @@
         except asyncio.CancelledError:
             self._leave(exchange)
             raise
+        except Exception:
+            LOG.exception('answer failed', extra={'request_id': shown_id})
+            self._fail(request, exchange)
+            raise errors.BerylhollowError(errors.Kind.INTERNAL) from None
         finally:
             self.owner.forget(exchange)
 
@@ -173,6 +191,19 @@
         exchange.failed(errors.Kind.CANCELLED, errors.Ran.UNKNOWN)
         self.owner.gone(exchange)
 
+    def _fail(
+        self, request: web.BaseRequest, exchange: _exchange.Exchange
+    ) -> None:
+        """End an exchange whose answer met a defect.
+
+        A head that was begun may have set the connection up for a body that
+        an error's answer does not have: the connection is cut.
+        """
+        exchange.failed(errors.Kind.INTERNAL, errors.Ran.UNKNOWN)
+        self.owner.gone(exchange)
+        if exchange.relay is not None:
+            _responding.abort(request)
+
     async def _respond(
         self, request: web.BaseRequest, exchange: _exchange.Exchange
     ) -> web.StreamResponse:
@@ -200,6 +231,8 @@
         _connections.RETRY_AFTER_MS if overloaded else 0,
         str(error),
     )
+    if isinstance(error, MethodNotAllowedError):
+        response.headers['Allow'] = ', '.join(sorted(error.allowed))
     if overloaded or kind is errors.Kind.CALLER_TOO_SLOW:
         response.force_close()
     return response
@@ -207,4 +240,4 @@
 
 def _check_method(request: web.BaseRequest, allowed: frozenset[str]) -> None:
     if request.method not in allowed:
-        raise errors.BerylhollowError(errors.Kind.METHOD_NOT_ALLOWED)
+        raise MethodNotAllowedError(allowed)
--- a/berylhollow/gateway/_parsing.py
+++ b/berylhollow/gateway/_parsing.py
@@ -32,6 +32,7 @@
 DIGEST_BYTES = 16
 PREFIX_BYTES = 8
 
+HTTP_SCHEME = 'http://'
 MODEL_PATHS = frozenset({'/v1/chat/completions', '/v1/completions'})
 MODEL_METHODS = frozenset({'POST'})
 SERVICES_PREFIX = '/v1/services/'
@@ -288,6 +289,18 @@
     return errors.BerylhollowError(errors.Kind.BAD_REQUEST, message)
 
 
+def origin_form(raw_path: str) -> str:
+    """Return the path and query of a request target.
+
+    A client that takes the gateway for a proxy sends the whole URL, which
+    HTTP/1.1 servers have to accept.
+    """
+    if not raw_path.startswith(HTTP_SCHEME):
+        return raw_path
+    _, _, path = raw_path.removeprefix(HTTP_SCHEME).partition('/')
+    return f'/{path}'
+
+
 def target(raw_path: str) -> Target | None:
     """Return where a request goes, None if it is not passed on.
 
--- a/test/test_gateway_answers.py
+++ b/test/test_gateway_answers.py
@@ -193,6 +193,21 @@
         self.sidecar.end(offer.attempt_id, 0)
         self.assertEqual(204, (await answer).status)
 
+    async def test_head_that_can_not_be_written_ends_the_connection(self):
+        """A caller reads a header that another answer's body put there.
+
+        An endpoint answers with a line break inside a header. Cause: a
+        defect in an answer that leaves its request and connection behind.
+        """
+        reader, _ = await self.raw(builders.http_post('{"model": "a1@1"}'))
+        attempt_id = await self.sidecar.offered()
+        with self.assertLogs('berylhollow', 'ERROR'):
+            self.sidecar.start(attempt_id, X_A='1\r\nX-B: 2')
+            self.assertEqual(b'', await self.read_until_cut(reader))
+        cancelled = await self.sidecar.next(messages.Cancel)
+        self.assertEqual(attempt_id, cancelled.attempt_id)
+        self.assertEqual({}, self.shell.driver.state.requests)
+
 
 class SlowCallerTest(gateway_helper.GatewayTestCase):
     async def test_caller_that_stops_reading_holds_up_only_itself(self):
--- a/test/test_gateway_requests.py
+++ b/test/test_gateway_requests.py
@@ -102,6 +102,16 @@
         async with self.session.request(method, path) as response:
             return response.status, response.headers, await response.read()
 
+    async def test_methods_that_a_path_has_are_named(self):
+        _, headers, _ = await self.request('GET', '/v1/completions')
+        self.assertEqual('POST', headers['Allow'])
+
+    async def test_whole_url_is_taken_for_its_path(self):
+        reader, _ = await self.raw(
+            b'GET http://g:80/healthz HTTP/1.1\r\nHost: g\r\n\r\n'
+        )
+        self.assertIn(b' 200 ', await reader.readline())
+
     async def test_what_only_a_raw_connection_sends(self):
         request = builders.http_post
         cases = (
