--- a/berylhollow/configuration/__init__.py
+++ b/berylhollow/configuration/__init__.py
@@ -12,6 +12,7 @@
 from berylhollow.configuration import _follower
 from berylhollow.configuration import _history
 from berylhollow.configuration import _log_reader
+from berylhollow.configuration import _ranking
 from berylhollow.configuration import _spread
 
 STREAM = _log_reader.STREAM
@@ -33,6 +34,7 @@
 Outcome = _fold.Outcome
 Put = _changes.Put
 Remove = _changes.Remove
+Ring = _ranking.Ring
 State = _fold.State
 UnknownRule = _codec.UnknownRule
 Verdict = _fold.Verdict
--- a/berylhollow/configuration/_follower.py
+++ b/berylhollow/configuration/_follower.py
@@ -162,6 +162,8 @@
         """Take over who is live and linked, if that has changed."""
         if gateways == self.gateways and linked == self.linked:
             return []
+        changed = gateways != self.gateways
+        self.gateways = gateways
         self.linked = linked
         done: Effects = []
         for peer in set(self.spread.peers) - set(linked):
@@ -170,10 +172,9 @@
             if peer not in self.spread.peers:
                 role = self.role_of(peer)
                 done += self.spread.opened(peer, role, at_ms)
-        if gateways != self.gateways:
-            self.gateways = gateways
+        if changed:
             self.choose_reader()
-            self.spread.choose_targets(_ranking.Ring(gateways))
+            self.spread.choose_targets(gateways)
             if self.role is events.Role.GATEWAY:
                 self.writer.choose(gateways, at_ms)
         return done
--- a/berylhollow/configuration/_ranking.py
+++ b/berylhollow/configuration/_ranking.py
@@ -10,6 +10,8 @@
 import hashlib
 
 RANK_BYTES = 8
+# More places a name spread the keys more evenly.
+PLACES = 8
 
 
 def rank(task: str, name: str) -> bytes:
@@ -38,14 +40,33 @@
     seconds on each gateway; a search on the ring takes a microsecond.
     """
 
-    def __init__(self, names: collections.abc.Iterable[str]):
-        self.places = sorted((rank('ring', name), name) for name in names)
+    def __init__(self):
+        self.names: frozenset[str] = frozenset()
+        self.places: list[tuple[bytes, str]] = []
 
-    def owners(self, key: str, count: int) -> list[str]:
-        """Return the names that follow the key on the ring."""
-        first = bisect.bisect(self.places, (rank('ring', key), ''))
-        total = len(self.places)
-        return [
-            self.places[(first + step) % total][1]
-            for step in range(min(count, total))
+    def update(self, names: collections.abc.Iterable[str]) -> None:
+        """Take names on and off; only those that changed cost anything."""
+        wanted = frozenset(names)
+        gone = self.names - wanted
+        if gone:
+            self.places = [x for x in self.places if x[1] not in gone]
+        new = [
+            (rank(f'ring-{number}', name), name)
+            for name in wanted - self.names
+            for number in range(PLACES)
         ]
+        if new:
+            self.places = sorted(self.places + new)
+        self.names = wanted
+
+    def owners(self, key: str, count: int) -> list[str]:
+        """Return the first few names that follow the key on the ring."""
+        wanted = min(count, len(self.names))
+        place = bisect.bisect(self.places, (rank('key', key), ''))
+        found: list[str] = []
+        while len(found) < wanted:
+            name = self.places[place % len(self.places)][1]
+            if name not in found:
+                found.append(name)
+            place += 1
+        return found
--- a/berylhollow/configuration/_spread.py
+++ b/berylhollow/configuration/_spread.py
@@ -19,6 +19,7 @@
 Effects = list[effects.Effect]
 
 FEEDERS = 2
+PLACED_A_TICK = 200
 MOST_GATEWAY_TARGETS = 8
 # Larger entries are offered, and sent only to those who ask: each gateway
 # has several neighbours who would all send them.
@@ -64,7 +65,8 @@
         self.gateway_targets: tuple[str, ...] = ()
         # The sidecars to feed, as an ordered set.
         self.fed: dict[str, None] = {}
-        self.ring = _ranking.Ring(())
+        self.unplaced: list[str] = []
+        self.ring = _ranking.Ring()
         self.ahead: dict[str, int] = {}
         self.as_of_ms: int | None = None
         self.told_as_of_ms = LONG_AGO_MS
@@ -99,16 +101,29 @@
         if known is not None and peer in self.gateway_targets:
             self.choose_gateway_targets()
 
-    def choose_targets(self, ring: _ranking.Ring) -> None:
-        """Choose again whom to push to, after gateways came or went."""
-        self.ring = ring
-        self.fed = {}
+    def choose_targets(self, gateways: collections.abc.Iterable[str]) -> None:
+        """Choose again whom to push to, after gateways came or went.
+
+        The sidecars follow a few at a tick: a gateway may be linked to
+        thousands, and must not keep its callers waiting meanwhile.
+        """
         if self.role is not events.Role.GATEWAY:
             return
-        for name, peer in self.peers.items():
-            if peer.role is events.Role.ENDPOINT:
-                self.add_target(name, peer.role)
+        self.ring.update(gateways)
         self.choose_gateway_targets()
+        self.unplaced = [
+            name
+            for name, peer in self.peers.items()
+            if peer.role is events.Role.ENDPOINT
+        ]
+
+    def place_sidecars(self) -> None:
+        """Choose for some of the sidecars whether to feed them."""
+        for _ in range(min(len(self.unplaced), PLACED_A_TICK)):
+            name = self.unplaced.pop()
+            self.fed.pop(name, None)
+            if name in self.peers:
+                self.add_target(name, events.Role.ENDPOINT)
 
     def add_target(self, peer: str, role: events.Role) -> None:
         """Push to a gateway, or to a sidecar that is ours to feed."""
@@ -151,12 +166,12 @@
             self.ahead[peer] = message.next_offset
             return self.ask(peer, at_ms)
         self.ahead.pop(peer, None)
-        self.freshen(message, at_ms)
+        done = self.freshen(message, at_ms)
         if message.wanted:
-            return self.serve(peer, message.next_offset, at_ms)
-        if message.next_offset < self.next_offset:
-            return [self.tell(peer, at_ms)]
-        return []
+            done += self.serve(peer, message.next_offset, at_ms)
+        elif message.next_offset < self.next_offset:
+            done.append(self.tell(peer, at_ms))
+        return done
 
     def hear(self, at_ms: int) -> None:
         """Note that a peer said something."""
@@ -164,10 +179,17 @@
         if self.first_told_ms is None:
             self.first_told_ms = at_ms
 
-    def freshen(self, message: messages.ConfigurationAt, at_ms: int) -> None:
-        """Take over when a peer saw the end of the log, if that is later."""
+    def freshen(
+        self, message: messages.ConfigurationAt, at_ms: int
+    ) -> Effects:
+        """Take over when a peer saw the end of the log, and tell it on.
+
+        At once, for waiting for the next tick would add up over the many
+        gateways that stand between this one and a reader of the log.
+        """
         if message.age_ms >= 0:
             self.seen_end(at_ms - message.age_ms)
+        return self.tell_gateways(at_ms)
 
     def seen_end(self, at_ms: int) -> None:
         """The log held no more than we have read at that time."""
@@ -255,15 +277,14 @@
 
     def tick(self, at_ms: int) -> Effects:
         """Tell what is due; ask again what was not answered."""
-        done: Effects = []
-        if self.role is events.Role.GATEWAY:
-            done += self.tell_gateways(at_ms)
-            done += self.tell_sidecars(at_ms)
+        self.place_sidecars()
+        done = self.tell_gateways(at_ms)
+        done += self.tell_sidecars(at_ms)
         return done + self.ask_again(at_ms)
 
     def tell_gateways(self, at_ms: int) -> Effects:
         """Tell the time of the log's end on, once it has moved enough."""
-        if self.as_of_ms is None:
+        if self.role is not events.Role.GATEWAY or self.as_of_ms is None:
             return []
         if self.as_of_ms - self.told_as_of_ms < TELL_GATEWAYS_MS:
             return []
--- a/berylhollow/ui/status_command.py
+++ b/berylhollow/ui/status_command.py
@@ -99,9 +99,11 @@
     notes = tuple(_notes(configuration))
     yield Row(name, 'gateway', configuration['revision'], name, notes)
     for peer in configuration['gateways']:
-        yield Row(peer['instance'], 'gateway', peer['revision'], name)
+        notes = (f'told {name} {peer["told_ms"]} ms ago',)
+        yield Row(peer['instance'], 'gateway', peer['revision'], name, notes)
     for endpoint in page['endpoints']:
-        notes = () if endpoint['link'] == 'open' else ('no link',)
+        is_open = endpoint['link'] == 'open'
+        notes = () if is_open else (f'no link to {name}',)
         revision = endpoint['revision']
         yield Row(endpoint['instance'], 'endpoint', revision, name, notes)
 
--- a/test/configuration/test_follower.py
+++ b/test/configuration/test_follower.py
@@ -3,6 +3,7 @@
 import unittest
 
 from berylhollow import configuration
+from berylhollow import effects
 from berylhollow import events
 from berylhollow import messages
 from test import builders as request_builders
@@ -97,6 +98,22 @@
         # Two of the gateways read the log; the other processes ask.
         self.assertLessEqual(fleet.sent[messages.ConfigurationEntries], 2)
 
+    def test_gateways_known_only_from_the_tick_are_pushed_to(self):
+        follower = configuration.Follower('g1', events.Role.GATEWAY)
+        follower.start(0)
+        follower.tick(0, ['g1', 'g2'], ['g2', 's1'])
+        entry = messages.LogEntry(0, 0, builders.whole())
+        sent = follower.handle(
+            events.LogRead(1, configuration.STREAM, (entry,), 0, 1)
+        )
+        pushed = {
+            effect.peer
+            for effect in sent
+            if isinstance(effect, effects.Send)
+            and isinstance(effect.message, messages.ConfigurationEntries)
+        }
+        self.assertEqual(pushed, {'g2', 's1'})
+
     def test_a_request_of_a_newer_revision_makes_a_sidecar_ask(self):
         fleet = fleets.Fleet('g1', 's1')
         fleet.link_all()
