Measure goodput and fairness under overload

Cause: nothing measured what becomes of callers when more is asked for than the engines can do. Change: make overload replays each user's steady trace at 0.5 to 3 times what its engines can do, with callers that resend after Retry-After or at once, and a greedy caller among equal ones.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: run test lint format generate binary capacity clean
+.PHONY: run test lint format generate binary capacity overload clean
 
 $(READY): requirements.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -39,5 +39,8 @@
 capacity: $(READY)
 	$(BIN)/python -m tools.capacity
 
+overload: $(READY)
+	$(BIN)/python -m tools.overload --out docs/design
+
 clean:
 	rm -rf $(VENV) build dist .ruff_cache
