Let callers take turns at an endpoint

Cause: a sidecar gave places first come, first served, so a caller with ten times the load of others took nearly every place, and priorities were read but ordered nothing. Change: waiting attempts get a place by fair queueing: callers by their declared weight and the work done for them, adapters of one caller within its share, one adapter's requests by priority and age.

--- a/berylhollow/sidecar/_demands.py
+++ b/berylhollow/sidecar/_demands.py
@@ -84,3 +84,10 @@
 
 def _slack_ms(state: _state.State, attempt: _state.Attempt, at_ms: int) -> int:
     return int(attempt.deadline_ms - at_ms - state.run_ms)
+
+
+def run_ms(state: _state.State, attempt: _state.Attempt) -> float:
+    """Return how long a run is expected to take."""
+    if attempt.offer.adapter is None:
+        return state.run_ms
+    return state.token_ms * max(1, attempt.offer.output_tokens)
--- a/berylhollow/sidecar/_runs.py
+++ b/berylhollow/sidecar/_runs.py
@@ -9,21 +9,21 @@
 from berylhollow.sidecar import _demands
 from berylhollow.sidecar import _isolation
 from berylhollow.sidecar import _state
+from berylhollow.sidecar import _turns
+from berylhollow.util import average
 
 Effects = list[effects.Effect]
 FIRST_ERROR_STATUS = 400
-RUN_SMOOTHING = 0.1
 
 
 def dispatch(state: _state.State, at_ms: int) -> Effects:
     """Give waiting attempts to the endpoint while there is room."""
     done: Effects = []
-    if not state.reachable:
+    if not state.reachable or len(state.running) >= state.capacity:
         return done
-    for attempt_id in list(state.queue):
+    for attempt in _turns.order(state):
         if len(state.running) >= state.capacity:
             break
-        attempt = state.attempts[attempt_id]
         done += _begin(state, attempt, at_ms)
         waits = attempt.phase is _state.Phase.QUEUED
         if waits and _isolation.holds_back(state, attempt, at_ms):
@@ -118,10 +118,11 @@
     attempt: _state.Attempt,
     kind: errors.Kind,
     at_ms: int,
+    retry_after_ms: int = 0,
 ) -> Effects:
     """End an attempt that was never given to the endpoint."""
     outcome = messages.Failed(
-        attempt.offer.attempt_id, kind, errors.Ran.NOT_RUN
+        attempt.offer.attempt_id, kind, errors.Ran.NOT_RUN, retry_after_ms
     )
     return _tell(state, attempt, outcome, at_ms)
 
@@ -164,6 +165,7 @@
         attempt.slot = slot.number
     attempt.stalled_ms = _demands.stalled_ms(state, attempt, at_ms)
     attempt.began_ms = at_ms
+    _turns.begun(state, attempt)
     state.queue.remove(attempt.offer.attempt_id)
     attempt.phase = _state.Phase.RUNNING
     state.running.add(attempt.offer.attempt_id)
@@ -218,11 +220,11 @@
 
 
 def _learn(state: _state.State, attempt: _state.Attempt, at_ms: int) -> None:
-    """Take a whole run into the estimate of how long runs take."""
+    """Take a whole run into the estimates of how long runs take."""
     took_ms = at_ms - attempt.began_ms
-    if not state.run_ms:
-        state.run_ms = float(took_ms)
-    state.run_ms += RUN_SMOOTHING * (took_ms - state.run_ms)
+    state.run_ms = average.smoothed(state.run_ms, took_ms)
+    tokens = max(1, attempt.offer.output_tokens)
+    state.token_ms = average.smoothed(state.token_ms, took_ms / tokens)
 
 
 def _distrust(state: _state.State, attempt: _state.Attempt) -> None:
--- a/berylhollow/sidecar/_state.py
+++ b/berylhollow/sidecar/_state.py
@@ -11,6 +11,9 @@
 from berylhollow import quarantine
 from berylhollow.sidecar import _options
 
+MOST_FLOWS = 1024
+KEPT_FLOWS = 512
+
 
 class SlotPhase(enum.Enum):
     """What is known of a slot.
@@ -115,6 +118,41 @@
     seed: float = 0.5
 
 
+@dataclasses.dataclass(slots=True)
+class Shares:
+    """What was done for each of several flows that share an endpoint.
+
+    ``floor`` is what the flow served last had had before; whoever had less,
+    or is not known, counts as having had this much.
+    """
+
+    done: dict[str, float] = dataclasses.field(default_factory=dict)
+    floor: float = 0.0
+
+    def had(self, flow: str) -> float:
+        """Return what was done for a flow."""
+        return max(self.floor, self.done.get(flow, 0.0))
+
+    def charge(self, flow: str, cost: float) -> None:
+        """Count a run for a flow.
+
+        A flow that had nothing for a while begins at the floor: it gets its
+        share from now on, not arrears.
+        """
+        self.floor = self.had(flow)
+        self.done[flow] = self.floor + cost
+        if len(self.done) > MOST_FLOWS:
+            self._forget()
+
+    def _forget(self) -> None:
+        """Keep the flows that had most: the others gain least by it.
+
+        Guards against memory that grows with every name a caller makes up.
+        """
+        most = sorted(self.done, key=self.done.__getitem__, reverse=True)
+        self.done = {flow: self.done[flow] for flow in most[:KEPT_FLOWS]}
+
+
 @dataclasses.dataclass(slots=True)
 class State:
     """Everything that a sidecar's reducer remembers.
@@ -153,7 +191,10 @@
     isolated_ended_ms: int = -1_000_000
     adapter_policy: policy.Policy = dataclasses.field(init=False)
     pacing: Pacing = dataclasses.field(default_factory=Pacing)
+    caller_shares: Shares = dataclasses.field(default_factory=Shares)
+    adapter_shares: dict[str, Shares] = dataclasses.field(default_factory=dict)
     run_ms: float = 0.0
+    token_ms: float = 0.0
     orders: int = 0
     served_revision: int = 0
     status_read_ms: int = -1_000_000
