Refuse at once what can't be on time

Cause: an attempt waited until its deadline even if the runs before it made it late; its caller heard of it then, and places went to runs that ended too late. Change: whenever an attempt is added, and at each tick, the waiting attempts are laid onto the places in the order of their turns; one that would end after its deadline is refused as cannot_be_on_time, not run, with the time until a place is free as Retry-After. Waits for loads are not judged here.

--- a/berylhollow/sidecar/_admission.py
+++ b/berylhollow/sidecar/_admission.py
@@ -7,6 +7,7 @@
 from berylhollow.sidecar import _isolation
 from berylhollow.sidecar import _loads
 from berylhollow.sidecar import _runs
+from berylhollow.sidecar import _shedding
 from berylhollow.sidecar import _state
 
 Effects = list[effects.Effect]
@@ -37,6 +38,7 @@
         return _runs.end_unrun(state, attempt, kind, event.at_ms)
     state.queue.append(offer.attempt_id)
     done = _runs.dispatch(state, event.at_ms)
+    done += _shedding.shed(state, event.at_ms)
     return done + _loads.order(state, event.at_ms)
 
 
@@ -90,6 +92,7 @@
             done += _runs.end_unrun(
                 state, attempt, errors.Kind.DEADLINE_EXCEEDED, at_ms
             )
+    done += _shedding.shed(state, at_ms)
     return done + _forget(state, at_ms)
 
 
--- a/test/test_sidecar_turns.py
+++ b/test/test_sidecar_turns.py
@@ -1,7 +1,9 @@
-"""Tests of fair queueing at the sidecar."""
+"""Tests of fair queueing and of early refusals at the sidecar."""
 
 from berylhollow import effects
+from berylhollow import errors
 from berylhollow import events
+from berylhollow import messages
 from berylhollow import sidecar
 from test import builders
 from test import helper
@@ -102,3 +104,54 @@
         known = len(self.state.caller_shares.done)
         known += len(self.state.adapter_shares)
         self.assertLess(known, 2100)
+
+
+class SheddingTest(TurnsTestCase):
+    def wait_for(self, count):
+        for number in range(count):
+            self.offer(f'before{number}.1', caller=f'caller-{number}')
+
+    def test_what_would_be_late_is_refused_at_once(self):
+        """A caller on hold hears "not run" only when its time is over.
+
+        Eight requests wait for four places, each run takes a second, and
+        one comes that has two. Cause: it waits until its deadline.
+        """
+        self.wait_for(8)
+        self.offer('late.1', caller='z', remaining_ms=2000)
+        failed = self.failure()
+        self.assertEqual(errors.Kind.CANNOT_BE_ON_TIME, failed.kind)
+        self.assertEqual(errors.Ran.NOT_RUN, failed.ran)
+        self.assertGreater(failed.retry_after_ms, 0)
+
+    def test_what_can_be_on_time_waits(self):
+        self.wait_for(8)
+        self.offer('patient.1', caller='z', remaining_ms=8000)
+        self.assertEqual([], self.sent(messages.Failed))
+        self.assertIn('patient', self.drain())
+
+    def test_no_run_begins_that_must_end_too_late(self):
+        """Engines are busy with answers that nobody waits for any more."""
+        self.offer('doomed.1', remaining_ms=2500)
+        self.assertEqual([], self.sent(messages.Failed))
+        self.feed(events.Ticked(RUN_MS + 1600))
+        self.assertEqual('doomed.1', self.failure().attempt_id)
+
+    def test_a_greedy_callers_rush_is_refused_before_the_others(self):
+        for number in range(40):
+            self.offer(f'g{number}.1', caller='greedy', remaining_ms=4000)
+        self.offer('modest.1', caller='modest', remaining_ms=4000)
+        refused = [failed.attempt_id for failed in self.sent(messages.Failed)]
+        self.assertNotIn('modest.1', refused)
+        self.assertLess(len(self.state.queue), 20)
+
+    def test_an_engine_that_never_ran_anything_refuses_nothing(self):
+        self.state.run_ms = 0.0
+        self.offer('first.1', remaining_ms=1)
+        self.assertEqual([], self.sent(messages.Failed))
+
+    def test_waiting_for_a_load_is_not_judged_by_the_queue(self):
+        self.wait_for(8)
+        cold = builders.adapter('a2', '2')
+        self.offer('cold.1', remaining_ms=2000, adapter=cold)
+        self.assertEqual([], self.sent(messages.Failed))
