--- a/berylhollow/gateway/_responding.py
+++ b/berylhollow/gateway/_responding.py
@@ -131,7 +131,7 @@
         self.writer = await self.response.prepare(self.request)
         relay.open(self)
         await relay.wait()
-        while relay.blocked:
+        while relay.blocked and relay.failure is None:
             await self._drain(self.stall_timeout)
             relay.unblock()
             await relay.wait()
