--- a/berylhollow/gateway/_shell.py
+++ b/berylhollow/gateway/_shell.py
@@ -98,6 +98,11 @@
         """Listen, and begin to follow the platform. Raises OSError."""
         await self.links.start()
         await self.front_end.start()
+        ports = {
+            'port': self.front_end.port,
+            'peer_port': self.links.server.port,
+        }
+        LOG.info('listening', extra=ports)
         self.feed(events.Started(self.time.now_ms(), self.incarnation))
         self.tasks.start(self.driver.tick(self.settings.tick_ms))
 
