Retry once what was lost with its endpoint

Change: the first retry of a request whose attempt was lost with its endpoint needs no budget. Ruled out: a larger reserve (it would allow an overload to multiply as well). Measured: the new test fails with the rule taken out (assertion on the number of offers) and passes with it; make test at landing. Conclusion: a lost endpoint costs its requests one more attempt, bounded at one each.

--- a/berylhollow/gateway/_attempts.py
+++ b/berylhollow/gateway/_attempts.py
@@ -26,6 +26,10 @@
         errors.Kind.QUARANTINED,
     }
 )
+# The endpoint went down with the attempt.
+LOST_KINDS = frozenset(
+    {errors.Kind.ENGINE_RESTARTED, errors.Kind.OUTCOME_UNKNOWN}
+)
 # Tried again after a pause, with jitter: the endpoints are busy.
 PAUSED_KINDS = frozenset(
     {errors.Kind.OVERLOADED, errors.Kind.CANNOT_BE_ON_TIME}
@@ -298,6 +302,12 @@
     # a planned stop must not fail a request for want of budget.
     if lost.kind is errors.Kind.LEAVING:
         return True
+    # One that was lost with its endpoint may be tried again once: nobody
+    # refused it, and a lost endpoint takes more than the budget's share of
+    # what is in flight.
+    if lost.kind in LOST_KINDS and not active.lost_once:
+        active.lost_once = True
+        return True
     return _budget.take(state, active)
 
 
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -97,6 +97,7 @@
     retry_at_ms: int | None = None
     tried: set[str] = dataclasses.field(default_factory=set)
     may_have_run: bool = False
+    lost_once: bool = False
     isolated: bool = False
     last_refusal: messages.Failed | None = None
     key: bytes = b''
--- a/test/test_gateway_limits.py
+++ b/test/test_gateway_limits.py
@@ -115,6 +115,24 @@
         self.refuse_last(errors.Kind.LEAVING)
         self.assertEqual(1, len(self.sent(messages.Offer)))
 
+    def test_requests_of_a_lost_endpoint_are_tried_again(self):
+        """Half of the requests fail when one of three endpoints dies.
+
+        All that was in flight there is lost at once, which is more than the
+        budget's reserve. Cause: a lost endpoint taken for an overloaded one.
+        """
+        self.start(retry_reserve=1, retry_share=0)
+        offered = []
+        for number in range(30):
+            self.send(number)
+            offered += self.of_type(effects.Send)
+        dead = offered[0].peer
+        self.feed(events.LinkClosed(10, dead))
+        self.feed(events.Ticked(10 + self.state.options.resume_ms))
+        lost = [send for send in offered if send.peer == dead]
+        self.assertGreater(len(lost), 1)
+        self.assertEqual(len(lost), len(self.sent(messages.Offer)))
+
     def test_busy_endpoint_is_tried_again_after_a_pause(self):
         self.start()
         self.send(1)
