Doubt a "not run" that may only mean forgotten

Cause: a sidecar forgets ended attempts after a minute. A gateway paused for longer, whose link broke with the answer, resumed the attempt and was told that it was never seen; it said "not run" of a request that ran, and could run a key again.

Change: a resumed attempt's "not run" counts only while the attempt is younger than not_run_ms, which is shorter than the memory of sidecars.

Conclusion: "not run" after a resume rests on what the sidecar still knows.

--- a/berylhollow/gateway/_attempts.py
+++ b/berylhollow/gateway/_attempts.py
@@ -5,6 +5,8 @@
 first offer may have arrived.
 """
 
+import dataclasses
+
 from berylhollow import effects
 from berylhollow import errors
 from berylhollow import events
@@ -101,15 +103,37 @@
 
 def failed(state: _state.State, event: events.MessageReceived) -> Effects:
     """An attempt ended without a whole answer: try another, or give up."""
-    message = event.message
     active = _current(state, event)
     if active is None:
         return []
+    message = _believed(state, active, event)
     if message.kind is errors.Kind.LEAVING:
         state.endpoints[event.peer].leaving = True
     return _attempt_lost(state, active, message, event.at_ms)
 
 
+def _believed(
+    state: _state.State,
+    active: _state.ActiveRequest,
+    event: events.MessageReceived,
+) -> messages.Failed:
+    """Doubt a "not run" that may only mean that the run was forgotten.
+
+    A sidecar remembers ended attempts for a time. A gateway that was paused
+    for longer and then resumes an attempt is told that it was never seen; it
+    would say "not run" of a request that ran, or run a key again.
+    """
+    message = event.message
+    age_ms = event.at_ms - active.offered_ms
+    if not active.resumed or age_ms < state.options.not_run_ms:
+        return message
+    if message.ran is not errors.Ran.NOT_RUN:
+        return message
+    return dataclasses.replace(
+        message, kind=errors.Kind.OUTCOME_UNKNOWN, ran=errors.Ran.UNKNOWN
+    )
+
+
 def link_opened(state: _state.State, event: events.LinkOpened) -> Effects:
     """Resume what was in flight on this link before it broke."""
     endpoint = state.endpoints.get(event.peer)
@@ -210,6 +234,8 @@
         _budget.paid_in(state, active)
     active.attempts += 1
     active.attempt_id = f'{request.request_id}.{active.attempts}'
+    active.offered_ms = at_ms
+    active.resumed = False
     active.phase = _state.Phase.OFFERED
     active.endpoint = name
     active.incarnation = endpoint.incarnation
@@ -324,6 +350,7 @@
     if active.incarnation != event.incarnation:
         return resume_failed(state, active, event.at_ms)
     active.resume_by_ms = None
+    active.resumed = True
     return [effects.ResumeAnswer(event.peer, active.attempt_id)]
 
 
--- a/berylhollow/gateway/_options.py
+++ b/berylhollow/gateway/_options.py
@@ -13,6 +13,8 @@
     the pause before a refused link is opened again, ``leaving_retry_ms``
     before one to an endpoint that was leaving, ``resume_ms`` how long a
     broken link may take to come back before its answers are given up.
+    ``not_run_ms`` is how long a resumed attempt's "not run" is believed; it
+    must be shorter than sidecars remember ended attempts.
     ``claim_ms`` bounds the wait for the log's decision about a key,
     ``claim_window_ms`` is how long a key is held; it must be shorter than
     the log's retention. With more than ``claim_direct_gateways`` gateways
@@ -36,6 +38,7 @@
     link_retry_ms: int = 500
     leaving_retry_ms: int = 500
     resume_ms: int = 3000
+    not_run_ms: int = 30_000
     claim_partitions: int = 4
     claim_window_ms: int = 6 * 3600 * 1000
     claim_ms: int = 2000
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -94,6 +94,8 @@
     incarnation: str = ''
     attempts: int = 0
     resume_by_ms: int | None = None
+    offered_ms: int = 0
+    resumed: bool = False
     retry_at_ms: int | None = None
     tried: set[str] = dataclasses.field(default_factory=set)
     may_have_run: bool = False
--- a/test/test_gateway.py
+++ b/test/test_gateway.py
@@ -123,6 +123,24 @@
         self.assertIs(errors.Ran.UNKNOWN, answer.ran)
         self.assertEqual([], self.of_type(effects.Send))
 
+    def test_forgotten_attempt_does_not_count_as_not_run(self):
+        """A booking is made twice after a gateway was paused for minutes.
+
+        The gateway offers it and is paused; the sidecar runs it, the link
+        breaks before the answer, and the ended attempt is forgotten. Woken
+        up, the gateway resumes, hears "never seen", and offers it again.
+        """
+        peer, attempt_id = self.arrive(key='k', deadline_ms=900_000)
+        self.feed(events.LinkClosed(100_000, peer))
+        self.open(peer, at_ms=100_001)
+        never_seen = messages.Failed(
+            attempt_id, errors.Kind.ENDPOINT_UNREACHABLE, errors.Ran.NOT_RUN
+        )
+        self.receive(never_seen, at_ms=100_002, peer=peer)
+        (answer,) = self.of_type(effects.AnswerError)
+        self.assertIs(errors.Kind.OUTCOME_UNKNOWN, answer.kind)
+        self.assertIs(errors.Ran.UNKNOWN, answer.ran)
+
     def test_deadline_gives_the_final_answer_at_once(self):
         self.arrive()
         self.feed(events.Ticked(builders.DEADLINE_MS))
