Tell of a crash that follows a lone broken connection

Cause: a sidecar told of one crash an epoch. A connection that broke for another reason was taken for the crash, and the crash that followed in the same epoch was not told: its request was not suspect.

Change: once the endpoint answers in the same epoch, the next break counts as a new crash.

Measured: the new test fails without the change; test_quarantine passes.

Conclusion: a crash is told at least once, a broken connection may be told as one, which costs a suspicion and no more.

--- a/berylhollow/sidecar/_engine.py
+++ b/berylhollow/sidecar/_engine.py
@@ -2,6 +2,7 @@
 
 from berylhollow import effects
 from berylhollow import events
+from berylhollow.sidecar import _isolation
 from berylhollow.sidecar import _loads
 from berylhollow.sidecar import _orders
 from berylhollow.sidecar import _runs
@@ -33,6 +34,8 @@
     done = _takeover.status(state, event)
     if event.epoch != state.epoch:
         done += _new_epoch(state, event)
+    else:
+        _isolation.survived(state)
     _orders.status(state, event)
     done += _runs.dispatch(state, event.at_ms)
     return done + _loads.order(state, event.at_ms)
--- a/berylhollow/sidecar/_isolation.py
+++ b/berylhollow/sidecar/_isolation.py
@@ -17,11 +17,10 @@
     """Tell of a crash: everything that ran at this moment is suspect.
 
     All connections to an endpoint break at its crash, so a crash is told
-    once an epoch.
+    once, until the endpoint shows that it lives on in the same epoch.
     """
     crash_id = f'{state.options.instance}/{state.epoch}/{state.incarnation}'
-    if state.options.plain:
-        crash_id += f'/{at_ms}'
+    crash_id += f'/{at_ms if state.options.plain else state.survived}'
     if crash_id == state.crash_told or not state.running:
         return []
     state.crash_told = crash_id
@@ -40,6 +39,17 @@
     return [*done, effects.Append(quarantine.STREAM, append_id, data)]
 
 
+def survived(state: _state.State) -> None:
+    """The endpoint answers in the epoch in which we told of a crash.
+
+    Guards against a connection that broke for another reason: the crash
+    that follows in the same epoch would be taken for the one told already.
+    """
+    if state.crash_told and not state.options.plain:
+        state.crash_told = ''
+        state.survived += 1
+
+
 def needs_isolation(
     state: _state.State, offer: messages.Offer, at_ms: int
 ) -> bool:
--- a/berylhollow/sidecar/_state.py
+++ b/berylhollow/sidecar/_state.py
@@ -188,6 +188,7 @@
     )
     suspects: quarantine.Suspects = dataclasses.field(init=False)
     crash_told: str = ''
+    survived: int = 0
     isolated_ended_ms: int = -1_000_000
     adapter_policy: policy.Policy = dataclasses.field(init=False)
     pacing: Pacing = dataclasses.field(default_factory=Pacing)
--- a/test/test_quarantine.py
+++ b/test/test_quarantine.py
@@ -60,6 +60,18 @@
         self.break_run('r2.1')
         self.assertEqual([], self.sent(messages.Crashed))
 
+    def test_crash_after_a_lone_broken_connection_is_told(self):
+        """A request crashes one engine more than it may.
+
+        The engine drops one connection and lives on, which looks like a
+        crash; then it does crash. Cause: a crash told once an epoch.
+        """
+        self.run_two()
+        self.break_run('r1.1')
+        self.feed(builders.engine_status(at_ms=8))
+        self.break_run('r2.1', 9)
+        self.assertEqual(1, len(self.sent(messages.Crashed)))
+
     def test_crash_seen_only_by_the_new_epoch_is_told(self):
         self.run_two()
         self.feed(builders.engine_status('epoch-2', at_ms=9))
