Pin an adapter wherever the engine may hold it

Cause: an engine finds the adapter of a run by its name. After a load that hung, an order that was refused, or a takeover, two slots could hold one adapter; the run was in one, our pin on the other, and the next load evicted an adapter in use. With engines that ignore fencing numbers a late order for the same adapter did the same.

Change: a slot remembers what the engine may have in it, also after orders that failed and what a predecessor left; nothing is loaded into a slot that may hold an adapter which is pinned anywhere, an adapter goes first to where it may be, and with an engine that does not check nowhere else. Such an engine's uncertain slot takes no order at all until it is settled.

Conclusion: an adapter in use is kept however its slot came to hold it.

--- a/berylhollow/sidecar/_loads.py
+++ b/berylhollow/sidecar/_loads.py
@@ -63,6 +63,7 @@
     ):
         return []
     slot.phase = _state.SlotPhase.READY
+    _orders.loaded(slot)
     slot.used_ms = event.at_ms
     slot.loaded_ms = event.at_ms
     slot.runs = 0
@@ -84,6 +85,7 @@
     else:
         slot.phase = _state.SlotPhase.EMPTY
         slot.adapter = None
+        _orders.not_done(slot)
     if event.reason is events.LoadFailure.RATE:
         _permits.refused_by_rate(state, event.at_ms)
     else:
@@ -151,16 +153,19 @@
     """Return the slot to load into: an empty one, else the least valuable.
 
     Only a slot without pins: whatever the policy says, an adapter in use is
-    never evicted.
+    never evicted. One that may hold the adapter already goes first.
     """
     free = [
         slot
-        for slot in state.slots
-        if _orders.may_load(state, slot, adapter, at_ms)
+        for slot in _orders.homes(state, adapter)
+        if _orders.may_load(state, slot, at_ms)
     ]
     return min(
         free,
-        key=lambda slot: _demands.slot_value(state, slot, at_ms),
+        key=lambda slot: (
+            adapter not in slot.may_hold,
+            _demands.slot_value(state, slot, at_ms),
+        ),
         default=None,
     )
 
@@ -178,6 +183,7 @@
     slot.phase = _state.SlotPhase.LOADING
     slot.adapter = adapter
     slot.distrusted = False
+    _orders.ordered(slot, adapter)
     return effects.LoadAdapter(
         slot.order_id,
         slot.number,
--- a/berylhollow/sidecar/_state.py
+++ b/berylhollow/sidecar/_state.py
@@ -34,6 +34,8 @@
 
     ``pins`` counts the runs that use it: a slot with pins is never ordered
     to load anything. ``runs`` counts those begun since it was loaded.
+    ``may_hold`` are the adapters that the engine may have in it, whatever
+    we think of it, ``held_before`` those it may have had before our order.
     """
 
     number: int
@@ -47,6 +49,8 @@
     used_ms: int = 0
     uncertain_ms: int = 0
     distrusted: bool = False
+    may_hold: frozenset[messages.AdapterVersion] = frozenset()
+    held_before: frozenset[messages.AdapterVersion] = frozenset()
 
 
 class Phase(enum.Enum):
