Run every fault at every step of every flow

Cause: nothing showed that the eight promises hold when things fail, or which guard holds them.

Change: tools/matrix runs cells of a flow and one or two faults over the world of berylhollow/replay, with a new oracle that checks the promises after every fact from the world's own record.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 READY := $(VENV)/.ready
 RUNNABLE := $(VENV)/.runnable
 
-.PHONY: run test lint format generate binary capacity overload clean
+.PHONY: run test lint format generate binary capacity overload matrix matrix-short clean
 
 # What make run needs is a third of all: the first answer need not wait for
 # the tools of developers and reports.
@@ -48,5 +48,11 @@
 overload: $(READY)
 	$(BIN)/python -m tools.overload --out docs/design
 
+matrix: $(READY)
+	$(BIN)/python -m tools.matrix
+
+matrix-short: $(READY)
+	$(BIN)/python -m tools.matrix --short
+
 clean:
 	rm -rf $(VENV) build dist .ruff_cache
--- a/berylhollow/replay/__init__.py
+++ b/berylhollow/replay/__init__.py
@@ -1,6 +1,7 @@
 """Drive the real reducers over a virtual clock, with models around them."""
 
 from berylhollow.replay._actions import Action
+from berylhollow.replay._actions import Delays
 from berylhollow.replay._actions import Point
 from berylhollow.replay._deployment import configure
 from berylhollow.replay._deployment import load_manifest
@@ -26,6 +27,9 @@
 from berylhollow.replay._live import LiveResult
 from berylhollow.replay._live import LiveService
 from berylhollow.replay._network import Link
+from berylhollow.replay._promises import Oracle
+from berylhollow.replay._promises import Promise
+from berylhollow.replay._promises import Violation
 from berylhollow.replay._replay import Replay
 from berylhollow.replay._replay import ServiceResult
 from berylhollow.replay._service import ServiceDriver
@@ -43,6 +47,7 @@
 __all__ = [
     'Action',
     'Answered',
+    'Delays',
     'Distribution',
     'Ending',
     'EngineDied',
@@ -56,10 +61,12 @@
     'LiveResult',
     'LiveService',
     'Offered',
+    'Oracle',
     'Point',
     'ProcessEnded',
     'ProcessStarted',
     'Produced',
+    'Promise',
     'Record',
     'Relayed',
     'Replay',
@@ -75,6 +82,7 @@
     'TraceFault',
     'TraceItem',
     'TraceRequest',
+    'Violation',
     'World',
     'configure',
     'load_manifest',
--- a/berylhollow/replay/_actions.py
+++ b/berylhollow/replay/_actions.py
@@ -3,6 +3,10 @@
 import collections.abc
 import dataclasses
 import enum
+import re
+
+NUMBER = re.compile(r'-\d+$')
+"""The number of a partition, by which a stream's name may end."""
 
 
 class Point(enum.StrEnum):
@@ -76,8 +80,14 @@
 
     @property
     def step(self) -> str:
-        """The name under which the fault matrix lists this action."""
-        return f'{self.point} {self.detail}' if self.detail else self.point
+        """The name under which the fault matrix lists this action.
+
+        The partitions of a stream share one name.
+        """
+        if not self.detail:
+            return self.point.value
+        detail = NUMBER.sub('', self.detail)
+        return f'{self.point} {detail}'
 
 
 Delays = tuple[float, ...]
--- a/berylhollow/replay/_engine.py
+++ b/berylhollow/replay/_engine.py
@@ -39,6 +39,7 @@
         super().__init__(world, instance)
         self.model = model
         self.lives = model.lives
+        self.forced = False
         self.wake_ms = math.inf
         self.orders: dict[str, tuple] = {}
 
@@ -117,14 +118,6 @@
             )
         )
         self.orders[effect.order_id] = (process, effect.epoch)
-        self.world.schedule(
-            effect.timeout_ms,
-            Point.OTHER,
-            'timeout',
-            self.instance,
-            self.load_lost,
-            effect.order_id,
-        )
         try:
             self.world.weights.start(
                 effect.order_id, effect.adapter, self.loaded
@@ -146,9 +139,8 @@
         error: failures.StandInError,
     ) -> None:
         reason = REASONS.get(type(error), events.LoadFailure.REFUSED)
-        self.reply(
+        self.load_reply(
             process,
-            Point.LOADED,
             events.LoadFailed,
             order_id,
             events.Certainty.NOT_DONE,
@@ -169,18 +161,15 @@
             return
         process, epoch = self.orders.pop(order_id)
         if ready:
-            self.reply(
-                process, Point.LOADED, events.LoadSucceeded, order_id, epoch
-            )
+            self.load_reply(process, events.LoadSucceeded, order_id, epoch)
             return
         reason = events.LoadFailure.REFUSED
         if epoch != self.model.epoch:
             reason = events.LoadFailure.WRONG_EPOCH
         elif not loaded:
             reason = events.LoadFailure.WEIGHTS
-        self.reply(
+        self.load_reply(
             process,
-            Point.LOADED,
             events.LoadFailed,
             order_id,
             events.Certainty.NOT_DONE,
@@ -192,15 +181,29 @@
         order = self.orders.pop(order_id, None)
         if order is None:
             return
-        self.reply(
+        self.load_reply(
             order[0],
-            Point.LOADED,
             events.LoadFailed,
             order_id,
             events.Certainty.UNKNOWN,
             events.LoadFailure.NO_ANSWER,
         )
 
+    def load_reply(
+        self,
+        process: '_sidecar.SidecarProcess',
+        kind: type,
+        *values: object,
+    ) -> None:
+        self.answer(
+            process,
+            Point.LOADED,
+            kind.__name__,
+            process.load_answered,
+            kind,
+            *values,
+        )
+
     # Runs
 
     def submit(
@@ -218,6 +221,11 @@
         try:
             ticket = self.model.submit(request, self.world.now_ms)
         except failures.AdapterNotLoaded:
+            self.world.record.note(
+                _facts.Refused(
+                    self.world.now_ms, self.instance, effect.attempt_id
+                )
+            )
             kind = errors.Kind.ENGINE_RESTARTED
             self.not_run(process, effect.attempt_id, kind)
         except failures.StandInError:
@@ -234,12 +242,11 @@
     def cancel(
         self, process: '_sidecar.SidecarProcess', attempt_id: str
     ) -> None:
-        try:
-            self.model.check_up(self.world.now_ms)
-        except failures.StandInError:
-            pass
-        else:
-            self.model.cancel(attempt_id, self.world.now_ms)
+        self.after()
+        self.model.cancel(attempt_id, self.world.now_ms)
+        for ticket, job in list(self.jobs.items()):
+            if job.offer.attempt_id == attempt_id:
+                self.note_over(self.jobs.pop(ticket))
         self.after()
         self.reply(
             process, Point.CANCELLED, events.CancelConfirmed, attempt_id
@@ -254,7 +261,16 @@
     def crash(self, down_ms: float | None = None) -> None:
         """Break everything under way and come back cold after a while."""
         self.model.crash(self.world.now_ms, down_ms)
+        self.forced = True
+        self.after()
+        self.forced = False
+
+    def drop_connection(self) -> None:
+        """Break the connection of the run that is here for longest."""
         self.after()
+        for ticket in list(self.jobs)[:1]:
+            self.model.abandon(ticket, self.world.now_ms)
+            self.after()
 
     # The clock
 
@@ -266,10 +282,10 @@
     def after(self) -> None:
         """Hand out what the model has done and wake when it does more."""
         outputs = self.model.advance(self.world.now_ms)
-        for output in outputs:
-            self.hand_out(output)
         if self.model.lives != self.lives:
             self.note_death()
+        for output in outputs:
+            self.hand_out(output)
         if not self.world.lean:
             self.note_begun()
         next_ms = self.model.next_event_ms()
@@ -289,7 +305,7 @@
     def note_death(self) -> None:
         self.lives = self.model.lives
         self.world.record.note(
-            _facts.EngineDied(self.world.now_ms, self.instance)
+            _facts.EngineDied(self.world.now_ms, self.instance, self.forced)
         )
         for order_id in list(self.orders):
             self.load_lost(order_id)
--- a/berylhollow/replay/_facts.py
+++ b/berylhollow/replay/_facts.py
@@ -111,12 +111,25 @@
     users: tuple[str, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """An engine was given a run for an adapter that it has not loaded."""
+
+    at_ms: float
+    endpoint: str
+    attempt_id: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class EngineDied:
-    """An engine lost everything that it held and ran."""
+    """An engine lost all that it held and ran.
+
+    ``forced`` says that a fault did it, not a request.
+    """
 
     at_ms: float
     endpoint: str
+    forced: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -195,6 +208,7 @@
     | Produced
     | RunOver
     | SlotTaken
+    | Refused
     | EngineDied
     | Offered
     | Answered
--- a/berylhollow/replay/_gateway.py
+++ b/berylhollow/replay/_gateway.py
@@ -45,6 +45,10 @@
         return tuple(self.exchanges)
 
     def cut_off(self) -> None:
+        for carry_out, arguments in self.inbox:
+            if carry_out == self.request:
+                exchange: _facts.Exchange = arguments[0]
+                self.exchanges[exchange.request.request_id] = exchange
         for request_id in list(self.exchanges):
             self.finish(request_id, _facts.Ending.DISCONNECTED)
 
--- a/berylhollow/replay/_network.py
+++ b/berylhollow/replay/_network.py
@@ -11,9 +11,6 @@
     from berylhollow.replay import _world
 
 Point = _actions.Point
-HANDSHAKE_TIMEOUT_MS = 2000
-SILENCE_MS = 10_000
-"""A link whose peer answers no ping for this long is taken down."""
 
 
 class Link:
@@ -65,11 +62,11 @@
         listener = self.world.listener(address)
         pair = frozenset((opener.instance, address))
         if pair in self.unreachable:
-            self.refuse(opener, address, HANDSHAKE_TIMEOUT_MS)
+            self.refuse(opener, address, self.world.latencies.handshake_ms)
         elif listener is None or not listener.alive:
             self.refuse(opener, address, self.world.latencies.link_ms)
         elif listener.paused:
-            self.refuse(opener, address, HANDSHAKE_TIMEOUT_MS)
+            self.refuse(opener, address, self.world.latencies.handshake_ms)
         elif opener.alive:
             self.join(opener, listener)
 
--- a/berylhollow/replay/_processes.py
+++ b/berylhollow/replay/_processes.py
@@ -15,6 +15,9 @@
     from berylhollow.replay import _world
 
 Point = _actions.Point
+SHOWS_REVISION = frozenset(
+    {messages.ConfigurationAt, messages.Offer, messages.Report}
+)
 Reduce = collections.abc.Callable[
     [typing.Any, events.Event], tuple[typing.Any, list[effects.Effect]]
 ]
@@ -46,6 +49,7 @@
         self.paused = False
         self.busy = False
         self.stopping = False
+        self.began_ms = world.now_ms
         self.pauses = 0
         self.events = 0
         self.pending: collections.deque = collections.deque()
@@ -101,7 +105,7 @@
         self.paused = True
         self.pauses += 1
         self.world.schedule(
-            _network.SILENCE_MS,
+            self.world.latencies.silence_ms,
             Point.OTHER,
             'silence',
             self.instance,
@@ -146,6 +150,14 @@
         for link in self.world.network.links_of(self):
             self.world.network.close(link, self)
         self.cut_off()
+        self.world.schedule(
+            0,
+            Point.OTHER,
+            'port',
+            self.instance,
+            self.world.ended,
+            self.instance,
+        )
 
     def waiting(self) -> tuple[str, ...]:
         """Return the requests whose callers wait for this process."""
@@ -234,8 +246,18 @@
     def send_message(self, peer: str, message: messages.Message) -> None:
         """Send a message if a link to the peer is open."""
         link = self.links.get(peer)
-        if link is not None and link.up:
-            self.world.network.send(link, self, message)
+        if link is None or not link.up:
+            return
+        if not self.world.lean and type(message) in SHOWS_REVISION:
+            self.world.record.note(
+                _facts.Said(
+                    self.world.now_ms,
+                    self.instance,
+                    self.incarnation,
+                    message.revision,
+                )
+            )
+        self.world.network.send(link, self, message)
 
     def open_link(self, effect: effects.OpenLink) -> None:
         self.world.network.open(self, effect.address)
--- a/berylhollow/replay/_service.py
+++ b/berylhollow/replay/_service.py
@@ -27,6 +27,7 @@
         self.work_ms = work_ms
         self.faults = faults.FaultSwitches()
         self.numbers = itertools.count()
+        self.dropped: set[int] = set()
 
     def faulty(self, fault: faults.ServiceFault) -> bool:
         return self.faults.active(fault, self.world.now_ms)
@@ -86,6 +87,8 @@
     def over(self, ticket: int) -> None:
         job = self.jobs.pop(ticket)
         self.note_over(job)
+        if ticket in self.dropped:
+            return
         crashed = self.faulty(faults.ServiceFault.CRASH)
         if crashed or self.faulty(faults.ServiceFault.RESET_AFTER_RUN):
             self.crashed(job)
@@ -103,6 +106,12 @@
         self.pass_token(job, _answers.of_service(job.offer.body))
         self.pass_end(job)
 
+    def drop_connection(self) -> None:
+        """Break the connection of the call that is here for longest."""
+        for ticket, job in list(self.jobs.items())[:1]:
+            self.dropped.add(ticket)
+            self.crashed(job)
+
     def cancel(
         self, process: '_sidecar.SidecarProcess', attempt_id: str
     ) -> None:
--- a/berylhollow/replay/_sidecar.py
+++ b/berylhollow/replay/_sidecar.py
@@ -45,6 +45,7 @@
         super().__init__(world, instance, incarnation, reduce, state)
         self.endpoint: _endpoints.Driver = endpoint
         self.runs: dict[str, Run] = {}
+        self.orders: set[str] = set()
         self.handlers |= {
             effects.ReadStatus: self.read_status,
             effects.LoadAdapter: self.load_adapter,
@@ -66,7 +67,20 @@
         self.call(Point.STATUS, self.endpoint.status)
 
     def load_adapter(self, effect: effects.LoadAdapter) -> None:
+        self.orders.add(effect.order_id)
         self.call(Point.ORDER, self.endpoint.load, effect)
+        self.world.schedule(
+            effect.timeout_ms,
+            Point.OTHER,
+            'timeout',
+            self.instance,
+            self.receive,
+            self.load_answered,
+            events.LoadFailed,
+            effect.order_id,
+            events.Certainty.UNKNOWN,
+            events.LoadFailure.NO_ANSWER,
+        )
 
     def start_run(self, effect: effects.StartRun) -> None:
         sender = stream.StreamSender(effect.attempt_id, SENDER_BYTES)
@@ -100,7 +114,7 @@
         except stream.StreamError:
             return
         for frame in frames:
-            if not isinstance(frame, stream.End):
+            if not isinstance(frame, messages.End):
                 self.send_data(run, frame)
 
     def forget_run(self, effect: effects.ForgetRun) -> None:
@@ -116,6 +130,14 @@
         run.backlog.append(payload)
         self.pump(run)
 
+    def load_answered(
+        self, kind: type, order_id: str, *values: object
+    ) -> None:
+        """Take the answer to a load order, or that none came in time."""
+        if order_id in self.orders:
+            self.orders.remove(order_id)
+            self.told(kind, order_id, *values)
+
     def finished(self, attempt_id: str) -> None:
         """The endpoint's answer is whole."""
         run = self.runs.get(attempt_id)
--- a/berylhollow/replay/_world.py
+++ b/berylhollow/replay/_world.py
@@ -35,13 +35,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Latencies:
-    """One-way times in milliseconds; ``tick_ms`` is between two ticks."""
+    """One-way times in milliseconds; ``tick_ms`` is between two ticks.
+
+    A link whose peer is paused for ``silence_ms`` is taken down, one that
+    is asked for is given up after ``handshake_ms``.
+    """
 
     caller_ms: float = 3
     link_ms: float = 1.5
     platform_ms: float = 2
     endpoint_ms: float = 0.2
     tick_ms: float = 100
+    silence_ms: float = 10_000
+    handshake_ms: float = 2000
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -52,6 +58,7 @@
     start: collections.abc.Callable[[str], _processes.Process]
     current: _processes.Process | None = None
     started: int = 0
+    starting: bool = False
 
 
 class World:
@@ -238,9 +245,17 @@
 
     # What befalls processes
 
-    def start(self, instance: str) -> _processes.Process:
-        """Start a process, beside one that still lives there, if any."""
+    def start(self, instance: str) -> _processes.Process | None:
+        """Start a process; its port keeps it waiting for one that lives.
+
+        A paused process still holds its port, so that its replacement
+        begins only once it has ended.
+        """
         seat = self.seats[instance]
+        if seat.current is not None and seat.current.alive:
+            seat.starting = True
+            return None
+        seat.starting = False
         seat.started += 1
         process = seat.start(f'{instance}#{seat.started}')
         seat.current = process
@@ -248,13 +263,18 @@
         process.begin()
         return process
 
+    def ended(self, instance: str) -> None:
+        """The port of an instance is free again."""
+        if self.seats[instance].starting:
+            self.start(instance)
+
     def kill(self, instance: str) -> None:
         """End the process at once, as a crash or SIGKILL does."""
         process = self.listener(instance)
         if process is not None:
             process.end(None)
 
-    def replace(self, instance: str) -> _processes.Process:
+    def replace(self, instance: str) -> _processes.Process | None:
         """Kill what runs there and start anew."""
         self.kill(instance)
         return self.start(instance)
--- a/berylhollow/sidecar/_orders.py
+++ b/berylhollow/sidecar/_orders.py
@@ -6,13 +6,14 @@
 hold, also after an order that failed or was never answered, and order nothing
 into a slot that may hold an adapter which is pinned anywhere.
 
-A slot whose last order has no known outcome guards against a late order: a load that hung, or whose answer was lost, may
-still take effect after another adapter was loaded over it and is in use. It
-shows as an answer of the wrong adapter. An engine that checks fencing
-numbers refuses the late one, since each order has a higher number. For one
-that does not, nothing may be ordered until the engine shows that the order
-took effect, or no order can be under way any more: not even the same adapter
-again, since the late order may fail and leave the slot empty under its runs.
+A slot whose last order has no known outcome guards against a late order: a
+load that hung, or whose answer was lost, may still take effect after another
+adapter was loaded over it and is in use. It shows as an answer of the wrong
+adapter. An engine that checks fencing numbers refuses the late one, since
+each order has a higher number. For one that does not, nothing may be ordered
+until the engine shows that the order took effect, or no order can be under
+way any more: not even the same adapter again, since the late order may fail
+and leave the slot empty under its runs.
 """
 
 from berylhollow import events
--- /dev/null
+++ b/tools/matrix/__init__.py
@@ -0,0 +1,1 @@
+"""Every fault at every step of every flow, against the real reducers."""
