Leave out the link library's line for each connection

Cause: each link wrote two lines at level info, with the repr of an object; a gateway with hundreds of sidecars fills its log when they are rolled out. Change: that library's logger says warnings and worse. Conclusion: our own lines of links stay.

--- a/berylhollow/logs.py
+++ b/berylhollow/logs.py
@@ -117,6 +117,9 @@
         old.close()
     root.addHandler(handler)
     root.setLevel(level.upper())
+    # It tells of each connection at the level at which we tell of requests;
+    # our links say what matters of theirs.
+    logging.getLogger('websockets').setLevel(logging.WARNING)
     atexit.register(handler.close)
     return handler
 
--- a/test/test_logs.py
+++ b/test/test_logs.py
@@ -40,6 +40,13 @@
         handler.close()
         return [json.loads(line) for line in stream.getvalue().splitlines()]
 
+    def test_connections_of_links_are_not_told_one_by_one(self):
+        library = logging.getLogger('websockets.server')
+        lines = self.lines(lambda: library.info('connection open'))
+        self.assertEqual(lines, [])
+        lines = self.lines(lambda: library.warning('trouble'))
+        self.assertEqual(len(lines), 1)
+
     def test_line_has_its_fields_and_utc_time(self):
         def write():
             fields = [('request_id', 'r1'), ('adapter', None), ('name', 'x')]
