Break curves of burn rates where nothing was answered

Cause: a pause of 30 s between answers was drawn as a burn at the last rate. Change: gaps are gaps, points have marks.

--- a/berylhollow/report/_plots.py
+++ b/berylhollow/report/_plots.py
@@ -2,6 +2,7 @@
 
 import datetime
 import io
+import math
 
 import matplotlib
 from matplotlib import dates
@@ -51,14 +52,13 @@
     for series in summary.series:
         if series.service != service:
             continue
-        points = [
-            (_utc(at_ms), rate)
-            for at_ms, rate in zip(series.starts_ms, series.rates, strict=True)
-            if rate is not None
-        ]
+        # A gap in the curve is a time without answers; a point beside gaps
+        # would not show without its mark.
         axes.plot(
-            [moment for moment, _ in points],
-            [rate for _, rate in points],
+            [_utc(at_ms) for at_ms in series.starts_ms],
+            [math.nan if rate is None else rate for rate in series.rates],
+            marker='.',
+            markersize=3,
             label=series.objective.replace('_', ' '),
             linewidth=1.2,
         )
