--- a/berylhollow/configuration/__init__.py
+++ b/berylhollow/configuration/__init__.py
@@ -8,6 +8,7 @@
 from berylhollow.configuration import _changes
 from berylhollow.configuration import _codec
 from berylhollow.configuration import _configuration
+from berylhollow.configuration import _entity_codec
 from berylhollow.configuration import _fold
 from berylhollow.configuration import _follower
 from berylhollow.configuration import _history
@@ -30,7 +31,7 @@
 Follower = _follower.Follower
 History = _history.History
 LogReader = _log_reader.LogReader
-MalformedRecord = _codec.MalformedRecord
+MalformedRecord = _entity_codec.MalformedRecord
 Outcome = _fold.Outcome
 Put = _changes.Put
 Remove = _changes.Remove
--- a/berylhollow/configuration/_fold.py
+++ b/berylhollow/configuration/_fold.py
@@ -7,6 +7,7 @@
 from berylhollow.configuration import _changes
 from berylhollow.configuration import _codec
 from berylhollow.configuration import _configuration
+from berylhollow.configuration import _entity_codec
 from berylhollow import manifest
 from berylhollow import messages
 
@@ -84,7 +85,7 @@
     """
     snapshot = _codec.decode_snapshot(data)
     if snapshot.revision > snapshot.next_offset:
-        raise _codec.MalformedRecord('a revision that is yet to come')
+        raise _entity_codec.MalformedRecord('a revision that is yet to come')
     return State(
         _configuration.from_manifest(snapshot.declared, snapshot.revision),
         snapshot.next_offset,
@@ -114,7 +115,7 @@
         change = _codec.decode_change(entry.data)
     except _codec.UnknownRule:
         return state, Verdict(Outcome.UNKNOWN_RULE, entry.offset)
-    except _codec.MalformedRecord as error:
+    except _entity_codec.MalformedRecord as error:
         fault = manifest.Fault('record', str(error))
         verdict = Verdict(Outcome.NO_RECORD, entry.offset, faults=(fault,))
         return passed, verdict
--- a/berylhollow/configuration/_history.py
+++ b/berylhollow/configuration/_history.py
@@ -4,6 +4,7 @@
 import collections.abc
 
 from berylhollow.configuration import _codec
+from berylhollow.configuration import _entity_codec
 from berylhollow.configuration import _fold
 from berylhollow import messages
 
@@ -79,7 +80,7 @@
             if not self.wants(_codec.reach_of(data)):
                 return False
             state = _fold.from_snapshot(data)
-        except (_codec.MalformedRecord, _codec.UnknownRule):
+        except (_entity_codec.MalformedRecord, _codec.UnknownRule):
             return False
         self.state = state
         self.unknown_rule = None
