Judge any record, and stay before one that a defect can't take

A search over structures found a record whose count of items has thousands of digits: the text of its fault raised ValueError in the fold, which ends every process that reads it, and each again when it is started anew. Numbers are bounded when read. What is still raised stops the fold before the record and is said in status, as for an unknown rule.

--- a/berylhollow/configuration/_codec.py
+++ b/berylhollow/configuration/_codec.py
@@ -43,7 +43,7 @@
     """The record asks for a rule that this software does not know."""
 
     def __init__(self, rule: int):
-        super().__init__(f'rule {rule} is newer than this software')
+        super().__init__(f'only newer software can judge by rule {rule}')
         self.rule = rule
 
 
@@ -169,7 +169,7 @@
     _check_header(magic, data)
     items = _read_items(_decompress(data[start:]))
     count, *head = _entity_codec.array(next(items), fields + 1)
-    return head, _counted(items, _entity_codec.typed(count, int))
+    return head, _counted(items, _entity_codec.integer(count))
 
 
 def _counted(items: Items, count: int) -> Items:
--- a/berylhollow/configuration/_entity_codec.py
+++ b/berylhollow/configuration/_entity_codec.py
@@ -7,6 +7,7 @@
 from berylhollow import manifest
 
 LONGEST_TEXT = 256
+LARGEST_INTEGER = 2**62
 SHARED_VERSIONS = 4096
 
 
@@ -74,7 +75,7 @@
     return manifest.Adapter(
         text(name),
         sys.intern(text(service)),
-        typed(priority, int),
+        integer(priority),
         _versions(pairs),
     )
 
@@ -114,7 +115,7 @@
 
 def _decode_limits(in_flight, rate) -> manifest.Limits:
     if in_flight is not None:
-        typed(in_flight, int)
+        integer(in_flight)
     if rate is not None:
         typed(rate, float)
     return manifest.Limits(in_flight, rate)
@@ -135,6 +136,13 @@
     return value
 
 
+def integer(value: object) -> int:
+    """Return an integer that any software can hold, and print."""
+    if abs(typed(value, int)) > LARGEST_INTEGER:
+        raise MalformedRecord('an integer out of range')
+    return value
+
+
 def typed(value, wanted: type):
     """Return a value of exactly this type.
 
--- a/berylhollow/configuration/_fold.py
+++ b/berylhollow/configuration/_fold.py
@@ -113,8 +113,11 @@
     passed = dataclasses.replace(state, next_offset=entry.offset + 1)
     try:
         change = _codec.decode_change(entry.data)
-    except _codec.UnknownRule:
-        return state, Verdict(Outcome.UNKNOWN_RULE, entry.offset)
+    except _codec.UnknownRule as error:
+        fault = manifest.Fault('record', str(error))
+        return state, Verdict(
+            Outcome.UNKNOWN_RULE, entry.offset, faults=(fault,)
+        )
     except _entity_codec.MalformedRecord as error:
         fault = manifest.Fault('record', str(error))
         verdict = Verdict(Outcome.NO_RECORD, entry.offset, faults=(fault,))
--- a/berylhollow/configuration/_follower.py
+++ b/berylhollow/configuration/_follower.py
@@ -282,7 +282,7 @@
             state.digest.hex(),
             self.spread.age_ms(at_ms),
             self.chosen,
-            self.history.unknown_rule,
+            self.history.stopped,
             self.reader.gap,
             self.spread.gateways(at_ms),
         )
--- a/berylhollow/configuration/_history.py
+++ b/berylhollow/configuration/_history.py
@@ -2,12 +2,14 @@
 
 import collections
 import collections.abc
+import logging
 
 from berylhollow.configuration import _codec
 from berylhollow.configuration import _entity_codec
 from berylhollow.configuration import _fold
 from berylhollow import messages
 
+LOG = logging.getLogger(__name__)
 KEPT_ENTRIES = 256
 KEPT_BYTES = 256 * 1024
 KEPT_VERDICTS = 64
@@ -17,8 +19,8 @@
     """The fold over what was read, and the end of the stream itself.
 
     ``recent`` holds the last entries as they were read, without gaps, for
-    peers that lag. ``unknown_rule`` is the rule of the record before which
-    the fold had to stop, None if it did not. A snapshot that reaches further
+    peers that lag. ``stopped`` is why the fold had to stop before the next
+    record, '' if it did not. A snapshot that reaches further
     than ``reach`` is not taken over.
     """
 
@@ -30,7 +32,7 @@
         self.verdicts: collections.deque[_fold.Verdict] = collections.deque(
             maxlen=kept_verdicts
         )
-        self.unknown_rule: int | None = None
+        self.stopped = ''
         self.packed: bytes | None = None
 
     def add(
@@ -49,15 +51,35 @@
 
     def fold(self, entry: messages.LogEntry) -> bool:
         """Fold the next entry; return whether it could be judged."""
-        self.state, verdict = _fold.fold(self.state, entry)
-        if verdict.outcome is _fold.Outcome.UNKNOWN_RULE:
-            self.unknown_rule = _codec.rule_of(entry.data)
+        if self.stopped:
+            return False
+        verdict = self.judge(entry)
+        if self.stopped:
             return False
         self.packed = None
         self.verdicts.append(verdict)
         self.keep(entry)
         return True
 
+    def judge(self, entry: messages.LogEntry) -> _fold.Verdict | None:
+        """Fold the next entry, or note why that can't be done.
+
+        Guards against a record that a defect of ours can't take. Raising
+        would end every process that reads it, and again as soon as each is
+        started anew. Passing it would leave open what another software
+        version makes of it. So the process stays before it, goes on serving
+        and says so.
+        """
+        try:
+            self.state, verdict = _fold.fold(self.state, entry)
+        except Exception:
+            LOG.exception('a defect in judging the change at %d', entry.offset)
+            self.stopped = f'a defect in judging offset {entry.offset}'
+            return None
+        if verdict.outcome is _fold.Outcome.UNKNOWN_RULE:
+            self.stopped = '; '.join(map(str, verdict.faults))
+        return verdict
+
     def keep(self, entry: messages.LogEntry) -> None:
         """Keep an entry for peers, within bounds."""
         self.recent.append(entry)
@@ -82,8 +104,11 @@
             state = _fold.from_snapshot(data)
         except (_entity_codec.MalformedRecord, _codec.UnknownRule):
             return False
+        except Exception:
+            LOG.exception('a defect in reading a snapshot')
+            return False
         self.state = state
-        self.unknown_rule = None
+        self.stopped = ''
         self.packed = data
         self.recent.clear()
         self.recent_bytes = 0
--- a/berylhollow/configuration/_log_reader.py
+++ b/berylhollow/configuration/_log_reader.py
@@ -110,7 +110,7 @@
         self.succeed()
         if event.first_offset > self.history.state.next_offset:
             return self.step_back(event.at_ms)
-        if self.history.unknown_rule is not None:
+        if self.history.stopped:
             self.fail(event.at_ms)
             return []
         if event.entries:
--- a/berylhollow/configuration/_spread.py
+++ b/berylhollow/configuration/_spread.py
@@ -200,7 +200,7 @@
         """Ask one peer at a time for what follows; all would answer."""
         if at_ms - self.asked_ms < ASK_PAUSE_MS:
             return []
-        if self.history.unknown_rule is not None:
+        if self.history.stopped:
             # We could not judge what they would send.
             return []
         self.asked_ms = at_ms
--- a/berylhollow/following.py
+++ b/berylhollow/following.py
@@ -79,8 +79,8 @@
     """How far a process follows, for operators.
 
     ``age_ms`` is how long ago the log is known to have held no more, -1 if
-    that was never known; ``unknown_rule`` is set when only newer software
-    could go on; ``gap`` when records are gone that no snapshot holds.
+    that was never known; ``stopped`` is why the next record can't be
+    judged, if so; ``gap`` when records are gone that no snapshot holds.
     """
 
     revision: int = 0
@@ -88,7 +88,7 @@
     digest: str = ''
     age_ms: int = -1
     reads_log: bool = False
-    unknown_rule: int | None = None
+    stopped: str = ''
     gap: bool = False
     gateways: tuple[PeerStatus, ...] = ()
 
--- a/berylhollow/manifest/_load.py
+++ b/berylhollow/manifest/_load.py
@@ -17,6 +17,7 @@
 STRING_OR_COMMENT = re.compile(
     r'"(?:\\.|[^"\\\n])*"|//[^\n]*|/\*.*?\*/', re.DOTALL
 )
+TOP_LEVEL = '(top level)'
 NOT_NEWLINE = re.compile(r'[^\n]')
 # Kinds of value by their name in JSON; bool first, being a kind of int.
 JSON_KINDS = (
@@ -69,8 +70,9 @@
         place = f'line {error.lineno}, column {error.colno}'
         fault = _types.Fault(place, error.msg)
         raise _types.ManifestError([fault]) from error
-    except RecursionError as error:
-        fault = _types.Fault('line 1', 'is nested too deeply')
+    except (RecursionError, ValueError) as error:
+        # Nested too deeply, or a number with thousands of digits.
+        fault = _types.Fault(TOP_LEVEL, str(error))
         raise _types.ManifestError([fault]) from error
     manifest = _build(_types.Manifest, value, '', faults)
     if manifest is not None:
@@ -92,7 +94,7 @@
     """Return an object of a data class, or None if it has faults."""
     if not isinstance(value, Members):
         text = f'must be an object, not {_kind(value)}'
-        faults.append(_types.Fault(path or '(top level)', text))
+        faults.append(_types.Fault(path or TOP_LEVEL, text))
         return None
     before = len(faults)
     fields = {field.name: field for field in dataclasses.fields(data_type)}
--- a/berylhollow/publishing/_session.py
+++ b/berylhollow/publishing/_session.py
@@ -69,10 +69,10 @@
 
     def check(self, give_up_ms: int) -> None:
         """Raise ``UnavailableError`` if reading on can bring nothing."""
-        if self.history.unknown_rule is not None:
+        if self.history.stopped:
             raise UnavailableError(
-                f'the log holds a change by rule {self.history.unknown_rule}, '
-                'which only newer software can judge: update this program'
+                f'the log holds a change that this program cannot judge: '
+                f'{self.history.stopped}'
             )
         late = self.clock.now_ms() >= give_up_ms
         if late and self.reader.caught_up_ms is None:
--- a/berylhollow/ui/status_command.py
+++ b/berylhollow/ui/status_command.py
@@ -109,11 +109,8 @@
 
 
 def _notes(configuration: dict) -> collections.abc.Iterator[str]:
-    if configuration['unknown_rule'] is not None:
-        yield (
-            f'stopped before a change by rule '
-            f'{configuration["unknown_rule"]}: update this process'
-        )
+    if configuration['stopped']:
+        yield f'cannot judge the next change: {configuration["stopped"]}'
     if configuration['gap']:
         yield 'the log has cut off changes and no snapshot holds them'
     if configuration['age_ms'] < 0:
--- a/test/configuration/test_follower.py
+++ b/test/configuration/test_follower.py
@@ -355,4 +355,4 @@
             self.assertEqual(status.next_offset, 1)
             self.assertGreater(status.age_ms, 10_000)
         status = fleet.followers['g1'].status(fleet.clock.now_ms())
-        self.assertEqual(status.unknown_rule, 2)
+        self.assertIn('rule 2', status.stopped)
--- /dev/null
+++ b/test/configuration/test_records.py
@@ -0,0 +1,151 @@
+"""No record, whatever it holds, may do more than be judged."""
+
+import unittest
+from unittest import mock
+import zlib
+
+import cbor2
+import hypothesis
+from hypothesis import strategies
+
+from berylhollow import configuration
+from berylhollow.configuration import _fold
+from berylhollow import messages
+from test import configuration_builders as builders
+
+HEADER = builders.change(0)[: builders.RULE_AT + 2]
+SNAPSHOT_HEADER = configuration.INITIAL.snapshot()[: builders.RULE_AT + 10]
+
+# Stands for a number that Python refuses to print, as in a fault's text.
+HUGE = 'a huge number'
+
+scalars = strategies.one_of(
+    strategies.none(),
+    strategies.booleans(),
+    strategies.integers(-4, 4),
+    strategies.sampled_from((2**63, HUGE)),
+    strategies.floats(),
+    strategies.sampled_from(('', 'a', 'engine', 'vaxel-ai', 'x' * 300)),
+    strategies.binary(max_size=3),
+)
+values = strategies.recursive(
+    scalars,
+    lambda inner: strategies.one_of(
+        strategies.lists(inner, max_size=9),
+        strategies.dictionaries(strategies.just('k'), inner),
+    ),
+    max_leaves=12,
+)
+# Heads and entities that are nearly right reach further into the checks.
+head = strategies.lists(scalars, min_size=5, max_size=5)
+adapter = strategies.tuples(
+    strategies.just(2),
+    scalars,
+    scalars,
+    scalars,
+    strategies.lists(strategies.lists(scalars, min_size=2, max_size=2)),
+)
+other = strategies.lists(scalars, min_size=2, max_size=9)
+items = strategies.lists(strategies.one_of(adapter, other, values), max_size=3)
+
+
+def body(*parts):
+    return zlib.compress(b''.join(cbor2.dumps(real(part)) for part in parts))
+
+
+def real(value):
+    """Return the value with real huge numbers in it."""
+    if isinstance(value, list | tuple):
+        return [real(item) for item in value]
+    return 10**5000 if value == HUGE else value
+
+
+def fixed(limit=150):
+    return hypothesis.settings(
+        derandomize=True, deadline=None, max_examples=limit, database=None
+    )
+
+
+class RecordTest(unittest.TestCase):
+    """A record that raises would end every process that reads it.
+
+    Each would read it again when it is started anew, so that one bad record
+    would keep the whole deployment down.
+    """
+
+    def judge(self, data):
+        entry = messages.LogEntry(0, 0, data)
+        state, verdict = configuration.fold(configuration.INITIAL, entry)
+        self.assertIsInstance(verdict.outcome, configuration.Outcome)
+        return state, verdict
+
+    @fixed()
+    @hypothesis.given(strategies.one_of(head, values), items)
+    def test_any_structure_is_judged(self, first, rest):
+        self.judge(HEADER + body(first, *rest))
+
+    @fixed()
+    @hypothesis.given(items)
+    def test_any_delta_is_judged(self, rest):
+        count = len(rest)
+        self.judge(HEADER + body([count, 0, 'op', 'c', False], *rest))
+        self.judge(HEADER + body([count, 0, 'op', 'c', True], *rest))
+
+    @fixed()
+    @hypothesis.given(strategies.binary(max_size=40), strategies.integers(0))
+    def test_any_bytes_are_judged(self, junk, place):
+        sound = builders.whole()
+        place %= len(sound)
+        self.judge(junk)
+        self.judge(HEADER + junk)
+        self.judge(HEADER + zlib.compress(junk))
+        self.judge(sound[:place] + junk + sound[place + len(junk) :])
+
+    @fixed()
+    @hypothesis.given(strategies.one_of(head, values), items)
+    def test_any_snapshot_is_taken_or_left(self, first, rest):
+        history = configuration.History()
+        data = SNAPSHOT_HEADER[:-1] + b'\x05' + body(first, *rest)
+        self.assertIn(history.install(data), (True, False))
+
+    def test_huge_numbers_are_judged_wherever_they_stand(self):
+        entities = (
+            [1, 's', 'engine', 'b', False, 1.0, 1.0, 7, 1.5],
+            [2, 'a', 's', 3, [['1', True]]],
+            [3, 'c', 1.0, 7, 1.5],
+            [-2, 'a'],
+        )
+        for entity in entities:
+            for place in range(len(entity)):
+                huge = [*entity[:place], HUGE, *entity[place + 1 :]]
+                self.judge(HEADER + body([1, 0, 'op', 'c', False], huge))
+        for place in range(5):
+            first = [0, 0, 'op', 'c', False]
+            first[place] = HUGE
+            self.judge(HEADER + body(first))
+
+    def test_a_defect_in_judging_stops_and_ends_nothing(self):
+        history = configuration.History()
+        entry = messages.LogEntry(0, 0, builders.whole())
+        defect = mock.Mock(side_effect=KeyError('x'))
+        with mock.patch.object(_fold, 'fold', defect):
+            with self.assertLogs('berylhollow.configuration'):
+                self.assertEqual(history.add((entry,)), ())
+            self.assertEqual(history.add((entry,)), ())
+        self.assertEqual(defect.call_count, 1)
+        self.assertIn('offset 0', history.stopped)
+        self.assertEqual(history.state, configuration.INITIAL)
+
+    def test_a_body_that_unpacks_to_too_much_is_no_record(self):
+        bomb = zlib.compress(bytes(64 * 1024 * 1024))
+        _, verdict = self.judge(HEADER + bomb)
+        self.assertIs(verdict.outcome, configuration.Outcome.NO_RECORD)
+
+    def test_a_sound_change_is_accepted_by_these_builders(self):
+        """So that the tests above do not all fail at the header."""
+        service = [1, 's', 'engine', 'b', False, 1.0, 1.0, None, None]
+        entity = [2, 'a', 's', 3, [['1', True]]]
+        _, verdict = self.judge(
+            HEADER + body([2, 0, 'op', 'c', True], service, entity)
+        )
+        self.assertIs(verdict.outcome, configuration.Outcome.ACCEPTED)
--- a/test/manifest/test_load.py
+++ b/test/manifest/test_load.py
@@ -92,6 +92,10 @@
         found = faults_of('/* two\nlines */ {\n// more\n"services": [1 2]}')
         self.assertEqual(found, {"line 4, column 16: Expecting ',' delimiter"})
 
+    def test_what_json_itself_cannot_hold_is_a_fault(self):
+        for text in ('[' * 100_000, '{"services": [1' + '0' * 5000 + ']}'):
+            self.assertEqual(len(faults_of(text)), 1)
+
     def test_every_fault_is_named_at_once(self):
         found = faults_of(
             '{"services": [{"name": "s", "base_model": "b", "x": 1, "x": 2},'
