Measure what control costs running processes

Cause: a node may spend 64 MB, 3.6% of a core and 3 KB a second on control; slopes of single parts don't show what a process spends.

Change: make capacity starts a deployment of three gateways, 10 and 100 endpoints and 3,000 adapters. A gateway and a sidecar are watched for a minute each; taps count what they exchange.

--- a/tools/capacity/__main__.py
+++ b/tools/capacity/__main__.py
@@ -7,6 +7,7 @@
 import argparse
 import time
 
+from tools.capacity import control
 from tools.capacity import figures
 from tools.capacity import memory
 from tools.capacity import processor
@@ -17,6 +18,7 @@
     'memory': memory.measure,
     'processor': processor.measure,
     'wire': wire.measure,
+    'control': control.measure,
 }
 
 
