--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,10 @@
 format: $(READY)
 	$(BIN)/ruff format berylhollow test tools
 
+.PHONY: overhead
+overhead: $(READY)
+	$(BIN)/python -m tools.overhead
+
 generate: $(READY)
 	$(BIN)/python -m tools.generate
 
--- /dev/null
+++ b/tools/overhead/__init__.py
@@ -0,0 +1,1 @@
+"""Measure our two hops against a bare two-hop pass-through."""
