Document log lines, and name the fingerprint in them

Change: docs/reference/logs.md, checked against the line of an answer by a test; the line has the fingerprint; the constant is gone.

Conclusion: a request can be followed from its caller to its run by the page.

--- a/berylhollow/gateway/_exchange.py
+++ b/berylhollow/gateway/_exchange.py
@@ -68,6 +68,7 @@
                 'adapter': adapter.adapter if adapter else '',
                 'version': adapter.version if adapter else '',
                 'endpoint': begin.peer if begin else '',
+                'fingerprint': request.fingerprint,
                 'revision': revision,
                 'status': self.status,
                 'kind': self.kind.value if self.kind else '',
--- a/berylhollow/logs.py
+++ b/berylhollow/logs.py
@@ -16,19 +16,6 @@
 QUEUE_LINES = 10_000
 FLUSH_S = 2.0
 
-# Every field that a line may carry beside time, level, logger, message, role
-# and instance. Never a secret, a prompt or an answer.
-FIELDS = (
-    'request_id',
-    'attempt_id',
-    'caller',
-    'service',
-    'adapter',
-    'version',
-    'endpoint',
-    'revision',
-)
-
 RENAMED = {
     'asctime': 'time',
     'levelname': 'level',
--- a/test/test_gateway_metrics.py
+++ b/test/test_gateway_metrics.py
@@ -1,5 +1,7 @@
 """Tests of the metrics of a gateway, over real HTTP."""
 
+import logging
+import pathlib
 import unittest
 
 from berylhollow import configuration
@@ -11,6 +13,8 @@
 from test import configuration_builders
 from test import gateway_helper
 
+ROOT = pathlib.Path(__file__).parents[1]
+
 
 class GatewayMetricsTest(gateway_helper.GatewayTestCase):
     async def asyncSetUp(self):
@@ -78,6 +82,16 @@
         (record,) = logs.records
         self.assertEqual('wrong_adapter', record.kind)
         self.assertEqual(builders.SERVICE, record.service)
+        self.assert_documented(record)
+
+    def assert_documented(self, record):
+        """Check that the reference has each field of a log line."""
+        page = (ROOT / 'docs' / 'reference' / 'logs.md').read_text()
+        plain = vars(logging.makeLogRecord({}))
+        given = vars(record).keys() - plain.keys() - {'message', 'asctime'}
+        self.assertIn('request_id', given)
+        for name in given:
+            self.assertIn(f'`{name}`', page)
 
     async def test_made_up_service_is_no_label(self):
         # A gateway grows until it is killed: a caller asks for services
