Work out each role's cost at the size to design for

New measurements: the time of a change to 10, 50 and 200 processes, the hops of a change over 1,900 gateways, and what each hop costs a token.

--- a/tools/capacity/__main__.py
+++ b/tools/capacity/__main__.py
@@ -11,6 +11,8 @@
 from tools.capacity import figures
 from tools.capacity import memory
 from tools.capacity import processor
+from tools.capacity import ring
+from tools.capacity import spread
 from tools.capacity import tables
 from tools.capacity import wire
 
@@ -18,7 +20,9 @@
     'memory': memory.measure,
     'processor': processor.measure,
     'wire': wire.measure,
+    'ring': ring.measure,
     'control': control.measure,
+    'spread': spread.measure,
 }
 
 
--- a/tools/capacity/samples.py
+++ b/tools/capacity/samples.py
@@ -149,7 +149,7 @@
         'region': 'sul',
         'failure_domain': 'sul-a',
     }
-    chosen = gateway.Options(instance='g-1', **(wide | options))
+    chosen = gateway.Options(**({'instance': 'g-1'} | wide | options))
     current = configuration.from_manifest(declared(adapters), revision=1)
     return gateway.State(chosen, Fixed(current))
 
--- a/tools/capacity/tables.py
+++ b/tools/capacity/tables.py
@@ -1,11 +1,15 @@
 """Write the figures into the page, between its markers."""
 
+import dataclasses
+import json
 import pathlib
 import re
 
 from tools.capacity import figures
+from tools.capacity import model
 
 PAGE = pathlib.Path('docs/CAPACITY.md')
+OVERHEAD = pathlib.Path('docs/capacity/overhead.json')
 MARKED = re.compile(
     r'(<!-- table: (?P<name>[\w-]+) -->\n).*?(<!-- end -->)', re.DOTALL
 )
@@ -18,17 +22,22 @@
 
 
 def write() -> int:
-    """Fill every marked place of the page; return how many there are.
+    """Fill every marked place of the page; return how many there are."""
+    text, count = render(PAGE.read_text(encoding='utf-8'))
+    PAGE.write_text(text, encoding='utf-8')
+    return count
+
 
-    Raises KeyError for a marker whose table is unknown.
+def render(page: str) -> tuple[str, int]:
+    """Return a page with its marked places filled, and how many it has.
+
+    Raises KeyError for a marker whose table is unknown, or whose figures
+    were not measured.
     """
     found = figures.load()
-    text, count = MARKED.subn(
-        lambda match: match[1] + table(match['name'], found) + match[3],
-        PAGE.read_text(encoding='utf-8'),
+    return MARKED.subn(
+        lambda match: match[1] + table(match['name'], found) + match[3], page
     )
-    PAGE.write_text(text, encoding='utf-8')
-    return count
 
 
 def table(name: str, found: Found) -> str:
@@ -90,9 +99,73 @@
     rows = [
         (f'`{item.name}`', f'{number(item.value)} {item.unit}', item.how)
         for item in found.values()
-        if not _is_slope(item)
+        if not _is_slope(item) and not item.name.startswith('control.')
     ]
     return lines(('figure', 'value', 'how'), rows)
 
 
-_TABLES = {'slopes': _slopes, 'values': _values}
+def _role(rows: tuple[model.Row, ...], found: Found) -> str:
+    head = ('', 'unit', *(size.name for size in model.SIZES), 'worked out')
+    body = [
+        (
+            row.what,
+            row.unit,
+            *(number(row.work_out(found, size)) for size in model.SIZES),
+            row.how,
+        )
+        for row in rows
+    ]
+    return lines(head, body)
+
+
+def _sizes(found: Found) -> str:
+    names = [field.name for field in dataclasses.fields(model.Size)][1:]
+    rows = [
+        (
+            name.replace('_', ' '),
+            *(f'{getattr(size, name):,.0f}' for size in model.SIZES),
+        )
+        for name in names
+    ]
+    return lines(('', *(size.name for size in model.SIZES)), rows)
+
+
+def _control(found: Found) -> str:
+    rows = []
+    for role in ('gateway', 'sidecar'):
+        for at in ('10', '100', '100_busy'):
+            cells = [
+                found[f'control.{role}.{what}.{at}']
+                for what in ('resident', 'processor', 'traffic')
+            ]
+            rows.append(
+                (role, cells[0].how, *(number(x.value) for x in cells))
+            )
+    head = ('role', 'deployment', 'KiB resident', '% of a core', 'bytes/s')
+    return lines(head, rows)
+
+
+def _overhead(found: Found) -> str:
+    measured = json.loads(OVERHEAD.read_text(encoding='utf-8'))
+    rows = [
+        (name, *(_cell(values, way) for way in ('direct', 'bare', 'ours')))
+        for name, values in sorted(measured.items())
+        if isinstance(values, dict) and 'bare' in values
+    ]
+    return lines(('figure', 'no hop', 'bare', 'ours'), rows)
+
+
+def _cell(values: dict, way: str) -> str:
+    return number(values[way]) if way in values else ''
+
+
+_TABLES = {
+    'control': _control,
+    'gateway': lambda found: _role(model.GATEWAY, found),
+    'overhead': _overhead,
+    'platform': lambda found: _role(model.PLATFORM, found),
+    'sidecar': lambda found: _role(model.SIDECAR, found),
+    'sizes': _sizes,
+    'slopes': _slopes,
+    'values': _values,
+}
--- a/tools/overhead/__main__.py
+++ b/tools/overhead/__main__.py
@@ -58,17 +58,26 @@
     """Streams in step: tokens a CPU second, and the gaps between reads."""
     request = callers.post(TOKENS, PROMPT_BYTES)
     rounds = {chain.name: [] for chain in found}
+    hops = {hop.name: [] for hop in found[-1].hops}
     gaps = {chain.name: [] for chain in found}
     for _ in range(ROUNDS):
         for chain in found:
-            before = chain.processor_s()
+            before = [hop.processor_s() for hop in chain.hops]
             times, _ = await callers.call(chain.port, STREAMS, request, 1)
-            spent = chain.processor_s() - before
+            by_hop = [
+                hop.processor_s() - was
+                for hop, was in zip(chain.hops, before, strict=True)
+            ]
+            spent = sum(by_hop)
+            if chain.name == 'ours':
+                for hop, part in zip(chain.hops, by_hop, strict=True):
+                    hops[hop.name].append(STREAMS * TOKENS / part)
             gaps[chain.name] += times.gaps
             if chain.hops:
                 rounds[chain.name].append(STREAMS * TOKENS / spent)
     return {
         'tokens_per_cpu_s': _medians(rounds),
+        'tokens_per_cpu_s_by_hop': _medians(hops),
         'gap_ms_p50': {n: percentile(g, 0.5) for n, g in gaps.items()},
         'gap_ms_p95': {n: percentile(g, 0.95) for n, g in gaps.items()},
     }
