--- a/berylhollow/ui/_log_options.py
+++ b/berylhollow/ui/_log_options.py
@@ -16,14 +16,23 @@
     [publishing.Publisher], collections.abc.Awaitable[Result]
 ]
 
+LogAction = collections.abc.Callable[
+    [platform.LogClient], collections.abc.Awaitable[Result]
+]
 
-def add_arguments(parser: argparse.ArgumentParser) -> None:
+
+def add_platform(parser: argparse.ArgumentParser, held: str) -> None:
+    """Add the option for the platform whose log holds what is named."""
     parser.add_argument(
         '--platform',
         required=True,
         metavar='URL',
-        help='the platform, whose log service holds the configuration',
+        help=f'the platform, whose log service holds the {held}',
     )
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    add_platform(parser, 'configuration')
     parser.add_argument(
         '--timeout',
         type=float,
@@ -46,16 +55,23 @@
     arguments: argparse.Namespace, action: Action[Result]
 ) -> Result:
     """Run an action with a publisher on the platform's log."""
-    return asyncio.run(_with_publisher(arguments, action))
+    timeout_ms = int(arguments.timeout * clocks.MS_PER_SECOND)
 
-
-async def _with_publisher(
-    arguments: argparse.Namespace, action: Action[Result]
-) -> Result:
-    log = platform.LogClient(arguments.platform)
-    try:
-        timeout_ms = int(arguments.timeout * clocks.MS_PER_SECOND)
+    async def publish(log: platform.LogClient) -> Result:
         session = publishing.Session(log)
         return await action(publishing.Publisher(session, timeout_ms))
+
+    return with_log(arguments.platform, publish)
+
+
+def with_log(url: str, action: LogAction[Result]) -> Result:
+    """Run an action on the platform's log and close the client."""
+    return asyncio.run(_with_log(url, action))
+
+
+async def _with_log(url: str, action: LogAction[Result]) -> Result:
+    log = platform.LogClient(url)
+    try:
+        return await action(log)
     finally:
         await log.close()
--- a/berylhollow/ui/_quarantine_log.py
+++ b/berylhollow/ui/_quarantine_log.py
@@ -1,34 +1,25 @@
 """What the commands about quarantine have in common: the log's stream."""
 
 import argparse
-import asyncio
-import collections.abc
 import typing
 
 from berylhollow import outgoing
 from berylhollow import platform
 from berylhollow import quarantine
+from berylhollow.ui import _log_options
 from berylhollow.util import exits
 
 Result = typing.TypeVar('Result')
-Action = collections.abc.Callable[
-    [platform.LogClient], collections.abc.Awaitable[Result]
-]
 
 
 def add_platform(parser: argparse.ArgumentParser) -> None:
-    parser.add_argument(
-        '--platform',
-        required=True,
-        metavar='URL',
-        help='the platform, whose log service keeps the quarantine stream',
-    )
+    _log_options.add_platform(parser, 'quarantine stream')
 
 
-def with_log(url: str, action: Action[Result]) -> Result:
+def with_log(url: str, action: _log_options.LogAction[Result]) -> Result:
     """Run an action on the log; say in one line if it gives no answer."""
     try:
-        return asyncio.run(_with_log(url, action))
+        return _log_options.with_log(url, action)
     except outgoing.CallError as error:
         raise exits.UserError(
             f'the log gave no answer: {error}', exits.ExitCode.UNAVAILABLE
@@ -56,11 +47,3 @@
                 found.append(quarantine.decode(record.data))
             except quarantine.RecordError:
                 continue
-
-
-async def _with_log(url: str, action: Action[Result]) -> Result:
-    log = platform.LogClient(url)
-    try:
-        return await action(log)
-    finally:
-        await log.close()
