--- a/berylhollow/configuration/_follower.py
+++ b/berylhollow/configuration/_follower.py
@@ -19,8 +19,8 @@
 READER_TASK = 'readers'
 # How long a gateway that is not chosen to read the log does without news of
 # its end, how long a sidecar does without a word of any peer.
-GATEWAY_PATIENCE_MS = 6000
-GATEWAY_JITTER_MS = 4000
+GATEWAY_PATIENCE_MS = 4000
+GATEWAY_JITTER_MS = 3000
 SIDECAR_PATIENCE_MS = 20_000
 SIDECAR_JITTER_MS = 20_000
 SIDECAR_START_MS = 1500
--- a/test/configuration/test_follower.py
+++ b/test/configuration/test_follower.py
@@ -10,6 +10,9 @@
 from test import configuration_builders as builders
 from test import fleet as fleets
 
+# Within this time a change is to be in force everywhere.
+IN_FORCE_MS = 8000
+
 
 def changes(count, first=1):
     """Records that follow ``builders.whole()``, each based on the last."""
@@ -150,9 +153,30 @@
             del fleet.followers[name]
         self.assertEqual(len(fleet.followers), 2)
         fleet.publish(*changes(1))
-        fleet.run(12_000)
+        fleet.run(IN_FORCE_MS)
         self.assertEqual(set(fleet.revisions().values()), {2})
 
+    def test_feeders_that_hang_do_not_keep_a_sidecar_behind(self):
+        """Both gateways that feed a sidecar are paused; their links stay.
+
+        Its third gateway does not feed it and would never tell it anything.
+        """
+        fleet = fleets.Fleet('g1', 'g2', 'g3', 's1')
+        fleet.read_fails = {'s1'}
+        fleet.link_all()
+        fleet.publish(builders.whole())
+        fleet.run(3000)
+        feeders = [
+            name
+            for name in ('g1', 'g2', 'g3')
+            if 's1' in fleet.followers[name].spread.fed
+        ]
+        self.assertEqual(len(feeders), 2)
+        fleet.paused = set(feeders)
+        fleet.publish(*changes(1))
+        fleet.run(IN_FORCE_MS)
+        self.assertEqual(fleet.revision('s1'), 2)
+
     def test_nobody_is_live_by_the_list(self):
         fleet = fleets.Fleet('g1', 'g2', 's1')
         fleet.live = []
--- a/test/fleet.py
+++ b/test/fleet.py
@@ -34,6 +34,7 @@
         self.sent = collections.Counter()
         self.reads = collections.Counter()
         self.read_fails = set()
+        self.paused = set()
         self.live = None
         for name in names:
             self.begin(name)
@@ -186,16 +187,26 @@
         """Let everything go on in order for a time, in steps of a tick."""
         for _ in range(duration_ms // TICK_MS):
             self.clock.advance(TICK_MS)
-            for name in list(self.followers):
+            for name in self.running():
                 self.tick(name)
                 for _ in range(len(self.calls[name])):
                     self.answer(name)
             self.deliver_all()
 
     def deliver_all(self):
-        while any(self.queues.values()):
-            for sender, receiver in list(self.queues):
-                self.deliver(sender, receiver)
+        while True:
+            due = [
+                ends
+                for ends, queue in self.queues.items()
+                if queue and ends[1] not in self.paused
+            ]
+            if not due:
+                return
+            for ends in due:
+                self.deliver(*ends)
+
+    def running(self):
+        return [name for name in self.followers if name not in self.paused]
 
     def publish(self, *records):
         self.log.put(configuration.STREAM, *records)
--- a/tools/measure_configuration.py
+++ b/tools/measure_configuration.py
@@ -1,15 +1,18 @@
 """Measure the configuration: fold, memory, and messages at full size.
 
 ``python -m tools.measure_configuration fold`` times changes at 3,000 and
-15,000 adapters; ``spread`` runs the real followers of 1,900 gateways and
-10,000 sidecars, linked as the gateways link, and counts what they send.
-There is no network in it: a message takes one round.
+15,000 adapters; ``memory`` tells what a process holds of them; ``spread``
+runs the real followers of 1,900 gateways and 10,000 sidecars, linked as the
+gateways link, and counts what they send. There is no network in it: a
+message takes one round.
 """
 
 import argparse
 import collections
 import gc
 import math
+import multiprocessing
+import pathlib
 import statistics
 import time
 import tracemalloc
@@ -123,6 +126,36 @@
     )
 
 
+def measure_memory(adapters: int) -> None:
+    """Read a snapshot in a process of its own, and write one there."""
+    entry = messages.LogEntry(0, 0, whole(adapters))
+    state, _ = configuration.fold(configuration.INITIAL, entry)
+    context = multiprocessing.get_context('spawn')
+    child = context.Process(
+        target=hold_snapshot, args=(adapters, state.snapshot())
+    )
+    child.start()
+    child.join()
+
+
+def hold_snapshot(adapters: int, data: bytes) -> None:
+    before = resident_kb('VmRSS')
+    state = configuration.from_snapshot(data)
+    held = resident_kb('VmRSS') - before
+    state.snapshot()
+    peak = resident_kb('VmHWM') - before
+    print(
+        f'{adapters} adapters: {held} kB more resident once read, {peak} kB '
+        'at most, a snapshot written'
+    )
+
+
+def resident_kb(name: str) -> int:
+    status = pathlib.Path('/proc/self/status').read_text(encoding='ascii')
+    (line,) = (x for x in status.splitlines() if x.startswith(name))
+    return int(line.split()[1])
+
+
 class Fleet:
     """Followers and the messages between them, in rounds."""
 
@@ -333,9 +366,12 @@
     )
 
 
+MEASURES = {'fold': measure_fold, 'memory': measure_memory}
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument('what', choices=('fold', 'spread'))
+    parser.add_argument('what', choices=('fold', 'memory', 'spread'))
     parser.add_argument(
         '--part', type=int, default=1, help='size of the fleet as 1 / PART'
     )
@@ -343,8 +379,9 @@
     if arguments.what == 'spread':
         measure_spread(arguments.part)
         return
+    measure = MEASURES[arguments.what]
     for adapters in ADAPTERS:
-        measure_fold(adapters)
+        measure(adapters)
 
 
 if __name__ == '__main__':
