Spread the links that many gateways open at once

Cause: every gateway tried a refused link twice a second for ever, opened all missing links in one tick in the order of the instance list, and looked at a draining endpoint every half second. Change: exponential back-off with jitter for refused links and peers (the first pause while answers are owed), a random moment after a link that carried nothing broke, at most 64 links opening at a time, each gateway in its own order, back-off for looks at leaving endpoints.

--- a/berylhollow/gateway/_attempts.py
+++ b/berylhollow/gateway/_attempts.py
@@ -13,6 +13,7 @@
 from berylhollow.gateway import _budget
 from berylhollow.gateway import _ejection
 from berylhollow.gateway import _limits
+from berylhollow.gateway import _link_pacing
 from berylhollow.gateway import _quarantine
 from berylhollow.gateway import _routing
 from berylhollow.gateway import _settlement
@@ -141,10 +142,13 @@
         return state.follower.handle(event)
     endpoint.link = _state.LinkPhase.OPEN
     if endpoint.incarnation != event.incarnation:
+        endpoint.refusals = 0
         endpoint.leaving = endpoint.instance.leaving
         state.placement.replace(event.peer, endpoint.report, None)
         endpoint.report = None
     endpoint.incarnation = event.incarnation
+    if not endpoint.leaving:
+        endpoint.refusals = 0
     done = state.follower.handle(event)
     for attempt_id in sorted(endpoint.placed):
         active = state.request_of(attempt_id)
@@ -159,9 +163,7 @@
     if endpoint is None:
         return state.follower.handle(event)
     endpoint.link = _state.LinkPhase.CLOSED
-    endpoint.retry_link_at_ms = event.at_ms
-    if endpoint.leaving:
-        endpoint.retry_link_at_ms += state.options.leaving_retry_ms
+    endpoint.retry_link_at_ms = event.at_ms + _pause_ms(state, event.peer)
     for attempt_id in endpoint.placed:
         active = state.request_of(attempt_id)
         if active is not None and active.resume_by_ms is None:
@@ -169,6 +171,22 @@
     return state.follower.handle(event)
 
 
+def _pause_ms(state: _state.State, peer: str) -> int:
+    """Return when to open a link again that closed.
+
+    At once if callers wait for answers on it. One to a leaving endpoint is
+    only opened to see whether another process took its place.
+    """
+    endpoint = state.endpoints[peer]
+    if endpoint.placed:
+        return 0
+    if not endpoint.leaving:
+        return _link_pacing.first_pause_ms(state, peer)
+    endpoint.refusals += 1
+    pause_ms = _link_pacing.pause_ms(state, peer, endpoint.refusals)
+    return max(pause_ms, state.options.leaving_retry_ms)
+
+
 def resume_failed(
     state: _state.State, active: _state.ActiveRequest, at_ms: int
 ) -> Effects:
--- a/berylhollow/gateway/_membership.py
+++ b/berylhollow/gateway/_membership.py
@@ -8,6 +8,7 @@
 from berylhollow import effects
 from berylhollow import events
 from berylhollow import following
+from berylhollow.gateway import _link_pacing
 from berylhollow.gateway import _state
 
 Effects = list[effects.Effect]
@@ -19,10 +20,12 @@
     if at_ms - state.instances_read_ms >= state.options.instance_poll_ms:
         state.instances_read_ms = at_ms
         done.append(effects.ReadInstances())
+    due: list[str] = []
     for name, endpoint in state.endpoints.items():
-        done += _open_link(name, endpoint, at_ms)
+        if _may_open(endpoint, at_ms):
+            due.append(name)
         done += _say_farewell(name, endpoint)
-    return done
+    return done + _open_links(state, due)
 
 
 def tick_follower(state: _state.State, at_ms: int) -> Effects:
@@ -53,6 +56,8 @@
             done += _endpoint_listed(state, row)
     for name in [name for name in state.peers if name not in rows]:
         del state.peers[name]
+        state.peer_refusals.pop(name, None)
+        state.peer_retry_at_ms.pop(name, None)
     for name in [name for name in state.endpoints if name not in rows]:
         endpoint = state.endpoints[name]
         if not endpoint.placed:
@@ -79,12 +84,19 @@
 
 
 def link_refused(state: _state.State, event: events.LinkRefused) -> Effects:
-    """Wait a little before the link is tried again."""
+    """Wait before the link is tried again, the longer the more often.
+
+    While answers are still owed to callers it stays at the first pause: they
+    are given up after ``resume_ms``.
+    """
     endpoint = state.endpoints.get(event.peer)
     if endpoint is None:
         return []
     endpoint.link = _state.LinkPhase.CLOSED
-    endpoint.retry_link_at_ms = event.at_ms + state.options.link_retry_ms
+    if not endpoint.placed:
+        endpoint.refusals += 1
+    pause_ms = _link_pacing.pause_ms(state, event.peer, endpoint.refusals)
+    endpoint.retry_link_at_ms = event.at_ms + pause_ms
     return []
 
 
@@ -95,6 +107,9 @@
         state.endpoints[row.instance] = endpoint
         state.placement.add(row.instance, row.service)
     moved = endpoint.instance.address != row.address
+    if moved:
+        endpoint.refusals = 0
+        endpoint.retry_link_at_ms = 0
     endpoint.instance = row
     endpoint.leaving = endpoint.leaving or row.leaving
     if moved and endpoint.link is not _state.LinkPhase.CLOSED:
@@ -102,15 +117,23 @@
     return []
 
 
-def _open_link(
-    name: str, endpoint: _state.Endpoint, at_ms: int
-) -> list[effects.Effect]:
-    if endpoint.link is not _state.LinkPhase.CLOSED:
-        return []
-    if at_ms < endpoint.retry_link_at_ms:
+def _may_open(endpoint: _state.Endpoint, at_ms: int) -> bool:
+    closed = endpoint.link is _state.LinkPhase.CLOSED
+    return closed and at_ms >= endpoint.retry_link_at_ms
+
+
+def _open_links(state: _state.State, due: list[str]) -> Effects:
+    """Open some of the links that are due, those that owe answers first."""
+    if not due:
         return []
-    endpoint.link = _state.LinkPhase.OPENING
-    return [effects.OpenLink(name, endpoint.instance.address)]
+    due = _link_pacing.in_own_order(state, due)
+    due.sort(key=lambda name: not state.endpoints[name].placed)
+    done: Effects = []
+    for name in due[: _link_pacing.room(state)]:
+        endpoint = state.endpoints[name]
+        endpoint.link = _state.LinkPhase.OPENING
+        done.append(effects.OpenLink(name, endpoint.instance.address))
+    return done
 
 
 def _say_farewell(
--- a/berylhollow/gateway/_options.py
+++ b/berylhollow/gateway/_options.py
@@ -10,8 +10,11 @@
     """Limits and times of one gateway; durations in milliseconds.
 
     ``attempts`` bounds the attempts of one request. ``link_retry_ms`` is
-    the pause before a refused link is opened again, ``leaving_retry_ms``
-    before one to an endpoint that was leaving, ``resume_ms`` how long a
+    the pause before a refused link is opened again, doubled each time up to
+    ``link_retry_most_ms``; after a link that carried nothing broke it is up
+    to ``link_spread_ms``. ``links_opening`` bounds those opened at a time.
+    ``leaving_retry_ms`` is the pause before a link is opened to an endpoint
+    that was leaving, ``resume_ms`` how long a
     broken link may take to come back before its answers are given up.
     ``not_run_ms`` is how long a resumed attempt's "not run" is believed; it
     must be shorter than sidecars remember ended attempts.
@@ -36,6 +39,9 @@
     attempts: int = 3
     instance_poll_ms: int = 1000
     link_retry_ms: int = 500
+    link_retry_most_ms: int = 8000
+    link_spread_ms: int = 500
+    links_opening: int = 64
     leaving_retry_ms: int = 500
     resume_ms: int = 3000
     not_run_ms: int = 30_000
--- a/berylhollow/gateway/_peers.py
+++ b/berylhollow/gateway/_peers.py
@@ -12,6 +12,7 @@
 from berylhollow import effects
 from berylhollow import events
 from berylhollow.gateway import _claim_leader
+from berylhollow.gateway import _link_pacing
 from berylhollow.gateway import _state
 
 Effects = list[effects.Effect]
@@ -20,7 +21,10 @@
 def tick(state: _state.State, at_ms: int) -> Effects:
     """Open the links that this gateway should have and has not."""
     done: Effects = []
+    room = _link_pacing.room(state)
     for name in chosen(state):
+        if len(done) >= room:
+            break
         if name in state.peer_links or name in state.peers_opening:
             continue
         if at_ms < state.peer_retry_at_ms.get(name, 0):
@@ -45,20 +49,25 @@
 def opened(state: _state.State, event: events.LinkOpened) -> Effects:
     """A link to a peer is open, whoever opened it."""
     state.peers_opening.discard(event.peer)
+    state.peer_refusals.pop(event.peer, None)
     state.peer_links[event.peer] = event.incarnation
     return state.follower.handle(event)
 
 
 def refused(state: _state.State, event: events.LinkRefused) -> Effects:
-    """Wait a little before the peer is tried again."""
+    """Wait before the peer is tried again, the longer the more often."""
     state.peers_opening.discard(event.peer)
-    retry_at_ms = event.at_ms + state.options.link_retry_ms
-    state.peer_retry_at_ms[event.peer] = retry_at_ms
+    refusals = state.peer_refusals.get(event.peer, 0) + 1
+    state.peer_refusals[event.peer] = refusals
+    pause_ms = _link_pacing.pause_ms(state, event.peer, refusals)
+    state.peer_retry_at_ms[event.peer] = event.at_ms + pause_ms
     return []
 
 
 def closed(state: _state.State, event: events.LinkClosed) -> Effects:
-    """A link to a peer is gone; the next tick opens one again."""
+    """A link to a peer is gone; it is opened again after a moment."""
+    pause_ms = _link_pacing.first_pause_ms(state, event.peer)
+    state.peer_retry_at_ms[event.peer] = event.at_ms + pause_ms
     state.peers_opening.discard(event.peer)
     state.peer_links.pop(event.peer, None)
     _claim_leader.link_closed(state, event)
--- a/berylhollow/gateway/_reducer.py
+++ b/berylhollow/gateway/_reducer.py
@@ -38,6 +38,7 @@
 
 
 def _ticked(state: _state.State, event: events.Ticked) -> Effects:
+    state.seed = event.seed
     done = _membership.tick(state, event.at_ms)
     done += _peers.tick(state, event.at_ms)
     done += _membership.tick_follower(state, event.at_ms)
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -39,6 +39,7 @@
     placed_at_report: int = 0
     leaving: bool = False
     retry_link_at_ms: int = 0
+    refusals: int = 0
     placed: set[str] = dataclasses.field(default_factory=set)
     failures: int = 0
     ejections: int = 0
@@ -216,6 +217,8 @@
     peer_links: dict[str, str] = dataclasses.field(default_factory=dict)
     peers_opening: set[str] = dataclasses.field(default_factory=set)
     peer_retry_at_ms: dict[str, int] = dataclasses.field(default_factory=dict)
+    peer_refusals: dict[str, int] = dataclasses.field(default_factory=dict)
+    seed: float = 0.5
     retry_budgets: dict[tuple[str, str], float] = dataclasses.field(
         default_factory=dict
     )
--- /dev/null
+++ b/test/test_gateway_link_pacing.py
@@ -0,0 +1,112 @@
+"""Tests of when a gateway tries its links: pauses, bounds, addresses."""
+
+from berylhollow import effects
+from berylhollow import events
+from berylhollow import gateway
+from test import builders
+from test import helper
+
+ENDPOINT = events.Role.ENDPOINT
+GATEWAY = events.Role.GATEWAY
+LISTED_ONLY = {'instance_poll_ms': 1_000_000}
+
+
+class LinkTestCase(helper.ReducerTestCase):
+    def start(self, name='g1', count=1, **options):
+        state = builders.gateway_state(name, **(LISTED_ONLY | options))
+        self.begin(gateway.reduce, state)
+        self.rows = [builders.instance(f'e{x}') for x in range(count)]
+        return self.list()
+
+    def list(self, at_ms=0):
+        self.feed(events.InstancesListed(at_ms, tuple(self.rows)))
+        return self.asked()
+
+    def asked(self):
+        return [effect.peer for effect in self.of_type(effects.OpenLink)]
+
+    def tick(self, at_ms, seed=0.5):
+        self.feed(events.Ticked(at_ms, seed))
+        return self.asked()
+
+
+class LinkPacingTest(LinkTestCase):
+    def refusals(self, until_ms, seed=0.5):
+        """Refuse every link until then; return when they were asked for."""
+        self.feed(events.LinkRefused(0, 'e0'))
+        moments = []
+        for at_ms in range(0, until_ms, 100):
+            if self.tick(at_ms, seed):
+                moments.append(at_ms)
+                self.feed(events.LinkRefused(at_ms, 'e0'))
+        return moments
+
+    def test_a_refused_link_is_tried_ever_more_seldom(self):
+        """A rack is away and every gateway asks it twice a second."""
+        self.start()
+        moments = self.refusals(60_000)
+        self.assertLess(len(moments), 15)
+        gaps = [b - a for a, b in zip(moments, moments[1:], strict=False)]
+        self.assertLessEqual(max(gaps), 12_100)
+
+    def test_gateways_don_t_try_at_the_same_moments(self):
+        """A rack comes back and all gateways are there in one moment."""
+        found = set()
+        for number in range(10):
+            self.start(f'g{number}')
+            found.update(self.refusals(5000, seed=number / 10)[2:3])
+        self.assertGreater(len(found), 3)
+
+    def test_a_link_with_answers_under_way_is_tried_at_the_first_pause(self):
+        """A sidecar is away for two seconds and its answers are given up."""
+        self.start()
+        self.open_link('e0', ENDPOINT)
+        self.feed(events.RequestArrived(0, builders.request()))
+        self.feed(events.LinkClosed(0, 'e0'))
+        moments = self.refusals(2900)
+        self.assertGreater(len(moments), 4)
+
+    def test_only_so_many_links_are_opened_at_a_time(self):
+        """A region heals and its gateways are busy with handshakes alone."""
+        asked = self.start(count=100, links_opening=10)
+        self.assertEqual(10, len(asked))
+        self.open_link(asked[0], ENDPOINT)
+        self.assertEqual(1, len(self.tick(100)))
+
+    def test_gateways_begin_with_different_links(self):
+        found = set()
+        for seed in (0.1, 0.5, 0.9):
+            self.start(count=100, links_opening=0)
+            self.state.options = gateway.Options('g1', links_opening=5)
+            found.update(self.tick(0, seed))
+        self.assertEqual(15, len(found))
+
+    def test_refused_peers_are_tried_ever_more_seldom(self):
+        self.start(count=0)
+        self.rows = [builders.instance('g2', GATEWAY)]
+        self.list()
+        tries = 0
+        for at_ms in range(0, 60_000, 100):
+            if self.tick(at_ms):
+                tries += 1
+                self.feed(events.LinkRefused(at_ms, 'g2'))
+        self.assertLess(tries, 16)
+        self.assertGreater(tries, 4)
+
+    def test_a_drained_endpoint_is_looked_at_ever_more_seldom(self):
+        """A sidecar that drains for minutes is asked for links all the time.
+
+        Each gateway closes its link, looks again half a second later, and
+        is told the same.
+        """
+        self.start()
+        looks = 0
+        for at_ms in range(0, 60_000, 100):
+            self.state.endpoints['e0'].leaving = True
+            if self.tick(at_ms):
+                looks += 1
+                self.open_link('e0', ENDPOINT, at_ms)
+                self.state.endpoints['e0'].leaving = True
+                self.tick(at_ms)
+                self.feed(events.LinkClosed(at_ms, 'e0'))
+        self.assertLess(looks, 16)
