Let an endpoint that moved finish at its old address

Cause: when the instance list showed another address under the same name the gateway closed the link at once, which cut off answers on it; a link that was being opened to the old address took new work. Change: nothing new is offered at the old address, its link is closed when nothing is owed on it, and the new address is linked then. Measured: test_gateway_link_pacing.AddressTest, which fails without it.

--- a/berylhollow/gateway/_attempts.py
+++ b/berylhollow/gateway/_attempts.py
@@ -147,6 +147,8 @@
         state.placement.replace(event.peer, endpoint.report, None)
         endpoint.report = None
     endpoint.incarnation = event.incarnation
+    if endpoint.moved:
+        endpoint.leaving = True
     if not endpoint.leaving:
         endpoint.refusals = 0
     done = state.follower.handle(event)
@@ -178,7 +180,7 @@
     only opened to see whether another process took its place.
     """
     endpoint = state.endpoints[peer]
-    if endpoint.placed:
+    if endpoint.placed or endpoint.moved:
         return 0
     if not endpoint.leaving:
         return _link_pacing.first_pause_ms(state, peer)
--- a/berylhollow/gateway/_membership.py
+++ b/berylhollow/gateway/_membership.py
@@ -106,17 +106,25 @@
         endpoint = _state.Endpoint(instance=row)
         state.endpoints[row.instance] = endpoint
         state.placement.add(row.instance, row.service)
-    moved = endpoint.instance.address != row.address
-    if moved:
+    if endpoint.instance.address != row.address:
         endpoint.refusals = 0
         endpoint.retry_link_at_ms = 0
     endpoint.instance = row
     endpoint.leaving = endpoint.leaving or row.leaving
-    if moved and endpoint.link is not _state.LinkPhase.CLOSED:
-        return [effects.CloseLink(row.instance)]
+    if endpoint.moved and endpoint.link is _state.LinkPhase.OPEN:
+        _leave_old_address(endpoint)
     return []
 
 
+def _leave_old_address(endpoint: _state.Endpoint) -> None:
+    """Offer nothing more to the process at the old address.
+
+    Its link stays while answers come on it. Guards against a replacement
+    under the same name that cuts off what the old process still finishes.
+    """
+    endpoint.leaving = True
+
+
 def _may_open(endpoint: _state.Endpoint, at_ms: int) -> bool:
     closed = endpoint.link is _state.LinkPhase.CLOSED
     return closed and at_ms >= endpoint.retry_link_at_ms
@@ -132,6 +140,7 @@
     for name in due[: _link_pacing.room(state)]:
         endpoint = state.endpoints[name]
         endpoint.link = _state.LinkPhase.OPENING
+        endpoint.link_address = endpoint.instance.address
         done.append(effects.OpenLink(name, endpoint.instance.address))
     return done
 
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -40,11 +40,17 @@
     leaving: bool = False
     retry_link_at_ms: int = 0
     refusals: int = 0
+    link_address: str = ''
     placed: set[str] = dataclasses.field(default_factory=set)
     failures: int = 0
     ejections: int = 0
     ejected_until_ms: int = 0
 
+    @property
+    def moved(self) -> bool:
+        """Tell whether the link is to another address than is listed."""
+        return self.link_address != self.instance.address
+
     @property
     def usable(self) -> bool:
         return self.link is LinkPhase.OPEN and not self.leaving
--- a/test/test_gateway_link_pacing.py
+++ b/test/test_gateway_link_pacing.py
@@ -3,6 +3,7 @@
 from berylhollow import effects
 from berylhollow import events
 from berylhollow import gateway
+from berylhollow import messages
 from test import builders
 from test import helper
 
@@ -110,3 +111,59 @@
                 self.tick(at_ms)
                 self.feed(events.LinkClosed(at_ms, 'e0'))
         self.assertLess(looks, 16)
+
+
+class AddressTest(LinkTestCase):
+    def move(self):
+        self.rows = [builders.instance('e0', address='127.0.0.1:moved')]
+        self.list(at_ms=10)
+
+    def test_a_moved_endpoint_finishes_what_it_has(self):
+        """A caller's answer breaks off when its endpoint is replaced.
+
+        The instance list shows the endpoint under a new address while the
+        process at the old one still streams an answer. Cause: the link is
+        closed at once.
+        """
+        self.start()
+        self.open_link('e0', ENDPOINT)
+        self.feed(events.RequestArrived(0, builders.request()))
+        (offer,) = self.sent(messages.Offer)
+        self.move()
+        self.assertEqual([], self.of_type(effects.CloseLink))
+        self.receive(
+            messages.Started(offer.attempt_id, 200, (), offer.adapter),
+            20,
+            'e0',
+        )
+        self.receive(messages.End(offer.attempt_id, 0), 30, 'e0')
+        (done,) = self.of_type(effects.CompleteAnswer)
+        self.feed(
+            events.AnswerRelayed(40, done.request_id, done.attempt_id, 200)
+        )
+        self.tick(100)
+        self.assertEqual(1, len(self.of_type(effects.CloseLink)))
+
+    def test_a_moved_endpoint_gets_nothing_new_at_its_old_address(self):
+        self.start()
+        self.open_link('e0', ENDPOINT)
+        self.move()
+        self.feed(events.RequestArrived(3000, builders.request()))
+        self.assertEqual([], self.sent(messages.Offer))
+
+    def test_the_new_address_is_linked_as_soon_as_the_old_one_is_closed(self):
+        self.start()
+        self.open_link('e0', ENDPOINT)
+        self.move()
+        self.feed(events.LinkClosed(20, 'e0'))
+        self.tick(100)
+        (effect,) = self.of_type(effects.OpenLink)
+        self.assertEqual('127.0.0.1:moved', effect.address)
+        self.open_link('e0', ENDPOINT, 110, 'i2')
+        self.assertTrue(self.state.endpoints['e0'].usable)
+
+    def test_a_link_under_way_to_the_old_address_takes_no_work(self):
+        self.start()
+        self.move()
+        self.open_link('e0', ENDPOINT)
+        self.assertFalse(self.state.endpoints['e0'].usable)
