Let requests wait for the links of a gateway that has just started

Cause: found by replacing all gateways in the virtual world: requests that reached a new gateway before its first link were refused as no_endpoint. Change: for 2 s after its start a gateway lets them wait.

--- a/berylhollow/gateway/_attempts.py
+++ b/berylhollow/gateway/_attempts.py
@@ -54,13 +54,23 @@
         return give_up(state, active, kind, errors.Ran.NOT_RUN, refused_ms)
     name = _routing.choose(state, active, at_ms)
     if name is None:
-        return _nowhere(state, active)
+        return _nowhere(state, active, at_ms)
     return _offer(state, active, name, at_ms)
 
 
-def _nowhere(state: _state.State, active: _state.ActiveRequest) -> Effects:
-    """No endpoint is left to try: say what the last one said."""
+def _nowhere(
+    state: _state.State, active: _state.ActiveRequest, at_ms: int
+) -> Effects:
+    """No endpoint is left to try: say what the last one said.
+
+    A gateway that has just started may only not have its links yet. Guards
+    against requests that fail when all gateways are replaced at once and the
+    balancer has nobody else.
+    """
     last = active.last_refusal
+    if last is None and at_ms < state.settled_ms:
+        active.retry_at_ms = at_ms + state.options.retry_pause_ms
+        return []
     if last is None:
         return give_up(
             state, active, errors.Kind.NO_ENDPOINT, errors.Ran.NOT_RUN
--- a/berylhollow/gateway/_options.py
+++ b/berylhollow/gateway/_options.py
@@ -13,6 +13,7 @@
     the pause before a refused link is opened again, doubled each time up to
     ``link_retry_most_ms``; after a link that carried nothing broke it is up
     to ``link_spread_ms``. ``links_opening`` bounds those opened at a time.
+    For ``settle_ms`` after its start a gateway lets requests wait for links.
     ``leaving_retry_ms`` is the pause before a link is opened to an endpoint
     that was leaving, ``resume_ms`` how long a
     broken link may take to come back before its answers are given up.
@@ -42,6 +43,7 @@
     link_retry_most_ms: int = 8000
     link_spread_ms: int = 500
     links_opening: int = 64
+    settle_ms: int = 2000
     leaving_retry_ms: int = 500
     resume_ms: int = 3000
     not_run_ms: int = 30_000
--- a/berylhollow/gateway/_reducer.py
+++ b/berylhollow/gateway/_reducer.py
@@ -33,6 +33,7 @@
 
 def _started(state: _state.State, event: events.Started) -> Effects:
     state.incarnation = event.incarnation
+    state.settled_ms = event.at_ms + state.options.settle_ms
     wanted = state.follower.start(event.at_ms)
     return wanted + _membership.tick(state, event.at_ms)
 
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -202,6 +202,7 @@
     options: _options.Options
     follower: following.Follower
     incarnation: str = ''
+    settled_ms: int = 0
     endpoints: dict[str, Endpoint] = dataclasses.field(default_factory=dict)
     peers: dict[str, events.Instance] = dataclasses.field(default_factory=dict)
     requests: dict[str, ActiveRequest] = dataclasses.field(
