--- a/tools/trace_shapes.py
+++ b/tools/trace_shapes.py
@@ -172,9 +172,10 @@
 def engine_restarts(maker: Maker):
     """Engines crash under load, one after another, and come back cold."""
     yield from maker.steady()
-    for number in range(RESTARTS):
+    order = maker.rng.sample(range(1, RESTARTS + 1), RESTARTS)
+    for number, engine in enumerate(order):
         at_ms = maker.at((number + 1) / (RESTARTS + 2))
-        yield _trace.TraceFault(at_ms, 'crash', f'engine-{number + 1}')
+        yield _trace.TraceFault(at_ms, 'crash', f'engine-{engine}')
 
 
 def weights_fail(maker: Maker):
