Load what serves most first, give up what comes too late

Cause: oldest-first spends scarce loads on adapters that one request waits for, while popular ones gather queues, and requests wait until their deadline for a load that was never to come in time. Change: a load order is a plan over all wants; the adaptive one orders by requests that would be on time, plus those expected within a second, age and priorities, and gives up at once, with a time to come back, requests whose turn would come too late and whose adapter hardly anyone else asks for. A refusal that can't be on time is final, since every sidecar waits for the same weight store. Runs and loads are timed for this.

--- a/berylhollow/gateway/_attempts.py
+++ b/berylhollow/gateway/_attempts.py
@@ -25,6 +25,7 @@
 FINAL_KINDS = frozenset(
     {
         errors.Kind.CANCELLED,
+        errors.Kind.CANNOT_BE_ON_TIME,
         errors.Kind.DEADLINE_EXCEEDED,
         errors.Kind.QUARANTINED,
     }
@@ -34,9 +35,7 @@
     {errors.Kind.ENGINE_RESTARTED, errors.Kind.OUTCOME_UNKNOWN}
 )
 # Tried again after a pause, with jitter: the endpoints are busy.
-PAUSED_KINDS = frozenset(
-    {errors.Kind.OVERLOADED, errors.Kind.CANNOT_BE_ON_TIME}
-)
+PAUSED_KINDS = frozenset({errors.Kind.OVERLOADED})
 
 
 def place(
--- a/berylhollow/gateway/_coordinator.py
+++ b/berylhollow/gateway/_coordinator.py
@@ -14,6 +14,7 @@
 Effects = list[effects.Effect]
 SMOOTHING = 0.2
 LAPSE_FACTOR = 4
+MS_PER_SECOND = 1000
 
 
 def wanted(state: _state.State, event: events.MessageReceived) -> Effects:
@@ -23,7 +24,8 @@
     book.wishes[event.peer] = _state.Wish(message, event.at_ms)
     done = _grant(state, event.at_ms)
     if event.peer in book.wishes:
-        wait_ms = int(len(book.wishes) * book.load_ms)
+        spacing_ms = max(book.load_ms, MS_PER_SECOND / book.rate.rate_per_s)
+        wait_ms = int(len(book.wishes) * spacing_ms)
         deferred = messages.LoadDeferred(message.adapter, wait_ms)
         done.append(effects.Send(event.peer, deferred))
     return done
--- a/berylhollow/policy/__init__.py
+++ b/berylhollow/policy/__init__.py
@@ -13,8 +13,10 @@
 EndpointView = _types.EndpointView
 Eviction = _types.Eviction
 Fleet = _types.Fleet
+GivenUp = _types.GivenUp
 Held = _types.Held
 LoadOrder = _types.LoadOrder
+LoadPlan = _types.LoadPlan
 Policy = _named.Policy
 RouteQuery = _types.RouteQuery
 Router = _types.Router
@@ -31,8 +33,10 @@
     'EndpointView',
     'Eviction',
     'Fleet',
+    'GivenUp',
     'Held',
     'LoadOrder',
+    'LoadPlan',
     'Policy',
     'RouteQuery',
     'Router',
--- a/berylhollow/policy/_baselines.py
+++ b/berylhollow/policy/_baselines.py
@@ -1,5 +1,7 @@
 """Simple policies that the product's own is measured against."""
 
+import collections.abc
+
 from berylhollow.policy import _rendezvous
 from berylhollow.policy import _types
 
@@ -59,10 +61,19 @@
 
 
 class OldestFirst:
-    """Load what has been waited for the longest."""
-
-    def score(self, want: _types.Want) -> float:
-        return want.oldest_wait_ms
+    """Load what has been waited for the longest; give nothing up."""
+
+    def plan(
+        self,
+        wants: collections.abc.Sequence[_types.Want],
+        interval_ms: float,
+        weights: _types.Weights,
+    ) -> _types.LoadPlan:
+        order = sorted(
+            wants, key=lambda want: (-want.oldest_wait_ms, str(want.adapter))
+        )
+        values = tuple(float(want.oldest_wait_ms) for want in order)
+        return _types.LoadPlan(tuple(order), values)
 
 
 class LeastRecentlyUsed:
--- a/berylhollow/policy/_named.py
+++ b/berylhollow/policy/_named.py
@@ -5,6 +5,7 @@
 
 from berylhollow.policy import _baselines
 from berylhollow.policy import _demand
+from berylhollow.policy import _load_order
 from berylhollow.policy import _types
 
 DEMAND_CONSTANT_MS = 60_000
@@ -56,7 +57,11 @@
 
 
 def _adaptive() -> Policy:
-    return dataclasses.replace(_lru(), name='adaptive')
+    return dataclasses.replace(
+        _lru(),
+        name='adaptive',
+        load_order=_load_order.MostServed(),
+    )
 
 
 POLICIES: dict[str, collections.abc.Callable[[], Policy]] = {
--- a/berylhollow/policy/_types.py
+++ b/berylhollow/policy/_types.py
@@ -84,6 +84,12 @@
     def view(self, name: str) -> EndpointView:
         """Return what is known of one endpoint."""
 
+    def sample(self, seed: float, count: int) -> list[str]:
+        """Return up to ``count`` endpoints, evenly spread, by the seed."""
+
+    def load_of(self, name: str) -> tuple[float, str]:
+        """Return an endpoint's load for its capacity, then its name."""
+
     def least_loaded(self) -> str | None:
         """Return the endpoint with the least load for its capacity."""
 
@@ -112,24 +118,56 @@
 class Want:
     """An adapter that requests wait for.
 
-    ``slack_ms`` is how long its most urgent request can still wait for a
-    load and be on time, ``priority`` the highest of the waiting requests.
-    ``rate`` is the expected demand in requests a second.
+    ``slacks_ms`` tells, for each waiting request that would be on time if
+    the load began now, how much later it may begin; sorted. ``priority`` is
+    the highest of the waiting requests, ``adapter_priority`` the adapter's
+    own, ``rate`` the expected demand in requests a second.
     """
 
     adapter: messages.AdapterVersion
     waiting: int
+    slacks_ms: tuple[int, ...]
     oldest_wait_ms: int
-    slack_ms: int
     priority: int
+    adapter_priority: int
     rate: float
 
+    @property
+    def timely(self) -> int:
+        """How many requests would be on time if the load began now."""
+        return len(self.slacks_ms)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GivenUp:
+    """Requests for an adapter that can't wait ``wait_ms`` are given up."""
+
+    adapter: messages.AdapterVersion
+    wait_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadPlan:
+    """What to load in which order, and what would come too late.
+
+    ``values`` are comparable between endpoints, one for each of ``order``.
+    """
+
+    order: tuple[Want, ...] = ()
+    values: tuple[float, ...] = ()
+    given_up: tuple[GivenUp, ...] = ()
+
 
 class LoadOrder(typing.Protocol):
     """Decides which adapter is loaded next."""
 
-    def score(self, want: Want) -> float:
-        """Return how much a load is worth; the greatest goes first."""
+    def plan(
+        self,
+        wants: collections.abc.Sequence[Want],
+        interval_ms: float,
+        weights: Weights,
+    ) -> LoadPlan:
+        """Return the order of loads, of which one begins each interval."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/berylhollow/sidecar/_demands.py
+++ b/berylhollow/sidecar/_demands.py
@@ -72,18 +72,22 @@
     attempts: list[_state.Attempt],
     at_ms: int,
 ) -> policy.Want:
+    slacks_ms = sorted(slack_ms(state, x, at_ms) for x in attempts)
     return policy.Want(
         adapter=adapter,
         waiting=len(attempts),
+        slacks_ms=tuple(slack for slack in slacks_ms if slack >= 0),
         oldest_wait_ms=at_ms - min(x.arrived_ms for x in attempts),
-        slack_ms=min(_slack_ms(state, x, at_ms) for x in attempts),
         priority=max(x.offer.priority for x in attempts),
+        adapter_priority=priority_of(state, adapter),
         rate=state.adapter_policy.demand.rate(adapter, at_ms),
     )
 
 
-def _slack_ms(state: _state.State, attempt: _state.Attempt, at_ms: int) -> int:
-    return int(attempt.deadline_ms - at_ms - state.run_ms)
+def slack_ms(state: _state.State, attempt: _state.Attempt, at_ms: int) -> int:
+    """Return how much later a load could begin for an attempt on time."""
+    needed_ms = state.load_ms + run_ms(state, attempt)
+    return int(attempt.deadline_ms - at_ms - needed_ms)
 
 
 def run_ms(state: _state.State, attempt: _state.Attempt) -> float:
--- a/berylhollow/sidecar/_loads.py
+++ b/berylhollow/sidecar/_loads.py
@@ -1,7 +1,5 @@
 """Which adapter is loaded next, and into which slot."""
 
-import dataclasses
-
 from berylhollow import effects
 from berylhollow import errors
 from berylhollow import events
@@ -13,37 +11,30 @@
 from berylhollow.sidecar import _runs
 from berylhollow.sidecar import _state
 from berylhollow.sidecar import _takeover
+from berylhollow.util import average
 
 Effects = list[effects.Effect]
 MAX_BACKOFF_DOUBLINGS = 5
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Candidate:
-    """An adapter that may be loaded next and what that is worth."""
-
-    want: policy.Want
-    value: float
-
-
 def order(state: _state.State, at_ms: int) -> Effects:
     """Order the load that is worth most, if a slot can be had for it."""
     if state.options.plain or not _takeover.may_order(state, at_ms):
         return []
     if _under_way(state, at_ms):
         return []
-    for candidate in _candidates(state, at_ms):
-        adapter = candidate.want.adapter
-        slot = _victim(state, adapter, at_ms)
+    plan = _plan(state, at_ms)
+    done = _give_up(state, plan, at_ms)
+    for want, value in zip(plan.order, plan.values, strict=True):
+        slot = _victim(state, want.adapter, at_ms)
         if slot is None:
             continue
-        done: Effects = []
         if not _permits.may_load(state, at_ms):
-            done += _permits.ask(state, candidate.want, candidate.value, at_ms)
+            done += _permits.ask(state, want, value, at_ms)
         if _permits.may_load(state, at_ms):
-            done.append(_load(state, slot, adapter, at_ms))
+            done.append(_load(state, slot, want.adapter, at_ms))
         return done
-    return _permits.unneeded(state, at_ms)
+    return done + _permits.unneeded(state, at_ms)
 
 
 def granted(state: _state.State, event: events.MessageReceived) -> Effects:
@@ -66,6 +57,8 @@
     _orders.loaded(slot)
     slot.used_ms = event.at_ms
     slot.loaded_ms = event.at_ms
+    took_ms = event.at_ms - slot.ordered_ms
+    state.load_ms = average.smoothed(state.load_ms, took_ms)
     slot.runs = 0
     state.backoffs.pop(slot.adapter, None)
     done = [_loaded(slot, event.at_ms)]
@@ -130,14 +123,37 @@
     )
 
 
-def _candidates(state: _state.State, at_ms: int) -> list[Candidate]:
-    """Return the adapters to be loaded, as the policy orders them."""
-    found = [
-        Candidate(want, state.adapter_policy.load_order.score(want))
+def _plan(state: _state.State, at_ms: int) -> policy.LoadPlan:
+    """Return what the policy makes of the adapters that are waited for."""
+    wants = [
+        want
         for want in _demands.wants(state, at_ms)
         if _due(state, want.adapter, at_ms)
     ]
-    return sorted(found, key=lambda x: (-x.value, str(x.want.adapter)))
+    if not wants:
+        return policy.LoadPlan()
+    interval_ms = _permits.interval_ms(state)
+    weights = policy.weights_of(state.follower.current, state.options.service)
+    return state.adapter_policy.load_order.plan(wants, interval_ms, weights)
+
+
+def _give_up(
+    state: _state.State, plan: policy.LoadPlan, at_ms: int
+) -> Effects:
+    """Refuse at once what can't be on time, and say when to come back."""
+    if not plan.given_up:
+        return []
+    waits_ms = {late.adapter: late.wait_ms for late in plan.given_up}
+    retry_ms = int((len(plan.order) + 1) * _permits.interval_ms(state))
+    done: Effects = []
+    for attempt in [state.attempts[name] for name in state.queue]:
+        wait_ms = waits_ms.get(attempt.offer.adapter)
+        if wait_ms is None:
+            continue
+        if _demands.slack_ms(state, attempt, at_ms) < wait_ms:
+            kind = errors.Kind.CANNOT_BE_ON_TIME
+            done += _runs.end_unrun(state, attempt, kind, at_ms, retry_ms)
+    return done
 
 
 def _due(
--- a/berylhollow/sidecar/_permits.py
+++ b/berylhollow/sidecar/_permits.py
@@ -35,6 +35,15 @@
     return at_ms >= pacing.next_ms
 
 
+def interval_ms(state: _state.State) -> float:
+    """Return how far our next loads lie apart, as far as is known."""
+    pacing = state.pacing
+    own_ms = max(state.load_ms, state.options.load_interval_ms)
+    if pacing.permit or coordinator(state) is None:
+        return own_ms
+    return max(pacing.turn_ms, own_ms)
+
+
 def ask(
     state: _state.State, want: policy.Want, value: float, at_ms: int
 ) -> Effects:
@@ -80,6 +89,7 @@
 def deferred(state: _state.State, event: events.MessageReceived) -> Effects:
     """The coordinator is there: wait for its permit."""
     state.pacing.unanswered_ms = None
+    state.pacing.turn_ms = float(event.message.for_ms)
     return []
 
 
--- a/berylhollow/sidecar/_state.py
+++ b/berylhollow/sidecar/_state.py
@@ -106,7 +106,8 @@
     ``permit`` was granted by ``granter`` and not used yet; 0 is none.
     ``used_permit`` belongs to the load under way. ``asked`` is our last
     wish, unanswered since ``unanswered_ms``. Without a coordinator the next
-    load is due at ``next_ms`` and ``interval_ms`` lies between two.
+    load is due at ``next_ms`` and ``interval_ms`` lies between two; with
+    one, ``turn_ms`` is how long it takes until a wish is granted.
     """
 
     permit: int = 0
@@ -119,6 +120,7 @@
     unanswered_ms: int | None = None
     next_ms: int = 0
     interval_ms: float = 0.0
+    turn_ms: float = 0.0
     seed: float = 0.5
 
 
@@ -200,6 +202,7 @@
     adapter_shares: dict[str, Shares] = dataclasses.field(default_factory=dict)
     run_ms: float = 0.0
     token_ms: float = 0.0
+    load_ms: float = 0.0
     orders: int = 0
     served_revision: int = 0
     status_read_ms: int = -1_000_000
