--- a/berylhollow/policy/_named.py
+++ b/berylhollow/policy/_named.py
@@ -5,6 +5,7 @@
 
 from berylhollow.policy import _baselines
 from berylhollow.policy import _demand
+from berylhollow.policy import _eviction
 from berylhollow.policy import _load_order
 from berylhollow.policy import _types
 
@@ -61,6 +62,7 @@
         _lru(),
         name='adaptive',
         load_order=_load_order.MostServed(),
+        eviction=_eviction.LeastDemand(),
     )
 
 
