Choose endpoints by predicted time, what is evicted, and batches

Cause: the least loaded endpoint is where an adapter was loaded, so that it came to lie anywhere, twice, and batches stayed small; and one holder of a suddenly hot adapter got everything. Change: a load goes to one of the first endpoints in the adapter's rendezvous order, the one that costs least in predicted milliseconds: queue, the chance that the victim is asked for again, loads it already waits for, and the share of its own steps that the run would pay; the manifest's weights set the parts. A holder's queue longer than a load elsewhere gets a replica, in another failure domain first.

--- a/berylhollow/policy/_named.py
+++ b/berylhollow/policy/_named.py
@@ -7,6 +7,7 @@
 from berylhollow.policy import _demand
 from berylhollow.policy import _eviction
 from berylhollow.policy import _load_order
+from berylhollow.policy import _router
 from berylhollow.policy import _types
 
 DEMAND_CONSTANT_MS = 60_000
@@ -63,6 +64,7 @@
         name='adaptive',
         load_order=_load_order.MostServed(),
         eviction=_eviction.LeastDemand(),
+        router=_router.PredictedTime(),
     )
 
 
