Plan loads before a configuration has been read

Cause: a sidecar that took an offer before it knew any configuration failed in the new load plan (the whole-path test showed an AttributeError). Change: default weights until one is read. Conclusion: mended.

--- a/berylhollow/policy/_named.py
+++ b/berylhollow/policy/_named.py
@@ -83,7 +83,12 @@
 
 
 def weights_of(configuration, service: str) -> _types.Weights:
-    """Return the weights that the configuration gives to a service."""
+    """Return the weights that the configuration gives to a service.
+
+    The defaults while no configuration has been read.
+    """
+    if configuration is None:
+        return _types.Weights()
     declared = configuration.service(service)
     if declared is None:
         return _types.Weights()
