--- a/berylhollow/replay/__init__.py
+++ b/berylhollow/replay/__init__.py
@@ -28,6 +28,7 @@
 from berylhollow.replay._live import LiveService
 from berylhollow.replay._network import Link
 from berylhollow.replay._promises import Oracle
+from berylhollow.replay._promises import Probe
 from berylhollow.replay._promises import Promise
 from berylhollow.replay._promises import Violation
 from berylhollow.replay._replay import Replay
@@ -63,6 +64,7 @@
     'Offered',
     'Oracle',
     'Point',
+    'Probe',
     'ProcessEnded',
     'ProcessStarted',
     'Produced',
--- a/berylhollow/replay/_facts.py
+++ b/berylhollow/replay/_facts.py
@@ -161,11 +161,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Said:
-    """A process showed to another which revision it serves."""
+    """A process showed to another which revision it has.
+
+    ``shown`` names the message: an offer shows what is served.
+    """
 
     at_ms: float
     instance: str
     incarnation: str
+    shown: str
     revision: int
 
 
--- a/berylhollow/replay/_platform.py
+++ b/berylhollow/replay/_platform.py
@@ -119,7 +119,7 @@
         )
 
     def wait_over(self, call: Call) -> None:
-        waiting = self.waiting[call.effect.stream]
+        waiting = self.waiting.get(call.effect.stream, [])
         if call in waiting:
             waiting.remove(call)
             call.effect = dataclasses.replace(call.effect, wait_ms=0)
@@ -132,12 +132,12 @@
             self.look(call)
 
     def show(self, call: Call, result: platform.ReadResult) -> None:
-        entries = result.records
-        next_offset = call.effect.from_offset
-        if entries:
-            next_offset = entries[-1].offset + 1
         self.reply(
-            call, events.LogRead, entries, result.first_offset, next_offset
+            call,
+            events.LogRead,
+            result.records,
+            result.first_offset,
+            result.next_offset,
         )
 
     # Back at the process
--- a/berylhollow/replay/_processes.py
+++ b/berylhollow/replay/_processes.py
@@ -254,6 +254,7 @@
                     self.world.now_ms,
                     self.instance,
                     self.incarnation,
+                    type(message).__name__,
                     message.revision,
                 )
             )
--- a/berylhollow/replay/_promises.py
+++ b/berylhollow/replay/_promises.py
@@ -9,10 +9,12 @@
 import enum
 
 from berylhollow import errors
+from berylhollow import messages
 from berylhollow.replay import _answers
 from berylhollow.replay import _facts
 from berylhollow.replay import _world
 
+TRUE_REFUSALS = (errors.Kind.KEY_IN_PROGRESS, errors.Kind.UNKNOWN_ADAPTER)
 FOUND_MS = 1000
 """By then a new endpoint has its links."""
 CRASHES = 3
@@ -43,6 +45,14 @@
     text: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Probe:
+    """A request and its answer when all is well: whole, or ``refused``."""
+
+    exchange: _facts.Exchange
+    refused: errors.Kind | None = None
+
+
 @dataclasses.dataclass(slots=True)
 class Stop:
     """A process that was asked to stop, and who waited for it then."""
@@ -63,14 +73,17 @@
         self.world = world
         self.planned = planned
         self.violations: list[Violation] = []
-        self.probes: list[_facts.Exchange] = []
+        self.probes: list[Probe] = []
+        self.bases: dict[int, int] = {}
         self.runs: dict[str, list[_facts.RunBegan]] = collections.defaultdict(
             list
         )
         self.key_runs: collections.Counter = collections.Counter()
         self.offers: dict[str, _facts.Offered] = {}
         self.stops: dict[str, Stop] = {}
-        self.revisions: dict[str, int] = collections.defaultdict(int)
+        self.revisions: dict[tuple[str, str], int] = collections.defaultdict(
+            int
+        )
         self.crashes: collections.Counter = collections.Counter()
         self.running: dict[str, dict[str, str]] = collections.defaultdict(dict)
         self.checks = {
@@ -255,7 +268,7 @@
         after = stop is not None and exchange.sent_ms >= stop.at_ms - 10
         if after and exchange.ran in (None, errors.Ran.NOT_RUN):
             return
-        if exchange.kind is errors.Kind.KEY_IN_PROGRESS:
+        if exchange.kind in TRUE_REFUSALS:
             return
         if not self.staying(exchange.request.service):
             return
@@ -280,14 +293,31 @@
 
     # Processes
 
+    def accepted(self, revision: int, base: int) -> None:
+        """Check what an operator was told: one change alone has a base."""
+        if self.bases.setdefault(base, revision) != revision:
+            self.broken(
+                Promise.CONFIGURATION,
+                f'{revision} and {self.bases[base]} were both accepted on '
+                f'{base}',
+            )
+
     def said(self, fact: _facts.Said) -> None:
-        if fact.revision < self.revisions[fact.incarnation]:
+        """Check that a process never shows an older revision than before.
+
+        What is served is compared with what earlier processes of the
+        instance served: callers can't tell them apart.
+        """
+        serves = fact.shown == messages.Offer.__name__
+        shower = fact.instance if serves else fact.incarnation
+        shown = (shower, fact.shown)
+        if fact.revision < self.revisions[shown]:
             self.broken(
                 Promise.CONFIGURATION,
                 f'{fact.incarnation} went back from revision '
-                f'{self.revisions[fact.incarnation]} to {fact.revision}',
+                f'{self.revisions[shown]} to {fact.revision} ({fact.shown})',
             )
-        self.revisions[fact.incarnation] = fact.revision
+        self.revisions[shown] = fact.revision
 
     def stop_asked(self, fact: _facts.StopAsked) -> None:
         self.stops[fact.instance] = Stop(fact.at_ms, fact.incarnation)
@@ -315,9 +345,20 @@
                     f'{exchange.request.request_id} was never answered',
                 )
         for probe in self.probes:
-            if probe.ending is not _facts.Ending.WHOLE:
-                self.broken(
-                    Promise.ANSWERED,
-                    f'{probe.gateway} does not recover: {probe.ending} '
-                    f'{probe.kind}',
-                )
+            self.check_probe(probe)
+
+    def check_probe(self, probe: Probe) -> None:
+        exchange = probe.exchange
+        unknown = errors.Kind.UNKNOWN_ADAPTER
+        whole = exchange.ending is _facts.Ending.WHOLE
+        if exchange.kind is probe.refused and (whole or probe.refused):
+            return
+        promise = Promise.ANSWERED
+        if unknown in (exchange.kind, probe.refused):
+            promise = Promise.CONFIGURATION
+        adapter = exchange.request.adapter
+        self.broken(
+            promise,
+            f'{exchange.gateway} is not well again: {adapter} gets '
+            f'{exchange.ending} {exchange.kind}, not {probe.refused}',
+        )
--- a/tools/matrix/_cells.py
+++ b/tools/matrix/_cells.py
@@ -5,6 +5,7 @@
 
 from berylhollow import replay
 from tools.matrix import _faults
+from tools.matrix import _fleet
 from tools.matrix import _flows
 from tools.matrix import _scene
 
@@ -77,8 +78,8 @@
         endpoint = self.endpoint
         if action.target in self.scene.world.endpoints:
             endpoint = action.target
-        gateway = _scene.GATEWAYS[0]
-        if action.target in _scene.GATEWAYS:
+        gateway = _fleet.GATEWAYS[0]
+        if action.target in _fleet.GATEWAYS:
             gateway = action.target
         return _faults.Blow(self.scene, action, endpoint, gateway)
 
@@ -90,6 +91,11 @@
 
 def run(cell: Cell) -> Result:
     """Run one cell from a fresh world to its end."""
+    with _fleet.scaled():
+        return run_scaled(cell)
+
+
+def run_scaled(cell: Cell) -> Result:
     flow = _flows.FLOWS[cell.flow]
     planned = flow.planned and all(
         _faults.FAULTS[x.fault].planned for x in cell.strikes
@@ -110,6 +116,11 @@
 
 def steps_of(flow: str, seed: int = 0) -> collections.Counter:
     """Return how often each step of a flow happens while it is at work."""
+    with _fleet.scaled():
+        return count_steps(flow, seed)
+
+
+def count_steps(flow: str, seed: int) -> collections.Counter:
     scene = _scene.Scene(seed, fenced=_flows.FLOWS[flow].fenced)
     seen: collections.Counter = collections.Counter()
 
--- a/tools/matrix/_faults.py
+++ b/tools/matrix/_faults.py
@@ -9,6 +9,7 @@
 
 from berylhollow import replay
 from berylhollow.standin import faults
+from tools.matrix import _fleet
 from tools.matrix import _scene
 
 Point = replay.Point
@@ -63,7 +64,7 @@
 
 def engine_fault(fault: faults.EngineFault, for_ms: float):
     def strike(blow: Blow) -> None:
-        if blow.endpoint in _scene.ENGINES:
+        if blow.endpoint in _fleet.ENGINES:
             switch(blow, blow.endpoint, fault, for_ms)
 
     return strike
@@ -72,7 +73,7 @@
 def restart(blow: Blow) -> None:
     """The endpoint restarts cold; a plain service is gone for a while."""
     driver = blow.world.endpoints[blow.endpoint]
-    if blow.endpoint in _scene.ENGINES:
+    if blow.endpoint in _fleet.ENGINES:
         driver.crash()
     else:
         switch(blow, blow.endpoint, faults.ServiceFault.CRASH, SHORT_MS)
@@ -85,14 +86,14 @@
 
 def hang(blow: Blow) -> None:
     fault = faults.EngineFault.HANG
-    if blow.endpoint not in _scene.ENGINES:
+    if blow.endpoint not in _fleet.ENGINES:
         fault = faults.ServiceFault.HANG
     switch(blow, blow.endpoint, fault, 3 * SHORT_MS)
 
 
 def answer_lost(blow: Blow) -> None:
     """A plain service runs its calls and loses their answers."""
-    for name in _scene.SERVICES:
+    for name in _fleet.SERVICES:
         switch(blow, name, faults.ServiceFault.RESET_AFTER_RUN, SHORT_MS)
 
 
@@ -180,6 +181,14 @@
         blow.scene.model(f'b{number % 4}', number % 2, tokens=4)
 
 
+def racing_publishes(blow: Blow) -> None:
+    """Two operators publish changes with one base at the same moment."""
+    scene = blow.scene
+    number = len(scene.publications)
+    scene.add_adapter(f'c{number}')
+    scene.add_adapter(f'd{number}')
+
+
 PLATFORM = faults.PlatformFault
 ENGINE = faults.EngineFault
 FAULTS = {
@@ -228,6 +237,7 @@
         Fault('link slow', slow_link),
         Fault('frame late', late_frame),
         Fault('frame doubled', doubled_frame),
+        Fault('racing publishes', racing_publishes),
         Fault('crashing request', crashing_request),
         Fault('popularity flip', popularity_flip),
         Fault('endpoint leaving', leave, planned=True),
--- /dev/null
+++ b/tools/matrix/_fleet.py
@@ -0,0 +1,149 @@
+"""The fleet of a scene: its sizes, and all times made shorter to match.
+
+Times keep the order that the shipped ones have, so that what is longer than
+what stays so.
+"""
+
+import contextlib
+from unittest import mock
+
+from berylhollow import configuration
+from berylhollow.configuration import _follower
+from berylhollow.configuration import _history
+from berylhollow.configuration import _log_reader
+from berylhollow.configuration import _snapshot_writer
+from berylhollow.configuration import _spread
+from berylhollow import events
+from berylhollow import gateway
+from berylhollow import manifest
+from berylhollow import replay
+from berylhollow import sidecar
+from berylhollow.standin import engine_types
+from berylhollow.standin import log
+from berylhollow.standin import weights
+
+MODEL_SERVICE = 'modelos'
+PLAIN_SERVICE = 'balcao'
+ENGINES = ('e1', 'e2')
+SERVICES = ('p1', 'p2')
+GATEWAYS = ('g1', 'g2')
+WORK_MS = 40
+
+LATENCIES = replay.Latencies(tick_ms=100, silence_ms=2000, handshake_ms=500)
+ENGINE = engine_types.EngineLimits(
+    slot_count=2,
+    batch_limit=4,
+    step_ms=10,
+    status_lag_ms=100,
+    restart_ms=600,
+)
+WEIGHTS = weights.WeightLimits(loads_per_s=10, burst=5, full_speed_ms=150)
+LOG = log.LogLimits(slow_ms=700)
+SCALED = (
+    (_follower, 'GATEWAY_PATIENCE_MS', 1200),
+    (_follower, 'GATEWAY_JITTER_MS', 400),
+    (_follower, 'SIDECAR_PATIENCE_MS', 2000),
+    (_follower, 'SIDECAR_JITTER_MS', 1000),
+    (_follower, 'SIDECAR_START_MS', 300),
+    (_follower, 'IDLE_PAUSE_MS', 1500),
+    (_follower, 'FRESH_MS', 2000),
+    (_follower, 'PEERS_GRACE_MS', 200),
+    (_follower, 'PEERS_WAIT_MS', 800),
+    (_history, 'KEPT_ENTRIES', 2),
+    (_log_reader, 'LONG_POLL_MS', 400),
+    (_log_reader, 'READ_TIMEOUT_MS', 1500),
+    (_log_reader, 'LONGEST_PAUSE_MS', 400),
+    (_snapshot_writer, 'FIRST_AFTER_MS', 300),
+    (_snapshot_writer, 'INTERVAL_MS', 600),
+    (_snapshot_writer, 'RETRY_MS', 200),
+    (_spread, 'ASK_PAUSE_MS', 100),
+    (_spread, 'TELL_GATEWAYS_MS', 200),
+    (_spread, 'TELL_SIDECARS_MS', 500),
+    (_spread, 'ASK_AFTER_MS', 600),
+    (_spread, 'SNAPSHOT_PAUSE_MS', 200),
+)
+
+
+@contextlib.contextmanager
+def scaled():
+    """Run with the short times of the configuration's machines."""
+    with contextlib.ExitStack() as changes:
+        for module, name, value in SCALED:
+            changes.enter_context(mock.patch.object(module, name, value))
+        yield
+
+
+def adapter(name: str) -> manifest.Adapter:
+    """Return an adapter with its first version."""
+    return manifest.Adapter(
+        name, MODEL_SERVICE, versions=(manifest.Version('1'),)
+    )
+
+
+MANIFEST = manifest.Manifest(
+    services=(
+        manifest.Service(
+            MODEL_SERVICE, base_model='base', checks_fencing=True
+        ),
+        manifest.Service(PLAIN_SERVICE, manifest.ServiceKind.PLAIN),
+    ),
+    adapters=tuple(
+        adapter(f'{letter}{number}')
+        for letter in 'ab'
+        for number in range(1, 9)
+    ),
+)
+
+
+def first_change() -> bytes:
+    """Return the record by which the log begins."""
+    change = configuration.Change(0, 'setup', 'setup', (), MANIFEST)
+    return configuration.encode_change(change)
+
+
+def sidecar_maker(name: str, service: str = MODEL_SERVICE, **options):
+    """Return what makes a fresh state of a sidecar."""
+    chosen = sidecar.Options(
+        instance=name,
+        service=service,
+        status_poll_ms=200,
+        report_ms=200,
+        load_timeout_ms=800,
+        load_backoff_ms=100,
+        takeover_retry_ms=200,
+        takeover_wait_ms=1500,
+        settle_ms=3000,
+        keep_ended_ms=1500,
+        isolation_gap_ms=200,
+        **options,
+    )
+
+    def make() -> sidecar.State:
+        follower = configuration.Follower(name, events.Role.ENDPOINT)
+        return sidecar.State(options=chosen, follower=follower)
+
+    return make
+
+
+def gateway_maker(name: str, **options):
+    """Return what makes a fresh state of a gateway."""
+    chosen = gateway.Options(
+        instance=name,
+        instance_poll_ms=200,
+        link_retry_ms=100,
+        resume_ms=1000,
+        not_run_ms=700,
+        claim_ms=1000,
+        claim_retry_ms=150,
+        quarantine_poll_ms=500,
+        eject_ms=500,
+        retry_share=0.5,
+        load_interval_ms=150,
+        **options,
+    )
+
+    def make() -> gateway.State:
+        follower = configuration.Follower(name, events.Role.GATEWAY)
+        return gateway.State(options=chosen, follower=follower)
+
+    return make
--- a/tools/matrix/_flows.py
+++ b/tools/matrix/_flows.py
@@ -105,6 +105,48 @@
     rotate(scene, 12)
 
 
+def publish(scene: _scene.Scene) -> None:
+    """Operators race; adapters come, go and are asked for at once."""
+    scene.later(10, scene.add_adapter, 'n1')
+    scene.later(11, scene.add_adapter, 'n2')
+    scene.later(300, scene.remove_adapter, 'b8')
+    scene.later(600, scene.add_adapter, 'n3')
+    for after_ms, name in ((150, 'n1'), (400, 'n1'), (450, 'b8'), (900, 'n3')):
+        scene.later(after_ms, scene.model, name, 0)
+        scene.later(after_ms + 5, scene.model, name, 1)
+    traffic(scene)
+
+
+def snapshot(scene: _scene.Scene) -> None:
+    """The log cuts off old changes; processes start and need a snapshot."""
+    for number in range(10):
+        scene.later(10 + 170 * number, scene.add_adapter, f'n{number}')
+    scene.later(1000, scene.cut_log)
+    scene.later(1050, scene.world.kill, 'g2')
+    scene.later(1100, scene.world.kill, 'e1')
+    traffic(scene)
+
+
+def replace_all(scene: _scene.Scene) -> None:
+    """Every process is killed at once, just after a change."""
+    scene.later(10, lambda: scene.model('a1', 0, tokens=60))
+    scene.later(10, scene.plain, 0, 'port-number-5')
+    for number in range(5):
+        scene.later(20 + 110 * number, scene.add_adapter, f'n{number}')
+    for name in scene.world.seats:
+        scene.later(620, scene.world.kill, name)
+    scene.later(800, scene.plain, 1, 'port-number-5')
+    traffic(scene)
+
+
+def rolling(scene: _scene.Scene) -> None:
+    """Every process is stopped and replaced, one after the other."""
+    scene.later(10, lambda: scene.model('a1', 0, tokens=60))
+    for number, name in enumerate(scene.world.seats):
+        scene.later(50 + 400 * number, scene.world.stop, name)
+    traffic(scene, every_ms=150)
+
+
 FLOWS = {
     flow.name: flow
     for flow in (
@@ -116,5 +158,9 @@
         Flow('drain', drain, planned=True),
         Flow('stop', stop, planned=True),
         Flow('takeover', takeover),
+        Flow('replace all', replace_all),
+        Flow('rolling', rolling, planned=True),
+        Flow('publish', publish, planned=True),
+        Flow('snapshot', snapshot),
     )
 }
--- a/tools/matrix/_guards.py
+++ b/tools/matrix/_guards.py
@@ -11,6 +11,10 @@
 import types
 from unittest import mock
 
+from berylhollow import configuration
+from berylhollow.configuration import _fold
+from berylhollow.configuration import _follower
+from berylhollow.configuration import _history
 from berylhollow import effects
 from berylhollow.gateway import _attempts
 from berylhollow.gateway import _claims
@@ -100,7 +104,7 @@
         return
     steps = _cells.steps_of(guard.flow)
     later = (1, 5, 25) if len(guard.faults) > 1 else (0,)
-    for number, step, after in itertools.product((1, 4), steps, later):
+    for number, step, after in itertools.product((1, 4, 9), steps, later):
         if steps[step] < number:
             continue
         strikes = [_cells.Strike(guard.faults[0], step, number)]
@@ -221,6 +225,37 @@
     return lambda slot, adapter: None
 
 
+def without_monotone_revision(original):
+    def install(history, data):
+        history.state = configuration.from_snapshot(data)
+        history.recent.clear()
+        history.packed = None
+        return True
+
+    return install
+
+
+def without_monotone_service(original):
+    def advance(follower, at_ms):
+        if follower.current is not None or follower.knows_newest(at_ms):
+            follower.current = follower.history.state.configuration
+
+    return advance
+
+
+def without_base_check(original):
+    def fold(state, entry):
+        based = configuration.decode_change(entry.data).base_revision
+        view = dataclasses.replace(state.configuration, revision=based)
+        return original(dataclasses.replace(state, configuration=view), entry)
+
+    return fold
+
+
+def without_knowing(original):
+    return lambda follower, at_ms: True
+
+
 def without_doubt(original):
     return lambda state, active, event: event.message
 
@@ -316,6 +351,34 @@
         without_waiting,
         'stop',
     ),
+    Guard(
+        'monotone revision',
+        _history.History,
+        'install',
+        without_monotone_revision,
+        'snapshot',
+        ('log slow',),
+        also=(
+            _follower.Follower,
+            'advance',
+            without_monotone_service,
+        ),
+    ),
+    Guard(
+        'base revision',
+        _fold,
+        'fold',
+        without_base_check,
+        'publish',
+    ),
+    Guard(
+        'newest before serving',
+        _follower.Follower,
+        'knows_newest',
+        without_knowing,
+        'replace all',
+        ('log down',),
+    ),
     Guard(
         'doubt of a late "not run"',
         _attempts,
--- a/tools/matrix/_plan.py
+++ b/tools/matrix/_plan.py
@@ -9,13 +9,12 @@
 
 AFTERS = (1, 2, 5, 13, 34, 89, 233)
 """How many actions after the first strike a second one follows."""
-PAIR_STEPS = 2
-"""At how many steps of a flow each ordered pair of faults strikes."""
 OFTEN = 3
-"""A step that happens this often is struck at its middle time too."""
-SHARE = 11
-TWICE_SHARE = 23
-PAIR_SHARE = 23
+"""A step that happens this often may be struck at its middle time too."""
+MIDDLE_SHARE = 5
+TWICE_SHARE = 5
+"""Every so-manieth cell is run at the middle time, and twice."""
+CI_SHARES = {'none': 1, 'one': 13, 'twice': 11, 'two': 19}
 """CI runs every so-manieth cell of each kind."""
 
 Cells = collections.abc.Iterator[_cells.Cell]
@@ -26,7 +25,7 @@
     return {
         'none': [_cells.Cell(flow) for flow in _flows.FLOWS],
         'one': list(single(steps)),
-        'twice': list(twice(steps)),
+        'twice': list(twice(steps))[::TWICE_SHARE],
         'two': list(pairs(steps)),
     }
 
@@ -34,23 +33,18 @@
 def short(steps: dict[str, dict[str, int]]) -> dict[str, list[_cells.Cell]]:
     """Return an even share of all cells, the same every time."""
     cells = full(steps)
-    return {
-        'none': cells['none'],
-        'one': cells['one'][::SHARE],
-        'twice': cells['twice'][::TWICE_SHARE],
-        'two': cells['two'][::PAIR_SHARE],
-    }
+    return {kind: cells[kind][:: CI_SHARES[kind]] for kind in cells}
 
 
 def single(steps: dict[str, dict[str, int]]) -> Cells:
     """Yield each fault at each step of each flow."""
+    turn = itertools.cycle(range(MIDDLE_SHARE))
     for flow, counts in steps.items():
         for step, fault in itertools.product(counts, _faults.FAULTS):
-            times = [1]
-            if counts[step] >= OFTEN:
-                times.append(1 + counts[step] // 2)
-            for number in times:
-                yield _cells.Cell(flow, (_cells.Strike(fault, step, number),))
+            yield _cells.Cell(flow, (_cells.Strike(fault, step, 1),))
+            if counts[step] >= OFTEN and not next(turn):
+                middle = 1 + counts[step] // 2
+                yield _cells.Cell(flow, (_cells.Strike(fault, step, middle),))
 
 
 def twice(steps: dict[str, dict[str, int]]) -> Cells:
@@ -62,13 +56,12 @@
 
 
 def pairs(steps: dict[str, dict[str, int]]) -> Cells:
-    """Yield each ordered pair of faults at some steps of each flow."""
+    """Yield each ordered pair of faults at a step of each flow."""
     afters = itertools.cycle(AFTERS)
     for flow, counts in steps.items():
         rotation = itertools.cycle(counts)
         for both in itertools.permutations(_faults.FAULTS, 2):
-            for _ in range(PAIR_STEPS):
-                yield _pair(flow, next(rotation), both, next(afters))
+            yield _pair(flow, next(rotation), both, next(afters))
 
 
 def _pair(
--- a/tools/matrix/_scene.py
+++ b/tools/matrix/_scene.py
@@ -4,22 +4,16 @@
 import hashlib
 
 from berylhollow import configuration
+from berylhollow import errors
 from berylhollow import events
 from berylhollow import gateway
-from berylhollow import manifest
 from berylhollow import messages
 from berylhollow import platform
 from berylhollow import replay
 from berylhollow import sidecar
-from berylhollow.standin import engine_types
-from berylhollow.standin import log
-from berylhollow.standin import weights
-
-MODEL_SERVICE = 'modelos'
-PLAIN_SERVICE = 'balcao'
-ENGINES = ('e1', 'e2')
-SERVICES = ('p1', 'p2')
-GATEWAYS = ('g1', 'g2')
+from tools.matrix import _fleet
+from tools.matrix import _operators
+
 SETTLED_MS = 1500
 LONGEST_MS = 15_000
 """A scene that is not calm by then has something that never ends."""
@@ -27,53 +21,14 @@
 """How long after all is calm a sound system may take to be well again."""
 DEADLINE_MS = 6000
 STEP_MS = 100
+MOST_ASKED = 3
+"""Of the last so many publications the adapters are asked for."""
+KEPT_MS = 400
+"""The log keeps changes for this long, where a flow cuts them off."""
 RESTART_MS = 50
 RESEND_MS = 150
 KEEPS = (replay.Ending.WHOLE, replay.Ending.STORED, replay.Ending.LEFT)
 
-LATENCIES = replay.Latencies(tick_ms=100, silence_ms=2000, handshake_ms=500)
-ENGINE = engine_types.EngineLimits(
-    slot_count=2,
-    batch_limit=4,
-    step_ms=10,
-    status_lag_ms=100,
-    restart_ms=600,
-)
-WEIGHTS = weights.WeightLimits(loads_per_s=10, burst=5, full_speed_ms=150)
-LOG = log.LogLimits(slow_ms=700)
-
-
-MANIFEST = manifest.Manifest(
-    services=(
-        manifest.Service(MODEL_SERVICE, checks_fencing=True),
-        manifest.Service(PLAIN_SERVICE, manifest.ServiceKind.PLAIN),
-    ),
-    adapters=tuple(
-        manifest.Adapter(
-            f'{letter}{number}',
-            MODEL_SERVICE,
-            versions=(manifest.Version('1'),),
-        )
-        for letter in 'ab'
-        for number in range(9)
-    ),
-)
-
-
-class FixedFollower:
-    """A follower that has read everything and asks for nothing."""
-
-    current = configuration.from_manifest(MANIFEST, 1)
-
-    def start(self, at_ms):
-        return []
-
-    def handle(self, event):
-        return []
-
-    def tick(self, at_ms, live_gateways, peers, self_id):
-        return []
-
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Client:
@@ -95,7 +50,7 @@
         request_id = f'{self.request.request_id}~{number}'
         request = dataclasses.replace(self.request, request_id=request_id)
         self.scene.clients[request_id] = self
-        name = GATEWAYS[(self.gateway + number) % len(GATEWAYS)]
+        name = _fleet.GATEWAYS[(self.gateway + number) % len(_fleet.GATEWAYS)]
         self.scene.world.request(name, request)
 
     def answered(self, exchange: replay.Exchange) -> None:
@@ -112,9 +67,9 @@
     ):
         self.world = replay.World(
             seed=seed,
-            latencies=LATENCIES,
-            log_limits=LOG,
-            weight_limits=WEIGHTS,
+            latencies=_fleet.LATENCIES,
+            log_limits=_fleet.LOG,
+            weight_limits=_fleet.WEIGHTS,
             instance_lag_ms=200,
         )
         self.oracle = replay.Oracle(self.world, planned)
@@ -122,26 +77,34 @@
         self.numbers = 0
         self.coming = 0
         self.faulty_ms = 0.0
+        self.publications: list[_operators.Publication] = []
         self.world.record.observers.append(self.observe)
-        for name in ENGINES:
-            limits = dataclasses.replace(ENGINE, checks_fencing=fenced)
+        self.world.log.model.append(
+            configuration.STREAM, _fleet.first_change(), 0
+        )
+        for name in _fleet.ENGINES:
+            limits = dataclasses.replace(_fleet.ENGINE, checks_fencing=fenced)
             self.world.add_engine(name, limits)
             self.world.add_sidecar(
                 name,
-                MODEL_SERVICE,
+                _fleet.MODEL_SERVICE,
                 sidecar.reduce,
-                sidecar_maker(name, checks_fencing=fenced),
+                _fleet.sidecar_maker(name, checks_fencing=fenced),
             )
-        for name in SERVICES:
-            self.world.add_service(name, work_ms=40)
+        for name in _fleet.SERVICES:
+            self.world.add_service(name, work_ms=_fleet.WORK_MS)
             self.world.add_sidecar(
                 name,
-                PLAIN_SERVICE,
+                _fleet.PLAIN_SERVICE,
                 sidecar.reduce,
-                sidecar_maker(name, service=PLAIN_SERVICE, plain=True),
+                _fleet.sidecar_maker(
+                    name, service=_fleet.PLAIN_SERVICE, plain=True
+                ),
+            )
+        for name in _fleet.GATEWAYS:
+            self.world.add_gateway(
+                name, gateway.reduce, _fleet.gateway_maker(name)
             )
-        for name in GATEWAYS:
-            self.world.add_gateway(name, gateway.reduce, gateway_maker(name))
         self.warm()
 
     def warm(self) -> None:
@@ -182,6 +145,7 @@
             not self.coming
             and self.world.now_ms >= self.faulty_ms
             and all(seat.current.alive for seat in seats)
+            and not any(seat.current.stopping for seat in seats)
             and all(exchange.ending for exchange in exchanges)
         )
 
@@ -200,13 +164,64 @@
             self.world.run_until(self.world.now_ms + STEP_MS)
 
     def probe(self) -> None:
-        """Send to each gateway what must succeed on a sound system."""
-        for name in GATEWAYS:
-            for number in (1, 2):
-                request = self.model_request(f'a{number}')
-                self.oracle.probes.append(self.world.request(name, request))
-            request = self.plain_request()
-            self.oracle.probes.append(self.world.request(name, request))
+        """Send to each gateway what must succeed on a sound system.
+
+        And ask for each adapter that an operator put or removed, as it was
+        told.
+        """
+        for name in _fleet.GATEWAYS:
+            for adapter in ('a1', 'a2'):
+                self.ask(name, self.model_request(adapter))
+            self.ask(name, self.plain_request())
+            for publication in self.publications[-MOST_ASKED:]:
+                self.ask_for(name, publication)
+
+    def ask(self, gateway_name: str, request, refused=None) -> None:
+        exchange = self.world.request(gateway_name, request)
+        self.oracle.probes.append(replay.Probe(exchange, refused))
+
+    def ask_for(
+        self, gateway_name: str, publication: _operators.Publication
+    ) -> None:
+        unsettled = _operators.Answer.UNSETTLED
+        if publication.answer in (None, unsettled):
+            return
+        accepted = publication.answer is _operators.Answer.ACCEPTED
+        for delta in publication.deltas:
+            puts = isinstance(delta, configuration.Put)
+            name = delta.entity.name if puts else delta.name
+            gone = errors.Kind.UNKNOWN_ADAPTER if puts != accepted else None
+            self.ask(gateway_name, self.model_request(name), gone)
+
+    # Operators
+
+    def publish(self, *deltas: configuration.Delta) -> None:
+        """Have an operator publish a change."""
+        number = len(self.publications) + 1
+        publication = _operators.Publication(
+            f'operator-{number}', deltas, self.world.now_ms
+        )
+        self.publications.append(publication)
+        self.coming += 1
+        _operators.Operator(self.world, publication, self.published).begin()
+
+    def published(self, publication: _operators.Publication) -> None:
+        self.coming -= 1
+        if publication.answer is _operators.Answer.ACCEPTED:
+            self.oracle.accepted(publication.revision, publication.base)
+
+    def cut_log(self) -> None:
+        """Have the log's retention cut off what a snapshot stands for."""
+        streams = self.world.log.model.streams
+        if streams[configuration.SNAPSHOT_STREAM].next_offset:
+            streams[configuration.STREAM].retire(self.world.at_ms - KEPT_MS)
+
+    def add_adapter(self, name: str) -> None:
+        self.publish(configuration.Put(_fleet.adapter(name)))
+
+    def remove_adapter(self, name: str) -> None:
+        kind = configuration.EntityKind.ADAPTER
+        self.publish(configuration.Remove(kind, name))
 
     # Callers
 
@@ -233,7 +248,7 @@
         """Return a request to an adapter."""
         mark = b'crash-this-engine' if crash else b'body'
         return self.make_request(
-            MODEL_SERVICE,
+            _fleet.MODEL_SERVICE,
             messages.AdapterVersion(adapter, '1'),
             key,
             mark,
@@ -244,7 +259,7 @@
         """Return a non-idempotent request to the plain service."""
         self.numbers += 1
         key = key or f'key-{self.numbers}'
-        return self.make_request(PLAIN_SERVICE, None, key, b'order', 0)
+        return self.make_request(_fleet.PLAIN_SERVICE, None, key, b'order', 0)
 
     def make_request(
         self, service, adapter, key, mark: bytes, tokens: int
@@ -282,41 +297,3 @@
 
     def plain(self, gateway: int = 0, key: str = '') -> None:
         self.send(self.plain_request(key), gateway)
-
-
-def sidecar_maker(name: str, service: str = MODEL_SERVICE, **options):
-    """Return what makes a fresh state of a sidecar."""
-    chosen = sidecar.Options(
-        instance=name,
-        service=service,
-        status_poll_ms=200,
-        report_ms=200,
-        load_timeout_ms=800,
-        load_backoff_ms=100,
-        takeover_retry_ms=200,
-        takeover_wait_ms=1500,
-        settle_ms=3000,
-        keep_ended_ms=1500,
-        isolation_gap_ms=200,
-        **options,
-    )
-    return lambda: sidecar.State(options=chosen, follower=FixedFollower())
-
-
-def gateway_maker(name: str, **options):
-    """Return what makes a fresh state of a gateway."""
-    chosen = gateway.Options(
-        instance=name,
-        instance_poll_ms=200,
-        link_retry_ms=100,
-        resume_ms=1000,
-        not_run_ms=700,
-        claim_ms=1000,
-        claim_retry_ms=150,
-        quarantine_poll_ms=500,
-        eject_ms=500,
-        retry_share=0.5,
-        load_interval_ms=150,
-        **options,
-    )
-    return lambda: gateway.State(options=chosen, follower=FixedFollower())
