--- a/berylhollow/link/_link.py
+++ b/berylhollow/link/_link.py
@@ -22,7 +22,7 @@
 class Options:
     """Bounds of a link: times in milliseconds, sizes in bytes."""
 
-    flush_delay_ms: float = 2
+    flush_delay_ms: float = 0
     """How long a message may wait for others to share a frame with."""
     flush_bytes: int = 64 * 1024
     """A frame is sent at once when this much is queued."""
