Take no span that holds our own pause for a measure

Change: a gap between ticks is a pause; a load or run that spans one is no sample of its estimates. Conclusion: estimates are of the endpoint and the weight store only.

--- a/berylhollow/sidecar/_loads.py
+++ b/berylhollow/sidecar/_loads.py
@@ -7,6 +7,7 @@
 from berylhollow import policy
 from berylhollow.sidecar import _demands
 from berylhollow.sidecar import _orders
+from berylhollow.sidecar import _pauses
 from berylhollow.sidecar import _permits
 from berylhollow.sidecar import _runs
 from berylhollow.sidecar import _state
@@ -58,7 +59,8 @@
     slot.used_ms = event.at_ms
     slot.loaded_ms = event.at_ms
     took_ms = event.at_ms - slot.ordered_ms
-    state.load_ms = average.smoothed(state.load_ms, took_ms)
+    if _pauses.measures(state, slot.ordered_ms, event.at_ms):
+        state.load_ms = average.smoothed(state.load_ms, took_ms)
     slot.runs = 0
     state.backoffs.pop(slot.adapter, None)
     done = [_loaded(slot, event.at_ms)]
--- a/berylhollow/sidecar/_reducer.py
+++ b/berylhollow/sidecar/_reducer.py
@@ -9,6 +9,7 @@
 from berylhollow.sidecar import _engine
 from berylhollow.sidecar import _loads
 from berylhollow.sidecar import _orphans
+from berylhollow.sidecar import _pauses
 from berylhollow.sidecar import _permits
 from berylhollow.sidecar import _reports
 from berylhollow.sidecar import _runs
@@ -40,6 +41,7 @@
 def _ticked(state: _state.State, event: events.Ticked) -> Effects:
     at_ms = event.at_ms
     state.pacing.seed = event.seed
+    _pauses.ticked(state, at_ms)
     done = _engine.tick(state, at_ms)
     done += _admission.tick(state, at_ms)
     done += _orphans.tick(state, at_ms)
--- a/berylhollow/sidecar/_runs.py
+++ b/berylhollow/sidecar/_runs.py
@@ -8,6 +8,7 @@
 from berylhollow import messages
 from berylhollow.sidecar import _demands
 from berylhollow.sidecar import _isolation
+from berylhollow.sidecar import _pauses
 from berylhollow.sidecar import _state
 from berylhollow.sidecar import _turns
 from berylhollow.util import average
@@ -221,6 +222,8 @@
 
 def _learn(state: _state.State, attempt: _state.Attempt, at_ms: int) -> None:
     """Take a whole run into the estimates of how long runs take."""
+    if not _pauses.measures(state, attempt.began_ms, at_ms):
+        return
     took_ms = at_ms - attempt.began_ms
     state.run_ms = average.smoothed(state.run_ms, took_ms)
     tokens = max(1, attempt.offer.output_tokens)
--- a/berylhollow/sidecar/_state.py
+++ b/berylhollow/sidecar/_state.py
@@ -203,6 +203,8 @@
     run_ms: float = 0.0
     token_ms: float = 0.0
     load_ms: float = 0.0
+    ticked_ms: int | None = None
+    woke_ms: int = 0
     orders: int = 0
     served_revision: int = 0
     status_read_ms: int = -1_000_000
--- a/test/test_sidecar.py
+++ b/test/test_sidecar.py
@@ -5,6 +5,7 @@
 from berylhollow import events
 from berylhollow import messages
 from berylhollow import sidecar
+from berylhollow.sidecar import _pauses
 from test import builders
 from test import helper
 
@@ -96,6 +97,24 @@
         self.assertIs(errors.Kind.WRONG_ADAPTER, self.failure().kind)
 
 
+class LoadTimeTest(SidecarTestCase):
+    def test_load_confirmed_after_a_pause_is_no_measure_of_loads(self):
+        """An endpoint refuses everything after it was paused once.
+
+        The sidecar is paused while a load is under way; a minute later it
+        takes the load for that slow, and every request that waits for one
+        for too late. With none admitted no load corrects the estimate.
+        Cause: a pause of our own taken for the weight store's.
+        """
+        self.feed(events.Ticked(0))
+        self.offer('r1.1')
+        (order,) = self.of_type(effects.LoadAdapter)
+        loaded = events.LoadSucceeded(60_000, order.order_id, 'epoch-1')
+        self.feed(loaded, events.Ticked(60_000))
+        self.assertLess(self.state.load_ms, 60_000)
+        self.assertFalse(_pauses.measures(self.state, 0, 60_050))
+
+
 class AttemptTest(SidecarTestCase):
     def test_doubled_offer_runs_once(self):
         self.run_offer()
