Reset a connection that is given up, so that its call never arrives late

Cause: a kept connection to an endpoint went silent. A close leaves to the kernel what the connection still holds, and the kernel goes on sending it.

Change: outgoing connections are reset when closed (SO_LINGER of 0) and drop what is not yet handed to the kernel. They are also given up after 2 s without a sign of life (keep-alive probes, TCP_USER_TIMEOUT): requests on kept connections that had gone silent ran into their time limits though the same endpoint answered over new connections.

--- a/berylhollow/outgoing.py
+++ b/berylhollow/outgoing.py
@@ -9,6 +9,7 @@
 import json
 import os
 import socket
+import struct
 import typing
 
 import aiohttp
@@ -18,6 +19,15 @@
 CALL_TIMEOUT_MS = 5000
 MS_PER_SECOND = 1000
 BUFFER_BYTES = 128 * 1024
+SILENCE_MS = 2000
+"""After so long without a sign from the other side a connection is dead. A
+lost packet is sent again after 0.2, 0.4 and 0.8 s, so one in thirty that are
+lost don't end it; callers leave a stream that pauses for 2 s."""
+
+PROBE_S = 1
+"""An idle connection is probed as often, the least that TCP counts in."""
+
+RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 REFUSING_STATUSES = frozenset({400, 404, 405, 409, 410, 413, 422, 429, 503})
 
 
@@ -65,7 +75,7 @@
 
 
 class Connection(client_proto.ResponseHandler):
-    """A connection that tells a reset from a close.
+    """A connection that tells a reset from a close, and drops what it holds.
 
     libuv reports the end of a connection when a reset arrives together with
     the last bytes, and does not look further. Guards against a crashed
@@ -75,6 +85,10 @@
 
     reset = False
 
+    def close(self) -> None:
+        """Close without sending what is still held here."""
+        self.abort()
+
     def eof_received(self) -> None:
         """Look whether the connection was closed, or reset."""
         opened = self.transport.get_extra_info('socket')
@@ -159,7 +173,7 @@
     connector = Connector(
         limit=0,
         force_close=not reuse,
-        socket_factory=functools.partial(_open_socket, buffer_bytes),
+        socket_factory=functools.partial(open_socket, buffer_bytes),
     )
     return aiohttp.ClientSession(
         connector=connector,
@@ -172,15 +186,34 @@
     )
 
 
-def _open_socket(buffer_bytes: int, address: tuple) -> socket.socket:
-    """Return a socket that receives no more than it may hold at once.
+def open_socket(buffer_bytes: int, address: tuple) -> socket.socket:
+    """Return the socket of a connection to an address of ``getaddrinfo``.
+
+    It receives no more than it may hold at once. Guards against one read of
+    a quick answer that is larger than all that its reader is meant to hold:
+    the event loop reads what the kernel has.
+
+    It is reset when it is closed. Guards against a call that was broken off
+    and still arrives: the kernel goes on sending what a closed connection
+    holds, and where the path had gone silent an endpoint would run requests
+    seconds after their callers had left. A reset drops them. Calls that are
+    over have nothing to lose by it.
 
-    Guards against one read of a quick answer that is larger than all that
-    its reader is meant to hold: the event loop reads what the kernel has.
+    It is given up after ``SILENCE_MS``. Guards against kept connections that
+    go silent without an error: each would take a request to its time limit
+    though the endpoint answers over new ones.
     """
     family, kind, protocol = address[:3]
     opened = socket.socket(family, kind, protocol)
-    opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes // 2)
+    for level, option, value in (
+        (socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes // 2),
+        (socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE),
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_S),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_MS),
+    ):
+        opened.setsockopt(level, option, value)
     return opened
 
 
