Name the tests that failed just before the count

Cause: a run of the suite ended with "662 passed, 1 failed", and of its output only the last lines had been kept: the name was lost.

Change: the runner prints "failed: NAME" lines before the count.

--- a/test/__main__.py
+++ b/test/__main__.py
@@ -1,8 +1,9 @@
 """Run the whole suite and close with ``N passed, N failed``.
 
 ``python -m test`` runs everything; ``python -m test PATTERN`` only the test
-modules whose file name matches the shell pattern. A run that finds no test
-fails: an empty suite must never look like a green one.
+modules whose file name matches the shell pattern. The names of those that
+failed stand just before the count. A run that finds no test fails: an empty
+suite must never look like a green one.
 """
 
 import argparse
@@ -37,6 +38,9 @@
     passed = result.testsRun - failed - len(result.skipped)
     if result.testsRun == 0:
         print('no test was found', file=sys.stderr)
+    # Last, so that the names are kept by whoever keeps the last lines.
+    for test, _ in result.failures + result.errors:
+        print(f'failed: {test.id()}')
     print(f'{passed} passed, {failed} failed', flush=True)
     return 1 if failed or passed == 0 else 0
 
