Count uses only where they matter; one verdict of an order, one victim a plan

The loader looked for the adapter to unload once for each need, with the same answer each time. The adapter folder had a verdict of its own beside events.OrderVerdict and a table between the two, two fields of a report that nobody read, and a header's name that nobody used.

Ruled out as worth a change now: the callers' dialect and its protocol (a protocol and its one class share signatures), makers of sidecars and gateways in the matrix (same shape, other options), the loader's and the shell's calls (eight lines of a constructor).

Change: uses are counted after all cheaper questions; the victim is found once a plan; platform answers an order with events.OrderVerdict; the dead fields and names are gone. 27 lines fewer. The one difference in behaviour is that a request without an adapter no longer hastens a notice.

--- a/berylhollow/gateway/_adapters.py
+++ b/berylhollow/gateway/_adapters.py
@@ -120,40 +120,37 @@
 
 def use_began(state: _state.State, active: _state.ActiveRequest) -> None:
     """An attempt was placed at its endpoint."""
-    if _uses(state, active) == 1:
-        _tell_soon(state, active)
+    _tell_soon(state, active, uses_then=1)
 
 
 def use_ended(state: _state.State, active: _state.ActiveRequest) -> None:
     """An attempt has left its endpoint."""
-    if _uses(state, active) == 0:
-        _tell_soon(state, active)
+    _tell_soon(state, active, uses_then=0)
 
 
-def _uses(state: _state.State, active: _state.ActiveRequest) -> int:
-    """Return how many attempts use the request's adapter at its endpoint."""
-    endpoint = state.endpoints.get(active.endpoint)
-    if endpoint is None or active.request.adapter is None:
-        return 0
-    adapter = active.request.adapter.adapter
-    return _in_flight(state, endpoint).get(adapter, 0)
-
-
-def _tell_soon(state: _state.State, active: _state.ActiveRequest) -> None:
-    """Tell the sidecar at the next tick, if it has others waiting.
+def _tell_soon(
+    state: _state.State, active: _state.ActiveRequest, uses_then: int
+) -> None:
+    """Tell the sidecar of a use at the next tick, if it has others waiting.
 
     Only gateways know which adapters are in use. Where every slot is, one
     that falls free is known only by their next word, and stood empty until
     then: a third of the slots' time where runs take half a second. Without
-    anybody waiting the regular pause will do, which bounds the traffic.
+    anybody waiting the regular pause will do, which bounds the traffic; nor
+    is anything counted then. ``uses_then`` is how many attempts use an
+    adapter that has just come into use, or fallen out of it.
     """
     endpoint = state.endpoints.get(active.endpoint)
-    if endpoint is None or not endpoint.instance.direct:
+    adapter = active.request.adapter
+    if endpoint is None or adapter is None or not endpoint.instance.direct:
         return
     sidecar = state.sidecars.get(_sidecar_of(state, active.endpoint))
     if sidecar is None or sidecar.report is None:
         return
-    if sidecar.report.wanted:
+    if not sidecar.report.wanted:
+        return
+    uses = _in_flight(state, endpoint).get(adapter.adapter, 0)
+    if uses == uses_then:
         sidecar.told_ms = _state.NEVER_MS
 
 
--- a/berylhollow/gateway/_surroundings.py
+++ b/berylhollow/gateway/_surroundings.py
@@ -24,7 +24,7 @@
 
     ``endpoint_calls`` is None where every endpoint has its requests through
     its sidecar. ``readiness`` and ``metrics`` are listeners of their own,
-    where callers' listener has no room for our pages. ``last_answers_ms`` is
+    where callers' listener has no room for them. ``last_answers_ms`` is
     how long final answers may take to be written once all is decided.
     """
 
--- a/berylhollow/loader/_endpoint_calls.py
+++ b/berylhollow/loader/_endpoint_calls.py
@@ -9,16 +9,6 @@
 from berylhollow import platform
 from berylhollow import shell
 
-VERDICTS = {
-    platform.Verdict.ACCEPTED: events.OrderVerdict.ACCEPTED,
-    platform.Verdict.HOLDS_ALREADY: events.OrderVerdict.HELD_ALREADY,
-    platform.Verdict.CONFLICT: events.OrderVerdict.CONFLICT,
-    platform.Verdict.ANOTHER_INSTANCE: (
-        events.OrderVerdict.ANOTHER_INCARNATION
-    ),
-    platform.Verdict.REFUSED: events.OrderVerdict.REFUSED,
-}
-
 
 class EndpointCalls:
     """Carry orders and reads out and feed back what came of them."""
@@ -83,8 +73,7 @@
             self.holder,
         )
         try:
-            reply = await self.control.order(order)
-            verdict = VERDICTS[reply]
+            verdict = await self.control.order(order)
         except outgoing.NotDone:
             verdict = events.OrderVerdict.NOT_SENT
         except outgoing.CallError:
--- a/berylhollow/loader/_plan.py
+++ b/berylhollow/loader/_plan.py
@@ -29,8 +29,14 @@
     if len(adapters.loading) >= state.options.loading_at_once:
         return None
     needs = state.needs()
-    for need in wanted(state, needs):
-        step = _step_for(state, need, needs, at_ms)
+    missing = wanted(state, needs)
+    if not missing:
+        return None
+    taken = len({a.adapter for a in (*adapters.held, *adapters.loading)})
+    room = taken < state.slots
+    found = None if room else victim(state, needs, at_ms)
+    for need in missing:
+        step = _step_for(state, need, room, found)
         if step is not None:
             return step
     return None
@@ -94,20 +100,17 @@
 def _step_for(
     state: _state.State,
     need: _state.Need,
-    needs: dict[str, _state.Need],
-    at_ms: int,
+    room: bool,
+    found: tuple[str, float] | None,
 ) -> Step | None:
+    """Return the order for one need; ``found`` is what could make room."""
     name = need.adapter.adapter
-    held = _by_name(state.adapters.held)
-    if name in held:
+    if name in _by_name(state.adapters.held):
         # The endpoint replaces it once its runs are over, and refuses new
         # ones until then.
         return None if need.in_flight else Step(True, name, 'newer version')
-    loading = _by_name(state.adapters.loading)
-    taken = set(held) | set(loading)
-    if len(taken) < state.slots:
+    if room:
         return Step(True, name, 'waited for')
-    found = victim(state, needs, at_ms)
     if found is None:
         return None
     least, rate = found
--- a/berylhollow/platform/__init__.py
+++ b/berylhollow/platform/__init__.py
@@ -12,7 +12,6 @@
 from berylhollow.platform._order import EndpointControl
 from berylhollow.platform._order import EndpointState
 from berylhollow.platform._order import Order
-from berylhollow.platform._order import Verdict
 from berylhollow.platform._records import CONFIGURATION_STREAM
 from berylhollow.platform._records import decode_instance
 from berylhollow.platform._records import decode_news
@@ -38,7 +37,6 @@
     'NotRun',
     'Order',
     'StoreClient',
-    'Verdict',
     'decode_instance',
     'decode_news',
     'load',
--- a/berylhollow/platform/_order.py
+++ b/berylhollow/platform/_order.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 
+from berylhollow import events
 from berylhollow import messages
 from berylhollow import outgoing
 from berylhollow.platform import _records
@@ -34,21 +35,11 @@
     UNLOAD = 'unload'
 
 
-class Verdict(enum.Enum):
-    """What the endpoint answered to an order."""
-
-    ACCEPTED = 'accepted'
-    HOLDS_ALREADY = 'holds_already'
-    CONFLICT = 'conflict'
-    ANOTHER_INSTANCE = 'another_instance'
-    REFUSED = 'refused'
-
-
 VERDICTS = {
-    200: Verdict.HOLDS_ALREADY,
-    202: Verdict.ACCEPTED,
-    409: Verdict.CONFLICT,
-    421: Verdict.ANOTHER_INSTANCE,
+    200: events.OrderVerdict.HELD_ALREADY,
+    202: events.OrderVerdict.ACCEPTED,
+    409: events.OrderVerdict.CONFLICT,
+    421: events.OrderVerdict.ANOTHER_INCARNATION,
 }
 
 
@@ -68,8 +59,6 @@
     loading: tuple[messages.AdapterVersion, ...]
     waiting: int
     running: int
-    cache_used: int
-    cache_total: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -109,11 +98,9 @@
             loading=tuple(_pending(text) for text in _pending_of(value)),
             waiting=int(value.get('Queued', 0)),
             running=int(value.get('Active', 0)),
-            cache_used=int(value.get('KvUsed', 0)),
-            cache_total=int(value.get('KvTotal', 0)),
         )
 
-    async def order(self, order: Order) -> Verdict:
+    async def order(self, order: Order) -> events.OrderVerdict:
         """Send an order. Raises ``NotDone`` or ``MaybeDone``."""
         model, _, adapter = order.name.partition(routes.ADAPTER_SEPARATOR)
         action = Action.LOAD if order.load else Action.UNLOAD
@@ -139,7 +126,7 @@
         )
         async with response:
             await outgoing.read_body(response)
-        return VERDICTS.get(response.status, Verdict.REFUSED)
+        return VERDICTS.get(response.status, events.OrderVerdict.REFUSED)
 
     async def close(self) -> None:
         """Close the connections."""
--- a/berylhollow/platform/_runs.py
+++ b/berylhollow/platform/_runs.py
@@ -19,7 +19,6 @@
 NOT_EXECUTED = 'Not-Executed'
 INSTANCE = 'Instance-Id'
 SIGNATURE = 'Server-Seal'
-RUNNING_VERSION = 'Weight-Versions'
 
 LEAST_PRIORITY = 9
 USUAL_PRIORITY = 4
