--- a/berylhollow/endpoint_directory.py
+++ b/berylhollow/endpoint_directory.py
@@ -25,6 +25,10 @@
 back; it shows as a burst of refusals after every outage.
 """
 
+MOST_MALFORMED = 256
+"""Names whose unreadable entry was told of: each is told once, and a writer
+that makes up names must not fill the memory or the log."""
+
 Decode = collections.abc.Callable[[bytes], tuple[str, events.Instance | None]]
 
 
@@ -43,8 +47,10 @@
 class EndpointDirectory:
     """Reads only what is new, and the whole list at a start or a gap.
 
-    ``lapsed`` holds, by name, until when an entry that was dropped after an
-    outage stays in use.
+    ``rows`` are by the name that an endpoint is listed under. ``lapsed``
+    holds, by name, until when an entry that was dropped after an outage stays
+    in use. ``doubted`` holds what was said once of an earlier start than the
+    one that is known, ``malformed`` why an entry could not be read.
     """
 
     def __init__(
@@ -60,6 +66,8 @@
         self.time = time
         self.rows: dict[str, events.Instance] = {}
         self.lapsed: dict[str, int] = {}
+        self.doubted: dict[str, messages.Incarnation] = {}
+        self.malformed: dict[str, str] = {}
         self.next_offset: int | None = None
         self.read_ms: int | None = None
         self.returned_ms = -RETURN_MS
@@ -118,17 +126,43 @@
     def _decoded(
         self, entries: collections.abc.Iterable[messages.LogEntry]
     ) -> collections.abc.Iterator[tuple[str, events.Instance | None]]:
+        """Yield names and rows; an unreadable entry names no endpoint.
+
+        It takes the place of a good one of the same name, as any newer entry
+        does: whether that was read as the newest of all or as the next
+        record, the same endpoints are in use. A living endpoint writes its
+        own again within a heartbeat.
+        """
         for entry in entries:
             try:
-                yield self.decode(entry.data)
+                name, row = self.decode(entry.data)
             except routes.MalformedRecordError as error:
-                LOG.warning(
-                    'entry not understood',
-                    extra={'offset': entry.offset, 'reason': str(error)},
-                )
+                self._note_malformed(error, entry.offset)
+                if error.key:
+                    yield error.key, None
+                continue
+            self.malformed.pop(name, None)
+            yield name, row
+
+    def _note_malformed(
+        self, error: routes.MalformedRecordError, offset: int
+    ) -> None:
+        reason = str(error)
+        if self.malformed.get(error.key) == reason:
+            return
+        if len(self.malformed) >= MOST_MALFORMED:
+            return
+        self.malformed[error.key] = reason
+        LOG.warning(
+            'entry not understood',
+            extra={'offset': offset, 'entry': error.key, 'reason': reason},
+        )
 
     def _take(self, name: str, row: events.Instance | None) -> None:
         now_ms = self.time.now_ms()
+        if row is not None and self._doubtful(name, row):
+            return
+        self.doubted.pop(name, None)
         if row is not None:
             # Whoever wrote last comes last: of two incarnations at one
             # address that is the one that lives.
@@ -144,6 +178,33 @@
             return
         del self.rows[name]
 
+    def _doubtful(self, name: str, row: events.Instance) -> bool:
+        """Tell whether an entry may be the late word of an earlier start.
+
+        A write whose answer was lost can take effect seconds later, after an
+        endpoint has started again under its name. Taken at its word, all
+        that is known of the new start would be dropped, and its adapters
+        believed to be those of the old one. A clock that was set back gives
+        a living endpoint an earlier start too; its word comes again with
+        the next heartbeat, the late one does not.
+        """
+        known = self.rows.get(name)
+        if known is None or known.incarnation == row.incarnation:
+            return False
+        if not _earlier(row.incarnation, known.incarnation):
+            return False
+        if self.doubted.get(name) == row.incarnation:
+            return False
+        self.doubted[name] = row.incarnation
+        LOG.info(
+            'entry of an earlier start',
+            extra={
+                'endpoint': str(row.incarnation),
+                'known': str(known.incarnation),
+            },
+        )
+        return True
+
     def _note_return(self) -> None:
         """Note the end of an outage before its lapses are taken in."""
         now_ms = self.time.now_ms()
@@ -171,3 +232,12 @@
             'endpoint list can not be read',
             extra={'reason': str(error), 'age_ms': age_ms},
         )
+
+
+def _earlier(
+    one: messages.Incarnation | None, other: messages.Incarnation | None
+) -> bool:
+    """Tell whether both starts are known and one is before the other."""
+    if one is None or other is None:
+        return False
+    return 0 < one.started_ms < other.started_ms
--- a/berylhollow/events.py
+++ b/berylhollow/events.py
@@ -95,7 +95,9 @@
 
     A ``direct`` endpoint is sent requests at its own address, without a
     sidecar between; ``capacity`` is how many it runs at once (0 if it does
-    not say); ``models`` and ``adapters`` are what it said it holds.
+    not say); ``models`` and ``adapters`` are what it said it holds. Its
+    ``instance`` is the text of its ``incarnation``, so that one that starts
+    again under its old name is another row.
     """
 
     instance: str
@@ -109,6 +111,14 @@
     capacity: int = 0
     models: tuple[str, ...] = ()
     adapters: tuple[messages.AdapterVersion, ...] = ()
+    incarnation: messages.Incarnation | None = None
+
+    @property
+    def listed_name(self) -> str:
+        """Return the name in the list, which restarts have in common."""
+        if self.incarnation is None:
+            return self.instance
+        return self.incarnation.name
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -277,6 +287,7 @@
     """The endpoint did not answer a status question."""
 
     at_ms: int
+    reason: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -360,7 +371,8 @@
 class AdaptersReported:
     """What the endpoint held when read ``read`` was answered.
 
-    ``orders`` is how many it has accepted since it started. Adapters in
+    ``orders`` is how many it has accepted since it started, ``started_ms``
+    when that was by its own word (0 if it does not say). Adapters in
     ``loading`` take their places already. While it is ``busy`` with a model
     it takes no other order.
     """
@@ -374,6 +386,7 @@
     loading: tuple[messages.AdapterVersion, ...]
     waiting: int
     running: int
+    started_ms: int = 0
 
 
 class OrderVerdict(enum.Enum):
--- a/berylhollow/gateway/_adapters.py
+++ b/berylhollow/gateway/_adapters.py
@@ -207,8 +207,14 @@
             entries.append(entry)
     slots = view.adapter_slots(service)
     models = view.models(service)
+    incarnation = endpoint.instance.incarnation or messages.Incarnation(name)
     return messages.AdapterDemands(
-        name, service, slots, models, tuple(entries)
+        incarnation.name,
+        service,
+        slots,
+        models,
+        tuple(entries),
+        incarnation.started_ms,
     )
 
 
--- a/berylhollow/gateway/_direct_runs.py
+++ b/berylhollow/gateway/_direct_runs.py
@@ -10,6 +10,7 @@
 import typing
 
 from berylhollow import errors
+from berylhollow import events
 from berylhollow import messages
 from berylhollow import outgoing
 from berylhollow import platform
@@ -43,8 +44,8 @@
     def message(self, peer: str, message: messages.Message) -> None:
         """Take a message of an endpoint."""
 
-    def address_of(self, name: str) -> str:
-        """Return where an endpoint takes requests, '' if unknown."""
+    def row_of(self, name: str) -> events.Instance | None:
+        """Return what is listed of an endpoint, None if it is unknown."""
 
 
 class DirectRuns:
@@ -121,9 +122,14 @@
 
     async def follow(self) -> None:
         """See the exchange through and report how it ends."""
+        row = self.owner.row_of(self.peer)
+        if row is None:
+            kind = errors.Kind.ENDPOINT_UNREACHABLE
+            self._failed(kind, errors.Ran.NOT_RUN, 'not listed any more')
+            return
         try:
             answer = await self.calls.send(
-                self.offer, self.owner.address_of(self.peer), self.peer
+                self.offer, row.address, row.listed_name
             )
         except outgoing.NotDone as error:
             kind = errors.Kind.ENDPOINT_UNREACHABLE
--- a/berylhollow/gateway/_membership.py
+++ b/berylhollow/gateway/_membership.py
@@ -64,17 +64,17 @@
     for name in [name for name in state.endpoints if name not in rows]:
         endpoint = state.endpoints[name]
         if not endpoint.placed:
+            if not endpoint.leaving:
+                done += _crashes.over(state, name, event.at_ms)
             state.placement.remove(
                 name, endpoint.instance.service, endpoint.report
             )
             del state.endpoints[name]
-            if not endpoint.leaving:
-                done += _crashes.over(state, name, event.at_ms)
             _sidecars.forget(state, name)
             done.append(_gone(endpoint))
         elif endpoint.instance.direct:
             # Its answers are still owed, but it gets nothing new.
-            endpoint.leaving = True
+            endpoint.listed = False
     done += _superseded(state, event.instances, event.at_ms)
     _sidecars.listed(state)
     done += state.follower.handle(event)
@@ -88,22 +88,35 @@
 
     The list shows both for some seconds, the one that wrote last at the end.
     Guards against requests that are refused by the new one, time and again.
+    Decided anew from each list: the one that lives writes again and is the
+    last then, so that no other entry takes its address from it for good.
     """
+    latest = {row.address: row for row in rows if _taken_up(state, row)}
     done: Effects = []
-    latest: dict[str, events.Instance] = {}
     for row in rows:
-        before = latest.get(row.address) if row.direct else None
-        latest[row.address] = row
-        if before is None:
+        if not _taken_up(state, row):
             continue
-        endpoint = state.endpoints[before.instance]
-        if not endpoint.leaving:
-            endpoint.leaving = True
-            done.append(_told('endpoint superseded', before))
-            done += _crashes.over(state, before.instance, at_ms)
+        endpoint = state.endpoints[row.instance]
+        was_superseded = endpoint.superseded
+        endpoint.superseded = latest[row.address] is not row
+        if endpoint.superseded and not (was_superseded or endpoint.leaving):
+            done.append(_told('endpoint superseded', row))
+            done += _crashes.over(state, row.instance, at_ms)
     return done
 
 
+def _taken_up(state: _state.State, row: events.Instance) -> bool:
+    """Tell whether a row is a direct endpoint that requests could be sent to.
+
+    An entry of another writer may name any service; without this it would
+    take the address of the endpoint that really stands there.
+    """
+    if not row.direct or row.instance not in state.endpoints:
+        return False
+    view = state.follower.current
+    return view is None or view.service(row.service) is not None
+
+
 def _gone(endpoint: _state.Endpoint) -> effects.Effect:
     if endpoint.instance.direct:
         return _told('endpoint gone from the list', endpoint.instance)
@@ -155,7 +168,7 @@
 def _endpoint_listed(state: _state.State, row: events.Instance) -> Effects:
     endpoint = state.endpoints.get(row.instance)
     if endpoint is None:
-        endpoint = _state.Endpoint(instance=row)
+        endpoint = _state.Endpoint(instance=row, leaving=row.leaving)
         state.endpoints[row.instance] = endpoint
         state.placement.add(row.instance, row.service)
         if row.direct:
@@ -165,6 +178,7 @@
         endpoint.retry_link_at_ms = 0
     news = _news(endpoint, row)
     endpoint.instance = row
+    endpoint.listed = True
     endpoint.leaving = endpoint.leaving or row.leaving
     if row.direct:
         return news
--- a/berylhollow/gateway/_shell.py
+++ b/berylhollow/gateway/_shell.py
@@ -251,10 +251,10 @@
         )
         self.count('berylhollow.errors', 1, attributes)
 
-    def address_of(self, name: str) -> str:
-        """Return where a direct endpoint takes requests, '' if unknown."""
+    def row_of(self, name: str) -> events.Instance | None:
+        """Return what is listed of an endpoint, None if it is unknown."""
         endpoint = self.driver.state.endpoints.get(name)
-        return '' if endpoint is None else endpoint.instance.address
+        return None if endpoint is None else endpoint.instance
 
     # What the links report.
 
--- a/berylhollow/gateway/_sidecars.py
+++ b/berylhollow/gateway/_sidecars.py
@@ -96,9 +96,9 @@
 
 def _newest(state: _state.State, other: str | None, name: str) -> str:
     """Of two endpoints listed at one address, take the one that stays."""
-    if other is None or state.endpoints[other].leaving:
+    if other is None or not state.endpoints[other].usable:
         return name
-    return other if state.endpoints[name].leaving else name
+    return name if state.endpoints[name].usable else other
 
 
 def _add(state: _state.State, peer: str, instance: events.Instance) -> None:
@@ -113,12 +113,13 @@
 ) -> None:
     """Take over what a sidecar says, or the list where it says nothing.
 
-    A report of another incarnation of the endpoint is of no use: adapters
-    are gone with it.
+    A report of an endpoint with another name is of no use: the adapters are
+    another's. One of the same name and another start is newer than the list,
+    which still has the start before: what that one held is gone.
     """
     name = endpoint.instance.instance
     report = sidecar.report
-    if report is None or report.epoch not in ('', name):
+    if report is None or not _is_about(report, endpoint.instance):
         report = _listed_report(endpoint.instance)
     if report == endpoint.report:
         return
@@ -127,6 +128,14 @@
     endpoint.report = report
 
 
+def _is_about(report: messages.Report, instance: events.Instance) -> bool:
+    """Tell whether a report may be of what is listed, whenever it started."""
+    if report.epoch in ('', instance.instance):
+        return True
+    name, separator, _ = report.epoch.rpartition('@')
+    return bool(separator) and name == instance.listed_name
+
+
 def _listed_report(instance: events.Instance) -> messages.Report:
     slots = tuple(
         messages.SlotReport(number, adapter, True, 0)
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -42,6 +42,10 @@
     the last report could know of. ``waiting_tokens`` are those of the prompts
     that we sent there and whose answers have not begun. ``lost`` has the
     fingerprints of requests whose run there was cut off, and when.
+    ``leaving`` stays for good: it has said so itself, or was found to be
+    over. ``listed`` and ``superseded`` are what the newest list says, which
+    may be mended: an entry lapses while its endpoint lives, and one of
+    another writer may name its address.
     """
 
     instance: events.Instance
@@ -51,6 +55,8 @@
     report_at_ms: int = 0
     placed_at_report: int = 0
     leaving: bool = False
+    listed: bool = True
+    superseded: bool = False
     retry_link_at_ms: int = 0
     refusals: int = 0
     link_address: str = ''
@@ -69,7 +75,7 @@
     @property
     def usable(self) -> bool:
         if self.instance.direct:
-            return not self.leaving
+            return self.listed and not (self.leaving or self.superseded)
         return self.link is LinkPhase.OPEN and not self.leaving
 
     @property
--- a/berylhollow/loader/_endpoint_calls.py
+++ b/berylhollow/loader/_endpoint_calls.py
@@ -47,8 +47,9 @@
     async def _reading(self, read: int) -> None:
         try:
             state = await self.control.state()
-        except outgoing.CallError:
-            self.feed(events.EndpointUnreachable(self.time.now_ms()))
+        except outgoing.CallError as error:
+            now_ms = self.time.now_ms()
+            self.feed(events.EndpointUnreachable(now_ms, str(error)))
             return
         self.feed(
             events.AdaptersReported(
@@ -61,6 +62,7 @@
                 state.loading,
                 state.waiting,
                 state.running,
+                state.started_ms,
             )
         )
 
--- a/berylhollow/loader/_reducer.py
+++ b/berylhollow/loader/_reducer.py
@@ -38,6 +38,7 @@
     state.told = {
         peer: told for peer, told in state.told.items() if told.at_ms > oldest
     }
+    _forget_strays(state, at_ms)
     done: Effects = []
     if at_ms - state.read_ms >= _read_pause_ms(state):
         done += _read(state, at_ms)
@@ -45,6 +46,14 @@
     return done + _report.tell(state, at_ms)
 
 
+def _forget_strays(state: _state.State, at_ms: int) -> None:
+    """Drop what can not be carried out any more."""
+    if not (state.strays or state.unanswered):
+        return
+    state.strays = [x for x in state.strays if x.until_ms > at_ms]
+    state.unanswered = [x for x in state.unanswered if x.until_ms > at_ms]
+
+
 def _read_pause_ms(state: _state.State) -> int:
     options = state.options
     if state.reading:
@@ -73,9 +82,23 @@
         return []
     state.order = None
     state.fresh_read = state.reads + 1
+    _note_unanswered(state, order, at_ms)
     return [_log('order lost', order), *_read(state, at_ms)]
 
 
+def _note_unanswered(
+    state: _state.State, order: _state.Order, at_ms: int
+) -> None:
+    """Remember a load that may be carried out later.
+
+    While the endpoint lives its count of orders makes a late one harmless.
+    """
+    if order.load:
+        until_ms = at_ms + state.options.stray_ms
+        stray = _state.Stray(order.name, order.expected, until_ms)
+        state.unanswered.append(stray)
+
+
 def _reported(state: _state.State, event: events.AdaptersReported) -> Effects:
     """Plan on what the endpoint holds now."""
     done: Effects = []
@@ -87,15 +110,40 @@
     if before is not None and event.read < before.read:
         return done
     state.adapters = event
-    if before is not None and event.orders < before.orders:
-        # It counts from the start again: a new incarnation, which is empty.
-        state.end_endpoint()
-        fields = (('orders', event.orders), ('before', before.orders))
-        done.append(effects.Log('endpoint restarted', fields, warning=True))
+    if before is not None and _restarted(before, event):
+        if state.order is not None:
+            _note_unanswered(state, state.order, event.at_ms)
+        state.restart_endpoint(event.started_ms)
+        done.append(_told_restart(before, event))
     done += _order(state, event.at_ms)
     return done + _report.tell(state, event.at_ms)
 
 
+def _restarted(
+    before: events.AdaptersReported, event: events.AdaptersReported
+) -> bool:
+    """Tell whether the endpoint has started anew between two reports.
+
+    Its count of orders begins again too, and is all there is to tell by
+    where it does not say when it started.
+    """
+    if before.started_ms and event.started_ms:
+        return before.started_ms != event.started_ms
+    return event.orders < before.orders
+
+
+def _told_restart(
+    before: events.AdaptersReported, event: events.AdaptersReported
+) -> effects.Log:
+    fields = (
+        ('started_ms', event.started_ms),
+        ('started_before_ms', before.started_ms),
+        ('orders', event.orders),
+        ('orders_before', before.orders),
+    )
+    return effects.Log('endpoint restarted', fields, warning=True)
+
+
 def _unreachable(
     state: _state.State, event: events.EndpointUnreachable
 ) -> Effects:
@@ -103,12 +151,15 @@
     if state.unreachable:
         return []
     state.unreachable = True
-    return [effects.Log('endpoint does not answer', (), warning=True)]
+    fields = (('reason', event.reason),)
+    return [effects.Log('endpoint does not answer', fields, warning=True)]
 
 
 def _order(state: _state.State, at_ms: int) -> Effects:
     """Give the next order, unless one is under way or a read is."""
-    if state.order is not None or state.unreachable or not state.endpoint:
+    if state.order is not None or state.unreachable:
+        return []
+    if state.endpoint is None:
         return []
     if at_ms < state.order_at_ms:
         return []
@@ -118,15 +169,17 @@
     if step is None:
         return []
     state.orders += 1
-    order = _state.Order(str(state.orders), step.load, step.name, at_ms)
-    state.order = order
     adapters = state.adapters
+    order = _state.Order(
+        str(state.orders), step.load, step.name, at_ms, adapters.orders
+    )
+    state.order = order
     return [
         _log(
             'order',
             order,
             ('reason', step.reason),
-            ('endpoint', state.endpoint),
+            ('endpoint', str(state.endpoint)),
             ('held', len(adapters.held)),
             ('loading', len(adapters.loading)),
             ('slots', state.slots),
@@ -137,7 +190,7 @@
             step.load,
             step.name,
             adapters.orders,
-            state.endpoint,
+            state.endpoint.name,
         ),
     ]
 
@@ -150,6 +203,8 @@
     state.order = None
     if event.verdict is events.OrderVerdict.ANOTHER_INCARNATION:
         state.end_endpoint()
+    if event.verdict is events.OrderVerdict.LOST:
+        _note_unanswered(state, order, event.at_ms)
     _pace(state, event)
     state.fresh_read = state.reads + 1
     done = [_log('order ended', order, ('verdict', event.verdict.value))]
@@ -189,7 +244,7 @@
     if not isinstance(message, messages.AdapterDemands):
         return []
     state.told[event.peer] = _state.Told(message, event.at_ms)
-    state.learn_endpoint(message.endpoint)
+    state.learn_endpoint(message.incarnation)
     for entry in message.entries:
         if entry.waiting or entry.in_flight:
             state.used_ms[entry.adapter.adapter] = event.at_ms
--- a/berylhollow/loader/_report.py
+++ b/berylhollow/loader/_report.py
@@ -69,7 +69,7 @@
         instance=state.options.instance,
         service=state.options.service,
         failure_domain=state.options.failure_domain,
-        epoch=state.endpoint,
+        epoch='' if state.endpoint is None else str(state.endpoint),
         ready=bool(adapters.models) and not state.unreachable,
         leaving=False,
         slots=_slots(adapters),
--- a/berylhollow/loader/_state.py
+++ b/berylhollow/loader/_state.py
@@ -6,6 +6,10 @@
 from berylhollow import messages
 
 
+MOST_ENDED = 64
+"""Starts remembered as over. Gateways behind the list name the last few."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Options:
     """Limits and times of one loader; durations in milliseconds.
@@ -46,6 +50,7 @@
     refused_most_ms: int = 1280
     rate_horizon_s: float = 2.0
     reload_horizon_s: float = 0.2
+    stray_ms: int = 15_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,28 +73,48 @@
 
 @dataclasses.dataclass(slots=True)
 class Order:
-    """The order under way."""
+    """The order under way, valid after ``expected`` accepted ones."""
 
     order_id: str
     load: bool
     name: str
     sent_ms: int
+    expected: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stray:
+    """A load for a start that is over, which may still be carried out.
+
+    The endpoint takes it when it has accepted ``expected`` orders since it
+    started again.
+    """
+
+    name: str
+    expected: int
+    until_ms: int
 
 
 @dataclasses.dataclass(slots=True)
 class State:
     """Everything that a loader's reducer remembers.
 
-    ``endpoint`` is the incarnation to order, empty while it is not known:
+    ``endpoint`` is the incarnation to order, None while it is not known:
     only the gateways' list names it. ``ended`` are those that are known to be
-    over. ``used_ms`` is when each adapter was last needed, by name.
+    over, the latest last. ``unanswered`` are loads of the present start whose
+    answer was lost, ``strays`` those of starts that are over. ``used_ms`` is
+    when each adapter was last needed, by name.
     ``fresh_read`` is the first read that was begun after the last order had
     ended: an earlier one may not show what that order changed.
     """
 
     options: Options
-    endpoint: str = ''
-    ended: set[str] = dataclasses.field(default_factory=set)
+    endpoint: messages.Incarnation | None = None
+    ended: dict[messages.Incarnation, None] = dataclasses.field(
+        default_factory=dict
+    )
+    unanswered: list[Stray] = dataclasses.field(default_factory=list)
+    strays: list[Stray] = dataclasses.field(default_factory=list)
     adapters: events.AdaptersReported | None = None
     reading: bool = False
     reads: int = 0
@@ -106,26 +131,74 @@
     reported: messages.Report | None = None
     reported_ms: int = -1_000_000
 
-    def learn_endpoint(self, name: str) -> None:
-        """Take the name that a gateway has for the endpoint, if none is."""
-        if not self.endpoint and name not in self.ended:
-            self.endpoint = name
+    def learn_endpoint(self, named: messages.Incarnation) -> None:
+        """Take the incarnation that a gateway has from the list.
+
+        Not one that is over, nor one that started at another time than the
+        endpoint itself says: that gateway is behind. One that fits goes
+        before a name that was only kept over a restart.
+        """
+        if not named.name or named in self.ended:
+            return
+        started_ms = 0 if self.adapters is None else self.adapters.started_ms
+        if started_ms and named.started_ms:
+            if named.started_ms == started_ms:
+                self.endpoint = named
+            return
+        if self.endpoint is None:
+            self.endpoint = named
 
     def end_endpoint(self) -> None:
         """The incarnation that was ordered is over; another is there.
 
         Guards against a gateway that is behind the list and still names it:
-        the loader would order the old one again and again.
+        the loader would order the old one again and again. What others say
+        may name the next one already.
         """
-        if self.endpoint:
-            self.ended.add(self.endpoint)
-        self.endpoint = ''
+        if self.endpoint is not None:
+            self.ended.pop(self.endpoint, None)
+            self.ended[self.endpoint] = None
+        while len(self.ended) > MOST_ENDED:
+            del self.ended[next(iter(self.ended))]
+        self.endpoint = None
+        for told in self.told.values():
+            self.learn_endpoint(told.demands.incarnation)
+
+    def restart_endpoint(self, started_ms: int) -> None:
+        """The endpoint has started again, and knows nothing of before.
+
+        Its name may have stayed the same, which the list tells seconds later
+        or, in an outage of the store, not at all. Ordered under its old name
+        it starts to load at once; if it has another, it refuses the order
+        and no harm is done.
+        """
+        before = self.endpoint
+        self.strays += self.unanswered
+        self.unanswered = []
+        self.order = None
+        self.refusals = 0
+        self.order_at_ms = 0
+        self.used_ms = {}
+        self.end_endpoint()
+        if self.endpoint is None and before is not None and started_ms:
+            kept = messages.Incarnation(before.name, started_ms)
+            if kept not in self.ended:
+                self.endpoint = kept
 
     @property
     def slots(self) -> int:
-        """How many adapters the endpoint can hold, as gateways say."""
+        """How many adapters may be held, of those that gateways say.
+
+        A stray load takes a place nobody has planned for. Guards against an
+        endpoint that is asked for more than it can hold and crashes: one
+        place stays free for each until the endpoint has accepted so many
+        orders that none of them is valid any more.
+        """
         told = self.told.values()
-        return min((entry.demands.slots for entry in told), default=0)
+        most = min((entry.demands.slots for entry in told), default=0)
+        accepted = 0 if self.adapters is None else self.adapters.orders
+        valid = sum(stray.expected >= accepted for stray in self.strays)
+        return max(min(most, 1), most - valid)
 
     @property
     def models(self) -> tuple[str, ...]:
--- a/berylhollow/messages.py
+++ b/berylhollow/messages.py
@@ -10,6 +10,25 @@
 from berylhollow import errors
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Incarnation:
+    """One start of an endpoint: the name that it is listed under, and when.
+
+    An endpoint may start again under its old name, and then holds and knows
+    nothing of before. ``started_ms`` is Unix time by its own clock, 0 if it
+    does not say. It is only compared for being the same: that clock may have
+    been set back between two starts.
+    """
+
+    name: str
+    started_ms: int = 0
+
+    def __str__(self) -> str:
+        if not self.started_ms:
+            return self.name
+        return f'{self.name}@{self.started_ms}'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AdapterVersion:
     """An adapter and its version, written ``adapter@version``."""
@@ -233,8 +252,9 @@
 class AdapterDemands:
     """All that a gateway needs of adapters at one endpoint, now.
 
-    ``endpoint`` names its incarnation, ``slots`` is how many adapters it can
-    hold, ``models`` are those that its service needs.
+    ``endpoint`` and ``started_ms`` name its incarnation as the gateway has it
+    from the list, ``slots`` is how many adapters it can hold, ``models`` are
+    those that its service needs.
     """
 
     endpoint: str
@@ -242,6 +262,12 @@
     slots: int
     models: tuple[str, ...]
     entries: tuple[AdapterDemand, ...]
+    started_ms: int = 0
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """Return the incarnation of the endpoint that this is about."""
+        return Incarnation(self.endpoint, self.started_ms)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/berylhollow/platform/_order.py
+++ b/berylhollow/platform/_order.py
@@ -9,6 +9,7 @@
 from berylhollow import events
 from berylhollow import messages
 from berylhollow import outgoing
+from berylhollow.platform import _fields
 from berylhollow.platform import _records
 from berylhollow.platform import _runs
 from berylhollow import routes
@@ -47,7 +48,8 @@
 class EndpointState:
     """What the endpoint reports of itself, at this moment.
 
-    ``orders`` counts the orders that it has accepted since its start.
+    ``orders`` counts the orders that it has accepted since its start,
+    ``started_ms`` is when that was (0 if it does not say).
     ``loading`` are adapters on their way, which take places already.
     ``busy`` tells that an order about a model is under way.
     """
@@ -59,6 +61,7 @@
     loading: tuple[messages.AdapterVersion, ...]
     waiting: int
     running: int
+    started_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -89,16 +92,10 @@
         reply = await outgoing.call(
             self.session, 'GET', f'{self.url}/report', CALL_TIMEOUT_MS
         )
-        value = reply.value()
-        return EndpointState(
-            orders=int(value.get('Seq', 0)),
-            models=_records.held_models(value.get('Models') or ()),
-            busy=bool(value.get('Busy', False)),
-            held=_records.held_adapters(value.get('Models') or ()),
-            loading=tuple(_pending(text) for text in _pending_of(value)),
-            waiting=int(value.get('Queued', 0)),
-            running=int(value.get('Active', 0)),
-        )
+        try:
+            return _state(reply.value())
+        except routes.MalformedRecordError as error:
+            raise outgoing.MaybeDone(str(error)) from error
 
     async def order(self, order: Order) -> events.OrderVerdict:
         """Send an order. Raises ``NotDone`` or ``MaybeDone``."""
@@ -133,11 +130,16 @@
         await self.session.close()
 
 
-def _pending_of(value: dict) -> list[str]:
-    return value.get('Pending') or []
-
-
-def _pending(text: str) -> messages.AdapterVersion:
-    """Return an adapter written MODEL/NAME@VERSION."""
-    name, _, version = text.partition('@')
-    return messages.AdapterVersion(name, version or routes.FIRST_VERSION)
+def _state(value: dict) -> EndpointState:
+    models = _fields.objects(value, 'Models')
+    pending = _fields.texts(value, 'Pending')
+    return EndpointState(
+        orders=_fields.whole(value, 'Seq', 0),
+        models=_records.held_models(models),
+        busy=_fields.truth(value, 'Busy'),
+        held=_records.held_adapters(models),
+        loading=tuple(map(_records.listed_adapter, pending)),
+        waiting=_fields.whole(value, 'Queued', 0),
+        running=_fields.whole(value, 'Active', 0),
+        started_ms=_records.started_ms(value),
+    )
--- a/berylhollow/platform/_records.py
+++ b/berylhollow/platform/_records.py
@@ -1,9 +1,10 @@
 """Records of the platform's store: configuration and the instance list."""
 
-import json
+import collections.abc
 
 from berylhollow import events
 from berylhollow import messages
+from berylhollow.platform import _fields
 from berylhollow import routes
 
 CONFIGURATION_STREAM = 'keyed.op'
@@ -16,16 +17,30 @@
     'unsafe': routes.Repeat.ONCE,
     'stream': routes.Repeat.STREAM,
 }
+LEAVING_STATES = {'ready': False, 'draining': True}
+"""Whether an endpoint leaves, by the state that its entry names."""
+
+START = 'born'
+"""Field of everything that an endpoint says of itself: the Unix time of its
+start in milliseconds. Its name stays the same over restarts, so the two
+together name what is running."""
+
 MB = 1024 * 1024
 UNLIMITED = 1_000_000
 
 
 def split(data: bytes) -> tuple[str, bytes]:
-    """Return key and value of a keyed record; no value drops the key."""
-    if not data or len(data) < 1 + data[0]:
+    """Return key and value of a keyed record; no value drops the key.
+
+    Raises ``routes.MalformedRecordError``.
+    """
+    if not data or not data[0] or len(data) < 1 + data[0]:
         raise routes.MalformedRecordError('a record ends within its key')
     end = 1 + data[0]
-    return data[1:end].decode(errors='replace'), data[end:]
+    try:
+        return data[1:end].decode(), data[end:]
+    except UnicodeDecodeError as error:
+        raise routes.MalformedRecordError('a key is no text') from error
 
 
 def join(key: str, value: bytes) -> bytes:
@@ -43,86 +58,102 @@
     if not value:
         return None
     if key == CONFIGURATION_KEY:
-        return _decoded(_table, value)
+        return _table(_fields.document(value))
     if key.startswith(VERSION_PREFIX):
-        return _decoded(_adapter_version, value)
+        return _adapter_version(_fields.document(value))
     return None
 
 
 def decode_instance(data: bytes) -> tuple[str, events.Instance | None]:
-    """Return an endpoint's id and row; None if it has left the list."""
+    """Return an endpoint's name in the list and its row.
+
+    The row is None if the endpoint has left the list. Raises
+    ``routes.MalformedRecordError``, which has the name if that could be read.
+    """
     key, value = split(data)
     if not value:
         return key, None
-    return key, _decoded(lambda entry: _instance(key, entry), value)
-
-
-def _decoded(build, value: bytes):
     try:
-        return build(json.loads(value))
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise routes.MalformedRecordError(
-            f'{type(error).__name__}: {error}'
-        ) from error
+        return key, _instance(key, _fields.document(value))
+    except routes.MalformedRecordError as error:
+        raise routes.MalformedRecordError(str(error), key) from error
 
 
 def _table(value: dict) -> routes.RouteTable:
     limits = value.get('Limits') or {}
+    if not isinstance(limits, dict):
+        raise routes.MalformedRecordError('Limits is no object')
+    services = _fields.objects(value, 'Services')
     return routes.RouteTable(
-        version=int(value['Version']),
-        routes=tuple(_route(entry) for entry in value['Routes']),
-        services=tuple(_service(entry) for entry in value['Services']),
+        version=_fields.whole(value, 'Version'),
+        routes=tuple(map(_route, _fields.objects(value, 'Routes'))),
+        services=tuple(map(_service, services)),
         limits=routes.RequestLimits(
-            header_bytes=int(limits.get('MaxHeaderBytes', 16 * 1024)),
-            body_bytes=int(limits.get('MaxBodyBytes', 4 * MB)),
-            header_timeout_ms=int(limits.get('HeaderTimeoutMs', 3000)),
-            idle_timeout_ms=int(limits.get('IdleTimeoutMs', 15_000)),
+            header_bytes=_fields.whole(limits, 'MaxHeaderBytes', 16 * 1024),
+            body_bytes=_fields.whole(limits, 'MaxBodyBytes', 4 * MB),
+            header_timeout_ms=_fields.milliseconds(
+                limits, 'HeaderTimeoutMs', 3000
+            ),
+            idle_timeout_ms=_fields.milliseconds(
+                limits, 'IdleTimeoutMs', 15_000
+            ),
         ),
     )
 
 
 def _route(entry: dict) -> routes.Route:
+    kind = _fields.text(entry, 'Kind')
+    if kind not in KINDS:
+        raise routes.MalformedRecordError(f'unknown kind {kind!r}')
     return routes.Route(
-        name=entry.get('Name', ''),
-        host=entry['Host'],
-        prefix=entry['PathPrefix'],
-        repeat=KINDS[entry['Kind']],
-        timeout_ms=int(entry['TimeoutMs']),
-        objective_ms=int(entry.get('TargetLatencyMs') or 0),
-        priority=int(entry.get('Priority') or 0),
+        name=_fields.text(entry, 'Name', ''),
+        host=_fields.text(entry, 'Host'),
+        prefix=_fields.text(entry, 'PathPrefix'),
+        repeat=KINDS[kind],
+        timeout_ms=_fields.milliseconds(entry, 'TimeoutMs'),
+        objective_ms=_fields.milliseconds(entry, 'TargetLatencyMs', 0),
+        priority=_fields.whole(entry, 'Priority', 0),
         shares=_shares(entry),
-        most_runs=int(entry.get('MaxAttempts') or 1),
-        resumable=bool(entry.get('Resumable', False)),
-        event_gap_ms=int(entry.get('GapTargetMs') or 0),
+        most_runs=max(1, _fields.whole(entry, 'MaxAttempts', 1)),
+        resumable=_fields.truth(entry, 'Resumable'),
+        event_gap_ms=_fields.milliseconds(entry, 'GapTargetMs', 0),
     )
 
 
 def _shares(entry: dict) -> tuple[routes.Share, ...]:
-    split_entries = entry.get('TrafficSplit')
+    split_entries = _fields.objects(entry, 'TrafficSplit')
     if not split_entries:
-        return (routes.Share(entry['Service'], 1.0),)
+        return (routes.Share(_fields.text(entry, 'Service'), 1.0),)
     return tuple(
-        routes.Share(part['Service'], float(part['Weight']))
+        routes.Share(
+            _fields.text(part, 'Service'), _fields.number(part, 'Weight')
+        )
         for part in split_entries
     )
 
 
 def _service(entry: dict) -> routes.Service:
-    engine = entry.get('Engine')
+    engine = entry.get('Engine') or None
+    if engine is not None and not isinstance(engine, dict):
+        raise routes.MalformedRecordError('Engine is no object')
     return routes.Service(
-        name=entry['Name'],
-        connections=int(entry.get('MaxConns') or UNLIMITED),
-        engine=None if not engine else _engine(engine),
+        name=_fields.text(entry, 'Name'),
+        connections=_fields.whole(entry, 'MaxConns', 0) or UNLIMITED,
+        engine=None if engine is None else _engine(engine),
     )
 
 
 def _engine(entry: dict) -> routes.Engine:
+    models = _fields.objects(entry, 'Models')
     return routes.Engine(
-        batch=int(entry.get('Slots') or 1),
-        adapter_slots=int(entry.get('AdapterSlots') or 0),
+        batch=max(1, _fields.whole(entry, 'Slots', 1)),
+        adapter_slots=_fields.whole(entry, 'AdapterSlots', 0),
         adapters=tuple(
-            (model['Name'], int(model.get('Adapters') or 0))
-            for model in entry.get('Models', ())
+            (
+                _fields.text(model, 'Name'),
+                _fields.whole(model, 'Adapters', 0),
+            )
+            for model in models
         ),
     )
 
@@ -130,47 +161,65 @@
 def _adapter_version(value: dict) -> routes.NewAdapterVersion | None:
     if not value.get('Adapter'):
         return None
-    name = adapter_name(value['Model'], value['Adapter'])
-    version = str(int(value['Version']))
+    name = adapter_name(
+        _fields.text(value, 'Model'), _fields.text(value, 'Adapter')
+    )
+    version = str(_fields.whole(value, 'Version'))
     return routes.NewAdapterVersion(messages.AdapterVersion(name, version))
 
 
 def _instance(name: str, entry: dict) -> events.Instance:
+    state = _fields.text(entry, 'State')
+    if state not in LEAVING_STATES:
+        raise routes.MalformedRecordError(f'unknown state {state!r}')
+    incarnation = messages.Incarnation(name, started_ms(entry))
+    models = _fields.objects(entry, 'Models')
     return events.Instance(
-        instance=name,
+        instance=str(incarnation),
         role=events.Role.ENDPOINT,
-        service=entry['Service'],
-        failure_domain=entry.get('Zone', ''),
+        service=_fields.text(entry, 'Service'),
+        failure_domain=_fields.text(entry, 'Zone', ''),
         region='',
-        address=entry['Address'],
-        leaving=entry.get('State') != 'ready',
+        address=_fields.address(entry, 'Address'),
+        leaving=LEAVING_STATES[state],
         direct=True,
-        capacity=int(entry.get('Slots') or 0),
-        models=held_models(entry.get('Models') or ()),
-        adapters=held_adapters(entry.get('Models') or ()),
+        capacity=_fields.whole(entry, 'Slots', 0),
+        models=held_models(models),
+        adapters=held_adapters(models),
+        incarnation=incarnation,
     )
 
 
+def started_ms(entry: dict) -> int:
+    """Return when an endpoint says that it started, 0 if it does not say."""
+    return _fields.whole(entry, START, 0)
+
+
 def adapter_name(model: str, adapter: str) -> str:
     """Return the name by which requests ask for an adapter of a model."""
     return f'{model}{routes.ADAPTER_SEPARATOR}{adapter}'
 
 
-def held_models(models) -> tuple[str, ...]:
+def held_models(models: collections.abc.Iterable[dict]) -> tuple[str, ...]:
     """Return the names of the models that a list says are loaded."""
-    return tuple(model['Name'] for model in models)
+    return tuple(_fields.text(model, 'Name') for model in models)
 
 
-def held_adapters(models) -> tuple[messages.AdapterVersion, ...]:
+def held_adapters(
+    models: collections.abc.Iterable[dict],
+) -> tuple[messages.AdapterVersion, ...]:
     """Return the adapters that a list of models says are loaded."""
-    held = []
-    for model in models:
-        for listed in model.get('Adapters') or ():
-            name, _, version = listed.partition('@')
-            held.append(
-                messages.AdapterVersion(
-                    adapter_name(model['Name'], name),
-                    version or routes.FIRST_VERSION,
-                )
-            )
-    return tuple(held)
+    return tuple(
+        listed_adapter(adapter_name(_fields.text(model, 'Name'), listed))
+        for model in models
+        for listed in _fields.texts(model, 'Adapters')
+    )
+
+
+def listed_adapter(listed: str) -> messages.AdapterVersion:
+    """Return an adapter from MODEL/NAME@VERSION, the first one if none."""
+    name, _, version = listed.partition('@')
+    version = version or routes.FIRST_VERSION
+    if not (version.isascii() and version.isdecimal()):
+        raise routes.MalformedRecordError(f'no adapter: {listed[:80]!r}')
+    return messages.AdapterVersion(name, version)
--- a/berylhollow/routes/_follower.py
+++ b/berylhollow/routes/_follower.py
@@ -46,6 +46,7 @@
         self.retry_at_ms = 0
         self.fresh_ms: int | None = None
         self.lost = False
+        self.misread: tuple[str, str] | None = None
 
     def start(self, at_ms: int) -> Effects:
         """Begin with the newest record of each kind."""
@@ -128,14 +129,23 @@
         try:
             news = self.decode(data)
         except _news.MalformedRecordError as error:
-            fields = (('stream', self.stream), ('reason', str(error)))
-            return [effects.Log('record not understood', fields, True)]
+            return self._misread(error)
+        self.misread = None
         if isinstance(news, _table.RouteTable):
             return self._take_table(news)
         if isinstance(news, _news.NewAdapterVersion):
             return self._take_version(news, at_ms)
         return []
 
+    def _misread(self, error: _news.MalformedRecordError) -> Effects:
+        """Say once what can't be read, however often it is written."""
+        what = (error.key, str(error))
+        if what == self.misread:
+            return []
+        self.misread = what
+        fields = (('stream', self.stream), ('reason', str(error)))
+        return [effects.Log('record not understood', fields, True)]
+
     def _take_table(self, table: _table.RouteTable) -> Effects:
         if self.current is not None and (
             table.version <= self.current.revision
--- a/test/hosted/direct_helper.py
+++ b/test/hosted/direct_helper.py
@@ -103,5 +103,5 @@
     def message(self, peer, message):
         self.told.put_nowait(message)
 
-    def address_of(self, name):
-        return self.address
+    def row_of(self, name):
+        return builders.instance(name, address=self.address, direct=True)
--- a/test/hosted/test_gateway_direct.py
+++ b/test/hosted/test_gateway_direct.py
@@ -94,7 +94,7 @@
         (offer,) = self.offers()
         return offer
 
-    def fail(self, kind, ran=errors.Ran.NOT_RUN, at_ms=0):
+    def fail_attempt(self, kind, ran=errors.Ran.NOT_RUN, at_ms=0):
         peer, offer = self.offered()
         failed = messages.Failed(offer.attempt_id, kind, ran)
         return self.receive(failed, at_ms, peer)
@@ -140,7 +140,7 @@
         self.list(plain('i-1', '10.0.0.1:80'), plain('i-2', '10.0.0.2:80'))
         self.ask()
         first, _ = self.offered()
-        self.fail(errors.Kind.ENDPOINT_UNREACHABLE)
+        self.fail_attempt(errors.Kind.ENDPOINT_UNREACHABLE)
         self.assertNotEqual(first, self.offered()[0])
 
     def test_request_that_may_have_run_is_not_run_again(self):
@@ -151,7 +151,7 @@
         """
         self.list(plain('i-1', '10.0.0.1:80'), plain('i-2', '10.0.0.2:80'))
         self.ask()
-        self.fail(errors.Kind.ENGINE_RESTARTED, errors.Ran.UNKNOWN)
+        self.fail_attempt(errors.Kind.ENGINE_RESTARTED, errors.Ran.UNKNOWN)
         self.assertEqual([], self.offers())
         self.assertIs(errors.Ran.UNKNOWN, self.answer().ran)
 
@@ -167,7 +167,7 @@
         self.list(*rows)
         self.ask()
         gone, _ = self.offered()
-        self.fail(errors.Kind.ENDPOINT_REPLACED)
+        self.fail_attempt(errors.Kind.ENDPOINT_REPLACED)
         self.list(*rows)
         for _ in range(4):
             self.ask()
@@ -232,7 +232,7 @@
         again = 0
         for _ in range(20):
             self.ask()
-            self.fail(errors.Kind.ENGINE_RESTARTED, errors.Ran.UNKNOWN)
+            self.fail_attempt(errors.Kind.ENGINE_RESTARTED, errors.Ran.UNKNOWN)
             again += len(self.offers())
         self.assertEqual(2 + 1, again)
 
@@ -245,7 +245,7 @@
         self.list(plain('i-1', '10.0.0.1:80'), plain('i-2', '10.0.0.2:80'))
         self.ask()
         self.assertFalse(self.offered()[1].another)
-        self.fail(errors.Kind.ENDPOINT_FAILED, errors.Ran.RAN)
+        self.fail_attempt(errors.Kind.ENDPOINT_FAILED, errors.Ran.RAN)
         self.assertEqual([], self.offers())
 
 
@@ -369,7 +369,7 @@
         self.ask(fingerprint=fingerprint, at_ms=number)
         if not self.offers():
             return False
-        self.fail(
+        self.fail_attempt(
             errors.Kind.ENGINE_RESTARTED, errors.Ran.UNKNOWN, at_ms=number
         )
         later = plain(f'i-{number + 1}', '10.0.0.1:80')
@@ -394,7 +394,7 @@
         self.list(plain('i-1', '10.0.0.1:80'))
         for _ in range(5):
             self.ask(fingerprint='same')
-            self.fail(errors.Kind.ENGINE_RESTARTED, errors.Ran.UNKNOWN)
+            self.fail_attempt(errors.Kind.ENGINE_RESTARTED, errors.Ran.UNKNOWN)
         self.ask(fingerprint='same')
         self.assertEqual(1, len(self.offers()))
 
--- a/test/loader/test_loader.py
+++ b/test/loader/test_loader.py
@@ -2,80 +2,25 @@
 
 from berylhollow import effects
 from berylhollow import events
-from berylhollow import loader
 from berylhollow import messages
-from test import helper
+from test.loader import loader_helper
 
-MODEL = 'm'
-PEER = 'g1'
-ENDPOINT = 'i-1'
 
-
-def named(adapter, version='1'):
-    return messages.AdapterVersion(f'{MODEL}/{adapter}', version)
-
-
-def demand(adapter, waiting=1, in_flight=0, rate=0.0, version='1'):
-    return messages.AdapterDemand(
-        named(adapter, version), waiting, in_flight, rate
-    )
-
-
-class LoaderTestCase(helper.ReducerTestCase):
-    def setUp(self):
-        options = loader.Options(instance='side-1', service='s')
-        self.begin(loader.reduce, loader.State(options))
-        self.orders = 0
-        self.open_link(PEER, events.Role.GATEWAY)
-
-    def want(self, *entries, at_ms=0, endpoint=ENDPOINT, slots=2, peer=PEER):
-        message = messages.AdapterDemands(
-            endpoint, 's', slots, (MODEL,), tuple(entries)
-        )
-        return self.receive(message, at_ms, peer)
-
-    def report(self, held=(), loading=(), at_ms=0, **changes):
-        values = {
-            'at_ms': at_ms,
-            'read': self.state.reads,
-            'orders': self.orders,
-            'models': (MODEL,),
-            'busy': False,
-            'held': tuple(held),
-            'loading': tuple(loading),
-            'waiting': 0,
-            'running': 0,
-        }
-        return self.feed(events.AdaptersReported(**(values | changes)))
-
-    def order(self):
-        """Return the one order that the last event gave."""
-        (order,) = self.of_type(effects.OrderAdapter)
-        return order
-
-    def end_order(self, verdict=events.OrderVerdict.ACCEPTED, at_ms=0):
-        order_id = self.state.order.order_id
-        if verdict is events.OrderVerdict.ACCEPTED:
-            self.orders += 1
-        return self.feed(events.OrderEnded(at_ms, order_id, verdict))
-
-    def assert_no_order(self):
-        self.assertEqual([], self.of_type(effects.OrderAdapter))
-
-
-class OrderTest(LoaderTestCase):
+class OrderTest(loader_helper.LoaderTestCase):
     def test_waited_for_adapter_is_loaded(self):
         self.report()
-        self.want(demand('a1'))
+        self.want(loader_helper.demand('a1'))
         order = self.order()
         self.assertTrue(order.load)
         self.assertEqual('m/a1', order.name)
-        self.assertEqual((0, ENDPOINT), (order.orders, order.endpoint))
+        self.assertEqual(
+            (0, loader_helper.ENDPOINT), (order.orders, order.endpoint)
+        )
 
     def test_nothing_is_ordered_before_the_endpoint_is_known(self):
         """An order that names no incarnation may reach the next one."""
         self.report()
-        self.want(demand('a1'), endpoint='')
+        self.want(loader_helper.demand('a1'), endpoint='')
         self.assert_no_order()
 
     def test_empty_endpoint_gets_its_model_first(self):
@@ -85,8 +30,8 @@
         there failed: the model itself has to be loaded before.
         """
         self.report(models=())
-        self.want(demand('a1'))
-        self.assertEqual(MODEL, self.order().name)
+        self.want(loader_helper.demand('a1'))
+        self.assertEqual(loader_helper.MODEL, self.order().name)
         self.assertFalse(self.sent(messages.Report)[-1].ready)
 
     def test_next_order_waits_for_a_report_after_the_last_one(self):
@@ -96,12 +41,12 @@
         carried out; the endpoint refuses it, or crashes if it does not check.
         """
         self.report()
-        self.want(demand('a1'), demand('a2'))
+        self.want(loader_helper.demand('a1'), loader_helper.demand('a2'))
         self.end_order()
         stale_read = self.state.reads - 1
         self.report(read=stale_read)
         self.assert_no_order()
-        self.report(loading=[named('a1')])
+        self.report(loading=[loader_helper.named('a1')])
         self.assertEqual('m/a2', self.order().name)
 
     def test_late_read_is_no_restart(self):
@@ -115,9 +60,9 @@
         self.feed(events.Ticked(400))
         self.feed(events.Ticked(2000))
         self.report(read=self.state.reads, at_ms=2010)
-        self.want(demand('a1'), at_ms=2010)
+        self.want(loader_helper.demand('a1'), at_ms=2010)
         self.report(read=self.state.reads - 1, orders=4, at_ms=2020)
-        self.assertEqual(ENDPOINT, self.state.endpoint)
+        self.assertEqual(loader_helper.ENDPOINT, str(self.state.endpoint))
 
     def test_refused_orders_come_ever_more_seldom(self):
         """An order that is refused for good was repeated without a pause.
@@ -125,13 +70,13 @@
         One sidecar sent 7,000 of them in half a minute.
         """
         self.report()
-        self.want(demand('a1'))
+        self.want(loader_helper.demand('a1'))
         sent = 0
         for at_ms in range(0, 5000, 10):
             if self.state.order is not None:
                 sent += 1
                 self.end_order(events.OrderVerdict.CONFLICT, at_ms)
-            self.want(demand('a1'), at_ms=at_ms)
+            self.want(loader_helper.demand('a1'), at_ms=at_ms)
             self.report(at_ms=at_ms)
         self.assertLess(sent, 12)
 
@@ -141,59 +86,76 @@
         self.want()
         self.orders = 0
         self.report(models=())
-        self.want(demand('a1'))
+        self.want(loader_helper.demand('a1'))
         self.assert_no_order()
-        self.want(demand('a1'), endpoint='i-2')
+        self.want(loader_helper.demand('a1'), endpoint='i-2')
         self.assertEqual('i-2', self.order().endpoint)
 
 
-class RoomTest(LoaderTestCase):
+class RoomTest(loader_helper.LoaderTestCase):
     def test_adapters_on_their_way_take_places(self):
         """What is loading counts: one more crashes the endpoint."""
-        self.report(held=[named('a1')], loading=[named('a2')])
-        self.want(demand('a3'), demand('a1', 0, 1))
+        self.report(
+            held=[loader_helper.named('a1')],
+            loading=[loader_helper.named('a2')],
+        )
+        self.want(loader_helper.demand('a3'), loader_helper.demand('a1', 0, 1))
         self.assert_no_order()
 
     def test_least_needed_adapter_makes_room(self):
-        self.report(held=[named('a1'), named('a2')])
+        self.report(
+            held=[loader_helper.named('a1'), loader_helper.named('a2')]
+        )
         self.want(
-            demand('a1', 0, 0, 2.0), demand('a2', 0, 0, 0.1), demand('a3')
+            loader_helper.demand('a1', 0, 0, 2.0),
+            loader_helper.demand('a2', 0, 0, 0.1),
+            loader_helper.demand('a3'),
         )
         order = self.order()
         self.assertEqual((False, 'm/a2'), (order.load, order.name))
 
     def test_adapter_in_use_stays(self):
         """An unload waits for the runs and holds the place back."""
-        self.report(held=[named('a1'), named('a2')])
-        self.want(demand('a1', 0, 1), demand('a2', 0, 1), demand('a3'))
+        self.report(
+            held=[loader_helper.named('a1'), loader_helper.named('a2')]
+        )
+        self.want(
+            loader_helper.demand('a1', 0, 1),
+            loader_helper.demand('a2', 0, 1),
+            loader_helper.demand('a3'),
+        )
         self.assert_no_order()
 
     def test_hot_adapter_does_not_go_for_a_single_request(self):
-        self.report(held=[named('a1'), named('a2')])
+        self.report(
+            held=[loader_helper.named('a1'), loader_helper.named('a2')]
+        )
         self.want(
-            demand('a1', 0, 0, 8.0), demand('a2', 0, 0, 8.0), demand('a3')
+            loader_helper.demand('a1', 0, 0, 8.0),
+            loader_helper.demand('a2', 0, 0, 8.0),
+            loader_helper.demand('a3'),
         )
         self.assert_no_order()
 
 
-class VersionTest(LoaderTestCase):
+class VersionTest(loader_helper.LoaderTestCase):
     def test_idle_adapter_is_replaced_by_its_newer_version(self):
-        self.report(held=[named('a1')])
-        self.want(demand('a1', version='2'))
+        self.report(held=[loader_helper.named('a1')])
+        self.want(loader_helper.demand('a1', version='2'))
         self.assertEqual('m/a1', self.order().name)
 
     def test_version_in_use_is_not_replaced_under_its_runs(self):
         """A replacement waits for its runs and refuses new ones meanwhile."""
-        self.report(held=[named('a1')])
-        self.want(demand('a1', 1, 2, version='2'))
+        self.report(held=[loader_helper.named('a1')])
+        self.want(loader_helper.demand('a1', 1, 2, version='2'))
         self.assert_no_order()
 
 
-class ReportTest(LoaderTestCase):
+class ReportTest(loader_helper.LoaderTestCase):
     def test_loading_adapter_is_not_ready(self):
         self.want()
-        held = [named('a1'), named('a2')]
-        self.report(held=held, loading=[named('a1', '2')])
+        held = [loader_helper.named('a1'), loader_helper.named('a2')]
+        self.report(held=held, loading=[loader_helper.named('a1', '2')])
         report = self.sent(messages.Report)[-1]
         ready = [str(s.adapter) for s in report.slots if s.ready]
         self.assertEqual(['m/a2@1'], ready)
@@ -202,10 +164,13 @@
         return self.sent(messages.Report)
 
     def test_adapter_that_comes_or_goes_is_told_at_once(self):
-        self.report(held=[named('a1')], at_ms=1000)
-        self.report(held=[named('a1'), named('a2')], at_ms=1010)
+        self.report(held=[loader_helper.named('a1')], at_ms=1000)
+        self.report(
+            held=[loader_helper.named('a1'), loader_helper.named('a2')],
+            at_ms=1010,
+        )
         self.assertEqual(1, len(self.reports()))
-        self.report(held=[named('a2')], at_ms=1020)
+        self.report(held=[loader_helper.named('a2')], at_ms=1020)
         self.assertEqual(1, len(self.reports()))
 
     def test_steps_of_a_load_are_told_together(self):
@@ -216,10 +181,10 @@
         """
         told = 0
         self.want(at_ms=990)
-        self.report(held=[named('a1')], at_ms=1000)
+        self.report(held=[loader_helper.named('a1')], at_ms=1000)
         for at_ms in range(1010, 1100, 10):
-            self.want(demand('a1', at_ms // 10), at_ms=at_ms)
-            self.want(demand(f'b{at_ms}'), at_ms=at_ms)
+            self.want(loader_helper.demand('a1', at_ms // 10), at_ms=at_ms)
+            self.want(loader_helper.demand(f'b{at_ms}'), at_ms=at_ms)
             told += len(self.reports())
         self.assertEqual(0, told)
         self.feed(events.Ticked(1100, 0.5))
@@ -228,7 +193,7 @@
 
     def test_demand_of_a_silent_gateway_lapses(self):
         self.report()
-        self.want(demand('a1', 0, 1))
+        self.want(loader_helper.demand('a1', 0, 1))
         self.feed(events.Ticked(2501))
         self.assertEqual({}, self.state.needs())
 
@@ -236,10 +201,10 @@
         self.assertEqual([effects.Exit(0)], self.feed(events.StopRequested(0)))
 
 
-class CrashTest(LoaderTestCase):
+class CrashTest(loader_helper.LoaderTestCase):
     def test_crash_that_one_gateway_saw_is_told_to_the_others(self):
         self.open_link('g2', events.Role.GATEWAY)
         crash = messages.Crashed('i-1 at g1', 's', ('print',))
-        self.receive(crash, peer=PEER)
+        self.receive(crash, peer=loader_helper.PEER)
         (sent,) = self.of_type(effects.Send)
         self.assertEqual(('g2', crash), (sent.peer, sent.message))
--- a/test/test_endpoint_directory.py
+++ b/test/test_endpoint_directory.py
@@ -11,6 +11,10 @@
 from test import platform_builders as builders
 
 
+FIRST_MS = 1_790_000_000_000
+"""When an endpoint started first, by its own clock."""
+
+
 class FakeStore:
     """Records in order; ``down`` fails every call."""
 
@@ -39,9 +43,10 @@
         self.full_reads += 1
         newest = {}
         for entry in self.result(0).records:
-            name, row = platform.decode_instance(entry.data)
+            size = entry.data[0] if entry.data else 0
+            name = entry.data[1 : 1 + size].decode()
             newest.pop(name, None)
-            if row is not None:
+            if entry.data[1 + size :]:
                 newest[name] = entry
         entries = tuple(newest[name] for name in sorted(newest))
         return log_service.ReadResult(entries, 0, len(self.records))
@@ -59,7 +64,7 @@
             raise outgoing.NotDone('down')
 
 
-class DirectoryTest(unittest.IsolatedAsyncioTestCase):
+class DirectoryTestCase(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.clock = clock.VirtualClock()
         self.store = FakeStore()
@@ -70,6 +75,8 @@
     async def names(self):
         return [row.instance for row in await self.directory.list()]
 
+
+class DirectoryTest(DirectoryTestCase):
     async def test_follows_what_is_new(self):
         self.store.put('i-1')
         self.assertEqual(['i-1'], await self.names())
@@ -133,3 +140,84 @@
         self.store.put('i-1')
         with self.assertLogs('berylhollow', 'WARNING'):
             self.assertEqual(['i-1'], await self.names())
+
+
+class StartTest(DirectoryTestCase):
+    """Entries of endpoints that start again under their old names."""
+
+    async def starts(self):
+        rows = await self.directory.list()
+        return [row.incarnation.started_ms for row in rows]
+
+    async def test_restart_under_the_old_name_takes_its_place(self):
+        self.store.put('i-1', born=FIRST_MS)
+        await self.starts()
+        self.store.put('i-1', born=FIRST_MS + 900)
+        self.assertEqual([FIRST_MS + 900], await self.starts())
+
+    async def test_late_word_of_the_start_before_is_left(self):
+        """A write of the old start took effect after the new one's first.
+
+        All that was known of the new start was dropped, and requests were
+        sent for adapters that only the old one had held.
+        """
+        self.store.put('i-1', born=FIRST_MS)
+        self.store.put('i-1', born=FIRST_MS + 900)
+        await self.starts()
+        self.store.put('i-1', born=FIRST_MS)
+        self.assertEqual([FIRST_MS + 900], await self.starts())
+        self.store.put('i-1', born=FIRST_MS + 900)
+        self.assertEqual([FIRST_MS + 900], await self.starts())
+
+    async def test_start_by_a_clock_that_was_set_back_is_taken(self):
+        """The clock went back: the living start looks like the older one."""
+        self.store.put('i-1', born=FIRST_MS)
+        await self.starts()
+        self.store.put('i-1', born=FIRST_MS - 5000)
+        self.assertEqual([FIRST_MS], await self.starts())
+        self.store.put('i-1', born=FIRST_MS - 5000)
+        self.assertEqual([FIRST_MS - 5000], await self.starts())
+
+
+class ForeignEntryTest(DirectoryTestCase):
+    """Entries of another writer between good ones."""
+
+    async def test_unreadable_entry_leaves_the_others(self):
+        self.store.put('i-1')
+        self.store.records.append(b'\x03x-1{')
+        self.store.records.append(b'')
+        self.store.put('i-2', Slots='64')
+        self.store.put('i-3')
+        self.assertEqual(['i-1', 'i-3'], await self.names())
+
+    async def test_unreadable_entry_over_a_good_one(self):
+        """The newest entry of a name counts, read next or read as a whole.
+
+        Gateways that had read on kept the endpoint, those that read the
+        whole list left it out.
+        """
+        self.store.put('i-1')
+        self.store.put('i-2')
+        await self.names()
+        self.store.put('i-1', State='resting')
+        self.assertEqual(['i-2'], await self.names())
+        self.store.put('i-1')
+        self.assertEqual(['i-2', 'i-1'], await self.names())
+
+    async def test_unreadable_entries_are_told_once_each(self):
+        """A writer repeated its entry with every heartbeat, a line each."""
+        self.store.put('i-1')
+        with self.assertLogs(endpoint_directory.LOG, 'WARNING') as logs:
+            for _ in range(5):
+                self.store.put('x-1', Address='nowhere')
+                await self.names()
+        self.assertEqual(1, len(logs.records))
+        self.assertEqual('x-1', logs.records[0].entry)
+
+    async def test_made_up_names_do_not_fill_the_log(self):
+        most = endpoint_directory.MOST_MALFORMED
+        for number in range(most + 50):
+            self.store.put(f'x-{number}', Address='nowhere')
+        with self.assertLogs(endpoint_directory.LOG, 'WARNING') as logs:
+            await self.names()
+        self.assertEqual(most, len(logs.records))
