Start sooner: no certificates, no collections, metrics in a thread

From its start to its listening a gateway took 0.78 s, a sidecar 0.74 s of a machine's time, nearly all of it imports. The HTTP library read every certificate of the system; the metrics libraries were imported before anything was served; a sidecar imported all of a gateway; garbage was collected while nothing is garbage; a clean checkout compiled its own sources at every start.

Ruled out: a lighter framework (the house style names it), and leaving slots out of the data classes.

--- a/berylhollow/gateway/__init__.py
+++ b/berylhollow/gateway/__init__.py
@@ -1,8 +1,7 @@
 """The gateway: callers on one side, sidecars on the other."""
 
-from berylhollow.gateway._adapters import peer_name as beside
 from berylhollow.gateway._options import Options
 from berylhollow.gateway._reducer import reduce
 from berylhollow.gateway._state import State
 
-__all__ = ['Options', 'State', 'beside', 'reduce']
+__all__ = ['Options', 'State', 'reduce']
--- a/berylhollow/gateway/_adapters.py
+++ b/berylhollow/gateway/_adapters.py
@@ -8,6 +8,7 @@
 from berylhollow import effects
 from berylhollow.gateway import _state
 from berylhollow import messages
+from berylhollow.util import addresses
 
 Effects = list[effects.Effect]
 
@@ -165,16 +166,7 @@
 
 def _sidecar_of(state: _state.State, name: str) -> str:
     address = state.endpoints[name].instance.address
-    return peer_name(address)
-
-
-def peer_name(address: str) -> str:
-    """Return the name on links of the sidecar beside an address.
-
-    Sidecars stand on the instance of their endpoint, so its IP names both;
-    no list says which instance has which sidecar.
-    """
-    return f'beside {address.rpartition(":")[0]}'
+    return addresses.beside(address)
 
 
 def _demands(
--- a/berylhollow/gateway/_sidecars.py
+++ b/berylhollow/gateway/_sidecars.py
@@ -10,6 +10,7 @@
 from berylhollow.gateway import _link_pacing
 from berylhollow.gateway import _state
 from berylhollow import messages
+from berylhollow.util import addresses
 
 Effects = list[effects.Effect]
 
@@ -20,7 +21,7 @@
     for name, endpoint in state.endpoints.items():
         instance = endpoint.instance
         if instance.direct and _has_adapters(state, instance.service):
-            peer = _adapters.peer_name(instance.address)
+            peer = addresses.beside(instance.address)
             beside[peer] = _newest(state, beside.get(peer), name)
             _add(state, peer, instance)
     state.beside = beside
--- a/berylhollow/gateway/service.py
+++ b/berylhollow/gateway/service.py
@@ -78,7 +78,7 @@
     ):
         super().__init__()
         self.lifetime = lifetime
-        meters = metrics.Meters(
+        self.meters = meters = metrics.Meters(
             all_settings.Role.GATEWAY,
             settings.instance,
             settings.failure_domain,
@@ -130,6 +130,7 @@
                 exits.ExitCode.ADDRESS_IN_USE,
             ) from error
         self.shell.ended.add_done_callback(self._ended)
+        metrics.open_soon(self.meters)
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Finish what is in flight, then close."""
--- a/berylhollow/hosted.py
+++ b/berylhollow/hosted/gateway_process.py
@@ -1,50 +1,28 @@
-"""Compose the processes that run on the users' platform.
-
-The gateway is the one that serves the project's own interface, with other
-adapters around it: callers' dialect, the store's routes and list of
-endpoints, and requests that go straight to endpoints. The sidecar of an
-endpoint is a loader there.
-"""
+"""A gateway on the users' platform."""
 
 from berylhollow import clock
 from berylhollow import endpoint_directory
 from berylhollow import gateway
 from berylhollow.gateway import service as gateway_service
-from berylhollow import link
-from berylhollow import loader
-from berylhollow.loader import service as loader_service
-from berylhollow import metrics
+from berylhollow.hosted import _links
 from berylhollow import outgoing
 from berylhollow import platform
 from berylhollow import routes
 from berylhollow import settings as all_settings
 from berylhollow.util import loop
 
-LINK_KEY = 'links of one deployment on its own network'
-"""Links need a key, and the platform hands out no secret: there it only
-keeps strangers' processes from being taken for ours by mistake."""
-
 STOP_NOTICE_MS = 2500
 """The balancer asks once a second and stops sending after two refusals."""
 
-LINK_OPTIONS = link.Options(
-    ping_interval_ms=1000,
-    ping_timeout_ms=1000,
-    handshake_timeout_ms=1000,
-    close_timeout_ms=200,
-)
-"""A link that went silent is given up within two seconds: while it is up and
-dead, nothing is loaded for the gateway."""
-
 LINK_RETRY_MS = 150
 """Pause before a link is opened again. After all processes were replaced,
 loads wait for the first link to a sidecar that may start a moment later."""
 
 LINK_RETRY_MOST_MS = 2000
-LAST_ANSWERS_MS = 300
 STOP_MARGIN_MS = 700
 """Left of the grace period to close everything before SIGKILL."""
 
+LAST_ANSWERS_MS = 300
 LISTS_BEFORE_LEAVING = 3
 """Reads of the list of endpoints in the time that a leaving endpoint still
 serves. One that fails or is late leaves another to tell of it; each costs
@@ -69,7 +47,7 @@
 UNBOUNDED = 1_000_000
 
 
-def serve_gateway(node: platform.Node) -> int:
+def serve(node: platform.Node) -> int:
     """Run a gateway until it is told to stop; return its exit code."""
     settings = gateway_settings(node)
     grace_ms = settings.stop_notice_ms + settings.stop_grace_ms
@@ -86,14 +64,6 @@
     )
 
 
-def serve_loader(node: platform.Node) -> int:
-    """Run a loader until it is told to stop; return its exit code."""
-    return loop.run(
-        lambda lifetime: [_loader_service(node, lifetime)],
-        stop_grace_ms=node.stop_grace_ms,
-    )
-
-
 def gateway_settings(node: platform.Node) -> all_settings.GatewaySettings:
     """Return the settings of the gateway itself on a node."""
     grace_ms = node.stop_grace_ms - STOP_NOTICE_MS - STOP_MARGIN_MS
@@ -102,7 +72,7 @@
             'instance': node.instance,
             'failure_domain': node.failure_domain,
             'region': node.region,
-            'link_key': LINK_KEY,
+            'link_key': _links.LINK_KEY,
             'platform': {'url': f'http://{node.store}'},
             'listen': {
                 'host': node.callers.host,
@@ -182,31 +152,6 @@
         metrics=gateway_service.PageListener(
             node.host, node.metrics_port, '/metrics'
         ),
-        link_options=LINK_OPTIONS,
+        link_options=_links.LINK_OPTIONS,
         last_answers_ms=LAST_ANSWERS_MS,
     )
-
-
-def _loader_service(
-    node: platform.Node, lifetime: loop.Lifetime
-) -> loader_service.LoaderService:
-    meters = metrics.Meters(
-        all_settings.Role.SIDECAR, node.instance, node.failure_domain
-    )
-    options = loader.Options(
-        instance=node.instance,
-        service=node.service,
-        failure_domain=node.failure_domain,
-    )
-    shell = loader_service.Shell(
-        loader.State(options),
-        identity=gateway.beside(str(node.endpoint)),
-        listen=(node.host, node.link_port),
-        key=LINK_KEY.encode(),
-        control=platform.EndpointControl(str(node.endpoint)),
-        count=meters.add,
-        link_options=LINK_OPTIONS,
-    )
-    return loader_service.LoaderService(
-        shell, meters, (node.host, node.metrics_port), lifetime
-    )
--- a/berylhollow/loader/service.py
+++ b/berylhollow/loader/service.py
@@ -22,6 +22,7 @@
     ):
         super().__init__()
         self.loader = loader
+        self.meters = meters
         self.lifetime = lifetime
         host, port = listen
         self.pages = shell.PagesServer(
@@ -33,6 +34,7 @@
         await self.loader.start()
         self.loader.ended.add_done_callback(self._ended)
         await self.pages.start()
+        metrics.open_soon(self.meters)
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Close everything."""
--- a/berylhollow/metrics/__init__.py
+++ b/berylhollow/metrics/__init__.py
@@ -11,5 +11,6 @@
 Meters = _meters.Meters
 
 check = _instruments.check
+open_soon = _page.open_soon
 page = _page.page
 reference_text = _instruments.reference_text
--- a/berylhollow/metrics/_instruments.py
+++ b/berylhollow/metrics/_instruments.py
@@ -38,6 +38,7 @@
 HISTOGRAM = InstrumentKind.HISTOGRAM
 OBSERVED_COUNTER = InstrumentKind.OBSERVED_COUNTER
 OBSERVED_GAUGE = InstrumentKind.OBSERVED_GAUGE
+OBSERVED = frozenset({OBSERVED_COUNTER, OBSERVED_GAUGE})
 
 SERVICE = 'berylhollow.service'
 ERROR = 'error.type'
--- a/berylhollow/metrics/_meters.py
+++ b/berylhollow/metrics/_meters.py
@@ -1,29 +1,29 @@
 """Take values for the instruments of the table and render them."""
 
+import collections
 import collections.abc
 import logging
+import threading
 import typing
 
-from opentelemetry.exporter import prometheus
-from opentelemetry import metrics as otel_metrics
-from opentelemetry.sdk import metrics as sdk_metrics
-from opentelemetry.sdk import resources
-import prometheus_client
-
-import berylhollow
 from berylhollow import logs
 from berylhollow.metrics import _instruments
 
+if typing.TYPE_CHECKING:
+    from berylhollow.metrics import _sdk
+
 LOG = logging.getLogger(__name__)
-CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
+CONTENT_TYPE = 'text/plain; version=1.0.0; charset=utf-8'
 
-OBSERVED = frozenset(
-    {_instruments.OBSERVED_COUNTER, _instruments.OBSERVED_GAUGE}
-)
 # More series than the table's attributes can give in a sane deployment.
 MOST_SERIES = 10_000
-Taker = collections.abc.Callable[[float, dict[str, str]], None]
+
+MOST_EARLY = 10_000
+"""Values of histograms kept until the libraries are there: what a busy
+gateway measures in ten seconds, and they are there in one."""
+
 Attributes = collections.abc.Iterable[tuple[str, str]]
+Early = collections.deque[tuple[str, float, dict[str, str]]]
 
 
 class Series(typing.Protocol):
@@ -32,7 +32,7 @@
     def add(self, value: float) -> None:
         """Take a value."""
 
-    def flush(self) -> None:
+    def flush(self, sdk: '_sdk.Sdk') -> None:
         """Pass on what was not passed on yet."""
 
 
@@ -43,69 +43,72 @@
     several of them, and only a rendering reads what they give.
     """
 
-    def __init__(self, taker: Taker, attributes: dict[str, str]):
-        self.taker = taker
+    def __init__(self, name: str, attributes: dict[str, str]):
+        self.name = name
         self.attributes = attributes
         self.value = 0.0
 
     def add(self, value: float) -> None:
         self.value += value
 
-    def flush(self) -> None:
+    def flush(self, sdk: '_sdk.Sdk') -> None:
         if self.value:
-            self.taker(self.value, self.attributes)
+            sdk.takers[self.name](self.value, self.attributes)
             self.value = 0.0
 
 
 class Recorded:
     """A histogram's series: each value has to reach the SDK."""
 
-    def __init__(self, taker: Taker, attributes: dict[str, str]):
-        self.taker = taker
+    def __init__(
+        self, meters: 'Meters', name: str, attributes: dict[str, str]
+    ):
+        self.meters = meters
+        self.name = name
         self.attributes = attributes
 
     def add(self, value: float) -> None:
-        self.taker(value, self.attributes)
+        sdk = self.meters.sdk
+        if sdk is None:
+            self.meters.early.append((self.name, value, self.attributes))
+        else:
+            sdk.takers[self.name](value, self.attributes)
 
-    def flush(self) -> None:
+    def flush(self, sdk: '_sdk.Sdk') -> None:
         pass
 
 
 class Meters:
-    """The metrics of one process, kept in a registry of their own."""
+    """The metrics of one process.
+
+    The libraries that keep and render them take a sixth of the processor
+    time that a process needs to start, and nothing depends on them until
+    somebody reads the metrics. They are imported by ``open``, which a
+    service calls in a thread once it listens; until then values are kept.
+    """
 
     def __init__(self, role: str, instance: str, failure_domain: str):
-        self.registry = prometheus_client.CollectorRegistry()
-        prometheus_client.ProcessCollector(registry=self.registry)
-        prometheus_client.GCCollector(registry=self.registry)
-        reader = prometheus.PrometheusMetricReader(
-            scope_info_enabled=False, registry=self.registry
-        )
-        self.provider = sdk_metrics.MeterProvider(
-            [reader],
-            # Resource.create would search the installed packages for
-            # detectors, which is slow and finds nothing of use here.
-            resources.Resource(
-                {
-                    'service.name': f'berylhollow-{role}',
-                    'service.version': berylhollow.__version__,
-                    'service.instance.id': instance,
-                    'berylhollow.failure_domain': failure_domain,
-                }
-            ),
-            exemplar_filter=sdk_metrics.AlwaysOffExemplarFilter(),
-            shutdown_on_exit=False,
-        )
-        self.meter = self.provider.get_meter('berylhollow')
-        self._takers = {
-            instrument.name: _taker(self.meter, instrument)
-            for instrument in _instruments.INSTRUMENTS.values()
-            if instrument.kind not in OBSERVED
-        }
+        self.identity = (role, instance, failure_domain)
+        self.sdk: _sdk.Sdk | None = None
+        self.early: Early = collections.deque(maxlen=MOST_EARLY)
+        self._opening = threading.Lock()
+        self._observed: list[tuple] = []
         self._series: dict[tuple, Series] = {}
         self._rejected: set[str] = set()
         self.observe('berylhollow.log_lines_dropped', logs.dropped)
 
+    def open(self) -> None:
+        """Import the libraries and make the instruments, once."""
+        with self._opening:
+            if self.sdk is not None:
+                return
+            from berylhollow.metrics import _sdk
+
+            sdk = _sdk.Sdk(*self.identity)
+            for observed in self._observed:
+                sdk.observe(*observed)
+            self.sdk = sdk
+
     def add(
         self, name: str, value: float = 1, attributes: Attributes = ()
     ) -> None:
@@ -118,33 +121,39 @@
         key = (name, tuple(attributes))
         series = self._series.get(key)
         if series is None:
-            series = self._open(name, dict(key[1]))
+            series = self._open_series(name, dict(key[1]))
             if series is None:
                 return
             self._series[key] = series
         series.add(value)
 
-    def _open(self, name: str, attributes: dict[str, str]) -> Series | None:
+    def _open_series(
+        self, name: str, attributes: dict[str, str]
+    ) -> Series | None:
         """Return the series of a name and its attributes, if in the table."""
         try:
             instrument = _instruments.check(name, attributes)
         except ValueError as error:
             self._reject(str(error))
             return None
-        taker = self._takers.get(name)
-        if taker is None:
+        if instrument.kind in _instruments.OBSERVED:
             self._reject(f'{name} is observed, not added to')
             return None
         if len(self._series) >= MOST_SERIES:
             self._flush()
             self._series.clear()
         if instrument.kind is _instruments.HISTOGRAM:
-            return Recorded(taker, attributes)
-        return Summed(taker, attributes)
-
-    def _flush(self) -> None:
+            return Recorded(self, name, attributes)
+        return Summed(name, attributes)
+
+    def _flush(self) -> '_sdk.Sdk':
+        self.open()
+        while self.early:
+            name, value, attributes = self.early.popleft()
+            self.sdk.takers[name](value, attributes)
         for series in self._series.values():
-            series.flush()
+            series.flush(self.sdk)
+        return self.sdk
 
     def _reject(self, problem: str) -> None:
         self.add('berylhollow.metrics_rejected')
@@ -165,29 +174,13 @@
         """
         attributes = dict(attributes)
         instrument = _instruments.check(name, attributes)
-        if instrument.kind not in OBSERVED:
+        if instrument.kind not in _instruments.OBSERVED:
             raise ValueError(f'{name} is added to, not observed')
-
-        def callback(_options):
-            return [otel_metrics.Observation(read(), attributes)]
-
-        create = (
-            self.meter.create_observable_counter
-            if instrument.kind is _instruments.OBSERVED_COUNTER
-            else self.meter.create_observable_gauge
-        )
-        create(name, [callback], instrument.unit, instrument.meaning)
+        with self._opening:
+            self._observed.append((instrument, read, attributes))
+            if self.sdk is not None:
+                self.sdk.observe(instrument, read, attributes)
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
-        self._flush()
-        return prometheus_client.generate_latest(self.registry)
-
-
-def _taker(meter, instrument) -> collections.abc.Callable[..., None]:
-    facts = (instrument.name, instrument.unit, instrument.meaning)
-    if instrument.kind is _instruments.HISTOGRAM:
-        return meter.create_histogram(
-            *facts, explicit_bucket_boundaries_advisory=instrument.buckets
-        ).record
-    return meter.create_counter(*facts).add
+        return self._flush().render()
--- a/berylhollow/sidecar/service.py
+++ b/berylhollow/sidecar/service.py
@@ -71,7 +71,7 @@
         super().__init__()
         self.lifetime = lifetime
         self.settings = settings
-        meters = metrics.Meters(
+        self.meters = meters = metrics.Meters(
             all_settings.Role.SIDECAR,
             settings.instance,
             settings.failure_domain,
@@ -107,6 +107,7 @@
         self.shell.ended.add_done_callback(self._ended)
         if self.settings.status.enabled:
             await self.pages.start()
+        metrics.open_soon(self.meters)
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Finish what runs, then close."""
--- a/berylhollow/ui/gateway_command.py
+++ b/berylhollow/ui/gateway_command.py
@@ -16,9 +16,9 @@
     """Serve; a taken port exits with code 6."""
     if arguments.settings is None:
         node = _process_options.node(arguments, settings.Role.GATEWAY)
-        from berylhollow import hosted
+        from berylhollow.hosted import gateway_process
 
-        return hosted.serve_gateway(node)
+        return gateway_process.serve(node)
     checked = _process_options.settings(arguments, settings.Role.GATEWAY)
     # Imported only now: faults in the settings are told at once.
     from berylhollow.gateway import service
--- a/berylhollow/ui/sidecar_command.py
+++ b/berylhollow/ui/sidecar_command.py
@@ -16,9 +16,9 @@
     """Serve; a taken port exits with code 6 before anything is ordered."""
     if arguments.settings is None:
         node = _process_options.node(arguments, settings.Role.SIDECAR)
-        from berylhollow import hosted
+        from berylhollow.hosted import loader_process
 
-        return hosted.serve_loader(node)
+        return loader_process.serve(node)
     checked = _process_options.settings(arguments, settings.Role.SIDECAR)
     # Imported only now: faults in the settings are told at once.
     from berylhollow.sidecar import service
--- a/berylhollow/util/loop.py
+++ b/berylhollow/util/loop.py
@@ -15,6 +15,10 @@
 LOG = logging.getLogger(__name__)
 MS_PER_SECOND = 1000
 
+COLLECTIONS = (700, 10, 10)
+"""Thresholds of garbage collections while serving, Python's own: many short
+ones rather than few that a stream would notice."""
+
 SETTLED_S = 60
 """By then a process has the configuration and its links."""
 
@@ -93,6 +97,7 @@
     """
     gc.collect()
     gc.freeze()
+    gc.set_threshold(*COLLECTIONS)
     asyncio.get_running_loop().call_later(SETTLED_S, gc.freeze)
 
 
--- a/test/hosted/crowd.py
+++ b/test/hosted/crowd.py
@@ -20,6 +20,7 @@
 from berylhollow import messages
 from berylhollow import platform
 from berylhollow import routes
+from berylhollow.util import addresses
 from test import builders as samples
 from test import platform_builders as builders
 
@@ -132,7 +133,7 @@
             f'g{n}': _gateway_state(f'g{n}') for n in range(load.gateways)
         }
         self.sidecars = {
-            gateway.beside(endpoint.address): loader.State(
+            addresses.beside(endpoint.address): loader.State(
                 loader.Options(
                     instance=endpoint.name,
                     service=builders.MODEL_SERVICE,
@@ -142,7 +143,7 @@
             for endpoint in self.endpoints.values()
         }
         self.beside = {
-            gateway.beside(endpoint.address): endpoint
+            addresses.beside(endpoint.address): endpoint
             for endpoint in self.endpoints.values()
         }
         self.begin()
--- a/test/hosted/test_composition.py
+++ b/test/hosted/test_composition.py
@@ -5,7 +5,7 @@
 import tempfile
 import unittest
 
-from berylhollow import hosted
+from berylhollow.hosted import gateway_process
 from berylhollow import platform
 from test import platform_builders as builders
 
@@ -21,19 +21,21 @@
 
 class ListPauseTest(NodeTestCase):
     def test_list_is_read_thrice_before_a_leaving_endpoint_is_gone(self):
-        self.assertEqual(666, hosted.list_pause_ms(self.node(2000)))
+        self.assertEqual(666, gateway_process.list_pause_ms(self.node(2000)))
 
     def test_new_endpoint_is_found_however_long_others_leave(self):
-        self.assertEqual(1000, hosted.list_pause_ms(self.node(60_000)))
+        self.assertEqual(
+            1000, gateway_process.list_pause_ms(self.node(60_000))
+        )
 
     def test_endpoint_that_leaves_at_once_does_not_stop_the_reads(self):
-        self.assertEqual(1, hosted.list_pause_ms(self.node(0)))
+        self.assertEqual(1, gateway_process.list_pause_ms(self.node(0)))
 
 
 class SettingsTest(NodeTestCase):
     def test_reducer_and_shell_read_the_list_at_one_pace(self):
         node = self.node(2000)
-        settings = hosted.gateway_settings(node)
-        state = hosted.gateway_state(node, settings)
+        settings = gateway_process.gateway_settings(node)
+        state = gateway_process.gateway_state(node, settings)
         self.assertEqual(666, settings.instance_poll_ms)
         self.assertEqual(666, state.options.instance_poll_ms)
--- a/test/hosted/test_gateway_direct.py
+++ b/test/hosted/test_gateway_direct.py
@@ -7,6 +7,7 @@
 from berylhollow import messages
 from berylhollow import platform
 from berylhollow import routes
+from berylhollow.util import addresses
 from test import builders as samples
 from test import helper
 from test import platform_builders as builders
@@ -122,7 +123,7 @@
             'revision': 0,
         }
         report = messages.Report(**(values | changes))
-        return self.receive(report, at_ms, gateway.beside(address))
+        return self.receive(report, at_ms, addresses.beside(address))
 
 
 class PlainTest(DirectTestCase):
@@ -252,7 +253,7 @@
 class AdapterTest(DirectTestCase):
     def setUp(self):
         super().setUp()
-        self.peer = gateway.beside('10.0.0.1:80')
+        self.peer = addresses.beside('10.0.0.1:80')
         self.list(row('i-1', '10.0.0.1:80'))
         self.open_link(self.peer, events.Role.ENDPOINT)
         self.name = builders.adapter_name()
--- a/test/hosted/test_restarts.py
+++ b/test/hosted/test_restarts.py
@@ -3,8 +3,8 @@
 from berylhollow import effects
 from berylhollow import errors
 from berylhollow import events
-from berylhollow import gateway
 from berylhollow import messages
+from berylhollow.util import addresses
 from test.hosted import test_gateway_direct as direct
 from test import platform_builders as builders
 
@@ -81,14 +81,14 @@
         """
         named = messages.AdapterVersion(builders.adapter_name('a3'), '1')
         self.list(started(FIRST_MS, adapters=(named,)))
-        self.open_link(gateway.beside(ADDRESS), events.Role.ENDPOINT)
+        self.open_link(addresses.beside(ADDRESS), events.Role.ENDPOINT)
         self.report(ADDRESS, epoch=f'i-1@{SECOND_MS}')
         self.ask(direct.MODEL_PATH, at_ms=110, adapter='a3')
         self.assertEqual([], self.offers())
 
     def test_sidecars_are_told_which_start_is_meant(self):
         self.list(started(SECOND_MS))
-        self.open_link(gateway.beside(ADDRESS), events.Role.ENDPOINT)
+        self.open_link(addresses.beside(ADDRESS), events.Role.ENDPOINT)
         (demands,) = [
             effect.message
             for effect in self.of_type(effects.Send)
