Load models from the weight store one endpoint after the other

Change: a loader reports whether its endpoint still needs its model from the store; gateways rank the same reports in the same way and tell each sidecar whether others come first. An endpoint that leaves loads nothing; a copy on the own disk is loaded at once. A sidecar is told at once of a new endpoint beside it, not at the next regular word (up to 400 ms). Ruled out: an election, and permits as sidecars behind links have them: both need a decider, and this fails only into what was there before.

--- a/berylhollow/events.py
+++ b/berylhollow/events.py
@@ -374,7 +374,8 @@
     ``orders`` is how many it has accepted since it started, ``started_ms``
     when that was by its own word (0 if it does not say). Adapters in
     ``loading`` take their places already. While it is ``busy`` with a model
-    it takes no other order.
+    it takes no other order. ``at_hand`` are the models that it can load
+    without the weight store.
     """
 
     at_ms: int
@@ -387,6 +388,7 @@
     waiting: int
     running: int
     started_ms: int = 0
+    at_hand: tuple[str, ...] = ()
 
 
 class OrderVerdict(enum.Enum):
--- a/berylhollow/gateway/_adapters.py
+++ b/berylhollow/gateway/_adapters.py
@@ -6,6 +6,7 @@
 """
 
 from berylhollow import effects
+from berylhollow.gateway import _model_loads
 from berylhollow.gateway import _state
 from berylhollow import messages
 from berylhollow.util import addresses
@@ -207,6 +208,7 @@
         models,
         tuple(entries),
         incarnation.started_ms,
+        _model_loads.hold(state, name),
     )
 
 
--- a/berylhollow/gateway/_membership.py
+++ b/berylhollow/gateway/_membership.py
@@ -10,6 +10,7 @@
 from berylhollow import following
 from berylhollow.gateway import _crashes
 from berylhollow.gateway import _link_pacing
+from berylhollow.gateway import _model_loads
 from berylhollow.gateway import _sidecars
 from berylhollow.gateway import _state
 
@@ -70,6 +71,7 @@
                 name, endpoint.instance.service, endpoint.report
             )
             del state.endpoints[name]
+            _model_loads.forget(state, name, endpoint.instance.service)
             _sidecars.forget(state, name)
             done.append(_gone(endpoint))
         elif endpoint.instance.direct:
--- a/berylhollow/gateway/_sidecars.py
+++ b/berylhollow/gateway/_sidecars.py
@@ -8,6 +8,7 @@
 from berylhollow import events
 from berylhollow.gateway import _adapters
 from berylhollow.gateway import _link_pacing
+from berylhollow.gateway import _model_loads
 from berylhollow.gateway import _state
 from berylhollow import messages
 from berylhollow.util import addresses
@@ -24,6 +25,10 @@
             peer = addresses.beside(instance.address)
             beside[peer] = _newest(state, beside.get(peer), name)
             _add(state, peer, instance)
+    for peer, name in beside.items():
+        if state.beside.get(peer) != name:
+            # It waits to be told which endpoint it has to order.
+            state.sidecars[peer].told_ms = _state.NEVER_MS
     state.beside = beside
     for peer, name in beside.items():
         _apply(state, state.sidecars[peer], state.endpoints[name])
@@ -86,10 +91,20 @@
         return []
     endpoint = state.endpoints[name]
     endpoint.report_at_ms = event.at_ms
+    before = endpoint.report
     _apply(state, sidecar, endpoint)
+    if before is None or before.model_load is not event.message.model_load:
+        _tell_all_soon(state, endpoint.instance.service)
     return _adapters.waiting_at(state, name)
 
 
+def _tell_all_soon(state: _state.State, service: str) -> None:
+    """Tell the sidecars of a service at the next tick whose turn it is."""
+    for peer, name in state.beside.items():
+        if state.endpoints[name].instance.service == service:
+            state.sidecars[peer].told_ms = _state.NEVER_MS
+
+
 def _has_adapters(state: _state.State, service: str) -> bool:
     view = state.follower.current
     return view is not None and view.adapter_slots(service) > 0
@@ -127,6 +142,7 @@
     endpoint.placed_at_report = len(endpoint.placed)
     state.placement.replace(name, endpoint.report, report)
     endpoint.report = report
+    _model_loads.note(state, name)
 
 
 def _is_about(report: messages.Report, instance: events.Instance) -> bool:
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -258,8 +258,10 @@
     ``sidecars`` are those beside direct endpoints, by their peer names, and
     ``beside`` maps a peer name to the endpoint that is listed there now.
     ``awaiting`` holds, by endpoint, the requests that wait for an adapter
-    there; ``gateways`` is how many there are, as far as is known. ``token_ms``
-    is, by service, how long a prompt token takes to be read.
+    there; ``model_loads`` has, by service, the endpoints that need their model
+    from the weight store; ``gateways`` is how many there are, as far as is
+    known. ``token_ms`` is, by service, how long a prompt token takes to be
+    read.
     """
 
     options: _options.Options
@@ -272,6 +274,9 @@
     awaiting: dict[str, dict[str, None]] = dataclasses.field(
         default_factory=dict
     )
+    model_loads: dict[str, dict[str, None]] = dataclasses.field(
+        default_factory=dict
+    )
     demand: policy.DecayedDemand = dataclasses.field(
         default_factory=lambda: policy.DecayedDemand(DEMAND_CONSTANT_MS)
     )
--- a/berylhollow/loader/_endpoint_calls.py
+++ b/berylhollow/loader/_endpoint_calls.py
@@ -63,6 +63,7 @@
                 state.waiting,
                 state.running,
                 state.started_ms,
+                state.at_hand,
             )
         )
 
--- a/berylhollow/loader/_plan.py
+++ b/berylhollow/loader/_plan.py
@@ -45,9 +45,13 @@
 def _model_step(state: _state.State) -> Step | None:
     """Load the model of an endpoint that has started empty.
 
-    The first of the service's models: an endpoint has room for one.
+    The first of the service's models: an endpoint has room for one. From the
+    weight store only in turn, at once where the endpoint has a copy.
     """
     models = state.models
+    needed = state.model_load is messages.ModelLoad.NEEDED
+    if needed and state.model_held_back:
+        return None
     return Step(True, models[0], 'endpoint is empty') if models else None
 
 
--- a/berylhollow/loader/_report.py
+++ b/berylhollow/loader/_report.py
@@ -50,7 +50,7 @@
 def _servable(report: messages.Report) -> tuple:
     """Return what decides whether a request can be sent there."""
     adapters = {slot.adapter for slot in report.slots if slot.ready}
-    return report.ready, report.epoch, adapters
+    return report.ready, report.epoch, report.model_load, adapters
 
 
 def _hints(report: messages.Report) -> tuple:
@@ -81,6 +81,7 @@
         evictable=free or found is not None,
         victim_value=0.0 if free or found is None else found[1],
         gateways=max(1, len(state.links)),
+        model_load=state.model_load,
     )
 
 
--- a/berylhollow/loader/_state.py
+++ b/berylhollow/loader/_state.py
@@ -207,6 +207,28 @@
             return entry.demands.models
         return ()
 
+    @property
+    def model_load(self) -> messages.ModelLoad:
+        """How far the endpoint is with its model from the weight store."""
+        adapters = self.adapters
+        if adapters is None or adapters.models or not self.models:
+            return messages.ModelLoad.NONE
+        if self.models[0] in adapters.at_hand:
+            return messages.ModelLoad.NONE
+        if adapters.busy:
+            return messages.ModelLoad.UNDER_WAY
+        return messages.ModelLoad.NEEDED
+
+    @property
+    def model_held_back(self) -> bool:
+        """Whether other endpoints come first with the weight store.
+
+        Gateways that don't see each other may differ; one that says that
+        this endpoint's turn has come is enough, or all might wait for ever.
+        """
+        told = self.told.values()
+        return all(entry.demands.hold_model for entry in told)
+
     def needs(self) -> dict[str, Need]:
         """Return what is needed of each adapter, by name."""
         needs: dict[str, Need] = {}
--- a/berylhollow/messages.py
+++ b/berylhollow/messages.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import enum
 
 from berylhollow import errors
 
@@ -161,6 +162,14 @@
     pins: int
 
 
+class ModelLoad(enum.Enum):
+    """How far an endpoint is with its model from the weight store."""
+
+    NONE = 'none'
+    NEEDED = 'needed'
+    UNDER_WAY = 'under way'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Report:
     """What a sidecar tells its gateways of its endpoint now and then.
@@ -170,7 +179,8 @@
     adapters that requests wait for. ``run_ms`` is how long a run takes of
     late, ``evictable`` tells that a slot is free for a load, which would
     cost the endpoint ``victim_value`` in expected requests a second.
-    ``gateways`` is how many have a link to the sidecar.
+    ``gateways`` is how many have a link to the sidecar. ``model_load`` says
+    whether the endpoint still needs its model from the weight store.
     """
 
     instance: str
@@ -189,6 +199,7 @@
     evictable: bool = True
     victim_value: float = 0.0
     gateways: int = 1
+    model_load: ModelLoad = ModelLoad.NONE
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -254,7 +265,8 @@
 
     ``endpoint`` and ``started_ms`` name its incarnation as the gateway has it
     from the list, ``slots`` is how many adapters it can hold, ``models`` are
-    those that its service needs.
+    those that its service needs. With ``hold_model`` other endpoints come
+    first with loading theirs from the weight store.
     """
 
     endpoint: str
@@ -263,6 +275,7 @@
     models: tuple[str, ...]
     entries: tuple[AdapterDemand, ...]
     started_ms: int = 0
+    hold_model: bool = False
 
     @property
     def incarnation(self) -> Incarnation:
--- a/berylhollow/platform/_fields.py
+++ b/berylhollow/platform/_fields.py
@@ -93,6 +93,16 @@
     return value
 
 
+def inner(entry: dict, field: str) -> dict:
+    """Return an object, empty if it is not there."""
+    value = entry.get(field)
+    if value is None:
+        return {}
+    if not isinstance(value, dict):
+        raise _wrong(field, 'an object', value)
+    return value
+
+
 def objects(entry: dict, field: str) -> list[dict]:
     """Return a list of objects, empty if it is not there."""
     values = items(entry, field)
--- a/berylhollow/platform/_order.py
+++ b/berylhollow/platform/_order.py
@@ -51,7 +51,8 @@
     ``orders`` counts the orders that it has accepted since its start,
     ``started_ms`` is when that was (0 if it does not say).
     ``loading`` are adapters on their way, which take places already.
-    ``busy`` tells that an order about a model is under way.
+    ``busy`` tells that an order about a model is under way. ``at_hand`` are
+    the models of which it has copies, and needs nothing from the weight store.
     """
 
     orders: int
@@ -62,6 +63,7 @@
     waiting: int
     running: int
     started_ms: int = 0
+    at_hand: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -142,4 +144,10 @@
         waiting=_fields.whole(value, 'Queued', 0),
         running=_fields.whole(value, 'Active', 0),
         started_ms=_records.started_ms(value),
+        at_hand=_at_hand(_fields.inner(value, 'AtHand')),
     )
+
+
+def _at_hand(copies: dict) -> tuple[str, ...]:
+    in_memory = _fields.texts(copies, 'InMemory')
+    return (*in_memory, *_fields.texts(copies, 'OnDisk'))
--- a/berylhollow/platform/_records.py
+++ b/berylhollow/platform/_records.py
@@ -80,9 +80,7 @@
 
 
 def _table(value: dict) -> routes.RouteTable:
-    limits = value.get('Limits') or {}
-    if not isinstance(limits, dict):
-        raise routes.MalformedRecordError('Limits is no object')
+    limits = _fields.inner(value, 'Limits')
     services = _fields.objects(value, 'Services')
     return routes.RouteTable(
         version=_fields.whole(value, 'Version'),
@@ -133,13 +131,11 @@
 
 
 def _service(entry: dict) -> routes.Service:
-    engine = entry.get('Engine') or None
-    if engine is not None and not isinstance(engine, dict):
-        raise routes.MalformedRecordError('Engine is no object')
+    engine = _fields.inner(entry, 'Engine')
     return routes.Service(
         name=_fields.text(entry, 'Name'),
         connections=_fields.whole(entry, 'MaxConns', 0) or UNLIMITED,
-        engine=None if engine is None else _engine(engine),
+        engine=_engine(engine) if engine else None,
     )
 
 
