--- a/berylhollow/loader/_reducer.py
+++ b/berylhollow/loader/_reducer.py
@@ -249,10 +249,25 @@
         if entry.waiting or entry.in_flight:
             state.used_ms[entry.adapter.adapter] = event.at_ms
     _forget_unused(state)
-    done = _order(state, event.at_ms)
+    done = _say_turn(state) + _order(state, event.at_ms)
     return done + _report.tell(state, event.at_ms)
 
 
+def _say_turn(state: _state.State) -> Effects:
+    """Say when the model begins or ends to wait for its turn."""
+    needed = state.model_load is messages.ModelLoad.NEEDED
+    held_back = needed and state.model_held_back
+    if held_back == state.held_back:
+        return []
+    state.held_back = held_back
+    text = 'model waits for its turn' if held_back else 'model has its turn'
+    fields = (
+        ('endpoint', str(state.endpoint or '')),
+        ('gateways', len(state.told)),
+    )
+    return [effects.Log(text, fields)]
+
+
 def _pass_on(
     state: _state.State, sender: str, crash: messages.Crashed
 ) -> Effects:
--- a/berylhollow/loader/_state.py
+++ b/berylhollow/loader/_state.py
@@ -103,7 +103,8 @@
     only the gateways' list names it. ``ended`` are those that are known to be
     over, the latest last. ``unanswered`` are loads of the present start whose
     answer was lost, ``strays`` those of starts that are over. ``used_ms`` is
-    when each adapter was last needed, by name.
+    when each adapter was last needed, by name. ``held_back`` is what was last
+    said of whether the model waits for its turn with the weight store.
     ``fresh_read`` is the first read that was begun after the last order had
     ended: an earlier one may not show what that order changed.
     """
@@ -128,6 +129,7 @@
     orders: int = 0
     refusals: int = 0
     order_at_ms: int = 0
+    held_back: bool = False
     reported: messages.Report | None = None
     reported_ms: int = -1_000_000
 
--- a/test/hosted/test_model_loads.py
+++ b/test/hosted/test_model_loads.py
@@ -107,11 +107,16 @@
 
     def test_held_back_endpoint_waits_for_its_turn(self):
         self.report(models=())
-        self.told(True, True)
+        self.told(True)
         self.assert_no_order()
+        self.assertIn('model waits for its turn', self.log_texts())
         self.told(True, False)
+        self.assertIn('model has its turn', self.log_texts())
         self.assertEqual(loader_helper.MODEL, self.order().name)
 
+    def log_texts(self):
+        return [effect.text for effect in self.of_type(effects.Log)]
+
     def test_model_at_hand_is_loaded_at_once(self):
         """Nothing of the weight store is needed after a restart in place."""
         self.report(models=(), at_hand=(loader_helper.MODEL,))
