Read an incarnation's text where it is written; derive what was kept twice

Cause: read again as a newcomer. The gateway took the text of an incarnation apart by a separator that only its writer should know; whether a model waits for its turn was put together in the plan and again for the log; a stray load kept a name that nobody read; three readers of optional fields were one.

Change: Incarnation.is_start_of; State.model_held_back holds the whole condition; Stray has no name; _fields._optional serves truth, items and inner. Behaviour and tests are unchanged. Ruled out: fewer sidecars told when a model load moves on (gateway/_sidecars._tell_all_soon looks at all of a service); that changes what is sent and waits for a measurement.

--- a/berylhollow/gateway/_sidecars.py
+++ b/berylhollow/gateway/_sidecars.py
@@ -149,8 +149,7 @@
     """Tell whether a report may be of what is listed, whenever it started."""
     if report.epoch in ('', instance.instance):
         return True
-    name, separator, _ = report.epoch.rpartition('@')
-    return bool(separator) and name == instance.listed_name
+    return messages.Incarnation.is_start_of(report.epoch, instance.listed_name)
 
 
 def _listed_report(instance: events.Instance) -> messages.Report:
--- a/berylhollow/loader/_plan.py
+++ b/berylhollow/loader/_plan.py
@@ -48,10 +48,9 @@
     The first of the service's models: an endpoint has room for one. From the
     weight store only in turn, at once where the endpoint has a copy.
     """
-    models = state.models
-    needed = state.model_load is messages.ModelLoad.NEEDED
-    if needed and state.model_held_back:
+    if state.model_held_back:
         return None
+    models = state.models
     return Step(True, models[0], 'endpoint is empty') if models else None
 
 
--- a/berylhollow/loader/_reducer.py
+++ b/berylhollow/loader/_reducer.py
@@ -95,8 +95,7 @@
     """
     if order.load:
         until_ms = at_ms + state.options.stray_ms
-        stray = _state.Stray(order.name, order.expected, until_ms)
-        state.unanswered.append(stray)
+        state.unanswered.append(_state.Stray(order.expected, until_ms))
 
 
 def _reported(state: _state.State, event: events.AdaptersReported) -> Effects:
@@ -255,8 +254,7 @@
 
 def _say_turn(state: _state.State) -> Effects:
     """Say when the model begins or ends to wait for its turn."""
-    needed = state.model_load is messages.ModelLoad.NEEDED
-    held_back = needed and state.model_held_back
+    held_back = state.model_held_back
     if held_back == state.held_back:
         return []
     state.held_back = held_back
--- a/berylhollow/loader/_state.py
+++ b/berylhollow/loader/_state.py
@@ -90,7 +90,6 @@
     started again.
     """
 
-    name: str
     expected: int
     until_ms: int
 
@@ -223,11 +222,13 @@
 
     @property
     def model_held_back(self) -> bool:
-        """Whether other endpoints come first with the weight store.
+        """Whether the model waits for its turn with the weight store.
 
         Gateways that don't see each other may differ; one that says that
         this endpoint's turn has come is enough, or all might wait for ever.
         """
+        if self.model_load is not messages.ModelLoad.NEEDED:
+            return False
         told = self.told.values()
         return all(entry.demands.hold_model for entry in told)
 
--- a/berylhollow/messages.py
+++ b/berylhollow/messages.py
@@ -11,6 +11,10 @@
 from berylhollow import errors
 
 
+START_SEPARATOR = '@'
+"""Between the name and the start in the text of an incarnation."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Incarnation:
     """One start of an endpoint: the name that it is listed under, and when.
@@ -27,7 +31,13 @@
     def __str__(self) -> str:
         if not self.started_ms:
             return self.name
-        return f'{self.name}@{self.started_ms}'
+        return f'{self.name}{START_SEPARATOR}{self.started_ms}'
+
+    @staticmethod
+    def is_start_of(text: str, name: str) -> bool:
+        """Tell whether a text is that of some known start of a name."""
+        named, separator, _ = text.rpartition(START_SEPARATOR)
+        return bool(separator) and named == name
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/berylhollow/platform/_fields.py
+++ b/berylhollow/platform/_fields.py
@@ -9,9 +9,12 @@
 
 import ipaddress
 import json
+import typing
 
 from berylhollow import routes
 
+Kind = typing.TypeVar('Kind')
+
 LARGEST = 2**53
 """Whole numbers beyond this are not the same in every reader of JSON."""
 
@@ -75,32 +78,17 @@
 
 def truth(entry: dict, field: str) -> bool:
     """Return a truth value, false if it is not there."""
-    value = entry.get(field)
-    if value is None:
-        return False
-    if not isinstance(value, bool):
-        raise _wrong(field, 'a truth value', value)
-    return value
+    return _optional(entry, field, bool, 'a truth value')
 
 
 def items(entry: dict, field: str) -> list:
     """Return a list, empty if it is not there."""
-    value = entry.get(field)
-    if value is None:
-        return []
-    if not isinstance(value, list):
-        raise _wrong(field, 'a list', value)
-    return value
+    return _optional(entry, field, list, 'a list')
 
 
 def inner(entry: dict, field: str) -> dict:
     """Return an object, empty if it is not there."""
-    value = entry.get(field)
-    if value is None:
-        return {}
-    if not isinstance(value, dict):
-        raise _wrong(field, 'an object', value)
-    return value
+    return _optional(entry, field, dict, 'an object')
 
 
 def objects(entry: dict, field: str) -> list[dict]:
@@ -134,6 +122,18 @@
     return value
 
 
+def _optional(
+    entry: dict, field: str, kind: type[Kind], expected: str
+) -> Kind:
+    """Return a value of one type, that type's empty one if it is not there."""
+    value = entry.get(field)
+    if value is None:
+        return kind()
+    if not isinstance(value, kind):
+        raise _wrong(field, expected, value)
+    return value
+
+
 def _wrong(
     field: str, expected: str, value: object
 ) -> routes.MalformedRecordError:
