Log what a read after an outage covers and which removals are held back

Callers were sent to an endpoint that had left the list, and the logs could not tell why: whether the first read after the outage lacked the removal, was late, or had it held back. The list now says what the read covered, how long it took, which removal is held back for how long and when it takes effect; an attempt says how old the list was that it went by, and a metric shows that age. No logic is changed.

--- a/berylhollow/endpoint_directory.py
+++ b/berylhollow/endpoint_directory.py
@@ -71,7 +71,8 @@
         self.next_offset: int | None = None
         self.read_ms: int | None = None
         self.returned_ms = -RETURN_MS
-        self.lost = False
+        self.outage_ms = 0
+        self.failures = 0
         self.busy = False
 
     async def list(self) -> tuple[events.Instance, ...]:
@@ -83,6 +84,8 @@
         if self.busy:
             raise outgoing.NotDone('a read is under way')
         self.busy = True
+        begun_ms = self.time.now_ms()
+        begun_offset = self.next_offset
         try:
             await self._read()
         except outgoing.CallError as error:
@@ -90,9 +93,16 @@
             raise
         finally:
             self.busy = False
-        self._succeeded()
+        self._drop_lapsed()
+        self._succeeded(begun_ms, begun_offset)
         return tuple(self.rows.values())
 
+    def age_ms(self) -> int:
+        """Return how long ago the list was read, -1 if it never was."""
+        if self.read_ms is None:
+            return -1
+        return self.time.now_ms() - self.read_ms
+
     async def close(self) -> None:
         """Nothing to close: the source belongs to whoever made it."""
 
@@ -168,16 +178,32 @@
             # address that is the one that lives.
             self.rows.pop(name, None)
             self.rows[name] = row
-            self.lapsed.pop(name, None)
+            if self.lapsed.pop(name, None) is not None:
+                fields = {'endpoint': row.instance}
+                LOG.info('endpoint is listed again', extra=fields)
             return
         known = self.rows.get(name)
         if known is None:
             return
         if now_ms - self.returned_ms < RETURN_MS and not known.leaving:
-            self.lapsed.setdefault(name, self.returned_ms + RETURN_MS)
+            self._hold_back(name, known)
             return
         del self.rows[name]
 
+    def _hold_back(self, name: str, known: events.Instance) -> None:
+        if name in self.lapsed:
+            return
+        until_ms = self.returned_ms + RETURN_MS
+        self.lapsed[name] = until_ms
+        LOG.info(
+            'removal held back',
+            extra={
+                'endpoint': known.instance,
+                'outage_ms': self.outage_ms,
+                'hold_ms': until_ms - self.time.now_ms(),
+            },
+        )
+
     def _doubtful(self, name: str, row: events.Instance) -> bool:
         """Tell whether an entry may be the late word of an earlier start.
 
@@ -210,27 +236,42 @@
         now_ms = self.time.now_ms()
         if self.read_ms is not None and now_ms - self.read_ms >= OUTAGE_MS:
             self.returned_ms = now_ms
+            self.outage_ms = now_ms - self.read_ms
         self.read_ms = now_ms
 
-    def _succeeded(self) -> None:
+    def _drop_lapsed(self) -> None:
         now_ms = self.time.now_ms()
         for name in [n for n, by_ms in self.lapsed.items() if by_ms <= now_ms]:
-            del self.lapsed[name]
-            self.rows.pop(name, None)
-        if self.lost:
-            self.lost = False
-            LOG.info('endpoint list is read again')
+            late_ms = now_ms - self.lapsed.pop(name)
+            row = self.rows.pop(name, None)
+            if row is not None:
+                LOG.info(
+                    'held removal takes effect',
+                    extra={'endpoint': row.instance, 'late_ms': late_ms},
+                )
+
+    def _succeeded(self, begun_ms: int, begun_offset: int | None) -> None:
+        if not self.failures:
+            return
+        LOG.info(
+            'endpoint list is read again',
+            extra={
+                'outage_ms': self.outage_ms,
+                'failures': self.failures,
+                'took_ms': self.time.now_ms() - begun_ms,
+                'from_offset': begun_offset,
+                'next_offset': self.next_offset,
+            },
+        )
+        self.failures = 0
 
     def _failed(self, error: outgoing.CallError) -> None:
-        if self.lost:
+        self.failures += 1
+        if self.failures > 1:
             return
-        self.lost = True
-        age_ms = None
-        if self.read_ms is not None:
-            age_ms = self.time.now_ms() - self.read_ms
         LOG.warning(
             'endpoint list can not be read',
-            extra={'reason': str(error), 'age_ms': age_ms},
+            extra={'reason': str(error), 'age_ms': self.age_ms()},
         )
 
 
--- a/berylhollow/gateway/_decisions.py
+++ b/berylhollow/gateway/_decisions.py
@@ -38,6 +38,7 @@
             ('backlog_ms', round(_backlog.before(state, endpoint, active))),
             ('others_tokens', endpoint.others_tokens),
             ('report_age_ms', report_age_ms),
+            ('list_age_ms', state.list_age_ms(at_ms)),
             ('revision', offer.revision),
             ('after', last.kind.value if last else None),
         ),
--- a/berylhollow/gateway/_membership.py
+++ b/berylhollow/gateway/_membership.py
@@ -48,7 +48,7 @@
     An endpoint that is no longer listed stays while attempts are in flight
     there: the list may be wrong, and its answers are still owed to callers.
     """
-    state.listed = True
+    state.listed_ms = event.at_ms
     rows = {row.instance: row for row in event.instances}
     done: Effects = []
     for name, row in rows.items():
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -266,7 +266,8 @@
     from the weight store; ``relays`` are the sidecars that pass on what we
     read of the platform's log, and the first of them what others read;
     ``gateways`` is how many there are, as far as is known. ``token_ms`` is,
-    by service, how long a prompt token takes to be read.
+    by service, how long a prompt token takes to be read. ``listed_ms`` is
+    when the list of instances came that is in use.
     """
 
     options: _options.Options
@@ -320,7 +321,7 @@
     load_book: LoadBook = dataclasses.field(init=False)
     ticked_ms: int = 0
     instances_read_ms: int = clock.NEVER_MS
-    listed: bool = False
+    listed_ms: int = clock.NEVER_MS
     stopping: bool = False
     stop_by_ms: int = 0
     exited: bool = False
@@ -340,7 +341,15 @@
         """Whether enough is known to serve callers."""
         if self.follower.current is None:
             return False
-        return self.listed or not self.options.needs_instances
+        if not self.options.needs_instances:
+            return True
+        return self.listed_ms != clock.NEVER_MS
+
+    def list_age_ms(self, at_ms: int) -> int:
+        """Return how old the list of instances is, -1 without one."""
+        if self.listed_ms == clock.NEVER_MS:
+            return -1
+        return at_ms - self.listed_ms
 
     def request_of(self, attempt_id: str) -> ActiveRequest | None:
         """Return the request whose current attempt this is, if any."""
--- a/berylhollow/gateway/service.py
+++ b/berylhollow/gateway/service.py
@@ -115,6 +115,10 @@
         )
         driver = self.shell.driver
         following.observe(driver.state.follower, driver.time, meters)
+        meters.observe(
+            'berylhollow.instance_list.age',
+            lambda: driver.state.list_age_ms(driver.time.now_ms()),
+        )
 
     async def start(self) -> None:
         """Listen and begin."""
--- a/berylhollow/metrics/_instruments.py
+++ b/berylhollow/metrics/_instruments.py
@@ -161,6 +161,13 @@
         'How long ago the log is known to have held no newer change; -1 if '
         'that was never known.',
     ),
+    Instrument(
+        'berylhollow.instance_list.age',
+        OBSERVED_GAUGE,
+        'ms',
+        'How long ago the list of instances came that requests are sent by; '
+        '-1 before there is one.',
+    ),
     Instrument(
         'berylhollow.log_lines_dropped',
         OBSERVED_COUNTER,
