--- a/berylhollow/hosted/gateway_process.py
+++ b/berylhollow/hosted/gateway_process.py
@@ -134,6 +134,15 @@
     return gateway.State(options, follower)
 
 
+def endpoint_list(
+    store: endpoint_directory.Source, time: clock.Clock
+) -> endpoint_directory.EndpointDirectory:
+    """Return the list of endpoints as a gateway follows it in the store."""
+    return endpoint_directory.EndpointDirectory(
+        store, platform.INSTANCE_STREAM, platform.decode_instance, time
+    )
+
+
 def _surroundings(node: platform.Node) -> gateway_service.Surroundings:
     store = shared_reads.SharedLog(
         platform.StoreClient(str(node.store)),
@@ -143,16 +152,10 @@
         list_pause_ms(node),
         spread.fraction(0.0, node.instance),
     )
-    directory = endpoint_directory.EndpointDirectory(
-        store,
-        platform.INSTANCE_STREAM,
-        platform.decode_instance,
-        clock.MonotonicClock(),
-    )
     return gateway_service.Surroundings(
         log=store,
         shared_log=store,
-        instances=directory,
+        instances=endpoint_list(store, clock.MonotonicClock()),
         dialect=platform.CallerDialect(),
         endpoint_calls=platform.EndpointCalls(outgoing.open_session()),
         readiness=gateway_service.PageListener(
--- a/test/platform_builders.py
+++ b/test/platform_builders.py
@@ -1,7 +1,11 @@
 """Builders of what the users' platform sends, in its own names."""
 
+import dataclasses
 import json
+import pathlib
+import tempfile
 
+from berylhollow import platform
 from berylhollow import routes
 
 HOST = 'ficu95.example'
@@ -33,6 +37,15 @@
 """
 
 
+def node(**changes):
+    """Return what the platform says of a gateway's process."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / 'node.toml'
+        path.write_text(NODE_FILE, encoding='utf-8')
+        loaded = platform.load(path, serves_callers=True)
+    return dataclasses.replace(loaded, **changes)
+
+
 def route(name='r-1', prefix='/lohu930/', **changes):
     values = {
         'Name': name,
