Close a link that is taken while its server stops

Cause: the server closes all links, and closes its port one turn of the event loop later. A connection whose opening was read in that turn became a link that nobody closed; the sidecar went on as if it stayed, even ordered a load, and the stop waited for the link to end. Stacks of the tasks of a run that hung show the handler of that one link waiting, and its start stands in the log right after all links (none) had been closed.

Change: a server that is stopping closes what it still takes.

A test plays the order of events and failed before.

--- a/berylhollow/link/_server.py
+++ b/berylhollow/link/_server.py
@@ -42,6 +42,7 @@
         self.links: set[_link.Link] = set()
         self.refused = 0
         self._server = None
+        self._stopped: _reason.Reason | None = None
 
     async def start(self) -> None:
         """Listen; ``port`` then is the real one. Raises OSError."""
@@ -63,6 +64,7 @@
 
     async def stop(self, reason=_reason.Reason.LEAVING) -> None:
         """Stop listening, close every link and wait for them to end."""
+        self._stopped = reason
         for link in tuple(self.links):
             link.close(reason)
         self._server.close(close_connections=False)
@@ -74,6 +76,10 @@
             address, self.codec, self.handler, self.options, self.flusher
         )
         self.links.add(link)
+        if self._stopped is not None:
+            # Taken while the others were closed. Left open it would go up,
+            # and a stop that waits for all links would run into its limit.
+            link.close(self._stopped)
         handshake = _handshake.ServerHandshake(self.key, self.identity)
         try:
             await link.run(connection, handshake)
--- a/test/test_link.py
+++ b/test/test_link.py
@@ -16,6 +16,8 @@
 from test import link_builders as build
 
 Reason = links.Reason
+HANG_S = 5
+"""Far above what any wait takes: a fault then fails instead of hanging."""
 
 
 class LinkCase(unittest.IsolatedAsyncioTestCase):
@@ -88,6 +90,38 @@
         await self.dialled.until(lambda: self.dialled.downs)
         self.assertEqual([Reason.LEAVING], self.dialled.downs)
 
+    async def test_link_that_opens_while_the_server_stops(self):
+        """A sidecar did not stop in its time and was cut off.
+
+        A gateway's connection was taken when the stop had already closed all
+        links, before the port was closed: its link went up and the stop
+        waited for it to end by itself. The log has the gateway as linked
+        after the sidecar is stopping, and orders of the sidecar after that.
+        """
+        self.served = build.RecordingHandler()
+        server = build.server(self.served, build.KEY)
+        taken, closed = asyncio.Event(), asyncio.Event()
+        serve = server._serve
+
+        async def serve_late(connection):
+            taken.set()
+            await closed.wait()
+            await serve(connection)
+
+        with mock.patch.object(server, '_serve', serve_late):
+            await server.start()
+        self.server = server
+        connection = await self.connect_raw()
+        await taken.wait()
+        stopping = asyncio.create_task(server.stop())
+        await asyncio.sleep(0)
+        closed.set()
+        with contextlib.suppress(exceptions.ConnectionClosed):
+            await authenticate(connection)
+        async with asyncio.timeout(HANG_S):
+            await stopping
+        self.assertEqual([], self.served.ups)
+
     async def test_no_server_is_reported_once(self):
         await self.start_server()
         await self.server.stop()
