Do not go back to a list of endpoints that is older than what was read

Callers would see failures of endpoints that left. Change: such a list counts as a failed read and is asked for again.

Looked for and not found: entries of an endpoint that take effect after newer ones.

The test failed before.

--- a/berylhollow/endpoint_directory/_directory.py
+++ b/berylhollow/endpoint_directory/_directory.py
@@ -141,6 +141,10 @@
     ) -> None:
         if self.next_offset != offset:
             return
+        if offset is not None and result.next_offset < offset:
+            # An answer from before what was read already: taken in, endpoints
+            # that have left since would be sent requests again.
+            raise outgoing.NotDone('the list is older than what was read')
         self._note_return()
         ordered = sorted(result.records, key=lambda entry: entry.offset)
         rows = {
--- a/test/test_endpoint_directory.py
+++ b/test/test_endpoint_directory.py
@@ -16,12 +16,16 @@
 
 
 class FakeStore:
-    """Records in order; ``down`` fails every call."""
+    """Records in order; ``down`` fails every call.
+
+    A whole list is ``behind`` by so many records.
+    """
 
     def __init__(self):
         self.records = []
         self.first = 0
         self.down = False
+        self.behind = 0
         self.full_reads = 0
 
     def put(self, name, **changes):
@@ -41,15 +45,16 @@
     async def newest(self, stream):
         self.check()
         self.full_reads += 1
+        end = len(self.records) - self.behind
         newest = {}
-        for entry in self.result(0).records:
+        for entry in self.result(0).records[:end]:
             size = entry.data[0] if entry.data else 0
             name = entry.data[1 : 1 + size].decode()
             newest.pop(name, None)
             if entry.data[1 + size :]:
                 newest[name] = entry
         entries = tuple(newest[name] for name in sorted(newest))
-        return log_service.ReadResult(entries, 0, len(self.records))
+        return log_service.ReadResult(entries, 0, end)
 
     async def read(self, stream, from_offset):
         self.check()
@@ -105,6 +110,25 @@
         self.store.first = 3
         self.assertEqual(['i-2'], await self.names())
 
+    async def test_whole_list_that_is_older_than_what_was_read(self):
+        """The store drops its history and answers from an older state.
+
+        Endpoints that had left were in use again, and read from there on the
+        log would bring every change since once more.
+        """
+        self.store.put('i-1')
+        self.store.put('i-2')
+        self.store.drop('i-1')
+        self.assertEqual(['i-2'], await self.names())
+        self.store.put('i-3')
+        await self.names()
+        self.store.first = 10
+        self.store.behind = 2
+        with self.assertRaises(outgoing.CallError):
+            await self.names()
+        self.store.behind = 0
+        self.assertEqual(['i-2', 'i-3'], await self.names())
+
     async def test_entries_that_lapsed_in_an_outage_stay_for_a_while(self):
         """The store was down and the entries of all endpoints lapsed.
 
