Open links to sidecars when the routes come after the list

Callers of model endpoints were refused for half a second longer after all processes had been started again. Cause: which endpoints have a sidecar is known by the routes; where the list of endpoints was read first, nothing was linked, no endpoint was ordered its model or an adapter, until the next list.

Change: when a configuration comes into force, the sidecars of the endpoints are looked for again and linked. The test fails without it.

--- a/berylhollow/gateway/_membership.py
+++ b/berylhollow/gateway/_membership.py
@@ -67,6 +67,12 @@
     """Let the configuration follower ask for what it is missing."""
     view = state.follower.current
     done = following.announce(state.served_revision, view)
+    if done:
+        # Which endpoints have a sidecar is known by the configuration. Where
+        # the list came first, links and loads would wait for the next one,
+        # up to 0.7 s after every start.
+        _sidecars.listed(state)
+        done += _sidecars.tick(state, at_ms)
     state.served_revision = view.revision if view else 0
     gateways = [state.options.instance, *state.peers]
     return done + state.follower.tick(
--- a/test/hosted/test_gateway_direct.py
+++ b/test/hosted/test_gateway_direct.py
@@ -52,8 +52,11 @@
             gateway.Options(instance='g1', **options), follower
         )
         self.begin(gateway.reduce, state)
-        self.publish(builders.configuration_record())
         self.sent_count = 0
+        self.configure()
+
+    def configure(self):
+        self.publish(builders.configuration_record())
 
     def options(self):
         return {}
@@ -126,6 +129,26 @@
         return self.receive(report, at_ms, addresses.beside(address))
 
 
+class StartTest(DirectTestCase):
+    """A gateway that has not read its routes yet."""
+
+    def configure(self):
+        """Wait: the list of endpoints comes first."""
+
+    def test_list_before_the_routes_opens_links_as_soon(self):
+        """All processes start again, the list comes before the routes.
+
+        Which endpoints have a sidecar is known by the routes; the links, and
+        with them every load, waited for the next list, half a second later.
+        """
+        self.list(row('i-1', '10.0.0.1:80'))
+        self.assertEqual([], self.of_type(effects.OpenLink))
+        self.publish(builders.configuration_record(), at_ms=10)
+        self.feed(events.Ticked(50, 0.5))
+        (opened,) = self.of_type(effects.OpenLink)
+        self.assertEqual(addresses.beside('10.0.0.1:80'), opened.peer)
+
+
 class PlainTest(DirectTestCase):
     def test_request_goes_straight_to_an_endpoint_of_its_route(self):
         self.list(plain('i-1', '10.0.0.1:80'), row('i-2', '10.0.0.2:80'))
