Read no certificates only where nothing is spoken to over TLS

What was found: the start of every process replaced the operator's own certificates, SSL_CERT_FILE, by none, also with settings of its own that may name an address over TLS; such a connection would have been refused with nothing in the log to say why.

--- a/berylhollow/__main__.py
+++ b/berylhollow/__main__.py
@@ -8,8 +8,9 @@
 
 def main() -> int:
     """Run the command that the command line names; return its exit code."""
-    startup.hasten()
-    return ui.main(sys.argv[1:])
+    arguments = sys.argv[1:]
+    startup.hasten(arguments)
+    return ui.main(arguments)
 
 
 if __name__ == '__main__':
