Give the reading of list entries a module of its own

No behaviour is changed; 14 tests of the list pass as before (they name the logger by its text, since it has moved).

--- a/berylhollow/endpoint_directory/_directory.py
+++ b/berylhollow/endpoint_directory/_directory.py
@@ -1,17 +1,16 @@
 """Reading the list of endpoints, and what each record changes in it."""
 
-import collections.abc
 import dataclasses
 import logging
 import typing
 
 from berylhollow import clock
+from berylhollow.endpoint_directory import _entries
 from berylhollow.endpoint_directory import _lapses
 from berylhollow import events
 from berylhollow import log_service
 from berylhollow import messages
 from berylhollow import outgoing
-from berylhollow import routes
 
 LOG = logging.getLogger(__name__)
 
@@ -23,13 +22,6 @@
 """Reads that may be under way while the list is lost: a call into a cut takes
 a second to fail, and the one that is begun after it brings the list."""
 
-MOST_MALFORMED = 256
-"""Names whose unreadable entry was told of: each is told once, and a writer
-that makes up names must not fill the memory or the log."""
-
-Decode = collections.abc.Callable[[bytes], tuple[str, events.Instance | None]]
-Decoded = tuple[messages.LogEntry, str, events.Instance | None]
-
 
 class Source(typing.Protocol):
     """Where the records come from."""
@@ -48,27 +40,25 @@
 
     ``rows`` are by the name that an endpoint is listed under; those whose
     removal is held back say until when they may be used. ``doubted`` holds
-    what was said once of an earlier start than the one that is known,
-    ``malformed`` why an entry could not be read. ``lapses`` decides which
-    removals are held back after an outage.
+    what was said once of an earlier start than the one that is known.
+    ``lapses`` decides which removals are held back after an outage.
     """
 
     def __init__(
         self,
         source: Source,
         stream: str,
-        decode: Decode,
+        decode: _entries.Decode,
         time: clock.Clock,
         lapses: _lapses.Lapses | None = None,
     ):
         self.source = source
         self.stream = stream
-        self.decode = decode
+        self.entries = _entries.Entries(decode)
         self.time = time
         self.lapses = lapses or _lapses.Lapses()
         self.rows: dict[str, events.Instance] = {}
         self.doubted: dict[str, messages.Incarnation] = {}
-        self.malformed: dict[str, str] = {}
         self.next_offset: int | None = None
         self.read_ms: int | None = None
         self.outage_ms = 0
@@ -132,7 +122,7 @@
             # Another read was quicker, and has taken these records in.
             return
         self._note_return()
-        for entry, name, row in self._decoded(result.records):
+        for entry, name, row in self.entries.decoded(result.records):
             self._take(name, row, entry.offset)
         self.next_offset = result.next_offset
 
@@ -149,7 +139,7 @@
         ordered = sorted(result.records, key=lambda entry: entry.offset)
         rows = {
             name: (row, entry.offset)
-            for entry, name, row in self._decoded(ordered)
+            for entry, name, row in self.entries.decoded(ordered)
         }
         absent = (None, result.next_offset)
         for name in [n for n in self.rows if rows.get(n, absent)[0] is None]:
@@ -159,41 +149,6 @@
                 self._take(name, row, written_offset)
         self.next_offset = result.next_offset
 
-    def _decoded(
-        self, entries: collections.abc.Iterable[messages.LogEntry]
-    ) -> collections.abc.Iterator[Decoded]:
-        """Yield what was read, with names and rows.
-
-        An unreadable entry names no endpoint. It takes the place of a good
-        one of the same name, as any newer entry does: whether that was read
-        as the newest of all or as the next record, the same endpoints are in
-        use. A living endpoint writes its own again within a heartbeat.
-        """
-        for entry in entries:
-            try:
-                name, row = self.decode(entry.data)
-            except routes.MalformedRecordError as error:
-                self._note_malformed(error, entry.offset)
-                if error.key:
-                    yield entry, error.key, None
-                continue
-            self.malformed.pop(name, None)
-            yield entry, name, row
-
-    def _note_malformed(
-        self, error: routes.MalformedRecordError, offset: int
-    ) -> None:
-        reason = str(error)
-        if self.malformed.get(error.key) == reason:
-            return
-        if len(self.malformed) >= MOST_MALFORMED:
-            return
-        self.malformed[error.key] = reason
-        LOG.warning(
-            'entry not understood',
-            extra={'offset': offset, 'entry': error.key, 'reason': reason},
-        )
-
     def _take(
         self, name: str, row: events.Instance | None, offset: int
     ) -> None:
--- a/test/test_endpoint_directory.py
+++ b/test/test_endpoint_directory.py
@@ -231,7 +231,9 @@
     async def test_unreadable_entries_are_told_once_each(self):
         """A writer repeated its entry with every heartbeat, a line each."""
         self.store.put('i-1')
-        with self.assertLogs(endpoint_directory.LOG, 'WARNING') as logs:
+        with self.assertLogs(
+            'berylhollow.endpoint_directory', 'WARNING'
+        ) as logs:
             for _ in range(5):
                 self.store.put('x-1', Address='nowhere')
                 await self.names()
@@ -242,6 +244,8 @@
         most = endpoint_directory.MOST_MALFORMED
         for number in range(most + 50):
             self.store.put(f'x-{number}', Address='nowhere')
-        with self.assertLogs(endpoint_directory.LOG, 'WARNING') as logs:
+        with self.assertLogs(
+            'berylhollow.endpoint_directory', 'WARNING'
+        ) as logs:
             await self.names()
         self.assertEqual(most, len(logs.records))
