Read the store once more where a connection has gone silent

A kept connection that goes silent, while new ones work, made the list 1.7 s old although the store was well; removals were held back 2.3 s from then, longer than the 3 s after which every promise holds, and requests could go to endpoints that had left. Change: a read of the store that takes 0.3 s, or whose connection breaks, is made once more on another connection and the first good answer counts; refusals and reads that wait for news are not repeated. The list is then at most a second old. Two of the five tests fail without it.

--- a/berylhollow/endpoint_directory/_directory.py
+++ b/berylhollow/endpoint_directory/_directory.py
@@ -171,7 +171,7 @@
         if known is None:
             return
         now_ms = self.time.now_ms()
-        if known.leaving or not self.lapses.may_be(now_ms):
+        if known.leaving or not self.lapses.may_be_lapse(now_ms):
             del self.rows[name]
             return
         if not self.lapses.hold_back(name, offset):
@@ -240,7 +240,7 @@
     def _drop_removed(self) -> None:
         """Drop the rows whose removal is held back no more."""
         now_ms = self.time.now_ms()
-        for name in self.lapses.take_over(now_ms):
+        for name in self.lapses.end_holds(now_ms):
             row = self.rows.pop(name, None)
             if row is None:
                 continue
--- a/berylhollow/endpoint_directory/_lapses.py
+++ b/berylhollow/endpoint_directory/_lapses.py
@@ -46,7 +46,7 @@
         """We can read again after an outage; holds begin anew."""
         self.until_ms = at_ms + self.return_ms
 
-    def may_be(self, at_ms: int) -> bool:
+    def may_be_lapse(self, at_ms: int) -> bool:
         """Tell whether a removal that is read now may be a lapse."""
         return at_ms < self.until_ms
 
@@ -67,10 +67,10 @@
             offsets.append(offset)
         return was_held
 
-    def take_over(self, at_ms: int) -> list[str]:
+    def end_holds(self, at_ms: int) -> list[str]:
         """Return the names whose removal is no lapse, and forget them."""
         proven = self._proven()
-        all_over = not self.may_be(at_ms)
+        all_over = not self.may_be_lapse(at_ms)
         over = [
             name
             for name, offset in self.held.items()
--- a/berylhollow/platform/_store.py
+++ b/berylhollow/platform/_store.py
@@ -6,14 +6,22 @@
 
 import aiohttp
 
+from berylhollow import clock
 from berylhollow import log_service
 from berylhollow import messages
 from berylhollow import outgoing
 from berylhollow.platform import _records
+from berylhollow.util import hedging
 
 CALL_TIMEOUT_MS = 1000
 """A store that is well answers in some milliseconds."""
 
+HEDGE_MS = 300
+"""A read that takes longer is made once more. Guards against a connection
+that has gone silent without an error, while new ones work: a gateway that
+waits for it takes that for an outage of the store, holds back what has left
+the list, and sends there for two seconds more."""
+
 WAIT_MARGIN_MS = 400
 """What a read that waits may take beyond its wait."""
 
@@ -30,14 +38,19 @@
     """Read and append records of the first partition of a topic.
 
     Implements what ``shell.PlatformCalls`` needs of a log. Raises the kinds
-    of ``outgoing.CallError``.
+    of ``outgoing.CallError``. A read that does not wait for news is made
+    again after ``hedge_ms``, or if its connection breaks.
     """
 
     def __init__(
-        self, address: str, session: aiohttp.ClientSession | None = None
+        self,
+        address: str,
+        session: aiohttp.ClientSession | None = None,
+        hedge_ms: int = HEDGE_MS,
     ):
         self.url = f'http://{address}/v1'
         self.session = session or outgoing.open_session()
+        self.hedge_ms = hedge_ms
 
     async def newest(self, stream: str) -> log_service.ReadResult:
         """Return the newest record of each key, page by page."""
@@ -74,10 +87,11 @@
         }
         if wait_ms:
             params['WaitMs'] = str(wait_ms)
-        timeout_ms = CALL_TIMEOUT_MS
-        if wait_ms:
-            timeout_ms = wait_ms + WAIT_MARGIN_MS
-        data = await self._get('log-read', params, timeout_ms)
+            data = await self._ask(
+                'log-read', params, wait_ms + WAIT_MARGIN_MS
+            )
+        else:
+            data = await self._get('log-read', params)
         return _decode(data, from_offset)
 
     async def append(self, stream: str, data: bytes) -> int:
@@ -102,9 +116,16 @@
         """Close the connections."""
         await self.session.close()
 
-    async def _get(
-        self, call: str, params: dict, timeout_ms: int = CALL_TIMEOUT_MS
-    ) -> bytes:
+    async def _get(self, call: str, params: dict) -> bytes:
+        time = clock.MonotonicClock()
+        ends_ms = time.now_ms() + CALL_TIMEOUT_MS
+        return await hedging.first_answer(
+            lambda: self._ask(call, params, ends_ms - time.now_ms()),
+            self.hedge_ms / clock.MS_PER_SECOND,
+            (outgoing.MaybeDone,),
+        )
+
+    async def _ask(self, call: str, params: dict, timeout_ms: int) -> bytes:
         response = await outgoing.open_call(
             self.session,
             'GET',
--- /dev/null
+++ b/test/platform/test_store.py
@@ -0,0 +1,101 @@
+"""Reads of the platform's store over connections that let it down."""
+
+import asyncio
+import contextlib
+import struct
+import unittest
+
+from aiohttp import web
+
+from berylhollow import outgoing
+from berylhollow import platform
+from berylhollow.standin import _http
+
+STREAM = 'keyed.servers'
+EMPTY = struct.pack('>QQ', 0, 0)
+HEDGE_MS = 20
+HANG_S = 30
+"""Far above what any wait takes: a fault then fails instead of hanging."""
+
+
+class StoreTestCase(unittest.IsolatedAsyncioTestCase):
+    """A store that answers each read as the next of ``answers`` says."""
+
+    async def asyncSetUp(self):
+        self.stack = contextlib.AsyncExitStack()
+        self.addAsyncCleanup(self.stack.aclose)
+        self.answers = []
+        self.calls = 0
+        application = web.Application()
+        application.router.add_get('/v1/log-read', self.read)
+        port = await self.stack.enter_async_context(
+            _http.listening(application, '127.0.0.1', 0)
+        )
+        self.client = platform.StoreClient(
+            f'127.0.0.1:{port}', hedge_ms=HEDGE_MS
+        )
+        self.stack.push_async_callback(self.client.close)
+
+    async def read(self, request):
+        answer = self.answers[self.calls]
+        self.calls += 1
+        return await answer(request)
+
+    async def next_offset(self, wait_ms=0):
+        async with asyncio.timeout(HANG_S):
+            result = await self.client.read(STREAM, 7, wait_ms)
+        return result.next_offset
+
+
+async def well(_request):
+    return web.Response(body=EMPTY)
+
+
+async def silent(_request):
+    await asyncio.Event().wait()
+
+
+async def broken(request):
+    request.transport.abort()
+    return web.Response()
+
+
+async def refused(_request):
+    return web.Response(status=503)
+
+
+async def after_a_while(_request):
+    await asyncio.sleep(3 * HEDGE_MS / 1000)
+    return web.Response(body=EMPTY)
+
+
+class HedgeTest(StoreTestCase):
+    async def test_connection_that_went_silent(self):
+        """The kept connection to the store goes silent, new ones work.
+
+        The list of endpoints was as old as the time limit of a call, which
+        looks like an outage of the store: what left the list meanwhile was
+        sent requests for two seconds more.
+        """
+        self.answers = [silent, well]
+        self.assertEqual(7, await self.next_offset())
+
+    async def test_connection_that_broke(self):
+        self.answers = [broken, well]
+        self.assertEqual(7, await self.next_offset())
+
+    async def test_refusal_is_not_asked_for_twice(self):
+        """Each call to the store has its price, refused ones too."""
+        self.answers = [refused]
+        with self.assertRaises(outgoing.NotDone):
+            await self.next_offset()
+        self.assertEqual(1, self.calls)
+
+    async def test_read_that_waits_for_news_is_made_once(self):
+        self.answers = [after_a_while]
+        self.assertEqual(7, await self.next_offset(wait_ms=1000))
+        self.assertEqual(1, self.calls)
+
+    async def test_slow_answer_counts_while_the_second_is_lost(self):
+        self.answers = [after_a_while, broken]
+        self.assertEqual(7, await self.next_offset())
