Admit callers by the keys of declared workspaces

Cause: workspaces, their keys and the routes that are open to all were dropped when a configuration was read. Every request ran, whatever its key; the key itself and a workspace's name that the caller had made up went on to the endpoint.

Change: a configuration carries workspaces (name, digests of keys, priority, quota; the quota is not enforced yet). A request without exactly one known key is refused with 401 from its head alone, before its body is read, unless its route is open. The check is made again each time the request is about to be sent to an endpoint, so a key that is taken away while its request waits runs nothing. The endpoint is told the workspace's name; keys and claimed names are dropped in any case and number. A workspace's priority goes before its route's. A configuration with a malformed workspace is refused as a whole, with one line that holds no key, and what was in force stays. Keys are kept as digests under a salt of the process.

Ruled out: comparing keys by their text (they would lie in memory and in dumps); checking only at arrival (a test shows the key that is revoked while its request waits for an adapter).

The product's own manifest does not declare workspaces yet.

--- a/berylhollow/errors.py
+++ b/berylhollow/errors.py
@@ -43,6 +43,7 @@
     INTERNAL = 'internal'
     KEY_IN_PROGRESS = 'key_in_progress'
     KEY_REUSED = 'key_reused'
+    KEY_UNPROVEN = 'key_unproven'
     LEAVING = 'leaving'
     LOAD_FAILED = 'load_failed'
     MALFORMED_JSON = 'malformed_json'
@@ -52,8 +53,10 @@
     OUTCOME_UNKNOWN = 'outcome_unknown'
     OVERLOADED = 'overloaded'
     QUARANTINED = 'quarantined'
+    QUOTA_EXCEEDED = 'quota_exceeded'
     STREAM_BROKEN = 'stream_broken'
     UNKNOWN_ADAPTER = 'unknown_adapter'
+    UNKNOWN_KEY = 'unknown_key'
     UNKNOWN_SERVICE = 'unknown_service'
     UNKNOWN_VERSION = 'unknown_version'
     UNSUPPORTED_MEDIA_TYPE = 'unsupported_media_type'
@@ -135,6 +138,9 @@
     Kind.KEY_REUSED: Answer(
         422, _NOT, Retry.CHANGED, 'The key was used for another request.'
     ),
+    Kind.KEY_UNPROVEN: Answer(
+        503, _NOT, Retry.LATER, 'Whether the key still holds is not known.'
+    ),
     Kind.LEAVING: Answer(
         503, _NOT, Retry.LATER, 'The process is shutting down.'
     ),
@@ -162,12 +168,18 @@
     Kind.QUARANTINED: Answer(
         422, _NOT, Retry.NEVER, 'This request has crashed endpoints.'
     ),
+    Kind.QUOTA_EXCEEDED: Answer(
+        429, _NOT, Retry.LATER, 'The workspace has used up its quota.'
+    ),
     Kind.STREAM_BROKEN: Answer(
         502, _MAYBE, Retry.IF_IDEMPOTENT, 'The answer ended early.'
     ),
     Kind.UNKNOWN_ADAPTER: Answer(
         404, _NOT, Retry.CHANGED, 'The adapter is not declared.'
     ),
+    Kind.UNKNOWN_KEY: Answer(
+        401, _NOT, Retry.CHANGED, 'No valid key of a workspace was given.'
+    ),
     Kind.UNKNOWN_SERVICE: Answer(
         404, _NOT, Retry.CHANGED, 'The service is not declared.'
     ),
@@ -184,11 +196,15 @@
 
 
 class BerylhollowError(Exception):
-    """A failure with its kind; the message is fit to show a user."""
+    """A failure with its kind; the message is fit to show a user.
+
+    ``retry_after_ms`` is when the caller may come back, 0 if that is open.
+    """
 
-    def __init__(self, kind: Kind, message: str = ''):
+    def __init__(self, kind: Kind, message: str = '', retry_after_ms: int = 0):
         super().__init__(message or ANSWERS[kind].title)
         self.kind = kind
+        self.retry_after_ms = retry_after_ms
 
     @property
     def answer(self) -> Answer:
--- a/berylhollow/events.py
+++ b/berylhollow/events.py
@@ -193,6 +193,20 @@
 # Callers, at a gateway.
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestHead:
+    """What the head of a request says before its body is read.
+
+    ``credential`` is the digest of the caller's key, None without a usable
+    one. ``tokens`` are those of the prompt and the answer, 0 if not told.
+    """
+
+    host: str
+    path: str
+    credential: bytes | None
+    tokens: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
     """What a caller asked for, checked for form only.
@@ -201,6 +215,8 @@
     idempotency key and makes the request non-idempotent; so does a route
     whose requests are not ``repeatable``. Where the caller names no version
     of its adapter, that of ``adapter`` is empty until it is resolved.
+    ``credential`` is the digest of the caller's key, None without a usable
+    one.
     """
 
     request_id: str
@@ -219,6 +235,16 @@
     output_tokens: int = 0
     host: str = ''
     repeatable: bool = True
+    credential: bytes | None = None
+
+    @property
+    def head(self) -> RequestHead:
+        return RequestHead(
+            self.host,
+            self.path,
+            self.credential,
+            self.prompt_tokens + self.output_tokens,
+        )
 
     @property
     def idempotent(self) -> bool:
--- a/berylhollow/following.py
+++ b/berylhollow/following.py
@@ -9,6 +9,7 @@
 from berylhollow import errors
 from berylhollow import events
 from berylhollow import messages
+from berylhollow import workspaces
 
 
 class Service(typing.Protocol):
@@ -45,6 +46,7 @@
     ``deadline_ms`` is a duration from arrival. ``most_runs`` bounds the
     endpoints that may run the request, None leaves it to the options.
     ``objective_ms`` is by when its answer should begin, 0 if none is set.
+    ``workspace`` is the one that its key belongs to, None without one.
     """
 
     service: str
@@ -55,6 +57,7 @@
     repeatable: bool = True
     objective_ms: int = 0
     route: str = ''
+    workspace: workspaces.Workspace | None = None
 
 
 class View(typing.Protocol):
--- a/berylhollow/gateway/_attempts.py
+++ b/berylhollow/gateway/_attempts.py
@@ -21,6 +21,7 @@
 from berylhollow.gateway import _routing
 from berylhollow.gateway import _settlement
 from berylhollow.gateway import _state
+from berylhollow.gateway import _workspaces
 from berylhollow import messages
 
 Effects = list[effects.Effect]
@@ -56,6 +57,15 @@
     if refused_ms:
         kind = errors.Kind.QUARANTINED
         return give_up(state, active, kind, errors.Ran.NOT_RUN, refused_ms)
+    refusal = _workspaces.refused(state, active, at_ms)
+    if refusal is not None:
+        return give_up(
+            state,
+            active,
+            refusal.kind,
+            errors.Ran.NOT_RUN,
+            refusal.retry_after_ms,
+        )
     name = _routing.choose(state, active, at_ms)
     if name is None:
         return _nowhere(state, active, at_ms)
--- a/berylhollow/gateway/_dialect.py
+++ b/berylhollow/gateway/_dialect.py
@@ -19,7 +19,12 @@
 
 
 class Draft(typing.Protocol):
-    """A request whose head is valid and whose body is still to come."""
+    """A request whose head is valid and whose body is still to come.
+
+    ``head`` is None where only the body tells what is asked for.
+    """
+
+    head: events.RequestHead | None
 
     def build(self, request_id: str, body: bytes) -> events.Request:
         """Return the request as the reducer takes it.
@@ -98,6 +103,7 @@
     target: _parsing.Target
     method: str
     headers: tuple[messages.Header, ...]
+    head: events.RequestHead | None = None
 
     def build(self, request_id: str, body: bytes) -> events.Request:
         return _parsing.build(
--- a/berylhollow/gateway/_http.py
+++ b/berylhollow/gateway/_http.py
@@ -16,6 +16,7 @@
 from berylhollow.gateway import _exchange
 from berylhollow.gateway import _parsing
 from berylhollow.gateway import _responding
+from berylhollow.gateway import _workspaces
 from berylhollow import settings as all_settings
 
 LOG = logging.getLogger(__name__)
@@ -42,8 +43,13 @@
     def forget(self, exchange: _exchange.Exchange) -> None:
         """Forget the exchange: its caller will get nothing more."""
 
-    def refused(self, kind: errors.Kind) -> None:
-        """A request was refused for its form."""
+    def refused(self, kind: errors.Kind, shown_id: str) -> None:
+        """A request was refused before it was taken."""
+
+    def refused_by_head(
+        self, head: events.RequestHead
+    ) -> _workspaces.Refusal | None:
+        """Return why a request will be refused, before its body is read."""
 
     async def page(self, path: str) -> web.Response | None:
         """Return a page of the gateway itself, None for an unknown path."""
@@ -111,7 +117,7 @@
             shown_id = self.dialect.echoed_id(request.headers) or shown_id
             response = await self._answer(request, request_id, shown_id)
         except errors.BerylhollowError as error:
-            self.owner.refused(error.kind)
+            self.owner.refused(error.kind, shown_id)
             response = self._refusal(error, shown_id)
         finally:
             self.server.busy.discard(protocol)
@@ -126,6 +132,7 @@
         if draft is None:
             path = _parsing.origin_form(request.raw_path)
             return await self._page(request, path.partition('?')[0])
+        self._check_head(draft.head)
         body = await self.bodies.read(request)
         try:
             taken = draft.build(request_id, body)
@@ -133,6 +140,13 @@
         finally:
             self.bodies.release(len(body))
 
+    def _check_head(self, head: events.RequestHead | None) -> None:
+        refusal = None if head is None else self.owner.refused_by_head(head)
+        if refusal is not None:
+            raise errors.BerylhollowError(
+                refusal.kind, retry_after_ms=refusal.retry_after_ms
+            )
+
     async def _page(
         self, request: web.BaseRequest, path: str
     ) -> web.StreamResponse:
@@ -208,12 +222,11 @@
     ) -> web.Response:
         kind = error.kind
         overloaded = kind is errors.Kind.OVERLOADED
+        retry_after_ms = error.retry_after_ms
+        if overloaded:
+            retry_after_ms = _connections.RETRY_AFTER_MS
         response = self.dialect.error_response(
-            kind,
-            error.answer.ran,
-            shown_id,
-            _connections.RETRY_AFTER_MS if overloaded else 0,
-            str(error),
+            kind, error.answer.ran, shown_id, retry_after_ms, str(error)
         )
         if isinstance(error, _dialect.MethodNotAllowedError):
             response.headers['Allow'] = ', '.join(sorted(error.allowed))
--- a/berylhollow/gateway/_requests.py
+++ b/berylhollow/gateway/_requests.py
@@ -27,8 +27,10 @@
     terms = _terms(state, event)
     if isinstance(terms, errors.Kind):
         return [refusal(request.request_id, terms)]
+    workspace = terms.workspace
     request = dataclasses.replace(
         request,
+        caller=workspace.name if workspace else request.caller,
         adapter=terms.adapter,
         deadline_ms=terms.deadline_ms,
         priority=terms.priority,
@@ -49,6 +51,7 @@
         service=terms.service,
         most_runs=terms.most_runs or state.options.attempts,
         objective_ms=terms.objective_ms,
+        workspace=workspace,
     )
     state.requests[request.request_id] = active
     if request.adapter is not None:
--- a/berylhollow/gateway/_shell.py
+++ b/berylhollow/gateway/_shell.py
@@ -23,6 +23,7 @@
 from berylhollow.gateway import _pages
 from berylhollow.gateway import _relay
 from berylhollow.gateway import _surroundings
+from berylhollow.gateway import _workspaces
 from berylhollow import messages
 from berylhollow import settings as all_settings
 from berylhollow import shell
@@ -222,10 +223,25 @@
         exchange.log(self.now_ms(), _pages.revision(state))
         self._measure(exchange, service)
 
-    def refused(self, kind: errors.Kind) -> None:
+    def refused(self, kind: errors.Kind, shown_id: str) -> None:
         ran = errors.ANSWERS[kind].ran
+        LOG.info(
+            'request refused',
+            extra={
+                'shown_id': shown_id,
+                'kind': kind.value,
+                'revision': _pages.revision(self.driver.state),
+            },
+        )
         self._count_error('', kind, ran)
 
+    def refused_by_head(
+        self, head: events.RequestHead
+    ) -> _workspaces.Refusal | None:
+        return _workspaces.refused_by_head(
+            self.driver.state, head, self.now_ms()
+        )
+
     def _measure(self, exchange: _exchange.Exchange, service: str) -> None:
         kind = exchange.kind.value if exchange.kind else ''
         attributes = (
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -13,6 +13,7 @@
 from berylhollow import policy
 from berylhollow import quarantine
 from berylhollow.util import token_bucket
+from berylhollow import workspaces
 
 
 DEMAND_CONSTANT_MS = 4000.0
@@ -173,6 +174,7 @@
     claim_id: str = ''
     claim_by_ms: int = 0
     claim_lost: bool = False
+    workspace: workspaces.Workspace | None = None
 
     @property
     def offered(self) -> bool:
--- a/berylhollow/platform/_caller.py
+++ b/berylhollow/platform/_caller.py
@@ -11,14 +11,21 @@
 from berylhollow import messages
 from berylhollow.platform import _runs
 from berylhollow.util import hop_by_hop
+from berylhollow import workspaces
 
 MODEL = 'Model'
 TOKENS = 'Token-Count'
+KEY = 'Api-Key'
 DIGEST_BYTES = 16
 MS_PER_SECOND = 1000
 LONGEST_DEADLINE_MS = 24 * 60 * 60 * 1000
 
-NOT_PASSED_ON = hop_by_hop.HEADERS | {'content-length', 'host'}
+NOT_PASSED_ON = hop_by_hop.HEADERS | {
+    'content-length',
+    'host',
+    KEY.lower(),
+    _runs.WORKSPACE.lower(),
+}
 NOT_RELAYED = hop_by_hop.HEADERS | {'host'}
 
 PROMISES = frozenset({408, 421, 429, 503})
@@ -103,6 +110,18 @@
     request: web.BaseRequest
     default_deadline_ms: int
 
+    @property
+    def head(self) -> events.RequestHead:
+        """Return what the head of the request says."""
+        request = self.request
+        headers = request.headers
+        return events.RequestHead(
+            headers.get('Host', ''),
+            request.raw_path,
+            workspaces.credential(headers.getall(KEY, ())),
+            sum(_tokens(headers.get(TOKENS, ''))),
+        )
+
     def build(self, request_id: str, body: bytes) -> events.Request:
         """Return the request as the reducer takes it."""
         request = self.request
@@ -124,6 +143,7 @@
             prompt_tokens=prompt_tokens,
             output_tokens=output_tokens,
             host=headers.get('Host', ''),
+            credential=workspaces.credential(headers.getall(KEY, ())),
         )
 
 
--- a/berylhollow/platform/_fields.py
+++ b/berylhollow/platform/_fields.py
@@ -61,9 +61,11 @@
     return value
 
 
-def number(entry: dict, field: str) -> float:
+def number(entry: dict, field: str, default: float | None = None) -> float:
     """Return a finite number that is not negative."""
     value = entry.get(field)
+    if value is None and default is not None:
+        return default
     if type(value) not in (int, float) or not 0 <= value <= LARGEST:
         raise _wrong(field, 'a number', value)
     return float(value)
--- a/berylhollow/platform/_records.py
+++ b/berylhollow/platform/_records.py
@@ -6,6 +6,7 @@
 from berylhollow import messages
 from berylhollow.platform import _fields
 from berylhollow import routes
+from berylhollow import workspaces
 
 CONFIGURATION_STREAM = 'keyed.op'
 INSTANCE_STREAM = 'keyed.servers'
@@ -20,6 +21,11 @@
 LEAVING_STATES = {'ready': False, 'draining': True}
 """Whether an endpoint leaves, by the state that its entry names."""
 
+UNITS = {
+    'requests': workspaces.Unit.REQUESTS,
+    'tokens': workspaces.Unit.TOKENS,
+}
+
 START = 'born'
 """Field of everything that an endpoint says of itself: the Unix time of its
 start in milliseconds. Its name stays the same over restarts, so the two
@@ -96,6 +102,52 @@
                 limits, 'IdleTimeoutMs', 15_000
             ),
         ),
+        workspaces=_workspaces(_fields.objects(value, 'Tenants')),
+    )
+
+
+def _workspaces(entries: list[dict]) -> tuple[workspaces.Workspace, ...]:
+    found = tuple(map(_workspace, entries))
+    keys = [key for workspace in found for key in workspace.keys]
+    if len(set(keys)) < len(keys):
+        raise routes.MalformedRecordError('two workspaces have one key')
+    if len({workspace.name for workspace in found}) < len(found):
+        raise routes.MalformedRecordError('two workspaces have one name')
+    return found
+
+
+def _workspace(entry: dict) -> workspaces.Workspace:
+    name = _fields.text(entry, 'Name')
+    if not _is_header_value(name):
+        raise routes.MalformedRecordError('Name can not be sent in a header')
+    priority = None
+    if entry.get('Priority') is not None:
+        priority = _fields.whole(entry, 'Priority')
+    keys = _fields.texts(entry, 'ApiKeys')
+    return workspaces.Workspace(
+        name,
+        frozenset(map(workspaces.digest, keys)),
+        priority,
+        _quota(entry),
+    )
+
+
+def _is_header_value(text: str) -> bool:
+    return text.isascii() and text.isprintable() and text == text.strip()
+
+
+def _quota(entry: dict) -> workspaces.Quota | None:
+    rate_per_s = _fields.number(entry, 'RatePerS', 0)
+    if not rate_per_s:
+        return None
+    unit = _fields.text(entry, 'Unit', 'requests')
+    if unit not in UNITS:
+        raise routes.MalformedRecordError(f'unknown unit {unit[:40]!r}')
+    return workspaces.Quota(
+        UNITS[unit],
+        rate_per_s,
+        _fields.number(entry, 'Burst', 0),
+        _fields.whole(entry, 'PlainTokens', 0),
     )
 
 
@@ -115,6 +167,7 @@
         most_runs=max(1, _fields.whole(entry, 'MaxAttempts', 1)),
         resumable=_fields.truth(entry, 'Resumable'),
         event_gap_ms=_fields.milliseconds(entry, 'GapTargetMs', 0),
+        public=_fields.truth(entry, 'AllowAnonymous'),
     )
 
 
--- a/berylhollow/platform/_runs.py
+++ b/berylhollow/platform/_runs.py
@@ -19,6 +19,7 @@
 NOT_EXECUTED = 'Not-Executed'
 INSTANCE = 'Instance-Id'
 SIGNATURE = 'Server-Seal'
+WORKSPACE = 'Tenant'
 
 LEAST_PRIORITY = 9
 USUAL_PRIORITY = 4
@@ -133,6 +134,8 @@
     for header in offer.headers:
         if header.name.lower() not in OURS:
             headers.add(header.name, header.value)
+    if offer.caller:
+        headers[WORKSPACE] = offer.caller
     headers[DEADLINE] = str(max(1, offer.remaining_ms))
     headers[EXPECTED_INSTANCE] = instance
     priority = min(LEAST_PRIORITY, USUAL_PRIORITY + offer.priority)
--- a/berylhollow/routes/_table.py
+++ b/berylhollow/routes/_table.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 
+from berylhollow import workspaces
+
 
 class Repeat(enum.Enum):
     """How often a request of a route may run.
@@ -31,7 +33,7 @@
     ``timeout_ms`` is the longest that a request may be kept waiting,
     ``objective_ms`` by when it should be answered (a stream: begin to be).
     ``priority`` 0 is the most urgent. ``most_runs`` bounds the endpoints that
-    one request may be given to.
+    one request may be given to. ``public`` requests need no key.
     """
 
     name: str
@@ -45,6 +47,7 @@
     most_runs: int
     resumable: bool = False
     event_gap_ms: int = 0
+    public: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -85,9 +88,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RouteTable:
-    """Everything that one version declares."""
+    """Everything that one version declares.
+
+    Without ``workspaces`` callers need no keys.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: tuple[Service, ...]
     limits: RequestLimits
+    workspaces: tuple[workspaces.Workspace, ...]
--- a/berylhollow/routes/_view.py
+++ b/berylhollow/routes/_view.py
@@ -8,6 +8,7 @@
 from berylhollow import following
 from berylhollow import messages
 from berylhollow.routes import _table
+from berylhollow import workspaces
 
 ADAPTER_SEPARATOR = '/'
 """Between the model and the adapter in the name that a request gives."""
@@ -70,12 +71,16 @@
 
     ``by_host`` holds the routes of each host, those with the longest prefix
     first. ``newest`` is shared with the follower, which adds to it.
+    ``by_key`` has the workspaces by the digests of their keys.
     """
 
     table: _table.RouteTable
     by_host: dict[str, tuple[_table.Route, ...]]
     services: dict[str, _table.Service]
     newest: dict[str, NewestVersion]
+    by_key: dict[bytes, workspaces.Workspace] = dataclasses.field(
+        default_factory=dict
+    )
 
     @classmethod
     def of(
@@ -90,7 +95,12 @@
             for host, found in by_host.items()
         }
         services = {service.name: service for service in table.services}
-        return cls(table, ordered, services, newest)
+        by_key = {
+            key: workspace
+            for workspace in table.workspaces
+            for key in workspace.keys
+        }
+        return cls(table, ordered, services, newest, by_key)
 
     @property
     def revision(self) -> int:
@@ -111,6 +121,9 @@
         route = self.route(request.host, request.path)
         if route is None:
             return errors.Kind.NOT_FOUND
+        workspace = self._workspace(route, request.credential)
+        if isinstance(workspace, errors.Kind):
+            return workspace
         adapter = request.adapter
         if adapter is not None:
             adapter = self.newest_of(adapter.adapter)
@@ -118,13 +131,33 @@
             service=_pick(route.shares, seed),
             adapter=adapter,
             deadline_ms=min(request.deadline_ms, route.timeout_ms),
-            priority=route.priority,
+            priority=_priority(route, workspace),
             most_runs=route.most_runs,
             repeatable=_repeatable(route),
             objective_ms=route.objective_ms,
             route=route.name,
+            workspace=workspace,
         )
 
+    def workspace(
+        self, head: events.RequestHead
+    ) -> workspaces.Workspace | errors.Kind | None:
+        """Return whose request it is, None if nobody's, or why it fails."""
+        route = self.route(head.host, head.path)
+        if route is None:
+            return errors.Kind.NOT_FOUND
+        return self._workspace(route, head.credential)
+
+    def _workspace(
+        self, route: _table.Route, credential: bytes | None
+    ) -> workspaces.Workspace | errors.Kind | None:
+        if not self.table.workspaces:
+            return None
+        found = None if credential is None else self.by_key.get(credential)
+        if found is None and not route.public:
+            return errors.Kind.UNKNOWN_KEY
+        return found
+
     def newest_of(self, adapter: str) -> messages.AdapterVersion:
         """Return the newest version of an adapter that is known."""
         known = self.newest.get(adapter)
@@ -168,6 +201,14 @@
         return DeclaredCaller()
 
 
+def _priority(
+    route: _table.Route, workspace: workspaces.Workspace | None
+) -> int:
+    if workspace is None or workspace.priority is None:
+        return route.priority
+    return workspace.priority
+
+
 def _repeatable(route: _table.Route) -> bool:
     if route.repeat is _table.Repeat.STREAM:
         return route.resumable
--- a/berylhollow/standin/direct_endpoint.py
+++ b/berylhollow/standin/direct_endpoint.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from aiohttp import web
+import multidict
 
 NOT_RUN = {'Not-Executed': '1'}
 
@@ -16,6 +17,7 @@
     path: str
     adapter: str
     body: bytes
+    headers: multidict.CIMultiDictProxy[str]
 
 
 @dataclasses.dataclass
@@ -121,6 +123,7 @@
                 request.raw_path,
                 adapter,
                 await request.read(),
+                request.headers,
             )
         )
         return await self._answer(request, headers)
--- /dev/null
+++ b/berylhollow/workspaces/_types.py
@@ -0,0 +1,45 @@
+"""What is declared of a workspace, as frozen data."""
+
+import dataclasses
+import enum
+
+
+class Unit(enum.Enum):
+    """What a quota counts."""
+
+    REQUESTS = 'requests'
+    TOKENS = 'tokens'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Quota:
+    """What a workspace may use over all gateways together.
+
+    ``rate_per_s`` and ``burst`` are in ``unit``. A request that does not tell
+    its tokens counts as ``plain_tokens``.
+    """
+
+    unit: Unit
+    rate_per_s: float
+    burst: float
+    plain_tokens: int = 0
+
+    def cost(self, tokens: int) -> int:
+        """Return what a request of so many tokens, 0 if unknown, counts."""
+        if self.unit is Unit.REQUESTS:
+            return 1
+        return tokens or self.plain_tokens
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Workspace:
+    """A workspace and the digests of its keys.
+
+    ``priority`` goes before that of a route, None leaves it to the route;
+    without a ``quota`` it is not limited.
+    """
+
+    name: str
+    keys: frozenset[bytes] = frozenset()
+    priority: int | None = None
+    quota: Quota | None = None
--- a/test/platform_builders.py
+++ b/test/platform_builders.py
@@ -77,8 +77,25 @@
     return route(name, prefix, **(values | changes))
 
 
-def configuration(version=7, routes=None):
-    return {
+def workspace(name='hule930', *keys, **changes):
+    """Return a workspace; without keys nobody can call in its name."""
+    return {'Name': name, 'ApiKeys': list(keys)} | changes
+
+
+def quota(rate_per_s, burst=None, **changes):
+    """Return what limits a workspace in tokens."""
+    values = {
+        'Unit': 'tokens',
+        'PlainTokens': 200,
+        'RatePerS': rate_per_s,
+        'Burst': rate_per_s if burst is None else burst,
+    }
+    return values | changes
+
+
+def configuration(version=7, routes=None, workspaces=None):
+    declared = {} if workspaces is None else {'Tenants': workspaces}
+    return declared | {
         'Version': version,
         'Routes': [route(), plain_route()] if routes is None else routes,
         'Services': [
