Use keys only while a read proves them; follow a log that comes back older

Cause, keys: a gateway that could not read the configuration went on with the keys it knew, for ever; a part told by another gateway counts as fresh however long it was on its way; and a process that was suspended counted that time as none. A key that was taken away ran on at every gateway that was cut off.

Cause, older copy: offsets were compared whatever log they came from. A read from beyond the end, a list with a lower end (refused as older each time until the log had grown past the old offset) and parts of two logs that join by their numbers: each hides records or undoes what was confirmed.

Own reads alone count, from their beginning, and only if they brought all that the log held; at two fifths of the bound a gateway reads for itself, at 0.55 it is not ready any more, so that the balancer has turned elsewhere when keys end. What can't be proven is refused at once as not run, on a connection that closes. The clock goes on while the machine is suspended. A process that starts learns from the sidecars which revision any gateway has had, and uses no key before it has read it.

Ruled out: believing parts that others tell, with an age that they name (the way of a part through a frozen sidecar has no bound); asking the store on the path of a request. Not built: neighbours that read for one that can't.

--- a/berylhollow/clock.py
+++ b/berylhollow/clock.py
@@ -19,10 +19,16 @@
 
 
 class MonotonicClock:
-    """The machine's monotonic clock, never set back."""
+    """The machine's clock since its start, never set back.
+
+    It goes on while the machine is suspended, where it can. Guards against a
+    process that takes what it knew before for fresh when it is woken.
+    """
+
+    source = getattr(time, 'CLOCK_BOOTTIME', time.CLOCK_MONOTONIC)
 
     def now_ms(self) -> int:
-        return time.monotonic_ns() // NS_PER_MS
+        return time.clock_gettime_ns(self.source) // NS_PER_MS
 
 
 @dataclasses.dataclass
--- a/berylhollow/configuration/_configuration.py
+++ b/berylhollow/configuration/_configuration.py
@@ -25,6 +25,14 @@
     adapters: immutables.Map[str, manifest.Adapter]
     callers: immutables.Map[str, manifest.Caller]
 
+    @property
+    def has_workspaces(self) -> bool:
+        """Return False: a manifest declares none."""
+        return False
+
+    def workspace(self, head: events.RequestHead) -> None:
+        """Return None: no request is a workspace's."""
+
     def service(self, name: str) -> manifest.Service | None:
         """Return a declared service, None if there is none."""
         return self.services.get(name)
--- a/berylhollow/configuration/_follower.py
+++ b/berylhollow/configuration/_follower.py
@@ -273,6 +273,14 @@
         wait_ms = PEERS_WAIT_MS if self.spread.ahead else PEERS_GRACE_MS
         return at_ms - first_ms >= wait_ms
 
+    def keys_hold(self, at_ms: int) -> bool:
+        """Return True: a manifest declares no keys."""
+        return True
+
+    def keys_age_ms(self, at_ms: int) -> int:
+        """Return 0: there are no keys to be proven."""
+        return 0
+
     def status(self, at_ms: int) -> following.Status:
         """Return how far we are, for operators."""
         state = self.history.state
--- a/berylhollow/effects.py
+++ b/berylhollow/effects.py
@@ -50,6 +50,17 @@
     wait_ms: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CheckLog:
+    """Read a stream by ourselves and at once; answered by LogChecked.
+
+    Whatever other processes read and tell does not answer it.
+    """
+
+    stream: str
+    from_offset: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadNewest:
     """Read the newest record of each key; answered like ReadLog.
@@ -279,6 +290,7 @@
     | CloseLink
     | ReadInstances
     | ReadLog
+    | CheckLog
     | ReadNewest
     | Append
     | AnswerError
--- a/berylhollow/endpoint_directory/_directory.py
+++ b/berylhollow/endpoint_directory/_directory.py
@@ -18,6 +18,9 @@
 """Without a read for so long, entries may have lapsed for want of renewal:
 about the time between two heartbeats of an endpoint."""
 
+MOST_DEPARTED = 4096
+"""Endpoints that are remembered as having left."""
+
 MOST_READS = 4
 """Reads that may be under way while the list is lost: a call into a cut takes
 a second to fail, and the one that is begun after it brings the list."""
@@ -42,6 +45,8 @@
     removal is held back say until when they may be used. ``doubted`` holds
     what was said once of an earlier start than the one that is known.
     ``lapses`` decides which removals are held back after an outage.
+    ``departed`` has the incarnations that left the list, the latest last:
+    an older copy of it that the log comes back from may have them still.
     """
 
     def __init__(
@@ -59,6 +64,8 @@
         self.lapses = lapses or _lapses.Lapses()
         self.rows: dict[str, events.Instance] = {}
         self.doubted: dict[str, messages.Incarnation] = {}
+        self.departed: dict[str, messages.Incarnation | None] = {}
+        self.era: int | None = None
         self.next_offset: int | None = None
         self.read_ms: int | None = None
         self.outage_ms = 0
@@ -118,6 +125,10 @@
             result = await self.source.newest(self.stream)
             self._replace(offset, result)
             return
+        if result.era != self.era:
+            result = await self.source.newest(self.stream)
+            self._replace(offset, result)
+            return
         if self.next_offset != offset:
             # Another read was quicker, and has taken these records in.
             return
@@ -131,15 +142,20 @@
     ) -> None:
         if self.next_offset != offset:
             return
-        if offset is not None and result.next_offset < offset:
+        came_back = self._came_back(result)
+        if not came_back and result.next_offset < (offset or 0):
             # An answer from before what was read already: taken in, endpoints
             # that have left since would be sent requests again.
             raise outgoing.NotDone('the list is older than what was read')
         self._note_return()
+        if came_back:
+            self._log_came_back(result)
+        self.era = result.era
         ordered = sorted(result.records, key=lambda entry: entry.offset)
         rows = {
             name: (row, entry.offset)
             for entry, name, row in self.entries.decoded(ordered)
+            if not (came_back and self._has_departed(name, row))
         }
         absent = (None, result.next_offset)
         for name in [n for n in self.rows if rows.get(n, absent)[0] is None]:
@@ -149,6 +165,44 @@
                 self._take(name, row, written_offset)
         self.next_offset = result.next_offset
 
+    def _came_back(self, result: log_service.ReadResult) -> bool:
+        """Tell whether the log came back from an older copy.
+
+        Raises ``outgoing.NotDone`` for an answer from before that.
+        """
+        if self.era is None or result.era == self.era:
+            return False
+        if result.era < self.era:
+            raise outgoing.NotDone('an answer of an earlier era')
+        return True
+
+    def _log_came_back(self, result: log_service.ReadResult) -> None:
+        """Take what the older copy lacks for a lapse until it is written."""
+        now_ms = self.time.now_ms()
+        LOG.warning(
+            'list came back from an older copy',
+            extra={
+                'era': result.era,
+                'era_before': self.era,
+                'next_offset': result.next_offset,
+                'next_offset_before': self.next_offset,
+                'endpoints': len(self.rows),
+            },
+        )
+        self.lapses.log_came_back(now_ms, result.next_offset)
+        for name in self.lapses.held:
+            self._mark_held(name)
+
+    def _has_departed(self, name: str, row: events.Instance | None) -> bool:
+        """Tell whether an older copy lists an endpoint that we saw leave."""
+        if row is None or name in self.rows or name not in self.departed:
+            return False
+        if self.departed[name] != row.incarnation:
+            return False
+        fields = {'endpoint': row.instance}
+        LOG.info('endpoint left before the copy was made', extra=fields)
+        return True
+
     def _take(
         self, name: str, row: events.Instance | None, offset: int
     ) -> None:
@@ -162,6 +216,7 @@
         # that is the one that lives.
         self.rows.pop(name, None)
         self.rows[name] = row
+        self.departed.pop(name, None)
         if self.lapses.wrote(name, offset):
             fields = {'endpoint': row.instance}
             LOG.info('endpoint is listed again', extra=fields)
@@ -172,7 +227,7 @@
             return
         now_ms = self.time.now_ms()
         if known.leaving or not self.lapses.may_be_lapse(now_ms):
-            del self.rows[name]
+            self._depart(name)
             return
         if not self.lapses.hold_back(name, offset):
             return
@@ -187,6 +242,15 @@
             },
         )
 
+    def _depart(self, name: str) -> events.Instance | None:
+        row = self.rows.pop(name, None)
+        if row is None:
+            return None
+        while len(self.departed) >= MOST_DEPARTED:
+            del self.departed[next(iter(self.departed))]
+        self.departed[name] = row.incarnation
+        return row
+
     def _mark_held(self, name: str) -> None:
         until_ms = self.lapses.until_ms
         self.rows[name] = dataclasses.replace(
@@ -241,7 +305,7 @@
         """Drop the rows whose removal is held back no more."""
         now_ms = self.time.now_ms()
         for name in self.lapses.end_holds(now_ms):
-            row = self.rows.pop(name, None)
+            row = self._depart(name)
             if row is None:
                 continue
             LOG.info(
--- a/berylhollow/endpoint_directory/_lapses.py
+++ b/berylhollow/endpoint_directory/_lapses.py
@@ -46,6 +46,15 @@
         """We can read again after an outage; holds begin anew."""
         self.until_ms = at_ms + self.return_ms
 
+    def log_came_back(self, at_ms: int, next_offset: int) -> None:
+        """Offsets were given out again, as an outage ended.
+
+        What was held back before is judged by what is written from now on.
+        """
+        self.returned(at_ms)
+        self.written.clear()
+        self.held = dict.fromkeys(self.held, next_offset)
+
     def may_be_lapse(self, at_ms: int) -> bool:
         """Tell whether a removal that is read now may be a lapse."""
         return at_ms < self.until_ms
--- a/berylhollow/events.py
+++ b/berylhollow/events.py
@@ -145,7 +145,11 @@
     """Records of a stream, in order from the offset that was asked for.
 
     ``first_offset`` is the oldest kept one, ``next_offset`` where to read
-    on. Records older than ``first_offset`` are gone.
+    on. Records older than ``first_offset`` are gone. Offsets of two ``era``
+    can't be compared. ``begun_ms`` is when the read was begun, None if
+    another process made it; with ``whole`` the log held nothing more then.
+    ``from_offset`` is the one that was asked for, None for the newest record
+    of each key.
     """
 
     at_ms: int
@@ -153,6 +157,19 @@
     entries: tuple[messages.LogEntry, ...]
     first_offset: int
     next_offset: int
+    era: int = 0
+    begun_ms: int | None = None
+    whole: bool = True
+    from_offset: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LogChecked:
+    """What came of a read that was made for its time; None if it failed."""
+
+    at_ms: int
+    stream: str
+    read: LogRead | None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/berylhollow/following.py
+++ b/berylhollow/following.py
@@ -61,9 +61,18 @@
 
 
 class View(typing.Protocol):
-    """One accepted revision of the configuration; it never changes."""
+    """One accepted revision of the configuration; it never changes.
+
+    With ``has_workspaces`` callers need the key of one.
+    """
 
     revision: int
+    has_workspaces: bool
+
+    def workspace(
+        self, head: events.RequestHead
+    ) -> workspaces.Workspace | errors.Kind | None:
+        """Return whose request it is, None if nobody's, or why it fails."""
 
     def resolve(
         self, request: events.Request, seed: float
@@ -148,6 +157,12 @@
     def status(self, at_ms: int) -> Status:
         """Return how far we are, for operators."""
 
+    def keys_hold(self, at_ms: int) -> bool:
+        """Tell whether keys are known well enough to use them."""
+
+    def keys_age_ms(self, at_ms: int) -> int:
+        """Return how old the newest proof of the keys is."""
+
 
 class NothingToFollow:
     """A follower for a process that needs no configuration."""
@@ -172,6 +187,12 @@
     def status(self, at_ms: int) -> Status:
         return Status()
 
+    def keys_hold(self, at_ms: int) -> bool:
+        return True
+
+    def keys_age_ms(self, at_ms: int) -> int:
+        return 0
+
 
 class Meters(typing.Protocol):
     """What takes the values of metrics."""
--- a/berylhollow/gateway/_adapters.py
+++ b/berylhollow/gateway/_adapters.py
@@ -241,6 +241,7 @@
         _model_loads.hold(state, name),
         endpoint.waiting_tokens,
         _shared_reads.listens_to(state, peer),
+        view.revision,
     )
 
 
--- a/berylhollow/gateway/_http.py
+++ b/berylhollow/gateway/_http.py
@@ -230,6 +230,8 @@
         )
         if isinstance(error, _dialect.MethodNotAllowedError):
             response.headers['Allow'] = ', '.join(sorted(error.allowed))
-        if overloaded or kind is errors.Kind.CALLER_TOO_SLOW:
+        if overloaded or kind in _responding.ELSEWHERE_KINDS:
+            response.force_close()
+        if kind is errors.Kind.CALLER_TOO_SLOW:
             response.force_close()
         return response
--- a/berylhollow/gateway/_options.py
+++ b/berylhollow/gateway/_options.py
@@ -42,7 +42,9 @@
     ours is at their endpoint, else every ``idle_demand_ms``, well before
     they forget it. With ``lost_retry_free`` an attempt that was lost with
     its endpoint may be repeated once outside the budget; not where all
-    repeats count for it.
+    repeats count for it. Keys are not used for ``neighbours_ms`` after the
+    start unless another gateway's revision is known. A gateway whose proof
+    of the keys is as old as ``keys_ready_ms`` is not ready for callers.
     """
 
     instance: str
@@ -101,3 +103,5 @@
     adapter_check_ms: int = 100
     demand_ms: int = 400
     idle_demand_ms: int = 1500
+    neighbours_ms: int = 1000
+    keys_ready_ms: int = 3_600_000
--- a/berylhollow/gateway/_pages.py
+++ b/berylhollow/gateway/_pages.py
@@ -13,6 +13,7 @@
 from berylhollow.gateway import _answers
 from berylhollow.gateway import _models
 from berylhollow.gateway import _state
+from berylhollow.gateway import _workspaces
 from berylhollow import settings as all_settings
 from berylhollow import shell
 
@@ -60,7 +61,9 @@
 
     def readiness(self) -> web.Response:
         """Ready to take callers: informed, and not shutting down."""
-        informed = self.owner.driver.state.informed
+        state = self.owner.driver.state
+        now_ms = self.owner.driver.time.now_ms()
+        informed = state.informed and _workspaces.takes_keys(state, now_ms)
         if informed and not self.owner.stopping:
             return _answers.json_response({'ready': True})
         return _answers.json_response({'ready': False}, UNAVAILABLE)
--- a/berylhollow/gateway/_reducer.py
+++ b/berylhollow/gateway/_reducer.py
@@ -36,6 +36,7 @@
 
 def _started(state: _state.State, event: events.Started) -> Effects:
     state.incarnation = event.incarnation
+    state.started_ms = event.at_ms
     state.settled_ms = event.at_ms + state.options.settle_ms
     wanted = state.follower.start(event.at_ms)
     return wanted + _membership.tick(state, event.at_ms)
@@ -112,6 +113,10 @@
     return state.follower.handle(event)
 
 
+def _log_checked(state: _state.State, event: events.LogChecked) -> Effects:
+    return state.follower.handle(event)
+
+
 def _appended(state: _state.State, event: events.Appended) -> Effects:
     if event.stream.startswith(claims.STREAM_PREFIX):
         return _claims.appended(state, event)
@@ -139,6 +144,7 @@
     events.AnswerBroken: _requests.broken,
     events.LogRead: _log_read,
     events.LogReadFailed: _log_read_failed,
+    events.LogChecked: _log_checked,
     events.StreamPartRead: _shared_reads.has_read,
     events.Appended: _appended,
     events.AppendFailed: _append_failed,
--- a/berylhollow/gateway/_responding.py
+++ b/berylhollow/gateway/_responding.py
@@ -48,6 +48,11 @@
         """The answer can't be whole, though its frames are complete."""
 
 
+ELSEWHERE_KINDS = frozenset({errors.Kind.KEY_UNPROVEN})
+"""Another gateway may well serve the caller, whose next request on the same
+connection would meet this one again."""
+
+
 def whole_answer(
     exchange: _exchange.Exchange,
     beginning: effects.AnswerError | effects.AnswerStored,
@@ -72,6 +77,8 @@
         beginning.detail,
     )
     exchange.status = response.status
+    if beginning.kind in ELSEWHERE_KINDS:
+        response.force_close()
     return response
 
 
--- a/berylhollow/gateway/_shell.py
+++ b/berylhollow/gateway/_shell.py
@@ -73,7 +73,12 @@
         self.driver.failed.add_done_callback(self._failed)
         self.feed = self.driver.feed
         self.platform = shell.PlatformCalls(
-            around.log, around.instances, self.feed, self.time, self.tasks
+            around.log,
+            around.instances,
+            self.feed,
+            self.time,
+            self.tasks,
+            around.shared_log and around.shared_log.source,
         )
         self.shared_log = around.shared_log
         if self.shared_log is not None:
--- a/berylhollow/gateway/_sidecars.py
+++ b/berylhollow/gateway/_sidecars.py
@@ -124,6 +124,7 @@
     sidecar.report = event.message
     sidecar.heard_ms = event.at_ms
     state.gateways = max(1, event.message.gateways)
+    state.told_revision = max(state.told_revision or 0, event.message.revision)
     name = state.beside.get(event.peer)
     if name is None:
         return []
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -269,13 +269,17 @@
     read of the platform's log, and the first of them what others read;
     ``gateways`` is how many there are, as far as is known. ``token_ms`` is,
     by service, how long a prompt token takes to be read. ``listed_ms`` is
-    when the list of instances came that is in use.
+    when the list of instances came that is in use. ``told_revision`` is the
+    newest of the configuration that any gateway is known to have had,
+    ``started_ms`` when this one began.
     """
 
     options: _options.Options
     follower: following.Follower
     incarnation: str = ''
+    started_ms: int = 0
     settled_ms: int = 0
+    told_revision: int | None = None
     endpoints: dict[str, Endpoint] = dataclasses.field(default_factory=dict)
     sidecars: dict[str, Sidecar] = dataclasses.field(default_factory=dict)
     beside: dict[str, str] = dataclasses.field(default_factory=dict)
--- a/berylhollow/hosted/gateway_process.py
+++ b/berylhollow/hosted/gateway_process.py
@@ -51,6 +51,9 @@
 MOST_GATEWAYS = 8
 """Gateways that share the retry reserve while their number is not known."""
 
+KEYS_READY_SHARE = 0.55
+"""Of the bound on keys; a new proof is looked for at two fifths of it."""
+
 UNBOUNDED = 1_000_000
 
 
@@ -121,6 +124,17 @@
     return min(list_pause_ms(node), pause_ms)
 
 
+def keys_ready_ms(node: platform.Node) -> int:
+    """Return how old a proof of the keys may be while we are ready.
+
+    The balancer stops sending up to three seconds after that, as the proof
+    ends.
+    """
+    if not node.key_bound_ms:
+        return UNBOUNDED
+    return int(node.key_bound_ms * KEYS_READY_SHARE)
+
+
 def gateway_state(
     node: platform.Node, settings: all_settings.GatewaySettings
 ) -> gateway.State:
@@ -146,9 +160,10 @@
         link_retry_most_ms=LINK_RETRY_MOST_MS,
         lost_retry_free=False,
         policy='quick-reload',
+        keys_ready_ms=keys_ready_ms(node),
     )
     follower = routes.RouteFollower(
-        platform.CONFIGURATION_STREAM, platform.decode_news
+        platform.CONFIGURATION_STREAM, platform.decode_news, node.key_bound_ms
     )
     return gateway.State(options, follower)
 
--- a/berylhollow/loader/_demand.py
+++ b/berylhollow/loader/_demand.py
@@ -37,7 +37,8 @@
     """The last word of each gateway, and the sums over all of them.
 
     ``needs`` are by the name of the adapter; ``waiting_tokens`` are those of
-    the prompts that all gateways have waiting at the endpoint.
+    the prompts that all gateways have waiting at the endpoint. ``revision``
+    is the newest of the configuration that any gateway ever had.
     """
 
     def __init__(self):
@@ -46,11 +47,13 @@
         self.waiting_tokens = 0
         self.slots_told: collections.Counter[int] = collections.Counter()
         self.going_ahead = 0
+        self.revision = 0
 
     def tell(
         self, gateway: str, demands: messages.AdapterDemands, at_ms: int
     ) -> None:
         """Put a gateway's newest word in the place of its last one."""
+        self.revision = max(self.revision, demands.revision)
         before = self.told.get(gateway)
         self.told[gateway] = Told(demands, at_ms)
         if before is not None:
--- a/berylhollow/loader/_report.py
+++ b/berylhollow/loader/_report.py
@@ -100,7 +100,7 @@
         running=adapters.running,
         queued=adapters.waiting,
         capacity=0,
-        revision=0,
+        revision=state.demand.revision,
         evictable=free or found is not None,
         victim_value=0.0 if free or found is None else found[1],
         gateways=max(1, len(state.links)),
--- a/berylhollow/log_service/_types.py
+++ b/berylhollow/log_service/_types.py
@@ -39,8 +39,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadResult:
-    """Part of a stream, and the bounds of what the log holds of it."""
+    """Part of a stream, and the bounds of what the log holds of it.
+
+    A log that came back from an older copy begins a new ``era``, in which
+    offsets are given out again: those of two eras can't be compared.
+    ``whole`` tells that the log held nothing more, ``told`` that another
+    process has read this, at a time that is not known.
+    """
 
     records: tuple[messages.LogEntry, ...]
     first_offset: int
     next_offset: int
+    era: int = 0
+    whole: bool = True
+    told: bool = False
--- a/berylhollow/messages.py
+++ b/berylhollow/messages.py
@@ -282,7 +282,7 @@
     first with loading theirs from the weight store. ``waiting_tokens`` are
     those of the prompts that the gateway sent there and whose answers have
     not begun. With ``shares_reads`` the gateway wants to be told what others
-    read of the platform's log.
+    read of the platform's log. ``revision`` is that of its configuration.
     """
 
     endpoint: str
@@ -294,6 +294,7 @@
     hold_model: bool = False
     waiting_tokens: int = 0
     shares_reads: bool = False
+    revision: int = 0
 
     @property
     def incarnation(self) -> Incarnation:
@@ -306,7 +307,8 @@
     """Records of the platform's log that one gateway read, for the others.
 
     ``records`` are those from ``from_offset`` up to before ``next_offset``;
-    without any, nothing was new. ``reader`` names the gateway.
+    without any, nothing was new. ``reader`` names the gateway, ``era`` is
+    that of the log in which the offsets hold.
     """
 
     stream: str
@@ -314,6 +316,7 @@
     next_offset: int
     records: tuple[bytes, ...]
     reader: str
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/berylhollow/platform/_node.py
+++ b/berylhollow/platform/_node.py
@@ -50,7 +50,8 @@
     endpoint that is listed as leaving may still be sent requests.
     ``heartbeat_ms`` is how often an endpoint writes its entry, 0 if that is
     not told. ``contact_ms`` is how long after a disturbance has ended every
-    promise holds again.
+    promise holds again. ``key_bound_ms`` is how long after it was taken away
+    a key may still be used, 0 without a bound.
     """
 
     instance: str
@@ -70,6 +71,7 @@
     leave_ms: int
     heartbeat_ms: int
     contact_ms: int
+    key_bound_ms: int
 
 
 class _Fields:
@@ -188,9 +190,17 @@
         contact_ms=_milliseconds(
             fields, 'Bounds.ContactMs', DEFAULT_CONTACT_MS
         ),
+        key_bound_ms=_key_bound_ms(fields),
     )
 
 
+def _key_bound_ms(fields: _Fields) -> int:
+    """Return the bound on keys that were taken away, 0 if none is strict."""
+    strict = fields.get('Bounds.StrictRevoke', (bool,), False)
+    bound_ms = _milliseconds(fields, 'Bounds.RevokeMs', 0)
+    return bound_ms if strict else 0
+
+
 def _milliseconds(
     fields: _Fields, path: str, default: int | None = None
 ) -> int:
--- a/berylhollow/platform/_store.py
+++ b/berylhollow/platform/_store.py
@@ -29,6 +29,7 @@
 BOUNDS = struct.Struct('>QQ')
 KEYED_PREFIX = 'keyed.'
 PARTITION = '0'
+ERA = 'Store-Era'
 GONE = 410
 MOST_PAGES = 100
 PAGE_KB = 1024
@@ -40,7 +41,8 @@
     Implements what ``shell.PlatformCalls`` needs of a log. Raises the kinds
     of ``outgoing.CallError``. A read that does not wait for news is made
     again after ``hedge_ms``, or if its connection breaks; only while the
-    store is ``well``, as far as the last such read showed.
+    store is ``well``, as far as the last such read showed. ``era`` is the
+    newest that an answer bore; one of an earlier era is late and not used.
     """
 
     def __init__(
@@ -53,14 +55,18 @@
         self.session = session or outgoing.open_session()
         self.hedge_ms = hedge_ms
         self.well = True
+        self.era = 0
 
     async def newest(self, stream: str) -> log_service.ReadResult:
         """Return the newest record of each key, page by page."""
         entries: list[messages.LogEntry] = []
         first_end: int | None = None
+        eras = set()
         params = {'Topic': stream, 'part': PARTITION}
         for _ in range(MOST_PAGES):
-            page = json.loads(await self._get('log-newest', params))
+            data, era = await self._get('log-newest', params)
+            page = json.loads(data)
+            eras.add(era)
             # Pages are no snapshot: what changed since the first of them is
             # read again from where that one ended.
             first_end = page['End'] if first_end is None else first_end
@@ -72,7 +78,11 @@
             if not page.get('HasMore'):
                 break
             params['after'] = page['items'][-1]['Key']
-        return log_service.ReadResult(tuple(entries), 0, first_end or 0)
+        if len(eras) > 1:
+            raise outgoing.NotDone('the store came back between two pages')
+        return log_service.ReadResult(
+            tuple(entries), 0, first_end or 0, eras.pop()
+        )
 
     async def read(
         self, stream: str, from_offset: int, wait_ms: int = 0
@@ -89,12 +99,12 @@
         }
         if wait_ms:
             params['WaitMs'] = str(wait_ms)
-            data = await self._ask(
+            data, era = await self._ask(
                 'log-read', params, wait_ms + WAIT_MARGIN_MS
             )
         else:
-            data = await self._get('log-read', params)
-        return _decode(data, from_offset)
+            data, era = await self._get('log-read', params)
+        return _decode(data, from_offset, era)
 
     async def append(self, stream: str, data: bytes) -> int:
         """Append a record and return its offset."""
@@ -118,19 +128,19 @@
         """Close the connections."""
         await self.session.close()
 
-    async def _get(self, call: str, params: dict) -> bytes:
+    async def _get(self, call: str, params: dict) -> tuple[bytes, int]:
         try:
             if self.well:
-                data = await self._ask_twice(call, params)
+                answer = await self._ask_twice(call, params)
             else:
-                data = await self._ask(call, params, CALL_TIMEOUT_MS)
+                answer = await self._ask(call, params, CALL_TIMEOUT_MS)
         except (outgoing.NotDone, outgoing.MaybeDone):
             self.well = False
             raise
         self.well = True
-        return data
+        return answer
 
-    async def _ask_twice(self, call: str, params: dict) -> bytes:
+    async def _ask_twice(self, call: str, params: dict) -> tuple[bytes, int]:
         time = clock.MonotonicClock()
         ends_ms = time.now_ms() + CALL_TIMEOUT_MS
         return await hedging.first_answer(
@@ -139,7 +149,10 @@
             (outgoing.MaybeDone,),
         )
 
-    async def _ask(self, call: str, params: dict, timeout_ms: int) -> bytes:
+    async def _ask(
+        self, call: str, params: dict, timeout_ms: int
+    ) -> tuple[bytes, int]:
+        """Return the body of an answer and its era."""
         response = await outgoing.open_call(
             self.session,
             'GET',
@@ -149,6 +162,7 @@
         )
         async with response:
             body = await outgoing.read_body(response)
+        era = self._note_era(response.headers.get(ERA, '0'))
         if response.status == GONE:
             detail = {'first_offset': json.loads(body)['First']}
             raise log_service.OffsetGone(
@@ -156,14 +170,23 @@
             )
         if response.status != 200:
             raise outgoing.NotDone(f'HTTP {response.status}')
-        return body
+        return body, era
+
+    def _note_era(self, text: str) -> int:
+        if not (text.isascii() and text.isdecimal()):
+            raise outgoing.MaybeDone('the era of an answer is no number')
+        era = int(text)
+        if era < self.era:
+            raise outgoing.NotDone('an answer of an earlier era')
+        self.era = era
+        return era
 
 
-def _decode(data: bytes, from_offset: int) -> log_service.ReadResult:
+def _decode(data: bytes, from_offset: int, era: int) -> log_service.ReadResult:
     """Return the records of an answer; those cut off at its end are left."""
     if len(data) < BOUNDS.size:
         raise outgoing.MaybeDone('the answer has no bounds')
-    _, first_offset = BOUNDS.unpack_from(data)
+    end, first_offset = BOUNDS.unpack_from(data)
     entries = []
     offset = from_offset
     at = BOUNDS.size
@@ -176,4 +199,6 @@
         entries.append(messages.LogEntry(offset, 0, record))
         at += length
         offset += 1
-    return log_service.ReadResult(tuple(entries), first_offset, offset)
+    return log_service.ReadResult(
+        tuple(entries), first_offset, offset, era, offset >= end
+    )
--- a/berylhollow/routes/_view.py
+++ b/berylhollow/routes/_view.py
@@ -106,6 +106,10 @@
     def revision(self) -> int:
         return self.table.version
 
+    @property
+    def has_workspaces(self) -> bool:
+        return bool(self.table.workspaces)
+
     def route(self, host: str, path: str) -> _table.Route | None:
         """Return the route with the longest prefix that begins the path."""
         plain = path.partition('?')[0]
--- a/berylhollow/shared_reads.py
+++ b/berylhollow/shared_reads.py
@@ -41,11 +41,12 @@
 class Told:
     """What others have told of one stream and nobody has asked for yet.
 
-    ``parts`` are records without a gap from ``start`` on. ``fresh`` tells
-    that something was heard since it was last asked for, if only that there
-    is nothing new.
+    ``parts`` are records without a gap from ``start`` on, offsets of
+    ``era``. ``fresh`` tells that something was heard since it was last asked
+    for, if only that there is nothing new.
     """
 
+    era: int = 0
     start: int = 0
     parts: list[bytes] = dataclasses.field(default_factory=list)
     size: int = 0
@@ -58,6 +59,11 @@
 
     def take(self, part: messages.StreamPart) -> bool:
         """Add a part; False if it is older than what is known."""
+        if part.era < self.era:
+            return False
+        if part.era > self.era:
+            self.era = part.era
+            self.forget(part.from_offset)
         if part.next_offset < self.end:
             return False
         joins = part.from_offset <= self.end
@@ -70,9 +76,19 @@
         self.fresh = True
         return True
 
-    def after(self, offset: int) -> log_service.ReadResult | None:
-        """Return what follows an offset; None if that is not known."""
-        if not self.fresh or not self.start <= offset <= self.end:
+    def after(self, offset: int, era: int) -> log_service.ReadResult | None:
+        """Return what follows an offset; None if that is not known.
+
+        Of a newer era than that of the offset nothing but the era itself:
+        whoever asks has to begin anew.
+        """
+        if not self.fresh or era > self.era:
+            return None
+        if era < self.era:
+            return log_service.ReadResult(
+                (), 0, offset, self.era, whole=False, told=True
+            )
+        if not self.start <= offset <= self.end:
             return None
         entries = tuple(
             messages.LogEntry(offset + index, 0, data)
@@ -80,7 +96,9 @@
         )
         end = self.end
         self.forget(end)
-        return log_service.ReadResult(entries, offset, end)
+        return log_service.ReadResult(
+            entries, offset, end, self.era, told=True
+        )
 
     def forget(self, start: int) -> None:
         """Keep nothing before an offset, and take what follows it."""
@@ -167,12 +185,15 @@
         self.turns = {x: Turn(name, int(silence_ms)) for x in streams}
         self.told = {stream: Told() for stream in self.turns}
         self.news = {stream: asyncio.Event() for stream in self.turns}
+        self.eras = dict.fromkeys(self.turns, 0)
         self.publish: Publish = lambda part: None
         self.has_listeners: collections.abc.Callable[[], bool] = lambda: False
 
     async def newest(self, stream: str) -> log_service.ReadResult:
         """Return the newest record of each key; never shared."""
-        return await self.source.newest(stream)
+        result = await self.source.newest(stream)
+        self._note_era(stream, result)
+        return result
 
     async def read(
         self, stream: str, from_offset: int, wait_ms: int = 0
@@ -183,9 +204,14 @@
         reader that is silent for longer.
         """
         if stream not in self.turns or not self.has_listeners():
-            return await self.source.read(stream, from_offset, wait_ms=wait_ms)
+            result = await self.source.read(
+                stream, from_offset, wait_ms=wait_ms
+            )
+            self._note_era(stream, result)
+            return result
         told = await self._listen(stream, from_offset)
         if told is not None:
+            self.eras[stream] = told.era
             return told
         wait_ms = min(wait_ms, self.pause_ms)
         return await self._read(stream, from_offset, wait_ms)
@@ -215,7 +241,7 @@
     ) -> log_service.ReadResult | None:
         """Wait for word of another; None if it is our turn."""
         while True:
-            told = self.told[stream].after(from_offset)
+            told = self.told[stream].after(from_offset, self.eras[stream])
             if told is not None:
                 return told
             if from_offset < self.told[stream].start:
@@ -250,13 +276,25 @@
             raise
         if turn.has_read():
             LOG.info('reads the stream for others', extra={'stream': stream})
+        began_anew = result.era != self.eras[stream]
+        self._note_era(stream, result)
         told = self.told[stream]
         if not told.start <= result.next_offset <= told.end:
             told.forget(result.next_offset)
-        if turn.reading:
+        if turn.reading and not began_anew:
             self._tell(stream, from_offset, result)
         return result
 
+    def _note_era(self, stream: str, result: log_service.ReadResult) -> None:
+        """Forget what was told of an era that is over."""
+        if stream not in self.turns:
+            return
+        self.eras[stream] = result.era
+        told = self.told[stream]
+        if result.era > told.era:
+            told.era = result.era
+            told.forget(result.next_offset)
+
     def _tell(
         self, stream: str, from_offset: int, result: log_service.ReadResult
     ) -> None:
@@ -265,6 +303,11 @@
             return
         self.publish(
             messages.StreamPart(
-                stream, from_offset, result.next_offset, records, self.name
+                stream,
+                from_offset,
+                result.next_offset,
+                records,
+                self.name,
+                result.era,
             )
         )
--- a/berylhollow/shell/_platform_calls.py
+++ b/berylhollow/shell/_platform_calls.py
@@ -1,6 +1,7 @@
 """Effects on the platform: read and append to the log, list instances."""
 
 import collections.abc
+import logging
 import typing
 
 from berylhollow import clock
@@ -11,6 +12,9 @@
 from berylhollow.shell import _tasks
 
 
+LOG = logging.getLogger(__name__)
+
+
 class Log(typing.Protocol):
     """A log of records; raises the kinds of ``outgoing.CallError``."""
 
@@ -63,7 +67,10 @@
 
 
 class PlatformCalls:
-    """Carry effects out at the platform and feed back what came of them."""
+    """Carry effects out at the platform and feed back what came of them.
+
+    ``unshared_log`` is read where only an own read will do.
+    """
 
     def __init__(
         self,
@@ -72,17 +79,20 @@
         feed: collections.abc.Callable[[events.Event], None],
         time: clock.Clock,
         tasks: _tasks.Tasks,
+        unshared_log: Log | None = None,
     ):
         self.feed = feed
         self.time = time
         self.tasks = tasks
         self.log = log
+        self.unshared_log = unshared_log or log
         self.instances = instances
 
     def handlers(self) -> dict:
         """Return what carries each class of effect out."""
         return {
             effects.ReadLog: self.read_log,
+            effects.CheckLog: self.check_log,
             effects.ReadNewest: self.read_newest,
             effects.Append: self.append,
             effects.ReadInstances: self.read_instances,
@@ -96,6 +106,10 @@
         """Read the newest records; feeds LogRead or LogReadFailed."""
         self.tasks.start(self._read_newest(effect))
 
+    def check_log(self, effect: effects.CheckLog) -> None:
+        """Read a stream by ourselves; feeds LogChecked."""
+        self.tasks.start(self._check_log(effect))
+
     def append(self, effect: effects.Append) -> None:
         """Append a record; feeds Appended or AppendFailed."""
         self.tasks.start(self._append(effect))
@@ -110,20 +124,23 @@
         await self.instances.close()
 
     async def _read_newest(self, effect: effects.ReadNewest) -> None:
-        await self._read(effect.stream, self.log.newest(effect.stream))
+        reading = self.log.newest(effect.stream)
+        await self._read(effect.stream, None, reading)
 
     async def _read_log(self, effect: effects.ReadLog) -> None:
         stream = effect.stream
         reading = self.log.read(
             stream, effect.from_offset, wait_ms=effect.wait_ms
         )
-        await self._read(stream, reading)
+        await self._read(stream, effect.from_offset, reading)
 
     async def _read(
         self,
         stream: str,
+        from_offset: int | None,
         reading: collections.abc.Awaitable[log_service.ReadResult],
     ) -> None:
+        begun_ms = self.time.now_ms()
         try:
             result = await reading
         except log_service.OffsetGone as gone:
@@ -133,14 +150,42 @@
         except outgoing.CallError:
             self.feed(events.LogReadFailed(self.time.now_ms(), stream))
             return
-        self.feed(
-            events.LogRead(
-                self.time.now_ms(),
-                stream,
-                result.records,
-                result.first_offset,
-                result.next_offset,
+        self.feed(self._log_read(stream, from_offset, result, begun_ms))
+
+    async def _check_log(self, effect: effects.CheckLog) -> None:
+        begun_ms = self.time.now_ms()
+        read = None
+        try:
+            result = await self.unshared_log.read(
+                effect.stream, effect.from_offset
             )
+        except outgoing.CallError as error:
+            fields = {'stream': effect.stream, 'reason': str(error)}
+            LOG.info('stream can not be checked', extra=fields)
+        else:
+            read = self._log_read(
+                effect.stream, effect.from_offset, result, begun_ms
+            )
+        now_ms = self.time.now_ms()
+        self.feed(events.LogChecked(now_ms, effect.stream, read))
+
+    def _log_read(
+        self,
+        stream: str,
+        from_offset: int | None,
+        result: log_service.ReadResult,
+        begun_ms: int,
+    ) -> events.LogRead:
+        return events.LogRead(
+            self.time.now_ms(),
+            stream,
+            result.records,
+            result.first_offset,
+            result.next_offset,
+            result.era,
+            None if result.told else begun_ms,
+            result.whole,
+            from_offset,
         )
 
     async def _append(self, effect: effects.Append) -> None:
--- a/berylhollow/standin/metadata_store.py
+++ b/berylhollow/standin/metadata_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import copy
 import dataclasses
 import struct
 
@@ -12,6 +13,7 @@
 MS_PER_SECOND = 1000
 UNAVAILABLE = 503
 GONE = 410
+ERA = 'Store-Era'
 
 
 @dataclasses.dataclass
@@ -49,6 +51,7 @@
     """The calls of the store that the system makes, and its faults.
 
     ``down`` refuses every call; ``silent`` leaves them without an answer.
+    ``era`` rises each time the store comes back from an older copy.
     """
 
     def __init__(self):
@@ -56,6 +59,7 @@
         self.changed = asyncio.Condition()
         self.down = False
         self.silent = False
+        self.era = 0
         self.calls = 0
 
     def topic(self, name: str) -> Topic:
@@ -69,6 +73,17 @@
             self.changed.notify_all()
         return offset
 
+    def copy(self) -> dict[str, Topic]:
+        """Return a copy to come back from."""
+        return copy.deepcopy(self.topics)
+
+    async def come_back(self, older: dict[str, Topic]) -> None:
+        """Lose all that was acknowledged since a copy was made."""
+        async with self.changed:
+            self.topics = copy.deepcopy(older)
+            self.era += 1
+            self.changed.notify_all()
+
     def add_to(self, application: web.Application) -> None:
         """Add the routes."""
         router = application.router
@@ -95,21 +110,30 @@
             for key, (offset, value) in sorted(topic.newest.items())
         ]
         return web.json_response(
-            {'items': items, 'HasMore': False, 'End': topic.end}
+            {'items': items, 'HasMore': False, 'End': topic.end},
+            headers=self._headers(),
         )
 
+    def _headers(self) -> dict[str, str]:
+        return {ERA: str(self.era)}
+
     async def _read(self, request: web.Request) -> web.Response:
         await self._check()
         topic = self.topic(request.query['Topic'])
         offset = int(request.query['From'])
         wait_s = int(request.query.get('WaitMs', 0)) / MS_PER_SECOND
-        if offset < topic.first:
-            return web.json_response({'First': topic.first}, status=GONE)
+        if not topic.first <= offset <= topic.end:
+            return web.json_response(
+                {'First': topic.first}, status=GONE, headers=self._headers()
+            )
+        era = self.era
         await self._wait_for(topic, offset, wait_s)
+        if era != self.era:
+            raise web.HTTPServiceUnavailable
         body = BOUNDS.pack(topic.end, topic.first)
         for record in topic.records[offset - topic.first :]:
             body += LENGTH.pack(len(record)) + record
-        return web.Response(body=body)
+        return web.Response(body=body, headers=self._headers())
 
     async def _wait_for(
         self, topic: Topic, offset: int, wait_s: float
@@ -118,7 +142,10 @@
             return
         try:
             async with asyncio.timeout(wait_s), self.changed:
-                await self.changed.wait_for(lambda: topic.end > offset)
+                era = self.era
+                await self.changed.wait_for(
+                    lambda: topic.end > offset or era != self.era
+                )
         except TimeoutError:
             return
 
@@ -131,4 +158,6 @@
             (length,) = LENGTH.unpack_from(body)
             topic.records.append(body[LENGTH.size : LENGTH.size + length])
             body = body[LENGTH.size + length :]
-        return web.json_response({'Offset': offset, 'End': topic.end})
+        return web.json_response(
+            {'Offset': offset, 'End': topic.end}, headers=self._headers()
+        )
--- a/test/builders.py
+++ b/test/builders.py
@@ -32,6 +32,7 @@
 
     revision: int = 1
     limits: manifest.Limits = manifest.Limits()
+    has_workspaces: bool = False
 
     def refuse(self, service, adapter):
         if adapter is None and service not in (SERVICE, PLAIN_SERVICE):
--- a/test/hosted/test_workspaces.py
+++ b/test/hosted/test_workspaces.py
@@ -4,6 +4,9 @@
 
 from berylhollow import errors
 from berylhollow import events
+from berylhollow.gateway import _workspaces
+from berylhollow import messages
+from berylhollow.util import addresses
 from berylhollow import workspaces
 from test.hosted import hosted_helper
 from test.hosted import test_gateway_direct
@@ -30,6 +33,9 @@
         self.declare(builders.workspace('hule930', KEY, Priority=0))
         self.list(test_gateway_direct.plain('i-1', '10.0.0.1:80'))
 
+    def options(self):
+        return {'neighbours_ms': 0}
+
     def declare(self, *entries, version=7, at_ms=0):
         record = builders.configuration_record(
             version, routes=routes(), workspaces=list(entries)
@@ -91,6 +97,100 @@
         self.assertEqual('hule930', self.offered()[1].caller)
 
 
+class ProofTest(WorkspaceTestCase):
+    """What a gateway does while it can't prove the keys it knows."""
+
+    def setUp(self):
+        super().setUp()
+        self.state.follower.keys.bound_ms = 5000
+        self.state.follower.keys.read(0)
+
+    def options(self):
+        return {'neighbours_ms': 1000, 'keys_ready_ms': 2750}
+
+    def test_key_that_can_not_be_proven_is_refused_as_not_run(self):
+        self.ask(at_ms=4700)
+        self.assertEqual('i-1', self.offered()[0])
+        self.ask(at_ms=4800)
+        answer = self.answer()
+        self.assertIs(errors.Kind.KEY_UNPROVEN, answer.kind)
+        self.assertIs(errors.Ran.NOT_RUN, answer.ran)
+        self.assertGreater(answer.retry_after_ms, 0)
+
+    def test_callers_without_a_key_are_served_on(self):
+        self.ask(OPEN_PATH, None, at_ms=60_000)
+        self.assertEqual('i-1', self.offered()[0])
+
+    def test_key_whose_proof_ends_while_its_request_waits(self):
+        """A gateway stands still with a request that waits.
+
+        The key was checked when the request came; when the gateway goes on,
+        it may have been taken away long ago.
+        """
+        self.list(
+            test_gateway_direct.plain('i-1', '10.0.0.1:80'),
+            test_gateway_direct.row('i-2', '10.0.0.2:80'),
+        )
+        self.ask(test_gateway_direct.MODEL_PATH, adapter='a3', at_ms=4000)
+        self.feed(events.Ticked(4900, 0.5))
+        self.assertIs(errors.Kind.KEY_UNPROVEN, self.answer().kind)
+
+    def test_not_ready_before_keys_are_refused(self):
+        self.assertTrue(_workspaces.takes_keys(self.state, 2700))
+        self.assertFalse(_workspaces.takes_keys(self.state, 2800))
+        self.assertTrue(_workspaces.keys_proven(self.state, 2800))
+
+    def test_refused_by_the_head_as_by_the_whole_request(self):
+        head = events.RequestHead(
+            builders.HOST, '/puxa403/x', workspaces.digest(KEY), 0
+        )
+        refusal = _workspaces.refused_by_head(self.state, head, 4800)
+        self.assertIs(errors.Kind.KEY_UNPROVEN, refusal.kind)
+        self.assertIsNone(_workspaces.refused_by_head(self.state, head, 4700))
+
+
+class NeighboursTest(WorkspaceTestCase):
+    """A gateway starts while the log has an older configuration.
+
+    Its neighbours know that keys in it were taken away since.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.list(
+            test_gateway_direct.plain('i-1', '10.0.0.1:80'),
+            test_gateway_direct.row('i-2', '10.0.0.2:80'),
+        )
+        self.open_link(addresses.beside('10.0.0.2:80'), events.Role.ENDPOINT)
+
+    def options(self):
+        return {'neighbours_ms': 1000}
+
+    def test_no_key_is_used_before_a_neighbour_was_heard(self):
+        self.ask(at_ms=500)
+        self.assertIs(errors.Kind.KEY_UNPROVEN, self.answer().kind)
+        self.report('10.0.0.2:80', at_ms=510)
+        self.ask(at_ms=520)
+        self.assertEqual('i-1', self.offered()[0])
+
+    def test_gateway_that_is_alone_waits_for_a_moment_only(self):
+        self.ask(at_ms=1000)
+        self.assertEqual('i-1', self.offered()[0])
+
+    def test_no_key_is_used_before_the_neighbours_revision_is_read(self):
+        self.report('10.0.0.2:80', at_ms=510, revision=9)
+        self.ask(at_ms=60_000)
+        self.assertIs(errors.Kind.KEY_UNPROVEN, self.answer().kind)
+        self.declare(builders.workspace('hule930', KEY), version=9)
+        self.ask(at_ms=60_010)
+        self.assertEqual('i-1', self.offered()[0])
+
+    def test_own_revision_is_told_to_the_sidecars(self):
+        self.feed(events.Ticked(1500, 0.5))
+        (demands,) = self.sent(messages.AdapterDemands)
+        self.assertEqual(7, demands.revision)
+
+
 class OverTheNetworkTest(hosted_helper.HostedTestCase):
     async def begin_with(self, *entries):
         await self.publish(8, routes=routes(), workspaces=list(entries))
--- a/test/platform/test_store.py
+++ b/test/platform/test_store.py
@@ -113,3 +113,39 @@
     async def test_slow_answer_counts_while_the_second_is_lost(self):
         self.answers = [after_a_while, broken]
         self.assertEqual(7, await self.next_offset())
+
+
+def of_era(era):
+    async def answer(_request):
+        return web.Response(body=EMPTY, headers={'Store-Era': era})
+
+    return answer
+
+
+class EraTest(StoreTestCase):
+    async def test_era_of_each_answer_is_told(self):
+        self.answers += [well, of_era('3')]
+        eras = [(await self.client.read(STREAM, 7)).era for _ in range(2)]
+        self.assertEqual([0, 3], eras)
+
+    async def test_late_answer_of_an_earlier_era_is_not_used(self):
+        """An answer from before the store came back arrives after it.
+
+        Its offsets are of records that are gone.
+        """
+        self.answers += [of_era('3'), of_era('2')]
+        await self.client.read(STREAM, 7)
+        with self.assertRaises(outgoing.NotDone):
+            await self.client.read(STREAM, 7, 100)
+
+    async def test_era_that_is_no_number_is_no_answer(self):
+        self.answers += [of_era('x')]
+        with self.assertRaises(outgoing.MaybeDone):
+            await self.client.read(STREAM, 7, 100)
+
+    async def test_more_than_one_answer_holds_is_not_whole(self):
+        async def part(_request):
+            return web.Response(body=struct.pack('>QQ', 9, 0))
+
+        self.answers += [part]
+        self.assertFalse((await self.client.read(STREAM, 7)).whole)
--- a/test/test_endpoint_directory.py
+++ b/test/test_endpoint_directory.py
@@ -26,6 +26,7 @@
         self.first = 0
         self.down = False
         self.behind = 0
+        self.era = 0
         self.full_reads = 0
 
     def put(self, name, **changes):
@@ -40,7 +41,9 @@
             for offset, data in enumerate(self.records)
             if offset >= start
         )
-        return log_service.ReadResult(entries, self.first, len(self.records))
+        return log_service.ReadResult(
+            entries, self.first, len(self.records), self.era
+        )
 
     async def newest(self, stream):
         self.check()
@@ -54,7 +57,7 @@
             if entry.data[1 + size :]:
                 newest[name] = entry
         entries = tuple(newest[name] for name in sorted(newest))
-        return log_service.ReadResult(entries, 0, end)
+        return log_service.ReadResult(entries, 0, end, self.era)
 
     async def read(self, stream, from_offset):
         self.check()
@@ -68,6 +71,11 @@
         if self.down:
             raise outgoing.NotDone('down')
 
+    def come_back(self, records):
+        """Lose all but the first few records."""
+        del self.records[records:]
+        self.era += 1
+
 
 class DirectoryTestCase(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
@@ -249,3 +257,90 @@
         ) as logs:
             await self.names()
         self.assertEqual(most, len(logs.records))
+
+
+class OlderCopyTest(DirectoryTestCase):
+    """The log comes back from an older copy and gives offsets out again."""
+
+    async def test_list_with_a_lower_end_is_taken_in(self):
+        """The log ends before what was read already, in a new era.
+
+        Refused as an answer from before, the list would have stood still
+        until the log had grown past the old offset.
+        """
+        for name in ('i-1', 'i-2', 'i-3'):
+            self.store.put(name)
+        await self.names()
+        self.store.come_back(2)
+        for _ in range(3):
+            await self.names()
+            self.clock.advance(endpoint_directory.RETURN_MS // 2)
+        self.store.drop('i-1')
+        self.assertEqual(['i-2'], await self.names())
+
+    async def test_log_that_has_grown_past_the_old_offset(self):
+        """As many records were written again as were lost, others of them.
+
+        Nothing fails then; read on from the old offset, what lies before it
+        would never be seen.
+        """
+        for name in ('i-1', 'i-2', 'i-3'):
+            self.store.put(name)
+        await self.names()
+        self.store.come_back(1)
+        self.store.drop('i-1')
+        self.store.put('i-4')
+        self.store.put('i-5')
+        await self.names()
+        self.clock.advance(endpoint_directory.RETURN_MS)
+        self.assertEqual(['i-4', 'i-5'], await self.names())
+
+    async def test_endpoint_that_the_copy_lacks_may_write_again(self):
+        """An endpoint joined in the seconds that were lost; it lives.
+
+        Taken for a removal, all that had joined would get nothing until
+        each has written again.
+        """
+        self.store.put('i-1')
+        self.store.put('i-2')
+        await self.names()
+        self.store.come_back(1)
+        self.assertEqual(['i-1', 'i-2'], sorted(await self.names()))
+        self.store.put('i-2')
+        self.clock.advance(endpoint_directory.RETURN_MS)
+        self.assertEqual(['i-1', 'i-2'], sorted(await self.names()))
+
+    async def test_endpoint_that_the_copy_lacks_and_that_is_gone(self):
+        self.store.put('i-1')
+        self.store.put('i-2')
+        await self.names()
+        self.store.come_back(1)
+        await self.names()
+        self.clock.advance(endpoint_directory.RETURN_MS)
+        self.assertEqual(['i-1'], await self.names())
+
+    async def test_endpoint_that_only_the_copy_has_was_seen_to_leave(self):
+        """An endpoint left in the seconds that were lost.
+
+        Believed, the copy would have requests sent to it again, long after
+        its leaving was confirmed.
+        """
+        self.store.put('i-1')
+        self.store.put('i-2')
+        await self.names()
+        self.store.drop('i-2')
+        self.assertEqual(['i-1'], await self.names())
+        self.store.come_back(2)
+        self.assertEqual(['i-1'], await self.names())
+        self.store.put('i-2', born=FIRST_MS)
+        self.assertEqual(2, len(await self.names()))
+
+    async def test_answer_of_the_era_before_is_not_used(self):
+        self.store.put('i-1')
+        await self.names()
+        self.store.come_back(1)
+        await self.names()
+        self.store.era -= 1
+        self.store.put('i-2')
+        with self.assertRaises(outgoing.NotDone):
+            await self.directory.list()
--- a/test/test_shared_reads.py
+++ b/test/test_shared_reads.py
@@ -21,9 +21,10 @@
         self.records = []
         self.calls = 0
         self.down = False
+        self.era = 0
 
     async def newest(self, stream):
-        return log_service.ReadResult((), 0, len(self.records))
+        return log_service.ReadResult((), 0, len(self.records), self.era)
 
     async def read(self, stream, from_offset, wait_ms=0):
         self.calls += 1
@@ -34,7 +35,7 @@
             for offset, data in enumerate(self.records)
             if offset >= from_offset
         )
-        return log_service.ReadResult(entries, 0, len(self.records))
+        return log_service.ReadResult(entries, 0, len(self.records), self.era)
 
     async def append(self, stream, data):
         self.records.append(data)
@@ -247,3 +248,50 @@
         self.assertEqual(sorted(set(silences)), silences)
         self.assertGreater(silences[0], 800)
         self.assertLess(silences[-1], 1400)
+
+
+class OlderCopyTest(SharedTestCase):
+    """The log comes back from an older copy, in a new era."""
+
+    async def asyncSetUp(self):
+        self.first, self.second = self.gateway('g1'), self.gateway('g2')
+        self.log.records += [b'one', b'two']
+        await self.data(self.first, 0)
+        self.tell(self.second)
+        await self.data(self.second, 0)
+        self.parts.clear()
+        del self.log.records[1:]
+        self.log.era = 1
+
+    async def test_part_of_a_new_era_is_told_as_such_and_not_joined(self):
+        """Offsets of two eras are the same numbers of other records.
+
+        Joined to what was known, a part would hide the records before it.
+        """
+        self.log.records += [b'other', b'more']
+        first = await self.first.read(STREAM, 2, 1500)
+        self.assertEqual(1, first.era)
+        await self.first.newest(STREAM)
+        self.log.records.append(b'last')
+        await self.data(self.first, 3)
+        self.tell(self.second)
+        result = await self.second.read(STREAM, 2, 1500)
+        self.assertEqual((1, ()), (result.era, result.records))
+        self.assertFalse(result.whole)
+
+    async def test_part_of_the_era_before_is_dropped(self):
+        await self.second.newest(STREAM)
+        late = messages.StreamPart(STREAM, 1, 3, (b'x', b'y'), 'g1', 0)
+        self.second.take(late)
+        self.log.records.append(b'new')
+        self.clock.advance(10_000)
+        self.assertEqual(([b'new'], 2), await self.data(self.second, 1))
+
+    async def test_what_is_told_is_no_read_of_ones_own(self):
+        await self.first.newest(STREAM)
+        await self.second.newest(STREAM)
+        self.log.records.append(b'new')
+        own = await self.first.read(STREAM, 1, 1500)
+        self.tell(self.second)
+        told = await self.second.read(STREAM, 1, 1500)
+        self.assertEqual((False, True), (own.told, told.told))
