Hold quotas of workspaces over all gateways, by shares of their demand

Cause: a quota was not enforced at all; a declared rate was shared in equal parts. Callers are spread over 21 gateways by a hash of a few dozen of them: a share lies idle at one gateway while the next refuses, and each new process begins with a full burst.

Change: two sidecars add up what all gateways say they have spent and are asked for; every gateway fills a bucket with the whole rate and takes the sums from it. With less demand than 1.5 times the rate it takes what it needs, with more its share; between two words a sixth of what is left, or one request. A gateway that hears no sums for 1.5 s uses a twentieth of an equal share. A new process begins with an empty bucket. A request is counted when it comes, again with each further run, and given back only if it was never sent or is proven not to have run. Refused from its head alone: 429 with the time at which its tokens are there. Nothing is asked over the network on a request's path.

The reserve of repeats was held for each caller and service; now that a caller is a workspace, sixteen reserves would have added up. On the platform, which bounds all repeats together, there is one.

--- a/berylhollow/configuration/_configuration.py
+++ b/berylhollow/configuration/_configuration.py
@@ -30,6 +30,11 @@
         """Return False: a manifest declares none."""
         return False
 
+    @property
+    def declared_workspaces(self) -> tuple[()]:
+        """Return none: a manifest declares none."""
+        return ()
+
     def workspace(self, head: events.RequestHead) -> None:
         """Return None: no request is a workspace's."""
 
--- a/berylhollow/events.py
+++ b/berylhollow/events.py
@@ -277,6 +277,20 @@
     seed: float = 0.5
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeadRefused:
+    """A request was refused before its body was read.
+
+    ``shown_id`` is the id by which its caller knows it.
+    """
+
+    at_ms: int
+    shown_id: str
+    head: RequestHead
+    kind: errors.Kind
+    retry_after_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerGone:
     """The caller closed its connection before its answer was whole."""
--- a/berylhollow/following.py
+++ b/berylhollow/following.py
@@ -68,6 +68,7 @@
 
     revision: int
     has_workspaces: bool
+    declared_workspaces: tuple[workspaces.Workspace, ...]
 
     def workspace(
         self, head: events.RequestHead
--- a/berylhollow/gateway/_attempts.py
+++ b/berylhollow/gateway/_attempts.py
@@ -18,6 +18,7 @@
 from berylhollow.gateway import _ejection
 from berylhollow.gateway import _limits
 from berylhollow.gateway import _quarantine
+from berylhollow.gateway import _quotas
 from berylhollow.gateway import _routing
 from berylhollow.gateway import _settlement
 from berylhollow.gateway import _state
@@ -66,6 +67,10 @@
             errors.Ran.NOT_RUN,
             refusal.retry_after_ms,
         )
+    wait_ms = _quotas.over(state, active, at_ms)
+    if wait_ms:
+        kind = errors.Kind.QUOTA_EXCEEDED
+        return give_up(state, active, kind, errors.Ran.NOT_RUN, wait_ms)
     name = _routing.choose(state, active, at_ms)
     if name is None:
         return _nowhere(state, active, at_ms)
@@ -202,6 +207,7 @@
     """Forget a request that has had its final answer."""
     _release(state, active)
     _adapters.leave(state, active)
+    _quotas.finish(state, active)
     if state.requests.pop(active.request.request_id, None) is not None:
         _limits.release(state, active.request)
     return []
@@ -245,6 +251,7 @@
     request = active.request
     endpoint = state.endpoints[name]
     _adapters.leave(state, active)
+    _quotas.sent_on(state, active, at_ms)
     if active.attempts == 0:
         _budget.paid_in(state, active)
     active.attempts += 1
@@ -333,7 +340,9 @@
     No second attempt once the caller has part of an answer, and none for a
     non-idempotent request that may have run.
     """
-    if lost.ran is not errors.Ran.NOT_RUN:
+    if lost.ran is errors.Ran.NOT_RUN:
+        _quotas.not_run(active)
+    else:
         active.may_have_run = True
         active.runs += 1
     endpoint = state.endpoints.get(active.endpoint)
--- a/berylhollow/gateway/_budget.py
+++ b/berylhollow/gateway/_budget.py
@@ -11,7 +11,7 @@
 
 def paid_in(state: _state.State, active: _state.ActiveRequest) -> None:
     """Count a first attempt: it pays for a share of a retry."""
-    key = _key(active)
+    key = _key(state, active)
     options = state.options
     level = state.retry_budgets.get(key, options.retry_reserve)
     level = min(options.retry_reserve, level + options.retry_share)
@@ -20,12 +20,14 @@
 
 def level(state: _state.State, active: _state.ActiveRequest) -> float:
     """Return how many retries are left."""
-    return state.retry_budgets.get(_key(active), state.options.retry_reserve)
+    return state.retry_budgets.get(
+        _key(state, active), state.options.retry_reserve
+    )
 
 
 def take(state: _state.State, active: _state.ActiveRequest) -> bool:
     """Take one retry from the budget; False if it is used up."""
-    key = _key(active)
+    key = _key(state, active)
     level = state.retry_budgets.get(key, state.options.retry_reserve)
     if level < 1:
         return False
@@ -35,10 +37,20 @@
 
 def forget(state: _state.State) -> None:
     """Drop the budgets of callers that are no longer known."""
-    gone = [key for key in state.retry_budgets if key[0] not in state.callers]
+    gone = [
+        key
+        for key in state.retry_budgets
+        if key[0] and key[0] not in state.callers
+    ]
     for key in gone:
         del state.retry_budgets[key]
 
 
-def _key(active: _state.ActiveRequest) -> tuple[str, str]:
-    return active.request.caller, active.service
+def _key(state: _state.State, active: _state.ActiveRequest) -> tuple[str, str]:
+    """Return whose budget it is: a caller's, or that of all together.
+
+    Where the platform bounds all repeats together, a reserve for each of
+    many callers would add up to more.
+    """
+    caller = active.request.caller if state.options.budget_by_caller else ''
+    return caller, active.service
--- a/berylhollow/gateway/_http.py
+++ b/berylhollow/gateway/_http.py
@@ -43,11 +43,11 @@
     def forget(self, exchange: _exchange.Exchange) -> None:
         """Forget the exchange: its caller will get nothing more."""
 
-    def refused(self, kind: errors.Kind, shown_id: str) -> None:
+    def refused(self, kind: errors.Kind) -> None:
         """A request was refused before it was taken."""
 
     def refused_by_head(
-        self, head: events.RequestHead
+        self, head: events.RequestHead, shown_id: str
     ) -> _workspaces.Refusal | None:
         """Return why a request will be refused, before its body is read."""
 
@@ -117,7 +117,7 @@
             shown_id = self.dialect.echoed_id(request.headers) or shown_id
             response = await self._answer(request, request_id, shown_id)
         except errors.BerylhollowError as error:
-            self.owner.refused(error.kind, shown_id)
+            self.owner.refused(error.kind)
             response = self._refusal(error, shown_id)
         finally:
             self.server.busy.discard(protocol)
@@ -132,7 +132,7 @@
         if draft is None:
             path = _parsing.origin_form(request.raw_path)
             return await self._page(request, path.partition('?')[0])
-        self._check_head(draft.head)
+        self._check_head(draft.head, shown_id)
         body = await self.bodies.read(request)
         try:
             taken = draft.build(request_id, body)
@@ -140,8 +140,12 @@
         finally:
             self.bodies.release(len(body))
 
-    def _check_head(self, head: events.RequestHead | None) -> None:
-        refusal = None if head is None else self.owner.refused_by_head(head)
+    def _check_head(
+        self, head: events.RequestHead | None, shown_id: str
+    ) -> None:
+        if head is None:
+            return
+        refusal = self.owner.refused_by_head(head, shown_id)
         if refusal is not None:
             raise errors.BerylhollowError(
                 refusal.kind, retry_after_ms=refusal.retry_after_ms
--- a/berylhollow/gateway/_membership.py
+++ b/berylhollow/gateway/_membership.py
@@ -11,6 +11,7 @@
 from berylhollow.gateway import _crashes
 from berylhollow.gateway import _link_pacing
 from berylhollow.gateway import _model_loads
+from berylhollow.gateway import _quotas
 from berylhollow.gateway import _sidecars
 from berylhollow.gateway import _state
 
@@ -72,6 +73,7 @@
         # the list came first, links and loads would wait for the next one,
         # up to 0.7 s after every start.
         _sidecars.listed(state)
+        _quotas.declared(state, at_ms)
         done += _sidecars.tick(state, at_ms)
     state.served_revision = view.revision if view else 0
     gateways = [state.options.instance, *state.peers]
--- a/berylhollow/gateway/_options.py
+++ b/berylhollow/gateway/_options.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from berylhollow import quarantine
+from berylhollow import workspaces
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,9 +43,11 @@
     ours is at their endpoint, else every ``idle_demand_ms``, well before
     they forget it. With ``lost_retry_free`` an attempt that was lost with
     its endpoint may be repeated once outside the budget; not where all
-    repeats count for it. Keys are not used for ``neighbours_ms`` after the
-    start unless another gateway's revision is known. A gateway whose proof
-    of the keys is as old as ``keys_ready_ms`` is not ready for callers.
+    repeats count for it. With ``budget_by_caller`` each caller has a budget
+    of its own. Keys are not used for ``neighbours_ms`` after the start unless
+    another gateway's revision is known. A gateway whose proof of the keys is
+    as old as ``keys_ready_ms`` is not ready for callers. ``quota_tolerance``
+    is how exactly quotas have to hold.
     """
 
     instance: str
@@ -96,6 +99,7 @@
     load_wish_ms: int = 1500
     stop_grace_ms: int = 600_000
     lost_retry_free: bool = True
+    budget_by_caller: bool = True
     sidecar_port: int = 0
     needs_instances: bool = False
     adapter_wait_share: float = 0.8
@@ -105,3 +109,4 @@
     idle_demand_ms: int = 1500
     neighbours_ms: int = 1000
     keys_ready_ms: int = 3_600_000
+    quota_tolerance: workspaces.Tolerance = workspaces.Tolerance()
--- a/berylhollow/gateway/_reducer.py
+++ b/berylhollow/gateway/_reducer.py
@@ -12,6 +12,7 @@
 from berylhollow.gateway import _membership
 from berylhollow.gateway import _peers
 from berylhollow.gateway import _quarantine
+from berylhollow.gateway import _quotas
 from berylhollow.gateway import _requests
 from berylhollow.gateway import _shared_reads
 from berylhollow.gateway import _shutdown
@@ -50,6 +51,7 @@
     done += _requests.tick(state, event.at_ms)
     done += _claims.tick(state, event.at_ms)
     done += _quarantine.tick(state, event.at_ms)
+    done += _quotas.tick(state, event.at_ms)
     done += _coordinator.tick(state, event.at_ms)
     done += _shutdown.tick(state, event.at_ms)
     return done
@@ -139,6 +141,7 @@
     events.LinkClosed: _link_closed,
     events.MessageReceived: _received,
     events.RequestArrived: _requests.arrived,
+    events.HeadRefused: _requests.head_refused,
     events.CallerGone: _requests.caller_gone,
     events.AnswerRelayed: _requests.relayed,
     events.AnswerBroken: _requests.broken,
@@ -157,6 +160,7 @@
     messages.Crashed: _quarantine.crashed,
     messages.Report: _reported,
     messages.StreamPart: _shared_reads.heard,
+    messages.QuotaSums: _quotas.heard,
     messages.LoadWanted: _coordinator.wanted,
     messages.LoadEnded: _coordinator.ended,
     messages.Started: _attempts.started,
--- a/berylhollow/gateway/_requests.py
+++ b/berylhollow/gateway/_requests.py
@@ -12,6 +12,7 @@
 from berylhollow.gateway import _claims
 from berylhollow.gateway import _limits
 from berylhollow.gateway import _quarantine
+from berylhollow.gateway import _quotas
 from berylhollow.gateway import _settlement
 from berylhollow.gateway import _state
 from berylhollow import messages
@@ -40,6 +41,12 @@
     if refused_ms:
         kind = errors.Kind.QUARANTINED
         return [refusal(request.request_id, kind, refused_ms)]
+    tokens = request.head.tokens
+    _quotas.ask(state, workspace, tokens, event.at_ms)
+    wait_ms = _quotas.wait_ms(state, workspace, tokens, event.at_ms)
+    if wait_ms:
+        kind = errors.Kind.QUOTA_EXCEEDED
+        return [refusal(request.request_id, kind, wait_ms)]
     limit = _limits.admit(state, request, event.at_ms)
     if limit is not None:
         return [refusal(request.request_id, limit.kind, limit.retry_after_ms)]
@@ -53,6 +60,7 @@
         objective_ms=terms.objective_ms,
         workspace=workspace,
     )
+    _quotas.reserve(state, active, event.at_ms)
     state.requests[request.request_id] = active
     if request.adapter is not None:
         name = messages.AdapterVersion(request.adapter.adapter, '')
@@ -62,6 +70,27 @@
     return _attempts.place(state, active, event.at_ms)
 
 
+def head_refused(state: _state.State, event: events.HeadRefused) -> Effects:
+    """A request was refused by its head alone; its demand counts."""
+    view = state.follower.current
+    workspace = None if view is None else view.workspace(event.head)
+    if event.kind is errors.Kind.QUOTA_EXCEEDED and not isinstance(
+        workspace, errors.Kind
+    ):
+        _quotas.ask(state, workspace, event.head.tokens, event.at_ms)
+    name = getattr(workspace, 'name', '')
+    fields = (
+        ('shown_id', event.shown_id),
+        ('kind', event.kind.value),
+        ('workspace', name),
+        ('tokens', event.head.tokens),
+        ('retry_after_ms', event.retry_after_ms),
+        ('keys_age_ms', state.follower.keys_age_ms(event.at_ms)),
+        ('revision', view.revision if view else 0),
+    )
+    return [effects.Log('request refused', fields)]
+
+
 def caller_gone(state: _state.State, event: events.CallerGone) -> Effects:
     """Cancel what runs for a caller that is no longer there.
 
--- a/berylhollow/gateway/_shell.py
+++ b/berylhollow/gateway/_shell.py
@@ -228,24 +228,27 @@
         exchange.log(self.now_ms(), _pages.revision(state))
         self._measure(exchange, service)
 
-    def refused(self, kind: errors.Kind, shown_id: str) -> None:
+    def refused(self, kind: errors.Kind) -> None:
         ran = errors.ANSWERS[kind].ran
-        LOG.info(
-            'request refused',
-            extra={
-                'shown_id': shown_id,
-                'kind': kind.value,
-                'revision': _pages.revision(self.driver.state),
-            },
-        )
         self._count_error('', kind, ran)
 
     def refused_by_head(
-        self, head: events.RequestHead
+        self, head: events.RequestHead, shown_id: str
     ) -> _workspaces.Refusal | None:
-        return _workspaces.refused_by_head(
-            self.driver.state, head, self.now_ms()
-        )
+        now_ms = self.now_ms()
+        state = self.driver.state
+        refusal = _workspaces.refused_by_head(state, head, now_ms)
+        if refusal is not None:
+            self.feed(
+                events.HeadRefused(
+                    now_ms,
+                    shown_id,
+                    head,
+                    refusal.kind,
+                    refusal.retry_after_ms,
+                )
+            )
+        return refusal
 
     def _measure(self, exchange: _exchange.Exchange, service: str) -> None:
         kind = exchange.kind.value if exchange.kind else ''
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -175,6 +175,8 @@
     claim_by_ms: int = 0
     claim_lost: bool = False
     workspace: workspaces.Workspace | None = None
+    cost: int = 0
+    reserved: bool = False
 
     @property
     def offered(self) -> bool:
@@ -271,7 +273,9 @@
     by service, how long a prompt token takes to be read. ``listed_ms`` is
     when the list of instances came that is in use. ``told_revision`` is the
     newest of the configuration that any gateway is known to have had,
-    ``started_ms`` when this one began.
+    ``started_ms`` when this one began. ``allowances`` has what may be used of
+    each workspace's quota, ``quotas_told`` what the ``quota_books`` were last
+    told.
     """
 
     options: _options.Options
@@ -280,6 +284,12 @@
     started_ms: int = 0
     settled_ms: int = 0
     told_revision: int | None = None
+    allowances: dict[str, workspaces.Allowance] = dataclasses.field(
+        default_factory=dict
+    )
+    quotas_told: tuple[workspaces.Use, ...] = ()
+    quotas_told_ms: int = clock.NEVER_MS
+    quota_books: list[str] = dataclasses.field(default_factory=list)
     endpoints: dict[str, Endpoint] = dataclasses.field(default_factory=dict)
     sidecars: dict[str, Sidecar] = dataclasses.field(default_factory=dict)
     beside: dict[str, str] = dataclasses.field(default_factory=dict)
--- a/berylhollow/gateway/_workspaces.py
+++ b/berylhollow/gateway/_workspaces.py
@@ -4,6 +4,7 @@
 
 from berylhollow import errors
 from berylhollow import events
+from berylhollow.gateway import _quotas
 from berylhollow.gateway import _state
 from berylhollow import workspaces
 
@@ -34,6 +35,9 @@
         return Refusal(found)
     if found is not None and not keys_proven(state, at_ms):
         return UNPROVEN
+    wait_ms = _quotas.wait_ms(state, found, head.tokens, at_ms)
+    if wait_ms:
+        return Refusal(errors.Kind.QUOTA_EXCEEDED, wait_ms)
     return None
 
 
--- a/berylhollow/hosted/gateway_process.py
+++ b/berylhollow/hosted/gateway_process.py
@@ -12,6 +12,7 @@
 from berylhollow import shared_reads
 from berylhollow.util import loop
 from berylhollow.util import spread
+from berylhollow import workspaces
 
 STOP_NOTICE_MS = 2500
 """The balancer asks once a second and stops sending after two refusals."""
@@ -159,8 +160,12 @@
         link_retry_ms=LINK_RETRY_MS,
         link_retry_most_ms=LINK_RETRY_MOST_MS,
         lost_retry_free=False,
+        budget_by_caller=False,
         policy='quick-reload',
         keys_ready_ms=keys_ready_ms(node),
+        quota_tolerance=workspaces.Tolerance(
+            node.quota_window_ms / clock.MS_PER_SECOND, node.quota_slack
+        ),
     )
     follower = routes.RouteFollower(
         platform.CONFIGURATION_STREAM, platform.decode_news, node.key_bound_ms
--- a/berylhollow/loader/_reducer.py
+++ b/berylhollow/loader/_reducer.py
@@ -24,6 +24,7 @@
 
 
 def _started(state: _state.State, event: events.Started) -> Effects:
+    state.incarnation = event.incarnation
     return _read(state, event.at_ms)
 
 
@@ -239,6 +240,8 @@
         return _pass_on(state, event.peer, message)
     if isinstance(message, messages.StreamPart):
         return _pass_on_part(state, event.peer, message)
+    if isinstance(message, messages.QuotaUses):
+        return _keep_book(state, event)
     if not isinstance(message, messages.AdapterDemands):
         return []
     state.demand.tell(event.peer, message, event.at_ms)
@@ -251,6 +254,15 @@
     return done + _report.tell(state, event.at_ms)
 
 
+def _keep_book(state: _state.State, event: events.MessageReceived) -> Effects:
+    """Add up what gateways have used of quotas and tell them the sums."""
+    peer = event.peer
+    sums = state.book.tell(
+        peer, state.links.get(peer, ''), event.message.uses, event.at_ms
+    )
+    return [effects.Send(peer, messages.QuotaSums(state.incarnation, sums))]
+
+
 def _say_turn(state: _state.State) -> Effects:
     """Say when the model begins or ends to wait for its turn."""
     held_back = state.model_held_back
--- a/berylhollow/loader/_state.py
+++ b/berylhollow/loader/_state.py
@@ -6,6 +6,7 @@
 from berylhollow import events
 from berylhollow.loader import _demand
 from berylhollow import messages
+from berylhollow import workspaces
 
 
 MOST_ENDED = 64
@@ -107,6 +108,8 @@
     unreachable: bool = False
     links: dict[str, str] = dataclasses.field(default_factory=dict)
     demand: _demand.Demand = dataclasses.field(default_factory=_demand.Demand)
+    book: workspaces.Book = dataclasses.field(default_factory=workspaces.Book)
+    incarnation: str = ''
     used_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     order: Order | None = None
     orders: int = 0
--- a/berylhollow/messages.py
+++ b/berylhollow/messages.py
@@ -9,6 +9,7 @@
 import enum
 
 from berylhollow import errors
+from berylhollow import workspaces
 
 
 START_SEPARATOR = '@'
@@ -319,6 +320,24 @@
     era: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuotaUses:
+    """What a gateway has used of the quotas of workspaces, by its count."""
+
+    uses: tuple[workspaces.Use, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuotaSums:
+    """What all gateways have used, as a sidecar adds it up.
+
+    ``book`` names the start of the sidecar: sums of two can't be compared.
+    """
+
+    book: str
+    sums: tuple[workspaces.Sum, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LogEntry:
     """A record of the platform's log; ``at_ms`` is the log's own clock."""
@@ -432,6 +451,8 @@
     | ClaimDecided
     | AdapterDemands
     | StreamPart
+    | QuotaUses
+    | QuotaSums
 )
 
 # A tag is never given to another message once it was released.
@@ -458,4 +479,6 @@
     20: LoadDeferred,
     21: AdapterDemands,
     22: StreamPart,
+    23: QuotaUses,
+    24: QuotaSums,
 }
--- a/berylhollow/platform/_node.py
+++ b/berylhollow/platform/_node.py
@@ -17,6 +17,9 @@
 """Where the platform names no bound: what its own examples have."""
 
 
+DEFAULT_QUOTA_WINDOW_S = 1.0
+
+
 class NodeFileError(exits.UserError):
     """The file can't be used; the message names every fault."""
 
@@ -51,7 +54,8 @@
     ``heartbeat_ms`` is how often an endpoint writes its entry, 0 if that is
     not told. ``contact_ms`` is how long after a disturbance has ended every
     promise holds again. ``key_bound_ms`` is how long after it was taken away
-    a key may still be used, 0 without a bound.
+    a key may still be used, 0 without a bound. In any ``quota_window_ms`` as
+    much as ``quota_slack`` more may be used than quotas say.
     """
 
     instance: str
@@ -72,6 +76,8 @@
     heartbeat_ms: int
     contact_ms: int
     key_bound_ms: int
+    quota_window_ms: int
+    quota_slack: float
 
 
 class _Fields:
@@ -191,6 +197,10 @@
             fields, 'Bounds.ContactMs', DEFAULT_CONTACT_MS
         ),
         key_bound_ms=_key_bound_ms(fields),
+        quota_window_ms=_seconds(
+            fields, 'Bounds.QuotaWindowS', DEFAULT_QUOTA_WINDOW_S
+        ),
+        quota_slack=fields.number('Bounds.QuotaSlack', 0, 1e12, 0),
     )
 
 
@@ -207,6 +217,6 @@
     return int(fields.number(path, 0, LONGEST_MS, default))
 
 
-def _seconds(fields: _Fields, path: str) -> int:
+def _seconds(fields: _Fields, path: str, default: float | None = None) -> int:
     """Return a duration that the file gives in seconds, in milliseconds."""
-    return int(fields.number(path, 0, 3600) * 1000)
+    return int(fields.number(path, 0, 3600, default) * 1000)
--- a/berylhollow/routes/_view.py
+++ b/berylhollow/routes/_view.py
@@ -110,6 +110,10 @@
     def has_workspaces(self) -> bool:
         return bool(self.table.workspaces)
 
+    @property
+    def declared_workspaces(self) -> tuple[workspaces.Workspace, ...]:
+        return self.table.workspaces
+
     def route(self, host: str, path: str) -> _table.Route | None:
         """Return the route with the longest prefix that begins the path."""
         plain = path.partition('?')[0]
--- a/berylhollow/workspaces/__init__.py
+++ b/berylhollow/workspaces/__init__.py
@@ -1,14 +1,24 @@
 """Workspaces: who may call, with which keys and how much."""
 
+from berylhollow.workspaces._allowance import Allowance
+from berylhollow.workspaces._book import Book
+from berylhollow.workspaces._book import Sum
+from berylhollow.workspaces._book import Use
 from berylhollow.workspaces._keys import credential
 from berylhollow.workspaces._keys import digest
 from berylhollow.workspaces._types import Quota
+from berylhollow.workspaces._types import Tolerance
 from berylhollow.workspaces._types import Unit
 from berylhollow.workspaces._types import Workspace
 
 __all__ = [
+    'Allowance',
+    'Book',
     'Quota',
+    'Sum',
+    'Tolerance',
     'Unit',
+    'Use',
     'Workspace',
     'credential',
     'digest',
--- a/berylhollow/workspaces/_types.py
+++ b/berylhollow/workspaces/_types.py
@@ -24,6 +24,11 @@
     burst: float
     plain_tokens: int = 0
 
+    @property
+    def capacity(self) -> float:
+        """What a bucket holds: the burst, or half a second's worth."""
+        return max(1.0, self.burst, self.rate_per_s / 2)
+
     def cost(self, tokens: int) -> int:
         """Return what a request of so many tokens, 0 if unknown, counts."""
         if self.unit is Unit.REQUESTS:
@@ -31,6 +36,18 @@
         return tokens or self.plain_tokens
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tolerance:
+    """How exactly quotas have to hold over all gateways together.
+
+    In any ``window_s`` seconds ``slack`` more than the rate and the burst may
+    be used, in the unit of the quota.
+    """
+
+    window_s: float = 1.0
+    slack: float = 0.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Workspace:
     """A workspace and the digests of its keys.
--- a/test/builders.py
+++ b/test/builders.py
@@ -33,6 +33,7 @@
     revision: int = 1
     limits: manifest.Limits = manifest.Limits()
     has_workspaces: bool = False
+    declared_workspaces: tuple = ()
 
     def refuse(self, service, adapter):
         if adapter is None and service not in (SERVICE, PLAIN_SERVICE):
--- a/test/hosted/test_workspaces.py
+++ b/test/hosted/test_workspaces.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from berylhollow import effects
 from berylhollow import errors
 from berylhollow import events
 from berylhollow.gateway import _workspaces
@@ -191,6 +192,171 @@
         self.assertEqual(7, demands.revision)
 
 
+class QuotaTest(WorkspaceTestCase):
+    """A workspace may use 1,000 tokens a second; two sidecars keep books."""
+
+    def setUp(self):
+        super().setUp()
+        self.list(
+            test_gateway_direct.plain('i-1', '10.0.0.1:80'),
+            test_gateway_direct.plain('i-9', '10.0.0.9:80'),
+            *(
+                test_gateway_direct.row(f'i-{n}', f'10.0.0.{n}:80')
+                for n in (2, 3, 4)
+            ),
+        )
+        for number in (2, 3, 4):
+            peer = addresses.beside(f'10.0.0.{number}:80')
+            self.open_link(peer, events.Role.ENDPOINT)
+        self.tick(100)
+        self.books = self.told()
+        self.hear(0, at_ms=100)
+        self.hear(0, at_ms=1100)
+
+    def configure(self):
+        limits = builders.quota(1000)
+        self.declare(builders.workspace('hule930', KEY, **limits))
+
+    def tick(self, at_ms):
+        self.feed(events.Ticked(at_ms, 0.5))
+
+    def told(self):
+        """Return whom the last event told what was spent."""
+        return [
+            effect.peer
+            for effect in self.of_type(effects.Send)
+            if isinstance(effect.message, messages.QuotaUses)
+        ]
+
+    def uses(self):
+        return {uses.uses for uses in self.sent(messages.QuotaUses)}
+
+    def hear(self, spent, at_ms, own_spent=0):
+        found = workspaces.Sum('hule930', spent, 0, own_spent, 0)
+        for peer in self.books:
+            self.receive(messages.QuotaSums('b', (found,)), at_ms, peer)
+
+    def ask(self, tokens=400, at_ms=1100, **changes):
+        changes = {'prompt_tokens': tokens - 10, 'output_tokens': 10} | changes
+        return super().ask(at_ms=at_ms, **changes)
+
+    def spent(self):
+        return self.state.allowances['hule930'].spent
+
+    def test_two_books_are_told_before_the_first_request(self):
+        self.assertEqual(2, len(self.books))
+        self.tick(1300)
+        self.assertEqual(self.books, self.told())
+
+    def test_request_within_the_quota_runs_and_counts(self):
+        self.ask()
+        self.assertEqual('hule930', self.offered()[1].caller)
+        self.tick(1300)
+        ((use,),) = self.uses()
+        self.assertEqual(400, use.spent)
+
+    def test_request_beyond_the_quota_is_refused_with_a_time(self):
+        self.hear(1000, at_ms=1100)
+        self.ask()
+        answer = self.answer()
+        self.assertIs(errors.Kind.QUOTA_EXCEEDED, answer.kind)
+        self.assertIs(errors.Ran.NOT_RUN, answer.ran)
+        self.assertAlmostEqual(400, answer.retry_after_ms, delta=5)
+        self.assertEqual(0, self.spent())
+
+    def test_refused_by_the_head_and_counted_as_asked_for(self):
+        self.hear(1000, at_ms=1100)
+        head = events.RequestHead(
+            builders.HOST, '/puxa403/x', workspaces.digest(KEY), 400
+        )
+        refusal = _workspaces.refused_by_head(self.state, head, 1100)
+        self.assertIs(errors.Kind.QUOTA_EXCEEDED, refusal.kind)
+        self.feed(
+            events.HeadRefused(
+                1100, 'r', head, refusal.kind, refusal.retry_after_ms
+            )
+        )
+        self.tick(1300)
+        ((use,),) = self.uses()
+        self.assertGreater(use.asked_per_s, 0)
+
+    def test_run_that_may_have_happened_stays_counted(self):
+        self.ask()
+        self.fail_attempt(errors.Kind.ENGINE_RESTARTED, errors.Ran.UNKNOWN)
+        self.assertEqual(400, self.spent())
+
+    def test_request_that_is_proven_not_run_counts_once(self):
+        self.ask()
+        self.fail_attempt(errors.Kind.ENDPOINT_UNREACHABLE)
+        self.offered()
+        self.assertEqual(400, self.spent())
+
+    def test_each_run_counts(self):
+        """A request that may be repeated runs a second time elsewhere."""
+        limits = builders.quota(1000)
+        record = builders.configuration_record(
+            8,
+            routes=[builders.plain_route(Kind='safe', MaxAttempts=2)],
+            workspaces=[builders.workspace('hule930', KEY, **limits)],
+        )
+        self.publish(record)
+        self.ask()
+        peer, offer = self.offered()
+        self.hear(400, at_ms=1200, own_spent=400)
+        lost = messages.Failed(
+            offer.attempt_id,
+            errors.Kind.ENGINE_RESTARTED,
+            errors.Ran.UNKNOWN,
+        )
+        self.receive(lost, 1200, peer)
+        self.offered()
+        self.assertEqual(800, self.spent())
+
+    def test_request_that_was_never_sent_is_given_back(self):
+        self.ask(path=test_gateway_direct.MODEL_PATH, adapter='a3')
+        self.assertEqual(400, self.spent())
+        self.feed(events.CallerGone(1200, f'r{self.sent_count}'))
+        self.assertEqual(0, self.spent())
+
+    def test_quota_that_is_not_declared_any_more_is_forgotten(self):
+        self.declare(builders.workspace('hule930', KEY), version=8)
+        self.tick(1400)
+        self.assertEqual({}, self.state.allowances)
+        self.ask(100_000, at_ms=1500)
+        self.offered()
+
+
+class RepeatTest(WorkspaceTestCase):
+    def options(self):
+        return super().options() | {
+            'budget_by_caller': False,
+            'retry_reserve': 2.0,
+            'retry_share': 0.0,
+        }
+
+    def test_workspaces_share_the_reserve_of_repeats(self):
+        """The platform bounds the repeats of all callers together.
+
+        With a reserve for each workspace they came to sixteen times as much.
+        """
+        keys = [f'key-{number}' for number in range(8)]
+        self.declare(
+            *(builders.workspace(f'w{key}', key) for key in keys), version=8
+        )
+        self.list(
+            *(
+                test_gateway_direct.plain(f'i-{n}', f'10.0.0.{n}:80')
+                for n in range(1, 6)
+            )
+        )
+        again = 0
+        for key in keys:
+            self.ask(key=key)
+            self.fail_attempt(errors.Kind.ENDPOINT_UNREACHABLE)
+            again += len(self.offers())
+        self.assertEqual(2, again)
+
+
 class OverTheNetworkTest(hosted_helper.HostedTestCase):
     async def begin_with(self, *entries):
         await self.publish(8, routes=routes(), workspaces=list(entries))
