--- a/berylhollow/hosted/gateway_process.py
+++ b/berylhollow/hosted/gateway_process.py
@@ -164,7 +164,9 @@
         policy='quick-reload',
         keys_ready_ms=keys_ready_ms(node),
         quota_tolerance=workspaces.Tolerance(
-            node.quota_window_ms / clock.MS_PER_SECOND, node.quota_slack
+            node.quota_window_ms / clock.MS_PER_SECOND,
+            node.quota_overrun,
+            node.quota_slack,
         ),
     )
     follower = routes.RouteFollower(
--- a/berylhollow/platform/_node.py
+++ b/berylhollow/platform/_node.py
@@ -54,8 +54,9 @@
     ``heartbeat_ms`` is how often an endpoint writes its entry, 0 if that is
     not told. ``contact_ms`` is how long after a disturbance has ended every
     promise holds again. ``key_bound_ms`` is how long after it was taken away
-    a key may still be used, 0 without a bound. In any ``quota_window_ms`` as
-    much as ``quota_slack`` more may be used than quotas say.
+    a key may still be used, 0 without a bound. In any ``quota_window_ms``
+    more may be used than quotas say: ``quota_overrun`` times that, and
+    ``quota_slack``.
     """
 
     instance: str
@@ -77,6 +78,7 @@
     contact_ms: int
     key_bound_ms: int
     quota_window_ms: int
+    quota_overrun: float
     quota_slack: float
 
 
@@ -200,6 +202,7 @@
         quota_window_ms=_seconds(
             fields, 'Bounds.QuotaWindowS', DEFAULT_QUOTA_WINDOW_S
         ),
+        quota_overrun=fields.number('Bounds.QuotaOverrun', 0, 10, 0),
         quota_slack=fields.number('Bounds.QuotaSlack', 0, 1e12, 0),
     )
 
--- a/berylhollow/workspaces/_allowance.py
+++ b/berylhollow/workspaces/_allowance.py
@@ -26,10 +26,18 @@
 """Times the rate: with less demand errors between two words are small, and
 demand for a few requests a second is not known more exactly."""
 
-PROBE_SHARE = 1 / 8
+PROBE_SHARE = 1 / 16
 """Of what is left: what one gateway takes of it between two words. Others may
 find it at the same moment."""
 
+BURST_PART = 0.25
+"""Of what is tolerated beyond a quota: for bursts. A workspace that is below
+its rate on average has a few large requests at once now and then."""
+
+ERROR_PART = 0.7
+"""Of what is tolerated: for what gateways spend at one moment, each of them
+without having heard of the others."""
+
 EAGERNESS = 2.0
 """Times the part of the demand that a quota allows: how often a gateway tries
 for the whole. Where too many do at once, all wait until it is made up for."""
@@ -75,7 +83,7 @@
     ``share`` is the part that comes to it, ``granted`` the part of it that
     the quota allows; ``pressed`` tells that it is clearly more.
     ``others_rate`` is what the others are expected to spend, ``own_rate``
-    what that leaves.
+    what that leaves. Callers ask at ``askers`` gateways.
     """
 
     pressed: bool
@@ -83,6 +91,7 @@
     share: float
     others_rate: float
     own_rate: float
+    askers: int
 
 
 class Allowance:
@@ -110,6 +119,12 @@
         self.alone_level = 0.0
         self.alone_ms = at_ms
 
+    @property
+    def capacity(self) -> float:
+        """What the bucket holds."""
+        tolerated = self.tolerance.of(self.quota)
+        return self.quota.capacity + BURST_PART * tolerated
+
     def declare(self, quota: _types.Quota) -> None:
         """Take a changed quota; debts of the one before do not outlast it."""
         if quota == self.quota:
@@ -117,7 +132,7 @@
         self.quota = quota
         for account in self.accounts.values():
             least = -quota.rate_per_s
-            account.level = max(least, min(account.level, quota.capacity))
+            account.level = max(least, min(account.level, self.capacity))
 
     def ask(self, cost: int, at_ms: int) -> None:
         """Count what a caller asks for, whether it is let through or not."""
@@ -128,7 +143,7 @@
 
     def wait_ms(self, cost: int, at_ms: int) -> int:
         """Return how long to wait before so much may be spent, 0 if now."""
-        need = min(cost, self.quota.capacity)
+        need = min(cost, self.capacity)
         fresh = self._fresh(at_ms)
         if not fresh:
             self._refill_alone(need, at_ms)
@@ -145,7 +160,7 @@
             least_rate = LEAST_WAIT_SHARE * self.quota.rate_per_s
             rate = max(view.own_rate, least_rate)
             return _wait_ms(need - min(room, whole), rate)
-        if self.draw < self._chance(cost, view):
+        if self.draw < self._chance(cost, whole, view):
             return 0
         return NEXT_WORD_MS
 
@@ -209,6 +224,7 @@
             share,
             spent_by_others,
             rate - spent_by_others,
+            max(1, *(a.sum.askers for a in fresh)),
         )
 
     def _room(self, account: _Account, view: _View, at_ms: int) -> float:
@@ -229,7 +245,7 @@
     def _whole(self, account: _Account, view: _View, at_ms: int) -> float:
         """Return what would be left of the bucket for this gateway alone."""
         level = account.level + self._gained(account, view, at_ms)
-        return min(self.quota.capacity, level) - self._unseen(account)
+        return min(self.capacity, level) - self._unseen(account)
 
     def _gained(self, account: _Account, view: _View, at_ms: int) -> float:
         """Return what this gateway's part of the rate came to since a word.
@@ -243,18 +259,23 @@
     def _unseen(self, account: _Account) -> int:
         return self.spent - account.sum.own_spent
 
-    def _chance(self, cost: int, view: _View) -> float:
+    def _chance(self, cost: int, whole: float, view: _View) -> float:
         """Return how likely one request alone may take from the whole.
 
         Small quotas have room for a few requests, which may come to all
         gateways at one moment. Taken by each, they would be more than the
-        bound; what it is beyond the rate leaves room for some.
+        bound: of those where callers ask, more than what is left and is
+        tolerated; of all, more than a window has room for.
         """
         rate = self.quota.rate_per_s
         room = rate * self.tolerance.window_s / 2
-        if cost <= self.quota.capacity:
+        if cost <= self.capacity:
             room = 2 * room + self.quota.burst + self.tolerance.slack
-        chance = room / (cost * max(1, self.gateways))
+        errors = ERROR_PART * self.tolerance.of(self.quota)
+        chance = min(
+            room / (cost * max(1, self.gateways)),
+            (whole + errors) / (cost * view.askers),
+        )
         if not view.pressed:
             return chance
         return min(chance, EAGERNESS * view.granted)
@@ -262,7 +283,7 @@
     def _filled(self, account: _Account, at_ms: int) -> float:
         passed_s = (at_ms - account.at_ms) / clock.MS_PER_SECOND
         level = account.level + self.quota.rate_per_s * passed_s
-        return min(self.quota.capacity, level)
+        return min(self.capacity, level)
 
     def _joined_level(self, at_ms: int) -> float:
         """Return the level for a book that is heard for the first time.
--- a/berylhollow/workspaces/_book.py
+++ b/berylhollow/workspaces/_book.py
@@ -31,6 +31,7 @@
     """What all gateways have used and ask for, and the part of one of them.
 
     ``spent`` counts from some time on, so only its changes tell anything.
+    ``askers`` is at how many gateways callers ask for something.
     """
 
     workspace: str
@@ -38,6 +39,7 @@
     asked_per_s: int
     own_spent: int
     own_asked_per_s: int
+    askers: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -82,17 +84,19 @@
         return tuple(self._sum(use, at_ms) for use in uses)
 
     def _sum(self, own: Use, at_ms: int) -> Sum:
-        asked = 0
+        asked = askers = 0
         for word in self.words.values():
             use = word.uses.get(own.workspace)
             if use is not None and at_ms - word.at_ms < ASKED_MS:
                 asked += use.asked_per_s
+                askers += use.asked_per_s > 0
         return Sum(
             own.workspace,
             self.spent[own.workspace],
             asked,
             own.spent,
             own.asked_per_s,
+            askers,
         )
 
     def _forget(self, at_ms: int) -> None:
--- a/berylhollow/workspaces/_types.py
+++ b/berylhollow/workspaces/_types.py
@@ -40,13 +40,19 @@
 class Tolerance:
     """How exactly quotas have to hold over all gateways together.
 
-    In any ``window_s`` seconds ``slack`` more than the rate and the burst may
-    be used, in the unit of the quota.
+    In any ``window_s`` seconds more than the rate and the burst come to may be
+    used: ``overrun`` times that, and ``slack`` in the unit of the quota.
     """
 
     window_s: float = 1.0
+    overrun: float = 0.0
     slack: float = 0.0
 
+    def of(self, quota: Quota) -> float:
+        """Return how much more may be used of a quota in a window."""
+        most = quota.rate_per_s * self.window_s + quota.burst
+        return self.overrun * most + self.slack
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Workspace:
