Add a soak of the real programs under faults from outside

Three gateways, two sidecars and stand-ins of the store and of five endpoints run as processes on loopback addresses, each connection to the store, an endpoint or a sidecar through a proxy that delays, silences, cuts one way or resets it. A seed decides the schedule: kills, freezes, planned stops, a store that is down, silent or comes back from an older copy, endpoints that leave or start again under their old name, keys taken away, quotas and adapter versions changed, configurations that can't be read. Thirteen promises are checked from what callers and endpoints saw; one that was never asked counts as not run. `make soak SEED=n`.

--- a/Makefile
+++ b/Makefile
@@ -64,3 +64,9 @@
 
 clean:
 	rm -rf $(VENV) build dist .ruff_cache
+
+SEED ?= 1
+SECONDS ?= 40
+.PHONY: soak
+soak: $(READY)
+	$(BIN)/python -m tools.soak $(SEED) --seconds $(SECONDS)
--- /dev/null
+++ b/tools/soak/__main__.py
@@ -0,0 +1,105 @@
+"""Play one seed of the soak, or several; a line for each promise.
+
+Exits with 1 if one was broken. A promise that was never put to the question
+counts as not run, not as kept.
+"""
+
+import argparse
+import asyncio
+import random
+import sys
+import tempfile
+import time
+
+from tools.soak import _callers
+from tools.soak import _operator
+from tools.soak import _promises
+from tools.soak import _schedule
+from tools.soak import _world
+
+CALM_S = 12
+"""Without faults at the end; the last third of it shows the recovery."""
+
+SHOWN = 3
+
+
+async def play(seed: int, arguments, folder: str) -> dict:
+    """Play one seed and return the verdicts."""
+    chance = random.Random(seed)
+    world = _world.World(
+        folder, arguments.gateways, arguments.models, arguments.plain
+    )
+    operator = _operator.Operator(world, random.Random(chance.random()))
+    schedule = _schedule.Schedule(
+        world, operator, random.Random(chance.random()), arguments.seconds
+    )
+    callers = _callers.Callers(world, operator, random.Random(chance.random()))
+    tasks = []
+    try:
+        await world.start()
+        await operator.begin()
+        tasks.append(asyncio.create_task(callers.watch()))
+        for number in range(arguments.callers):
+            limited = number % 3 == 0
+            tasks.append(asyncio.create_task(callers.call(limited)))
+        await asyncio.sleep(_world.CONTACT_MS / 1000)
+        await schedule.play()
+        await asyncio.sleep(CALM_S)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        account = _promises.Account(
+            callers.exchanges,
+            world.runs(),
+            operator,
+            schedule,
+            time.monotonic() - CALM_S / 3,
+        )
+        verdicts = account.verdicts()
+        _tell(seed, account, verdicts, folder)
+    finally:
+        world.logs()
+        await world.close()
+    return verdicts
+
+
+def _tell(seed, account, verdicts, folder) -> None:
+    kinds = sorted({fault.kind for fault in account.schedule.faults})
+    print(f'seed {seed}: {len(account.exchanges)} requests, {kinds}')
+    for name, verdict in verdicts.items():
+        word = 'not run' if not verdict.asked else 'asked'
+        print(
+            f'  {name}: {word} {verdict.asked}, broken {len(verdict.broken)}'
+        )
+        for told in verdict.broken[:SHOWN]:
+            print(f'    {told}')
+            for line in account.timeline(told):
+                print(f'      {line}')
+    print(f'  logs: {folder}', flush=True)
+
+
+def parse_arguments():
+    parser = argparse.ArgumentParser(prog='python -m tools.soak')
+    parser.add_argument('seeds', nargs='+', type=int)
+    parser.add_argument('--seconds', type=float, default=40)
+    parser.add_argument('--gateways', type=int, default=3)
+    parser.add_argument('--models', type=int, default=2)
+    parser.add_argument('--plain', type=int, default=3)
+    parser.add_argument('--callers', type=int, default=12)
+    return parser.parse_args()
+
+
+def main() -> int:
+    arguments = parse_arguments()
+    broken = []
+    for seed in arguments.seeds:
+        folder = tempfile.mkdtemp(prefix=f'soak-{seed}-')
+        verdicts = asyncio.run(play(seed, arguments, folder))
+        if any(verdict.broken for verdict in verdicts.values()):
+            broken.append(seed)
+    print(f'{len(arguments.seeds)} seeds played, broken: {broken or "none"}')
+    return 1 if broken else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/tools/soak/_callers.py
@@ -0,0 +1,142 @@
+"""Callers: what each of them sent, and what came back."""
+
+import asyncio
+import dataclasses
+import itertools
+import random
+import time
+
+import aiohttp
+
+from tools.soak import _operator
+from tools.soak import _world
+
+DEADLINE_MS = 4000
+PATIENCE_S = 8
+PAUSE_S = 0.05
+READY_PAUSE_S = 0.3
+
+
+@dataclasses.dataclass
+class Exchange:
+    """One request of a caller and its answer; times are monotonic.
+
+    ``status`` is None if there was no whole answer.
+    """
+
+    request_id: str
+    path: str
+    key: str | None
+    tokens: int
+    adapter: str
+    gateway: str
+    sent: float
+    ended: float = 0.0
+    status: int | None = None
+    body: bytes = b''
+
+
+class Callers:
+    """Send requests all the time, over connections that are kept."""
+
+    def __init__(
+        self,
+        world: _world.World,
+        operator: _operator.Operator,
+        chance: random.Random,
+    ):
+        self.world = world
+        self.operator = operator
+        self.chance = chance
+        self.numbers = itertools.count(1)
+        self.exchanges: list[Exchange] = []
+        self.ready: list[str] = []
+
+    async def watch(self) -> None:
+        """Ask the gateways for their readiness, as the balancer does."""
+        while True:
+            answers = await asyncio.gather(
+                *(self.world.ready(name) for name in self.world.gateways)
+            )
+            self.ready = [
+                name
+                for name, ready in zip(
+                    self.world.gateways, answers, strict=True
+                )
+                if ready
+            ]
+            await asyncio.sleep(READY_PAUSE_S)
+
+    async def call(self, limited: bool) -> None:
+        """Be one caller, at one gateway after the other."""
+        while True:
+            if not self.ready:
+                await asyncio.sleep(READY_PAUSE_S)
+                continue
+            gateway = self.chance.choice(self.ready)
+            async with aiohttp.ClientSession() as session:
+                for _ in range(self.chance.randrange(5, 60)):
+                    exchange = self._request(gateway, limited)
+                    if not await self._send(session, exchange):
+                        break
+                    await asyncio.sleep(PAUSE_S * self.chance.random() * 2)
+
+    def _request(self, gateway: str, limited: bool) -> Exchange:
+        path, key, adapter = '/p/x', self._key(), ''
+        tokens = _operator.PLAIN_TOKENS
+        if limited:
+            key = _operator.LIMITED_KEY
+        elif self.chance.random() < 0.15:
+            path, key = '/o/x', None
+        elif self.chance.random() < 0.6:
+            path, tokens = '/m/x', 400
+            adapter = f'a{self.chance.randrange(_operator.ADAPTERS)}'
+        return Exchange(
+            f'id-{next(self.numbers)}',
+            path,
+            key,
+            tokens,
+            adapter,
+            gateway,
+            time.monotonic(),
+        )
+
+    def _key(self) -> str:
+        drawn = self.chance.random()
+        taken_away = list(self.operator.taken_away)
+        if drawn < 0.05:
+            return _operator.UNKNOWN_KEY
+        if drawn < 0.2 and taken_away:
+            return self.chance.choice(taken_away)
+        return self.operator.key
+
+    async def _send(
+        self, session: aiohttp.ClientSession, exchange: Exchange
+    ) -> bool:
+        """Return whether the caller stays with its connection."""
+        self.exchanges.append(exchange)
+        headers = {
+            'Host': 'soak.example',
+            'Request-Id': exchange.request_id,
+            'Deadline-Ms': str(DEADLINE_MS),
+            'Tenant': 'made-up',
+        }
+        if exchange.key is not None:
+            headers['Api-Key'] = exchange.key
+        if exchange.adapter:
+            headers['Model'] = f'{_operator.MODEL}/{exchange.adapter}'
+            headers['Token-Count'] = f'{exchange.tokens - 10},10'
+        host = self.world.host(exchange.gateway)
+        url = f'http://{host}:{self.world.callers_port}{exchange.path}'
+        try:
+            async with (
+                asyncio.timeout(PATIENCE_S),
+                session.post(url, headers=headers, data=b'body') as response,
+            ):
+                exchange.body = await response.read()
+                exchange.status = response.status
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return False
+        finally:
+            exchange.ended = time.monotonic()
+        return exchange.status != 503
--- /dev/null
+++ b/tools/soak/_operator.py
@@ -0,0 +1,177 @@
+"""The operator: what it publishes, and when that was confirmed."""
+
+import asyncio
+import dataclasses
+import itertools
+import random
+
+from tools.soak import _world
+
+MODEL = 'base'
+ADAPTERS = 6
+RETRY_S = 0.2
+WORKSPACE = 'w1'
+LIMITED = 'w2'
+LIMITED_KEY = 'key-of-w2'
+UNKNOWN_KEY = 'key-of-nobody'
+PLAIN_TOKENS = 200
+
+
+@dataclasses.dataclass(frozen=True)
+class Confirmed:
+    """A change and when the store had confirmed it."""
+
+    what: str
+    value: object
+    at: float
+
+
+class Operator:
+    """Publishes configurations, one after the other.
+
+    ``key`` is the one that is in force, ``taken_away`` those that were, with
+    the time at which their removal was confirmed.
+    """
+
+    def __init__(self, world: _world.World, chance: random.Random):
+        self.world = world
+        self.chance = chance
+        self.numbers = itertools.count(1)
+        self.version = 1
+        self.key = self._new_key()
+        self.next_key: str | None = None
+        self.taken_away: dict[str, float] = {}
+        self.rate = 4000
+        self.limits: list[Confirmed] = []
+        self.adapter_versions: dict[str, int] = {}
+        self.named: list[Confirmed] = []
+        self.lock = asyncio.Lock()
+        self.replacing = asyncio.Lock()
+
+    def _new_key(self) -> str:
+        return f'key-{next(self.numbers)}'
+
+    async def begin(self) -> None:
+        await self._publish()
+        self.limits.append(Confirmed('limit', self.rate, 0.0))
+
+    async def replace_key(self) -> None:
+        """Declare a new key beside the old one, then take that away."""
+        async with self.replacing:
+            async with self.lock:
+                self.next_key = self._new_key()
+                await self._publish()
+            await asyncio.sleep(_world.CONTACT_MS / 1000)
+            async with self.lock:
+                old, self.key, self.next_key = self.key, self.next_key, None
+                self.taken_away[old] = await self._publish()
+
+    async def change_limit(self) -> None:
+        async with self.lock:
+            self.rate = self.chance.choice((2000, 4000, 8000, 20_000))
+            at = await self._publish()
+            self.limits.append(Confirmed('limit', self.rate, at))
+
+    async def name_version(self) -> None:
+        """Name a new version of an adapter, which endpoints can load."""
+        async with self.lock:
+            adapter = f'a{self.chance.randrange(ADAPTERS)}'
+            version = self.adapter_versions.get(adapter, 1) + 1
+            self.adapter_versions[adapter] = version
+            await self.tell_endpoints()
+            at = await self._put_version(adapter, version)
+            self.named.append(Confirmed(adapter, version, at))
+
+    async def tell_endpoints(self) -> None:
+        """Let the weight store of each endpoint have the newest versions."""
+        for name in self.world.models:
+            host = self.world.host(name)
+            url = f'http://{host}:{self.world.endpoint_port}/control/newest'
+            try:
+                async with self.world.session.post(
+                    url, json=self.adapter_versions
+                ):
+                    pass
+            except OSError:
+                continue
+
+    async def write_again(self) -> None:
+        """Write what an older copy of the store may lack."""
+        async with self.lock:
+            await self._put('config', self._configuration())
+            for adapter, version in self.adapter_versions.items():
+                await self._put_version(adapter, version)
+
+    async def write_nonsense(self) -> None:
+        """Write a configuration that can't be read, then a good one."""
+        async with self.lock:
+            broken = self._configuration() | {'Tenants': [{'Name': 5}]}
+            await self._put('config', broken | {'Version': self.version + 1})
+            self.version += 1
+            await self._publish()
+
+    async def _publish(self) -> float:
+        self.version += 1
+        return await self._put('config', self._configuration())
+
+    async def _put_version(self, adapter: str, version: int) -> float:
+        entry = {'Model': MODEL, 'Adapter': adapter, 'Version': version}
+        return await self._put(f'version/{MODEL}.{adapter}', entry)
+
+    async def _put(self, key: str, value: dict) -> float:
+        """Publish until the store confirms it; return when it had."""
+        while True:
+            at = await self.world.put(key, value)
+            if at is not None:
+                return at
+            await asyncio.sleep(RETRY_S)
+
+    def _configuration(self) -> dict:
+        keys = [self.key, *([self.next_key] if self.next_key else [])]
+        return {
+            'Version': self.version,
+            'Routes': [
+                _route('/m/', 'stream', _world.MODEL_SERVICE),
+                _route('/p/', 'unsafe', _world.PLAIN_SERVICE),
+                _route('/o/', 'safe', _world.PLAIN_SERVICE, public=True),
+            ],
+            'Services': [
+                {
+                    'Name': _world.MODEL_SERVICE,
+                    'MaxConns': 400,
+                    'Engine': {
+                        'Slots': 64,
+                        'AdapterSlots': ADAPTERS,
+                        'Models': [{'Name': MODEL, 'Adapters': ADAPTERS}],
+                    },
+                },
+                {'Name': _world.PLAIN_SERVICE, 'MaxConns': 400},
+            ],
+            'Limits': {},
+            'Tenants': [
+                {'Name': WORKSPACE, 'ApiKeys': keys},
+                {
+                    'Name': LIMITED,
+                    'ApiKeys': [LIMITED_KEY],
+                    'Unit': 'tokens',
+                    'PlainTokens': PLAIN_TOKENS,
+                    'RatePerS': self.rate,
+                    'Burst': self.rate,
+                },
+            ],
+        }
+
+
+def _route(prefix: str, kind: str, service: str, public: bool = False):
+    return {
+        'Name': prefix,
+        'Host': 'soak.example',
+        'PathPrefix': prefix,
+        'Kind': kind,
+        'TimeoutMs': 4000,
+        'TargetLatencyMs': 1000,
+        'Priority': 1,
+        'Service': service,
+        'MaxAttempts': 2 if kind == 'safe' else 1,
+        'AllowAnonymous': public,
+    }
--- /dev/null
+++ b/tools/soak/_promises.py
@@ -0,0 +1,289 @@
+"""The promises, checked from what callers and endpoints saw alone."""
+
+import collections
+import dataclasses
+
+from tools.soak import _callers
+from tools.soak import _operator
+from tools.soak import _schedule
+from tools.soak import _world
+
+NOT_RUN = frozenset({401, 404, 408, 421, 429, 503})
+SUPERSEDED_S = 5.0
+"""Within which a new version of an adapter is in use everywhere."""
+
+SERVED_SHARE = 0.8
+"""Of what was asked in the last, calm seconds."""
+
+
+@dataclasses.dataclass
+class Verdict:
+    """How often a promise was put to the question, and what broke it."""
+
+    asked: int = 0
+    broken: list[str] = dataclasses.field(default_factory=list)
+
+    def check(self, held: bool, told: str) -> None:
+        self.asked += 1
+        if not held:
+            self.broken.append(told)
+
+
+class Account:
+    """Everything that was seen in a run."""
+
+    def __init__(
+        self,
+        exchanges: list[_callers.Exchange],
+        runs: list[dict],
+        operator: _operator.Operator,
+        schedule: _schedule.Schedule,
+        calm_since: float,
+    ):
+        self.exchanges = [e for e in exchanges if e.ended]
+        self.by_id = {e.request_id: e for e in self.exchanges}
+        self.operator = operator
+        self.schedule = schedule
+        self.calm_since = calm_since
+        self.runs: dict[str, list[dict]] = collections.defaultdict(list)
+        for run in runs:
+            self.runs[run['ran']].append(run)
+
+    def verdicts(self) -> dict[str, Verdict]:
+        """Return each promise with how it was kept."""
+        return {
+            name.replace('_', ' '): check()
+            for name, check in (
+                ('own_whole_answer', self.own_whole_answer),
+                ('not_run_is_true', self.not_run_is_true),
+                ('at_most_once', self.at_most_once),
+                ('adapter_as_asked', self.adapter_as_asked),
+                ('newest_version', self.newest_version),
+                ('nothing_new_after_leaving', self.nothing_after_leaving),
+                ('planned_stop_cuts_nothing', self.planned_stop),
+                ('unknown_key_never_runs', self.unknown_key),
+                ('revoked_key_ends_in_time', self.revoked_key),
+                ('workspace_of_the_key', self.workspace),
+                ('key_goes_nowhere', self.key_goes_nowhere),
+                ('quota_in_every_window', self.quota),
+                ('served_after_all', self.served),
+            )
+        }
+
+    def timeline(self, request_id: str) -> list[str]:
+        """Return what both sides saw of a request."""
+        exchange = self.by_id.get(request_id)
+        lines = []
+        if exchange is not None:
+            lines += [
+                f'{exchange.sent:.3f} sent to {exchange.gateway}: {exchange}',
+                f'{exchange.ended:.3f} answered {exchange.status}',
+            ]
+        for run in self.runs[request_id]:
+            lines.append(f'{run["at"]:.3f} runs at {run["instance"]}')
+        return sorted(lines)
+
+    def _pairs(self):
+        for request_id, runs in self.runs.items():
+            exchange = self.by_id.get(request_id)
+            if exchange is not None:
+                yield exchange, runs
+
+    def own_whole_answer(self) -> Verdict:
+        verdict = Verdict()
+        for exchange in self.exchanges:
+            if exchange.status == 200:
+                wanted = f'answer to {exchange.request_id}'.encode()
+                verdict.check(exchange.body == wanted, exchange.request_id)
+        return verdict
+
+    def not_run_is_true(self) -> Verdict:
+        verdict = Verdict()
+        for exchange in self.exchanges:
+            if exchange.status in NOT_RUN:
+                ran = exchange.request_id in self.runs
+                verdict.check(not ran, exchange.request_id)
+        return verdict
+
+    def at_most_once(self) -> Verdict:
+        verdict = Verdict()
+        for exchange, runs in self._pairs():
+            if not exchange.path.startswith('/o/'):
+                verdict.check(len(runs) == 1, exchange.request_id)
+        return verdict
+
+    def adapter_as_asked(self) -> Verdict:
+        verdict = Verdict()
+        for exchange, runs in self._pairs():
+            if exchange.adapter:
+                wanted = f'{_operator.MODEL}/{exchange.adapter}'
+                held = all(r['headers'].get('Model') == wanted for r in runs)
+                verdict.check(held, exchange.request_id)
+        return verdict
+
+    def newest_version(self) -> Verdict:
+        """Of versions that nothing disturbed for a while after their naming.
+
+        While the store or its channels are away a version can't be known.
+        """
+        verdict = Verdict()
+        for named in self.operator.named:
+            due = named.at + SUPERSEDED_S
+            if self._disturbed(named.at, due + SUPERSEDED_S):
+                continue
+            for exchange, runs in self._pairs():
+                if exchange.adapter != named.what:
+                    continue
+                for run in runs:
+                    if not due < run['at'] < due + SUPERSEDED_S:
+                        continue
+                    version = int(run['headers'].get('Expect-Version', 0))
+                    held = version >= named.value
+                    verdict.check(held, exchange.request_id)
+        return verdict
+
+    def nothing_after_leaving(self) -> Verdict:
+        verdict = Verdict()
+        for name, left in self.schedule.left.items():
+            due = left + _world.DRAIN_MS / 1000
+            for exchange, runs in self._pairs():
+                for run in runs:
+                    if run['instance'] != f'i-{name}' or exchange.sent < due:
+                        continue
+                    if self._in_touch(exchange.gateway, left, run['at']):
+                        verdict.check(False, exchange.request_id)
+            verdict.asked += 1
+        return verdict
+
+    def planned_stop(self) -> Verdict:
+        """A stopped gateway answers all that was sent before, as a whole."""
+        verdict = Verdict()
+        for fault in self.schedule.faults:
+            if not fault.kind.startswith('stop'):
+                continue
+            if fault.target not in self.schedule.world.gateways:
+                continue
+            verdict.check(fault.kind == 'stop', f'{fault}')
+            for exchange in self.exchanges:
+                before = exchange.gateway == fault.target and (
+                    fault.since - 1 < exchange.sent < fault.since
+                )
+                if not before or exchange.ended < fault.since:
+                    continue
+                if self._disturbed(exchange.sent - 1, exchange.ended, fault):
+                    continue
+                held = exchange.status is not None
+                verdict.check(held, exchange.request_id)
+        return verdict
+
+    def unknown_key(self) -> Verdict:
+        verdict = Verdict()
+        for exchange in self.exchanges:
+            if exchange.key == _operator.UNKNOWN_KEY:
+                ran = exchange.request_id in self.runs
+                verdict.check(not ran, exchange.request_id)
+        return verdict
+
+    def revoked_key(self) -> Verdict:
+        """Holds for every gateway, whatever is done to it."""
+        verdict = Verdict()
+        for exchange in self.exchanges:
+            at = self.operator.taken_away.get(exchange.key)
+            if at is None or exchange.sent <= at + _world.REVOKE_MS / 1000:
+                continue
+            ran = exchange.request_id in self.runs
+            verdict.check(not ran, exchange.request_id)
+        return verdict
+
+    def workspace(self) -> Verdict:
+        verdict = Verdict()
+        for exchange, runs in self._pairs():
+            wanted = _operator.WORKSPACE
+            if exchange.key is None:
+                wanted = None
+            elif exchange.key == _operator.LIMITED_KEY:
+                wanted = _operator.LIMITED
+            for run in runs:
+                held = run['headers'].get('Tenant') == wanted
+                verdict.check(held, exchange.request_id)
+        return verdict
+
+    def key_goes_nowhere(self) -> Verdict:
+        verdict = Verdict()
+        for exchange, runs in self._pairs():
+            if exchange.key is not None:
+                held = exchange.key not in str(runs)
+                verdict.check(held, exchange.request_id)
+        return verdict
+
+    def quota(self) -> Verdict:
+        """Over all gateways, in every window, whatever is done to them."""
+        used = sorted(
+            (run['at'], exchange.tokens)
+            for exchange, runs in self._pairs()
+            if exchange.key == _operator.LIMITED_KEY
+            for run in runs
+        )
+        verdict = Verdict()
+        window: collections.deque = collections.deque()
+        total = 0
+        for at, tokens in used:
+            window.append((at, tokens))
+            total += tokens
+            while window[0][0] < at - _world.QUOTA_WINDOW_S:
+                total -= window.popleft()[1]
+            most = self._bound(at)
+            verdict.check(total <= most, f'{total} of {most} at {at:.3f}')
+        return verdict
+
+    def _bound(self, at: float) -> float:
+        """Return what may be used in the window that ends then.
+
+        A lower limit binds one window after all have had the time to read
+        it.
+        """
+        since = at - 2 * _world.QUOTA_WINDOW_S - _world.CONTACT_MS / 1000
+        limits = self.operator.limits
+        ends = [limit.at for limit in limits[1:]] + [at]
+        rate = max(
+            limit.value
+            for limit, end in zip(limits, ends, strict=True)
+            if end >= since and limit.at <= at
+        )
+        most = rate * _world.QUOTA_WINDOW_S + rate
+        return most * (1 + _world.QUOTA_OVERRUN) + _world.QUOTA_SLACK
+
+    def served(self) -> Verdict:
+        """In the calm seconds at the end most of what is allowed is served."""
+        verdict = Verdict()
+        for exchange in self.exchanges:
+            if exchange.sent < self.calm_since:
+                continue
+            if exchange.key not in (None, self.operator.key):
+                continue
+            verdict.check(exchange.status == 200, exchange.request_id)
+        few = len(verdict.broken) <= (1 - SERVED_SHARE) * verdict.asked
+        if few:
+            verdict.broken.clear()
+        return verdict
+
+    def _disturbed(self, since: float, until: float, but=None) -> bool:
+        """Tell whether anything was disturbed between two times."""
+        since -= _world.CONTACT_MS / 1000
+        return any(
+            fault is not but
+            and fault.since < until
+            and (fault.until or until) > since
+            for fault in self.schedule.faults
+        )
+
+    def _in_touch(self, gateway: str, since: float, until: float) -> bool:
+        """Tell whether a gateway and the store were well all the while."""
+        targets = {gateway, f'{gateway} store', 'store'}
+        since -= _world.CONTACT_MS / 1000
+        return not any(
+            fault.target in targets
+            and fault.since < until
+            and (fault.until or until) > since
+            for fault in self.schedule.faults
+        )
--- /dev/null
+++ b/tools/soak/_proxy.py
@@ -0,0 +1,110 @@
+"""A loopback proxy that delays, silences, cuts and resets connections."""
+
+import asyncio
+import contextlib
+import enum
+import socket
+import struct
+
+CHUNK_BYTES = 65_536
+RESET = struct.pack('ii', 1, 0)
+
+
+class Mode(enum.Enum):
+    """What becomes of the bytes on a proxy's connections.
+
+    ``SILENT`` keeps them back both ways and takes no new connection,
+    ``DEAF`` keeps back only what the target answers.
+    """
+
+    OPEN = 'open'
+    SLOW = 'slow'
+    SILENT = 'silent'
+    DEAF = 'deaf'
+
+
+SLOW_S = 0.3
+
+
+class Proxy:
+    """Pass connections to a port on to a target."""
+
+    def __init__(self, host: str, port: int, target: tuple[str, int]):
+        self.host = host
+        self.port = port
+        self.target = target
+        self.mode = Mode.OPEN
+        self.changed = asyncio.Event()
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.tasks: set[asyncio.Task] = set()
+        self.server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        self.server = await asyncio.start_server(
+            self._connected, self.host, self.port
+        )
+
+    def switch(self, mode: Mode) -> None:
+        """Change what becomes of bytes from now on."""
+        self.mode = mode
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def reset(self) -> None:
+        """Reset all connections; new ones work."""
+        for writer in self.writers:
+            taken = writer.get_extra_info('socket')
+            if taken is not None:
+                with contextlib.suppress(OSError):
+                    taken.setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER, RESET
+                    )
+            writer.transport.abort()
+
+    async def close(self) -> None:
+        self.server.close()
+        self.reset()
+        for task in self.tasks:
+            task.cancel()
+
+    async def _connected(self, reader, writer) -> None:
+        task = asyncio.current_task()
+        self.tasks.add(task)
+        try:
+            await self._serve(reader, writer)
+        except (OSError, asyncio.IncompleteReadError):
+            writer.transport.abort()
+        finally:
+            self.tasks.discard(task)
+
+    async def _serve(self, reader, writer) -> None:
+        await self._wait_while(Mode.SILENT)
+        there, back = await asyncio.open_connection(*self.target)
+        ends = {writer, back}
+        self.writers |= ends
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._pass(reader, back, {Mode.SILENT}))
+                group.create_task(
+                    self._pass(there, writer, {Mode.SILENT, Mode.DEAF})
+                )
+        except* OSError:
+            pass
+        finally:
+            self.writers -= ends
+            for end in ends:
+                end.transport.abort()
+
+    async def _pass(self, source, sink, held_back: set[Mode]) -> None:
+        while data := await source.read(CHUNK_BYTES):
+            await self._wait_while(*held_back)
+            if self.mode is Mode.SLOW:
+                await asyncio.sleep(SLOW_S)
+            sink.write(data)
+            await sink.drain()
+        if sink.can_write_eof():
+            sink.write_eof()
+
+    async def _wait_while(self, *modes: Mode) -> None:
+        while self.mode in modes:
+            await self.changed.wait()
--- /dev/null
+++ b/tools/soak/_schedule.py
@@ -0,0 +1,222 @@
+"""The faults of a run, all drawn from its seed."""
+
+import asyncio
+import collections.abc
+import dataclasses
+import random
+import signal
+import time
+
+from tools.soak import _operator
+from tools.soak import _proxy
+from tools.soak import _world
+
+LONGEST_S = 6.0
+PAUSE_S = 1.5
+
+
+@dataclasses.dataclass
+class Fault:
+    """Something that was done to ``target`` from one time to another."""
+
+    kind: str
+    target: str
+    since: float
+    until: float | None = None
+
+
+class Schedule:
+    """Faults one after the other and overlapping, for ``duration_s``."""
+
+    def __init__(
+        self,
+        world: _world.World,
+        operator: _operator.Operator,
+        chance: random.Random,
+        duration_s: float,
+    ):
+        self.world = world
+        self.operator = operator
+        self.chance = chance
+        self.duration_s = duration_s
+        self.faults: list[Fault] = []
+        self.left: dict[str, float] = {}
+        self.kinds: list[collections.abc.Callable] = [
+            self.kill,
+            self.freeze,
+            self.stop,
+            self.store_away,
+            self.store_cut,
+            self.store_older,
+            self.channel,
+            self.restart_endpoint,
+            self.leave,
+            self.keys,
+            self.keys,
+            self.limit,
+            self.version,
+            self.nonsense,
+        ]
+
+    async def play(self) -> None:
+        """Begin faults, in rounds of all kinds, and wait for their ends."""
+        end = time.monotonic() + self.duration_s
+        begun: list[asyncio.Task] = []
+        kinds: list = []
+        while time.monotonic() < end:
+            if not kinds:
+                kinds = self.chance.sample(self.kinds, len(self.kinds))
+            begun.append(asyncio.create_task(kinds.pop()()))
+            await asyncio.sleep(PAUSE_S * self.chance.random() * 2)
+        await asyncio.gather(*begun)
+
+    def lasting(self) -> float:
+        return self.chance.uniform(0.5, LONGEST_S)
+
+    async def during(self, kind: str, target: str, duration_s: float) -> None:
+        """Note a fault for as long as it lasts."""
+        fault = Fault(kind, target, time.monotonic())
+        self.faults.append(fault)
+        await asyncio.sleep(duration_s)
+        fault.until = time.monotonic()
+
+    def program(self) -> str:
+        """Return a gateway or a sidecar on which nothing is under way."""
+        busy = {fault.target for fault in self.faults if not fault.until}
+        sidecars = [f's{name}' for name in self.world.models]
+        names = [*self.world.gateways, *self.world.gateways, *sidecars]
+        free = [name for name in names if name not in busy]
+        return self.chance.choice(free or names)
+
+    async def kill(self) -> None:
+        name = self.program()
+        if not self._free(name):
+            return
+        fault = Fault('kill', name, time.monotonic())
+        self.faults.append(fault)
+        await self.world.replace(name)
+        await asyncio.sleep(self.chance.random())
+        await self._start(name)
+        fault.until = time.monotonic()
+
+    async def stop(self) -> None:
+        """Stop a program as planned, and start it again."""
+        name = self.program()
+        if not self._free(name):
+            return
+        fault = Fault('stop', name, time.monotonic())
+        self.faults.append(fault)
+        process = self.world.processes[name]
+        process.signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(_world.GRACE_S):
+                await process.ended()
+        except TimeoutError:
+            fault.kind = 'stop beyond its grace'
+        await self.world.replace(name)
+        await self._start(name)
+        fault.until = time.monotonic()
+
+    async def freeze(self) -> None:
+        name = self.program()
+        if not self._free(name):
+            return
+        process = self.world.processes[name]
+        process.signal(signal.SIGSTOP)
+        await self.during('freeze', name, self.lasting())
+        process.signal(signal.SIGCONT)
+
+    def _free(self, name: str) -> bool:
+        return not any(
+            fault.target == name and fault.until is None
+            for fault in self.faults
+        )
+
+    async def _start(self, name: str) -> None:
+        if name in self.world.gateways:
+            await self.world.start_gateway(name)
+        else:
+            await self.world.start_sidecar(name[1:])
+
+    async def store_away(self) -> None:
+        how = self.chance.choice(('down', 'silent'))
+        if not self._free('store'):
+            return
+        await self.world.control('set', **{how: True})
+        await self.during(how, 'store', self.lasting())
+        await self.world.control('set')
+
+    async def store_older(self) -> None:
+        """The store comes back from a copy; all is written again."""
+        if not self._free('store'):
+            return
+        await self.world.control('copy')
+        await asyncio.sleep(self.chance.uniform(0.2, 3))
+        if not self._free('store'):
+            return
+        await self.world.control('come_back')
+        await self.during('older copy', 'store', self.chance.uniform(0, 1))
+        await self.operator.write_again()
+
+    async def store_cut(self) -> None:
+        """Some gateways are cut from the store, or hear nothing from it."""
+        count = self.chance.randint(1, len(self.world.gateways))
+        names = self.chance.sample(self.world.gateways, count)
+        mode = self.chance.choice(
+            (_proxy.Mode.SILENT, _proxy.Mode.DEAF, _proxy.Mode.SLOW)
+        )
+        duration_s = self.chance.uniform(0.5, 9)
+        await asyncio.gather(
+            *(self._mode(f'{name} store', mode, duration_s) for name in names)
+        )
+
+    async def channel(self) -> None:
+        """Connections to an endpoint or a sidecar are harmed."""
+        endpoints = [*self.world.models, *self.world.plain]
+        links = [f'{name} link' for name in self.world.models]
+        name = self.chance.choice([*endpoints, *links])
+        mode = self.chance.choice((*_proxy.Mode, None))
+        if mode is None:
+            self.world.proxies[name].reset()
+            await self.during('reset', name, 0.1)
+            return
+        await self._mode(name, mode, self.lasting())
+
+    async def _mode(self, name: str, mode, duration_s: float) -> None:
+        proxy = self.world.proxies[name]
+        proxy.switch(mode)
+        await self.during(mode.value, name, duration_s)
+        proxy.switch(_proxy.Mode.OPEN)
+
+    async def restart_endpoint(self) -> None:
+        """An endpoint is killed and starts again under its old name."""
+        name = self.chance.choice([*self.world.models, *self.world.plain])
+        if not self._free(name) or name in self.left:
+            return
+        fault = Fault('restart', name, time.monotonic())
+        self.faults.append(fault)
+        await self.world.replace(name)
+        await asyncio.sleep(self.chance.random())
+        await self.world.start_endpoint(name)
+        await self.operator.tell_endpoints()
+        fault.until = time.monotonic()
+
+    async def leave(self) -> None:
+        """A plain endpoint leaves and serves on; it starts anew later."""
+        names = [n for n in self.world.plain if n not in self.left]
+        if len(names) < 2 or not self._free(names[0]):
+            return
+        name = names[0]
+        self.left[name] = await self.world.leave(name)
+
+    async def keys(self) -> None:
+        await self.operator.replace_key()
+
+    async def limit(self) -> None:
+        await self.operator.change_limit()
+
+    async def version(self) -> None:
+        await self.operator.name_version()
+
+    async def nonsense(self) -> None:
+        await self.operator.write_nonsense()
--- /dev/null
+++ b/tools/soak/_standins.py
@@ -0,0 +1,148 @@
+"""The stand-ins of the platform as processes: the store, and an endpoint."""
+
+import asyncio
+import base64
+import json
+import sys
+import time
+
+import aiohttp
+from aiohttp import web
+
+from berylhollow.standin import direct_endpoint
+from berylhollow.standin import metadata_store
+
+BEAT_S = 1.2
+RUN_S = 0.03
+
+
+def say(**fields) -> None:
+    """Write what was seen, with the time that all processes share."""
+    print(json.dumps({'at': time.monotonic(), **fields}), flush=True)
+
+
+class Store(metadata_store.MetadataStore):
+    """A store whose faults are switched over HTTP."""
+
+    def __init__(self):
+        super().__init__()
+        self.older = self.copy()
+
+    def add_to(self, application: web.Application) -> None:
+        super().add_to(application)
+        application.router.add_post('/control/{what}', self._control)
+
+    async def _control(self, request: web.Request) -> web.Response:
+        what = request.match_info['what']
+        given = await request.json()
+        if what == 'put':
+            if self.down or self.silent:
+                return web.Response(status=503)
+            value = base64.b64decode(given['value'])
+            await self.put(given['topic'], given['key'], value)
+        elif what == 'copy':
+            self.older = self.copy()
+        elif what == 'come_back':
+            await self.come_back(self.older)
+        else:
+            self.down = given.get('down', False)
+            self.silent = given.get('silent', False)
+        return web.json_response({'at': time.monotonic()})
+
+
+class Endpoint(direct_endpoint.DirectEndpoint):
+    """An endpoint that says what it runs, and lists itself in the store."""
+
+    def __init__(self, name: str, address: str, service: str, store: str):
+        super().__init__(name)
+        self.started_ms = time.time_ns() // 1_000_000
+        self.address = address
+        self.service = service
+        self.store = store
+        self.state = 'ready'
+        self.sequence = 0
+        self.written = asyncio.Event()
+
+    def add_to(self, application: web.Application) -> None:
+        application.router.add_post('/control/leave', self._leave)
+        application.router.add_post('/control/newest', self._newest)
+        super().add_to(application)
+
+    async def _leave(self, _request: web.Request) -> web.Response:
+        """Answer once the store has taken it that we leave."""
+        self.state = 'draining'
+        self.written.clear()
+        await self.written.wait()
+        return web.json_response({'at': time.monotonic()})
+
+    async def _newest(self, request: web.Request) -> web.Response:
+        self.newest.update(await request.json())
+        return web.json_response({})
+
+    async def _answer(self, request, headers) -> web.StreamResponse:
+        ran = self.ran.pop()
+        say(
+            ran=ran.request_id,
+            instance=self.instance,
+            headers=dict(request.headers),
+        )
+        await asyncio.sleep(RUN_S)
+        headers['Server-Seal'] = f'seal-of-{self.instance}'
+        return web.Response(
+            headers=headers, body=f'answer to {ran.request_id}'.encode()
+        )
+
+    async def beat(self) -> None:
+        """Write the own entry again and again."""
+        async with aiohttp.ClientSession() as session:
+            while True:
+                state = self.state
+                if await self._write(session) and state == self.state:
+                    self.written.set()
+                await asyncio.sleep(BEAT_S if self.written.is_set() else 0.1)
+
+    async def _write(self, session: aiohttp.ClientSession) -> bool:
+        self.sequence += 1
+        entry = {
+            'Service': self.service,
+            'Address': self.address,
+            'Zone': 'z1',
+            'Version': 'v1',
+            'Slots': 64,
+            'State': self.state,
+            'Models': self._description(),
+            'Seq': self.sequence,
+            'born': self.started_ms,
+        }
+        value = base64.b64encode(json.dumps(entry).encode()).decode()
+        record = {'topic': 'keyed.servers', 'key': self.instance}
+        try:
+            async with session.post(
+                f'http://{self.store}/control/put',
+                json=record | {'value': value},
+            ) as response:
+                return response.status == 200
+        except aiohttp.ClientError:
+            return False
+
+
+async def main(role: str, listen: str, *arguments: str) -> None:
+    """Serve until killed."""
+    application = web.Application()
+    if role == 'store':
+        Store().add_to(application)
+    else:
+        endpoint = Endpoint(*arguments)
+        endpoint.add_to(application)
+        beating = asyncio.create_task(endpoint.beat())
+        beating.add_done_callback(lambda _: sys.exit(1))
+    runner = web.AppRunner(application, access_log=None)
+    await runner.setup()
+    host, _, port = listen.rpartition(':')
+    await web.TCPSite(runner, host, int(port)).start()
+    say(listening=listen)
+    await asyncio.Event().wait()
+
+
+if __name__ == '__main__':
+    asyncio.run(main(*sys.argv[1:]))
--- /dev/null
+++ b/tools/soak/_world.py
@@ -0,0 +1,312 @@
+"""The processes of a deployment on loopback addresses, and what they say."""
+
+import asyncio
+import base64
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import sys
+
+import aiohttp
+
+from berylhollow import platform
+from tools.soak import _proxy
+
+ROOT = pathlib.Path(__file__).parent.parent.parent
+START_S = 30
+MODEL_SERVICE = 'models'
+PLAIN_SERVICE = 'plain'
+HEARTBEAT_MS = 1200
+DRAIN_MS = 2000
+CONTACT_MS = 3000
+REVOKE_MS = 5000
+QUOTA_WINDOW_S = 8
+QUOTA_OVERRUN = 0.1
+QUOTA_SLACK = 5000
+GRACE_S = 8
+
+NODE_FILE = """
+Node = "{name}"
+Zone = "z1"
+Region = "r1"
+Ip = "{host}"
+PortRange = [{link_port}, {metrics_port}]
+HeartbeatMs = {heartbeat_ms}
+app = "{endpoint}"
+Service = "{service}"
+[Listen]
+Front = "{host}:{callers_port}"
+Ready = "{host}:{ready_port}"
+[Bounds]
+GraceS = {grace_s}
+DrainMs = {drain_ms}
+ContactMs = {contact_ms}
+RetryRatio = 0.2
+RetrySlack = 54
+BudgetWindowS = 10
+StrictRevoke = true
+RevokeMs = {revoke_ms}
+QuotaWindowS = {quota_window_s}
+QuotaOverrun = {quota_overrun}
+QuotaSlack = {quota_slack}
+[Platform]
+Address = "{store}"
+"""
+
+
+class Process:
+    """A program that runs until it is ended; its lines are kept."""
+
+    def __init__(self, name: str, arguments: list[str], env: dict[str, str]):
+        self.name = name
+        self.arguments = arguments
+        self.env = env
+        self.lines: list[dict] = []
+        self.process: asyncio.subprocess.Process | None = None
+        self.reader: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            *self.arguments,
+            cwd=ROOT,
+            env=os.environ | self.env,
+            stdout=asyncio.subprocess.PIPE,
+            limit=2**20,
+        )
+        self.reader = asyncio.create_task(self._read(self.process.stdout))
+
+    async def _read(self, stream: asyncio.StreamReader) -> None:
+        async for line in stream:
+            self.lines.append(json.loads(line))
+
+    def signal(self, number: int) -> None:
+        """Send a signal, if the process still runs."""
+        with contextlib.suppress(ProcessLookupError):
+            self.process.send_signal(number)
+
+    async def ended(self) -> int:
+        code = await self.process.wait()
+        await self.reader
+        return code
+
+    async def end(self) -> None:
+        if self.process.returncode is None:
+            self.signal(signal.SIGCONT)
+            self.signal(signal.SIGKILL)
+        await self.ended()
+
+
+class World:
+    """A store, endpoints with their sidecars, gateways, and proxies.
+
+    Each instance has a loopback address of its own. Gateways reach the store
+    each through a proxy, and endpoints and sidecars through the address that
+    the endpoint lists, which is a proxy's.
+    """
+
+    def __init__(self, folder: str, gateways: int, models: int, plain: int):
+        self.folder = pathlib.Path(folder)
+        self.link_port, self.metrics_port, *rest = free_ports(7)
+        self.callers_port, self.ready_port, self.endpoint_port = rest[:3]
+        self.store_port, self.control_port = rest[3:5]
+        self.gateways = [f'g{number}' for number in range(gateways)]
+        self.models = [f'm{number}' for number in range(models)]
+        self.plain = [f'p{number}' for number in range(plain)]
+        self.processes: dict[str, Process] = {}
+        self.proxies: dict[str, _proxy.Proxy] = {}
+        self.ended: list[Process] = []
+        self.hosts: dict[str, str] = {}
+        self.session: aiohttp.ClientSession | None = None
+
+    @property
+    def store(self) -> str:
+        return f'127.0.1.1:{self.store_port}'
+
+    async def start(self) -> None:
+        self.session = aiohttp.ClientSession()
+        await self._begin('store', 'tools.soak._standins', 'store', self.store)
+        for name in (*self.models, *self.plain):
+            await self.start_endpoint(name)
+        for name in self.models:
+            await self.start_sidecar(name)
+        for name in self.gateways:
+            await self.start_gateway(name)
+
+    def host(self, name: str) -> str:
+        """Return the address of an instance, given on first use."""
+        if name not in self.hosts:
+            number = len(self.hosts) + 2
+            self.hosts[name] = f'127.0.1.{number}'
+        return self.hosts[name]
+
+    async def start_endpoint(self, name: str) -> None:
+        """Start an endpoint, at its old address and name if it had one."""
+        host, shown = self.host(name), self.host(f'{name} proxy')
+        service = MODEL_SERVICE if name in self.models else PLAIN_SERVICE
+        address = f'{shown}:{self.endpoint_port}'
+        await self._proxy(name, shown, self.endpoint_port, host)
+        if name in self.models:
+            await self._proxy(f'{name} link', shown, self.link_port, host)
+        await self._begin(
+            name,
+            'tools.soak._standins',
+            'endpoint',
+            f'{host}:{self.endpoint_port}',
+            f'i-{name}',
+            address,
+            service,
+            self.store,
+        )
+
+    async def start_sidecar(self, name: str) -> None:
+        shown = self.host(f'{name} proxy')
+        await self._begin_program(
+            'sidecar', f's{name}', self.host(name), shown, self.store
+        )
+
+    async def start_gateway(self, name: str) -> None:
+        shown = self.host(f'{name} store')
+        await self._proxy(f'{name} store', shown, self.store_port, '127.0.1.1')
+        await self._begin_program(
+            'gateway',
+            name,
+            self.host(name),
+            '127.0.0.1',
+            f'{shown}:{self.store_port}',
+        )
+
+    async def _proxy(
+        self, name: str, host: str, port: int, target: str
+    ) -> None:
+        if name not in self.proxies:
+            proxy = _proxy.Proxy(host, port, (target, port))
+            await proxy.start()
+            self.proxies[name] = proxy
+
+    async def _begin_program(
+        self, role: str, name: str, host: str, shown: str, store: str
+    ) -> None:
+        path = self.folder / f'{name}.toml'
+        path.write_text(
+            NODE_FILE.format(
+                name=name,
+                host=host,
+                link_port=self.link_port,
+                metrics_port=self.metrics_port,
+                heartbeat_ms=HEARTBEAT_MS,
+                endpoint=f'{shown}:{self.endpoint_port}',
+                service=MODEL_SERVICE,
+                callers_port=self.callers_port,
+                ready_port=self.ready_port,
+                grace_s=GRACE_S,
+                drain_ms=DRAIN_MS,
+                contact_ms=CONTACT_MS,
+                revoke_ms=REVOKE_MS,
+                quota_window_s=QUOTA_WINDOW_S,
+                quota_overrun=QUOTA_OVERRUN,
+                quota_slack=QUOTA_SLACK,
+                store=store,
+            ),
+            encoding='utf-8',
+        )
+        await self._begin(name, 'berylhollow', role, '--on-platform')
+
+    async def _begin(self, name: str, module: str, *arguments: str) -> None:
+        path = str(self.folder / f'{name}.toml')
+        process = Process(
+            name,
+            ['-m', module, *arguments],
+            {platform.NODE_FILE_VARIABLE: path},
+        )
+        await process.start()
+        self.processes[name] = process
+
+        def listening() -> bool:
+            return any('listening' in str(line) for line in process.lines)
+
+        async with asyncio.timeout(START_S):
+            while not listening() and process.process.returncode is None:
+                await asyncio.sleep(0.02)
+
+    async def control(self, what: str, **given) -> float | None:
+        """Switch the store; return when it had, None if it refused."""
+        url = f'http://{self.store}/control/{what}'
+        async with self.session.post(url, json=given) as response:
+            if response.status != 200:
+                return None
+            return (await response.json())['at']
+
+    async def put(self, key: str, value: dict | bytes) -> float | None:
+        """Publish as an operator; return when it was confirmed."""
+        data = value
+        if not isinstance(value, bytes):
+            data = json.dumps(value).encode()
+        return await self.control(
+            'put',
+            topic=platform.CONFIGURATION_STREAM,
+            key=key,
+            value=base64.b64encode(data).decode(),
+        )
+
+    async def leave(self, name: str) -> float:
+        """Have an endpoint list that it leaves; return when it was taken."""
+        url = f'http://{self.host(name)}:{self.endpoint_port}/control/leave'
+        async with self.session.post(url) as response:
+            return (await response.json())['at']
+
+    async def ready(self, name: str) -> bool:
+        """Ask a gateway as the balancer does."""
+        url = f'http://{self.host(name)}:{self.ready_port}'
+        timeout = aiohttp.ClientTimeout(total=1)
+        try:
+            async with self.session.get(
+                f'{url}{platform.READINESS_PATH}', timeout=timeout
+            ) as response:
+                return response.status == 200
+        except (aiohttp.ClientError, TimeoutError):
+            return False
+
+    async def replace(self, name: str) -> None:
+        """Keep the lines of a process that has ended."""
+        process = self.processes.pop(name)
+        await process.end()
+        self.ended.append(process)
+
+    def runs(self) -> list[dict]:
+        """Return what all endpoints have said that they ran."""
+        everything = [*self.processes.values(), *self.ended]
+        return [
+            line
+            for process in everything
+            for line in process.lines
+            if 'ran' in line
+        ]
+
+    def logs(self) -> None:
+        """Write what each program said into the folder."""
+        for process in (*self.ended, *self.processes.values()):
+            path = self.folder / f'{process.name}.log'
+            with path.open('a', encoding='utf-8') as file:
+                for line in process.lines:
+                    file.write(json.dumps(line) + '\n')
+
+    async def close(self) -> None:
+        for process in self.processes.values():
+            await process.end()
+        for proxy in self.proxies.values():
+            await proxy.close()
+        await self.session.close()
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that nobody listens on, in rising order."""
+    with contextlib.ExitStack() as stack:
+        found = [
+            stack.enter_context(socket.create_server(('127.0.0.1', 0)))
+            for _ in range(count)
+        ]
+        return sorted(taken.getsockname()[1] for taken in found)
