--- a/berylhollow/following.py
+++ b/berylhollow/following.py
@@ -214,6 +214,10 @@
         'berylhollow.configuration.age',
         lambda: follower.status(time.now_ms()).age_ms,
     )
+    meters.observe(
+        'berylhollow.keys.age',
+        lambda: follower.keys_age_ms(time.now_ms()),
+    )
 
 
 def announce(served: int, view: View | None) -> list[effects.Effect]:
--- a/berylhollow/gateway/_requests.py
+++ b/berylhollow/gateway/_requests.py
@@ -74,15 +74,14 @@
     """A request was refused by its head alone; its demand counts."""
     view = state.follower.current
     workspace = None if view is None else view.workspace(event.head)
-    if event.kind is errors.Kind.QUOTA_EXCEEDED and not isinstance(
-        workspace, errors.Kind
-    ):
+    if isinstance(workspace, errors.Kind):
+        workspace = None
+    if event.kind is errors.Kind.QUOTA_EXCEEDED:
         _quotas.ask(state, workspace, event.head.tokens, event.at_ms)
-    name = getattr(workspace, 'name', '')
     fields = (
         ('shown_id', event.shown_id),
         ('kind', event.kind.value),
-        ('workspace', name),
+        ('workspace', '' if workspace is None else workspace.name),
         ('tokens', event.head.tokens),
         ('retry_after_ms', event.retry_after_ms),
         ('keys_age_ms', state.follower.keys_age_ms(event.at_ms)),
--- a/berylhollow/metrics/_instruments.py
+++ b/berylhollow/metrics/_instruments.py
@@ -161,6 +161,13 @@
         'How long ago the log is known to have held no newer change; -1 if '
         'that was never known.',
     ),
+    Instrument(
+        'berylhollow.keys.age',
+        OBSERVED_GAUGE,
+        'ms',
+        'How long ago the read began that last showed which keys are in '
+        'force.',
+    ),
     Instrument(
         'berylhollow.instance_list.age',
         OBSERVED_GAUGE,
--- a/test/hosted/test_workspaces.py
+++ b/test/hosted/test_workspaces.py
@@ -280,6 +280,17 @@
         ((use,),) = self.uses()
         self.assertGreater(use.asked_per_s, 0)
 
+    def test_refusal_by_the_head_names_its_workspace_and_no_key(self):
+        for key, name in ((KEY, 'hule930'), (OTHER_KEY, '')):
+            head = events.RequestHead(
+                builders.HOST, '/puxa403/x', workspaces.digest(key), 0
+            )
+            self.feed(
+                events.HeadRefused(1100, 'r', head, errors.Kind.UNKNOWN_KEY, 0)
+            )
+            (line,) = self.of_type(effects.Log)
+            self.assertEqual(name, dict(line.fields)['workspace'])
+
     def test_run_that_may_have_happened_stays_counted(self):
         self.ask()
         self.fail_attempt(errors.Kind.ENGINE_RESTARTED, errors.Ran.UNKNOWN)
--- /dev/null
+++ b/test/soak/test_promises.py
@@ -0,0 +1,159 @@
+"""What the soak holds against the programs: each promise can be broken."""
+
+import types
+import unittest
+
+from tools.soak import _callers
+from tools.soak import _operator
+from tools.soak import _promises
+from tools.soak import _schedule
+
+KEY = 'key-1'
+GATEWAY = 'g1'
+
+
+class PromiseTestCase(unittest.TestCase):
+    """An account of made-up requests, runs and faults."""
+
+    def setUp(self):
+        self.exchanges = []
+        self.runs = []
+        self.operator = types.SimpleNamespace(
+            key=KEY,
+            taken_away={},
+            named=[],
+            limits=[_operator.Confirmed('limit', 1000, 0.0)],
+        )
+        self.schedule = types.SimpleNamespace(
+            faults=[],
+            left={},
+            world=types.SimpleNamespace(gateways=[GATEWAY]),
+        )
+
+    def request(self, sent=100.0, status=200, ran=1, **changes):
+        """Add a request that ran so often; return its id."""
+        request_id = f'id-{len(self.exchanges)}'
+        values = {
+            'path': '/p/x',
+            'key': KEY,
+            'tokens': 200,
+            'adapter': '',
+            'ended': sent + 0.1,
+            'body': f'answer to {request_id}'.encode(),
+        }
+        headers = {'Tenant': _operator.WORKSPACE}
+        headers |= changes.pop('headers', {})
+        self.exchanges.append(
+            _callers.Exchange(
+                request_id,
+                gateway=GATEWAY,
+                sent=sent,
+                status=status,
+                **(values | changes),
+            )
+        )
+        self.runs += [
+            {
+                'ran': request_id,
+                'at': sent + 0.01,
+                'instance': 'i-p0',
+                'headers': headers,
+            }
+        ] * ran
+        return request_id
+
+    def fault(self, kind, target, since, until):
+        fault = _schedule.Fault(kind, target, since, until)
+        self.schedule.faults.append(fault)
+
+    def verdict(self, name):
+        account = _promises.Account(
+            self.exchanges, self.runs, self.operator, self.schedule, 0.0
+        )
+        return account.verdicts()[name]
+
+    def check(self, name, asked, broken):
+        verdict = self.verdict(name)
+        self.assertEqual(asked, verdict.asked)
+        self.assertEqual(broken, len(verdict.broken))
+
+
+class PromiseTest(PromiseTestCase):
+    def test_what_was_never_asked_is_told_apart(self):
+        self.check('revoked key ends in time', 0, 0)
+
+    def test_answer_of_another_request(self):
+        self.request()
+        self.request(body=b'answer to id-7')
+        self.check('own whole answer', 2, 1)
+
+    def test_refused_and_run(self):
+        self.request(status=503)
+        self.request(status=429, ran=0)
+        self.check('not run is true', 2, 1)
+
+    def test_run_twice(self):
+        self.request(ran=2)
+        self.request(path='/o/x', ran=2)
+        self.check('at most once', 1, 1)
+
+    def test_another_adapter(self):
+        self.request(adapter='a1', headers={'Model': 'base/a2'})
+        self.check('adapter as asked', 1, 1)
+
+    def test_old_version_where_nothing_was_disturbed(self):
+        self.operator.named = [_operator.Confirmed('a1', 3, 100.0)]
+        for version in ('2', '3'):
+            self.request(
+                106.0, adapter='a1', headers={'Expect-Version': version}
+            )
+        self.check('newest version', 2, 1)
+        self.fault('down', 'store', 101.0, 102.0)
+        self.check('newest version', 0, 0)
+
+    def test_request_after_the_endpoint_has_left(self):
+        self.schedule.left = {'p0': 90.0}
+        self.request(91.0)
+        self.request(93.0)
+        self.check('nothing new after leaving', 1, 1)
+        self.fault('silent', f'{GATEWAY} store', 89.0, 93.0)
+        self.check('nothing new after leaving', 1, 0)
+
+    def test_planned_stop_that_cuts_a_request_off(self):
+        self.fault('stop', GATEWAY, 100.0, 103.0)
+        self.request(99.95, status=None)
+        self.check('planned stop cuts nothing', 2, 1)
+
+    def test_key_that_nobody_has(self):
+        self.request(key=_operator.UNKNOWN_KEY)
+        self.check('unknown key never runs', 1, 1)
+
+    def test_key_that_was_taken_away(self):
+        self.operator.taken_away = {'old': 90.0}
+        self.request(94.0, key='old')
+        self.request(96.0, key='old')
+        self.check('revoked key ends in time', 1, 1)
+
+    def test_name_that_a_caller_made_up(self):
+        self.request(headers={'Tenant': 'made-up'})
+        self.check('workspace of the key', 1, 1)
+
+    def test_key_that_was_passed_on(self):
+        self.request(headers={'Api-Key': KEY})
+        self.check('key goes nowhere', 1, 1)
+
+    def test_quota_in_a_window_that_slides(self):
+        """9,000 and a tenth, and 5,000: 14,900 may be used in 8 s."""
+        for number in range(74):
+            self.request(number / 10, key=_operator.LIMITED_KEY)
+        self.check('quota in every window', 74, 0)
+        self.request(7.5, key=_operator.LIMITED_KEY)
+        self.check('quota in every window', 75, 1)
+
+    def test_callers_who_are_not_served_after_all(self):
+        for number in range(10):
+            self.request(status=200 if number else 503)
+        self.check('served after all', 10, 0)
+        for _ in range(5):
+            self.request(status=503)
+        self.check('served after all', 15, 6)
--- a/tools/soak/_promises.py
+++ b/tools/soak/_promises.py
@@ -151,7 +151,7 @@
                     if run['instance'] != f'i-{name}' or exchange.sent < due:
                         continue
                     if self._in_touch(exchange.gateway, left, run['at']):
-                        verdict.check(False, exchange.request_id)
+                        verdict.broken.append(exchange.request_id)
             verdict.asked += 1
         return verdict
 
--- a/tools/soak/_schedule.py
+++ b/tools/soak/_schedule.py
@@ -13,6 +13,8 @@
 
 LONGEST_S = 6.0
 PAUSE_S = 1.5
+LONGEST_CUT_S = 14.0
+"""Beyond the time in which a key is taken away, and ends at every gateway."""
 
 
 @dataclasses.dataclass
@@ -52,7 +54,7 @@
             self.restart_endpoint,
             self.leave,
             self.keys,
-            self.keys,
+            self.keys_while_cut,
             self.limit,
             self.version,
             self.nonsense,
@@ -212,6 +214,14 @@
     async def keys(self) -> None:
         await self.operator.replace_key()
 
+    async def keys_while_cut(self) -> None:
+        """A key is taken away while a gateway hears nothing of it."""
+        name = self.chance.choice(self.world.gateways)
+        mode = self.chance.choice((_proxy.Mode.SILENT, _proxy.Mode.DEAF))
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._mode(f'{name} store', mode, LONGEST_CUT_S))
+            group.create_task(self.operator.replace_key())
+
     async def limit(self) -> None:
         await self.operator.change_limit()
 
