--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -7,6 +7,7 @@
 import argparse
 import asyncio
 import random
+import signal
 import sys
 import tempfile
 import time
@@ -78,6 +79,15 @@
     print(f'  logs: {folder}', flush=True)
 
 
+async def _until_told(playing) -> dict:
+    """Play, and end all processes also if we are told to stop."""
+    task = asyncio.create_task(playing)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, task.cancel)
+    return await task
+
+
 def parse_arguments():
     parser = argparse.ArgumentParser(prog='python -m tools.soak')
     parser.add_argument('seeds', nargs='+', type=int)
@@ -94,7 +104,7 @@
     broken = []
     for seed in arguments.seeds:
         folder = tempfile.mkdtemp(prefix=f'soak-{seed}-')
-        verdicts = asyncio.run(play(seed, arguments, folder))
+        verdicts = asyncio.run(_until_told(play(seed, arguments, folder)))
         if any(verdict.broken for verdict in verdicts.values()):
             broken.append(seed)
     print(f'{len(arguments.seeds)} seeds played, broken: {broken or "none"}')
