--- a/tools/soak/_callers.py
+++ b/tools/soak/_callers.py
@@ -70,16 +70,15 @@
     async def call(self, limited: bool) -> None:
         """Be one caller, at one gateway after the other."""
         while True:
-            if not self.ready:
-                await asyncio.sleep(READY_PAUSE_S)
-                continue
-            gateway = self.chance.choice(self.ready)
+            # As the balancer does: all of them, where none is ready.
+            gateway = self.chance.choice(self.ready or self.world.gateways)
             async with aiohttp.ClientSession() as session:
                 for _ in range(self.chance.randrange(5, 60)):
                     exchange = self._request(gateway, limited)
                     if not await self._send(session, exchange):
                         break
                     await asyncio.sleep(PAUSE_S * self.chance.random() * 2)
+            await asyncio.sleep(PAUSE_S)
 
     def _request(self, gateway: str, limited: bool) -> Exchange:
         path, key, adapter = '/p/x', self._key(), ''
--- a/tools/soak/_schedule.py
+++ b/tools/soak/_schedule.py
@@ -215,11 +215,16 @@
         await self.operator.replace_key()
 
     async def keys_while_cut(self) -> None:
-        """A key is taken away while a gateway hears nothing of it."""
-        name = self.chance.choice(self.world.gateways)
+        """A key is taken away while no gateway hears of it.
+
+        One that hears of it tells the others.
+        """
         mode = self.chance.choice((_proxy.Mode.SILENT, _proxy.Mode.DEAF))
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._mode(f'{name} store', mode, LONGEST_CUT_S))
+            for name in self.world.gateways:
+                group.create_task(
+                    self._mode(f'{name} store', mode, LONGEST_CUT_S)
+                )
             group.create_task(self.operator.replace_key())
 
     async def limit(self) -> None:
