Let large requests of small quotas through where no crowd is expected

Cause: a gateway took one large request from the whole with a chance that fell with the number of gateways at which anything was asked in the last ten seconds.

Change: the chance goes by how many requests are expected between two words, twelve times that for a jump of demand; where nothing was asked before, by a third of all gateways.

A jump of thirty times of requests of 7,500 tokens at all gateways within 200 ms exceeds the bound by 8 in 100 in the model; the largest that the users name is nine times, of a workspace at 0.55 of its quota.

The tests ask 5 in 100 of all quotas again, also of 4,200 tokens at all gateways.

--- a/berylhollow/workspaces/_allowance.py
+++ b/berylhollow/workspaces/_allowance.py
@@ -38,6 +38,14 @@
 """Of what is tolerated: for what gateways spend at one moment, each of them
 without having heard of the others."""
 
+CROWD = 12
+"""Times the requests that are expected between two words: how many may come
+as demand jumps, each to another gateway."""
+
+REST_SHARE = 1 / 3
+"""Of all gateways: how many may be asked at one moment where nothing was asked
+before."""
+
 EAGERNESS = 2.0
 """Times the part of the demand that a quota allows: how often a gateway tries
 for the whole. Where too many do at once, all wait until it is made up for."""
@@ -83,9 +91,11 @@
     ``share`` is the part that comes to it, ``granted`` the part of it that
     the quota allows; ``pressed`` tells that it is clearly more.
     ``others_rate`` is what the others are expected to spend, ``own_rate``
-    what that leaves. Callers ask at ``askers`` gateways.
+    what that leaves. Callers ask for ``asked`` a second, at ``askers``
+    gateways.
     """
 
+    asked: float
     pressed: bool
     granted: float
     share: float
@@ -219,6 +229,7 @@
         if not pressed:
             spent_by_others = min(others, rate)
         return _View(
+            own + others,
             pressed,
             min(1.0, rate / max(1.0, own + others)),
             share,
@@ -265,16 +276,18 @@
         Small quotas have room for a few requests, which may come to all
         gateways at one moment. Taken by each, they would be more than the
         bound: of those where callers ask, more than what is left and is
-        tolerated; of all, more than a window has room for.
+        tolerated; where nothing was asked, more than a window has room for.
         """
         rate = self.quota.rate_per_s
         room = rate * self.tolerance.window_s / 2
         if cost <= self.capacity:
             room = 2 * room + self.quota.burst + self.tolerance.slack
         errors = ERROR_PART * self.tolerance.of(self.quota)
+        word_s = EXPECTED_WORD_MS / clock.MS_PER_SECOND
+        crowd = min(view.askers, 1 + CROWD * view.asked * word_s / cost)
         chance = min(
-            room / (cost * max(1, self.gateways)),
-            (whole + errors) / (cost * view.askers),
+            room / (cost * max(1.0, REST_SHARE * self.gateways)),
+            (whole + errors) / (cost * crowd),
         )
         if not view.pressed:
             return chance
--- a/test/workspaces/test_allowance.py
+++ b/test/workspaces/test_allowance.py
@@ -44,7 +44,7 @@
                 self.assertLessEqual(outcome.wrongly_refused, FEW_REFUSED)
 
     def test_callers_at_all_gateways(self):
-        self.check(quota_model.even, RATES[1:])
+        self.check(quota_model.even)
 
     def test_callers_at_few_gateways(self):
         """The balancer spreads a few dozen callers unevenly.
@@ -55,7 +55,7 @@
         self.check(quota_model.uneven)
 
     def test_callers_who_move_to_other_gateways(self):
-        self.check(quota_model.moved, RATES[1:])
+        self.check(quota_model.moved)
 
     def test_callers_who_ask_for_more_get_the_quota(self):
         for rate in RATES[1:]:
