Try an engine that restarted again once its sidecar knows

Order: an engine restarts and breaks an answer off; a caller's next request comes before its sidecar has read the engine's status, which it does twice a second; the engine refuses it, as it is meant for the start before; the gateway may try it again, but has tried the only endpoint there is, and gives the refusal to the caller.

Change: after such a refusal the sidecar reads the status at once, and the gateway tries the same endpoint again after a pause. Only refusals that say not run are meant.

Two tests without real processes fail without the change.

--- a/berylhollow/gateway/_attempts.py
+++ b/berylhollow/gateway/_attempts.py
@@ -44,6 +44,10 @@
 # Tried again after a pause, with jitter: the endpoints are busy.
 PAUSED_KINDS = frozenset({errors.Kind.OVERLOADED})
 
+RESTARTED_PAUSES = 6
+"""Pauses after a refusal by an engine that restarted: two attempts later its
+sidecar has read its status, which it does twice a second."""
+
 
 def place(
     state: _state.State, active: _state.ActiveRequest, at_ms: int
@@ -353,13 +357,29 @@
     _release(state, active)
     active.phase = _state.Phase.WAITING
     active.last_refusal = lost
-    if lost.kind not in PAUSED_KINDS:
+    factor = _pause_factor(lost)
+    if lost.kind is errors.Kind.ENGINE_RESTARTED and factor:
+        # It may be the only one that is left.
+        active.tried.discard(active.endpoint)
+    if not factor:
         return place(state, active, at_ms)
-    pause_ms = state.options.retry_pause_ms * (1 + active.seed)
+    pause_ms = factor * state.options.retry_pause_ms * (1 + active.seed)
     active.retry_at_ms = at_ms + int(pause_ms * active.attempts)
     return []
 
 
+def _pause_factor(lost: messages.Failed) -> int:
+    """Return how many pauses the next attempt waits for.
+
+    An engine that restarted has not run what was meant for the one before;
+    its sidecar has to read its status before it can take anything.
+    """
+    restarted = lost.kind is errors.Kind.ENGINE_RESTARTED
+    if restarted and lost.ran is errors.Ran.NOT_RUN:
+        return RESTARTED_PAUSES
+    return int(lost.kind in PAUSED_KINDS)
+
+
 def _may_retry(
     state: _state.State,
     active: _state.ActiveRequest,
--- a/berylhollow/sidecar/_runs.py
+++ b/berylhollow/sidecar/_runs.py
@@ -92,6 +92,10 @@
     outcome = messages.Failed(event.attempt_id, event.kind, event.ran)
     done += _tell(state, attempt, outcome, event.at_ms)
     if event.ran is errors.Ran.NOT_RUN or state.options.plain:
+        if event.kind is errors.Kind.ENGINE_RESTARTED:
+            # Whatever comes before its status is read is refused as well.
+            state.status_read_ms = event.at_ms
+            done.append(effects.ReadStatus())
         _unpin(state, attempt, event.at_ms)
         return done
     return [*done, effects.CancelRun(event.attempt_id)]
--- a/test/test_gateway_limits.py
+++ b/test/test_gateway_limits.py
@@ -141,6 +141,37 @@
         self.feed(events.Ticked(200))
         self.assertEqual(1, len(self.sent(messages.Offer)))
 
+    def test_engine_that_restarted_is_tried_again_when_its_sidecar_knows(self):
+        """The only engine restarts; a request comes before that is noticed.
+
+        It was refused as not run, and its caller was told so at once, as
+        there was no other endpoint to try.
+        """
+        self.start()
+        self.send(1)
+        (first,) = self.of_type(effects.Send)
+        for name in [n for n in self.state.endpoints if n != first.peer]:
+            self.feed(events.LinkClosed(0, name))
+        self.feed(
+            events.MessageReceived(
+                0,
+                first.peer,
+                messages.Failed(
+                    first.message.attempt_id,
+                    errors.Kind.ENGINE_RESTARTED,
+                    errors.Ran.NOT_RUN,
+                ),
+            )
+        )
+        self.assertEqual([], self.sent(messages.Offer))
+        self.feed(events.Ticked(1000))
+        (again,) = [
+            send
+            for send in self.of_type(effects.Send)
+            if isinstance(send.message, messages.Offer)
+        ]
+        self.assertEqual(first.peer, again.peer)
+
 
 class EjectionTest(LimitTestCase):
     def test_endpoint_that_fails_fast_is_ejected(self):
--- a/test/test_sidecar.py
+++ b/test/test_sidecar.py
@@ -219,6 +219,16 @@
         self.feed(events.Ticked(10 + self.state.options.orphan_ms))
         self.assertEqual([], self.of_type(effects.CancelRun))
 
+    def test_refusal_by_a_restarted_engine_has_its_status_read_at_once(self):
+        """Whatever came until the next regular read was refused as well."""
+        self.run_offer()
+        self.feed(
+            events.RunFailed(
+                2, 'r1.1', errors.Kind.ENGINE_RESTARTED, errors.Ran.NOT_RUN
+            )
+        )
+        self.assertEqual(1, len(self.of_type(effects.ReadStatus)))
+
     def test_an_ended_attempt_is_remembered_while_its_cancel_is_open(self):
         """A sidecar dies when its engine comes back after a long hang.
 
