Take quotas from the configuration in force alone; choose books on change

Cause, found by reading the whole change again. Each look at a quota also took the one that the request had when it came: a request of before, about to run again, brought its old quota back until the next request came. And the books were ranked at every tick, a digest for each sidecar twenty times a second, where links change seldom.

Change: quotas are taken where a configuration comes into force, and nowhere else; books are chosen where links change, beside the sidecars that share reads.

Ruled out: comparing revisions at each look, which would keep the second way in. test_old_request_does_not_bring_its_old_quota_back fails without it (1,000 where 100 is declared). What the ranking cost was not measured.

--- a/berylhollow/gateway/_quotas.py
+++ b/berylhollow/gateway/_quotas.py
@@ -106,22 +106,23 @@
     if not state.allowances:
         return []
     since_ms = at_ms - state.quotas_told_ms
-    books = _books(state)
-    if since_ms < TELL_MS and books == state.quota_books:
+    books = state.quota_books
+    is_told = books == state.quota_books_told
+    if since_ms < TELL_MS and is_told:
         return []
     _forget_undeclared(state)
     uses = tuple(
         allowance.use(name, at_ms)
         for name, allowance in sorted(state.allowances.items())
     )
-    same = uses == state.quotas_told and books == state.quota_books
+    same = uses == state.quotas_told and is_told
     if same and since_ms < IDLE_TELL_MS:
         return []
     done: Effects = []
-    if books != state.quota_books:
+    if not is_told:
         fields = (('books', ' '.join(books)), ('quotas', len(uses)))
         done.append(effects.Log('books of quotas chosen', fields))
-    state.quota_books = books
+    state.quota_books_told = books
     state.quotas_told = uses
     state.quotas_told_ms = at_ms
     for allowance in state.allowances.values():
@@ -139,7 +140,9 @@
     """
     view = state.follower.current
     for workspace in view.declared_workspaces if view is not None else ():
-        _allowance(state, workspace, at_ms)
+        allowance = _allowance(state, workspace, at_ms)
+        if allowance is not None:
+            allowance.declare(workspace.quota)
 
 
 def heard(state: _state.State, event: events.MessageReceived) -> Effects:
@@ -169,7 +172,6 @@
         allowance.gateways = state.gateways
         state.allowances[workspace.name] = allowance
         state.quotas_told_ms = clock.NEVER_MS
-    allowance.declare(workspace.quota)
     return allowance
 
 
@@ -180,11 +182,11 @@
         del state.allowances[name]
 
 
-def _books(state: _state.State) -> list[str]:
-    """Return the sidecars that keep books, of those linked now."""
+def choose(state: _state.State) -> None:
+    """Choose the sidecars that keep books, of those linked now."""
     linked = [
         peer
         for peer, sidecar in state.sidecars.items()
         if sidecar.link is _state.LinkPhase.OPEN
     ]
-    return sorted(linked, key=rendezvous.digest)[:BOOKS]
+    state.quota_books = sorted(linked, key=rendezvous.digest)[:BOOKS]
--- a/berylhollow/gateway/_sidecars.py
+++ b/berylhollow/gateway/_sidecars.py
@@ -11,6 +11,7 @@
 from berylhollow.gateway import _backlog
 from berylhollow.gateway import _link_pacing
 from berylhollow.gateway import _model_loads
+from berylhollow.gateway import _quotas
 from berylhollow.gateway import _shared_reads
 from berylhollow.gateway import _state
 from berylhollow import messages
@@ -45,6 +46,7 @@
     for peer, name in beside.items():
         _apply(state, state.sidecars[peer], state.endpoints[name])
     _shared_reads.choose(state)
+    _quotas.choose(state)
 
 
 def tick(state: _state.State, at_ms: int) -> Effects:
@@ -89,6 +91,7 @@
     done = [effects.Log('sidecar linked', (('peer', event.peer),))]
     done += _adapters.tell(state, event.peer, event.at_ms)
     _shared_reads.choose(state)
+    _quotas.choose(state)
     return done
 
 
@@ -100,6 +103,7 @@
     was_open = sidecar.link is _state.LinkPhase.OPEN
     sidecar.link = _state.LinkPhase.CLOSED
     _shared_reads.choose(state)
+    _quotas.choose(state)
     sidecar.report = None
     sidecar.told_tokens = 0
     sidecar.refusals += 1
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -295,6 +295,7 @@
     quotas_told: tuple[workspaces.Use, ...] = ()
     quotas_told_ms: int = clock.NEVER_MS
     quota_books: list[str] = dataclasses.field(default_factory=list)
+    quota_books_told: list[str] = dataclasses.field(default_factory=list)
     endpoints: dict[str, Endpoint] = dataclasses.field(default_factory=dict)
     sidecars: dict[str, Sidecar] = dataclasses.field(default_factory=dict)
     beside: dict[str, str] = dataclasses.field(default_factory=dict)
--- a/test/hosted/test_workspaces.py
+++ b/test/hosted/test_workspaces.py
@@ -323,6 +323,31 @@
         self.offered()
         self.assertEqual(800, self.spent())
 
+    def publish_safe(self, version, rate):
+        limits = builders.quota(rate)
+        record = builders.configuration_record(
+            version,
+            routes=[builders.plain_route(Kind='safe', MaxAttempts=2)],
+            workspaces=[builders.workspace('hule930', KEY, **limits)],
+        )
+        self.publish(record)
+        self.tick(1100)
+
+    def test_old_request_does_not_bring_its_old_quota_back(self):
+        """A request of before would run again after its quota was lowered."""
+        self.publish_safe(8, 1000)
+        self.ask()
+        self.publish_safe(9, 100)
+        lost = messages.Failed(
+            f'r{self.sent_count}.1',
+            errors.Kind.ENGINE_RESTARTED,
+            errors.Ran.UNKNOWN,
+        )
+        (active,) = self.state.requests.values()
+        self.receive(lost, 1200, active.endpoint)
+        quota = self.state.allowances['hule930'].quota
+        self.assertEqual(100, quota.rate_per_s)
+
     def test_request_that_was_never_sent_is_given_back(self):
         self.ask(path=test_gateway_direct.MODEL_PATH, adapter='a3')
         self.assertEqual(400, self.spent())
