Take the wider retry after an engine's restart back

It fails test_own_retry_does_not_walk_a_culprit_through_the_fleet: what an engine's crash cost may be the request that crashed it, and must not go there again by itself. Ruled out by that test; the refusals that say not run stay the only ones that are tried again. Open: a request that is under way while a restart is noticed still ends with 502, ran unknown.

--- a/berylhollow/gateway/_attempts.py
+++ b/berylhollow/gateway/_attempts.py
@@ -45,7 +45,7 @@
 PAUSED_KINDS = frozenset({errors.Kind.OVERLOADED})
 
 RESTARTED_PAUSES = 6
-"""Pauses after an engine has restarted: two attempts later its
+"""Pauses after a refusal by an engine that restarted: two attempts later its
 sidecar has read its status, which it does twice a second."""
 
 
@@ -357,8 +357,7 @@
     _release(state, active)
     active.phase = _state.Phase.WAITING
     active.last_refusal = lost
-    behind_link = endpoint is not None and not endpoint.instance.direct
-    factor = _pause_factor(lost, behind_link)
+    factor = _pause_factor(lost)
     if lost.kind is errors.Kind.ENGINE_RESTARTED and factor:
         # It may be the only one that is left.
         active.tried.discard(active.endpoint)
@@ -369,13 +368,14 @@
     return []
 
 
-def _pause_factor(lost: messages.Failed, behind_link: bool) -> int:
+def _pause_factor(lost: messages.Failed) -> int:
     """Return how many pauses the next attempt waits for.
 
-    The sidecar of an engine that restarted has to read its status before it
-    can take anything; until then it gives up what was sent there meanwhile.
+    An engine that restarted has not run what was meant for the one before;
+    its sidecar has to read its status before it can take anything.
     """
-    if lost.kind is errors.Kind.ENGINE_RESTARTED and behind_link:
+    restarted = lost.kind is errors.Kind.ENGINE_RESTARTED
+    if restarted and lost.ran is errors.Ran.NOT_RUN:
         return RESTARTED_PAUSES
     return int(lost.kind in PAUSED_KINDS)
 
