Tell the reducer what endpoints say of themselves in their answers

The logs of the incident could not tell its hypotheses apart: no line said what an endpoint had named, and when. Every answer to a direct run now yields a typed notice (the rate that the endpoint takes), whatever becomes of the request: successes, refusals, failures, answers that came for another request. The reducer keeps the newest by when its request was sent and logs each change; 'attempt offered' has the rate that was known. Nothing decides by it yet.

Headers that are negative, repeated, huge or no decimal number say nothing and are logged once. An answer that may be another's can name a limit, but that it names none ends nothing. The stand-in endpoint says it in every answer.

--- a/berylhollow/events.py
+++ b/berylhollow/events.py
@@ -324,6 +324,40 @@
     attempt_id: str
 
 
+# The endpoint, at a gateway that sends requests to it directly.
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointNotice:
+    """What an endpoint says of itself in an answer.
+
+    ``rate_per_s`` is how many requests a second it takes from all gateways
+    together, None if it names no limit. ``malformed`` holds what was not
+    understood, which says nothing.
+    """
+
+    rate_per_s: float | None = None
+    malformed: tuple[str, ...] = ()
+
+    @property
+    def empty(self) -> bool:
+        return self == EndpointNotice()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoticeReceived:
+    """An endpoint answered a request that was sent at ``sent_ms``.
+
+    Whatever becomes of the request: answers overtake each other, so the one
+    to the request that was sent last is the newest.
+    """
+
+    at_ms: int
+    peer: str
+    sent_ms: int
+    notice: EndpointNotice
+
+
 # The endpoint, at its sidecar.
 
 
@@ -500,6 +534,7 @@
     | CallerGone
     | AnswerRelayed
     | AnswerBroken
+    | NoticeReceived
     | EngineStatus
     | EndpointUnreachable
     | LoadSucceeded
--- a/berylhollow/gateway/_decisions.py
+++ b/berylhollow/gateway/_decisions.py
@@ -39,6 +39,7 @@
             ('others_tokens', endpoint.others_tokens),
             ('report_age_ms', report_age_ms),
             ('list_age_ms', state.list_age_ms(at_ms)),
+            ('rate_per_s', endpoint.notice.rate_per_s),
             ('revision', offer.revision),
             ('after', last.kind.value if last else None),
         ),
--- a/berylhollow/gateway/_direct_runs.py
+++ b/berylhollow/gateway/_direct_runs.py
@@ -44,6 +44,14 @@
     def message(self, peer: str, message: messages.Message) -> None:
         """Take a message of an endpoint."""
 
+    def noticed(
+        self, peer: str, sent_ms: int, notice: events.EndpointNotice
+    ) -> None:
+        """Take what an endpoint says of itself."""
+
+    def now_ms(self) -> int:
+        """Return the time."""
+
     def row_of(self, name: str) -> events.Instance | None:
         """Return what is listed of an endpoint, None if it is unknown."""
 
@@ -127,6 +135,7 @@
             kind = errors.Kind.ENDPOINT_UNREACHABLE
             self._failed(kind, errors.Ran.NOT_RUN, 'not listed any more')
             return
+        sent_ms = self.owner.now_ms()
         try:
             answer = await self.calls.send(
                 self.offer, row.address, row.listed_name
@@ -141,6 +150,8 @@
             self._failed(kind, errors.Ran.UNKNOWN, str(error))
             return
         try:
+            if answer.notice is not None:
+                self.owner.noticed(self.peer, sent_ms, answer.notice)
             await self._answered(answer)
         finally:
             answer.close()
--- /dev/null
+++ b/berylhollow/gateway/_notices.py
@@ -0,0 +1,69 @@
+"""What endpoints say of themselves in their answers to our requests."""
+
+import dataclasses
+
+from berylhollow import effects
+from berylhollow import events
+from berylhollow.gateway import _state
+
+Effects = list[effects.Effect]
+
+
+def received(state: _state.State, event: events.NoticeReceived) -> Effects:
+    """Keep the newest word of an endpoint.
+
+    Answers overtake each other: guards against an older one that brings back
+    what the endpoint has ended. One that was not understood changes nothing.
+    """
+    endpoint = state.endpoints.get(event.peer)
+    if endpoint is None or event.sent_ms < endpoint.notice_sent_ms:
+        return []
+    before = endpoint.notice
+    notice = event.notice
+    if notice.malformed:
+        if notice.malformed == before.malformed:
+            return []
+        endpoint.notice = dataclasses.replace(
+            before, malformed=notice.malformed
+        )
+        return [
+            _log('notice not understood', endpoint, event, warning=True),
+            _count(endpoint, 'malformed'),
+        ]
+    endpoint.notice_sent_ms = event.sent_ms
+    endpoint.notice = notice
+    if notice.rate_per_s == before.rate_per_s:
+        return []
+    if notice.rate_per_s is None:
+        return [
+            _log('endpoint ends its rate limit', endpoint, event),
+            _count(endpoint, 'no_rate_limit'),
+        ]
+    return [
+        _log('endpoint names a rate limit', endpoint, event),
+        _count(endpoint, 'rate_limit'),
+    ]
+
+
+def _log(
+    text: str,
+    endpoint: _state.Endpoint,
+    event: events.NoticeReceived,
+    warning: bool = False,
+) -> effects.Log:
+    fields = (
+        ('endpoint', event.peer),
+        ('service', endpoint.instance.service),
+        ('rate_per_s', event.notice.rate_per_s),
+        ('malformed', ' '.join(event.notice.malformed)),
+        ('answer_age_ms', event.at_ms - event.sent_ms),
+    )
+    return effects.Log(text, fields, warning)
+
+
+def _count(endpoint: _state.Endpoint, notice: str) -> effects.Count:
+    attributes = (
+        ('berylhollow.service', endpoint.instance.service),
+        ('berylhollow.notice', notice),
+    )
+    return effects.Count('berylhollow.endpoint_notices', 1, attributes)
--- a/berylhollow/gateway/_reducer.py
+++ b/berylhollow/gateway/_reducer.py
@@ -10,6 +10,7 @@
 from berylhollow.gateway import _coordinator
 from berylhollow.gateway import _counts
 from berylhollow.gateway import _membership
+from berylhollow.gateway import _notices
 from berylhollow.gateway import _peers
 from berylhollow.gateway import _quarantine
 from berylhollow.gateway import _quotas
@@ -145,6 +146,7 @@
     events.CallerGone: _requests.caller_gone,
     events.AnswerRelayed: _requests.relayed,
     events.AnswerBroken: _requests.broken,
+    events.NoticeReceived: _notices.received,
     events.LogRead: _log_read,
     events.LogReadFailed: _log_read_failed,
     events.LogChecked: _log_checked,
--- a/berylhollow/gateway/_shell.py
+++ b/berylhollow/gateway/_shell.py
@@ -280,6 +280,11 @@
         )
         self.count('berylhollow.errors', 1, attributes)
 
+    def noticed(
+        self, peer: str, sent_ms: int, notice: events.EndpointNotice
+    ) -> None:
+        self.feed(events.NoticeReceived(self.now_ms(), peer, sent_ms, notice))
+
     def row_of(self, name: str) -> events.Instance | None:
         """Return what is listed of an endpoint, None if it is unknown."""
         endpoint = self.driver.state.endpoints.get(name)
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -43,6 +43,8 @@
     for their adapter; ``others_tokens`` are those of other gateways, as of
     the last report. ``lost`` has the
     fingerprints of requests whose run there was cut off, and when.
+    ``notice`` is what it last said of itself in an answer to a request that
+    was sent at ``notice_sent_ms``.
     ``leaving`` stays for good: it has said so itself, or was found to be
     over. ``listed`` and ``superseded`` are what the newest list says, which
     may be mended: an entry lapses while its endpoint lives, and one of
@@ -68,6 +70,8 @@
     failures: int = 0
     ejections: int = 0
     ejected_until_ms: int = 0
+    notice: events.EndpointNotice = events.EndpointNotice()
+    notice_sent_ms: int = clock.NEVER_MS
 
     @property
     def moved(self) -> bool:
--- a/berylhollow/metrics/_instruments.py
+++ b/berylhollow/metrics/_instruments.py
@@ -94,6 +94,14 @@
         'retries.',
         (SERVICE, 'berylhollow.retry'),
     ),
+    Instrument(
+        'berylhollow.endpoint_notices',
+        COUNTER,
+        '{notice}',
+        'Changes in what endpoints say of themselves in their answers, by '
+        'what they say.',
+        (SERVICE, 'berylhollow.notice'),
+    ),
     Instrument(
         'berylhollow.errors',
         COUNTER,
--- a/berylhollow/platform/_runs.py
+++ b/berylhollow/platform/_runs.py
@@ -8,8 +8,10 @@
 import multidict
 import yarl
 
+from berylhollow import events
 from berylhollow import messages
 from berylhollow import outgoing
+from berylhollow.platform import _notices
 
 REQUEST_ID = 'Request-Id'
 DEADLINE = 'Deadline-Ms'
@@ -64,7 +66,9 @@
 
     ``not_run`` is set only when the endpoint says so. ``own`` tells that it
     is the answer to this request, ``signed`` that it bears the endpoint's
-    signature, without which a success is none.
+    signature, without which a success is none. ``notice`` is what the
+    endpoint says of itself, whatever becomes of the request; None if it is
+    not known whether the endpoint said it.
     """
 
     status: int
@@ -72,6 +76,7 @@
     not_run: NotRun | None
     own: bool
     signed: bool
+    notice: events.EndpointNotice | None
     response: outgoing.Response
 
     async def parts(self) -> collections.abc.AsyncIterator[bytes]:
@@ -152,17 +157,37 @@
         messages.Header(name, value)
         for name, value in response.headers.items()
     )
-    echoed = response.headers.get(REQUEST_ID)
+    own = response.headers.get(REQUEST_ID) == request_id
+    signed = SIGNATURE in response.headers
+    not_run = _not_run(response, instance)
+    proven = own and (signed or not_run is not None)
     return Answer(
         status=response.status,
         headers=headers,
-        not_run=_not_run(response, instance),
-        own=echoed == request_id,
-        signed=SIGNATURE in response.headers,
+        not_run=not_run,
+        own=own,
+        signed=signed,
+        notice=_notice(response, not_run, proven),
         response=response,
     )
 
 
+def _notice(
+    response: aiohttp.ClientResponse, not_run: NotRun | None, proven: bool
+) -> events.EndpointNotice | None:
+    """Return what the endpoint says of itself.
+
+    An answer that may be another's or is garbled can name something; that it
+    names nothing proves nothing.
+    """
+    if not_run is NotRun.ANOTHER_INSTANCE:
+        return None
+    notice = _notices.decode(response.headers)
+    if notice.empty and not proven:
+        return None
+    return notice
+
+
 def _not_run(response: aiohttp.ClientResponse, instance: str) -> NotRun | None:
     if response.status == MISDIRECTED:
         other = response.headers.get(INSTANCE, instance)
--- a/berylhollow/standin/direct_endpoint.py
+++ b/berylhollow/standin/direct_endpoint.py
@@ -27,6 +27,8 @@
     ``full`` refuses requests, ``fails`` answers 500 after running,
     ``cuts`` breaks the answer off, ``other_id`` answers for another request,
     ``hangs`` never answers, ``unsigned`` leaves the signature out.
+    ``rate_limits`` are the values of the header that names its limit, which
+    stands in every answer.
     """
 
     full: bool = False
@@ -35,6 +37,7 @@
     other_id: bool = False
     hangs: bool = False
     unsigned: bool = False
+    rate_limits: tuple[str, ...] = ()
 
 
 class DirectEndpoint:
@@ -59,11 +62,18 @@
 
     def add_to(self, application: web.Application) -> None:
         """Add the routes; any other path is a request."""
+        application.on_response_prepare.append(self._add_notices)
         router = application.router
         router.add_get('/v1/report', self._report)
         router.add_post('/v1/order', self._order)
         router.add_route('*', '/{tail:.*}', self._request)
 
+    async def _add_notices(
+        self, _request: web.Request, response: web.StreamResponse
+    ) -> None:
+        for value in self.faults.rate_limits:
+            response.headers.add('Server-Limit', value)
+
     def _description(self) -> list[dict]:
         return [
             {
--- a/test/hosted/direct_helper.py
+++ b/test/hosted/direct_helper.py
@@ -51,6 +51,7 @@
 
     async def asyncSetUp(self):
         self.told = asyncio.Queue()
+        self.notices = []
         self.stack = contextlib.AsyncExitStack()
         self.addAsyncCleanup(self.stack.aclose)
         self.tasks = shell.Tasks()
@@ -103,5 +104,11 @@
     def message(self, peer, message):
         self.told.put_nowait(message)
 
+    def noticed(self, peer, sent_ms, notice):
+        self.notices.append(notice)
+
+    def now_ms(self):
+        return 0
+
     def row_of(self, name):
         return builders.instance(name, address=self.address, direct=True)
--- a/test/hosted/test_direct_runs.py
+++ b/test/hosted/test_direct_runs.py
@@ -4,6 +4,7 @@
 
 from berylhollow import errors
 from berylhollow import messages
+from berylhollow.standin import direct_endpoint
 from test.hosted import direct_helper
 
 HEAD = (
@@ -98,6 +99,69 @@
         self.assertIs(errors.Ran.UNKNOWN, failed.ran)
 
 
+class NoticeTest(direct_helper.DirectTestCase):
+    """What an endpoint says of itself counts on every kind of answer.
+
+    Guards against an endpoint whose word is dropped with an answer that is
+    not passed on: a refusal, a failure, one that came for another request.
+    """
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        await self.begin()
+
+    async def notice_of(self, *rate_limits, **faults):
+        """Return the notice in the answer to one request."""
+        self.endpoint.faults = direct_endpoint.Faults(
+            rate_limits=rate_limits, **faults
+        )
+        self.notices.clear()
+        self.send(another=True)
+        await self.all()
+        return self.notices[0] if self.notices else None
+
+    async def test_limit_is_read_on_every_answer(self):
+        for fault in (None, 'full', 'fails', 'cuts', 'other_id', 'unsigned'):
+            with self.subTest(fault=fault):
+                faults = {fault: True} if fault else {}
+                notice = await self.notice_of('2.5', **faults)
+                self.assertEqual(2.5, notice.rate_per_s)
+
+    async def test_only_the_own_answer_ends_a_limit(self):
+        for fault in (None, 'full', 'fails', 'cuts'):
+            with self.subTest(fault=fault):
+                faults = {fault: True} if fault else {}
+                notice = await self.notice_of(**faults)
+                self.assertTrue(notice.empty)
+        for fault in ('other_id', 'unsigned'):
+            with self.subTest(fault=fault):
+                self.assertIsNone(await self.notice_of(**{fault: True}))
+
+    async def test_another_instance_says_nothing_of_this_one(self):
+        self.endpoint.restart('i-2')
+        self.assertIsNone(await self.notice_of('1'))
+
+    async def test_what_is_no_limit_says_nothing(self):
+        for values in (
+            ('-1',),
+            ('',),
+            ('1e3',),
+            ('nan',),
+            ('9' * 30,),
+            ('1', '1'),
+        ):
+            with self.subTest(values=values):
+                notice = await self.notice_of(*values)
+                self.assertIsNone(notice.rate_per_s)
+                self.assertTrue(notice.malformed)
+
+    async def test_limit_below_one_and_not_whole(self):
+        for value, rate in (('0.25', 0.25), ('0', 0.0), ('7', 7.0)):
+            with self.subTest(value=value):
+                notice = await self.notice_of(value)
+                self.assertEqual(rate, notice.rate_per_s)
+
+
 class FailureTest(direct_helper.DirectTestCase):
     async def test_failure_is_passed_on_unless_another_run_follows(self):
         await self.begin()
--- /dev/null
+++ b/test/hosted/test_notices.py
@@ -0,0 +1,50 @@
+"""What a gateway keeps of what endpoints say of themselves."""
+
+from berylhollow import effects
+from berylhollow import events
+from test.hosted import test_gateway_direct
+
+
+class NoticeTest(test_gateway_direct.DirectTestCase):
+    def configure(self):
+        super().configure()
+        self.list(test_gateway_direct.plain('i-1', '10.0.0.1:80'))
+
+    def say(self, rate_per_s=None, sent_ms=0, malformed=()):
+        notice = events.EndpointNotice(rate_per_s, malformed)
+        event = events.NoticeReceived(sent_ms + 10, 'i-1', sent_ms, notice)
+        return self.feed(event)
+
+    def lines(self):
+        return [line.text for line in self.of_type(effects.Log)]
+
+    def rate(self):
+        return self.state.endpoints['i-1'].notice.rate_per_s
+
+    def test_changes_are_logged_once(self):
+        said = [(2.0, 1), (2.0, 2), (3.0, 3), (None, 4), (None, 5)]
+        lines = []
+        for rate, sent_ms in said:
+            self.say(rate, sent_ms)
+            lines += self.lines()
+        named = 'endpoint names a rate limit'
+        ended = 'endpoint ends its rate limit'
+        self.assertEqual([named, named, ended], lines)
+
+    def test_older_answer_does_not_bring_a_limit_back(self):
+        self.say(2.0, sent_ms=100)
+        self.say(None, sent_ms=300)
+        self.say(2.0, sent_ms=200)
+        self.assertIsNone(self.rate())
+
+    def test_what_is_not_understood_changes_nothing(self):
+        self.say(2.0, sent_ms=100)
+        for sent_ms in (200, 300):
+            self.say(sent_ms=sent_ms, malformed=('Limit: x',))
+        self.assertEqual([], self.lines())
+        self.assertEqual(2.0, self.rate())
+
+    def test_new_start_has_said_nothing(self):
+        self.say(2.0, sent_ms=100)
+        self.list(test_gateway_direct.plain('i-1@2', '10.0.0.1:80'))
+        self.assertIsNone(self.state.endpoints['i-1@2'].notice.rate_per_s)
