--- a/test/hosted/crowd.py
+++ b/test/hosted/crowd.py
@@ -130,24 +130,26 @@
             for n in range(load.endpoints)
         }
         self.gateways = {
-            f'g{n}': _gateway_state(f'g{n}') for n in range(load.gateways)
-        }
-        self.sidecars = {
-            addresses.beside(endpoint.address): loader.State(
-                loader.Options(
-                    instance=endpoint.name,
-                    service=builders.MODEL_SERVICE,
-                    **sidecar_options,
-                )
-            )
-            for endpoint in self.endpoints.values()
+            f'g{n}': gateway_state(f'g{n}') for n in range(load.gateways)
         }
         self.beside = {
             addresses.beside(endpoint.address): endpoint
             for endpoint in self.endpoints.values()
         }
+        self.sidecar_options = sidecar_options
+        self.sidecars = {
+            peer: self.sidecar_state(peer) for peer in self.beside
+        }
         self.begin()
 
+    def sidecar_state(self, peer: str) -> loader.State:
+        options = loader.Options(
+            instance=self.beside[peer].name,
+            service=builders.MODEL_SERVICE,
+            **self.sidecar_options,
+        )
+        return loader.State(options)
+
     def run(self) -> Outcome:
         """Play the whole load and let its last requests end."""
         for at_ms, name in self.arrivals():
@@ -212,7 +214,31 @@
     # The processes
 
     def begin(self) -> None:
-        rows = tuple(
+        for peer in self.sidecars:
+            self.start_sidecar(peer)
+            self.at(self.chance.uniform(0, TICK_MS), self.tick_sidecar, peer)
+        for name in self.gateways:
+            self.start_gateway(name)
+            self.at(self.chance.uniform(0, TICK_MS), self.tick_gateway, name)
+
+    def start_sidecar(self, peer: str) -> None:
+        started = events.Started(self.now_ms, f'{peer}#{self.now_ms}')
+        self.feed_sidecar(peer, started)
+
+    def start_gateway(self, name: str) -> None:
+        entries = (messages.LogEntry(0, 0, builders.configuration_record()),)
+        stream = platform.CONFIGURATION_STREAM
+        now_ms = self.now_ms
+        for event in (
+            events.Started(now_ms, f'{name}#{now_ms}'),
+            events.LogRead(now_ms, stream, entries, 0, 1),
+            events.InstancesListed(now_ms, self.rows()),
+        ):
+            self.feed_gateway(name, event)
+
+    def rows(self) -> tuple[events.Instance, ...]:
+        """Return the list of endpoints."""
+        return tuple(
             samples.instance(
                 endpoint.name,
                 service=builders.MODEL_SERVICE,
@@ -223,19 +249,6 @@
             )
             for endpoint in self.endpoints.values()
         )
-        entries = (messages.LogEntry(0, 0, builders.configuration_record()),)
-        stream = platform.CONFIGURATION_STREAM
-        for peer in self.sidecars:
-            self.feed_sidecar(peer, events.Started(0, f'{peer}#1'))
-            self.at(self.chance.uniform(0, TICK_MS), self.tick_sidecar, peer)
-        for name in self.gateways:
-            for event in (
-                events.Started(0, f'{name}#1'),
-                events.LogRead(0, stream, entries, 0, 1),
-                events.InstancesListed(0, rows),
-            ):
-                self.feed_gateway(name, event)
-            self.at(self.chance.uniform(0, TICK_MS), self.tick_gateway, name)
 
     def tick_gateway(self, name: str) -> None:
         self.feed_gateway(name, events.Ticked(self.now_ms, 0.5))
@@ -413,7 +426,7 @@
     )
 
 
-def _gateway_state(name: str) -> gateway.State:
+def gateway_state(name: str) -> gateway.State:
     follower = routes.RouteFollower(
         platform.CONFIGURATION_STREAM, platform.decode_news
     )
--- /dev/null
+++ b/test/hosted/limited_crowd.py
@@ -0,0 +1,173 @@
+"""A crowd in which endpoints name how many requests a second they take.
+
+The bound is the users': in any four seconds, from ``CONTACT_MS`` after an
+endpoint first named its limit, no more than one and a half times the limit
+and five more requests from gateways that were told half a second before or
+earlier. Gateways that were cut off, stood still or started anew since count
+all the same here, unless ``excused`` names them.
+"""
+
+import bisect
+import collections
+import dataclasses
+
+from berylhollow import events
+from test.hosted import crowd
+
+CONTACT_MS = 3000
+WINDOW_MS = 4000
+TOLD_MS = 500
+TOLERANCE = 1.5
+SLACK = 5
+UNKNOWN_MS = 10**9
+
+
+@dataclasses.dataclass(frozen=True)
+class LimitedLoad(crowd.Load):
+    """A load whose first endpoints name a limit for a time.
+
+    Every ``burst_ms``, if not 0, ``burst`` requests come at one moment.
+    """
+
+    limited: int = 3
+    rate_per_s: float = 1.0
+    named_ms: int = 3000
+    ended_ms: int = UNKNOWN_MS
+    burst_ms: int = 0
+    burst: int = 0
+
+
+class LimitedCrowd(crowd.Crowd):
+    """Counts what endpoints get once they have named a limit.
+
+    ``told_ms`` is when each gateway first passed on an answer that names the
+    limit of an endpoint; ``got`` when which gateway sent what.
+    """
+
+    def __init__(self, load: LimitedLoad, **sidecar_options):
+        self.told_ms: dict[tuple[str, str], int] = {}
+        self.got = collections.defaultdict(list)
+        self.cut: set[tuple[str, str]] = set()
+        self.excused: set[str] = set()
+        super().__init__(load, **sidecar_options)
+
+    # What is counted
+
+    def limit_of(self, name: str) -> float | None:
+        load = self.load
+        number = list(self.endpoints).index(name)
+        if not load.named_ms <= self.now_ms < load.ended_ms:
+            return None
+        return load.rate_per_s if number < load.limited else None
+
+    def most(self, name: str) -> int:
+        """Return the most that an endpoint got in a window that counts."""
+        first_ms = self.load.named_ms + CONTACT_MS
+        last_ms = self.load.ended_ms
+        times = [
+            at_ms
+            for at_ms, gateway in self.got[name]
+            if first_ms <= at_ms < last_ms
+            and gateway not in self.excused
+            and at_ms
+            >= self.told_ms.get((gateway, name), UNKNOWN_MS) + TOLD_MS
+        ]
+        return max(
+            (
+                bisect.bisect_left(times, at_ms + WINDOW_MS) - index
+                for index, at_ms in enumerate(times)
+            ),
+            default=0,
+        )
+
+    @property
+    def most_over(self) -> float:
+        """Return by how much the bound is exceeded at the worst endpoint."""
+        allowed = TOLERANCE * self.load.rate_per_s * WINDOW_MS / 1000 + SLACK
+        return max(self.most(name) for name in self.limited) - allowed
+
+    @property
+    def limited(self) -> list[str]:
+        return list(self.endpoints)[: self.load.limited]
+
+    def used_share(self, name: str) -> float:
+        """Return the part of a limit that was used while it counted."""
+        start_ms = self.load.named_ms + CONTACT_MS
+        end_ms = min(self.load.ended_ms, self.load.duration_ms)
+        got = sum(start_ms <= at_ms < end_ms for at_ms, _ in self.got[name])
+        return got / (self.load.rate_per_s * (end_ms - start_ms) / 1000)
+
+    # The load
+
+    def arrivals(self):
+        yield from super().arrivals()
+        load = self.load
+        if load.burst_ms:
+            for at_ms in range(load.burst_ms, load.duration_ms, load.burst_ms):
+                for number in range(load.burst):
+                    yield at_ms, f'a{number % 25 + 1}'
+
+    def offer(self, name, effect):
+        self.got[effect.peer].append((self.now_ms, name))
+        super().offer(name, effect)
+
+    def tell(self, name, peer, message):
+        """Let each answer to a request say what the endpoint says."""
+        sent_ms = self.sent_ms(name, message.attempt_id)
+        rate_per_s = self.limit_of(peer)
+        if rate_per_s is not None:
+            self.told_ms.setdefault((name, peer), self.now_ms)
+        self.feed_gateway(
+            name,
+            events.NoticeReceived(
+                self.now_ms, peer, sent_ms, events.EndpointNotice(rate_per_s)
+            ),
+        )
+        super().tell(name, peer, message)
+
+    def sent_ms(self, name, attempt_id: str) -> int:
+        active = self.gateways[name].request_of(attempt_id)
+        return self.now_ms if active is None else active.offered_ms
+
+    # Failures
+
+    def restart_gateway(self, name: str) -> None:
+        """Replace a process: what it knew and had under way is gone."""
+        state = crowd.gateway_state(name)
+        self.gateways[name] = state
+        for peer in self.sidecars:
+            closed = events.LinkClosed(self.now_ms, name)
+            self.feed_sidecar(peer, closed)
+            self.told_ms.pop((name, self.beside[peer].name), None)
+        self.start_gateway(name)
+
+    def restart_sidecar(self, peer: str) -> None:
+        self.sidecars[peer] = self.sidecar_state(peer)
+        self.start_sidecar(peer)
+        for name in self.gateways:
+            self.feed_gateway(name, events.LinkClosed(self.now_ms, peer))
+
+    def cut_links(self, pairs) -> None:
+        """Let gateways and sidecars hear nothing of each other."""
+        self.cut |= set(pairs)
+
+    def heal_links(self) -> None:
+        healed, self.cut = self.cut, set()
+        for name, peer in sorted(healed):
+            self.feed_gateway(name, events.LinkClosed(self.now_ms, peer))
+            self.feed_sidecar(peer, events.LinkClosed(self.now_ms, name))
+
+    def link(self, name, peer):
+        if (name, peer) in self.cut:
+            refused = events.LinkRefused(self.now_ms, peer)
+            self.feed_gateway(name, refused)
+        else:
+            super().link(name, peer)
+
+    def to_sidecar(self, name, effect):
+        if (name, effect.peer) not in self.cut:
+            super().to_sidecar(name, effect)
+
+    def carry_out_sidecar(self, peer, effect):
+        if (getattr(effect, 'peer', ''), peer) not in self.cut:
+            super().carry_out_sidecar(peer, effect)
