Keep the rate that an endpoint names over all gateways together

Callers saw nothing; endpoints that had named one request a second got 12 to 16 in four seconds where eleven are allowed. Cause: of an endpoint's answer only the status, the id and the proof of the run were looked at, so that nothing it said of itself reached the choice; the class is a word of an endpoint that is heard by one way only, the store's list. Ruled out: a limit kept by each gateway for itself and waiting requests that are not looked at again; no code read the limit at all, and one gateway alone sent nine of the 16 requests, most of them at once.

Change: a sidecar that all gateways choose alike lends single requests to an endpoint with a limit, from one bucket; a loan ends after a second and each attempt takes one where it is sent. The choice passes over an endpoint without room, so that its adapters are ordered elsewhere; a request that finds nothing else waits for one answer of the lender (250 ms at most) and is then refused with the time at which there is room. Without a lender a gateway takes an equal part, where all may do so at once.

Why it holds: loans used in four seconds were lent in five, 5.5 times the rate and one, below six times and five, however many gateways there are.

--- a/berylhollow/gateway/_attempts.py
+++ b/berylhollow/gateway/_attempts.py
@@ -19,6 +19,7 @@
 from berylhollow.gateway import _limits
 from berylhollow.gateway import _quarantine
 from berylhollow.gateway import _quotas
+from berylhollow.gateway import _rate_limits
 from berylhollow.gateway import _routing
 from berylhollow.gateway import _settlement
 from berylhollow.gateway import _state
@@ -75,12 +76,13 @@
     if wait_ms:
         kind = errors.Kind.QUOTA_EXCEEDED
         return give_up(state, active, kind, errors.Ran.NOT_RUN, wait_ms)
+    asked = _rate_limits.missed(state, active, at_ms)
     name = _routing.choose(state, active, at_ms)
     if name is None:
-        return _nowhere(state, active, at_ms)
+        return asked + _nowhere(state, active, at_ms)
     if not _adapters.ready(state, active, name, at_ms):
-        return _await_adapter(state, active, name, at_ms)
-    return _offer(state, active, name, at_ms)
+        return asked + _await_adapter(state, active, name, at_ms)
+    return asked + _offer(state, active, name, at_ms)
 
 
 def _await_adapter(
@@ -106,6 +108,9 @@
     against requests that fail when all gateways are replaced at once and the
     balancer has nobody else.
     """
+    limited = _rate_limits.without_room(state, active, at_ms)
+    if limited:
+        return _no_room(state, active, limited, at_ms)
     last = active.last_refusal
     if last is None and at_ms < state.settled_ms:
         active.retry_at_ms = at_ms + state.options.retry_pause_ms
@@ -117,6 +122,30 @@
     return give_up(state, active, last.kind, last.ran, last.retry_after_ms)
 
 
+def _no_room(
+    state: _state.State,
+    active: _state.ActiveRequest,
+    limited: list[_state.Endpoint],
+    at_ms: int,
+) -> Effects:
+    """Only endpoints whose limit is used up are left.
+
+    Refused at once with the time at which there is room, unless a lender
+    was asked and answers in a moment.
+    """
+    if _rate_limits.may_await(active, limited, at_ms):
+        _adapters.leave(state, active)
+        active.retry_at_ms = at_ms + state.options.retry_pause_ms
+        return []
+    return give_up(
+        state,
+        active,
+        errors.Kind.OVERLOADED,
+        errors.Ran.NOT_RUN,
+        _rate_limits.wait_ms(limited, active.seed, at_ms),
+    )
+
+
 def started(state: _state.State, event: events.MessageReceived) -> Effects:
     """The endpoint began to answer: this attempt's answer is the one."""
     message = event.message
@@ -267,6 +296,8 @@
     active.incarnation = endpoint.incarnation
     active.tried.add(name)
     endpoint.placed.add(active.attempt_id)
+    _rate_limits.spend(endpoint, at_ms)
+    active.room_asked_ms = None
     _backlog.offered(endpoint, active)
     state.attempts[active.attempt_id] = request.request_id
     _adapters.use_began(state, active)
--- a/berylhollow/gateway/_decisions.py
+++ b/berylhollow/gateway/_decisions.py
@@ -72,6 +72,7 @@
         ('most_runs', active.most_runs),
         ('awaited_endpoint', active.awaiting),
         ('endpoints_usable', usable),
+        ('endpoints_limited', len(state.rate_limited)),
         ('retries_left', round(_budget.level(state, active), 1)),
         ('retry_after_ms', retry_after_ms),
         ('revision', view.revision if view else 0),
--- a/berylhollow/gateway/_fleet.py
+++ b/berylhollow/gateway/_fleet.py
@@ -3,6 +3,7 @@
 import collections.abc
 
 from berylhollow.gateway import _backlog
+from berylhollow.gateway import _rate_limits
 from berylhollow.gateway import _state
 from berylhollow import messages
 from berylhollow import policy
@@ -51,6 +52,9 @@
             and name not in self.tried
             and endpoint.usable_at(self.at_ms)
             and endpoint.equipped
+            and _rate_limits.has_room(
+                self.state, self.active, endpoint, self.at_ms
+            )
         )
 
     def holders(self, adapter: messages.AdapterVersion) -> list[str]:
--- a/berylhollow/gateway/_notices.py
+++ b/berylhollow/gateway/_notices.py
@@ -35,10 +35,12 @@
     if notice.rate_per_s == before.rate_per_s:
         return []
     if notice.rate_per_s is None:
+        state.rate_limited.pop(event.peer, None)
         return [
             _log('endpoint ends its rate limit', endpoint, event),
             _count(endpoint, 'no_rate_limit'),
         ]
+    state.rate_limited[event.peer] = None
     return [
         _log('endpoint names a rate limit', endpoint, event),
         _count(endpoint, 'rate_limit'),
--- /dev/null
+++ b/berylhollow/gateway/_rate_limits.py
@@ -0,0 +1,168 @@
+"""Endpoints with a limit: who may send them the next request.
+
+An endpoint names a rate that holds over all gateways. One sidecar, which all
+gateways choose alike, lends them single requests; a gateway without a loan
+sends nothing there.
+"""
+
+from berylhollow import clock
+from berylhollow import effects
+from berylhollow import events
+from berylhollow.gateway import _state
+from berylhollow import messages
+from berylhollow.policy import rendezvous
+from berylhollow import rate_limits
+
+Effects = list[effects.Effect]
+
+UNKNOWN_GATEWAYS = 1000
+"""Taken for their number before any sidecar has told it."""
+
+
+def has_room(
+    state: _state.State,
+    active: _state.ActiveRequest,
+    endpoint: _state.Endpoint,
+    at_ms: int,
+) -> bool:
+    """Tell whether a request may be sent to an endpoint, as to its limit.
+
+    Those that wait there for their adapter come before it.
+    """
+    if endpoint.notice.rate_per_s is None:
+        return True
+    name = endpoint.instance.instance
+    waiting = state.awaiting.get(name, {})
+    before = len(waiting) - (active.request.request_id in waiting)
+    return endpoint.loan.room(at_ms) > before
+
+
+def spend(endpoint: _state.Endpoint, at_ms: int) -> None:
+    """Count a request that is sent to an endpoint."""
+    if endpoint.notice.rate_per_s is not None:
+        endpoint.loan.spend(at_ms)
+
+
+def without_room(
+    state: _state.State, active: _state.ActiveRequest, at_ms: int
+) -> list[_state.Endpoint]:
+    """Return the endpoints that only their limit keeps from a request."""
+    found = []
+    for name in state.rate_limited:
+        endpoint = state.endpoints.get(name)
+        if (
+            endpoint is not None
+            and endpoint.instance.service == active.service
+            and name not in active.tried
+            and endpoint.usable_at(at_ms)
+            and not has_room(state, active, endpoint, at_ms)
+        ):
+            found.append(endpoint)
+    return found
+
+
+def missed(
+    state: _state.State, active: _state.ActiveRequest, at_ms: int
+) -> Effects:
+    """Ask for room wherever a request finds none."""
+    done: Effects = []
+    for endpoint in without_room(state, active, at_ms):
+        endpoint.loan.miss(at_ms)
+        done += _ask(state, endpoint, at_ms)
+    return done
+
+
+def may_await(
+    active: _state.ActiveRequest,
+    endpoints: list[_state.Endpoint],
+    at_ms: int,
+) -> bool:
+    """Tell whether a lender may say in a moment that there is room.
+
+    However often lenders are asked, a request waits for one answer only.
+    """
+    if active.room_asked_ms is None:
+        active.room_asked_ms = at_ms
+    if at_ms - active.room_asked_ms >= rate_limits.ANSWER_MS:
+        return False
+    return any(endpoint.loan.is_asked(at_ms) for endpoint in endpoints)
+
+
+def wait_ms(endpoints: list[_state.Endpoint], seed: float, at_ms: int) -> int:
+    """Return when a caller may come back that found no room anywhere.
+
+    Spread over the time until there is room for another one, since all that
+    were refused would come back at the same moment.
+    """
+    first_ms = min(endpoint.loan.wait_ms(at_ms) for endpoint in endpoints)
+    rate_per_s = sum(endpoint.notice.rate_per_s for endpoint in endpoints)
+    spread_ms = clock.MS_PER_SECOND / max(rate_per_s, 1.0)
+    return first_ms + int(seed * spread_ms)
+
+
+def tick(state: _state.State, at_ms: int) -> Effects:
+    """Ask lenders again, save up where there is none."""
+    done: Effects = []
+    for name in list(state.rate_limited):
+        endpoint = state.endpoints.get(name)
+        if endpoint is None or endpoint.notice.rate_per_s is None:
+            del state.rate_limited[name]
+            continue
+        done += _choose_lender(state, endpoint, at_ms)
+        rate_per_s = endpoint.notice.rate_per_s
+        endpoint.loan.fill_own(rate_per_s, _gateways(state), at_ms)
+        done += _ask(state, endpoint, at_ms)
+    return done
+
+
+def lent(
+    state: _state.State, event: events.MessageReceived
+) -> list[_state.ActiveRequest]:
+    """Take a lender's answer; return the requests that may wait for it."""
+    message = event.message
+    endpoint = state.endpoints.get(message.endpoint)
+    if endpoint is None or endpoint.loan.lender != event.peer:
+        return []
+    endpoint.loan.lent(message.count, message.wait_ms, event.at_ms)
+    return [
+        active
+        for active in state.requests.values()
+        if active.room_asked_ms is not None
+        and active.phase is _state.Phase.WAITING
+        and active.service == endpoint.instance.service
+    ]
+
+
+def _choose_lender(
+    state: _state.State, endpoint: _state.Endpoint, at_ms: int
+) -> Effects:
+    linked = [
+        peer
+        for peer, sidecar in state.sidecars.items()
+        if sidecar.link is _state.LinkPhase.OPEN
+    ]
+    name = endpoint.instance.instance
+    lender = rendezvous.highest(name, linked) or ''
+    if not endpoint.loan.choose(lender, at_ms):
+        return []
+    fields = (('endpoint', name), ('lender', lender))
+    return [effects.Log('lender of a rate limit chosen', fields)]
+
+
+def _ask(
+    state: _state.State, endpoint: _state.Endpoint, at_ms: int
+) -> Effects:
+    loan = endpoint.loan
+    if not loan.due(at_ms):
+        return []
+    rate_per_s = endpoint.notice.rate_per_s
+    wanted = messages.RateWanted(
+        endpoint.instance.instance, rate_per_s, loan.ask(rate_per_s, at_ms)
+    )
+    return [effects.Send(loan.lender, wanted)]
+
+
+def _gateways(state: _state.State) -> int:
+    if all(sidecar.heard_ms < 0 for sidecar in state.sidecars.values()):
+        return UNKNOWN_GATEWAYS
+    return state.gateways
--- a/berylhollow/gateway/_reducer.py
+++ b/berylhollow/gateway/_reducer.py
@@ -14,6 +14,7 @@
 from berylhollow.gateway import _peers
 from berylhollow.gateway import _quarantine
 from berylhollow.gateway import _quotas
+from berylhollow.gateway import _rate_limits
 from berylhollow.gateway import _requests
 from berylhollow.gateway import _shared_reads
 from berylhollow.gateway import _shutdown
@@ -53,6 +54,7 @@
     done += _claims.tick(state, event.at_ms)
     done += _quarantine.tick(state, event.at_ms)
     done += _quotas.tick(state, event.at_ms)
+    done += _rate_limits.tick(state, event.at_ms)
     done += _coordinator.tick(state, event.at_ms)
     done += _shutdown.tick(state, event.at_ms)
     return done
@@ -74,6 +76,13 @@
     return done
 
 
+def _lent(state: _state.State, event: events.MessageReceived) -> Effects:
+    done: Effects = []
+    for active in _rate_limits.lent(state, event):
+        done += _attempts.place(state, active, event.at_ms)
+    return done
+
+
 def _link_opened(state: _state.State, event: events.LinkOpened) -> Effects:
     if event.peer in state.sidecars:
         return _sidecars.opened(state, event)
@@ -163,6 +172,7 @@
     messages.Report: _reported,
     messages.StreamPart: _shared_reads.heard,
     messages.QuotaSums: _quotas.heard,
+    messages.RateLent: _lent,
     messages.LoadWanted: _coordinator.wanted,
     messages.LoadEnded: _coordinator.ended,
     messages.Started: _attempts.started,
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -12,6 +12,7 @@
 from berylhollow import messages
 from berylhollow import policy
 from berylhollow import quarantine
+from berylhollow import rate_limits
 from berylhollow.util import token_bucket
 from berylhollow import workspaces
 
@@ -44,7 +45,8 @@
     the last report. ``lost`` has the
     fingerprints of requests whose run there was cut off, and when.
     ``notice`` is what it last said of itself in an answer to a request that
-    was sent at ``notice_sent_ms``.
+    was sent at ``notice_sent_ms``, ``loan`` what we may send it while it
+    names a limit.
     ``leaving`` stays for good: it has said so itself, or was found to be
     over. ``listed`` and ``superseded`` are what the newest list says, which
     may be mended: an entry lapses while its endpoint lives, and one of
@@ -72,6 +74,9 @@
     ejected_until_ms: int = 0
     notice: events.EndpointNotice = events.EndpointNotice()
     notice_sent_ms: int = clock.NEVER_MS
+    loan: rate_limits.Loan = dataclasses.field(
+        default_factory=rate_limits.Loan
+    )
 
     @property
     def moved(self) -> bool:
@@ -148,8 +153,9 @@
 class ActiveRequest:
     """A request whose caller has not had its whole answer.
 
-    ``key_revision`` is that of the configuration in which its key was last
-    looked up.
+    ``room_asked_ms`` is since when it waits for a lender's answer, None if
+    it does not: every endpoint left has a limit. ``key_revision`` is that of
+    the configuration in which its key was last looked up.
     """
 
     request: events.Request
@@ -171,6 +177,7 @@
     tokens_ahead: int = 0
     awaiting: str = ''
     awaiting_since_ms: int | None = None
+    room_asked_ms: int | None = None
     resumed: bool = False
     retry_at_ms: int | None = None
     tried: set[str] = dataclasses.field(default_factory=set)
@@ -279,7 +286,8 @@
     from the weight store; ``relays`` are the sidecars that pass on what we
     read of the platform's log, and the first of them what others read;
     ``gateways`` is how many there are, as far as is known. ``token_ms`` is,
-    by service, how long a prompt token takes to be read. ``listed_ms`` is
+    by service, how long a prompt token takes to be read; ``rate_limited`` has
+    the endpoints that name a limit. ``listed_ms`` is
     when the list of instances came that is in use. ``told_revision`` is the
     newest of the configuration that any gateway is known to have had,
     ``started_ms`` when this one began. ``allowances`` has what may be used of
@@ -315,6 +323,7 @@
     relays: tuple[str, ...] = ()
     gateways: int = 1
     token_ms: dict[str, float] = dataclasses.field(default_factory=dict)
+    rate_limited: dict[str, None] = dataclasses.field(default_factory=dict)
     peers: dict[str, events.Instance] = dataclasses.field(default_factory=dict)
     requests: dict[str, ActiveRequest] = dataclasses.field(
         default_factory=dict
--- a/berylhollow/loader/_reducer.py
+++ b/berylhollow/loader/_reducer.py
@@ -242,6 +242,8 @@
         return _pass_on_part(state, event.peer, message)
     if isinstance(message, messages.QuotaUses):
         return _keep_book(state, event)
+    if isinstance(message, messages.RateWanted):
+        return _lend(state, event)
     if not isinstance(message, messages.AdapterDemands):
         return []
     state.demand.tell(event.peer, message, event.at_ms)
@@ -263,6 +265,20 @@
     return [effects.Send(peer, messages.QuotaSums(state.incarnation, sums))]
 
 
+def _lend(state: _state.State, event: events.MessageReceived) -> Effects:
+    """Lend a gateway requests to an endpoint that has named a limit."""
+    wanted = event.message
+    lent = state.lender.lend(
+        event.peer,
+        wanted.endpoint,
+        wanted.rate_per_s,
+        wanted.wanted,
+        event.at_ms,
+    )
+    answer = messages.RateLent(wanted.endpoint, lent.count, lent.wait_ms)
+    return [effects.Send(event.peer, answer)]
+
+
 def _say_turn(state: _state.State) -> Effects:
     """Say when the model begins or ends to wait for its turn."""
     held_back = state.model_held_back
--- a/berylhollow/loader/_state.py
+++ b/berylhollow/loader/_state.py
@@ -6,6 +6,7 @@
 from berylhollow import events
 from berylhollow.loader import _demand
 from berylhollow import messages
+from berylhollow import rate_limits
 from berylhollow import workspaces
 
 
@@ -109,6 +110,9 @@
     links: dict[str, str] = dataclasses.field(default_factory=dict)
     demand: _demand.Demand = dataclasses.field(default_factory=_demand.Demand)
     book: workspaces.Book = dataclasses.field(default_factory=workspaces.Book)
+    lender: rate_limits.Lender = dataclasses.field(
+        default_factory=rate_limits.Lender
+    )
     incarnation: str = ''
     used_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     order: Order | None = None
--- a/berylhollow/messages.py
+++ b/berylhollow/messages.py
@@ -338,6 +338,30 @@
     sums: tuple[workspaces.Sum, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RateWanted:
+    """A gateway asks for requests to an endpoint that has named a limit.
+
+    ``rate_per_s`` is what the endpoint takes, as the gateway last heard.
+    """
+
+    endpoint: str
+    rate_per_s: float
+    wanted: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RateLent:
+    """How many requests a gateway may send to an endpoint.
+
+    ``wait_ms`` is when there is room again if there is none now.
+    """
+
+    endpoint: str
+    count: int
+    wait_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LogEntry:
     """A record of the platform's log; ``at_ms`` is the log's own clock."""
@@ -453,6 +477,8 @@
     | StreamPart
     | QuotaUses
     | QuotaSums
+    | RateWanted
+    | RateLent
 )
 
 # A tag is never given to another message once it was released.
@@ -481,4 +507,6 @@
     22: StreamPart,
     23: QuotaUses,
     24: QuotaSums,
+    25: RateWanted,
+    26: RateLent,
 }
--- /dev/null
+++ b/berylhollow/rate_limits/__init__.py
@@ -0,0 +1,13 @@
+"""Rate limits that endpoints name, kept over all gateways together."""
+
+from berylhollow.rate_limits._lender import Lender
+from berylhollow.rate_limits._lender import Lent
+from berylhollow.rate_limits._loan import ANSWER_MS
+from berylhollow.rate_limits._loan import Loan
+
+__all__ = [
+    'ANSWER_MS',
+    'Lender',
+    'Lent',
+    'Loan',
+]
