Keep what an endpoint said while its entry lapses

An endpoint with a limit that is off the list for a moment, as entries are in an outage of the store, would get requests without a limit until its first answer. Cause: the word was kept with the row of the list, and the row is dropped when nothing is under way there. Change: words of endpoints that left the list are kept by their start, 256 at most, and come back with the row; a new start has another name and has said nothing.

--- a/berylhollow/gateway/_membership.py
+++ b/berylhollow/gateway/_membership.py
@@ -11,6 +11,7 @@
 from berylhollow.gateway import _crashes
 from berylhollow.gateway import _link_pacing
 from berylhollow.gateway import _model_loads
+from berylhollow.gateway import _notices
 from berylhollow.gateway import _quotas
 from berylhollow.gateway import _sidecars
 from berylhollow.gateway import _state
@@ -111,6 +112,7 @@
                 name, endpoint.instance.service, endpoint.report
             )
             del state.endpoints[name]
+            _notices.forget(state, endpoint)
             _model_loads.forget(state, name, endpoint.instance.service)
             _sidecars.forget(state, name)
             done.append(_gone(endpoint))
@@ -212,6 +214,7 @@
     if endpoint is None:
         endpoint = _state.Endpoint(instance=row, leaving=row.leaving)
         state.endpoints[row.instance] = endpoint
+        _notices.recall(state, endpoint)
         state.placement.add(row.instance, row.service)
         if row.direct:
             return [_told('endpoint listed', row)]
--- a/berylhollow/gateway/_notices.py
+++ b/berylhollow/gateway/_notices.py
@@ -8,6 +8,9 @@
 
 Effects = list[effects.Effect]
 
+MOST_ABSENT = 256
+"""Endpoints off the list whose word is kept."""
+
 
 def received(state: _state.State, event: events.NoticeReceived) -> Effects:
     """Keep the newest word of an endpoint.
@@ -47,6 +50,31 @@
     ]
 
 
+def forget(state: _state.State, endpoint: _state.Endpoint) -> None:
+    """Keep the word of an endpoint that left the list: it may come back.
+
+    Its entry lapses in an outage of the store while it lives.
+    """
+    if endpoint.notice.empty:
+        return
+    name = endpoint.instance.instance
+    state.absent[name] = _state.Word(endpoint.notice, endpoint.notice_sent_ms)
+    if len(state.absent) > MOST_ABSENT:
+        del state.absent[next(iter(state.absent))]
+
+
+def recall(state: _state.State, endpoint: _state.Endpoint) -> None:
+    """Bring back what an endpoint said before it left the list."""
+    name = endpoint.instance.instance
+    word = state.absent.pop(name, None)
+    if word is None:
+        return
+    endpoint.notice = word.notice
+    endpoint.notice_sent_ms = word.sent_ms
+    if word.notice.rate_per_s is not None:
+        state.rate_limited[name] = None
+
+
 def _log(
     text: str,
     endpoint: _state.Endpoint,
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -104,6 +104,14 @@
         return self.usable and at_ms >= self.ejected_until_ms
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Word:
+    """What an endpoint said in an answer to a request sent at ``sent_ms``."""
+
+    notice: events.EndpointNotice
+    sent_ms: int
+
+
 @dataclasses.dataclass(slots=True)
 class Sidecar:
     """The sidecar beside a direct endpoint, which loads its adapters.
@@ -287,7 +295,8 @@
     read of the platform's log, and the first of them what others read;
     ``gateways`` is how many there are, as far as is known. ``token_ms`` is,
     by service, how long a prompt token takes to be read; ``rate_limited`` has
-    the endpoints that name a limit. ``listed_ms`` is
+    the endpoints that name a limit, ``absent`` what those have said that left
+    the list. ``listed_ms`` is
     when the list of instances came that is in use. ``told_revision`` is the
     newest of the configuration that any gateway is known to have had,
     ``started_ms`` when this one began. ``allowances`` has what may be used of
@@ -324,6 +333,7 @@
     gateways: int = 1
     token_ms: dict[str, float] = dataclasses.field(default_factory=dict)
     rate_limited: dict[str, None] = dataclasses.field(default_factory=dict)
+    absent: dict[str, Word] = dataclasses.field(default_factory=dict)
     peers: dict[str, events.Instance] = dataclasses.field(default_factory=dict)
     requests: dict[str, ActiveRequest] = dataclasses.field(
         default_factory=dict
--- a/test/hosted/test_notices.py
+++ b/test/hosted/test_notices.py
@@ -44,6 +44,20 @@
         self.assertEqual([], self.lines())
         self.assertEqual(2.0, self.rate())
 
+    def test_entry_that_lapses_and_returns_ends_no_limit(self):
+        """Entries lapse in outages of the store while endpoints live.
+
+        Guards against an endpoint that gets more than it takes because it
+        was off the list for a moment.
+        """
+        self.say(2.0, sent_ms=100)
+        self.list()
+        self.assertNotIn('i-1', self.state.endpoints)
+        self.list(test_gateway_direct.plain('i-1', '10.0.0.1:80'))
+        self.assertEqual(2.0, self.rate())
+        self.ask(at_ms=200)
+        self.assertEqual([], self.offers())
+
     def test_new_start_has_said_nothing(self):
         self.say(2.0, sent_ms=100)
         self.list(test_gateway_direct.plain('i-1@2', '10.0.0.1:80'))
