Take the number of gateways from the sidecar that sees most of them

Gateways share quotas and rates out by how many they are. Cause: the report heard last decided, also that of a sidecar that has just started and has a link to one gateway only; until the next report every gateway took itself for the only one. Change: of the reports of all open links the highest number counts.

--- a/berylhollow/gateway/_sidecars.py
+++ b/berylhollow/gateway/_sidecars.py
@@ -127,7 +127,11 @@
     sidecar = state.sidecars[event.peer]
     sidecar.report = event.message
     sidecar.heard_ms = event.at_ms
-    state.gateways = max(1, event.message.gateways)
+    # One that has just started has links to few of them yet.
+    reports = (each.report for each in state.sidecars.values())
+    state.gateways = max(
+        report.gateways for report in reports if report is not None
+    )
     state.told_revision = max(state.told_revision or 0, event.message.revision)
     name = state.beside.get(event.peer)
     if name is None:
--- a/test/hosted/test_room.py
+++ b/test/hosted/test_room.py
@@ -91,6 +91,22 @@
         self.ask(at_ms=130)
         self.assertEqual([], self.offers())
 
+    def test_sidecar_that_starts_anew_does_not_make_few_gateways(self):
+        """Guards against gateways that take the whole rate, each alone.
+
+        A sidecar that has just started has a link to one gateway.
+        """
+        self.list(
+            test_gateway_direct.row('i-9', MODEL),
+            test_gateway_direct.row('i-8', SECOND),
+            test_gateway_direct.plain('i-1', FIRST),
+        )
+        other = addresses.beside(SECOND)
+        self.feed(events.LinkOpened(0, other, events.Role.ENDPOINT, 's#1'))
+        self.report(MODEL, gateways=21)
+        self.report(SECOND, gateways=1)
+        self.assertEqual(21, self.state.gateways)
+
     def test_end_of_the_limit_ends_the_wait(self):
         self.ask(at_ms=100)
         self.say(None, at_ms=110)
