Log when an endpoint says in its answers that it leaves

The notice of each answer now has it, and its first one is logged with the age of the answer; nothing decides by it yet. A header that is not understood no longer hides the others of its answer.

--- a/berylhollow/events.py
+++ b/berylhollow/events.py
@@ -331,11 +331,13 @@
 class EndpointNotice:
     """What an endpoint says of itself in an answer.
 
-    ``rate_per_s`` is how many requests a second it takes from all gateways
-    together, None if it names no limit. ``malformed`` holds what was not
-    understood, which says nothing.
+    ``leaving`` tells that it takes no new work any more. ``rate_per_s`` is how
+    many requests a second it takes from all gateways together, None if it
+    names no limit. ``malformed`` holds what was not understood, which says
+    nothing.
     """
 
+    leaving: bool = False
     rate_per_s: float | None = None
     malformed: tuple[str, ...] = ()
 
--- a/berylhollow/gateway/_notices.py
+++ b/berylhollow/gateway/_notices.py
@@ -24,20 +24,51 @@
     before = endpoint.notice
     notice = event.notice
     if notice.malformed:
-        if notice.malformed == before.malformed:
-            return []
-        endpoint.notice = dataclasses.replace(
-            before, malformed=notice.malformed
-        )
-        return [
-            _log('notice not understood', endpoint, event, warning=True),
-            _count(endpoint, 'malformed'),
-        ]
+        notice = dataclasses.replace(notice, rate_per_s=before.rate_per_s)
     endpoint.notice_sent_ms = event.sent_ms
     endpoint.notice = notice
-    if notice.rate_per_s == before.rate_per_s:
+    done = _malformed(endpoint, before, event)
+    done += _leaving(endpoint, before, event)
+    return done + _rate_limit(state, endpoint, before, event)
+
+
+def _malformed(
+    endpoint: _state.Endpoint,
+    before: events.EndpointNotice,
+    event: events.NoticeReceived,
+) -> Effects:
+    notice = endpoint.notice
+    if not notice.malformed or notice.malformed == before.malformed:
+        return []
+    return [
+        _log('notice not understood', endpoint, event, warning=True),
+        _count(endpoint, 'malformed'),
+    ]
+
+
+def _leaving(
+    endpoint: _state.Endpoint,
+    before: events.EndpointNotice,
+    event: events.NoticeReceived,
+) -> Effects:
+    if not endpoint.notice.leaving or before.leaving:
+        return []
+    return [
+        _log('endpoint says that it leaves', endpoint, event),
+        _count(endpoint, 'leaving'),
+    ]
+
+
+def _rate_limit(
+    state: _state.State,
+    endpoint: _state.Endpoint,
+    before: events.EndpointNotice,
+    event: events.NoticeReceived,
+) -> Effects:
+    rate_per_s = endpoint.notice.rate_per_s
+    if rate_per_s == before.rate_per_s:
         return []
-    if notice.rate_per_s is None:
+    if rate_per_s is None:
         state.rate_limited.pop(event.peer, None)
         return [
             _log('endpoint ends its rate limit', endpoint, event),
@@ -84,6 +115,7 @@
     fields = (
         ('endpoint', event.peer),
         ('service', endpoint.instance.service),
+        ('leaving', event.notice.leaving),
         ('rate_per_s', event.notice.rate_per_s),
         ('malformed', ' '.join(event.notice.malformed)),
         ('answer_age_ms', event.at_ms - event.sent_ms),
--- a/berylhollow/platform/_notices.py
+++ b/berylhollow/platform/_notices.py
@@ -5,6 +5,7 @@
 
 from berylhollow import events
 
+LEAVING = 'Server-Leaving'
 RATE_LIMIT = 'Server-Limit'
 
 LARGEST_RATE_PER_S = 1e6
@@ -22,6 +23,7 @@
     """
     malformed: list[str] = []
     return events.EndpointNotice(
+        leaving=_read(headers, LEAVING, _flag, malformed) is not None,
         rate_per_s=_read(headers, RATE_LIMIT, _rate, malformed),
         malformed=tuple(malformed),
     )
@@ -45,6 +47,12 @@
         return None
 
 
+def _flag(text: str) -> float:
+    if text != '1':
+        raise _MalformedError
+    return 1.0
+
+
 def _rate(text: str) -> float:
     rate_per_s = _decimal(text)
     if rate_per_s > LARGEST_RATE_PER_S:
--- a/berylhollow/standin/direct_endpoint.py
+++ b/berylhollow/standin/direct_endpoint.py
@@ -27,8 +27,8 @@
     ``full`` refuses requests, ``fails`` answers 500 after running,
     ``cuts`` breaks the answer off, ``other_id`` answers for another request,
     ``hangs`` never answers, ``unsigned`` leaves the signature out.
-    ``rate_limits`` are the values of the header that names its limit, which
-    stands in every answer.
+    ``rate_limits`` and ``leaving`` are the values of the headers that name
+    its limit and tell that it leaves, which stand in every answer.
     """
 
     full: bool = False
@@ -38,6 +38,7 @@
     hangs: bool = False
     unsigned: bool = False
     rate_limits: tuple[str, ...] = ()
+    leaving: tuple[str, ...] = ()
 
 
 class DirectEndpoint:
@@ -73,6 +74,8 @@
     ) -> None:
         for value in self.faults.rate_limits:
             response.headers.add('Server-Limit', value)
+        for value in self.faults.leaving:
+            response.headers.add('Server-Leaving', value)
 
     def _description(self) -> list[dict]:
         return [
--- a/test/hosted/limited_crowd.py
+++ b/test/hosted/limited_crowd.py
@@ -117,12 +117,9 @@
         rate_per_s = self.limit_of(peer)
         if rate_per_s is not None:
             self.told_ms.setdefault((name, peer), self.now_ms)
-        self.feed_gateway(
-            name,
-            events.NoticeReceived(
-                self.now_ms, peer, sent_ms, events.EndpointNotice(rate_per_s)
-            ),
-        )
+        notice = events.EndpointNotice(rate_per_s=rate_per_s)
+        received = events.NoticeReceived(self.now_ms, peer, sent_ms, notice)
+        self.feed_gateway(name, received)
         super().tell(name, peer, message)
 
     def sent_ms(self, name, attempt_id: str) -> int:
--- a/test/hosted/test_direct_runs.py
+++ b/test/hosted/test_direct_runs.py
@@ -110,10 +110,10 @@
         await super().asyncSetUp()
         await self.begin()
 
-    async def notice_of(self, *rate_limits, **faults):
+    async def notice_of(self, *rate_limits, leaving=(), **faults):
         """Return the notice in the answer to one request."""
         self.endpoint.faults = direct_endpoint.Faults(
-            rate_limits=rate_limits, **faults
+            rate_limits=rate_limits, leaving=leaving, **faults
         )
         self.notices.clear()
         self.send(another=True)
@@ -127,6 +127,20 @@
                 notice = await self.notice_of('2.5', **faults)
                 self.assertEqual(2.5, notice.rate_per_s)
 
+    async def test_leaving_is_read_on_every_answer(self):
+        for fault in (None, 'full', 'fails', 'cuts', 'other_id', 'unsigned'):
+            with self.subTest(fault=fault):
+                faults = {fault: True} if fault else {}
+                notice = await self.notice_of(leaving=('1',), **faults)
+                self.assertTrue(notice.leaving)
+
+    async def test_only_one_word_means_leaving(self):
+        for values in (('0',), ('yes',), ('1', '1'), ('',)):
+            with self.subTest(values=values):
+                notice = await self.notice_of(leaving=values)
+                self.assertFalse(notice.leaving)
+                self.assertTrue(notice.malformed)
+
     async def test_only_the_own_answer_ends_a_limit(self):
         for fault in (None, 'full', 'fails', 'cuts'):
             with self.subTest(fault=fault):
--- a/test/hosted/test_notices.py
+++ b/test/hosted/test_notices.py
@@ -10,8 +10,8 @@
         super().configure()
         self.list(test_gateway_direct.plain('i-1', '10.0.0.1:80'))
 
-    def say(self, rate_per_s=None, sent_ms=0, malformed=()):
-        notice = events.EndpointNotice(rate_per_s, malformed)
+    def say(self, rate_per_s=None, sent_ms=0, **changes):
+        notice = events.EndpointNotice(rate_per_s=rate_per_s, **changes)
         event = events.NoticeReceived(sent_ms + 10, 'i-1', sent_ms, notice)
         return self.feed(event)
 
@@ -44,6 +44,10 @@
         self.assertEqual([], self.lines())
         self.assertEqual(2.0, self.rate())
 
+    def test_other_words_count_beside_what_is_not_understood(self):
+        self.say(leaving=True, malformed=('Limit: x',))
+        self.assertIn('endpoint says that it leaves', self.lines())
+
     def test_entry_that_lapses_and_returns_ends_no_limit(self):
         """Entries lapse in outages of the store while endpoints live.
 
--- a/test/hosted/test_room.py
+++ b/test/hosted/test_room.py
@@ -30,7 +30,7 @@
         self.tick(50)
 
     def say(self, rate_per_s, at_ms=0):
-        notice = events.EndpointNotice(rate_per_s)
+        notice = events.EndpointNotice(rate_per_s=rate_per_s)
         self.feed(events.NoticeReceived(at_ms, 'i-1', at_ms, notice))
 
     def tick(self, at_ms):
