Show that an endpoint's own word to leave is not heeded: failing tests

Requests reached an endpoint 2.6 to 3.7 s after its answers had told the gateways that it leaves, while the store was away.

--- a/test/hosted/limited_crowd.py
+++ b/test/hosted/limited_crowd.py
@@ -26,6 +26,7 @@
 class LimitedLoad(crowd.Load):
     """A load whose first endpoints name a limit for a time.
 
+    The last ones, ``leaving`` of them, say from then on that they leave.
     Every ``burst_ms``, if not 0, ``burst`` requests come at one moment.
     """
 
@@ -35,6 +36,7 @@
     ended_ms: int = UNKNOWN_MS
     burst_ms: int = 0
     burst: int = 0
+    leaving: int = 0
 
 
 class LimitedCrowd(crowd.Crowd):
@@ -47,6 +49,7 @@
     def __init__(self, load: LimitedLoad, **sidecar_options):
         self.told_ms: dict[tuple[str, str], int] = {}
         self.got = collections.defaultdict(list)
+        self.leaving_told_ms: dict[tuple[str, str], int] = {}
         self.cut: set[tuple[str, str]] = set()
         self.excused: set[str] = set()
         super().__init__(load, **sidecar_options)
@@ -80,6 +83,19 @@
             default=0,
         )
 
+    def is_leaving(self, name: str) -> bool:
+        last = list(self.endpoints)[::-1][: self.load.leaving]
+        return name in last and self.now_ms >= self.load.named_ms
+
+    def sent_to_leaving(self) -> list[tuple[int, str]]:
+        """Return what gateways sent to an endpoint after its word."""
+        return [
+            (at_ms, gateway)
+            for (gateway, name), told_ms in self.leaving_told_ms.items()
+            for at_ms, sender in self.got[name]
+            if sender == gateway and at_ms > told_ms + crowd.LINK_MS
+        ]
+
     @property
     def most_over(self) -> float:
         """Return by how much the bound is exceeded at the worst endpoint."""
@@ -117,7 +133,10 @@
         rate_per_s = self.limit_of(peer)
         if rate_per_s is not None:
             self.told_ms.setdefault((name, peer), self.now_ms)
-        notice = events.EndpointNotice(rate_per_s=rate_per_s)
+        leaving = self.is_leaving(peer)
+        if leaving:
+            self.leaving_told_ms.setdefault((name, peer), self.now_ms)
+        notice = events.EndpointNotice(leaving, rate_per_s)
         received = events.NoticeReceived(self.now_ms, peer, sent_ms, notice)
         self.feed_gateway(name, received)
         super().tell(name, peer, message)
--- /dev/null
+++ b/test/hosted/test_leaving.py
@@ -0,0 +1,127 @@
+"""Endpoints that say in their answers that they leave."""
+
+import unittest
+
+from berylhollow import errors
+from berylhollow import events
+from berylhollow import messages
+from test.hosted import limited_crowd
+from test.hosted import test_gateway_direct
+from test import platform_builders as builders
+
+FIRST = '10.0.0.1:80'
+SECOND = '10.0.0.2:80'
+STAYS = test_gateway_direct.plain('i-2', SECOND)
+LEAVES = test_gateway_direct.plain('i-1', FIRST)
+ASKED = 8
+
+
+class LeavingTest(test_gateway_direct.DirectTestCase):
+    """``i-1`` leaves by its answers alone, ``i-2`` stays.
+
+    Guards against requests that reach an endpoint after its own answer has
+    told the gateway that it leaves.
+    """
+
+    def configure(self):
+        super().configure()
+        self.list(LEAVES, STAYS)
+
+    def leave(self, name='i-1', sent_ms=100):
+        notice = events.EndpointNotice(leaving=True)
+        self.feed(events.NoticeReceived(sent_ms + 10, name, sent_ms, notice))
+
+    def chosen(self, at_ms=200):
+        """Return the endpoints that some requests are sent to."""
+        names = set()
+        for _ in range(ASKED):
+            self.ask(at_ms=at_ms)
+            names |= {name for name, _ in self.offers()}
+        return names
+
+    def test_nothing_more_is_sent_there(self):
+        self.leave()
+        self.assertEqual({'i-2'}, self.chosen())
+
+    def test_list_that_says_otherwise_undoes_nothing(self):
+        self.leave()
+        self.list(LEAVES, STAYS, at_ms=150)
+        self.assertEqual({'i-2'}, self.chosen())
+
+    def test_entry_that_lapses_and_returns_undoes_nothing(self):
+        self.leave()
+        self.list(STAYS, at_ms=150)
+        self.list(LEAVES, STAYS, at_ms=160)
+        self.assertEqual({'i-2'}, self.chosen())
+
+    def test_answer_without_the_word_undoes_nothing(self):
+        self.leave()
+        silent = events.EndpointNotice()
+        self.feed(events.NoticeReceived(400, 'i-1', 300, silent))
+        self.assertEqual({'i-2'}, self.chosen(500))
+
+    def test_word_in_an_older_answer_counts(self):
+        """Answers overtake each other; one with the word is enough."""
+        silent = events.EndpointNotice()
+        self.feed(events.NoticeReceived(400, 'i-1', 300, silent))
+        self.leave(sent_ms=100)
+        self.assertEqual({'i-2'}, self.chosen(500))
+
+    def test_new_start_under_the_old_name_is_used(self):
+        self.leave()
+        again = test_gateway_direct.plain('i-1@9', FIRST)
+        self.list(again, STAYS, at_ms=150)
+        self.leave('i-2', sent_ms=160)
+        self.assertEqual({'i-1@9'}, self.chosen())
+
+    def test_repeat_goes_elsewhere(self):
+        self.leave('i-2')
+        self.ask(at_ms=200)
+        self.leave('i-1')
+        self.fail_attempt(errors.Kind.OVERLOADED, at_ms=220)
+        self.feed(events.Ticked(600, 0.5))
+        self.assertEqual([], self.offers())
+
+    def test_refused_at_once_where_all_leave(self):
+        self.leave('i-1')
+        self.leave('i-2')
+        self.ask(at_ms=5000)
+        self.assertIs(errors.Ran.NOT_RUN, self.answer().ran)
+
+
+class WaitingTest(test_gateway_direct.DirectTestCase):
+    def configure(self):
+        super().configure()
+        self.list(
+            test_gateway_direct.row('i-1', FIRST),
+            test_gateway_direct.row('i-2', SECOND),
+        )
+
+    def test_request_that_waits_for_its_adapter_moves_on(self):
+        """Guards against one that is sent on when its adapter is there."""
+        self.ask(test_gateway_direct.MODEL_PATH, adapter='a3')
+        (active,) = self.state.requests.values()
+        name = active.awaiting
+        address = self.state.endpoints[name].instance.address
+        notice = events.EndpointNotice(leaving=True)
+        self.feed(events.NoticeReceived(20, name, 10, notice))
+        adapter = messages.AdapterVersion(builders.adapter_name(), '1')
+        self.report(address, adapter, at_ms=30)
+        self.assertEqual([], self.offers())
+        self.assertNotEqual(name, active.awaiting)
+
+
+class CrowdTest(unittest.TestCase):
+    def test_none_is_sent_to_an_endpoint_that_said_so(self):
+        """The pattern of the incident: the store is away all the time."""
+        load = limited_crowd.LimitedLoad(
+            seed=1,
+            duration_ms=9000,
+            endpoints=5,
+            requests_per_s=20.0,
+            limited=0,
+            leaving=1,
+        )
+        played = limited_crowd.LimitedCrowd(load)
+        played.run()
+        self.assertEqual([], played.sent_to_leaving())
