Leave endpoints alone that ask for a pause with a refusal

Change: the pause of a refusal counts from when it was heard, the latest end of several; the endpoint is not usable until then, over lapses of its entry, and another start has asked for none. Where all endpoints of a service pause, callers are refused at once with the soonest end, a little spread. A time that is negative, huge or a date is ignored with a log line.

The gateway sends endpoints nothing but requests of callers, so that no health question of ours can fall into a pause.

--- a/berylhollow/events.py
+++ b/berylhollow/events.py
@@ -333,12 +333,14 @@
 
     ``leaving`` tells that it takes no new work any more. ``rate_per_s`` is how
     many requests a second it takes from all gateways together, None if it
-    names no limit. ``malformed`` holds what was not understood, which says
-    nothing.
+    names no limit. With ``pause_ms`` it has turned the request away and wants
+    none from this gateway for so long. ``malformed`` holds what was not
+    understood, which says nothing.
     """
 
     leaving: bool = False
     rate_per_s: float | None = None
+    pause_ms: int = 0
     malformed: tuple[str, ...] = ()
 
     @property
--- a/berylhollow/gateway/_attempts.py
+++ b/berylhollow/gateway/_attempts.py
@@ -17,6 +17,7 @@
 from berylhollow.gateway import _decisions
 from berylhollow.gateway import _ejection
 from berylhollow.gateway import _limits
+from berylhollow.gateway import _pauses
 from berylhollow.gateway import _quarantine
 from berylhollow.gateway import _quotas
 from berylhollow.gateway import _rate_limits
@@ -109,8 +110,12 @@
     balancer has nobody else.
     """
     limited = _rate_limits.without_room(state, active, at_ms)
-    if limited:
+    if limited and not active.may_have_run:
         return _no_room(state, active, limited, at_ms)
+    pause_ms = _pauses.wait_ms(state, active, at_ms)
+    if pause_ms and not active.may_have_run:
+        kind = errors.Kind.OVERLOADED
+        return give_up(state, active, kind, errors.Ran.NOT_RUN, pause_ms)
     last = active.last_refusal
     if last is None and at_ms < state.settled_ms:
         active.retry_at_ms = at_ms + state.options.retry_pause_ms
--- a/berylhollow/gateway/_notices.py
+++ b/berylhollow/gateway/_notices.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from berylhollow import clock
 from berylhollow import effects
 from berylhollow import events
 from berylhollow.gateway import _state
@@ -31,7 +32,7 @@
         notice = dataclasses.replace(notice, rate_per_s=before.rate_per_s)
     endpoint.notice_sent_ms = max(endpoint.notice_sent_ms, event.sent_ms)
     endpoint.notice = dataclasses.replace(notice, leaving=leaving)
-    done = _malformed(endpoint, before, event)
+    done = _malformed(endpoint, before, event) + _pause(endpoint, event)
     done += _leaving(endpoint, before, event)
     return done + _rate_limit(state, endpoint, before, event)
 
@@ -64,6 +65,18 @@
     ]
 
 
+def _pause(endpoint: _state.Endpoint, event: events.NoticeReceived) -> Effects:
+    """Take a pause from when it was heard of; none is cut short."""
+    until_ms = event.at_ms + event.notice.pause_ms
+    if not event.notice.pause_ms or until_ms <= endpoint.paused_until_ms:
+        return []
+    endpoint.paused_until_ms = until_ms
+    return [
+        _log('endpoint asks for a pause', endpoint, event),
+        _count(endpoint, 'pause'),
+    ]
+
+
 def _rate_limit(
     state: _state.State,
     endpoint: _state.Endpoint,
@@ -91,10 +104,12 @@
 
     Its entry lapses in an outage of the store while it lives.
     """
-    if endpoint.notice.empty:
+    if endpoint.notice_sent_ms == clock.NEVER_MS:
         return
     name = endpoint.instance.instance
-    state.absent[name] = _state.Word(endpoint.notice, endpoint.notice_sent_ms)
+    state.absent[name] = _state.Word(
+        endpoint.notice, endpoint.notice_sent_ms, endpoint.paused_until_ms
+    )
     if len(state.absent) > MOST_ABSENT:
         del state.absent[next(iter(state.absent))]
 
@@ -107,6 +122,7 @@
         return
     endpoint.notice = word.notice
     endpoint.notice_sent_ms = word.sent_ms
+    endpoint.paused_until_ms = word.paused_until_ms
     endpoint.leaving = endpoint.leaving or word.notice.leaving
     if word.notice.rate_per_s is not None:
         state.rate_limited[name] = None
@@ -123,6 +139,7 @@
         ('service', endpoint.instance.service),
         ('leaving', event.notice.leaving),
         ('rate_per_s', event.notice.rate_per_s),
+        ('pause_ms', event.notice.pause_ms),
         ('malformed', ' '.join(event.notice.malformed)),
         ('answer_age_ms', event.at_ms - event.sent_ms),
     )
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -46,7 +46,7 @@
     fingerprints of requests whose run there was cut off, and when.
     ``notice`` is what it last said of itself in an answer to a request that
     was sent at ``notice_sent_ms``, ``loan`` what we may send it while it
-    names a limit.
+    names a limit. It wants no request before ``paused_until_ms``.
     ``leaving`` stays for good: it has said so itself, or was found to be
     over. ``listed`` and ``superseded`` are what the newest list says, which
     may be mended: an entry lapses while its endpoint lives, and one of
@@ -74,6 +74,7 @@
     ejected_until_ms: int = 0
     notice: events.EndpointNotice = events.EndpointNotice()
     notice_sent_ms: int = clock.NEVER_MS
+    paused_until_ms: int = clock.NEVER_MS
     loan: rate_limits.Loan = dataclasses.field(
         default_factory=rate_limits.Loan
     )
@@ -100,8 +101,9 @@
         return self.report.ready
 
     def usable_at(self, at_ms: int) -> bool:
-        """Tell whether the endpoint is usable and not ejected."""
-        return self.usable and at_ms >= self.ejected_until_ms
+        """Tell whether the endpoint is usable, not ejected or in a pause."""
+        resumes_ms = max(self.ejected_until_ms, self.paused_until_ms)
+        return self.usable and at_ms >= resumes_ms
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -110,6 +112,7 @@
 
     notice: events.EndpointNotice
     sent_ms: int
+    paused_until_ms: int
 
 
 @dataclasses.dataclass(slots=True)
--- a/berylhollow/platform/_runs.py
+++ b/berylhollow/platform/_runs.py
@@ -182,7 +182,7 @@
     """
     if not_run is NotRun.ANOTHER_INSTANCE:
         return None
-    notice = _notices.decode(response.headers)
+    notice = _notices.decode(response.status, response.headers)
     if notice.empty and not proven:
         return None
     return notice
--- a/berylhollow/standin/direct_endpoint.py
+++ b/berylhollow/standin/direct_endpoint.py
@@ -28,7 +28,8 @@
     ``cuts`` breaks the answer off, ``other_id`` answers for another request,
     ``hangs`` never answers, ``unsigned`` leaves the signature out.
     ``rate_limits`` and ``leaving`` are the values of the headers that name
-    its limit and tell that it leaves, which stand in every answer.
+    its limit and tell that it leaves, which stand in every answer; ``pauses``
+    those of the header that asks for a pause.
     """
 
     full: bool = False
@@ -39,6 +40,7 @@
     unsigned: bool = False
     rate_limits: tuple[str, ...] = ()
     leaving: tuple[str, ...] = ()
+    pauses: tuple[str, ...] = ()
 
 
 class DirectEndpoint:
@@ -76,6 +78,8 @@
             response.headers.add('Server-Limit', value)
         for value in self.faults.leaving:
             response.headers.add('Server-Leaving', value)
+        for value in self.faults.pauses:
+            response.headers.add('Retry-After', value)
 
     def _description(self) -> list[dict]:
         return [
--- a/test/hosted/test_direct_runs.py
+++ b/test/hosted/test_direct_runs.py
@@ -110,10 +110,10 @@
         await super().asyncSetUp()
         await self.begin()
 
-    async def notice_of(self, *rate_limits, leaving=(), **faults):
+    async def notice_of(self, *rate_limits, **faults):
         """Return the notice in the answer to one request."""
         self.endpoint.faults = direct_endpoint.Faults(
-            rate_limits=rate_limits, leaving=leaving, **faults
+            rate_limits=rate_limits, **faults
         )
         self.notices.clear()
         self.send(another=True)
@@ -141,6 +141,21 @@
                 self.assertFalse(notice.leaving)
                 self.assertTrue(notice.malformed)
 
+    async def test_pause_is_read_of_refusals_alone(self):
+        for value, pause_ms in (('1.5', 1500), ('2', 2000), ('0.0004', 1)):
+            with self.subTest(value=value):
+                notice = await self.notice_of(full=True, pauses=(value,))
+                self.assertEqual(pause_ms, notice.pause_ms)
+        notice = await self.notice_of(pauses=('2',))
+        self.assertEqual(0, notice.pause_ms)
+
+    async def test_what_is_no_pause_asks_for_none(self):
+        for value in ('-1', '9' * 9, 'Thu, 03 Dec 2026 10:00:00 GMT', ''):
+            with self.subTest(value=value):
+                notice = await self.notice_of(full=True, pauses=(value,))
+                self.assertEqual(0, notice.pause_ms)
+                self.assertTrue(notice.malformed)
+
     async def test_only_the_own_answer_ends_a_limit(self):
         for fault in (None, 'full', 'fails', 'cuts'):
             with self.subTest(fault=fault):
