Let the soak's endpoints name rates, leave and pause by their answers

Three promises check what endpoints got against what callers had been answered, with the users' bounds; a gateway that was replaced or stood still since is excused, one that lost links or the store is not.

--- a/test/soak/test_promises.py
+++ b/test/soak/test_promises.py
@@ -18,6 +18,7 @@
     def setUp(self):
         self.exchanges = []
         self.runs = []
+        self.arrivals = []
         self.operator = types.SimpleNamespace(
             key=KEY,
             taken_away={},
@@ -27,10 +28,11 @@
         self.schedule = types.SimpleNamespace(
             faults=[],
             left={},
+            words=[],
             world=types.SimpleNamespace(gateways=[GATEWAY]),
         )
 
-    def request(self, sent=100.0, status=200, ran=1, **changes):
+    def request(self, sent=100.0, status=200, ran=1, paused=False, **changes):
         """Add a request that ran so often; return its id."""
         request_id = f'id-{len(self.exchanges)}'
         values = {
@@ -60,15 +62,33 @@
                 'headers': headers,
             }
         ] * ran
+        self.arrivals.append(
+            {
+                'got': request_id,
+                'at': sent + 0.01,
+                'instance': 'i-p0',
+                'paused': paused,
+            }
+        )
         return request_id
 
+    def word(self, kind, value=0.0, since=100.0, until=200.0):
+        self.schedule.words = [
+            _schedule.Word(kind, 'i-p0', since, value, until)
+        ]
+
     def fault(self, kind, target, since, until):
         fault = _schedule.Fault(kind, target, since, until)
         self.schedule.faults.append(fault)
 
     def verdict(self, name):
         account = _promises.Account(
-            self.exchanges, self.runs, self.operator, self.schedule, 0.0
+            self.exchanges,
+            self.runs,
+            self.operator,
+            self.schedule,
+            0.0,
+            self.arrivals,
         )
         return account.verdicts()[name]
 
@@ -150,6 +170,36 @@
         self.request(7.5, key=_operator.LIMITED_KEY)
         self.check('quota in every window', 75, 1)
 
+    def test_rate_that_is_exceeded(self):
+        """One a second: eleven may come in 4 s, from 3 s on."""
+        self.word('rate', 1.0)
+        for number in range(11):
+            self.request(100.0 + number / 10)
+        self.check('rate over all gateways', 0, 0)
+        for number in range(12):
+            self.request(104.0 + number / 10)
+        self.check('rate over all gateways', 12, 1)
+        self.fault('kill', GATEWAY, 103.0, 103.5)
+        self.check('rate over all gateways', 0, 0)
+
+    def test_request_after_an_answer_that_told_of_leaving(self):
+        self.word('leaving')
+        self.request(100.0)
+        self.request(102.0)
+        self.request(103.0)
+        self.check('nothing after leaving by answers', 2, 1)
+        self.fault('freeze', GATEWAY, 101.0, 102.0)
+        self.check('nothing after leaving by answers', 2, 0)
+
+    def test_requests_in_a_pause(self):
+        self.word('pause', 2.0, until=100.3)
+        self.request(100.0, status=503, ran=0, paused=True)
+        for sent in (100.4, 100.7, 101.0, 102.1):
+            self.request(sent)
+        self.check('pause is kept', 3, 0)
+        self.request(101.5)
+        self.check('pause is kept', 4, 1)
+
     def test_callers_who_are_not_served_after_all(self):
         for number in range(10):
             self.request(status=200 if number else 503)
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -55,6 +55,7 @@
             operator,
             schedule,
             time.monotonic() - CALM_S / 3,
+            world.arrivals(),
         )
         verdicts = account.verdicts()
         _tell(seed, account, verdicts, folder)
--- a/tools/soak/_promises.py
+++ b/tools/soak/_promises.py
@@ -12,6 +12,13 @@
 SUPERSEDED_S = 5.0
 """Within which a new version of an adapter is in use everywhere."""
 
+RATE_WINDOW_S = 4
+RATE_SHARE = 1.5
+RATE_SLACK = 5
+PAUSE_SLACK = 2
+TOLD_S = 0.5
+"""After an answer was passed on, what it says of its endpoint counts."""
+
 SERVED_SHARE = 0.8
 """Of what was asked in the last, calm seconds."""
 
@@ -39,12 +46,14 @@
         operator: _operator.Operator,
         schedule: _schedule.Schedule,
         calm_since: float,
+        arrivals: list[dict] = (),
     ):
         self.exchanges = [e for e in exchanges if e.ended]
         self.by_id = {e.request_id: e for e in self.exchanges}
         self.operator = operator
         self.schedule = schedule
         self.calm_since = calm_since
+        self.arrivals = sorted(arrivals, key=lambda line: line['at'])
         self.runs: dict[str, list[dict]] = collections.defaultdict(list)
         for run in runs:
             self.runs[run['ran']].append(run)
@@ -66,6 +75,9 @@
                 ('workspace_of_the_key', self.workspace),
                 ('key_goes_nowhere', self.key_goes_nowhere),
                 ('quota_in_every_window', self.quota),
+                ('rate_over_all_gateways', self.rate),
+                ('nothing_after_leaving_by_answers', self.leaving_by_answers),
+                ('pause_is_kept', self.pause),
                 ('served_after_all', self.served),
             )
         }
@@ -253,6 +265,94 @@
         most = rate * _world.QUOTA_WINDOW_S + rate
         return most * (1 + _world.QUOTA_OVERRUN) + _world.QUOTA_SLACK
 
+    def _got(self, word: _schedule.Word):
+        """Yield what an endpoint got since it said something, and from whom.
+
+        With each arrival comes when its gateway had passed on an answer to
+        one that came since then, None if it had not.
+        """
+        told: dict[str, float] = {}
+        passed = []
+        for line in self.arrivals:
+            exchange = self.by_id.get(line['got'])
+            if exchange is None or line['instance'] != word.instance:
+                continue
+            if not word.since <= line['at'] < (word.until or line['at'] + 1):
+                continue
+            passed.append((exchange.ended, exchange.gateway))
+            passed.sort()
+            while passed and passed[0][0] < line['at']:
+                ended, gateway = passed.pop(0)
+                told.setdefault(gateway, ended)
+            yield line['at'], exchange, told.get(exchange.gateway)
+
+    def _words(self, kind: str) -> list[_schedule.Word]:
+        return [x for x in self.schedule.words if x.kind == kind]
+
+    def rate(self) -> Verdict:
+        """Summed over gateways that knew and were not replaced since."""
+        verdict = Verdict()
+        for word in self._words('rate'):
+            counted: collections.deque = collections.deque()
+            for at, exchange, told in self._got(word):
+                late = at >= word.since + _world.CONTACT_MS / 1000
+                if not late or told is None or at < told + TOLD_S:
+                    continue
+                if not self._undisturbed(exchange.gateway, told, at):
+                    continue
+                counted.append(at)
+                while counted[0] <= at - RATE_WINDOW_S:
+                    counted.popleft()
+                most = RATE_SHARE * word.value * RATE_WINDOW_S + RATE_SLACK
+                verdict.check(len(counted) <= most, exchange.request_id)
+        return verdict
+
+    def leaving_by_answers(self) -> Verdict:
+        verdict = Verdict()
+        for word in self._words('leaving'):
+            for at, exchange, told in self._got(word):
+                if told is None:
+                    continue
+                late = exchange.sent > told + _world.DRAIN_MS / 1000
+                held = not late or not self._undisturbed(
+                    exchange.gateway, told, at
+                )
+                verdict.check(held, exchange.request_id)
+        return verdict
+
+    def pause(self) -> Verdict:
+        """Two requests at most until the end, half a second after it began."""
+        verdict = Verdict()
+        for word in self._words('pause'):
+            ends: dict[str, list[float]] = collections.defaultdict(list)
+            for line in self.arrivals:
+                exchange = self.by_id.get(line['got'])
+                if exchange is None or line['instance'] != word.instance:
+                    continue
+                at, gateway = line['at'], exchange.gateway
+                in_pause = [
+                    since
+                    for since in ends[gateway]
+                    if since + TOLD_S < at < since + word.value
+                ]
+                if in_pause and self._undisturbed(gateway, in_pause[0], at):
+                    ends[f'{gateway} got'].append(at)
+                    few = len(ends[f'{gateway} got']) <= PAUSE_SLACK
+                    verdict.check(few, exchange.request_id)
+                if line['paused'] and word.since <= at < word.until + 0.1:
+                    verdict.asked += 1
+                    ends[gateway].append(at)
+        return verdict
+
+    def _undisturbed(self, name: str, since: float, until: float) -> bool:
+        """Tell whether a gateway was not replaced or frozen since."""
+        return not any(
+            fault.target == name
+            and fault.since < until
+            and (fault.until or until) > since
+            for fault in self.schedule.faults
+        )
+
     def served(self) -> Verdict:
         """In the calm seconds at the end most of what is allowed is served."""
         verdict = Verdict()
--- a/tools/soak/_schedule.py
+++ b/tools/soak/_schedule.py
@@ -27,6 +27,20 @@
     until: float | None = None
 
 
+@dataclasses.dataclass
+class Word:
+    """What an endpoint said in its answers, from one time to another.
+
+    ``value`` is a rate or a pause in seconds; leaving has none.
+    """
+
+    kind: str
+    instance: str
+    since: float
+    value: float = 0.0
+    until: float | None = None
+
+
 class Schedule:
     """Faults one after the other and overlapping, for ``duration_s``."""
 
@@ -43,6 +57,7 @@
         self.duration_s = duration_s
         self.faults: list[Fault] = []
         self.left: dict[str, float] = {}
+        self.words: list[Word] = []
         self.kinds: list[collections.abc.Callable] = [
             self.kill,
             self.freeze,
@@ -58,6 +73,9 @@
             self.limit,
             self.version,
             self.nonsense,
+            self.name_rate,
+            self.leave_by_answers,
+            self.ask_for_pause,
         ]
 
     async def play(self) -> None:
@@ -211,6 +229,65 @@
         name = names[0]
         self.left[name] = await self.world.leave(name)
 
+    def _speaker(self, names: list[str]) -> str | None:
+        """Return an endpoint that has nothing to say and no fault."""
+        saying = {x.instance for x in self.words if x.until is None}
+        free = [
+            name
+            for name in names
+            if self._free(name)
+            and name not in self.left
+            and f'i-{name}' not in saying
+        ]
+        return self.chance.choice(free) if free else None
+
+    async def name_rate(self) -> None:
+        """An endpoint names a rate that it takes, and ends it."""
+        name = self._speaker([*self.world.models, *self.world.plain])
+        if name is None:
+            return
+        rate = self.chance.choice((0.5, 1, 3))
+        fault = Fault('rate', name, time.monotonic())
+        self.faults.append(fault)
+        at = await self.world.notices(name, rate_limits=[str(rate)])
+        word = Word('rate', f'i-{name}', at, rate)
+        self.words.append(word)
+        await asyncio.sleep(self.chance.uniform(6, 12))
+        word.until = await self.world.notices(name, rate_limits=[])
+        fault.until = time.monotonic()
+
+    async def ask_for_pause(self) -> None:
+        """An endpoint turns requests away for a moment and wants a pause."""
+        name = self._speaker(self.world.plain)
+        if name is None:
+            return
+        pause_s = self.chance.choice((1.5, 3))
+        fault = Fault('pause', name, time.monotonic())
+        self.faults.append(fault)
+        at = await self.world.notices(name, full=True, pauses=[str(pause_s)])
+        word = Word('pause', f'i-{name}', at, pause_s)
+        self.words.append(word)
+        await asyncio.sleep(0.3)
+        word.until = await self.world.notices(name, full=False, pauses=[])
+        fault.until = time.monotonic()
+
+    async def leave_by_answers(self) -> None:
+        """An endpoint leaves by its answers alone, and starts anew later."""
+        staying = [n for n in self.world.plain if n not in self.left]
+        name = self._speaker(staying)
+        if name is None or len(staying) < 2:
+            return
+        fault = Fault('leave by answers', name, time.monotonic())
+        self.faults.append(fault)
+        at = await self.world.notices(name, leaving=['1'])
+        word = Word('leaving', f'i-{name}', at)
+        self.words.append(word)
+        await asyncio.sleep(self.chance.uniform(4, 9))
+        await self.world.replace(name)
+        word.until = time.monotonic()
+        await self.world.start_endpoint(name)
+        fault.until = time.monotonic()
+
     async def keys(self) -> None:
         await self.operator.replace_key()
 
--- a/tools/soak/_standins.py
+++ b/tools/soak/_standins.py
@@ -66,6 +66,7 @@
     def add_to(self, application: web.Application) -> None:
         application.router.add_post('/control/leave', self._leave)
         application.router.add_post('/control/newest', self._newest)
+        application.router.add_post('/control/notices', self._set_notices)
         super().add_to(application)
 
     async def _leave(self, _request: web.Request) -> web.Response:
@@ -79,6 +80,21 @@
         self.newest.update(await request.json())
         return web.json_response({})
 
+    async def _set_notices(self, request: web.Request) -> web.Response:
+        """Say from now on what is given, in every answer."""
+        for name, value in (await request.json()).items():
+            kept = tuple(value) if isinstance(value, list) else value
+            setattr(self.faults, name, kept)
+        return web.json_response({'at': time.monotonic()})
+
+    async def _request(self, request) -> web.StreamResponse:
+        say(
+            got=request.headers.get('Request-Id', ''),
+            instance=self.instance,
+            paused=bool(self.faults.full and self.faults.pauses),
+        )
+        return await super()._request(request)
+
     async def _answer(self, request, headers) -> web.StreamResponse:
         ran = self.ran.pop()
         say(
--- a/tools/soak/_world.py
+++ b/tools/soak/_world.py
@@ -254,8 +254,15 @@
 
     async def leave(self, name: str) -> float:
         """Have an endpoint list that it leaves; return when it was taken."""
-        url = f'http://{self.host(name)}:{self.endpoint_port}/control/leave'
-        async with self.session.post(url) as response:
+        return await self._tell(name, 'leave', {})
+
+    async def notices(self, name: str, **faults) -> float:
+        """Have an endpoint say something in its answers; return when."""
+        return await self._tell(name, 'notices', faults)
+
+    async def _tell(self, name: str, what: str, given: dict) -> float:
+        url = f'http://{self.host(name)}:{self.endpoint_port}/control/{what}'
+        async with self.session.post(url, json=given) as response:
             return (await response.json())['at']
 
     async def ready(self, name: str) -> bool:
@@ -278,12 +285,19 @@
 
     def runs(self) -> list[dict]:
         """Return what all endpoints have said that they ran."""
+        return self._lines('ran')
+
+    def arrivals(self) -> list[dict]:
+        """Return what endpoints have got, whether they ran it or not."""
+        return self._lines('got')
+
+    def _lines(self, word: str) -> list[dict]:
         everything = [*self.processes.values(), *self.ended]
         return [
             line
             for process in everything
             for line in process.lines
-            if 'ran' in line
+            if word in line
         ]
 
     def logs(self) -> None:
