Let an engine's refusal be heard before its status ends a run

Cause: a run is sent for the epoch that the sidecar knows. The new engine refuses it at once as not run, but where the status of the new epoch is read while that refusal is on its way, everything under way is given up as unknown, this run with it.

Change: a run without a head at the change of epoch is given up half a second later, unless its own call ends before, and with what that says; what had begun to answer ends at once as before. A crash that was told with the epoch is not told again by such a call.

Why it holds: refusals come within a round trip, and a refusal that says not run is tried again as before; an unknown end is not, so that no culprit walks.

test_status_does_not_overtake_the_refusal_of_a_new_engine fails before. test_restarted_engine_holds_nothing asked for the failure in the same event; it now lets the half second pass and asks for the outcome, unknown, besides: what it guards, that nothing of the old table is used, is asked as before.

--- a/berylhollow/sidecar/_reducer.py
+++ b/berylhollow/sidecar/_reducer.py
@@ -47,6 +47,7 @@
     done += _orphans.tick(state, at_ms)
     done += _follow(state, at_ms)
     done += _takeover.tick(state, at_ms)
+    done += _runs.tick(state, at_ms)
     done += _runs.dispatch(state, at_ms)
     done += _loads.order(state, at_ms)
     done += _reports.tick(state, at_ms)
--- a/berylhollow/sidecar/_runs.py
+++ b/berylhollow/sidecar/_runs.py
@@ -16,6 +16,10 @@
 Effects = list[effects.Effect]
 FIRST_ERROR_STATUS = 400
 
+LAST_WORD_MS = 500
+"""How long a run without a head is waited for when its engine is gone: a new
+one refuses at once what was sent to the one before."""
+
 
 def dispatch(state: _state.State, at_ms: int) -> Effects:
     """Give waiting attempts to the endpoint while there is room."""
@@ -87,7 +91,7 @@
     if attempt is None:
         return []
     done: Effects = []
-    if event.crashed:
+    if event.crashed and attempt.lost_ms is None:
         done = _isolation.crashed(state, event.at_ms)
     outcome = messages.Failed(event.attempt_id, event.kind, event.ran)
     done += _tell(state, attempt, outcome, event.at_ms)
@@ -133,21 +137,45 @@
 
 
 def all_lost(state: _state.State, at_ms: int) -> Effects:
-    """End every run: the engine that ran them is gone."""
+    """End the runs of an engine that is gone.
+
+    One without a head may have been sent to the new engine, which refuses
+    it; the status overtakes that refusal.
+    """
     done = _isolation.crashed(state, at_ms)
     for attempt_id in sorted(state.running):
         attempt = state.attempts[attempt_id]
         attempt.slot = None
-        if attempt.phase is _state.Phase.ENDED:
-            continue
-        outcome = messages.Failed(
-            attempt_id, errors.Kind.ENGINE_RESTARTED, errors.Ran.UNKNOWN
-        )
-        done += _tell(state, attempt, outcome, at_ms)
-    state.running.clear()
+        unheard = attempt.started is None and not state.options.plain
+        if unheard and attempt.phase is _state.Phase.RUNNING:
+            attempt.lost_ms = at_ms + LAST_WORD_MS
+        else:
+            done += _lost(state, attempt, at_ms)
+    return done
+
+
+def tick(state: _state.State, at_ms: int) -> Effects:
+    """Give up what an engine that is gone has not answered."""
+    done: Effects = []
+    for attempt_id in sorted(state.running):
+        attempt = state.attempts[attempt_id]
+        if attempt.lost_ms is not None and at_ms >= attempt.lost_ms:
+            done += _lost(state, attempt, at_ms)
     return done
 
 
+def _lost(state: _state.State, attempt: _state.Attempt, at_ms: int) -> Effects:
+    state.running.discard(attempt.offer.attempt_id)
+    if attempt.phase is _state.Phase.ENDED:
+        return []
+    outcome = messages.Failed(
+        attempt.offer.attempt_id,
+        errors.Kind.ENGINE_RESTARTED,
+        errors.Ran.UNKNOWN,
+    )
+    return _tell(state, attempt, outcome, at_ms)
+
+
 def _begin(
     state: _state.State, attempt: _state.Attempt, at_ms: int
 ) -> Effects:
--- a/berylhollow/sidecar/_state.py
+++ b/berylhollow/sidecar/_state.py
@@ -70,8 +70,9 @@
     """One attempt that a gateway offered.
 
     ``stalled_ms`` is how long it waited for its adapter to be loaded,
-    up to ``began_ms`` or its end. ``unlinked_ms`` is when the link of
-    its gateway was lost, None once the gateway has resumed it.
+    up to ``began_ms`` or its end. ``lost_ms`` is when it is given up with the
+    engine that it was sent to, None while that lives. ``unlinked_ms`` is when
+    the link of its gateway was lost, None once the gateway has resumed it.
     """
 
     offer: messages.Offer
@@ -87,6 +88,7 @@
     stalled_ms: int = 0
     cancelled: bool = False
     isolate: bool = False
+    lost_ms: int | None = None
     unlinked_ms: int | None = None
 
 
--- a/test/test_sidecar.py
+++ b/test/test_sidecar.py
@@ -6,6 +6,7 @@
 from berylhollow import messages
 from berylhollow import sidecar
 from berylhollow.sidecar import _pauses
+from berylhollow.sidecar import _runs
 from test import builders
 from test import helper
 
@@ -62,7 +63,9 @@
         """
         self.run_offer()
         self.feed(builders.engine_status('epoch-2', at_ms=10))
+        self.feed(events.Ticked(10 + _runs.LAST_WORD_MS))
         self.assertIs(errors.Kind.ENGINE_RESTARTED, self.failure().kind)
+        self.assertIs(errors.Ran.UNKNOWN, self.failure().ran)
         self.offer('r2.1')
         self.assertEqual([], self.of_type(effects.StartRun))
         self.assertEqual(1, len(self.of_type(effects.LoadAdapter)))
@@ -229,6 +232,37 @@
         )
         self.assertEqual(1, len(self.of_type(effects.ReadStatus)))
 
+    def test_status_does_not_overtake_the_refusal_of_a_new_engine(self):
+        """Guards against "may have run" for what the new engine refused.
+
+        It was sent to the engine before, which had restarted; the status of
+        the new one was read while the refusal was on its way.
+        """
+        self.run_offer()
+        self.feed(builders.engine_status('epoch-2', at_ms=10))
+        self.assertEqual([], self.sent(messages.Failed))
+        self.feed(
+            events.RunFailed(
+                12, 'r1.1', errors.Kind.ENGINE_RESTARTED, errors.Ran.NOT_RUN
+            )
+        )
+        self.assertIs(errors.Ran.NOT_RUN, self.failure().ran)
+
+    def test_run_lost_with_its_engine_is_one_crash(self):
+        """Guards against a crash that counts in both epochs."""
+        self.run_offer()
+        self.feed(builders.engine_status('epoch-2', at_ms=10))
+        told = len(self.sent(messages.Crashed))
+        lost = events.RunFailed(
+            12,
+            'r1.1',
+            errors.Kind.ENDPOINT_FAILED,
+            errors.Ran.UNKNOWN,
+            crashed=True,
+        )
+        self.feed(lost)
+        self.assertEqual(0 if told else 1, len(self.sent(messages.Crashed)))
+
     def test_an_ended_attempt_is_remembered_while_its_cancel_is_open(self):
         """A sidecar dies when its engine comes back after a long hang.
 
