--- a/Makefile
+++ b/Makefile
@@ -67,6 +67,10 @@
 
 SEED ?= 1
 SECONDS ?= 40
-.PHONY: soak
+SHORT_SECONDS := 15
+.PHONY: soak soak-short
 soak: $(READY)
 	$(BIN)/python -m tools.soak $(SEED) --seconds $(SECONDS)
+
+soak-short: $(READY)
+	$(BIN)/python -m tools.soak 1 --seconds $(SHORT_SECONDS)
