Ask for the store's eras without a second read by the clock

Cause: a read is made again after 20 ms of real time in this file, and on a busy machine the second read took the answer that was meant for the next one.

--- a/test/platform/test_store.py
+++ b/test/platform/test_store.py
@@ -123,6 +123,10 @@
 
 
 class EraTest(StoreTestCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.client.hedge_ms = NEVER_MS
+
     async def test_era_of_each_answer_is_told(self):
         self.answers += [well, of_era('3')]
         eras = [(await self.client.read(STREAM, 7)).era for _ in range(2)]
