Ask which endpoints are chosen in one place of the tests

The loop stood twice, in the tests of leaving and of pauses. Both and the other tests of the gateway before direct endpoints pass as before.

--- a/test/hosted/test_gateway_direct.py
+++ b/test/hosted/test_gateway_direct.py
@@ -15,6 +15,7 @@
 MODEL_PATH = '/lohu930/x'
 PLAIN_PATH = '/puxa403/x'
 PORT = 7380
+ASKED = 8
 
 
 def row(name, address, service=builders.MODEL_SERVICE, **changes):
@@ -98,6 +99,14 @@
         (offer,) = self.offers()
         return offer
 
+    def chosen(self, at_ms=200):
+        """Return the endpoints that some requests are sent to."""
+        names = set()
+        for _ in range(ASKED):
+            self.ask(at_ms=at_ms)
+            names |= {name for name, _ in self.offers()}
+        return names
+
     def fail_attempt(self, kind, ran=errors.Ran.NOT_RUN, at_ms=0):
         peer, offer = self.offered()
         failed = messages.Failed(offer.attempt_id, kind, ran)
--- a/test/hosted/test_leaving.py
+++ b/test/hosted/test_leaving.py
@@ -13,7 +13,6 @@
 SECOND = '10.0.0.2:80'
 STAYS = test_gateway_direct.plain('i-2', SECOND)
 LEAVES = test_gateway_direct.plain('i-1', FIRST)
-ASKED = 8
 
 
 class LeavingTest(test_gateway_direct.DirectTestCase):
@@ -31,14 +30,6 @@
         notice = events.EndpointNotice(leaving=True)
         self.feed(events.NoticeReceived(sent_ms + 10, name, sent_ms, notice))
 
-    def chosen(self, at_ms=200):
-        """Return the endpoints that some requests are sent to."""
-        names = set()
-        for _ in range(ASKED):
-            self.ask(at_ms=at_ms)
-            names |= {name for name, _ in self.offers()}
-        return names
-
     def test_nothing_more_is_sent_there(self):
         self.leave()
         self.assertEqual({'i-2'}, self.chosen())
--- a/test/hosted/test_pauses.py
+++ b/test/hosted/test_pauses.py
@@ -12,7 +12,6 @@
     test_gateway_direct.plain('i-1', FIRST),
     test_gateway_direct.plain('i-2', SECOND),
 )
-ASKED = 8
 
 
 class PauseTest(test_gateway_direct.DirectTestCase):
@@ -26,14 +25,6 @@
         notice = events.EndpointNotice(pause_ms=pause_ms)
         self.feed(events.NoticeReceived(at_ms, name, sent_ms, notice))
 
-    def chosen(self, at_ms):
-        """Return the endpoints that some requests are sent to."""
-        names = set()
-        for _ in range(ASKED):
-            self.ask(at_ms=at_ms)
-            names |= {name for name, _ in self.offers()}
-        return names
-
     def test_nothing_is_sent_until_the_end_of_the_pause(self):
         self.pause('i-1', 1500)
         for at_ms, names in ((200, {'i-2'}), (1600, {'i-2'})):
