Count each gateway that an endpoint's leaving word had reached

The soak counted a question only where a request arrived after the word, so that a promise that was kept looked as if it had never been asked. Each gateway that was told, with time left to send more, is one question now; what arrives late is broken as before.

--- a/tools/soak/_promises.py
+++ b/tools/soak/_promises.py
@@ -265,26 +265,22 @@
         most = rate * _world.QUOTA_WINDOW_S + rate
         return most * (1 + _world.QUOTA_OVERRUN) + _world.QUOTA_SLACK
 
-    def _got(self, word: _schedule.Word):
-        """Yield what an endpoint got since it said something, and from whom.
-
-        With each arrival comes when its gateway had passed on an answer to
-        one that came since then, None if it had not.
-        """
-        told: dict[str, float] = {}
-        passed = []
+    def _arrived(self, word: _schedule.Word):
+        """Yield what an endpoint got while it said something."""
         for line in self.arrivals:
             exchange = self.by_id.get(line['got'])
             if exchange is None or line['instance'] != word.instance:
                 continue
-            if not word.since <= line['at'] < (word.until or line['at'] + 1):
-                continue
-            passed.append((exchange.ended, exchange.gateway))
-            passed.sort()
-            while passed and passed[0][0] < line['at']:
-                ended, gateway = passed.pop(0)
-                told.setdefault(gateway, ended)
-            yield line['at'], exchange, told.get(exchange.gateway)
+            if word.since <= line['at'] < (word.until or line['at'] + 1):
+                yield line['at'], exchange
+
+    def _told(self, word: _schedule.Word) -> dict[str, float]:
+        """Return when each gateway had first passed on an answer with it."""
+        told: dict[str, float] = {}
+        for _, exchange in self._arrived(word):
+            earliest = told.get(exchange.gateway, exchange.ended)
+            told[exchange.gateway] = min(earliest, exchange.ended)
+        return told
 
     def _words(self, kind: str) -> list[_schedule.Word]:
         return [x for x in self.schedule.words if x.kind == kind]
@@ -293,10 +289,12 @@
         """Summed over gateways that knew and were not replaced since."""
         verdict = Verdict()
         for word in self._words('rate'):
+            told_at = self._told(word)
             counted: collections.deque = collections.deque()
-            for at, exchange, told in self._got(word):
+            for at, exchange in self._arrived(word):
+                told = told_at[exchange.gateway]
                 late = at >= word.since + _world.CONTACT_MS / 1000
-                if not late or told is None or at < told + TOLD_S:
+                if not late or at < told + TOLD_S:
                     continue
                 if not self._undisturbed(exchange.gateway, told, at):
                     continue
@@ -308,16 +306,19 @@
         return verdict
 
     def leaving_by_answers(self) -> Verdict:
+        """Asked of each gateway that was told and could have sent more."""
         verdict = Verdict()
+        drain_s = _world.DRAIN_MS / 1000
         for word in self._words('leaving'):
-            for at, exchange, told in self._got(word):
-                if told is None:
+            told = self._told(word)
+            until = word.until or max(told.values(), default=0.0)
+            verdict.asked += sum(at + drain_s < until for at in told.values())
+            for at, exchange in self._arrived(word):
+                since = told[exchange.gateway]
+                if exchange.sent <= since + drain_s:
                     continue
-                late = exchange.sent > told + _world.DRAIN_MS / 1000
-                held = not late or not self._undisturbed(
-                    exchange.gateway, told, at
-                )
-                verdict.check(held, exchange.request_id)
+                if self._undisturbed(exchange.gateway, since, at):
+                    verdict.broken.append(exchange.request_id)
         return verdict
 
     def pause(self) -> Verdict:
