Rank lenders where links have changed, not at every tick

Found by reading the whole change again. The choice is made again only if the linked sidecars differ from those it was made among, or while there is no lender. What it cost was not measured.

In the soak's promises three looks at overlapping faults share one, and a dictionary that held times and counts under made-up names became two.

--- a/berylhollow/gateway/_rate_limits.py
+++ b/berylhollow/gateway/_rate_limits.py
@@ -102,13 +102,20 @@
 
 def tick(state: _state.State, at_ms: int) -> Effects:
     """Ask lenders again, save up where there is none."""
+    if not state.rate_limited:
+        return []
     done: Effects = []
+    linked = tuple(
+        peer
+        for peer, sidecar in state.sidecars.items()
+        if sidecar.link is _state.LinkPhase.OPEN
+    )
     for name in list(state.rate_limited):
         endpoint = state.endpoints.get(name)
         if endpoint is None or endpoint.notice.rate_per_s is None:
             del state.rate_limited[name]
             continue
-        done += _choose_lender(state, endpoint, at_ms)
+        done += _choose_lender(endpoint, linked, at_ms)
         rate_per_s = endpoint.notice.rate_per_s
         endpoint.loan.fill_own(rate_per_s, _gateways(state), at_ms)
         done += _ask(state, endpoint, at_ms)
@@ -134,16 +141,16 @@
 
 
 def _choose_lender(
-    state: _state.State, endpoint: _state.Endpoint, at_ms: int
+    endpoint: _state.Endpoint, linked: tuple[str, ...], at_ms: int
 ) -> Effects:
-    linked = [
-        peer
-        for peer, sidecar in state.sidecars.items()
-        if sidecar.link is _state.LinkPhase.OPEN
-    ]
+    """Rank the sidecars where links have changed, not at every tick."""
+    loan = endpoint.loan
+    if loan.lender and loan.candidates == linked:
+        return []
+    loan.candidates = linked
     name = endpoint.instance.instance
     lender = rendezvous.highest(name, linked) or ''
-    if not endpoint.loan.choose(lender, at_ms):
+    if not loan.choose(lender, at_ms):
         return []
     fields = (('endpoint', name), ('lender', lender))
     return [effects.Log('lender of a rate limit chosen', fields)]
--- a/berylhollow/rate_limits/_loan.py
+++ b/berylhollow/rate_limits/_loan.py
@@ -24,13 +24,15 @@
 class Loan:
     """Requests that were lent to this gateway; a pure machine.
 
-    ``lender`` is the peer that is asked, empty without one, since ``lost_ms``.
+    ``lender`` is the peer that is asked, empty without one, since ``lost_ms``;
+    it was chosen among ``candidates``.
     ``asked_ms`` is when it was asked for what it has not answered yet, None if
     nothing is asked. There is no more before ``room_ms``. ``missed`` counts
     the requests that found no room since it was last asked.
     """
 
     lender: str = ''
+    candidates: tuple[str, ...] = ()
     lost_ms: int = clock.NEVER_MS
     count: int = 0
     until_ms: int = clock.NEVER_MS
--- a/tools/soak/_promises.py
+++ b/tools/soak/_promises.py
@@ -325,7 +325,8 @@
         """Two requests at most until the end, half a second after it began."""
         verdict = Verdict()
         for word in self._words('pause'):
-            ends: dict[str, list[float]] = collections.defaultdict(list)
+            begun: dict[str, list[float]] = collections.defaultdict(list)
+            got: collections.Counter = collections.Counter()
             for line in self.arrivals:
                 exchange = self.by_id.get(line['got'])
                 if exchange is None or line['instance'] != word.instance:
@@ -333,25 +334,22 @@
                 at, gateway = line['at'], exchange.gateway
                 in_pause = [
                     since
-                    for since in ends[gateway]
+                    for since in begun[gateway]
                     if since + TOLD_S < at < since + word.value
                 ]
                 if in_pause and self._undisturbed(gateway, in_pause[0], at):
-                    ends[f'{gateway} got'].append(at)
-                    few = len(ends[f'{gateway} got']) <= PAUSE_SLACK
+                    got[gateway] += 1
+                    few = got[gateway] <= PAUSE_SLACK
                     verdict.check(few, exchange.request_id)
                 if line['paused'] and word.since <= at < word.until + 0.1:
                     verdict.asked += 1
-                    ends[gateway].append(at)
+                    begun[gateway].append(at)
         return verdict
 
     def _undisturbed(self, name: str, since: float, until: float) -> bool:
         """Tell whether a gateway was not replaced or frozen since."""
         return not any(
-            fault.target == name
-            and fault.since < until
-            and (fault.until or until) > since
-            for fault in self.schedule.faults
+            fault.target == name for fault in self._faults(since, until)
         )
 
     def served(self) -> Verdict:
@@ -371,20 +369,18 @@
     def _disturbed(self, since: float, until: float, but=None) -> bool:
         """Tell whether anything was disturbed between two times."""
         since -= _world.CONTACT_MS / 1000
-        return any(
-            fault is not but
-            and fault.since < until
-            and (fault.until or until) > since
-            for fault in self.schedule.faults
-        )
+        return any(fault is not but for fault in self._faults(since, until))
 
     def _in_touch(self, gateway: str, since: float, until: float) -> bool:
         """Tell whether a gateway and the store were well all the while."""
         targets = {gateway, f'{gateway} store', 'store'}
         since -= _world.CONTACT_MS / 1000
         return not any(
-            fault.target in targets
-            and fault.since < until
-            and (fault.until or until) > since
-            for fault in self.schedule.faults
+            fault.target in targets for fault in self._faults(since, until)
         )
+
+    def _faults(self, since: float, until: float):
+        """Yield the faults that lasted at some time between two times."""
+        for fault in self.schedule.faults:
+            if fault.since < until and (fault.until or until) > since:
+                yield fault
