Ask another lender only after a pause where the first was lost

Found by reading the change again. Cause: the pause began only where no sidecar at all was left; with another one linked the gateway went over to it at once, while all others stayed with the first. And where it was the only one, the pause also held back the same lender, whose link had only broken.

Change: a lender whose link is gone leaves the gateway without one; another is taken after the pause, the same one as soon as its link is open.

Both tests of test_room fail before (asked at once; not asked at all), 10 and 13 passed in the files of limits after.

--- a/berylhollow/gateway/_rate_limits.py
+++ b/berylhollow/gateway/_rate_limits.py
@@ -149,7 +149,9 @@
         return []
     loan.candidates = linked
     name = endpoint.instance.instance
-    lender = rendezvous.highest(name, linked) or ''
+    lender = ''
+    if not loan.lender or loan.lender in linked:
+        lender = rendezvous.highest(name, linked) or ''
     if not loan.choose(lender, at_ms):
         return []
     fields = (('endpoint', name), ('lender', lender))
--- a/berylhollow/rate_limits/_loan.py
+++ b/berylhollow/rate_limits/_loan.py
@@ -24,8 +24,8 @@
 class Loan:
     """Requests that were lent to this gateway; a pure machine.
 
-    ``lender`` is the peer that is asked, empty without one, since ``lost_ms``;
-    it was chosen among ``candidates``.
+    ``lender`` is the peer that is asked, chosen among ``candidates``. It is
+    empty without one: ``lost`` was, until ``lost_ms``.
     ``asked_ms`` is when it was asked for what it has not answered yet, None if
     nothing is asked. There is no more before ``room_ms``. ``missed`` counts
     the requests that found no room since it was last asked.
@@ -33,6 +33,7 @@
 
     lender: str = ''
     candidates: tuple[str, ...] = ()
+    lost: str = ''
     lost_ms: int = clock.NEVER_MS
     count: int = 0
     until_ms: int = clock.NEVER_MS
@@ -65,8 +66,9 @@
         if lender == self.lender:
             return False
         if self.lender and not lender:
+            self.lost = self.lender
             self.lost_ms = at_ms
-        elif at_ms - self.lost_ms < SWITCH_MS:
+        elif lender != self.lost and at_ms - self.lost_ms < SWITCH_MS:
             return False
         self.lender = lender
         self.asked_ms = None
--- a/test/hosted/test_room.py
+++ b/test/hosted/test_room.py
@@ -74,6 +74,39 @@
                 break
         self.assertLessEqual(at_ms, 400)
 
+    def test_another_lender_is_asked_only_after_a_pause(self):
+        """Guards against two lenders that lend for the same moment.
+
+        The link to the lender breaks at this gateway alone; the others go on
+        with it.
+        """
+        rows = [
+            test_gateway_direct.row('i-9', MODEL),
+            test_gateway_direct.row('i-8', SECOND),
+            test_gateway_direct.plain('i-1', FIRST),
+        ]
+        self.list(*rows)
+        other = addresses.beside(SECOND)
+        self.feed(events.LinkOpened(60, other, events.Role.ENDPOINT, 's#1'))
+        self.tick(100)
+        lender = self.state.endpoints['i-1'].loan.lender
+        self.feed(events.LinkClosed(150, lender))
+        for at_ms in range(200, 1600, 50):
+            self.tick(at_ms)
+            self.ask(at_ms=at_ms)
+            self.assertEqual([], self.wanted())
+        self.tick(1700)
+        self.assertEqual(1, len(self.wanted()))
+
+    def test_lender_whose_link_is_open_again_is_asked_at_once(self):
+        self.feed(events.LinkClosed(100, LENDER))
+        self.tick(150)
+        again = events.LinkOpened(200, LENDER, events.Role.ENDPOINT, 'l#1')
+        self.feed(again)
+        self.tick(250)
+        self.ask(at_ms=300)
+        self.assertEqual(1, len(self.wanted()))
+
     def test_endpoint_without_a_limit_is_taken(self):
         self.list(
             test_gateway_direct.row('i-9', MODEL),
