Let tests compose a gateway's shared log and set its clock

No logic changes. gateway_process.shared_log composes what the process composed in place, and the store's client takes a clock instead of making one, so that a test on virtual time can use both as the process does.

--- a/berylhollow/hosted/gateway_process.py
+++ b/berylhollow/hosted/gateway_process.py
@@ -10,6 +10,7 @@
 from berylhollow import routes
 from berylhollow import settings as all_settings
 from berylhollow import shared_reads
+from berylhollow import shell
 from berylhollow.util import loop
 from berylhollow.util import spread
 from berylhollow import workspaces
@@ -205,15 +206,26 @@
     )
 
 
-def _surroundings(node: platform.Node) -> gateway_service.Deployment:
-    store = shared_reads.SharedLog(
-        platform.StoreClient(str(node.store)),
+def shared_log(
+    node: platform.Node, source: shell.KeyedLog, time: clock.Clock
+) -> shared_reads.SharedLog:
+    """Return the log of a gateway, with its reads of the store shared."""
+    return shared_reads.SharedLog(
+        source,
         (platform.CONFIGURATION_STREAM, platform.INSTANCE_STREAM),
         node.instance,
-        clock.MonotonicClock(),
+        time,
         list_interval_ms(node),
         spread.fraction(0.0, node.instance),
     )
+
+
+def _surroundings(node: platform.Node) -> gateway_service.Deployment:
+    store = shared_log(
+        node,
+        platform.StoreClient(str(node.store)),
+        clock.MonotonicClock(),
+    )
     return gateway_service.Deployment(
         log=store,
         shared_log=store,
--- a/berylhollow/platform/_store.py
+++ b/berylhollow/platform/_store.py
@@ -53,10 +53,12 @@
         address: str,
         session: aiohttp.ClientSession | None = None,
         hedge_ms: int = HEDGE_MS,
+        time: clock.Clock | None = None,
     ):
         self.url = f'http://{address}/v1'
         self.session = session or outgoing.open_session()
         self.hedge_ms = hedge_ms
+        self.time = time or clock.MonotonicClock()
         self.is_healthy = True
         self.era = 0
 
@@ -148,11 +150,10 @@
     async def _request_hedged(
         self, call: str, params: dict
     ) -> tuple[bytes, int]:
-        monotonic = clock.MonotonicClock()
-        deadline_ms = monotonic.now_ms() + CALL_TIMEOUT_MS
+        deadline_ms = self.time.now_ms() + CALL_TIMEOUT_MS
         return await hedging.first_answer(
             lambda: self._request(
-                call, params, deadline_ms - monotonic.now_ms()
+                call, params, deadline_ms - self.time.now_ms()
             ),
             self.hedge_ms / clock.MS_PER_SECOND,
             (outgoing.CallOutcomeUnknown,),
