--- /dev/null
+++ b/test/hosted/slow_links.py
@@ -0,0 +1,448 @@
+"""Simulates gateways whose links are slow for the size of the configuration.
+
+The gateways and sidecars are composed as their processes compose them, the
+store is the stand-in without its HTTP server, and everything that a gateway
+receives shares the rate of its link. It runs on virtual time.
+"""
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import json
+import types
+
+import aiohttp
+from aiohttp import web
+
+from berylhollow import clock
+from berylhollow import effects
+from berylhollow import events
+from berylhollow import gateway
+from berylhollow.hosted import gateway_process
+from berylhollow.link import _codec
+from berylhollow import loader
+from berylhollow import messages
+from berylhollow import platform
+from berylhollow import shell
+from berylhollow.standin import metadata_store
+from berylhollow.util import addresses
+from berylhollow import workspaces
+from test import builders as samples
+from test import platform_builders as builders
+from test import virtual_loop
+
+TICK_MS = 50
+LATENCY_MS = 2
+TURN_MS = 5
+"""Time for which a transfer has its link before the next one's turn."""
+
+HEADERS_BYTES = 300
+HEARTBEAT_MS = 1200
+REQUEST_INTERVAL_MS = 25
+SIDECAR_COUNT = 3
+
+OLD_SERVICE = builders.PLAIN_SERVICE
+NEW_SERVICE = 'wuno96c'
+PATH = '/puxa403/x'
+KEY = 'k-hule930'
+
+Rate = float
+"""In bytes per millisecond."""
+
+
+async def sleep_ms(duration_ms):
+    await asyncio.sleep(duration_ms / clock.MS_PER_SECOND)
+
+
+class SharedLink:
+    """Incoming traffic of one machine; transfers take turns in chunks."""
+
+    def __init__(self, rate: Rate, background_share: float = 0.0):
+        self.rate = rate
+        self.turn_bytes = int(rate * TURN_MS)
+        self.background_share = background_share
+        self.turn = asyncio.Lock()
+        self.transferred = collections.Counter()
+
+    async def transfer(self, size: int, kind: str) -> None:
+        """Return when ``size`` bytes have arrived."""
+        while size > 0:
+            chunk = min(size, self.turn_bytes)
+            async with self.turn:
+                await sleep_ms(chunk / self.rate)
+            self.transferred[kind] += chunk
+            size -= chunk
+
+    async def carry_background(self) -> None:
+        """Carry the traffic of callers and endpoints, without end."""
+        if not self.background_share:
+            return
+        while True:
+            await self.transfer(self.turn_bytes, 'background')
+            await sleep_ms(TURN_MS * (1 / self.background_share - 1))
+
+
+class LinkedSession:
+    """The part of ``aiohttp.ClientSession`` that the store's client uses.
+
+    Answers come from the handlers of the stand-in store over a link, and the
+    time limits are those of ``aiohttp.ClientTimeout``.
+    """
+
+    def __init__(self, store: metadata_store.MetadataStore, link: SharedLink):
+        application = web.Application()
+        store.add_to(application)
+        self.handlers = {
+            route.resource.canonical: route.handler
+            for route in application.router.routes()
+        }
+        self.link = link
+        self.latency_ms = LATENCY_MS
+
+    async def request(self, _method, url, *, timeout, params, **_options):
+        path = '/v1/' + url.rpartition('/')[2]
+        limits = _Limits(timeout)
+        async with limits.progress():
+            await sleep_ms(self.latency_ms)
+            request = types.SimpleNamespace(query=params)
+            answer = await self.handlers[path](request)
+            await self.link.transfer(HEADERS_BYTES, 'store')
+        return _LinkedResponse(answer, self.link, limits)
+
+    async def close(self):
+        pass
+
+
+class _Limits:
+    """The time limits of one call: on the whole and between two pieces."""
+
+    def __init__(self, timeout: aiohttp.ClientTimeout):
+        self.loop = asyncio.get_running_loop()
+        self.piece_s = timeout.sock_read
+        self.by_s = timeout.total and self.loop.time() + timeout.total
+
+    def progress(self):
+        limits = [self.by_s] if self.by_s else []
+        if self.piece_s:
+            limits.append(self.loop.time() + self.piece_s)
+        if not limits:
+            return contextlib.nullcontext()
+        return asyncio.timeout_at(min(limits))
+
+
+class _LinkedResponse:
+    """A response whose body arrives over a link while it is read."""
+
+    def __init__(self, answer, link, limits):
+        self.status = answer.status
+        self.headers = answer.headers
+        self.body = bytes(answer.body)
+        self.content_length = len(self.body)
+        self.link = link
+        self.limits = limits
+
+    def close(self):
+        pass
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *_error):
+        pass
+
+    async def read(self):
+        arrived = 0
+        while arrived < len(self.body):
+            piece = min(self.link.turn_bytes, len(self.body) - arrived)
+            async with self.limits.progress():
+                await self.link.transfer(piece, 'store')
+            arrived += piece
+        return self.body
+
+
+@dataclasses.dataclass(frozen=True)
+class Routed:
+    """A request that a gateway sent to an endpoint of a service."""
+
+    at_ms: int
+    gateway: str
+    service: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Refused:
+    """A request that a gateway refused."""
+
+    at_ms: int
+    gateway: str
+    kind: str
+    has_key: bool
+
+
+class Gateway:
+    """One gateway with its own link and its own connection to the store."""
+
+    def __init__(self, world: 'World', name: str, link: SharedLink):
+        self.world = world
+        self.name = name
+        self.link = link
+        self.time = world.time
+        self.links = {}
+        self.logged = []
+        self.request_count = 0
+        self.tasks = shell.Tasks()
+        node = builders.node(instance=name, **world.bounds)
+        settings = gateway_process.gateway_settings(node)
+        self.session = LinkedSession(world.store, link)
+        client = platform.StoreClient('store', self.session, time=self.time)
+        self.shared = gateway_process.shared_log(node, client, self.time)
+        self.driver = shell.Driver(
+            gateway.reduce,
+            gateway_process.gateway_state(node, settings),
+            self.time,
+            collections.defaultdict(lambda: lambda effect: None),
+        )
+        calls = shell.PlatformCalls(
+            self.shared,
+            gateway_process.endpoint_list(node, self.shared, self.time),
+            self.driver.feed,
+            self.time,
+            self.tasks,
+            client,
+        )
+        self.shared.publish = self.publish
+        self.shared.has_listeners = lambda: bool(self.state.relays)
+        self.driver.handlers |= {
+            **calls.handlers(),
+            effects.Log: self.log,
+            effects.Send: self.send,
+            effects.OpenLink: self.open_link,
+            effects.AnswerError: self.answer_error,
+            effects.TakeStreamPart: lambda e: self.shared.add_part(e.part),
+        }
+
+    @property
+    def state(self):
+        return self.driver.state
+
+    def start(self):
+        self.driver.feed(events.Started(self.time.now_ms(), 'i1'))
+        self.tasks.start(self.driver.tick(TICK_MS))
+        self.tasks.start(self.send_requests())
+        self.tasks.start(self.link.carry_background())
+
+    def publish(self, part):
+        self.driver.feed(events.StreamPartRead(self.time.now_ms(), part))
+
+    def log(self, effect):
+        self.logged.append((self.time.now_ms(), effect.text, effect.fields))
+
+    def open_link(self, effect):
+        self.tasks.start(self.world.link(self, effect.peer))
+
+    def send(self, effect):
+        if isinstance(effect.message, messages.Offer):
+            self.offer(effect.peer, effect.message)
+        elif effect.peer in self.links:
+            sidecar = self.world.sidecars[effect.peer]
+            received = events.MessageReceived(
+                self.time.now_ms() + LATENCY_MS, self.name, effect.message
+            )
+            self.world.later(LATENCY_MS, sidecar.driver.feed, received)
+
+    async def receive_from(self, peer, queue):
+        """Receive the messages of a sidecar in order, over the link."""
+        while True:
+            message = await queue.get()
+            size = len(_codec.shared_codec().encode(message))
+            await self.link.transfer(size, type(message).__name__)
+            self.driver.feed(
+                events.MessageReceived(self.time.now_ms(), peer, message)
+            )
+
+    async def send_requests(self):
+        """Send requests with and without a key in turn, without end."""
+        while True:
+            await sleep_ms(REQUEST_INTERVAL_MS)
+            if not self.state.has_required_data:
+                continue
+            self.request_count += 1
+            has_key = self.request_count % 2 == 0
+            credential = workspaces.digest(KEY) if has_key else None
+            request = samples.request(
+                f'{self.name}-{has_key:d}-{self.request_count}',
+                host=builders.HOST,
+                path=PATH,
+                adapter=None,
+                credential=credential,
+            )
+            arrived = events.RequestArrived(self.time.now_ms(), request, 0.5)
+            self.driver.feed(arrived)
+
+    def offer(self, peer, offer):
+        """Note where a request goes; the endpoint answers it at once."""
+        service = self.state.endpoints[peer].instance.service
+        now_ms = self.time.now_ms()
+        self.world.routed.append(Routed(now_ms, self.name, service))
+        started = messages.Started(offer.attempt_id, 200, (), None)
+        for event in (
+            events.MessageReceived(now_ms, peer, started),
+            events.AnswerRelayed(
+                now_ms, offer.request_id, offer.attempt_id, 200
+            ),
+        ):
+            self.driver.feed(event)
+
+    def answer_error(self, effect):
+        has_key = effect.request_id.split('-')[-2] == '1'
+        self.world.refused.append(
+            Refused(self.time.now_ms(), self.name, effect.kind.value, has_key)
+        )
+
+
+class Sidecar:
+    """The loader beside one model endpoint."""
+
+    def __init__(self, world, peer, instance):
+        self.world = world
+        self.peer = peer
+        self.queues = {}
+        options = loader.Options(
+            instance=instance, service=builders.MODEL_SERVICE
+        )
+        self.driver = shell.Driver(
+            loader.reduce,
+            loader.State(options),
+            world.time,
+            collections.defaultdict(lambda: lambda effect: None),
+        )
+        self.driver.handlers |= {
+            effects.ReadAdapters: self.read_adapters,
+            effects.Send: self.send,
+        }
+
+    def start(self):
+        now_ms = self.world.time.now_ms()
+        self.driver.feed(events.Started(now_ms, f'{self.peer}#1'))
+        self.world.tasks.start(self.driver.tick(TICK_MS))
+
+    def read_adapters(self, effect):
+        told = events.AdaptersReported(
+            self.world.time.now_ms(),
+            effect.read,
+            0,
+            (builders.MODEL,),
+            False,
+            (),
+            (),
+            0,
+            0,
+        )
+        self.world.later(1, self.driver.feed, told)
+
+    def send(self, effect):
+        if effect.peer in self.queues:
+            self.queues[effect.peer].put_nowait(effect.message)
+
+
+class World:
+    """One failure domain: its store, sidecars, endpoints and gateways.
+
+    ``rates`` has the link rate of each gateway. The one with the lowest name,
+    the first, becomes the reader.
+    """
+
+    def __init__(self, rates, background_share, **bounds):
+        self.time = virtual_loop.LoopClock()
+        self.tasks = shell.Tasks()
+        self.store = metadata_store.MetadataStore()
+        self.bounds = bounds
+        self.routed = []
+        self.refused = []
+        self.confirmed_ms = {}
+        self.sidecars = {}
+        self.gateways = [
+            Gateway(self, f'front-{n}', SharedLink(rate, background_share))
+            for n, rate in enumerate(rates)
+        ]
+
+    def later(self, after_ms, call, *arguments):
+        asyncio.get_running_loop().call_later(
+            after_ms / clock.MS_PER_SECOND, call, *arguments
+        )
+
+    async def run(self, operate, until_ms):
+        """Start everything and let an operator work until a time."""
+        await self.publish(configuration(1, OLD_SERVICE, 40))
+        for number in range(SIDECAR_COUNT):
+            address = f'10.0.0.{number + 1}:80'
+            peer = addresses.sidecar_peer(address)
+            self.sidecars[peer] = Sidecar(self, peer, f'i-{number}')
+            self.add_endpoint(f'i-{number}', address, builders.MODEL_SERVICE)
+        self.add_endpoint('i-old', '10.0.1.1:80', OLD_SERVICE)
+        self.add_endpoint('i-new', '10.0.1.2:80', NEW_SERVICE)
+        for process in (*self.sidecars.values(), *self.gateways):
+            process.start()
+        self.tasks.start(operate(self))
+        await sleep_ms(until_ms)
+        for gateway_ in self.gateways:
+            await gateway_.tasks.stop()
+        await self.tasks.stop()
+
+    async def publish(self, declared):
+        """Write a configuration as an operator; it is confirmed at once."""
+        value = json.dumps(declared).encode()
+        await self.store.put(platform.CONFIGURATION_STREAM, 'config', value)
+        self.confirmed_ms[declared['Version']] = self.time.now_ms()
+
+    def add_endpoint(self, name, address, service):
+        self.tasks.start(self.write_entries(name, address, service))
+
+    async def write_entries(self, name, address, service):
+        models = {} if service == builders.MODEL_SERVICE else {'Models': []}
+        for number in range(1_000_000):
+            entry = builders.entry(address, service, Seq=number, **models)
+            value = json.dumps(entry).encode()
+            await self.store.put(platform.INSTANCE_STREAM, name, value)
+            await sleep_ms(HEARTBEAT_MS)
+
+    async def link(self, gateway_, peer):
+        """Open a gateway's link to a sidecar."""
+        await sleep_ms(LATENCY_MS)
+        sidecar = self.sidecars[peer]
+        queue = asyncio.Queue()
+        gateway_.links[peer] = sidecar.queues[gateway_.name] = queue
+        gateway_.tasks.start(gateway_.receive_from(peer, queue))
+        now_ms, role = self.time.now_ms(), events.Role
+        gateway_.driver.feed(
+            events.LinkOpened(now_ms, peer, role.ENDPOINT, 'i1')
+        )
+        sidecar.driver.feed(
+            events.LinkOpened(now_ms, gateway_.name, role.GATEWAY, 'i1')
+        )
+
+
+def configuration(version, service, route_count, *keys):
+    """Return a configuration; ``service`` serves the requests of a run.
+
+    Requests without a key are allowed too. ``route_count`` decides the size.
+    """
+    declared = builders.configuration(
+        version,
+        routes=[
+            builders.route(),
+            builders.plain_route(
+                Service=service, Kind='safe', AllowAnonymous=True
+            ),
+            *map(_other_route, range(route_count)),
+        ],
+        workspaces=[builders.workspace('hule930', KEY, *keys)],
+    )
+    declared['Services'].append({'Name': NEW_SERVICE, 'MaxConns': 100})
+    return declared
+
+
+def _other_route(number):
+    name = f'{number * 2654435761 % 2**32:08x}'
+    return builders.plain_route(name, f'/{name}/', Host=f'{name}.example')
