Limit reads of the store by their progress and receive large answers once

Cause: each call to the store had one limit for its whole answer, 1.0 s, or its wait and 0.4 s. A configuration of thousands of routes takes longer through a link of 5 Mbit/s. It was dropped and requested from zero, by the read, by the check of the keys and by the hedge of the check side by side, each halving the rate of the others, so that none ended.

Change: a call to the store ends after a second (or its wait and 0.4 s) without a byte, and after ten more in all. Of an answer of 32 KiB or more only one copy is received at a time: a read of the same records joins it, also a second call that has been answered meanwhile. A joined read says when the call that it joined was sent, so a key proof is no newer than the call it rests on.

Of the five new tests of the client four failed before; the fifth guards that a lost connection is still dropped.

Why it holds: whatever the size and the rate, bytes that arrived are not requested again while more follow, so a read ends after size divided by rate.

--- a/berylhollow/log_service/_types.py
+++ b/berylhollow/log_service/_types.py
@@ -44,7 +44,9 @@
     A log that was restored from an older copy begins a new ``era`` and reuses
     offsets: offsets of two eras can't be compared. ``whole`` says that the log
     held no further records. ``told`` says that another process made the read
-    and passed the result on, so its time is not known.
+    and passed the result on, so its time is not known. ``begun_ms`` is when
+    the call that received the records was sent, if that was before the read:
+    a read may join an earlier one.
     """
 
     records: tuple[messages.LogEntry, ...]
@@ -53,3 +55,4 @@
     era: int = 0
     whole: bool = True
     told: bool = False
+    begun_ms: int | None = None
--- a/berylhollow/outgoing.py
+++ b/berylhollow/outgoing.py
@@ -217,19 +217,31 @@
     return opened_socket
 
 
-def client_timeout(timeout_ms: int | None) -> aiohttp.ClientTimeout:
-    """Return the timeouts of a call; None limits only the connect."""
+def client_timeout(
+    timeout_ms: int | None, silence_ms: int | None = None
+) -> aiohttp.ClientTimeout:
+    """Return the timeouts of a call; None limits only the connect.
+
+    ``timeout_ms`` limits the whole call, ``silence_ms`` the time without any
+    byte of the answer.
+    """
     return aiohttp.ClientTimeout(
-        total=None if timeout_ms is None else timeout_ms / MS_PER_SECOND,
+        total=_seconds(timeout_ms),
         sock_connect=CONNECT_TIMEOUT_MS / MS_PER_SECOND,
+        sock_read=_seconds(silence_ms),
     )
 
 
+def _seconds(duration_ms: int | None) -> float | None:
+    return None if duration_ms is None else duration_ms / MS_PER_SECOND
+
+
 async def open_call(
     session: aiohttp.ClientSession,
     method: str,
     url: str,
     timeout_ms: int | None = None,
+    silence_ms: int | None = None,
     **options,
 ) -> aiohttp.ClientResponse:
     """Send a call and return its response once the headers have arrived.
@@ -241,7 +253,7 @@
         return await session.request(
             method,
             url,
-            timeout=client_timeout(timeout_ms),
+            timeout=client_timeout(timeout_ms, silence_ms),
             allow_redirects=False,
             **options,
         )
--- a/berylhollow/platform/_store.py
+++ b/berylhollow/platform/_store.py
@@ -1,6 +1,7 @@
 """Client of the platform's metadata store, which serves logs of records."""
 
 import base64
+import dataclasses
 import json
 import struct
 
@@ -12,9 +13,19 @@
 from berylhollow import outgoing
 from berylhollow.platform import _records
 from berylhollow.util import hedging
+from berylhollow.util import shared_task
 
 CALL_TIMEOUT_MS = 1000
-"""A healthy store answers within milliseconds."""
+"""Longest time without a byte of the answer; a healthy store begins to answer
+within milliseconds."""
+
+TRANSFER_TIMEOUT_MS = 10_000
+"""Longest time for a whole answer. A page of four records of 1 MiB takes seven
+seconds over a link of 5 Mbit/s."""
+
+LARGE_ANSWER_BYTES = 32 * 1024
+"""An answer of this size or more is received once at a time: two copies would
+halve the rate of each on a slow link."""
 
 HEDGE_MS = 300
 """A read that takes longer is sent a second time.
@@ -33,10 +44,22 @@
 PARTITION = '0'
 ERA_HEADER = 'Store-Era'
 GONE_STATUS = 410
+RECORD_PARAMETERS = ('Topic', 'part', 'From', 'after')
+"""The parameters that decide which records an answer has."""
+
 MAX_PAGES = 100
 PAGE_KB = 1024
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answer:
+    """The body of an answer to a call that was sent at ``begun_ms``."""
+
+    body: bytes
+    era: int
+    begun_ms: int
+
+
 class StoreClient:
     """Reads and appends records in the first partition of a topic.
 
@@ -46,6 +69,9 @@
     connection breaks. This is done only while ``is_healthy``, that is, if
     the last such read succeeded. ``era`` is the newest store era seen in a
     response; responses of an earlier era are late and are discarded.
+
+    While a large answer arrives, a read of the same records joins it instead
+    of requesting them again; ``transfers`` has these answers.
     """
 
     def __init__(
@@ -56,25 +82,28 @@
         time: clock.Clock | None = None,
     ):
         self.url = f'http://{address}/v1'
+        self.time = time or clock.MonotonicClock()
         self.session = session or outgoing.open_session()
         self.hedge_ms = hedge_ms
-        self.time = time or clock.MonotonicClock()
         self.is_healthy = True
         self.era = 0
+        self.transfers: dict[tuple, shared_task.SharedTask[_Answer]] = {}
 
     async def newest(self, stream: str) -> log_service.ReadResult:
         """Return the newest record of each key, read page by page."""
         entries: list[messages.LogEntry] = []
         first_end: int | None = None
+        begun_ms: int | None = None
         eras = set()
         params = {'Topic': stream, 'part': PARTITION}
         for _ in range(MAX_PAGES):
-            data, era = await self._get('log-newest', params)
-            page = json.loads(data)
-            eras.add(era)
+            answer = await self._get('log-newest', params)
+            page = json.loads(answer.body)
+            eras.add(answer.era)
             # The pages are not one snapshot. Reading on from the end of the
             # first page covers what has changed since.
-            first_end = page['End'] if first_end is None else first_end
+            if first_end is None:
+                first_end, begun_ms = page['End'], answer.begun_ms
             for item in page['items']:
                 data = _records.encode_keyed(
                     item['Key'], base64.b64decode(item['Value'])
@@ -88,7 +117,11 @@
                 'the store era changed between two pages'
             )
         return log_service.ReadResult(
-            tuple(entries), 0, first_end or 0, eras.pop()
+            tuple(entries),
+            0,
+            first_end or 0,
+            eras.pop(),
+            begun_ms=begun_ms,
         )
 
     async def read(
@@ -106,12 +139,12 @@
         }
         if wait_ms:
             params['WaitMs'] = str(wait_ms)
-            data, era = await self._request(
+            answer = await self._request(
                 'log-read', params, wait_ms + WAIT_MARGIN_MS
             )
         else:
-            data, era = await self._get('log-read', params)
-        return _decode_page(data, from_offset, era)
+            answer = await self._get('log-read', params)
+        return _decode_page(answer, from_offset)
 
     async def append(self, stream: str, data: bytes) -> int:
         """Append a record and return its offset."""
@@ -135,7 +168,7 @@
         """Close all connections."""
         await self.session.close()
 
-    async def _get(self, call: str, params: dict) -> tuple[bytes, int]:
+    async def _get(self, call: str, params: dict) -> _Answer:
         try:
             if self.is_healthy:
                 answer = await self._request_hedged(call, params)
@@ -147,29 +180,47 @@
         self.is_healthy = True
         return answer
 
-    async def _request_hedged(
-        self, call: str, params: dict
-    ) -> tuple[bytes, int]:
+    async def _request_hedged(self, call: str, params: dict) -> _Answer:
         deadline_ms = self.time.now_ms() + CALL_TIMEOUT_MS
         return await hedging.first_answer(
             lambda: self._request(
-                call, params, deadline_ms - self.time.now_ms()
+                call, params, max(1, deadline_ms - self.time.now_ms())
             ),
             self.hedge_ms / clock.MS_PER_SECOND,
             (outgoing.CallOutcomeUnknown,),
         )
 
     async def _request(
-        self, call: str, params: dict, timeout_ms: int
-    ) -> tuple[bytes, int]:
-        """Send a GET request and return the body and the store era."""
+        self, call: str, params: dict, silence_ms: int
+    ) -> _Answer:
+        """Send a GET request, or join one whose large answer is arriving."""
+        wanted = (call, *(params.get(name) for name in RECORD_PARAMETERS))
+        if wanted in self.transfers:
+            return await self.transfers[wanted].join()
+        begun_ms = self.time.now_ms()
         response = await outgoing.open_call(
             self.session,
             'GET',
             f'{self.url}/{call}',
-            timeout_ms,
+            TRANSFER_TIMEOUT_MS + silence_ms,
+            silence_ms,
             params=params,
         )
+        if not _is_large(response):
+            return await self._receive(response, begun_ms)
+        if wanted in self.transfers:
+            response.close()
+        else:
+            self.transfers[wanted] = shared_task.SharedTask(
+                self._receive(response, begun_ms),
+                on_end=lambda: self.transfers.pop(wanted),
+            )
+        return await self.transfers[wanted].join()
+
+    async def _receive(
+        self, response: aiohttp.ClientResponse, begun_ms: int
+    ) -> _Answer:
+        """Receive the body of a response and check its status and era."""
         async with response:
             body = await outgoing.read_body(response)
         era = self._check_era(response.headers.get(ERA_HEADER, '0'))
@@ -180,7 +231,7 @@
             )
         if response.status != 200:
             raise outgoing.CallNotSent(f'HTTP {response.status}')
-        return body, era
+        return _Answer(body, era, begun_ms)
 
     def _check_era(self, text: str) -> int:
         if not (text.isascii() and text.isdecimal()):
@@ -194,10 +245,15 @@
         return era
 
 
-def _decode_page(
-    data: bytes, from_offset: int, era: int
-) -> log_service.ReadResult:
+def _is_large(response: aiohttp.ClientResponse) -> bool:
+    """Tell whether an answer is large; one without a length may be."""
+    length = response.content_length
+    return length is None or length >= LARGE_ANSWER_BYTES
+
+
+def _decode_page(answer: _Answer, from_offset: int) -> log_service.ReadResult:
     """Decode a page of records; a truncated last record is ignored."""
+    data = answer.body
     if len(data) < PAGE_HEADER.size:
         raise outgoing.CallOutcomeUnknown(
             'the response is shorter than its header'
@@ -216,5 +272,10 @@
         position += length
         offset += 1
     return log_service.ReadResult(
-        tuple(entries), first_offset, offset, era, offset >= end
+        tuple(entries),
+        first_offset,
+        offset,
+        answer.era,
+        offset >= end,
+        begun_ms=answer.begun_ms,
     )
--- a/berylhollow/shell/_platform_calls.py
+++ b/berylhollow/shell/_platform_calls.py
@@ -186,7 +186,7 @@
             result.first_offset,
             result.next_offset,
             result.era,
-            None if result.told else begun_ms,
+            None if result.told else result.begun_ms or begun_ms,
             result.whole,
             from_offset,
         )
--- a/test/platform/test_store.py
+++ b/test/platform/test_store.py
@@ -122,6 +122,94 @@
         self.assertEqual(7, await self.next_offset())
 
 
+RECORD = bytes(range(256)) * 256
+LARGE = struct.pack('>QQ', 8, 0) + struct.pack('>I', len(RECORD)) + RECORD
+PIECES = 6
+PIECE_PAUSE_S = 0.25
+
+
+class TransferTest(StoreTestCase):
+    """Answers that take longer to arrive than the store may be silent."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.client.hedge_ms = NO_HEDGE_MS
+        self.rest_wanted = asyncio.Event()
+
+    async def respond_in_halves(self, request):
+        response = web.StreamResponse(
+            headers={'Content-Length': str(len(LARGE))}
+        )
+        await response.prepare(request)
+        await response.write(LARGE[: len(LARGE) // 2])
+        await self.rest_wanted.wait()
+        await response.write(LARGE[len(LARGE) // 2 :])
+        return response
+
+    async def wait_until_arriving(self):
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            while not self.client.transfers:
+                await asyncio.sleep(0.001)
+
+    async def test_answer_that_keeps_arriving_is_not_dropped(self):
+        """A body that took longer than one second was read from zero."""
+
+        async def respond(request):
+            response = web.StreamResponse(
+                headers={'Content-Length': str(len(LARGE))}
+            )
+            await response.prepare(request)
+            size = len(LARGE) // PIECES + 1
+            for start in range(0, len(LARGE), size):
+                await asyncio.sleep(PIECE_PAUSE_S)
+                await response.write(LARGE[start : start + size])
+            return response
+
+        self.answers = [respond]
+        self.assertEqual(8, await self.next_offset())
+
+    async def test_answer_that_stops_arriving_is_dropped(self):
+        """A read must not wait for the rest of a lost connection's answer."""
+        self.answers = [self.respond_in_halves, abort_connection]
+        with self.assertRaises(outgoing.CallError):
+            await self.next_offset()
+        self.rest_wanted.set()
+
+    async def test_records_that_are_arriving_are_not_requested_again(self):
+        """Two copies of a large answer shared a slow link, none arrived."""
+        self.answers = [self.respond_in_halves]
+        first = asyncio.create_task(self.next_offset(wait_ms=1000))
+        await self.wait_until_arriving()
+        second = asyncio.create_task(self.next_offset())
+        await asyncio.sleep(0)
+        self.rest_wanted.set()
+        self.assertEqual([8, 8], await asyncio.gather(first, second))
+        self.assertEqual(1, self.calls)
+
+    async def test_read_that_joins_is_no_newer_than_the_one_it_joins(self):
+        """A key revoked between the two reads is not proven by the second."""
+        self.answers = [self.respond_in_halves]
+        first = asyncio.create_task(self.client.read(STREAM, 7))
+        await self.wait_until_arriving()
+        joined_ms = self.client.time.now_ms()
+        second = asyncio.create_task(self.client.read(STREAM, 7))
+        await asyncio.sleep(0)
+        self.rest_wanted.set()
+        begun_ms = (await first).begun_ms
+        self.assertLessEqual(begun_ms, joined_ms)
+        self.assertEqual(begun_ms, (await second).begun_ms)
+
+    async def test_answer_that_nobody_waits_for_is_not_joined(self):
+        """A read that joined a cancelled one would be cancelled with it."""
+        self.answers = [self.respond_in_halves, succeed]
+        first = asyncio.create_task(self.next_offset())
+        await self.wait_until_arriving()
+        first.cancel()
+        await asyncio.sleep(0)
+        self.assertEqual(7, await self.next_offset())
+        self.rest_wanted.set()
+
+
 def response_of_era(era):
     async def respond(_request):
         return web.Response(body=EMPTY, headers={'Store-Era': era})
