Keep one read of a stream under way instead of waiting longer for it

Cause: with 4 s, a read of a large configuration over a slow link was begun again while it still arrived; both results then began a next read, and the calls to the store doubled for good.

Change: the time is 4 s again. The shell, which knows what is under way, does not start a read of the same stream and offset beside one that has not ended; each ends by itself.

--- a/berylhollow/routes/_follower.py
+++ b/berylhollow/routes/_follower.py
@@ -26,10 +26,8 @@
 READ_RETRY_MS = 250
 """Pause after a failed read: four calls a second while the store is down."""
 
-READ_TIMEOUT_MS = 15_000
-"""Time without an answer after which a read is begun again. Each read ends by
-itself before that, also one of large records over a slow link; one begun again
-earlier would only share the link with it."""
+READ_TIMEOUT_MS = 4000
+"""Time without an answer after which a read is begun again."""
 
 
 class RouteFollower:
--- a/berylhollow/shell/_platform_calls.py
+++ b/berylhollow/shell/_platform_calls.py
@@ -72,7 +72,8 @@
     """Carries out platform effects and feeds their results as events.
 
     ``unshared_log`` is used for reads whose result may not come from another
-    process.
+    process. ``reads`` has the stream and offset of each read that is under
+    way.
     """
 
     def __init__(
@@ -90,6 +91,7 @@
         self.log = log
         self.unshared_log = unshared_log or log
         self.instances = instances
+        self.reads: set[tuple[str, int]] = set()
 
     def handlers(self) -> dict:
         """Return the handler of each class of effect."""
@@ -102,8 +104,15 @@
         }
 
     def read_log(self, effect: effects.ReadLog) -> None:
-        """Read a stream; feeds LogRead or LogReadFailed."""
-        self.tasks.start(self._read_log(effect))
+        """Read a stream; feeds LogRead or LogReadFailed.
+
+        A read that is still under way is not begun again: it ends by itself,
+        however long its records take to arrive, and the reducer would begin
+        a next one after each of the two.
+        """
+        if (effect.stream, effect.from_offset) not in self.reads:
+            self.reads.add((effect.stream, effect.from_offset))
+            self.tasks.start(self._read_log(effect))
 
     def read_newest(self, effect: effects.ReadNewest) -> None:
         """Read the newest records; feeds LogRead or LogReadFailed."""
@@ -128,32 +137,35 @@
 
     async def _read_newest(self, effect: effects.ReadNewest) -> None:
         reading = self.log.newest(effect.stream)
-        await self._read_and_feed(effect.stream, None, reading)
+        self.feed(await self._read_event(effect.stream, None, reading))
 
     async def _read_log(self, effect: effects.ReadLog) -> None:
         stream = effect.stream
         reading = self.log.read(
             stream, effect.from_offset, wait_ms=effect.wait_ms
         )
-        await self._read_and_feed(stream, effect.from_offset, reading)
+        try:
+            event = await self._read_event(stream, effect.from_offset, reading)
+        finally:
+            self.reads.discard((stream, effect.from_offset))
+        self.feed(event)
 
-    async def _read_and_feed(
+    async def _read_event(
         self,
         stream: str,
         from_offset: int | None,
         reading: collections.abc.Awaitable[log_service.ReadResult],
-    ) -> None:
+    ) -> events.LogRead | events.LogReadFailed:
+        """Return the event with the outcome of a read."""
         begun_ms = self.time.now_ms()
         try:
             result = await reading
         except log_service.OffsetGone as gone:
             now_ms = self.time.now_ms()
-            self.feed(events.LogReadFailed(now_ms, stream, gone.first_offset))
-            return
+            return events.LogReadFailed(now_ms, stream, gone.first_offset)
         except outgoing.CallError:
-            self.feed(events.LogReadFailed(self.time.now_ms(), stream))
-            return
-        self.feed(self._log_read_event(stream, from_offset, result, begun_ms))
+            return events.LogReadFailed(self.time.now_ms(), stream)
+        return self._log_read_event(stream, from_offset, result, begun_ms)
 
     async def _check_log(self, effect: effects.CheckLog) -> None:
         begun_ms = self.time.now_ms()
