Give one answer to requests while a newer configuration is known and missing

A route or key that the newer one adds was answered 404 or 401.

Cause: two answers to one question. A gateway that hears from a sidecar of a newer revision refused all keys at once, although the proof of its keys does not depend on what others know: a read that began at T shows every revocation confirmed before T. Nothing at all looked at the revision for other requests.

Change: the state keeps since when each newer revision is known. After a quarter of the platform's limit (ConfigApplyMs) the gateway is not ready, after half of it all requests are refused as not run, with the new kind configuration_outdated and the delay for another gateway. What only a newer revision may allow is refused in the same way instead of denied.

The other half of the limit is for the time from the confirmation until the revision is heard of. Where no gateway of a failure domain can read the store, nobody hears, and the last configuration goes on as before.

In test_slow_links a gateway that is cut off from the store and from the parts of others used the old service 14 s after the confirmation before, and refuses in time now. test_change_refuses_nobody passes on the code just before too, where the table arrives within 0.07 s; it guards both.

--- a/berylhollow/errors.py
+++ b/berylhollow/errors.py
@@ -34,6 +34,7 @@
     CANCELLED = 'cancelled'
     CANNOT_BE_ON_TIME = 'cannot_be_on_time'
     CLAIMS_UNAVAILABLE = 'claims_unavailable'
+    CONFIGURATION_OUTDATED = 'configuration_outdated'
     CONFIGURATION_UNAVAILABLE = 'configuration_unavailable'
     DEADLINE_EXCEEDED = 'deadline_exceeded'
     ENDPOINT_FAILED = 'endpoint_failed'
@@ -114,6 +115,9 @@
     Kind.CLAIMS_UNAVAILABLE: Answer(
         503, _NOT_RUN, Retry.LATER, 'The key cannot be claimed at present.'
     ),
+    Kind.CONFIGURATION_OUTDATED: Answer(
+        503, _NOT_RUN, Retry.LATER, 'A newer configuration is in force.'
+    ),
     Kind.CONFIGURATION_UNAVAILABLE: Answer(
         503, _NOT_RUN, Retry.LATER, 'No configuration has been read yet.'
     ),
--- a/berylhollow/following.py
+++ b/berylhollow/following.py
@@ -223,7 +223,9 @@
 
 
 def log_new_revision(
-    served_revision: int, view: View | None
+    served_revision: int,
+    view: View | None,
+    *fields: tuple[str, object],
 ) -> list[effects.Effect]:
     """Return the log line for a revision that has newly come into force.
 
@@ -231,5 +233,5 @@
     """
     if view is None or view.revision == served_revision:
         return []
-    fields = (('revision', view.revision),)
+    fields = (('revision', view.revision), *fields)
     return [effects.Log('configuration in force', fields)]
--- a/berylhollow/gateway/_membership.py
+++ b/berylhollow/gateway/_membership.py
@@ -5,6 +5,7 @@
 link, its reports, and its refusal of an offer.
 """
 
+from berylhollow import clock
 from berylhollow import effects
 from berylhollow import events
 from berylhollow import following
@@ -13,6 +14,7 @@
 from berylhollow.gateway import _model_loads
 from berylhollow.gateway import _notices
 from berylhollow.gateway import _quotas
+from berylhollow.gateway import _shared_reads
 from berylhollow.gateway import _sidecars
 from berylhollow.gateway import _state
 
@@ -69,14 +71,24 @@
 def tick_follower(state: _state.State, at_ms: int) -> Effects:
     """Announce a new configuration; let its follower fetch what it lacks."""
     view = state.follower.current
-    result = following.log_new_revision(state.served_revision, view)
-    if result:
+    is_new = view is not None and view.revision != state.served_revision
+    result: Effects = []
+    if is_new:
+        known_ms = state.known_revisions.reach(view.revision, at_ms)
+        result += following.log_new_revision(
+            state.served_revision, view, ('known_ms', known_ms)
+        )
+        lag_s = known_ms / clock.MS_PER_SECOND
+        result.append(effects.Count('berylhollow.configuration.lag', lag_s))
         # The configuration says which endpoints have a sidecar. If the list
         # was read before the configuration, links and loads would otherwise
         # wait for the next list, up to 0.7 s after every start.
         _sidecars.update_endpoints(state)
         _quotas.apply_configuration(state, at_ms)
+        if state.served_revision:
+            _shared_reads.announce_revision(state)
         result += _sidecars.tick(state, at_ms)
+    result += _log_outdated(state, at_ms)
     state.served_revision = view.revision if view else 0
     gateways = [state.options.instance, *state.peers]
     return result + state.follower.tick(
@@ -84,6 +96,24 @@
     )
 
 
+def _log_outdated(state: _state.State, at_ms: int) -> Effects:
+    """Log when requests begin to be refused for want of a newer revision."""
+    known = state.known_revisions
+    is_outdated = state.is_outdated(at_ms)
+    if is_outdated == known.is_logged:
+        return []
+    known.is_logged = is_outdated
+    if not is_outdated:
+        return []
+    fields = (
+        ('revision', state.revision),
+        ('newest', known.newest),
+        ('known_ms', state.behind_ms(at_ms)),
+        ('limit_ms', state.options.outdated_refuse_ms),
+    )
+    return [effects.Log('configuration is outdated', fields, warning=True)]
+
+
 def listed(state: _state.State, event: events.InstancesListed) -> Effects:
     """Apply a new instance list; drop idle endpoints that are not in it.
 
--- a/berylhollow/gateway/_options.py
+++ b/berylhollow/gateway/_options.py
@@ -53,8 +53,10 @@
 
     Keys are not used for ``neighbours_ms`` after the start unless another
     gateway's revision is known. A gateway whose proof of the keys is as old as
-    ``keys_ready_ms`` is not ready for callers. ``quota_tolerance`` is how far
-    usage may deviate from a quota.
+    ``keys_ready_ms`` is not ready for callers. After another gateway's newer
+    revision has been known for ``outdated_ready_ms`` without coming into force
+    here, the gateway is not ready; after ``outdated_refuse_ms`` it refuses
+    requests. ``quota_tolerance`` is how far usage may deviate from a quota.
     """
 
     instance: str
@@ -116,4 +118,6 @@
     idle_demand_ms: int = 1500
     neighbours_ms: int = 1000
     keys_ready_ms: int = 3_600_000
+    outdated_ready_ms: int = 3_600_000
+    outdated_refuse_ms: int = 3_600_000
     quota_tolerance: workspaces.Tolerance = workspaces.Tolerance()
--- a/berylhollow/gateway/_pages.py
+++ b/berylhollow/gateway/_pages.py
@@ -63,8 +63,9 @@
         """Readiness: required data was read and no stop was requested."""
         state = self.owner.driver.state
         now_ms = self.owner.driver.time.now_ms()
-        informed = state.has_required_data and _workspaces.should_accept_keys(
-            state, now_ms
+        informed = (
+            state.has_required_data
+            and _workspaces.should_accept_callers(state, now_ms)
         )
         if informed and not self.owner.stopping:
             return _answers.json_response({'ready': True})
--- a/berylhollow/gateway/_requests.py
+++ b/berylhollow/gateway/_requests.py
@@ -15,6 +15,7 @@
 from berylhollow.gateway import _quotas
 from berylhollow.gateway import _settlement
 from berylhollow.gateway import _state
+from berylhollow.gateway import _workspaces
 from berylhollow import messages
 
 Effects = list[effects.Effect]
@@ -27,7 +28,10 @@
         return [refusal(request.request_id, errors.Kind.LEAVING)]
     terms = _resolve_terms(state, event)
     if isinstance(terms, errors.Kind):
-        return [refusal(request.request_id, terms)]
+        refused = _workspaces.unknown(state, terms, event.at_ms)
+        return [
+            refusal(request.request_id, refused.kind, refused.retry_after_ms)
+        ]
     workspace = terms.workspace
     request = dataclasses.replace(
         request,
--- /dev/null
+++ b/berylhollow/gateway/_revisions.py
@@ -0,0 +1,49 @@
+"""Revisions of the configuration that other gateways are known to have."""
+
+import dataclasses
+
+MAX_NEWER_REVISIONS = 16
+"""Newer revisions that are remembered; the earliest of them matters."""
+
+
+@dataclasses.dataclass(slots=True)
+class KnownRevisions:
+    """The newest known revision, and since when newer ones are known.
+
+    ``newest`` is None until another gateway's revision is known.
+    ``heard_ms`` maps revisions that are newer than the one in force here to
+    when they were first heard of. ``was_reached`` says that the revision in
+    force here has been the newest known one at some time, ``is_logged`` that
+    the log says it is outdated. A revision of 0 says that none is known.
+    """
+
+    newest: int | None = None
+    heard_ms: dict[int, int] = dataclasses.field(default_factory=dict)
+    was_reached: bool = False
+    is_logged: bool = False
+
+    def record(self, revision: int, own: int, at_ms: int) -> None:
+        """Record that another gateway has a revision."""
+        self.newest = max(self.newest or 0, revision)
+        self.was_reached = self.was_reached or 0 < self.newest <= own
+        if revision > own and len(self.heard_ms) < MAX_NEWER_REVISIONS:
+            self.heard_ms.setdefault(revision, at_ms)
+
+    def reach(self, own: int, at_ms: int) -> int:
+        """Record the own revision; return for how long it has been known."""
+        known_ms = self.behind_ms(0, at_ms) or 0
+        self.heard_ms = {
+            revision: heard_ms
+            for revision, heard_ms in self.heard_ms.items()
+            if revision > own
+        }
+        newest = self.newest or 0
+        self.was_reached = self.was_reached or 0 < newest <= own
+        if newest > own:
+            self.heard_ms.setdefault(newest, at_ms)
+        return known_ms
+
+    def behind_ms(self, own: int, at_ms: int) -> int | None:
+        """Return how long a newer revision has been known; None if none is."""
+        heard_ms = [ms for known, ms in self.heard_ms.items() if known > own]
+        return at_ms - min(heard_ms) if heard_ms else None
--- a/berylhollow/gateway/_shared_reads.py
+++ b/berylhollow/gateway/_shared_reads.py
@@ -44,6 +44,15 @@
     return state.relays[:1] == (peer,)
 
 
+def announce_revision(state: _state.State) -> None:
+    """Send the relays the own revision soon, and with it the demand.
+
+    They pass it on to gateways that may not have received the configuration.
+    """
+    for peer in state.relays:
+        state.sidecars[peer].told_ms = clock.NEVER_MS
+
+
 def relay_stream_part(
     state: _state.State, event: events.StreamPartRead
 ) -> Effects:
--- a/berylhollow/gateway/_sidecars.py
+++ b/berylhollow/gateway/_sidecars.py
@@ -137,8 +137,8 @@
     state.gateways = max(
         report.gateways for report in reports if report is not None
     )
-    state.newest_known_revision = max(
-        state.newest_known_revision or 0, event.message.revision
+    state.known_revisions.record(
+        event.message.revision, state.revision, event.at_ms
     )
     name = state.endpoint_by_peer.get(event.peer)
     if name is None:
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -9,6 +9,7 @@
 from berylhollow import following
 from berylhollow.gateway import _options
 from berylhollow.gateway import _placement
+from berylhollow.gateway import _revisions
 from berylhollow import messages
 from berylhollow import policy
 from berylhollow import quarantine
@@ -315,9 +316,9 @@
 
     ``rate_limited`` has the endpoints with a rate limit, ``absent_notices``
     the notices of endpoints that left the list. ``listed_ms`` is when the
-    instance list in use was received. ``newest_known_revision`` is the
-    newest configuration revision that any gateway is known to have had,
-    ``started_ms`` when this gateway started.
+    instance list in use was received. ``known_revisions`` are the revisions
+    of the configuration that other gateways are known to have, ``started_ms``
+    is when this gateway started.
 
     ``allowances`` has what this gateway may use of each workspace's quota,
     ``quota_uses_reported`` the usage last reported to the ``quota_books``.
@@ -328,7 +329,9 @@
     incarnation: str = ''
     started_ms: int = 0
     settled_ms: int = 0
-    newest_known_revision: int | None = None
+    known_revisions: _revisions.KnownRevisions = dataclasses.field(
+        default_factory=_revisions.KnownRevisions
+    )
     allowances: dict[str, workspaces.Allowance] = dataclasses.field(
         default_factory=dict
     )
@@ -415,6 +418,22 @@
             return True
         return self.listed_ms != clock.NEVER_MS
 
+    @property
+    def revision(self) -> int:
+        """Return the revision of the configuration in force, 0 for none."""
+        current = self.follower.current
+        return 0 if current is None else current.revision
+
+    def behind_ms(self, at_ms: int) -> int | None:
+        """Return how long a newer revision has been known; None if none is."""
+        return self.known_revisions.behind_ms(self.revision, at_ms)
+
+    def is_outdated(self, at_ms: int) -> bool:
+        """Tell whether the configuration must not be used any longer."""
+        behind_ms = self.behind_ms(at_ms)
+        limit_ms = self.options.outdated_refuse_ms
+        return behind_ms is not None and behind_ms >= limit_ms
+
     def list_age_ms(self, at_ms: int) -> int:
         """Return the age of the instance list, -1 without one."""
         if self.listed_ms == clock.NEVER_MS:
--- a/berylhollow/hosted/gateway_process.py
+++ b/berylhollow/hosted/gateway_process.py
@@ -66,6 +66,13 @@
 """Share of the key bound after which the gateway is not ready. A new key proof
 is requested at two fifths of the bound."""
 
+OUTDATED_READY_SHARE = 0.25
+OUTDATED_REFUSE_SHARE = 0.5
+"""Shares of the configuration's time limit after which a gateway that knows of
+a newer revision and lacks it is not ready, and refuses requests. The limit
+counts from the operator's confirmation; the rest covers the time until the
+revision is heard of."""
+
 UNBOUNDED = 1_000_000
 
 
@@ -175,6 +182,12 @@
         budget_by_caller=False,
         policy='quick-reload',
         keys_ready_ms=max_ready_key_age_ms(node),
+        outdated_ready_ms=int(
+            node.configuration_limit_ms * OUTDATED_READY_SHARE
+        ),
+        outdated_refuse_ms=int(
+            node.configuration_limit_ms * OUTDATED_REFUSE_SHARE
+        ),
         quota_tolerance=workspaces.Tolerance(
             node.quota_window_ms / clock.MS_PER_SECOND,
             node.quota_overrun,
--- a/berylhollow/loader/_report.py
+++ b/berylhollow/loader/_report.py
@@ -62,6 +62,8 @@
         return True
     if age_ms < state.options.min_report_interval_ms:
         return False
+    if report.revision != last.revision:
+        return True
     if _ready_adapters(report) != _ready_adapters(last):
         return True
     tokens_change = abs(report.waiting_tokens - last.waiting_tokens)
--- a/berylhollow/metrics/_instruments.py
+++ b/berylhollow/metrics/_instruments.py
@@ -171,6 +171,14 @@
         'How long ago the log is known to have held no newer change; -1 if '
         'that was never known.',
     ),
+    Instrument(
+        'berylhollow.configuration.lag',
+        HISTOGRAM,
+        's',
+        'From when another gateway was heard to have a newer revision until '
+        'it is in force here; 0 if none was heard of.',
+        buckets=DURATION_BUCKETS_S,
+    ),
     Instrument(
         'berylhollow.keys.age',
         OBSERVED_GAUGE,
--- a/berylhollow/platform/_node.py
+++ b/berylhollow/platform/_node.py
@@ -16,6 +16,9 @@
 DEFAULT_CONTACT_MS = 3000
 """Used if the file gives none; the value in the platform's own examples."""
 
+DEFAULT_CONFIGURATION_LIMIT_MS = 2000
+"""Used if the file gives none; the value in the platform's own examples."""
+
 DEFAULT_QUOTA_WINDOW_S = 1.0
 
 
@@ -55,7 +58,9 @@
     that is listed as leaving. ``heartbeat_ms`` is the interval at which an
     endpoint rewrites its entry, 0 if unknown. ``recovery_limit_ms`` is the
     time after the end of a disturbance within which all guarantees must hold
-    again. ``key_revocation_limit_ms`` is how long a revoked key may still be
+    again. ``configuration_limit_ms`` is the time after its confirmation from
+    which a configuration must be in force everywhere.
+    ``key_revocation_limit_ms`` is how long a revoked key may still be
     accepted, 0 for no bound. In any ``quota_window_ms`` usage may exceed the
     quota by ``quota_overrun`` times the quota plus ``quota_slack``.
     """
@@ -77,6 +82,7 @@
     endpoint_drain_ms: int
     heartbeat_ms: int
     recovery_limit_ms: int
+    configuration_limit_ms: int
     key_revocation_limit_ms: int
     quota_window_ms: int
     quota_overrun: float
@@ -199,6 +205,9 @@
         recovery_limit_ms=_read_milliseconds(
             fields, 'Bounds.ContactMs', DEFAULT_CONTACT_MS
         ),
+        configuration_limit_ms=_read_milliseconds(
+            fields, 'Bounds.ConfigApplyMs', DEFAULT_CONFIGURATION_LIMIT_MS
+        ),
         key_revocation_limit_ms=_read_key_bound_ms(fields),
         quota_window_ms=_read_seconds(
             fields, 'Bounds.QuotaWindowS', DEFAULT_QUOTA_WINDOW_S
--- a/test/hosted/slow_links.py
+++ b/test/hosted/slow_links.py
@@ -43,6 +43,8 @@
 SIDECAR_COUNT = 3
 START_PAUSE_MS = 70
 
+PARTS = messages.StreamPart | messages.CompressedStreamPart
+
 OLD_SERVICE = builders.PLAIN_SERVICE
 NEW_SERVICE = 'wuno96c'
 PATH = '/puxa403/x'
@@ -100,8 +102,11 @@
         }
         self.link = link
         self.latency_ms = LATENCY_MS
+        self.is_cut = False
 
     async def request(self, _method, url, *, timeout, params, **_options):
+        if self.is_cut:
+            raise aiohttp.ClientConnectionError('cut off')
         path = '/v1/' + url.rpartition('/')[2]
         limits = _Limits(timeout)
         async with limits.progress():
@@ -227,6 +232,10 @@
     def state(self):
         return self.driver.state
 
+    def cut_off(self):
+        """Cut it off from the store and from what others read of it."""
+        self.session.is_cut = True
+
     def start(self):
         self.driver.feed(events.Started(self.time.now_ms(), 'i1'))
         self.tasks.start(self.driver.tick(TICK_MS))
@@ -256,6 +265,8 @@
         """Receive the messages of a sidecar in order, over the link."""
         while True:
             message = await queue.get()
+            if self.session.is_cut and isinstance(message, PARTS):
+                continue
             size = len(_codec.shared_codec().encode(message))
             await self.link.transfer(size, type(message).__name__)
             self.driver.feed(
--- a/test/hosted/test_shared_reads.py
+++ b/test/hosted/test_shared_reads.py
@@ -6,6 +6,7 @@
 from berylhollow.util import addresses
 from test.hosted import test_gateway_direct as direct
 from test.loader import loader_helper
+from test import platform_builders as builders
 
 PART = messages.StreamPart('endpoints', 5, 6, (b'record',), 'g2')
 FAILURE_DOMAIN = 'sal-kista'
@@ -79,6 +80,19 @@
         self.feed(events.Ticked(100, 0.5))
         self.assertEqual([kept], self.sidecars_listened_to())
 
+    def test_new_revision_is_announced_at_the_next_tick(self):
+        """A gateway that missed a configuration must soon hear that it did."""
+        self.link(*self.peers, at_ms=50)
+        self.publish(builders.configuration_record(9))
+        self.feed(events.Ticked(100, 0.5))
+        announced = {
+            effect.peer
+            for effect in self.of_type(effects.Send)
+            if isinstance(effect.message, messages.AdapterDemands)
+            and effect.message.revision == 9
+        }
+        self.assertLessEqual(set(self.state.relays), announced)
+
     def test_part_of_the_endpoint_list_is_applied_at_once(self):
         self.link(*self.peers)
         self.receive(PART, 500, self.peers[0])
--- a/test/hosted/test_slow_links.py
+++ b/test/hosted/test_slow_links.py
@@ -69,6 +69,29 @@
         bound_ms = world.confirmed_ms[13] + CONFIGURATION_LIMIT_MS
         self.assertEqual({}, last_late_ms(world, bound_ms))
 
+    def test_gateway_that_can_not_get_a_version_refuses_in_time(self):
+        """It was known to be outdated and served callers without a limit."""
+        publish = publishing(13)
+
+        async def operate(world):
+            await slow_links.sleep_ms(6000)
+            world.gateways[1].cut_off()
+            await publish(world)
+
+        world = play(operate, until_ms=20_000)
+        bound_ms = world.confirmed_ms[13] + CONFIGURATION_LIMIT_MS
+        self.assertEqual({}, last_late_ms(world, bound_ms))
+        kinds = {
+            (refused.gateway, refused.kind)
+            for refused in world.refused
+            if refused.at_ms > bound_ms
+        }
+        self.assertEqual({('front-1', 'configuration_outdated')}, kinds)
+
+    def test_change_refuses_nobody(self):
+        """Hundreds of callers with a key were refused around each change."""
+        self.assertEqual([], play(publishing(13, 15, 16)).refused)
+
     def test_versions_in_quick_succession_are_in_force_in_time(self):
         """Three versions within 0.4 s are three whole tables to read."""
         world = play(publishing(13, 15, 16, pause_ms=200))
--- a/test/hosted/test_workspaces.py
+++ b/test/hosted/test_workspaces.py
@@ -143,8 +143,8 @@
         self.assertIs(errors.Kind.KEY_UNPROVEN, self.answer().kind)
 
     def test_not_ready_before_keys_are_refused(self):
-        self.assertTrue(_workspaces.should_accept_keys(self.state, 2700))
-        self.assertFalse(_workspaces.should_accept_keys(self.state, 2800))
+        self.assertTrue(_workspaces.should_accept_callers(self.state, 2700))
+        self.assertFalse(_workspaces.should_accept_callers(self.state, 2800))
         self.assertTrue(_workspaces.has_proven_keys(self.state, 2800))
 
     def test_refused_by_the_head_as_by_the_whole_request(self):
--- a/test/loader/test_loader.py
+++ b/test/loader/test_loader.py
@@ -224,6 +224,18 @@
         self.report(at_ms=1000)
         self.assertEqual(6000, self.reports()[-1].waiting_tokens)
 
+    def test_new_revision_is_reported_early(self):
+        """Gateways heard up to a second late that theirs was outdated."""
+        self.send_demands()
+        self.report(at_ms=0)
+        self.send_demands(at_ms=300, revision=9)
+        reported = [
+            effect.message.revision
+            for effect in self.of_type(effects.Send)
+            if isinstance(effect.message, messages.Report)
+        ]
+        self.assertEqual([9], reported)
+
     def test_large_change_of_waiting_tokens_is_reported_early(self):
         self.send_demands(at_ms=990)
         self.report(at_ms=1000)
