--- a/berylhollow/platform/_store.py
+++ b/berylhollow/platform/_store.py
@@ -3,6 +3,7 @@
 import base64
 import dataclasses
 import json
+import logging
 import struct
 
 import aiohttp
@@ -15,6 +16,8 @@
 from berylhollow.util import hedging
 from berylhollow.util import shared_task
 
+LOG = logging.getLogger(__name__)
+
 CALL_TIMEOUT_MS = 1000
 """Longest time without a byte of the answer; a healthy store begins to answer
 within milliseconds."""
@@ -223,6 +226,13 @@
         """Receive the body of a response and check its status and era."""
         async with response:
             body = await outgoing.read_body(response)
+        if len(body) >= LARGE_ANSWER_BYTES:
+            fields = {
+                'size_bytes': len(body),
+                'duration_ms': self.time.now_ms() - begun_ms,
+                'arriving': len(self.transfers),
+            }
+            LOG.info('large answer received', extra=fields)
         era = self._check_era(response.headers.get(ERA_HEADER, '0'))
         if response.status == GONE_STATUS:
             detail = {'first_offset': json.loads(body)['First']}
--- a/test/platform/test_store.py
+++ b/test/platform/test_store.py
@@ -166,7 +166,12 @@
             return response
 
         self.answers = [respond]
-        self.assertEqual(8, await self.next_offset())
+        with self.assertLogs('berylhollow.platform', 'INFO') as logs:
+            self.assertEqual(8, await self.next_offset())
+        (line,) = logs.records
+        self.assertEqual('large answer received', line.getMessage())
+        self.assertEqual(len(LARGE), line.size_bytes)
+        self.assertGreaterEqual(line.duration_ms, 1000)
 
     async def test_answer_that_stops_arriving_is_dropped(self):
         """A read must not wait for the rest of a lost connection's answer."""
