Limit reads of the log service by their progress as well

Found by looking for the same cause elsewhere: the client of the log service had one limit for the whole answer too. It now ends a read after 5 s (and the wait) without a byte, and after 30 s in all. test_page_that_keeps_arriving_is_ not_dropped failed before; its twin guards that a silent one still ends.

The endpoint list uses the same client and the same parts. These are unchanged.

--- a/berylhollow/log_service/_log_client.py
+++ b/berylhollow/log_service/_log_client.py
@@ -11,6 +11,11 @@
 
 APPEND_TIMEOUT_MS = 3000
 READ_TIMEOUT_MS = 5000
+"""Longest time without a byte of the answer, beyond the wait."""
+
+TRANSFER_TIMEOUT_MS = 30_000
+"""Longest time for a whole answer: 1000 large records over a slow link."""
+
 READ_LIMIT = 1000
 OFFSET_GONE = 'offset_gone'
 
@@ -75,7 +80,8 @@
                 self.session,
                 'GET',
                 self.records_url(stream),
-                READ_TIMEOUT_MS + wait_ms,
+                TRANSFER_TIMEOUT_MS + wait_ms,
+                silence_ms=READ_TIMEOUT_MS + wait_ms,
                 params=params,
             )
         except outgoing.CallRefused as refused:
--- a/test/hosted/slow_links.py
+++ b/test/hosted/slow_links.py
@@ -362,14 +362,16 @@
     """One failure domain: its store, sidecars, endpoints and gateways.
 
     ``rates`` has the link rate of each gateway. The one with the lowest name,
-    the first, becomes the reader.
+    the first, becomes the reader. The configuration at the start has
+    ``first_route_count`` routes.
     """
 
-    def __init__(self, rates, background_share, **bounds):
+    def __init__(self, rates, background_share, first_route_count, **bounds):
         self.time = virtual_loop.LoopClock()
         self.tasks = shell.Tasks()
         self.store = metadata_store.MetadataStore()
         self.bounds = bounds
+        self.first_route_count = first_route_count
         self.routed = []
         self.refused = []
         self.confirmed_ms = {}
@@ -386,7 +388,9 @@
 
     async def run(self, operate, until_ms):
         """Start everything and let an operator work until a time."""
-        await self.publish(configuration(1, OLD_SERVICE, 40))
+        await self.publish(
+            configuration(1, OLD_SERVICE, self.first_route_count)
+        )
         for number in range(SIDECAR_COUNT):
             address = f'10.0.0.{number + 1}:80'
             peer = addresses.sidecar_peer(address)
--- a/test/hosted/test_slow_links.py
+++ b/test/hosted/test_slow_links.py
@@ -18,12 +18,20 @@
 KEY_LIMIT_MS = 5000
 
 
-def play(operate, until_ms=14_000, rates=(FAST_LINK, *[SLOW_LINK] * 4)):
+def play(
+    operate,
+    until_ms=14_000,
+    rates=(FAST_LINK, *[SLOW_LINK] * 4),
+    first_route_count=40,
+):
     """Return the world after an operator's work; it ran on virtual time."""
 
     async def run():
         world = slow_links.World(
-            rates, CALLERS_SHARE, key_revocation_limit_ms=KEY_LIMIT_MS
+            rates,
+            CALLERS_SHARE,
+            first_route_count,
+            key_revocation_limit_ms=KEY_LIMIT_MS,
         )
         await world.run(operate, until_ms)
         return world
@@ -56,6 +64,18 @@
     }
 
 
+class StartTest(unittest.TestCase):
+    def test_gateway_starts_with_thousands_of_routes(self):
+        """It never finished its first read and never became ready."""
+
+        async def idle(world):
+            pass
+
+        world = play(idle, until_ms=8000, first_route_count=GROWN_ROUTE_COUNT)
+        revisions = [gateway.state.revision for gateway in world.gateways]
+        self.assertEqual([1] * 5, revisions)
+
+
 class ConfigurationInForceTest(unittest.TestCase):
     def test_request_is_not_routed_by_the_table_before(self):
         """A request ran on a service that its route had left 3 s before."""
--- /dev/null
+++ b/test/test_log_client.py
@@ -0,0 +1,61 @@
+"""Reads of the log service over slow connections."""
+
+import asyncio
+import contextlib
+import json
+import unittest
+from unittest import mock
+
+from aiohttp import web
+
+from berylhollow import log_service
+from berylhollow.log_service import _log_client
+from berylhollow import outgoing
+from berylhollow.standin import _http
+
+READ_TIMEOUT_MS = 1000
+PIECES = 6
+PIECE_PAUSE_S = 0.25
+PAGE = json.dumps(
+    {'records': [], 'first_offset': 0, 'next_offset': 7}
+).encode()
+
+
+class SlowAnswerTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.stack = contextlib.AsyncExitStack()
+        self.addAsyncCleanup(self.stack.aclose)
+        self.stack.enter_context(
+            mock.patch.object(_log_client, 'READ_TIMEOUT_MS', READ_TIMEOUT_MS)
+        )
+        self.may_end = asyncio.Event()
+        application = web.Application()
+        application.router.add_get('/{path:.*}', self.respond)
+        port = await self.stack.enter_async_context(
+            _http.listening(application, '127.0.0.1', 0)
+        )
+        self.client = log_service.LogClient(f'http://127.0.0.1:{port}')
+        self.stack.push_async_callback(self.client.close)
+
+    async def respond(self, request):
+        response = web.StreamResponse(
+            headers={'Content-Length': str(len(PAGE))}
+        )
+        await response.prepare(request)
+        size = len(PAGE) // PIECES + 1
+        for start in range(0, len(PAGE), size):
+            await asyncio.sleep(PIECE_PAUSE_S)
+            await response.write(PAGE[start : start + size])
+            await self.may_end.wait()
+        return response
+
+    async def test_page_that_keeps_arriving_is_not_dropped(self):
+        """A large page over a slow link was read from zero again and again."""
+        self.may_end.set()
+        result = await self.client.read('operators', 0)
+        self.assertEqual(7, result.next_offset)
+
+    async def test_page_that_stops_arriving_is_dropped(self):
+        with self.assertRaises(outgoing.CallOutcomeUnknown):
+            await self.client.read('operators', 0)
+        self.may_end.set()
