Count a crash once when several gateways report it

Cause: each gateway that lost a request at a direct endpoint reports the crash under an id of the endpoint's start and itself, so that its own requests are not taken for known ones. Suspicions counted these ids, so one crash at two gateways was two.

Change: a suspicion counts ends of an endpoint's start; the id of a report still names the reporter, also to and from older processes. A report of another gateway for the same crash still makes its own requests suspects.

--- a/berylhollow/gateway/_crashes.py
+++ b/berylhollow/gateway/_crashes.py
@@ -65,7 +65,7 @@
     if not suspects:
         return []
     service = endpoint.instance.service
-    crash_id = f'{name} at {state.options.instance}'
+    crash_id = quarantine.reported_crash_id(name, state.options.instance)
     message = messages.Crashed(crash_id, service, suspects)
     result: Effects = [
         effects.Send(peer, message)
--- a/berylhollow/quarantine/__init__.py
+++ b/berylhollow/quarantine/__init__.py
@@ -6,6 +6,7 @@
 from berylhollow.quarantine._records import Lift
 from berylhollow.quarantine._records import Record
 from berylhollow.quarantine._records import RecordError
+from berylhollow.quarantine._records import reported_crash_id
 from berylhollow.quarantine._records import STREAM
 from berylhollow.quarantine._suspects import Rules
 from berylhollow.quarantine._suspects import Suspects
@@ -20,4 +21,5 @@
     'Suspects',
     'decode',
     'encode',
+    'reported_crash_id',
 ]
--- a/berylhollow/quarantine/_records.py
+++ b/berylhollow/quarantine/_records.py
@@ -8,6 +8,9 @@
 CRASH_TAG = 1
 LIFT_TAG = 2
 
+REPORTER_SEPARATOR = ' at '
+"""Stands between the endpoint and the process that reports its crash."""
+
 
 class RecordError(ValueError):
     """A record does not belong to the quarantine stream."""
@@ -17,8 +20,8 @@
 class Crash:
     """An endpoint crashed while it ran the requests of these fingerprints.
 
-    ``crash_id`` names the endpoint and the epoch that ended, so that a crash
-    that is reported twice counts once.
+    ``crash_id`` names the endpoint and the epoch that ended, and the reporter
+    if several processes may report the crash, each with its own requests.
     """
 
     crash_id: str
@@ -26,6 +29,16 @@
     fingerprints: tuple[str, ...]
 
 
+def reported_crash_id(ended: str, reporter: str) -> str:
+    """Return the ``crash_id`` of one of several reports of a crash."""
+    return f'{ended}{REPORTER_SEPARATOR}{reporter}'
+
+
+def ended_epoch(crash_id: str) -> str:
+    """Return the epoch that ended, the same for all reports of a crash."""
+    return crash_id.rpartition(REPORTER_SEPARATOR)[0] or crash_id
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Lift:
     """An operator lifted the quarantine of a fingerprint."""
--- a/berylhollow/quarantine/_suspects.py
+++ b/berylhollow/quarantine/_suspects.py
@@ -27,7 +27,10 @@
 
 @dataclasses.dataclass(slots=True)
 class Suspicion:
-    """The crashes and quarantines of one fingerprint."""
+    """The crashes and quarantines of one fingerprint.
+
+    ``crash_ids`` has the first report of each crash.
+    """
 
     crash_ids: set[str]
     service: str
@@ -91,7 +94,9 @@
         if suspicion is None:
             suspicion = Suspicion(set(), crash.service, 0)
             self.suspicions[fingerprint] = suspicion
-        if crash.crash_id in suspicion.crash_ids:
+        if _records.ended_epoch(crash.crash_id) in map(
+            _records.ended_epoch, suspicion.crash_ids
+        ):
             return False
         suspicion.crash_ids.add(crash.crash_id)
         suspicion.forget_at_ms = max(
--- a/test/hosted/test_gateway_direct.py
+++ b/test/hosted/test_gateway_direct.py
@@ -567,6 +567,15 @@
         self.send_request(fingerprint='same', at_ms=2)
         self.assertEqual(1, len(self.offers()))
 
+    def test_requests_that_another_gateway_lost_there_are_suspects(self):
+        """Two reports of one crash each have requests of their own."""
+        self.crash_endpoint(1, 'mine')
+        reported = messages.Crashed(
+            'i-1 at g9', builders.PLAIN_SERVICE, ('other',)
+        )
+        self.feed(events.MessageReceived(1, 'sidecar', reported))
+        self.assertTrue(self.state.suspects.is_suspect('other', 2))
+
     def test_broken_connection_to_a_running_endpoint_is_no_crash(self):
         """Endpoints lose answers for a while but keep running."""
         self.list_instances(plain('i-1', '10.0.0.1:80'))
