Decode each record of the configuration once

Records below the offset that is already applied in the same era are skipped. The new test failed before (two decodings); its twin guards that the same offsets of a restored log are read anew.

--- a/berylhollow/routes/_follower.py
+++ b/berylhollow/routes/_follower.py
@@ -171,8 +171,11 @@
             return done
         self.era = event.era
         self.key_proof.record_log_end(event.next_offset)
+        known_offset = self.next_offset or 0
         for entry in event.entries:
-            done += self._apply_record(entry, event.at_ms)
+            # A check and a read of the same records end one after the other.
+            if event.from_offset is None or entry.offset >= known_offset:
+                done += self._apply_record(entry, event.at_ms)
         self.next_offset = max(self.next_offset or 0, event.next_offset)
         self.last_read_ms = event.at_ms
         if event.begun_ms is not None and event.whole:
--- a/test/routes/test_view.py
+++ b/test/routes/test_view.py
@@ -160,6 +160,35 @@
         self.assertEqual('record not understood', done[0].text)
         self.assertEqual(9, self.follower.current.revision)
 
+    def test_records_of_two_reads_are_decoded_once(self):
+        """Each copy of a large configuration stopped the gateway for long."""
+        decoded = []
+
+        def decode(data):
+            decoded.append(data)
+            return platform.decode_configuration_record(data)
+
+        self.read(next_offset=4)
+        self.follower.decode = decode
+        record = builders.configuration_record(7)
+        entry = messages.LogEntry(4, 0, record)
+        stream = platform.CONFIGURATION_STREAM
+        read = events.LogRead(10, stream, (entry,), 0, 5, from_offset=4)
+        self.follower.handle(read)
+        self.follower.handle(events.LogChecked(20, stream, read))
+        self.assertEqual([record], decoded)
+
+    def test_records_of_a_restored_log_are_decoded(self):
+        """It has other records at the same offsets."""
+        stream = platform.CONFIGURATION_STREAM
+        for era, version in ((0, 7), (1, 8)):
+            record = builders.configuration_record(version)
+            entry = messages.LogEntry(4, 0, record)
+            self.follower.handle(
+                events.LogRead(10, stream, (entry,), 0, 5, era)
+            )
+        self.assertEqual(8, self.follower.current.revision)
+
     def test_lost_read_is_begun_again(self):
         """A connection goes silent: no answer and no error ever comes."""
         self.assertEqual([], self.follower.tick(3000, [], [], ''))
