Restore the timing of the first test of slow links

test_request_is_not_routed_by_the_table_before was listed as failing with all processes started at once and the first version written as their checks of the keys begin. When the tests beside it were added, starts and writes were moved apart for all of them, and with that timing this one passes on too: it no longer guarded the fault that it names.

--- a/test/hosted/slow_links.py
+++ b/test/hosted/slow_links.py
@@ -41,7 +41,6 @@
 HEARTBEAT_MS = 1200
 REQUEST_INTERVAL_MS = 25
 SIDECAR_COUNT = 3
-START_PAUSE_MS = 70
 
 PARTS = messages.StreamPart | messages.CompressedStreamPart
 
@@ -363,15 +362,24 @@
 
     ``rates`` has the link rate of each gateway. The one with the lowest name,
     the first, becomes the reader. The configuration at the start has
-    ``first_route_count`` routes.
+    ``first_route_count`` routes. Processes start ``start_pause_ms`` apart; if
+    they start at once, their checks of the keys stay in step.
     """
 
-    def __init__(self, rates, background_share, first_route_count, **bounds):
+    def __init__(
+        self,
+        rates,
+        background_share,
+        first_route_count,
+        start_pause_ms,
+        **bounds,
+    ):
         self.time = virtual_loop.LoopClock()
         self.tasks = shell.Tasks()
         self.store = metadata_store.MetadataStore()
         self.bounds = bounds
         self.first_route_count = first_route_count
+        self.start_pause_ms = start_pause_ms
         self.routed = []
         self.refused = []
         self.confirmed_ms = {}
@@ -400,7 +408,7 @@
         self.add_endpoint('i-new', '10.0.1.2:80', NEW_SERVICE)
         for process in (*self.sidecars.values(), *self.gateways):
             process.start()
-            await sleep_ms(START_PAUSE_MS)
+            await sleep_ms(self.start_pause_ms)
         self.tasks.start(operate(self))
         await sleep_ms(until_ms)
         for gateway_ in self.gateways:
--- a/test/hosted/test_slow_links.py
+++ b/test/hosted/test_slow_links.py
@@ -23,6 +23,7 @@
     until_ms=14_000,
     rates=(FAST_LINK, *[SLOW_LINK] * 4),
     first_route_count=40,
+    start_pause_ms=70,
 ):
     """Return the world after an operator's work; it ran on virtual time."""
 
@@ -31,6 +32,7 @@
             rates,
             CALLERS_SHARE,
             first_route_count,
+            start_pause_ms,
             key_revocation_limit_ms=KEY_LIMIT_MS,
         )
         await world.run(operate, until_ms)
@@ -39,11 +41,11 @@
     return virtual_loop.run(run())
 
 
-def publishing(*versions, route_count=ROUTE_COUNT, pause_ms=2333):
+def publishing(*versions, route_count=ROUTE_COUNT, pause_ms=2333, at_ms=6300):
     """Return an operator that publishes versions with a pause between them."""
 
     async def operate(world):
-        await slow_links.sleep_ms(6300)
+        await slow_links.sleep_ms(at_ms)
         for version in versions:
             await world.publish(
                 slow_links.configuration(
@@ -79,7 +81,8 @@
 class ConfigurationInForceTest(unittest.TestCase):
     def test_request_is_not_routed_by_the_table_before(self):
         """A request ran on a service that its route had left 3 s before."""
-        world = play(publishing(13, 15))
+        # The first version is written as the checks of the keys begin.
+        world = play(publishing(13, 15, at_ms=6000), start_pause_ms=0)
         bound_ms = world.confirmed_ms[13] + CONFIGURATION_LIMIT_MS
         self.assertEqual({}, last_late_ms(world, bound_ms))
 
--- a/test/soak/test_promises.py
+++ b/test/soak/test_promises.py
@@ -23,6 +23,7 @@
             key=KEY,
             taken_away={},
             named=[],
+            large=[],
             limits=[_operator.Confirmed('limit', 1000, 0.0)],
         )
         self.schedule = types.SimpleNamespace(
@@ -131,6 +132,33 @@
         self.fault('down', 'store', 101.0, 102.0)
         self.check('newest version', 0, 0)
 
+    def declare_large(self):
+        """Declare a route at 100 s that another replaces at 110 s."""
+        self.operator.large = [
+            _operator.Confirmed('route', '/v2/', 100.0, 99.0),
+            _operator.Confirmed('route', '/v3/', 110.0, 109.0),
+        ]
+
+    def test_route_that_is_not_there_in_time(self):
+        self.declare_large()
+        for sent in (102.9, 103.1, 109.0):
+            self.request(sent, 404, ran=0, path='/v2/')
+        self.request(103.1, path='/v2/')
+        self.check('configuration in force in time', 2, 1)
+
+    def test_route_that_is_not_gone_in_time(self):
+        self.declare_large()
+        self.request(112.9, path='/v2/')
+        self.request(113.1, path='/v2/')
+        self.request(113.1, 404, ran=0, path='/v2/')
+        self.check('configuration in force in time', 2, 1)
+
+    def test_route_at_a_gateway_that_was_cut_off(self):
+        self.declare_large()
+        self.fault('deaf', f'{GATEWAY} store', 99.0, 101.0)
+        self.request(103.1, 404, ran=0, path='/v2/')
+        self.check('configuration in force in time', 0, 0)
+
     def test_request_after_the_endpoint_has_left(self):
         self.schedule.left = {'p0': 90.0}
         self.request(91.0)
