Let the soak publish large configurations over narrow links

Two versions of 1,400 routes in a row, every ten seconds or so, while all gateways but one receive at most 150 KB a second from the store. A new promise: a route that a version declares is there in time, and one that it drops runs nothing any more, at gateways that are in touch.

--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -43,6 +43,7 @@
         for number in range(arguments.callers):
             limited = number % 3 == 0
             tasks.append(asyncio.create_task(callers.call(limited)))
+        tasks.append(asyncio.create_task(callers.call_large()))
         await asyncio.sleep(_world.CONTACT_MS / 1000)
         await schedule.play()
         await asyncio.sleep(CALM_S)
--- a/tools/soak/_callers.py
+++ b/tools/soak/_callers.py
@@ -80,6 +80,26 @@
                     await asyncio.sleep(PAUSE_S * self.chance.random() * 2)
             await asyncio.sleep(PAUSE_S)
 
+    async def call_large(self) -> None:
+        """Request the newest and the last route of large configurations."""
+        chance = random.Random(len(self.world.gateways))
+        while True:
+            await asyncio.sleep(PAUSE_S * chance.random() * 2)
+            paths = [route.value for route in self.operator.large[-2:]]
+            if not paths:
+                continue
+            exchange = Exchange(
+                f'id-{next(self.numbers)}',
+                chance.choice(paths),
+                None,
+                _operator.PLAIN_TOKENS,
+                '',
+                chance.choice(self.ready or self.world.gateways),
+                time.monotonic(),
+            )
+            async with aiohttp.ClientSession() as session:
+                await self._send(session, exchange)
+
     def _request(self, gateway: str, limited: bool) -> Exchange:
         path, key, adapter = '/p/x', self._key(), ''
         tokens = _operator.PLAIN_TOKENS
--- a/tools/soak/_operator.py
+++ b/tools/soak/_operator.py
@@ -4,6 +4,7 @@
 import dataclasses
 import itertools
 import random
+import time
 
 from tools.soak import _world
 
@@ -15,15 +16,17 @@
 LIMITED_KEY = 'key-of-w2'
 UNKNOWN_KEY = 'key-of-nobody'
 PLAIN_TOKENS = 200
+LARGE_ROUTES = 1400
 
 
 @dataclasses.dataclass(frozen=True)
 class Confirmed:
-    """A change and when the store had confirmed it."""
+    """A change, when the store had confirmed it and when it was begun."""
 
     what: str
     value: object
     at: float
+    begun: float = 0.0
 
 
 class Operator:
@@ -45,6 +48,7 @@
         self.limits: list[Confirmed] = []
         self.adapter_versions: dict[str, int] = {}
         self.named: list[Confirmed] = []
+        self.large: list[Confirmed] = []
         self.lock = asyncio.Lock()
         self.replacing = asyncio.Lock()
 
@@ -72,6 +76,21 @@
             at = await self._publish()
             self.limits.append(Confirmed('limit', self.rate, at))
 
+    async def publish_large(self) -> None:
+        """Publish two large configurations in a row.
+
+        Each has a route of its own, ``large[-1]``, in place of the one before.
+        """
+        for _ in range(2):
+            async with self.lock:
+                path = f'/v{self.version + 1}/'
+                begun = time.monotonic()
+                self.large.append(
+                    Confirmed('route', path, float('inf'), begun)
+                )
+                at = await self._publish()
+                self.large[-1] = Confirmed('route', path, at, begun)
+
     async def name_version(self) -> None:
         """Name a new version of an adapter, which endpoints can load."""
         async with self.lock:
@@ -134,6 +153,7 @@
                 _route('/m/', 'stream', _world.MODEL_SERVICE),
                 _route('/p/', 'unsafe', _world.PLAIN_SERVICE),
                 _route('/o/', 'safe', _world.PLAIN_SERVICE, public=True),
+                *self._large_routes(),
             ],
             'Services': [
                 {
@@ -161,6 +181,14 @@
             ],
         }
 
+    def _large_routes(self) -> list[dict]:
+        if not self.large:
+            return []
+        paths = [self.large[-1].value]
+        paths += [f'/{number:08x}/' for number in range(LARGE_ROUTES)]
+        service = _world.PLAIN_SERVICE
+        return [_route(path, 'safe', service, public=True) for path in paths]
+
 
 def _route(prefix: str, kind: str, service: str, public: bool = False):
     return {
--- a/tools/soak/_promises.py
+++ b/tools/soak/_promises.py
@@ -72,6 +72,7 @@
                 ('planned_stop_cuts_nothing', self.planned_stop),
                 ('unknown_key_never_runs', self.unknown_key),
                 ('revoked_key_ends_in_time', self.revoked_key),
+                ('configuration_in_force_in_time', self.configuration),
                 ('workspace_of_the_key', self.workspace),
                 ('key_goes_nowhere', self.key_goes_nowhere),
                 ('quota_in_every_window', self.quota),
@@ -207,6 +208,37 @@
             verdict.check(not ran, exchange.request_id)
         return verdict
 
+    def configuration(self) -> Verdict:
+        """A route is there, or gone, in time after the confirmation."""
+        verdict = Verdict()
+        routes = {route.value: route for route in self.operator.large}
+        replacing = dict(zip(routes, self.operator.large[1:], strict=False))
+        for exchange in self.exchanges:
+            route = routes.get(exchange.path)
+            if route is None:
+                continue
+            replaced = replacing.get(exchange.path)
+            if replaced is None or exchange.ended < replaced.begun:
+                if self._is_due(exchange, route.at):
+                    there = exchange.status != 404
+                    verdict.check(there, exchange.request_id)
+            elif self._is_due(exchange, replaced.at):
+                ran = exchange.request_id in self.runs
+                verdict.check(not ran, exchange.request_id)
+        return verdict
+
+    def _is_due(self, exchange: _callers.Exchange, at: float) -> bool:
+        """Tell whether a change must have been in force for a request."""
+        if exchange.sent <= at + _world.CONFIGURATION_MS / 1000:
+            return False
+        since = at - _world.CONTACT_MS / 1000
+        return self._in_touch(
+            exchange.gateway, at, exchange.ended
+        ) and not any(
+            fault.target.endswith(' link')
+            for fault in self._faults(since, exchange.ended)
+        )
+
     def workspace(self) -> Verdict:
         verdict = Verdict()
         for exchange, runs in self._pairs():
--- a/tools/soak/_proxy.py
+++ b/tools/soak/_proxy.py
@@ -14,16 +14,20 @@
     """What becomes of the bytes on a proxy's connections.
 
     ``SILENT`` keeps them back both ways and takes no new connection,
-    ``DEAF`` keeps back only what the target answers.
+    ``DEAF`` keeps back only what the target answers, ``NARROW`` lets all
+    connections together have ``NARROW_BYTES_PER_S`` of answers.
     """
 
     OPEN = 'open'
     SLOW = 'slow'
     SILENT = 'silent'
     DEAF = 'deaf'
+    NARROW = 'narrow'
 
 
 SLOW_S = 0.3
+NARROW_BYTES_PER_S = 150_000
+NARROW_CHUNK_BYTES = 4096
 
 
 class Proxy:
@@ -35,6 +39,7 @@
         self.target = target
         self.mode = Mode.OPEN
         self.changed = asyncio.Event()
+        self.turn = asyncio.Lock()
         self.writers: set[asyncio.StreamWriter] = set()
         self.tasks: set[asyncio.Task] = set()
         self.server: asyncio.Server | None = None
@@ -100,11 +105,22 @@
             await self._wait_while(*held_back)
             if self.mode is Mode.SLOW:
                 await asyncio.sleep(SLOW_S)
+            if self.mode is Mode.NARROW and Mode.DEAF in held_back:
+                await self._write_in_turns(data, sink)
+                continue
             sink.write(data)
             await sink.drain()
         if sink.can_write_eof():
             sink.write_eof()
 
+    async def _write_in_turns(self, data: bytes, sink) -> None:
+        for start in range(0, len(data), NARROW_CHUNK_BYTES):
+            chunk = data[start : start + NARROW_CHUNK_BYTES]
+            async with self.turn:
+                await asyncio.sleep(len(chunk) / NARROW_BYTES_PER_S)
+            sink.write(chunk)
+            await sink.drain()
+
     async def _wait_while(self, *modes: Mode) -> None:
         while self.mode in modes:
             await self.changed.wait()
--- a/tools/soak/_schedule.py
+++ b/tools/soak/_schedule.py
@@ -13,6 +13,17 @@
 
 LONGEST_S = 6.0
 PAUSE_S = 1.5
+NARROW_S = 9.0
+GROW_PAUSE_S = 12.0
+CHANNEL_MODES = (
+    _proxy.Mode.OPEN,
+    _proxy.Mode.SLOW,
+    _proxy.Mode.SILENT,
+    _proxy.Mode.DEAF,
+    None,
+)
+"""What becomes of a connection to an endpoint or a sidecar; None resets it."""
+
 LONGEST_CUT_S = 14.0
 """Beyond the time in which a key is taken away, and ends at every gateway."""
 
@@ -81,7 +92,7 @@
     async def play(self) -> None:
         """Begin faults, in rounds of all kinds, and wait for their ends."""
         end = time.monotonic() + self.duration_s
-        begun: list[asyncio.Task] = []
+        begun = [asyncio.create_task(self.grow(end))]
         kinds: list = []
         while time.monotonic() < end:
             if not kinds:
@@ -195,7 +206,7 @@
         endpoints = [*self.world.models, *self.world.plain]
         links = [f'{name} link' for name in self.world.models]
         name = self.chance.choice([*endpoints, *links])
-        mode = self.chance.choice((*_proxy.Mode, None))
+        mode = self.chance.choice(CHANNEL_MODES)
         if mode is None:
             self.world.proxies[name].reset()
             await self.during('reset', name, 0.1)
@@ -304,6 +315,32 @@
                 )
             group.create_task(self.operator.replace_key())
 
+    async def grow(self, end: float) -> None:
+        """Publish two large configurations in a row, again and again.
+
+        All gateways but one have little room on their way to the store. The
+        times are drawn apart from the faults, which stay those of the seed.
+        """
+        chance = random.Random(self.duration_s)
+        while time.monotonic() < end:
+            await asyncio.sleep(GROW_PAUSE_S * chance.random())
+            narrow = chance.sample(
+                self.world.gateways, len(self.world.gateways) - 1
+            )
+            async with asyncio.TaskGroup() as group:
+                for name in narrow:
+                    group.create_task(self._narrow(name))
+                group.create_task(self.operator.publish_large())
+
+    async def _narrow(self, name: str) -> None:
+        proxy = self.world.proxies[f'{name} store']
+        if proxy.mode is not _proxy.Mode.OPEN:
+            return
+        proxy.switch(_proxy.Mode.NARROW)
+        await self.during('narrow', f'{name} rate', NARROW_S)
+        if proxy.mode is _proxy.Mode.NARROW:
+            proxy.switch(_proxy.Mode.OPEN)
+
     async def limit(self) -> None:
         await self.operator.change_limit()
 
