--- a/test/hosted/slow_links.py
+++ b/test/hosted/slow_links.py
@@ -7,13 +7,8 @@
 
 import asyncio
 import collections
-import contextlib
 import dataclasses
 import json
-import types
-
-import aiohttp
-from aiohttp import web
 
 from berylhollow import clock
 from berylhollow import effects
@@ -29,15 +24,11 @@
 from berylhollow.util import addresses
 from berylhollow import workspaces
 from test import builders as samples
+from test.hosted import rated_link
 from test import platform_builders as builders
 from test import virtual_loop
 
 TICK_MS = 50
-LATENCY_MS = 2
-TURN_MS = 5
-"""Time for which a transfer has its link before the next one's turn."""
-
-HEADERS_BYTES = 300
 HEARTBEAT_MS = 1200
 REQUEST_INTERVAL_MS = 25
 SIDECAR_COUNT = 3
@@ -49,122 +40,6 @@
 PATH = '/puxa403/x'
 KEY = 'k-hule930'
 
-Rate = float
-"""In bytes per millisecond."""
-
-
-async def sleep_ms(duration_ms):
-    await asyncio.sleep(duration_ms / clock.MS_PER_SECOND)
-
-
-class SharedLink:
-    """Incoming traffic of one machine; transfers take turns in chunks."""
-
-    def __init__(self, rate: Rate, background_share: float = 0.0):
-        self.rate = rate
-        self.turn_bytes = int(rate * TURN_MS)
-        self.background_share = background_share
-        self.turn = asyncio.Lock()
-        self.transferred = collections.Counter()
-
-    async def transfer(self, size: int, kind: str) -> None:
-        """Return when ``size`` bytes have arrived."""
-        while size > 0:
-            chunk = min(size, self.turn_bytes)
-            async with self.turn:
-                await sleep_ms(chunk / self.rate)
-            self.transferred[kind] += chunk
-            size -= chunk
-
-    async def carry_background(self) -> None:
-        """Carry the traffic of callers and endpoints, without end."""
-        if not self.background_share:
-            return
-        while True:
-            await self.transfer(self.turn_bytes, 'background')
-            await sleep_ms(TURN_MS * (1 / self.background_share - 1))
-
-
-class LinkedSession:
-    """The part of ``aiohttp.ClientSession`` that the store's client uses.
-
-    Answers come from the handlers of the stand-in store over a link, and the
-    time limits are those of ``aiohttp.ClientTimeout``.
-    """
-
-    def __init__(self, store: metadata_store.MetadataStore, link: SharedLink):
-        application = web.Application()
-        store.add_to(application)
-        self.handlers = {
-            route.resource.canonical: route.handler
-            for route in application.router.routes()
-        }
-        self.link = link
-        self.latency_ms = LATENCY_MS
-        self.is_cut = False
-
-    async def request(self, _method, url, *, timeout, params, **_options):
-        if self.is_cut:
-            raise aiohttp.ClientConnectionError('cut off')
-        path = '/v1/' + url.rpartition('/')[2]
-        limits = _Limits(timeout)
-        async with limits.progress():
-            await sleep_ms(self.latency_ms)
-            request = types.SimpleNamespace(query=params)
-            answer = await self.handlers[path](request)
-            await self.link.transfer(HEADERS_BYTES, 'store')
-        return _LinkedResponse(answer, self.link, limits)
-
-    async def close(self):
-        pass
-
-
-class _Limits:
-    """The time limits of one call: on the whole and between two pieces."""
-
-    def __init__(self, timeout: aiohttp.ClientTimeout):
-        self.loop = asyncio.get_running_loop()
-        self.piece_s = timeout.sock_read
-        self.by_s = timeout.total and self.loop.time() + timeout.total
-
-    def progress(self):
-        limits = [self.by_s] if self.by_s else []
-        if self.piece_s:
-            limits.append(self.loop.time() + self.piece_s)
-        if not limits:
-            return contextlib.nullcontext()
-        return asyncio.timeout_at(min(limits))
-
-
-class _LinkedResponse:
-    """A response whose body arrives over a link while it is read."""
-
-    def __init__(self, answer, link, limits):
-        self.status = answer.status
-        self.headers = answer.headers
-        self.body = bytes(answer.body)
-        self.content_length = len(self.body)
-        self.link = link
-        self.limits = limits
-
-    def close(self):
-        pass
-
-    async def __aenter__(self):
-        return self
-
-    async def __aexit__(self, *_error):
-        pass
-
-    async def read(self):
-        arrived = 0
-        while arrived < len(self.body):
-            piece = min(self.link.turn_bytes, len(self.body) - arrived)
-            async with self.limits.progress():
-                await self.link.transfer(piece, 'store')
-            arrived += piece
-        return self.body
-
 
 @dataclasses.dataclass(frozen=True)
 class Routed:
@@ -188,7 +63,7 @@
 class Gateway:
     """One gateway with its own link and its own connection to the store."""
 
-    def __init__(self, world: 'World', name: str, link: SharedLink):
+    def __init__(self, world: 'World', name: str, link: rated_link.SharedLink):
         self.world = world
         self.name = name
         self.link = link
@@ -199,7 +74,7 @@
         self.tasks = shell.Tasks()
         node = builders.node(instance=name, **world.bounds)
         settings = gateway_process.gateway_settings(node)
-        self.session = LinkedSession(world.store, link)
+        self.session = rated_link.LinkedSession(world.store, link)
         client = platform.StoreClient('store', self.session, time=self.time)
         self.shared = gateway_process.shared_log(node, client, self.time)
         self.driver = shell.Driver(
@@ -256,9 +131,13 @@
         elif effect.peer in self.links:
             sidecar = self.world.sidecars[effect.peer]
             received = events.MessageReceived(
-                self.time.now_ms() + LATENCY_MS, self.name, effect.message
+                self.time.now_ms() + rated_link.LATENCY_MS,
+                self.name,
+                effect.message,
+            )
+            self.world.later(
+                rated_link.LATENCY_MS, sidecar.driver.feed, received
             )
-            self.world.later(LATENCY_MS, sidecar.driver.feed, received)
 
     async def receive_from(self, peer, queue):
         """Receive the messages of a sidecar in order, over the link."""
@@ -275,7 +154,7 @@
     async def send_requests(self):
         """Send requests with and without a key in turn, without end."""
         while True:
-            await sleep_ms(REQUEST_INTERVAL_MS)
+            await rated_link.sleep_ms(REQUEST_INTERVAL_MS)
             if not self.state.has_required_data:
                 continue
             self.request_count += 1
@@ -385,7 +264,11 @@
         self.confirmed_ms = {}
         self.sidecars = {}
         self.gateways = [
-            Gateway(self, f'front-{n}', SharedLink(rate, background_share))
+            Gateway(
+                self,
+                f'front-{n}',
+                rated_link.SharedLink(rate, background_share),
+            )
             for n, rate in enumerate(rates)
         ]
 
@@ -408,9 +291,9 @@
         self.add_endpoint('i-new', '10.0.1.2:80', NEW_SERVICE)
         for process in (*self.sidecars.values(), *self.gateways):
             process.start()
-            await sleep_ms(self.start_pause_ms)
+            await rated_link.sleep_ms(self.start_pause_ms)
         self.tasks.start(operate(self))
-        await sleep_ms(until_ms)
+        await rated_link.sleep_ms(until_ms)
         for gateway_ in self.gateways:
             await gateway_.tasks.stop()
         await self.tasks.stop()
@@ -430,11 +313,11 @@
             entry = builders.entry(address, service, Seq=number, **models)
             value = json.dumps(entry).encode()
             await self.store.put(platform.INSTANCE_STREAM, name, value)
-            await sleep_ms(HEARTBEAT_MS)
+            await rated_link.sleep_ms(HEARTBEAT_MS)
 
     async def link(self, gateway_, peer):
         """Open a gateway's link to a sidecar."""
-        await sleep_ms(LATENCY_MS)
+        await rated_link.sleep_ms(rated_link.LATENCY_MS)
         sidecar = self.sidecars[peer]
         queue = asyncio.Queue()
         gateway_.links[peer] = sidecar.queues[gateway_.name] = queue
--- a/test/hosted/test_slow_links.py
+++ b/test/hosted/test_slow_links.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from test.hosted import rated_link
 from test.hosted import slow_links
 from test import virtual_loop
 
@@ -45,14 +46,14 @@
     """Return an operator that publishes versions with a pause between them."""
 
     async def operate(world):
-        await slow_links.sleep_ms(at_ms)
+        await rated_link.sleep_ms(at_ms)
         for version in versions:
             await world.publish(
                 slow_links.configuration(
                     version, slow_links.NEW_SERVICE, route_count
                 )
             )
-            await slow_links.sleep_ms(pause_ms)
+            await rated_link.sleep_ms(pause_ms)
 
     return operate
 
@@ -97,7 +98,7 @@
         publish = publishing(13)
 
         async def operate(world):
-            await slow_links.sleep_ms(6000)
+            await rated_link.sleep_ms(6000)
             world.gateways[1].cut_off()
             await publish(world)
 
