Say once what a part is, which revision is in force and what is new

Found by reading the whole change again; no behaviour changes but for the last.

The union of the two forms of a part stood in four places: messages names it. Pages computed the revision in force beside the new State.revision, and tick_follower tested for a new revision that log_new_revision tests for as well. When a newer revision was first known follows from the one served before, so reach need not return it. That a revision was reached was written twice.

A task that waits for a part was left behind when a read was cancelled at a stop; it is cancelled with the read.

--- a/berylhollow/effects.py
+++ b/berylhollow/effects.py
@@ -75,7 +75,7 @@
 class TakeStreamPart:
     """Accept records of a stream that another gateway has read."""
 
-    part: messages.StreamPart | messages.CompressedStreamPart
+    part: messages.AnyStreamPart
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/berylhollow/events.py
+++ b/berylhollow/events.py
@@ -137,7 +137,7 @@
     """This process read part of a stream whose reads are shared."""
 
     at_ms: int
-    part: messages.StreamPart | messages.CompressedStreamPart
+    part: messages.AnyStreamPart
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/berylhollow/gateway/_membership.py
+++ b/berylhollow/gateway/_membership.py
@@ -71,13 +71,13 @@
 def tick_follower(state: _state.State, at_ms: int) -> Effects:
     """Announce a new configuration; let its follower fetch what it lacks."""
     view = state.follower.current
-    is_new = view is not None and view.revision != state.served_revision
-    result: Effects = []
-    if is_new:
-        known_ms = state.known_revisions.reach(view.revision, at_ms)
-        result += following.log_new_revision(
-            state.served_revision, view, ('known_ms', known_ms)
-        )
+    known = state.known_revisions
+    known_ms = known.behind_ms(state.served_revision, at_ms) or 0
+    result = following.log_new_revision(
+        state.served_revision, view, ('known_ms', known_ms)
+    )
+    if result:
+        known.reach(view.revision, at_ms)
         lag_s = known_ms / clock.MS_PER_SECOND
         result.append(effects.Count('berylhollow.configuration.lag', lag_s))
         # The configuration says which endpoints have a sidecar. If the list
@@ -89,7 +89,7 @@
             _shared_reads.announce_revision(state)
         result += _sidecars.tick(state, at_ms)
     result += _log_outdated(state, at_ms)
-    state.served_revision = view.revision if view else 0
+    state.served_revision = state.revision
     gateways = [state.options.instance, *state.peers]
     return result + state.follower.tick(
         at_ms, gateways, _linked_peers(state), state.options.instance
--- a/berylhollow/gateway/_pages.py
+++ b/berylhollow/gateway/_pages.py
@@ -80,7 +80,7 @@
                 'role': 'gateway',
                 'version': berylhollow.__version__,
                 'failure_domain': self.owner.settings.failure_domain,
-                'revision': current_revision(state),
+                'revision': state.revision,
                 'configuration': dataclasses.asdict(
                     state.follower.status(self.owner.driver.time.now_ms())
                 ),
@@ -113,12 +113,6 @@
         return _answers.prometheus_response(self.metrics_text())
 
 
-def current_revision(state: _state.State) -> int:
-    """Return the revision of the current configuration, 0 without one."""
-    current = state.follower.current
-    return 0 if current is None else current.revision
-
-
 def endpoint_service(state: _state.State, peer: str) -> str:
     """Return the service of an endpoint, empty if it is unknown."""
     endpoint = state.endpoints.get(peer)
--- a/berylhollow/gateway/_revisions.py
+++ b/berylhollow/gateway/_revisions.py
@@ -25,23 +25,24 @@
     def record(self, revision: int, own: int, at_ms: int) -> None:
         """Record that another gateway has a revision."""
         self.newest = max(self.newest or 0, revision)
-        self.was_reached = self.was_reached or 0 < self.newest <= own
+        self._record_if_reached(own)
         if revision > own and len(self.heard_ms) < MAX_NEWER_REVISIONS:
             self.heard_ms.setdefault(revision, at_ms)
 
-    def reach(self, own: int, at_ms: int) -> int:
-        """Record the own revision; return for how long it has been known."""
-        known_ms = self.behind_ms(0, at_ms) or 0
+    def reach(self, own: int, at_ms: int) -> None:
+        """Record that a revision has come into force here."""
         self.heard_ms = {
             revision: heard_ms
             for revision, heard_ms in self.heard_ms.items()
             if revision > own
         }
-        newest = self.newest or 0
-        self.was_reached = self.was_reached or 0 < newest <= own
-        if newest > own:
-            self.heard_ms.setdefault(newest, at_ms)
-        return known_ms
+        self._record_if_reached(own)
+        if self.newest is not None and self.newest > own:
+            self.heard_ms.setdefault(self.newest, at_ms)
+
+    def _record_if_reached(self, own: int) -> None:
+        if self.newest and self.newest <= own:
+            self.was_reached = True
 
     def behind_ms(self, own: int, at_ms: int) -> int | None:
         """Return how long a newer revision has been known; None if none is."""
--- a/berylhollow/gateway/_shell.py
+++ b/berylhollow/gateway/_shell.py
@@ -28,7 +28,6 @@
 from berylhollow import settings as all_settings
 from berylhollow import shell
 from berylhollow import stream
-from berylhollow import stream_parts
 
 LOG = logging.getLogger(__name__)
 
@@ -233,7 +232,7 @@
             # A refused request counts for its service too: otherwise a
             # report would show an untouched error budget in an outage.
             exchange.service = service or exchange.service
-        exchange.log(self.now_ms(), _pages.current_revision(state))
+        exchange.log(self.now_ms(), state.revision)
         self._record_metrics(exchange, service)
 
     def request_refused(self, kind: errors.Kind) -> None:
@@ -409,7 +408,7 @@
             return
         self._deliver(effect.peer, messages.Resume(effect.attempt_id, 0))
 
-    def _on_stream_part_read(self, part: stream_parts.AnyPart) -> None:
+    def _on_stream_part_read(self, part: messages.AnyStreamPart) -> None:
         self.feed(events.StreamPartRead(self.now_ms(), part))
 
     def _has_relays(self) -> bool:
--- a/berylhollow/loader/_reducer.py
+++ b/berylhollow/loader/_reducer.py
@@ -257,9 +257,7 @@
     message = event.message
     if isinstance(message, messages.Crashed):
         return _forward_crash(state, event.peer, message)
-    if isinstance(
-        message, messages.StreamPart | messages.CompressedStreamPart
-    ):
+    if isinstance(message, messages.AnyStreamPart):
         return _forward_stream_part(state, event.peer, message)
     if isinstance(message, messages.QuotaUses):
         return _update_quota_sums(state, event)
@@ -331,9 +329,7 @@
 
 
 def _forward_stream_part(
-    state: _state.State,
-    sender: str,
-    part: messages.StreamPart | messages.CompressedStreamPart,
+    state: _state.State, sender: str, part: messages.AnyStreamPart
 ) -> Effects:
     """Forward what a gateway has read to those that share its reads."""
     return [
--- a/berylhollow/messages.py
+++ b/berylhollow/messages.py
@@ -336,6 +336,10 @@
     era: int = 0
 
 
+AnyStreamPart = StreamPart | CompressedStreamPart
+"""The two forms in which a part is sent."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class QuotaUses:
     """What one gateway has counted against the quotas of workspaces."""
--- a/berylhollow/shared_reads.py
+++ b/berylhollow/shared_reads.py
@@ -38,7 +38,7 @@
 """Size of the received records that are kept until they are asked for. Beyond
 it they are dropped and read from the log instead."""
 
-Publish = collections.abc.Callable[[stream_parts.AnyPart], None]
+Publish = collections.abc.Callable[[messages.AnyStreamPart], None]
 
 
 @dataclasses.dataclass(slots=True)
@@ -232,7 +232,7 @@
         wait_ms = min(wait_ms, self.pause_ms)
         return await self._read_source(stream, from_offset, wait_ms)
 
-    def add_part(self, sent: stream_parts.AnyPart) -> None:
+    def add_part(self, sent: messages.AnyStreamPart) -> None:
         """Add a part that another gateway has read."""
         role = self.roles.get(sent.stream)
         if role is None or sent.reader == self.name:
@@ -329,10 +329,13 @@
                     return received.pop_from(from_offset, self.eras[stream])
                 part_received.clear()
                 hearing = asyncio.ensure_future(part_received.wait())
-                await asyncio.wait(
-                    (reading, hearing), return_when=asyncio.FIRST_COMPLETED
-                )
-                hearing.cancel()
+                try:
+                    await asyncio.wait(
+                        (reading, hearing),
+                        return_when=asyncio.FIRST_COMPLETED,
+                    )
+                finally:
+                    hearing.cancel()
             return reading.result()
         finally:
             reading.cancel()
@@ -365,7 +368,7 @@
             self.publish(compressed)
 
     def _log_large_part(
-        self, part: messages.StreamPart, compressed: stream_parts.AnyPart
+        self, part: messages.StreamPart, compressed: messages.AnyStreamPart
     ) -> None:
         size_bytes = stream_parts.size_bytes(compressed)
         fields = {
--- a/berylhollow/stream_parts.py
+++ b/berylhollow/stream_parts.py
@@ -22,21 +22,19 @@
 
 RECORD_LENGTH = struct.Struct('>I')
 
-AnyPart = messages.StreamPart | messages.CompressedStreamPart
-
 
 class CorruptPartError(Exception):
     """A part that can't be decompressed to what it says it holds."""
 
 
-def size_bytes(part: AnyPart) -> int:
+def size_bytes(part: messages.AnyStreamPart) -> int:
     """Return the size of the records as they are sent."""
     if isinstance(part, messages.CompressedStreamPart):
         return len(part.data)
     return sum(map(len, part.records))
 
 
-def compress(part: messages.StreamPart) -> AnyPart:
+def compress(part: messages.StreamPart) -> messages.AnyStreamPart:
     """Return a part in the form in which it is sent."""
     if size_bytes(part) < MIN_COMPRESSED_BYTES:
         return part
@@ -56,7 +54,7 @@
     )
 
 
-def decompress(part: AnyPart) -> messages.StreamPart:
+def decompress(part: messages.AnyStreamPart) -> messages.StreamPart:
     """Return a part with its records; raises ``CorruptPartError``."""
     if isinstance(part, messages.StreamPart):
         return part
--- a/test/hosted/slow_links.py
+++ b/test/hosted/slow_links.py
@@ -33,8 +33,6 @@
 REQUEST_INTERVAL_MS = 25
 SIDECAR_COUNT = 3
 
-PARTS = messages.StreamPart | messages.CompressedStreamPart
-
 OLD_SERVICE = builders.PLAIN_SERVICE
 NEW_SERVICE = 'wuno96c'
 PATH = '/puxa403/x'
@@ -143,7 +141,9 @@
         """Receive the messages of a sidecar in order, over the link."""
         while True:
             message = await queue.get()
-            if self.session.is_cut and isinstance(message, PARTS):
+            if self.session.is_cut and isinstance(
+                message, messages.AnyStreamPart
+            ):
                 continue
             size = len(_codec.shared_codec().encode(message))
             await self.link.transfer(size, type(message).__name__)
