--- a/test/platform/test_store.py
+++ b/test/platform/test_store.py
@@ -10,6 +10,7 @@
 from berylhollow import outgoing
 from berylhollow import platform
 from berylhollow.standin import _http
+from test import slow_answers
 
 STREAM = 'keyed.servers'
 EMPTY = struct.pack('>QQ', 0, 0)
@@ -124,8 +125,6 @@
 
 RECORD = bytes(range(256)) * 256
 LARGE = struct.pack('>QQ', 8, 0) + struct.pack('>I', len(RECORD)) + RECORD
-PIECES = 6
-PIECE_PAUSE_S = 0.25
 
 
 class TransferTest(StoreTestCase):
@@ -155,15 +154,7 @@
         """A body that took longer than one second was read from zero."""
 
         async def respond(request):
-            response = web.StreamResponse(
-                headers={'Content-Length': str(len(LARGE))}
-            )
-            await response.prepare(request)
-            size = len(LARGE) // PIECES + 1
-            for start in range(0, len(LARGE), size):
-                await asyncio.sleep(PIECE_PAUSE_S)
-                await response.write(LARGE[start : start + size])
-            return response
+            return await slow_answers.send_in_pieces(request, LARGE)
 
         self.answers = [respond]
         with self.assertLogs('berylhollow.platform', 'INFO') as logs:
--- a/test/test_log_client.py
+++ b/test/test_log_client.py
@@ -12,10 +12,9 @@
 from berylhollow.log_service import _log_client
 from berylhollow import outgoing
 from berylhollow.standin import _http
+from test import slow_answers
 
 READ_TIMEOUT_MS = 1000
-PIECES = 6
-PIECE_PAUSE_S = 0.25
 PAGE = json.dumps(
     {'records': [], 'first_offset': 0, 'next_offset': 7}
 ).encode()
@@ -38,16 +37,7 @@
         self.stack.push_async_callback(self.client.close)
 
     async def respond(self, request):
-        response = web.StreamResponse(
-            headers={'Content-Length': str(len(PAGE))}
-        )
-        await response.prepare(request)
-        size = len(PAGE) // PIECES + 1
-        for start in range(0, len(PAGE), size):
-            await asyncio.sleep(PIECE_PAUSE_S)
-            await response.write(PAGE[start : start + size])
-            await self.may_end.wait()
-        return response
+        return await slow_answers.send_in_pieces(request, PAGE, self.may_end)
 
     async def test_page_that_keeps_arriving_is_not_dropped(self):
         """A large page over a slow link was read from zero again and again."""
