Show that losses in one moment and company elsewhere quarantine: failing tests

What callers saw: requests that many callers send are refused with quarantined for ten minutes after several endpoints were lost at once.

--- a/test/hosted/test_gateway_direct.py
+++ b/test/hosted/test_gateway_direct.py
@@ -593,3 +593,58 @@
             events.AnswerRelayed(2, offer.request_id, offer.attempt_id, 200)
         )
         self.assertEqual({}, self.state.suspects.suspicions)
+
+    def lose_together(self, names, at_ms, fingerprint='same'):
+        """Lose one run of a request at each endpoint in the same moment."""
+        listed = {name: f'10.0.1.{i}:80' for i, name in enumerate(names)}
+        rows = [plain(name, address) for name, address in listed.items()]
+        self.list_instances(*rows, at_ms=at_ms)
+        offers = []
+        for _ in names:
+            self.send_request(fingerprint=fingerprint, at_ms=at_ms)
+            offers.append(self.offered())
+        for peer, offer in offers:
+            failed = messages.Failed(
+                offer.attempt_id,
+                errors.Kind.ENGINE_RESTARTED,
+                errors.Ran.UNKNOWN,
+            )
+            self.receive(failed, at_ms + 20, peer)
+        later = [
+            plain(f'{name}-later', address) for name, address in listed.items()
+        ]
+        self.list_instances(*rows, *later, at_ms=at_ms + 1500)
+        return {peer for peer, _ in offers}
+
+    def test_endpoints_lost_in_one_moment_count_as_one_crash(self):
+        """Guards against refusals after a failure domain loses power."""
+        lost = self.lose_together(('i-1', 'i-2', 'i-3'), at_ms=0)
+        self.assertEqual({'i-1', 'i-2', 'i-3'}, lost)
+        self.send_request(fingerprint='same', at_ms=1600)
+        self.assertEqual(1, len(self.offers()))
+
+    def crash_in_company(self, number, reported_first):
+        """Crash an endpoint that had runs of two gateways."""
+        reported = messages.Crashed(
+            f'i-{number} at g9', builders.PLAIN_SERVICE, ('a', 'b', 'c')
+        )
+        event = events.MessageReceived(number, 'sidecar', reported)
+        if reported_first:
+            self.feed(event)
+        self.crash_endpoint(number, 'same')
+        if not reported_first:
+            self.feed(event)
+
+    def test_request_had_company_that_a_later_report_names(self):
+        """Guards against taking a request for alone after one report."""
+        self.crash_in_company(1, reported_first=False)
+        self.crash_in_company(2, reported_first=False)
+        self.send_request(fingerprint='same', at_ms=3)
+        self.assertEqual(1, len(self.offers()))
+
+    def test_request_had_company_that_an_earlier_report_names(self):
+        """Guards against taking a request for alone after one report."""
+        self.crash_in_company(1, reported_first=True)
+        self.crash_in_company(2, reported_first=True)
+        self.send_request(fingerprint='same', at_ms=3)
+        self.assertEqual(1, len(self.offers()))
