Count endpoints that are lost together as one crash

What callers saw: after several endpoints were lost in one moment, requests that many callers send were refused with quarantined for ten minutes.

Cause: a suspicion counted each endpoint that ended while the request ran. Runs that all began before the first crash say no more together than one does.

Ruled out: the same crash counted twice (ids of different endpoints).

Change: a report carries of each lost run when it began, when it was lost and how many crashes its sender knew of at its beginning. A crash counts up if its run began after an earlier one was known, or half a second after the earlier run was lost. Runs that began after the first loss at their endpoint don't count: proxies take connections for endpoints that are down. A run that ends well disproves losses before it at the same endpoint. Old processes ignore the new fields, reports without them count as before.

The tests of culprits are unchanged: two endpoints alone, three in company.

--- a/berylhollow/gateway/_attempts.py
+++ b/berylhollow/gateway/_attempts.py
@@ -269,6 +269,7 @@
     endpoint = state.endpoints.get(active.endpoint)
     if endpoint is not None:
         _ejection.record_success(endpoint)
+        _crashes.forget_survived(endpoint, active)
     _quarantine.succeeded(state, active)
     _crashes.clear_suspicion(state, active)
 
@@ -321,6 +322,7 @@
     state.attempts[active.attempt_id] = request.request_id
     _adapters.note_attempt_placed(state, active)
     active.isolated = _quarantine.must_isolate(state, active, at_ms)
+    active.crashes_known = state.suspects.crashes(request.fingerprint)
     offer = messages.Offer(
         attempt_id=active.attempt_id,
         request_id=request.request_id,
@@ -341,6 +343,7 @@
         isolate=active.isolated,
         host=request.host,
         another=_can_retry_after_run(state, active),
+        crashes_known=active.crashes_known,
     )
     if not endpoint.instance.direct:
         return [effects.Send(name, offer)]
--- a/berylhollow/gateway/_crashes.py
+++ b/berylhollow/gateway/_crashes.py
@@ -47,7 +47,13 @@
         or len(endpoint.lost) >= MAX_CUT_OFF_REQUESTS
     ):
         return
-    endpoint.lost[active.request.fingerprint] = at_ms
+    fingerprint = active.request.fingerprint
+    known = endpoint.lost.get(fingerprint)
+    if known is not None and known.lost_ms >= at_ms - CUT_OFF_TTL_MS:
+        return
+    endpoint.lost[fingerprint] = _state.CutOffRun(
+        active.offered_ms, at_ms, active.crashes_known
+    )
 
 
 def report_crash(state: _state.State, name: str, at_ms: int) -> Effects:
@@ -56,28 +62,55 @@
     if endpoint is None or not endpoint.lost:
         return []
     oldest = at_ms - CUT_OFF_TTL_MS
-    suspects = tuple(
-        fingerprint
-        for fingerprint, lost_ms in endpoint.lost.items()
-        if lost_ms >= oldest
-    )
+    runs = {
+        fingerprint: _lost_run(state, fingerprint, run, at_ms)
+        for fingerprint, run in endpoint.lost.items()
+        if run.lost_ms >= oldest
+    }
     endpoint.lost.clear()
-    if not suspects:
+    if not runs:
         return []
     service = endpoint.instance.service
     crash_id = quarantine.reported_crash_id(name, state.options.instance)
-    message = messages.Crashed(crash_id, service, suspects)
+    lost = tuple(runs.values())
+    message = messages.Crashed(crash_id, service, tuple(runs), lost)
     result: Effects = [
         effects.Send(peer, message)
         for peer, sidecar in state.sidecars.items()
         if sidecar.link is _state.LinkPhase.OPEN
     ]
-    fields = (('endpoint', name), ('suspects', len(suspects)))
+    fields = (('endpoint', name), ('suspects', len(runs)))
     result.append(effects.Log('endpoint crashed', fields, warning=True))
-    crash = quarantine.Crash(crash_id, service, suspects)
+    crash = quarantine.Crash(crash_id, service, tuple(runs), lost)
     return result + _quarantine.seen(state, crash, at_ms)
 
 
+def _lost_run(
+    state: _state.State, fingerprint: str, run: _state.CutOffRun, at_ms: int
+) -> messages.LostRun:
+    """Return a run as it is reported; crashes disproved since don't count."""
+    return messages.LostRun(
+        min(run.crashes_known, state.suspects.crashes(fingerprint)),
+        at_ms - run.began_ms,
+        at_ms - run.lost_ms,
+    )
+
+
+def forget_survived(
+    endpoint: _state.Endpoint, active: _state.ActiveRequest
+) -> None:
+    """Forget the runs lost before one that began later and ended well.
+
+    The endpoint lives, so it was not its end that interrupted them.
+    """
+    if endpoint.lost:
+        endpoint.lost = {
+            fingerprint: run
+            for fingerprint, run in endpoint.lost.items()
+            if run.lost_ms >= active.offered_ms
+        }
+
+
 def clear_suspicion(state: _state.State, active: _state.ActiveRequest) -> None:
     """Clear a request that has succeeded at a direct endpoint."""
     endpoint = state.endpoints.get(active.endpoint)
--- a/berylhollow/gateway/_quarantine.py
+++ b/berylhollow/gateway/_quarantine.py
@@ -35,7 +35,7 @@
     """Record a crash told by a sidecar or gateway; forward it to peers."""
     message: messages.Crashed = event.message
     crash = quarantine.Crash(
-        message.crash_id, message.service, message.fingerprints
+        message.crash_id, message.service, message.fingerprints, message.runs
     )
     if message.crash_id in state.recorded_crashes_ms:
         return []
@@ -80,11 +80,13 @@
 def log_read(state: _state.State, event: events.LogRead) -> Effects:
     """Apply the crash and lift records that were read from the log."""
     emitted: Effects = []
+    newest_ms = max((entry.at_ms for entry in event.entries), default=0)
     for entry in event.entries:
         if entry.offset < state.quarantine_offset:
             continue
         state.quarantine_offset = entry.offset + 1
-        emitted += _apply_record(state, entry, event.at_ms)
+        written_ms = event.at_ms - (newest_ms - entry.at_ms)
+        emitted += _apply_record(state, entry, event.at_ms, written_ms)
     state.quarantine_offset = max(state.quarantine_offset, event.first_offset)
     return emitted
 
@@ -99,7 +101,10 @@
 
 
 def _apply_record(
-    state: _state.State, entry: messages.LogEntry, at_ms: int
+    state: _state.State,
+    entry: messages.LogEntry,
+    at_ms: int,
+    written_ms: int,
 ) -> Effects:
     try:
         record = quarantine.decode(entry.data)
@@ -112,11 +117,14 @@
     if record.crash_id in state.recorded_crashes_ms:
         return []
     state.recorded_crashes_ms[record.crash_id] = at_ms
-    return _record_crash(state, record, at_ms)
+    return _record_crash(state, record, at_ms, written_ms)
 
 
 def _record_crash(
-    state: _state.State, crash: quarantine.Crash, at_ms: int
+    state: _state.State,
+    crash: quarantine.Crash,
+    at_ms: int,
+    reported_ms: int | None = None,
 ) -> Effects:
     return [
         effects.Log(
@@ -125,8 +133,12 @@
                 ('fingerprint', fingerprint),
                 ('service', crash.service),
                 ('kind', errors.Kind.QUARANTINED.value),
+                ('crash', crash.crash_id),
+                ('crashes', state.suspects.crashes(fingerprint)),
             ),
             warning=True,
         )
-        for fingerprint in state.suspects.count_crash(crash, at_ms)
+        for fingerprint in state.suspects.count_crash(
+            crash, at_ms, reported_ms
+        )
     ]
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -34,6 +34,15 @@
     OPEN = 'open'
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CutOffRun:
+    """A run that was interrupted, with the crashes known when it began."""
+
+    began_ms: int
+    lost_ms: int
+    crashes_known: int
+
+
 @dataclasses.dataclass(slots=True)
 class Endpoint:
     """An endpoint, as known from the instance list, reports and answers.
@@ -43,8 +52,8 @@
     there were when the last report came. ``waiting_tokens`` counts the prompt
     tokens of this gateway's requests there whose answers have not begun or
     that wait for their adapter; ``others_tokens`` counts those of other
-    gateways, as of the last report. ``lost`` maps the fingerprints of requests
-    whose run there was interrupted to the time of it.
+    gateways, as of the last report. ``lost`` has a run for each fingerprint
+    of the requests whose runs there were interrupted.
 
     ``notice`` is the newest one in an answer, to a request that was sent at
     ``notice_sent_ms``. ``loan`` is what this gateway may send while the
@@ -71,7 +80,7 @@
     attempts_in_flight: set[str] = dataclasses.field(default_factory=set)
     waiting_tokens: int = 0
     others_tokens: int = 0
-    lost: dict[str, int] = dataclasses.field(default_factory=dict)
+    lost: dict[str, CutOffRun] = dataclasses.field(default_factory=dict)
     failures: int = 0
     ejections: int = 0
     ejected_until_ms: int = 0
@@ -208,6 +217,7 @@
     may_have_run: bool = False
     used_free_retry: bool = False
     isolated: bool = False
+    crashes_known: int = 0
     last_refusal: messages.Failed | None = None
     key: bytes = b''
     claim_id: str = ''
--- a/berylhollow/messages.py
+++ b/berylhollow/messages.py
@@ -69,6 +69,7 @@
     version and body. ``isolate`` asks that no other request runs at the same
     time, as this one is suspected of crashing endpoints. ``another`` means
     that the gateway may make another attempt if this one fails.
+    ``crashes_known`` counts the crashes of which the gateway suspects it.
     """
 
     attempt_id: str
@@ -90,6 +91,7 @@
     isolate: bool = False
     host: str = ''
     another: bool = False
+    crashes_known: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -423,16 +425,31 @@
     data: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LostRun:
+    """A run that ended with its endpoint; times before the report was made.
+
+    ``crashes_known`` counts the crashes of the same request that its sender
+    knew of when the run began.
+    """
+
+    crashes_known: int
+    began_ms_ago: int
+    lost_ms_ago: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Crashed:
     """An endpoint crashed while requests with these fingerprints ran.
 
-    ``crash_id`` names the endpoint and the epoch that ended.
+    ``crash_id`` names the endpoint and the epoch that ended. ``runs`` has one
+    run of each fingerprint, and is empty if an older process reports.
     """
 
     crash_id: str
     service: str
     fingerprints: tuple[str, ...]
+    runs: tuple[LostRun, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/berylhollow/quarantine/_suspects.py
+++ b/berylhollow/quarantine/_suspects.py
@@ -1,10 +1,20 @@
-"""Requests suspected of crashing endpoints, and those in quarantine."""
+"""Requests suspected of crashing endpoints, and those in quarantine.
+
+Endpoints of a failure domain that fails are lost together, with all runs of a
+request that many callers send. Such losses say no more than one crash does.
+Crashes therefore count up only if the run lost in the later one began when
+the earlier one was over: its reporter knew of it, or had lost the earlier run
+``Rules.together_ms`` before.
+"""
 
 import dataclasses
 
+from berylhollow import messages
 from berylhollow.quarantine import _records
 
 MAX_DOUBLINGS = 6
+MAX_LOSSES = 32
+"""Of one fingerprint; a culprit is quarantined after far fewer."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -15,47 +25,158 @@
     ``crashes_alone`` crashes by then: a single one may have had another
     cause. A crash while it ran beside others quarantines it if it has
     ``crashes``. A suspicion is forgotten after ``suspect_ms`` without a
-    crash. At most ``limit`` suspicions are kept.
+    crash. At most ``limit`` suspicions are kept. Endpoints that fail together
+    are lost within ``together_ms``, which includes the time that reports of
+    it take.
     """
 
     crashes_alone: int = 2
     crashes: int = 3
+    together_ms: int = 500
     suspect_ms: int = 600_000
     quarantine_ms: int = 600_000
     limit: int = 10_000
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Loss:
+    """A run that was lost, in the time of the process that counts it.
+
+    ``began_ms`` is None if the report does not say it; such a run counts as
+    begun after all others were lost. ``crashes_known`` is how many crashes
+    its sender knew of when it began.
+    """
+
+    began_ms: int | None
+    lost_ms: int
+    crashes_known: int = 0
+
+    def merge(self, other: 'Loss') -> 'Loss':
+        """Return what two runs that one crash interrupted say together.
+
+        The crash follows an earlier one only if both runs do.
+        """
+        if self.began_ms is None or other.began_ms is None:
+            return self
+        return Loss(
+            min(self.began_ms, other.began_ms),
+            min(self.lost_ms, other.lost_ms),
+            min(self.crashes_known, other.crashes_known),
+        )
+
+
 @dataclasses.dataclass(slots=True)
 class Suspicion:
     """The crashes and quarantines of one fingerprint.
 
-    ``crash_ids`` has the first report of each crash.
+    ``losses`` has an entry for each crash, under the id of its first report.
+    ``counted`` is the number of crashes at the last quarantine.
     """
 
-    crash_ids: set[str]
     service: str
-    forget_at_ms: int
+    forget_at_ms: int = 0
+    losses: dict[str, Loss] = dataclasses.field(default_factory=dict)
     until_ms: int = 0
     quarantines: int = 0
+    counted: int = 0
+
+    @property
+    def crash_ids(self) -> set[str]:
+        """The first report of each crash."""
+        return set(self.losses)
+
+    def add_loss(self, crash_id: str, loss: Loss) -> bool:
+        """Add a report; return whether it is the first of its crash."""
+        ended = _records.ended_epoch(crash_id)
+        for reported, known in self.losses.items():
+            if _records.ended_epoch(reported) == ended:
+                self.losses[reported] = known.merge(loss)
+                return False
+        self.losses[crash_id] = loss
+        _drop_oldest(self.losses, MAX_LOSSES)
+        return True
 
 
 @dataclasses.dataclass(slots=True)
 class Suspects:
-    """Suspicions by fingerprint; their number is bounded."""
+    """Suspicions by fingerprint; their number is bounded.
+
+    ``first_lost_ms`` is when the first run was lost at an endpoint, by its
+    epoch that ended. Runs that began there later did not end it.
+    """
 
     rules: Rules
     suspicions: dict[str, Suspicion] = dataclasses.field(default_factory=dict)
+    first_lost_ms: dict[str, int] = dataclasses.field(default_factory=dict)
+
+    def count_crash(
+        self,
+        crash: _records.Crash,
+        at_ms: int,
+        reported_ms: int | None = None,
+    ) -> list[str]:
+        """Count a crash; return the fingerprints that it quarantines.
 
-    def count_crash(self, crash: _records.Crash, at_ms: int) -> list[str]:
-        """Count a crash; return the fingerprints that it quarantines."""
+        ``reported_ms`` is when the report was made, if not now.
+        """
+        made_ms = at_ms if reported_ms is None else reported_ms
         ran_alone = len(crash.fingerprints) == 1
+        losses = [
+            _loss(crash.run(index), made_ms)
+            for index in range(len(crash.fingerprints))
+        ]
+        self._note_end(crash, losses)
         quarantined = []
-        for fingerprint in crash.fingerprints:
-            if self._count_crash(fingerprint, crash, ran_alone, at_ms):
+        for fingerprint, loss in zip(crash.fingerprints, losses, strict=True):
+            suspicion = self.suspicions.get(fingerprint)
+            if suspicion is None:
+                suspicion = Suspicion(crash.service)
+                self.suspicions[fingerprint] = suspicion
+            if not suspicion.add_loss(crash.crash_id, loss):
+                continue
+            if self._quarantine(fingerprint, ran_alone, at_ms):
                 quarantined.append(fingerprint)
-        self._enforce_limit()
+        _drop_oldest(self.suspicions, self.rules.limit)
         return quarantined
 
+    def crashes(self, fingerprint: str) -> int:
+        """Return how many crashes, one after the other, a request was in."""
+        suspicion = self.suspicions.get(fingerprint)
+        if suspicion is None:
+            return 0
+        losses = [
+            (self._ended_ms(crash_id, loss), loss)
+            for crash_id, loss in suspicion.losses.items()
+        ]
+        losses.sort(key=lambda x: x[0])
+        count = most_known = 0
+        follows_ms = None
+        for ended_ms, loss in losses:
+            began_ms = loss.began_ms
+            if began_ms is not None:
+                if began_ms <= ended_ms:
+                    most_known = max(most_known, loss.crashes_known)
+                began_ms = min(began_ms, ended_ms)
+                if follows_ms is not None and began_ms < follows_ms:
+                    continue
+            count += 1
+            follows_ms = ended_ms + self.rules.together_ms
+        return max(count, most_known + 1)
+
+    def _note_end(self, crash: _records.Crash, losses: list[Loss]) -> None:
+        """Note when the endpoint of a crash lost its first run."""
+        ended = _records.ended_epoch(crash.crash_id)
+        first_ms = min((loss.lost_ms for loss in losses), default=None)
+        if first_ms is not None:
+            known_ms = self.first_lost_ms.get(ended, first_ms)
+            self.first_lost_ms[ended] = min(known_ms, first_ms)
+            _drop_oldest(self.first_lost_ms, self.rules.limit)
+
+    def _ended_ms(self, crash_id: str, loss: Loss) -> int:
+        """Return when the endpoint of a loss ended, as far as is known."""
+        ended = _records.ended_epoch(crash_id)
+        return min(loss.lost_ms, self.first_lost_ms.get(ended, loss.lost_ms))
+
     def is_suspect(self, fingerprint: str, at_ms: int) -> bool:
         """Tell whether the request is suspect and must run alone."""
         suspicion = self.suspicions.get(fingerprint)
@@ -82,38 +203,41 @@
         for fingerprint in expired:
             del self.suspicions[fingerprint]
 
-    def _count_crash(
-        self,
-        fingerprint: str,
-        crash: _records.Crash,
-        ran_alone: bool,
-        at_ms: int,
+    def _quarantine(
+        self, fingerprint: str, ran_alone: bool, at_ms: int
     ) -> bool:
-        """Count a crash of a fingerprint; tell whether it is quarantined."""
-        suspicion = self.suspicions.get(fingerprint)
-        if suspicion is None:
-            suspicion = Suspicion(set(), crash.service, 0)
-            self.suspicions[fingerprint] = suspicion
-        if _records.ended_epoch(crash.crash_id) in map(
-            _records.ended_epoch, suspicion.crash_ids
-        ):
-            return False
-        suspicion.crash_ids.add(crash.crash_id)
+        """Quarantine a suspect with enough crashes; tell whether it is new."""
+        suspicion = self.suspicions[fingerprint]
         suspicion.forget_at_ms = max(
             suspicion.forget_at_ms, at_ms + self.rules.suspect_ms
         )
         threshold = (
             self.rules.crashes_alone if ran_alone else self.rules.crashes
         )
-        if len(suspicion.crash_ids) < threshold:
+        count = self.crashes(fingerprint)
+        is_counted = at_ms < suspicion.until_ms and count <= suspicion.counted
+        if count < threshold or is_counted:
             return False
+        suspicion.counted = count
         doublings = min(suspicion.quarantines, MAX_DOUBLINGS)
         suspicion.quarantines += 1
         suspicion.until_ms = at_ms + self.rules.quarantine_ms * 2**doublings
         suspicion.forget_at_ms = suspicion.until_ms + self.rules.suspect_ms
         return True
 
-    def _enforce_limit(self) -> None:
-        """Drop the suspicions that were added first, down to the limit."""
-        while len(self.suspicions) > self.rules.limit:
-            del self.suspicions[next(iter(self.suspicions))]
+
+def _loss(run: messages.LostRun | None, made_ms: int) -> Loss:
+    """Return a run of a report that was made at a time."""
+    if run is None:
+        return Loss(None, made_ms)
+    return Loss(
+        made_ms - max(0, run.began_ms_ago),
+        made_ms - max(0, run.lost_ms_ago),
+        max(0, run.crashes_known),
+    )
+
+
+def _drop_oldest(entries: dict, limit: int) -> None:
+    """Drop the entries that were added first, down to the limit."""
+    while len(entries) > limit:
+        del entries[next(iter(entries))]
--- a/berylhollow/sidecar/_isolation.py
+++ b/berylhollow/sidecar/_isolation.py
@@ -24,15 +24,18 @@
     if crash_id == state.reported_crash_id or not state.running:
         return []
     state.reported_crash_id = crash_id
-    fingerprints = tuple(
-        dict.fromkeys(
-            state.attempts[attempt_id].offer.fingerprint
-            for attempt_id in sorted(state.running)
+    running = [state.attempts[name] for name in sorted(state.running)]
+    running.sort(key=lambda attempt: attempt.began_ms)
+    runs: dict[str, messages.LostRun] = {}
+    for attempt in running:
+        run = messages.LostRun(
+            attempt.crashes_known, at_ms - attempt.began_ms, 0
         )
-    )
-    crash = quarantine.Crash(crash_id, state.options.service, fingerprints)
+        runs.setdefault(attempt.offer.fingerprint, run)
+    lost = (tuple(runs), tuple(runs.values()))
+    crash = quarantine.Crash(crash_id, state.options.service, *lost)
     state.suspects.count_crash(crash, at_ms)
-    message = messages.Crashed(crash_id, state.options.service, fingerprints)
+    message = messages.Crashed(crash_id, state.options.service, *lost)
     done: Effects = [effects.Send(peer, message) for peer in state.links]
     append_id = f'{state.incarnation}/crash/{crash_id}'
     data = quarantine.encode(crash)
@@ -50,6 +53,15 @@
         state.survived_crashes += 1
 
 
+def crashes_known(state: _state.State, offer: messages.Offer) -> int:
+    """Return of how many crashes a request is suspected as its run begins.
+
+    An older gateway says only that it is suspected.
+    """
+    own = state.suspects.crashes(offer.fingerprint)
+    return max(own, offer.crashes_known, int(offer.isolate))
+
+
 def should_isolate(
     state: _state.State, offer: messages.Offer, at_ms: int
 ) -> bool:
--- a/berylhollow/sidecar/_runs.py
+++ b/berylhollow/sidecar/_runs.py
@@ -206,6 +206,7 @@
         attempt.slot = slot.number
     attempt.stalled_ms = _demands.load_stall_ms(state, attempt, at_ms)
     attempt.began_ms = at_ms
+    attempt.crashes_known = _isolation.crashes_known(state, attempt.offer)
     _turns.charge_run(state, attempt)
     state.queue.remove(attempt.offer.attempt_id)
     attempt.phase = _state.AttemptPhase.RUNNING
--- a/berylhollow/sidecar/_state.py
+++ b/berylhollow/sidecar/_state.py
@@ -90,6 +90,7 @@
     stalled_ms: int = 0
     cancelled: bool = False
     isolate: bool = False
+    crashes_known: int = 0
     give_up_ms: int | None = None
     unlinked_since_ms: int | None = None
 
--- a/test/hosted/test_gateway_direct.py
+++ b/test/hosted/test_gateway_direct.py
@@ -623,6 +623,21 @@
         self.send_request(fingerprint='same', at_ms=1600)
         self.assertEqual(1, len(self.offers()))
 
+    def test_run_lost_before_another_succeeded_there_is_no_suspect(self):
+        """Guards against counting broken connections as part of a crash."""
+        row = plain('i-1', '10.0.0.1:80')
+        self.list_instances(row)
+        self.send_request(fingerprint='same')
+        self.fail_attempt(errors.Kind.ENGINE_RESTARTED, errors.Ran.UNKNOWN)
+        self.send_request(fingerprint='other', at_ms=10)
+        _, offer = self.offered()
+        self.feed(
+            events.AnswerRelayed(20, offer.request_id, offer.attempt_id, 200)
+        )
+        later = plain('i-2', '10.0.0.1:80')
+        self.list_instances(row, later, at_ms=30)
+        self.assertFalse(self.state.suspects.is_suspect('same', 30))
+
     def crash_in_company(self, number, reported_first):
         """Crash an endpoint that had runs of two gateways."""
         reported = messages.Crashed(
--- a/test/test_quarantine.py
+++ b/test/test_quarantine.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import cbor2
+
 from berylhollow import effects
 from berylhollow import errors
 from berylhollow import events
@@ -17,8 +19,12 @@
 FINGERPRINT = 'print-of-r1'
 
 
-def crash(crash_id, *fingerprints):
-    return messages.Crashed(crash_id, builders.SERVICE, fingerprints)
+def crash(crash_id, *fingerprints, runs=()):
+    return messages.Crashed(crash_id, builders.SERVICE, fingerprints, runs)
+
+
+def lost_run(known=0, began_ms_ago=30, lost_ms_ago=0):
+    return messages.LostRun(known, began_ms_ago, lost_ms_ago)
 
 
 class SidecarCrashTest(helper.ReducerTestCase):
@@ -77,6 +83,23 @@
         self.feed(builders.engine_status('epoch-2', at_ms=9))
         self.assertEqual(1, len(self.sent(messages.Crashed)))
 
+    def test_report_says_when_runs_began_and_what_was_known(self):
+        self.run_two()
+        self.break_run('r1.1')
+        (crashed,) = self.sent(messages.Crashed)
+        self.assertEqual(
+            (lost_run(0, began_ms_ago=5), lost_run(0, began_ms_ago=4)),
+            crashed.runs,
+        )
+
+    def test_report_of_a_run_that_began_as_a_suspect_says_so(self):
+        self.receive(builders.offer('r1.1', isolate=True), peer='g1')
+        (order,) = self.of_type(effects.LoadAdapter)
+        self.feed(events.LoadSucceeded(1, order.order_id, 'epoch-1'))
+        self.break_run('r1.1')
+        (crashed,) = self.sent(messages.Crashed)
+        self.assertEqual([1], [run.crashes_known for run in crashed.runs])
+
     def test_suspect_runs_alone(self):
         self.run_two()
         self.receive(builders.offer('r3.1', isolate=True), peer='g1')
@@ -134,6 +157,18 @@
         self.send('r2', at_ms=answer.retry_after_ms)
         self.assertEqual(1, len(self.sent(messages.Offer)))
 
+    def test_endpoints_lost_in_one_moment_count_as_one_crash(self):
+        """Guards against refusals after a failure domain loses power."""
+        for number in range(3):
+            self.receive(
+                crash(f'c{number}', FINGERPRINT, runs=(lost_run(),)),
+                at_ms=2 * number,
+            )
+        self.send(at_ms=10)
+        (offer,) = self.sent(messages.Offer)
+        self.assertTrue(offer.isolate)
+        self.assertEqual(1, offer.crashes_known)
+
     def test_retry_is_refused_once_the_request_is_quarantined(self):
         """Guards against a request that crashes three engines in a row.
 
@@ -189,6 +224,72 @@
 
 
 class SuspectsTest(unittest.TestCase):
+    def setUp(self):
+        self.suspects = quarantine.Suspects(quarantine.Rules())
+
+    def count(self, crash_id, at_ms, *runs, others=()):
+        """Count a crash of 'f', whose run is the first, and of others."""
+        prints = ('f', *others)
+        record = quarantine.Crash(crash_id, 's', prints, runs)
+        return self.suspects.count_crash(record, at_ms)
+
+    def test_losses_in_one_moment_after_a_known_crash_count_once_more(self):
+        """Guards against a quarantine after two moments, one of many losses.
+
+        The runs at all endpoints began when one crash was known.
+        """
+        others = ('g',)
+        self.count('a at g1', 0, lost_run(), others=others)
+        for number in range(3):
+            crash_id = f'b{number} at g{number}'
+            self.count(crash_id, 9000, lost_run(known=1), others=others)
+        self.assertEqual(2, self.suspects.crashes('f'))
+        self.assertEqual(0, self.suspects.quarantined_ms('f', 9000))
+
+    def test_culprit_that_is_repeated_before_a_crash_is_known_counts(self):
+        """Guards against a culprit that takes down one endpoint more.
+
+        Each run began a second after the one before had been lost, at one
+        gateway after the other, before any of them knew of a crash.
+        """
+        self.count('a at g1', 4000, lost_run(0, 4000, 3900))
+        self.count('b at g2', 4000, lost_run(0, 2900, 2800))
+        quarantined = self.count('c at g3', 4000, lost_run(0, 1800, 1700))
+        self.assertEqual(['f'], quarantined)
+
+    def test_run_that_began_after_the_first_loss_there_does_not_count(self):
+        """Guards against counting runs sent to an endpoint that is down.
+
+        Its proxy still takes connections. The gateway learnt of the first
+        crash, sent the request to the next endpoint of the same failure
+        domain, and lost it there; another had lost a run there before.
+        """
+        self.count('a at g1', 2000, lost_run(0, 2010, 2000), others=('g',))
+        crash = quarantine.Crash(
+            'b at g2', 's', ('h',), (lost_run(0, 2090, 2080),)
+        )
+        self.suspects.count_crash(crash, 2080)
+        self.count('b at g1', 3000, lost_run(1, 900, 895))
+        self.assertEqual(1, self.suspects.crashes('f'))
+
+    def test_one_moment_quarantines_once(self):
+        self.count('a', 0, lost_run())
+        quarantined = [
+            self.count(name, 9000, lost_run(known=1)) for name in ('b', 'c')
+        ]
+        self.assertEqual([['f'], []], quarantined)
+
+    def test_record_of_an_older_process_has_no_runs(self):
+        older = cbor2.dumps([1, 'a at g1', 's', ['f', 'g']])
+        self.assertEqual(
+            quarantine.Crash('a at g1', 's', ('f', 'g')),
+            quarantine.decode(older),
+        )
+
+    def test_record_keeps_its_runs(self):
+        record = quarantine.Crash('a', 's', ('f',), (lost_run(1, 20, 3),))
+        self.assertEqual(record, quarantine.decode(quarantine.encode(record)))
+
     def test_repeated_quarantine_lasts_longer(self):
         suspects = quarantine.Suspects(quarantine.Rules(quarantine_ms=100))
         for crash_id, at_ms in (('c1', 0), ('c2', 0), ('c3', 150)):
