Judge whether a request ran alone from all reports of a crash

What callers saw: a request that was in company at two crashes was refused with quarantined for ten minutes; in company it takes three.

Cause: a report with one fingerprint counted as a run alone, but at a direct endpoint each gateway knows only its own requests.

Change: the reports of one end of an endpoint are put together. One that names company later withdraws the quarantine that rested on those before, with a line in the log.

A request that is alone in all reports is quarantined after two crashes as before.

--- a/berylhollow/gateway/_quarantine.py
+++ b/berylhollow/gateway/_quarantine.py
@@ -126,7 +126,8 @@
     at_ms: int,
     reported_ms: int | None = None,
 ) -> Effects:
-    return [
+    quarantined = state.suspects.count_crash(crash, at_ms, reported_ms)
+    emitted: Effects = [
         effects.Log(
             'request quarantined',
             (
@@ -138,7 +139,13 @@
             ),
             warning=True,
         )
-        for fingerprint in state.suspects.count_crash(
-            crash, at_ms, reported_ms
-        )
+        for fingerprint in quarantined
     ]
+    for fingerprint in state.suspects.withdraw(crash, at_ms):
+        fields = (
+            ('fingerprint', fingerprint),
+            ('service', crash.service),
+            ('crash', crash.crash_id),
+        )
+        emitted.append(effects.Log('quarantine withdrawn', fields))
+    return emitted
--- a/berylhollow/quarantine/_suspects.py
+++ b/berylhollow/quarantine/_suspects.py
@@ -70,7 +70,8 @@
     """The crashes and quarantines of one fingerprint.
 
     ``losses`` has an entry for each crash, under the id of its first report.
-    ``counted`` is the number of crashes at the last quarantine.
+    ``counted`` is the number of crashes at the last quarantine, ``basis`` the
+    endpoint's epoch whose end caused it.
     """
 
     service: str
@@ -79,6 +80,7 @@
     until_ms: int = 0
     quarantines: int = 0
     counted: int = 0
+    basis: str = ''
 
     @property
     def crash_ids(self) -> set[str]:
@@ -103,11 +105,14 @@
 
     ``first_lost_ms`` is when the first run was lost at an endpoint, by its
     epoch that ended. Runs that began there later did not end it.
+    ``companies`` has the requests that all reports so far name for an epoch,
+    since one gateway knows only its own.
     """
 
     rules: Rules
     suspicions: dict[str, Suspicion] = dataclasses.field(default_factory=dict)
     first_lost_ms: dict[str, int] = dataclasses.field(default_factory=dict)
+    companies: dict[str, set[str]] = dataclasses.field(default_factory=dict)
 
     def count_crash(
         self,
@@ -120,7 +125,7 @@
         ``reported_ms`` is when the report was made, if not now.
         """
         made_ms = at_ms if reported_ms is None else reported_ms
-        ran_alone = len(crash.fingerprints) == 1
+        ended = _records.ended_epoch(crash.crash_id)
         losses = [
             _loss(crash.run(index), made_ms)
             for index in range(len(crash.fingerprints))
@@ -134,11 +139,33 @@
                 self.suspicions[fingerprint] = suspicion
             if not suspicion.add_loss(crash.crash_id, loss):
                 continue
-            if self._quarantine(fingerprint, ran_alone, at_ms):
+            if self._quarantine(fingerprint, ended, at_ms):
                 quarantined.append(fingerprint)
         _drop_oldest(self.suspicions, self.rules.limit)
         return quarantined
 
+    def withdraw(self, crash: _records.Crash, at_ms: int) -> list[str]:
+        """Withdraw the quarantines that a further report disproves.
+
+        The reports of a crash before named the request as the only one there,
+        or with a run that began later. Returns the fingerprints.
+        """
+        ended = _records.ended_epoch(crash.crash_id)
+        withdrawn = []
+        for fingerprint in self.companies.get(ended, ()):
+            suspicion = self.suspicions.get(fingerprint)
+            if suspicion is None or suspicion.basis != ended:
+                continue
+            if self.crashes(fingerprint) >= self._threshold(ended):
+                continue
+            suspicion.until_ms = 0
+            suspicion.counted = 0
+            suspicion.basis = ''
+            suspicion.quarantines -= 1
+            suspicion.forget_at_ms = at_ms + self.rules.suspect_ms
+            withdrawn.append(fingerprint)
+        return withdrawn
+
     def crashes(self, fingerprint: str) -> int:
         """Return how many crashes, one after the other, a request was in."""
         suspicion = self.suspicions.get(fingerprint)
@@ -164,8 +191,11 @@
         return max(count, most_known + 1)
 
     def _note_end(self, crash: _records.Crash, losses: list[Loss]) -> None:
-        """Note when the endpoint of a crash lost its first run."""
+        """Note what an endpoint ran as it ended, and its first loss."""
         ended = _records.ended_epoch(crash.crash_id)
+        company = self.companies.setdefault(ended, set())
+        company.update(crash.fingerprints)
+        _drop_oldest(self.companies, self.rules.limit)
         first_ms = min((loss.lost_ms for loss in losses), default=None)
         if first_ms is not None:
             known_ms = self.first_lost_ms.get(ended, first_ms)
@@ -203,22 +233,24 @@
         for fingerprint in expired:
             del self.suspicions[fingerprint]
 
-    def _quarantine(
-        self, fingerprint: str, ran_alone: bool, at_ms: int
-    ) -> bool:
+    def _threshold(self, ended: str) -> int:
+        """Return how many crashes quarantine what ran as an epoch ended."""
+        ran_alone = len(self.companies.get(ended, ())) == 1
+        return self.rules.crashes_alone if ran_alone else self.rules.crashes
+
+    def _quarantine(self, fingerprint: str, ended: str, at_ms: int) -> bool:
         """Quarantine a suspect with enough crashes; tell whether it is new."""
         suspicion = self.suspicions[fingerprint]
         suspicion.forget_at_ms = max(
             suspicion.forget_at_ms, at_ms + self.rules.suspect_ms
         )
-        threshold = (
-            self.rules.crashes_alone if ran_alone else self.rules.crashes
-        )
         count = self.crashes(fingerprint)
         is_counted = at_ms < suspicion.until_ms and count <= suspicion.counted
-        if count < threshold or is_counted:
+        if count < self._threshold(ended) or is_counted:
             return False
         suspicion.counted = count
+        if at_ms >= suspicion.until_ms:
+            suspicion.basis = ended
         doublings = min(suspicion.quarantines, MAX_DOUBLINGS)
         suspicion.quarantines += 1
         suspicion.until_ms = at_ms + self.rules.quarantine_ms * 2**doublings
--- a/test/test_quarantine.py
+++ b/test/test_quarantine.py
@@ -272,6 +272,14 @@
         self.count('b at g1', 3000, lost_run(1, 900, 895))
         self.assertEqual(1, self.suspects.crashes('f'))
 
+    def test_culprit_stays_quarantined_if_its_first_crash_had_company(self):
+        self.count('a at g1', 0, lost_run())
+        self.count('b at g1', 9000, lost_run(known=1))
+        late = quarantine.Crash('a at g2', 's', ('h',), (lost_run(),))
+        self.suspects.count_crash(late, 9001)
+        self.assertEqual([], self.suspects.withdraw(late, 9001))
+        self.assertGreater(self.suspects.quarantined_ms('f', 9001), 0)
+
     def test_one_moment_quarantines_once(self):
         self.count('a', 0, lost_run())
         quarantined = [
