--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -6,6 +6,7 @@
 
 import argparse
 import asyncio
+import pathlib
 import random
 import signal
 import sys
@@ -27,8 +28,13 @@
 async def play(seed: int, arguments, folder: str) -> dict:
     """Play one seed and return the verdicts."""
     chance = random.Random(seed)
+    builds = _world.Builds(
+        arguments.other.resolve(),
+        frozenset(arguments.other_roles),
+        arguments.only_first,
+    )
     world = _world.World(
-        folder, arguments.gateways, arguments.models, arguments.plain
+        folder, arguments.gateways, arguments.models, arguments.plain, builds
     )
     operator = _operator.Operator(world, random.Random(chance.random()))
     schedule = _schedule.Schedule(
@@ -98,6 +104,24 @@
     parser.add_argument('--models', type=int, default=2)
     parser.add_argument('--plain', type=int, default=3)
     parser.add_argument('--callers', type=int, default=12)
+    parser.add_argument(
+        '--other',
+        type=pathlib.Path,
+        default=_world.ROOT,
+        help='a second checkout, for runs with two builds',
+    )
+    parser.add_argument(
+        '--other-roles',
+        nargs='*',
+        default=(),
+        choices=('gateway', 'sidecar'),
+        help='programs that run from the second checkout',
+    )
+    parser.add_argument(
+        '--only-first',
+        action='store_true',
+        help='only at their first start; started again they run from this one',
+    )
     return parser.parse_args()
 
 
--- a/tools/soak/_world.py
+++ b/tools/soak/_world.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import contextlib
+import dataclasses
 import json
 import os
 import pathlib
@@ -59,13 +60,39 @@
 """
 
 
+@dataclasses.dataclass(frozen=True)
+class Builds:
+    """Which checkout each program is started from.
+
+    ``other`` is a second checkout, ``roles`` are the programs that run from
+    it. With ``only_first`` a program that is started again runs from this one,
+    as in a roll.
+    """
+
+    other: pathlib.Path = ROOT
+    roles: frozenset[str] = frozenset()
+    only_first: bool = False
+
+    def root(self, role: str, is_first: bool) -> pathlib.Path:
+        """Return the checkout from which a program is started now."""
+        from_other = role in self.roles and (is_first or not self.only_first)
+        return self.other if from_other else ROOT
+
+
 class Process:
     """A program that runs until it is ended; its lines are kept."""
 
-    def __init__(self, name: str, arguments: list[str], env: dict[str, str]):
+    def __init__(
+        self,
+        name: str,
+        arguments: list[str],
+        env: dict[str, str],
+        root: pathlib.Path = ROOT,
+    ):
         self.name = name
         self.arguments = arguments
         self.env = env
+        self.root = root
         self.lines: list[dict] = []
         self.process: asyncio.subprocess.Process | None = None
         self.reader: asyncio.Task | None = None
@@ -74,7 +101,7 @@
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
             *self.arguments,
-            cwd=ROOT,
+            cwd=self.root,
             env=os.environ | self.env,
             stdout=asyncio.subprocess.PIPE,
             limit=2**20,
@@ -110,8 +137,16 @@
     the endpoint lists, which is a proxy's.
     """
 
-    def __init__(self, folder: str, gateways: int, models: int, plain: int):
+    def __init__(
+        self,
+        folder: str,
+        gateways: int,
+        models: int,
+        plain: int,
+        builds: Builds = Builds(),
+    ):
         self.folder = pathlib.Path(folder)
+        self.builds = builds
         self.link_port, self.metrics_port, *rest = sorted(
             processes.free_ports(7)
         )
@@ -218,14 +253,25 @@
             ),
             encoding='utf-8',
         )
-        await self._begin(name, 'berylhollow', role, '--on-platform')
+        is_first = all(process.name != name for process in self.ended)
+        root = self.builds.root(role, is_first)
+        await self._begin(
+            name, 'berylhollow', role, '--on-platform', root=root
+        )
 
-    async def _begin(self, name: str, module: str, *arguments: str) -> None:
+    async def _begin(
+        self,
+        name: str,
+        module: str,
+        *arguments: str,
+        root: pathlib.Path = ROOT,
+    ) -> None:
         path = str(self.folder / f'{name}.toml')
         process = Process(
             name,
             ['-m', module, *arguments],
             {platform.NODE_FILE_VARIABLE: path},
+            root,
         )
         await process.start()
         self.processes[name] = process
