Show that a lost newest version refuses all who start: failing tests

What callers saw: after the log has lost its newest version gateways that start refuse every request with configuration_outdated until somebody writes again.

A revision of which only the number is known refuses without an end as well.

--- a/test/hosted/slow_links.py
+++ b/test/hosted/slow_links.py
@@ -298,6 +298,20 @@
             await gateway_.tasks.stop()
         await self.tasks.stop()
 
+    async def replace_gateways(self):
+        """End all gateways at once and start them again."""
+        links = {each.name: each.link for each in self.gateways}
+        for each in self.gateways:
+            await each.tasks.stop()
+            for peer in each.links:
+                closed = events.LinkClosed(self.time.now_ms(), each.name)
+                self.sidecars[peer].driver.feed(closed)
+        self.gateways = [
+            Gateway(self, name, link) for name, link in links.items()
+        ]
+        for each in self.gateways:
+            each.start()
+
     async def publish(self, declared):
         """Write a configuration as an operator; it is confirmed at once."""
         value = json.dumps(declared).encode()
--- a/test/hosted/test_outdated.py
+++ b/test/hosted/test_outdated.py
@@ -71,6 +71,32 @@
         return _workspaces.should_accept_callers(self.state, at_ms)
 
 
+class UnfoundedRevisionTest(OutdatedTestCase):
+    """The log holds no newer revision, and nobody can show one."""
+
+    def read_log(self, at_ms):
+        """Read the whole log, which has nothing new."""
+        self.feed(
+            events.LogRead(
+                at_ms,
+                self.state.follower.stream,
+                (),
+                self.state.follower.next_offset,
+                self.state.follower.next_offset,
+                begun_ms=at_ms - 5,
+            )
+        )
+        self.feed(events.Ticked(at_ms, 0.5))
+
+    def test_refusals_for_a_wrong_number_end(self):
+        """Guards against refusals without an end for a revision of nobody."""
+        for at_ms in range(HEARD_MS, 60_000, 1000):
+            self.read_log(at_ms)
+            self.report(MODEL_ENDPOINT, at_ms=at_ms, revision=9)
+        self.assertTrue(self.is_served(60_000))
+        self.assertTrue(self.is_ready(60_000))
+
+
 class OutdatedTest(OutdatedTestCase):
     def test_keys_stay_in_use_while_a_newer_revision_arrives(self):
         """Each change of a large configuration refused callers with a key."""
