Keep the newest configuration record at sidecars for gateways that lack it

What callers saw: after the log had lost its newest version, gateways that started refused every request with configuration_outdated until somebody wrote again.

Cause: sidecars remember the number of the newest revision, but its record was in the gateways alone. A gateway that starts knows that it is outdated and can get the record nowhere.

Change: a sidecar that relays reads asks the gateway that states a newer revision for the compressed record and keeps one; a gateway that has known of a newer revision for 0.4 s asks its relays for it. The record proves no key. A revision that no read of the whole log and no process shows within 30 s is dropped, so that a wrong number does not refuse callers without an end.

test_gateway_that_can_not_get_a_version_refuses_in_time is as it was; its model of a gateway that is cut off now keeps kept records from it as well, as it did parts. With kept records it gets the version, which is a test of its own.

--- a/berylhollow/configuration/_follower.py
+++ b/berylhollow/configuration/_follower.py
@@ -31,7 +31,7 @@
 MISSING_ENTRIES_TIMEOUT_MS = 5000
 
 
-class Follower:
+class Follower(following.UnsharedRecords):
     """A state machine that keeps ``current`` at the newest revision.
 
     It performs no I/O but returns effects. The revision served never goes
--- a/berylhollow/following.py
+++ b/berylhollow/following.py
@@ -166,8 +166,36 @@
     def keys_age_ms(self, at_ms: int) -> int:
         """Return the age of the newest proof of the keys."""
 
+    def newest_record(self) -> bytes:
+        """Return the record of the configuration in force, b'' if not kept."""
 
-class NullFollower:
+    def apply_record(self, data: bytes, at_ms: int) -> list[effects.Effect]:
+        """Apply a newer record that another process has read."""
+
+    def was_read_since(self, since_ms: int) -> bool:
+        """Tell whether a read that began since then saw the whole log."""
+
+    def check_log(self, at_ms: int) -> list[effects.Effect]:
+        """Begin a read of the log, unless one of these is under way."""
+
+
+class UnsharedRecords:
+    """The methods of a follower whose records are not kept elsewhere."""
+
+    def newest_record(self) -> bytes:
+        return b''
+
+    def apply_record(self, data: bytes, at_ms: int) -> list[effects.Effect]:
+        return []
+
+    def was_read_since(self, since_ms: int) -> bool:
+        return False
+
+    def check_log(self, at_ms: int) -> list[effects.Effect]:
+        return []
+
+
+class NullFollower(UnsharedRecords):
     """A follower for a process without configuration."""
 
     current: View | None = None
--- a/berylhollow/gateway/_reducer.py
+++ b/berylhollow/gateway/_reducer.py
@@ -9,6 +9,7 @@
 from berylhollow.gateway import _claim_leader
 from berylhollow.gateway import _claims
 from berylhollow.gateway import _counts
+from berylhollow.gateway import _kept_records
 from berylhollow.gateway import _load_coordinator
 from berylhollow.gateway import _membership
 from berylhollow.gateway import _notices
@@ -51,6 +52,7 @@
     emitted = _membership.tick(state, event.at_ms)
     emitted += _peers.tick(state, event.at_ms)
     emitted += _membership.tick_follower(state, event.at_ms)
+    emitted += _kept_records.tick(state, event.at_ms)
     emitted += _requests.tick(state, event.at_ms)
     emitted += _claims.tick(state, event.at_ms)
     emitted += _quarantine.tick(state, event.at_ms)
@@ -185,6 +187,8 @@
     messages.Report: _reported,
     messages.StreamPart: _shared_reads.apply_stream_part,
     messages.CompressedStreamPart: _shared_reads.apply_stream_part,
+    messages.RecordWanted: _kept_records.send,
+    messages.KeptRecord: _kept_records.apply,
     messages.QuotaSums: _quotas.sums_received,
     messages.RateLent: _rate_lent,
     messages.LoadWanted: _load_coordinator.wanted,
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -328,7 +328,8 @@
     the notices of endpoints that left the list. ``listed_ms`` is when the
     instance list in use was received. ``known_revisions`` are the revisions
     of the configuration that other gateways are known to have, ``started_ms``
-    is when this gateway started.
+    is when this gateway started. ``records_asked`` counts how often it asked
+    for the record of a newer one, next at ``ask_record_ms``.
 
     ``allowances`` has what this gateway may use of each workspace's quota,
     ``quota_uses_reported`` the usage last reported to the ``quota_books``.
@@ -339,6 +340,8 @@
     incarnation: str = ''
     started_ms: int = 0
     settled_ms: int = 0
+    ask_record_ms: int = clock.NEVER_MS
+    records_asked: int = 0
     known_revisions: _revisions.KnownRevisions = dataclasses.field(
         default_factory=_revisions.KnownRevisions
     )
--- /dev/null
+++ b/berylhollow/loader/_kept_record.py
@@ -0,0 +1,55 @@
+"""The newest configuration record, kept for gateways that lack it."""
+
+from berylhollow import effects
+from berylhollow import events
+from berylhollow.loader import _state
+from berylhollow import messages
+
+Effects = list[effects.Effect]
+
+ASK_PAUSE_MS = 1000
+"""Pause between two requests for a record."""
+
+MAX_RECORD_BYTES = 256 * 1024
+
+
+def ask_if_missing(
+    state: _state.State, event: events.MessageReceived
+) -> Effects:
+    """Ask a gateway for its record if it has a newer one than is kept here.
+
+    Only sidecars that relay reads keep it: one in a failure domain is enough,
+    and each copy is sent over a gateway's link.
+    """
+    if event.message.revision <= state.kept_revision:
+        return []
+    if event.at_ms < state.ask_record_ms:
+        return []
+    if not state.demand.gateways_sharing_reads():
+        return []
+    state.ask_record_ms = event.at_ms + ASK_PAUSE_MS
+    wanted = messages.RecordWanted(state.kept_revision)
+    return [effects.Send(event.peer, wanted)]
+
+
+def keep(state: _state.State, event: events.MessageReceived) -> Effects:
+    """Keep a record if it is newer than the one that is kept."""
+    record = event.message
+    if record.revision <= state.kept_revision:
+        return []
+    if len(record.data) > MAX_RECORD_BYTES:
+        return []
+    state.kept_record = record
+    fields = (
+        ('peer', event.peer),
+        ('revision', record.revision),
+        ('compressed_bytes', len(record.data)),
+    )
+    return [effects.Log('configuration record kept', fields)]
+
+
+def send(state: _state.State, event: events.MessageReceived) -> Effects:
+    """Send a gateway the record that it lacks."""
+    if state.kept_revision <= event.message.above:
+        return []
+    return [effects.Send(event.peer, state.kept_record)]
--- a/berylhollow/loader/_reducer.py
+++ b/berylhollow/loader/_reducer.py
@@ -2,6 +2,7 @@
 
 from berylhollow import effects
 from berylhollow import events
+from berylhollow.loader import _kept_record
 from berylhollow.loader import _plan
 from berylhollow.loader import _report
 from berylhollow.loader import _state
@@ -263,6 +264,10 @@
         return _update_quota_sums(state, event)
     if isinstance(message, messages.RateWanted):
         return _lend_requests(state, event)
+    if isinstance(message, messages.RecordWanted):
+        return _kept_record.send(state, event)
+    if isinstance(message, messages.KeptRecord):
+        return _kept_record.keep(state, event)
     if not isinstance(message, messages.AdapterDemands):
         return []
     state.demand.update(event.peer, message, event.at_ms)
@@ -271,7 +276,8 @@
         if entry.waiting or entry.in_flight:
             state.last_used_ms[entry.adapter.adapter] = event.at_ms
     _prune_last_used(state)
-    done = _log_model_turn(state) + _send_next_order(state, event.at_ms)
+    done = _kept_record.ask_if_missing(state, event)
+    done += _log_model_turn(state) + _send_next_order(state, event.at_ms)
     return done + _report.send_if_due(state, event.at_ms)
 
 
--- a/berylhollow/loader/_state.py
+++ b/berylhollow/loader/_state.py
@@ -107,6 +107,8 @@
       model waits for its turn with the weight store.
     - ``reported``: the last report sent to all gateways;
       ``reported_to_users``: the last one sent to those with requests here.
+    - ``kept_record``: the newest configuration record, for gateways that lack
+      it; the next one is asked for at ``ask_record_ms``.
     """
 
     options: Options
@@ -140,6 +142,13 @@
     reported: messages.Report | None = None
     reported_to_users: messages.Report | None = None
     reported_ms: int = clock.NEVER_MS
+    kept_record: messages.KeptRecord | None = None
+    ask_record_ms: int = clock.NEVER_MS
+
+    @property
+    def kept_revision(self) -> int:
+        """The revision of the kept configuration record, 0 for none."""
+        return 0 if self.kept_record is None else self.kept_record.revision
 
     def learn_endpoint(self, named: messages.Incarnation) -> None:
         """Use the incarnation that a gateway has from the instance list.
--- a/berylhollow/messages.py
+++ b/berylhollow/messages.py
@@ -452,6 +452,25 @@
     runs: tuple[LostRun, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordWanted:
+    """Asks for a configuration record with a revision above a number."""
+
+    above: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeptRecord:
+    """The configuration record of a revision, compressed with zlib.
+
+    ``size_bytes`` is the size of the record itself.
+    """
+
+    revision: int
+    size_bytes: int
+    data: bytes
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClaimsForwarded:
     """Entries for a claims partition, for its leader to append.
@@ -520,6 +539,8 @@
     | QuotaSums
     | RateWanted
     | RateLent
+    | RecordWanted
+    | KeptRecord
 )
 
 # A tag that has been released is never reused for another message.
@@ -551,4 +572,6 @@
     25: RateWanted,
     26: RateLent,
     27: CompressedStreamPart,
+    28: RecordWanted,
+    29: KeptRecord,
 }
--- a/berylhollow/replay/_deployment.py
+++ b/berylhollow/replay/_deployment.py
@@ -7,6 +7,7 @@
 from berylhollow import configuration
 from berylhollow import effects
 from berylhollow import events
+from berylhollow import following
 from berylhollow import gateway
 from berylhollow import manifest
 from berylhollow.replay import _trace
@@ -21,7 +22,7 @@
 
 
 @dataclasses.dataclass
-class FixedFollower:
+class FixedFollower(following.UnsharedRecords):
     """A follower of a configuration that is there from the start."""
 
     current: configuration.Configuration
--- a/berylhollow/routes/_follower.py
+++ b/berylhollow/routes/_follower.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 
+from berylhollow import clock
 from berylhollow import effects
 from berylhollow import events
 from berylhollow import following
@@ -42,12 +43,16 @@
       0 sets no limit.
     - ``era`` is the era of the log for which ``next_offset`` is valid, None
       before the first read.
+    - ``record`` is the one of the routes in force.
+    - ``whole_read_ms`` is when the last read began that saw the whole log.
     """
 
     def __init__(self, stream: str, decode: Decode, key_bound_ms: int = 0):
         self.stream = stream
         self.decode = decode
         self.current: _view.RouteView | None = None
+        self.record = b''
+        self.whole_read_ms = clock.NEVER_MS
         self.newest_versions: dict[str, _view.NewestVersion] = {}
         self.key_proof = _key_proof.KeyProof(key_bound_ms)
         self.were_keys_valid = True
@@ -99,6 +104,35 @@
         """Return the age of the newest proof of the keys."""
         return self.key_proof.age_ms(at_ms)
 
+    def newest_record(self) -> bytes:
+        """Return the record of the routes in force."""
+        return self.record
+
+    def apply_record(self, data: bytes, at_ms: int) -> Effects:
+        """Apply routes that another process has read.
+
+        They prove nothing about the keys: that takes a read of the log.
+        """
+        try:
+            record = self.decode(data)
+        except _news.MalformedRecordError as error:
+            return self._log_malformed(error)
+        if isinstance(record, _table.RouteTable):
+            self._apply_table(record, data)
+        return []
+
+    def was_read_since(self, since_ms: int) -> bool:
+        """Tell whether a read that began since then saw the whole log."""
+        return self.whole_read_ms >= since_ms
+
+    def check_log(self, at_ms: int) -> Effects:
+        """Begin a read beside the one that waits for records."""
+        proof = self.key_proof
+        if self.next_offset is None or not proof.may_check(at_ms):
+            return []
+        proof.begin_check(at_ms)
+        return [effects.CheckLog(self.stream, self.next_offset)]
+
     def status(self, at_ms: int) -> following.Status:
         """Return the revision in force and its age, for operators."""
         age_ms = -1 if self.last_read_ms is None else at_ms - self.last_read_ms
@@ -179,6 +213,7 @@
         self.next_offset = max(self.next_offset or 0, event.next_offset)
         self.last_read_ms = event.at_ms
         if event.begun_ms is not None and event.whole:
+            self.whole_read_ms = max(self.whole_read_ms, event.begun_ms)
             self.key_proof.record_read(event.begun_ms)
         return done
 
@@ -234,7 +269,8 @@
         self.last_malformed = None
         if isinstance(record, _table.RouteTable):
             self.key_proof.record_configuration(entry.offset)
-            return self._apply_table(record)
+            self._apply_table(record, entry.data)
+            return []
         if isinstance(record, _news.NewAdapterVersion):
             return self._apply_version(record, at_ms)
         return []
@@ -248,13 +284,13 @@
         fields = (('stream', self.stream), ('reason', str(error)))
         return [effects.Log('record not understood', fields, True)]
 
-    def _apply_table(self, table: _table.RouteTable) -> Effects:
+    def _apply_table(self, table: _table.RouteTable, data: bytes) -> None:
         if self.current is not None and (
             table.version <= self.current.revision
         ):
-            return []
+            return
         self.current = _view.RouteView.from_table(table, self.newest_versions)
-        return []
+        self.record = data
 
     def _apply_version(
         self, record: _news.NewAdapterVersion, at_ms: int
--- a/berylhollow/routes/_key_proof.py
+++ b/berylhollow/routes/_key_proof.py
@@ -78,12 +78,19 @@
 
     def is_check_due(self, at_ms: int) -> bool:
         """Return whether a read for a new proof should begin now."""
-        if not self.bound_ms or at_ms < self.retry_at_ms:
+        if not self.bound_ms or not self.may_check(at_ms):
             return False
         if self.check_begun_ms is not None:
-            return at_ms - self.check_begun_ms >= CHECK_TIMEOUT_MS
+            return True
         return self.age_ms(at_ms) >= self.bound_ms * CHECK_AGE_FRACTION
 
+    def may_check(self, at_ms: int) -> bool:
+        """Return whether no other check is under way or has just failed."""
+        if at_ms < self.retry_at_ms:
+            return False
+        begun_ms = self.check_begun_ms
+        return begun_ms is None or at_ms - begun_ms >= CHECK_TIMEOUT_MS
+
     def begin_check(self, at_ms: int) -> None:
         """Record that a read for a new proof begins."""
         self.check_begun_ms = at_ms
--- a/berylhollow/stream_parts.py
+++ b/berylhollow/stream_parts.py
@@ -62,24 +62,30 @@
         part.stream,
         part.from_offset,
         part.next_offset,
-        _split_records(_decompress_data(part)),
+        _split_records(decompress_record(part.data, part.size_bytes)),
         part.reader,
         part.era,
     )
 
 
-def _decompress_data(part: messages.CompressedStreamPart) -> bytes:
-    if part.size_bytes > MAX_SIZE_BYTES:
+def compress_record(record: bytes) -> bytes:
+    """Return a single record compressed."""
+    return zlib.compress(record, LEVEL)
+
+
+def decompress_record(data: bytes, size_bytes: int) -> bytes:
+    """Return a record of a stated size; raises ``CorruptPartError``."""
+    if not 0 <= size_bytes <= MAX_SIZE_BYTES:
         raise CorruptPartError('the part is too large')
     decompressor = zlib.decompressobj()
     try:
         # One byte more than stated shows data that is longer.
-        data = decompressor.decompress(part.data, part.size_bytes + 1)
+        record = decompressor.decompress(data, size_bytes + 1)
     except zlib.error as error:
         raise CorruptPartError(str(error)) from error
-    if len(data) != part.size_bytes or not decompressor.eof:
+    if len(record) != size_bytes or not decompressor.eof:
         raise CorruptPartError('the part is not of the size that it states')
-    return data
+    return record
 
 
 def _split_records(data: bytes) -> tuple[bytes, ...]:
--- a/test/builders.py
+++ b/test/builders.py
@@ -71,7 +71,7 @@
 
 
 @dataclasses.dataclass
-class FixedFollower:
+class FixedFollower(following.UnsharedRecords):
     """A follower that has read everything and asks for nothing."""
 
     current: FixedView | None = dataclasses.field(default_factory=FixedView)
--- a/test/hosted/slow_links.py
+++ b/test/hosted/slow_links.py
@@ -69,6 +69,7 @@
         self.links = {}
         self.logged = []
         self.request_count = 0
+        self.gets_records = True
         self.tasks = shell.Tasks()
         node = builders.node(instance=name, **world.bounds)
         settings = gateway_process.gateway_settings(node)
@@ -107,6 +108,7 @@
     def cut_off(self):
         """Cut it off from the store and from what others read of it."""
         self.session.is_cut = True
+        self.gets_records = False
 
     def start(self):
         self.driver.feed(events.Started(self.time.now_ms(), 'i1'))
@@ -145,6 +147,9 @@
                 message, messages.AnyStreamPart
             ):
                 continue
+            is_record = isinstance(message, messages.KeptRecord)
+            if is_record and not self.gets_records:
+                continue
             size = len(_codec.shared_codec().encode(message))
             await self.link.transfer(size, type(message).__name__)
             self.driver.feed(
--- a/test/hosted/test_slow_links.py
+++ b/test/hosted/test_slow_links.py
@@ -112,6 +112,22 @@
         }
         self.assertEqual({('front-1', 'configuration_outdated')}, kinds)
 
+    def test_gateway_without_the_store_gets_a_version_from_a_sidecar(self):
+        """It refused everybody although its sidecars knew the version."""
+        publish = publishing(13)
+
+        async def operate(world):
+            await rated_link.sleep_ms(6000)
+            world.gateways[1].cut_off()
+            world.gateways[1].gets_records = True
+            await publish(world)
+
+        world = play(operate, until_ms=20_000)
+        bound_ms = world.confirmed_ms[13] + CONFIGURATION_LIMIT_MS
+        self.assertEqual({}, last_late_ms(world, bound_ms))
+        kinds = {refused.kind for refused in world.refused}
+        self.assertNotIn('configuration_outdated', kinds)
+
     def test_change_refuses_nobody(self):
         """Hundreds of callers with a key were refused around each change."""
         self.assertEqual([], play(publishing(13, 15, 16)).refused)
