Let the soak crash endpoints and ask for two promises in every run

No caller of the soak crashed endpoints, so nothing asked whether a refusal with quarantined was right. One caller now repeats a request that crashes the plain endpoint that runs it: it must end refused ("crashing request ends refused"), and nothing else may be refused so ("only culprits are quarantined").

--- a/test/soak/test_promises.py
+++ b/test/soak/test_promises.py
@@ -10,6 +10,7 @@
 
 KEY = 'key-1'
 GATEWAY = 'g1'
+QUARANTINED = b'{"kind": "quarantined"}'
 
 
 class PromiseTestCase(unittest.TestCase):
@@ -30,7 +31,7 @@
             faults=[],
             left={},
             words=[],
-            world=types.SimpleNamespace(gateways=[GATEWAY]),
+            world=types.SimpleNamespace(gateways=[GATEWAY], models=['m0']),
         )
 
     def request(self, sent=100.0, status=200, ran=1, paused=False, **changes):
@@ -228,6 +229,35 @@
         self.request(101.5)
         self.check('pause is kept', 4, 1)
 
+    def crash(self, sent, status=502, ran=1, body=b''):
+        """Add a request that crashes the endpoint which runs it."""
+        path = _callers.CULPRIT_PATH
+        self.request(sent, status, ran, path=path, body=body)
+
+    def test_innocent_request_that_is_quarantined(self):
+        self.request()
+        self.request(status=503, ran=0, body=QUARANTINED)
+        self.crash(100.0, 503, ran=0, body=QUARANTINED)
+        self.check('only culprits are quarantined', 2, 1)
+
+    def test_crashing_request_that_goes_on_running(self):
+        for sent in (100.0, 104.0, 108.0):
+            self.crash(sent)
+        self.check('crashing request ends refused', 0, 0)
+        self.crash(112.1, 503, ran=0, body=QUARANTINED)
+        self.crash(112.2)
+        self.check('crashing request ends refused', 2, 1)
+
+    def test_crashing_request_at_a_gateway_that_did_not_hear_of_it(self):
+        for sent in (100.0, 104.0, 108.0, 112.2):
+            self.crash(sent)
+        for target in ('m0 link', 'sm0', GATEWAY, f'{GATEWAY} store'):
+            with self.subTest(target=target):
+                self.fault('silent', target, 105.0, 106.0)
+                self.check('crashing request ends refused', 0, 0)
+                self.schedule.faults.clear()
+        self.check('crashing request ends refused', 1, 1)
+
     def test_callers_who_are_not_served_after_all(self):
         for number in range(10):
             self.request(status=200 if number else 503)
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -51,8 +51,12 @@
             tasks.append(asyncio.create_task(callers.call(limited)))
         tasks.append(asyncio.create_task(callers.call_large()))
         await asyncio.sleep(_world.CONTACT_MS / 1000)
+        await callers.crash_endpoints()
+        culprit = asyncio.create_task(callers.go_on_crashing())
+        tasks.append(culprit)
         await schedule.play()
-        await asyncio.sleep(CALM_S)
+        culprit.cancel()
+        await schedule.change_in_calm(CALM_S)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
--- a/tools/soak/_callers.py
+++ b/tools/soak/_callers.py
@@ -9,12 +9,19 @@
 import aiohttp
 
 from tools.soak import _operator
+from tools.soak import _standins
 from tools.soak import _world
 
 DEADLINE_MS = 4000
 PATIENCE_S = 8
 PAUSE_S = 0.05
 READY_PAUSE_S = 0.3
+CULPRIT_PATH = '/p/crash'
+KNOWN_S = _world.CONTACT_MS / 1000 + 1
+"""By then every gateway in touch knows of a crash."""
+
+MOST_CRASHES = 3
+"""After these a request that crashes endpoints is refused."""
 
 
 @dataclasses.dataclass
@@ -35,6 +42,16 @@
     status: int | None = None
     body: bytes = b''
 
+    @property
+    def is_culprit(self) -> bool:
+        """Whether the request crashes the endpoint that runs it."""
+        return self.path == CULPRIT_PATH
+
+    @property
+    def is_quarantined(self) -> bool:
+        """Whether it was refused as one that crashes endpoints."""
+        return self.status == 503 and b'"quarantined"' in self.body
+
 
 class Callers:
     """Send requests all the time, over connections that are kept."""
@@ -104,6 +121,35 @@
             async with aiohttp.ClientSession() as session:
                 await self._send(session, exchange)
 
+    async def crash_endpoints(self) -> None:
+        """Repeat a request that crashes endpoints until it is refused."""
+        for number in range(MOST_CRASHES + 1):
+            if number:
+                await asyncio.sleep(KNOWN_S)
+            if (await self._send_culprit(number)).is_quarantined:
+                return
+
+    async def go_on_crashing(self) -> None:
+        """Send the request that crashes endpoints now and then."""
+        for number in itertools.count():
+            await asyncio.sleep(KNOWN_S)
+            await self._send_culprit(number)
+
+    async def _send_culprit(self, number: int) -> Exchange:
+        gateways = self.world.gateways
+        exchange = Exchange(
+            f'id-{next(self.numbers)}',
+            CULPRIT_PATH,
+            self.operator.key,
+            _operator.PLAIN_TOKENS,
+            '',
+            gateways[number % len(gateways)],
+            time.monotonic(),
+        )
+        async with aiohttp.ClientSession() as session:
+            await self._send(session, exchange)
+        return exchange
+
     def _request(self, gateway: str, limited: bool) -> Exchange:
         path, key, adapter = '/p/x', self._key(), ''
         tokens = _operator.PLAIN_TOKENS
@@ -151,10 +197,11 @@
             headers['Token-Count'] = f'{exchange.tokens - 10},10'
         host = self.world.host(exchange.gateway)
         url = f'http://{host}:{self.world.callers_port}{exchange.path}'
+        body = _standins.CRASH_BODY if exchange.is_culprit else b'body'
         try:
             async with (
                 asyncio.timeout(PATIENCE_S),
-                session.post(url, headers=headers, data=b'body') as response,
+                session.post(url, headers=headers, data=body) as response,
             ):
                 exchange.body = await response.read()
                 exchange.status = response.status
--- a/tools/soak/_promises.py
+++ b/tools/soak/_promises.py
@@ -79,6 +79,8 @@
                 ('rate_over_all_gateways', self.rate),
                 ('nothing_after_leaving_by_answers', self.leaving_by_answers),
                 ('pause_is_kept', self.pause),
+                ('only_culprits_are_quarantined', self.quarantined),
+                ('crashing_request_ends_refused', self.culprit),
                 ('served_after_all', self.served),
             )
         }
@@ -384,6 +386,44 @@
             fault.target == name for fault in self._faults(since, until)
         )
 
+    def quarantined(self) -> Verdict:
+        """Whatever becomes of endpoints, nothing else is refused for it."""
+        verdict = Verdict()
+        for exchange in self.exchanges:
+            if not exchange.is_culprit:
+                wrong = exchange.is_quarantined
+                verdict.check(not wrong, exchange.request_id)
+        return verdict
+
+    def culprit(self) -> Verdict:
+        """At each gateway that must know of three crashes."""
+        verdict = Verdict()
+        culprits = [e for e in self.exchanges if e.is_culprit]
+        crashed = sorted(
+            run['at'] for e in culprits for run in self.runs[e.request_id]
+        )
+        for exchange in culprits:
+            if exchange.is_quarantined:
+                verdict.asked += 1
+                continue
+            known_by = exchange.sent - _callers.KNOWN_S
+            known = [at for at in crashed if at < known_by]
+            if len(known) < _callers.MOST_CRASHES:
+                continue
+            since = known[-_callers.MOST_CRASHES]
+            if self._hears_of_all(exchange.gateway, since, exchange.ended):
+                ran = exchange.request_id in self.runs
+                verdict.check(not ran, exchange.request_id)
+        return verdict
+
+    def _hears_of_all(self, gateway: str, since: float, until: float) -> bool:
+        """Tell whether nothing kept other gateways' reports from one."""
+        sidecars = {f's{name}' for name in self.schedule.world.models}
+        return self._in_touch(gateway, since, until) and not any(
+            fault.target.endswith(' link') or fault.target in sidecars
+            for fault in self._faults(since, until)
+        )
+
     def served(self) -> Verdict:
         """In the calm seconds at the end most of what is allowed is served."""
         verdict = Verdict()
--- a/tools/soak/_schedule.py
+++ b/tools/soak/_schedule.py
@@ -101,6 +101,14 @@
             await asyncio.sleep(PAUSE_S * self.chance.random() * 2)
         await asyncio.gather(*begun)
 
+    async def change_in_calm(self, duration_s: float) -> None:
+        """Change what can't be judged well beside faults, and wait."""
+        end = time.monotonic() + duration_s
+        await asyncio.sleep(_world.CONTACT_MS / 1000 + 0.1)
+        await self.operator.publish_large()
+        await self.operator.name_version()
+        await asyncio.sleep(max(0.0, end - time.monotonic()))
+
     def lasting(self) -> float:
         return self.chance.uniform(0.5, LONGEST_S)
 
--- a/tools/soak/_standins.py
+++ b/tools/soak/_standins.py
@@ -14,6 +14,10 @@
 
 BEAT_S = 1.2
 RUN_S = 0.03
+DOWN_S = 1.0
+"""How long an endpoint is down after a request has crashed it."""
+
+CRASH_BODY = b'crash'
 
 
 def say(**fields) -> None:
@@ -62,6 +66,8 @@
         self.state = 'ready'
         self.sequence = 0
         self.written = asyncio.Event()
+        self.is_down = False
+        self.transports: set[asyncio.Transport] = set()
 
     def add_to(self, application: web.Application) -> None:
         application.router.add_post('/control/leave', self._leave)
@@ -87,7 +93,29 @@
             setattr(self.faults, name, kept)
         return web.json_response({'at': time.monotonic()})
 
+    async def _crash(self) -> None:
+        """Break all connections, and start anew under the same name."""
+        say(crashed=self.instance)
+        self.is_down = True
+        for transport in [*self.transports]:
+            transport.abort()
+        await asyncio.sleep(DOWN_S)
+        self.restart(self.instance)
+        self.started_ms = time.time_ns() // 1_000_000
+        self.is_down = False
+        self.written.clear()
+
     async def _request(self, request) -> web.StreamResponse:
+        if self.is_down:
+            request.transport.abort()
+            raise ConnectionResetError
+        self.transports.add(request.transport)
+        try:
+            return await self._request_while_up(request)
+        finally:
+            self.transports.discard(request.transport)
+
+    async def _request_while_up(self, request) -> web.StreamResponse:
         say(
             got=request.headers.get('Request-Id', ''),
             instance=self.instance,
@@ -102,6 +130,8 @@
             instance=self.instance,
             headers=dict(request.headers),
         )
+        if ran.body == CRASH_BODY:
+            await self._crash()
         await asyncio.sleep(RUN_S)
         headers['Server-Seal'] = f'seal-of-{self.instance}'
         return web.Response(
@@ -113,6 +143,9 @@
         async with aiohttp.ClientSession() as session:
             while True:
                 state = self.state
+                if self.is_down:
+                    await asyncio.sleep(0.1)
+                    continue
                 if await self._write(session) and state == self.state:
                     self.written.set()
                 await asyncio.sleep(BEAT_S if self.written.is_set() else 0.1)
