Clear a suspect at all gateways when it runs well at one

What callers saw: one gateway refused requests with quarantined that the others served all the time.

Cause: crashes are passed on to all gateways, but a run that ends well cleared the suspicion only where it ran.

Ruled out: endpoints lost together (each crash was known before the next), a run taken for alone (4 to 20 crashes count).

Change: the gateway sends Cleared over one sidecar, which forwards it, with the ends that it knew of; the others drop these from their suspicion.

An end that the sender did not know of stays, and a request that always crashes its endpoint never ends well, so a true culprit is refused as before.

--- a/berylhollow/gateway/_attempts.py
+++ b/berylhollow/gateway/_attempts.py
@@ -264,13 +264,14 @@
     return []
 
 
-def record_success(state: _state.State, active: _state.ActiveRequest) -> None:
+def record_success(
+    state: _state.State, active: _state.ActiveRequest
+) -> Effects:
     """Record that the endpoint gave a complete answer."""
     endpoint = state.endpoints.get(active.endpoint)
     if endpoint is not None:
         _ejection.record_success(endpoint)
-    _quarantine.succeeded(state, active)
-    _crashes.clear_suspicion(state, active)
+    return _quarantine.succeeded(state, active)
 
 
 def give_up(
--- a/berylhollow/gateway/_crashes.py
+++ b/berylhollow/gateway/_crashes.py
@@ -94,13 +94,3 @@
         at_ms - run.began_ms,
         at_ms - run.lost_ms,
     )
-
-
-def clear_suspicion(state: _state.State, active: _state.ActiveRequest) -> None:
-    """Clear a request that has succeeded at a direct endpoint."""
-    endpoint = state.endpoints.get(active.endpoint)
-    if endpoint is None or not endpoint.instance.direct:
-        return
-    fingerprint = active.request.fingerprint
-    if fingerprint in state.suspects.suspicions:
-        state.suspects.clear(fingerprint)
--- a/berylhollow/gateway/_quarantine.py
+++ b/berylhollow/gateway/_quarantine.py
@@ -55,10 +55,46 @@
     return _record_crash(state, crash, at_ms)
 
 
-def succeeded(state: _state.State, active: _state.ActiveRequest) -> None:
-    """Clear a suspect request that succeeded in isolation."""
-    if active.isolated:
-        state.suspects.clear(active.request.fingerprint)
+def succeeded(state: _state.State, active: _state.ActiveRequest) -> Effects:
+    """Clear a suspect request that succeeded where it proves something.
+
+    A sidecar runs a suspect with no other beside it. At a direct endpoint
+    nothing does, but many requests have the same fingerprint there, and each
+    crash also interrupts innocent ones.
+    """
+    endpoint = state.endpoints.get(active.endpoint)
+    is_direct = endpoint is not None and endpoint.instance.direct
+    if not (active.isolated or is_direct):
+        return []
+    fingerprint = active.request.fingerprint
+    ended = state.suspects.ended(fingerprint)
+    if not ended:
+        return []
+    state.suspects.clear(fingerprint)
+    message = messages.Cleared(fingerprint, ended)
+    # One sidecar forwards it to all gateways that are linked to it.
+    peers = [
+        peer
+        for peer, sidecar in state.sidecars.items()
+        if sidecar.link is _state.LinkPhase.OPEN
+    ][:1]
+    return [
+        _cleared_log(message, active.endpoint),
+        *(effects.Send(peer, message) for peer in (*peers, *state.peer_links)),
+    ]
+
+
+def cleared(state: _state.State, event: events.MessageReceived) -> Effects:
+    """Clear a suspect request that succeeded at another gateway."""
+    message: messages.Cleared = event.message
+    if not state.suspects.disprove(message.fingerprint, message.ended):
+        return []
+    forwarded = [
+        effects.Send(peer, message)
+        for peer in state.peer_links
+        if peer != event.peer
+    ]
+    return [_cleared_log(message, event.peer), *forwarded]
 
 
 def tick(state: _state.State, at_ms: int) -> Effects:
@@ -120,6 +156,15 @@
     return _record_crash(state, record, at_ms, written_ms)
 
 
+def _cleared_log(message: messages.Cleared, source: str) -> effects.Log:
+    fields = (
+        ('fingerprint', message.fingerprint),
+        ('crashes', len(message.ended)),
+        ('source', source),
+    )
+    return effects.Log('suspicion cleared', fields)
+
+
 def _record_crash(
     state: _state.State,
     crash: quarantine.Crash,
--- a/berylhollow/gateway/_reducer.py
+++ b/berylhollow/gateway/_reducer.py
@@ -183,6 +183,7 @@
     messages.ClaimDecided: _claims.apply_verdict,
     messages.ClaimsForwarded: _claim_leader.queue_forwarded_claims,
     messages.ClaimsTaken: _claim_leader.handle_confirmation,
+    messages.Cleared: _quarantine.cleared,
     messages.Crashed: _quarantine.crashed,
     messages.Report: _reported,
     messages.StreamPart: _shared_reads.apply_stream_part,
--- a/berylhollow/gateway/_requests.py
+++ b/berylhollow/gateway/_requests.py
@@ -122,8 +122,8 @@
     if event.body is not None:
         stored = claims.StoredAnswer(event.status, event.headers, event.body)
     _settlement.settle(state, active, errors.Ran.RAN, stored)
-    _attempts.record_success(state, active)
-    return _attempts.finish(state, active)
+    done = _attempts.record_success(state, active)
+    return done + _attempts.finish(state, active)
 
 
 def broken(state: _state.State, event: events.AnswerBroken) -> Effects:
--- a/berylhollow/loader/_reducer.py
+++ b/berylhollow/loader/_reducer.py
@@ -256,8 +256,8 @@
 
 def _received(state: _state.State, event: events.MessageReceived) -> Effects:
     message = event.message
-    if isinstance(message, messages.Crashed):
-        return _forward_crash(state, event.peer, message)
+    if isinstance(message, messages.Crashed | messages.Cleared):
+        return _forward(state, event.peer, message)
     if isinstance(message, messages.AnyStreamPart):
         return _forward_stream_part(state, event.peer, message)
     if isinstance(message, messages.QuotaUses):
@@ -322,15 +322,17 @@
     return [effects.Log(text, fields)]
 
 
-def _forward_crash(
-    state: _state.State, sender: str, crash: messages.Crashed
+def _forward(
+    state: _state.State,
+    sender: str,
+    message: messages.Crashed | messages.Cleared,
 ) -> Effects:
-    """Forward a crash to the other gateways.
+    """Forward what a gateway learnt of a request to the other gateways.
 
     Gateways have no links to each other.
     """
     return [
-        effects.Send(peer, crash) for peer in state.links if peer != sender
+        effects.Send(peer, message) for peer in state.links if peer != sender
     ]
 
 
--- a/berylhollow/messages.py
+++ b/berylhollow/messages.py
@@ -452,6 +452,17 @@
     runs: tuple[LostRun, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cleared:
+    """A request ran well after crashes that it was suspected of.
+
+    ``ended`` names the endpoints' epochs whose ends its sender knew of.
+    """
+
+    fingerprint: str
+    ended: tuple[str, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RecordWanted:
     """Asks for a configuration record with a revision above a number."""
@@ -541,6 +552,7 @@
     | RateLent
     | RecordWanted
     | KeptRecord
+    | Cleared
 )
 
 # A tag that has been released is never reused for another message.
@@ -574,4 +586,5 @@
     27: CompressedStreamPart,
     28: RecordWanted,
     29: KeptRecord,
+    30: Cleared,
 }
--- a/berylhollow/quarantine/_suspects.py
+++ b/berylhollow/quarantine/_suspects.py
@@ -7,6 +7,7 @@
 ``Rules.together_ms`` before.
 """
 
+import collections.abc
 import dataclasses
 
 from berylhollow import messages
@@ -219,6 +220,30 @@
             return 0
         return max(0, suspicion.until_ms - at_ms)
 
+    def ended(self, fingerprint: str) -> tuple[str, ...]:
+        """Return the epochs whose ends a request is suspected of."""
+        suspicion = self.suspicions.get(fingerprint)
+        if suspicion is None:
+            return ()
+        return tuple(map(_records.ended_epoch, suspicion.losses))
+
+    def disprove(
+        self, fingerprint: str, ended: collections.abc.Collection[str]
+    ) -> bool:
+        """Drop the crashes of these epochs; tell whether none is left."""
+        suspicion = self.suspicions.get(fingerprint)
+        if suspicion is None:
+            return False
+        suspicion.losses = {
+            crash_id: loss
+            for crash_id, loss in suspicion.losses.items()
+            if _records.ended_epoch(crash_id) not in ended
+        }
+        if suspicion.losses:
+            return False
+        self.clear(fingerprint)
+        return True
+
     def clear(self, fingerprint: str) -> None:
         """Drop a suspicion, disproved by a run alone or lifted."""
         self.suspicions.pop(fingerprint, None)
--- a/test/hosted/test_gateway_direct.py
+++ b/test/hosted/test_gateway_direct.py
@@ -594,6 +594,44 @@
         )
         self.assertEqual({}, self.state.suspects.suspicions)
 
+    def test_success_of_a_suspect_is_sent_to_the_other_gateways(self):
+        """Over one sidecar: the others clear it on their own successes."""
+        self.crash_endpoint(1, 'same')
+        for address in ('10.0.1.1:80', '10.0.1.2:80'):
+            name = f'i-{address}'
+            self.list_instances(
+                plain('i-2', '10.0.0.1:80'), direct_instance(name, address)
+            )
+            peer = addresses.sidecar_peer(address)
+            self.open_link(peer, events.Role.ENDPOINT)
+        self.send_request(fingerprint='same')
+        _, offer = self.offered()
+        self.feed(
+            events.AnswerRelayed(2, offer.request_id, offer.attempt_id, 200)
+        )
+        self.assertEqual(
+            [messages.Cleared('same', ('i-1',))],
+            self.sent(messages.Cleared),
+        )
+
+    def test_request_that_runs_well_at_another_gateway_is_not_suspect(self):
+        """Guards against a quarantine at gateways that rarely send a request.
+
+        It was at a crash, runs well at other gateways, and its suspicion
+        stayed here until it was at two more crashes.
+        """
+        self.crash_endpoint(1, 'same')
+        cleared = messages.Cleared('same', ('i-1',))
+        self.feed(events.MessageReceived(2, 'sidecar', cleared))
+        self.assertFalse(self.state.suspects.is_suspect('same', 2))
+
+    def test_crash_that_another_gateway_does_not_know_still_counts(self):
+        """Guards against a culprit that is cleared by an older success."""
+        self.crash_endpoint(1, 'same')
+        cleared = messages.Cleared('same', ('i-0',))
+        self.feed(events.MessageReceived(2, 'sidecar', cleared))
+        self.assertTrue(self.state.suspects.is_suspect('same', 2))
+
     def lose_together(self, names, at_ms, fingerprint='same'):
         """Lose one run of a request at each endpoint in the same moment."""
         listed = {name: f'10.0.1.{i}:80' for i, name in enumerate(names)}
--- a/test/loader/test_loader.py
+++ b/test/loader/test_loader.py
@@ -294,3 +294,10 @@
         self.receive(crash, peer=loader_helper.PEER)
         (sent,) = self.of_type(effects.Send)
         self.assertEqual(('g2', crash), (sent.peer, sent.message))
+
+    def test_cleared_request_is_forwarded_to_the_other_gateways(self):
+        self.open_link('g2', events.Role.GATEWAY)
+        cleared = messages.Cleared('print', ('i-1',))
+        self.receive(cleared, peer=loader_helper.PEER)
+        (sent,) = self.of_type(effects.Send)
+        self.assertEqual(('g2', cleared), (sent.peer, sent.message))
