Keep a slot free for loads of a sidecar's earlier start

What callers would see: an endpoint that is asked for one adapter too many crashes with all its runs.

Cause: a load without an answer may be carried out late by an endpoint that has restarted. The sidecar keeps a slot free for it, but one that restarts together with its endpoint does not know of it.

Change: gateways say in their demand how long ago they heard from an earlier start of the sidecar; beside an endpoint without accepted orders it keeps one slot free while a load of then is valid. Nothing changes at first starts, and where the endpoint has not restarted.

test_slot_stays_free_for_a_load_of_an_earlier_start failed before. Older processes ignore the field.

--- a/berylhollow/gateway/_adapters.py
+++ b/berylhollow/gateway/_adapters.py
@@ -16,6 +16,10 @@
 
 Effects = list[effects.Effect]
 
+PREDECESSOR_TTL_MS = 30_000
+"""How long an earlier start of a sidecar is told to the present one. Its
+loads are valid for half of this."""
+
 
 def runnable_version(
     state: _state.State,
@@ -257,9 +261,16 @@
         endpoint.waiting_tokens,
         _shared_reads.listens_to(state, peer),
         configuration.revision,
+        _predecessor_ms(state.sidecars[peer], at_ms),
     )
 
 
+def _predecessor_ms(sidecar: _state.Sidecar, at_ms: int) -> int:
+    """Return how long ago an earlier start of a sidecar was heard from."""
+    age_ms = at_ms - sidecar.predecessor_heard_ms
+    return age_ms if age_ms < PREDECESSOR_TTL_MS else -1
+
+
 def _in_flight_by_adapter(
     state: _state.State, endpoint: _state.Endpoint
 ) -> dict[str, int]:
--- a/berylhollow/gateway/_sidecars.py
+++ b/berylhollow/gateway/_sidecars.py
@@ -92,6 +92,9 @@
     sidecar = state.sidecars[event.peer]
     sidecar.link = _state.LinkPhase.OPEN
     sidecar.refusals = 0
+    if sidecar.incarnation not in ('', event.incarnation):
+        sidecar.predecessor_heard_ms = sidecar.heard_ms
+    sidecar.incarnation = event.incarnation
     result = [effects.Log('sidecar linked', (('peer', event.peer),))]
     result += _adapters.send_demands(state, event.peer, event.at_ms)
     _shared_reads.choose_relays(state)
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -137,8 +137,9 @@
     """The sidecar beside a direct endpoint, which loads its adapters.
 
     ``report`` is the last one while the link is open, received at
-    ``heard_ms``. ``told_ms`` is when the demand was last sent to it,
-    ``told_tokens`` how many waiting tokens that message named.
+    ``heard_ms``. ``incarnation`` is its last known start, an earlier one was
+    heard from at ``predecessor_heard_ms``. ``told_ms`` is when the demand was
+    last sent to it, ``told_tokens`` how many waiting tokens it named.
     """
 
     address: str
@@ -147,6 +148,8 @@
     refusals: int = 0
     report: messages.Report | None = None
     heard_ms: int = clock.NEVER_MS
+    incarnation: str = ''
+    predecessor_heard_ms: int = clock.NEVER_MS
     told_ms: int = clock.NEVER_MS
     told_tokens: int = 0
 
--- a/berylhollow/loader/_reducer.py
+++ b/berylhollow/loader/_reducer.py
@@ -107,6 +107,30 @@
         )
 
 
+def _reserve_for_predecessor(
+    state: _state.State, event: events.MessageReceived
+) -> Effects:
+    """Reserve a slot for a load that an earlier start of ours may have sent.
+
+    A sidecar that restarts together with its endpoint knows nothing of it.
+    An endpoint that has accepted orders did not restart with us: it refuses
+    an order that expects another count.
+    """
+    age_ms = event.message.predecessor_ms
+    adapters = state.adapters
+    if age_ms < 0 or state.knows_predecessor or adapters is None:
+        return []
+    state.knows_predecessor = True
+    valid_ms = state.options.stray_load_ms - age_ms
+    if adapters.orders or valid_ms <= 0:
+        return []
+    until_ms = event.at_ms + valid_ms
+    stray = _state.StrayLoad(_state.ANY_COUNT, until_ms)
+    state.stray_loads.append(stray)
+    fields = (('gateway', event.peer), ('valid_ms', valid_ms))
+    return [effects.Log('slot reserved for an earlier load', fields)]
+
+
 def _adapters_reported(
     state: _state.State, event: events.AdaptersReported
 ) -> Effects:
@@ -272,11 +296,12 @@
         return []
     state.demand.update(event.peer, message, event.at_ms)
     state.learn_endpoint(message.incarnation)
+    done = _reserve_for_predecessor(state, event)
     for entry in message.entries:
         if entry.waiting or entry.in_flight:
             state.last_used_ms[entry.adapter.adapter] = event.at_ms
     _prune_last_used(state)
-    done = _kept_record.ask_if_missing(state, event)
+    done += _kept_record.ask_if_missing(state, event)
     done += _log_model_turn(state) + _send_next_order(state, event.at_ms)
     return done + _report.send_if_due(state, event.at_ms)
 
--- a/berylhollow/loader/_state.py
+++ b/berylhollow/loader/_state.py
@@ -79,12 +79,17 @@
     expected: int = 0
 
 
+ANY_COUNT = 2**62
+"""Stands for an unknown number of accepted orders."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StrayLoad:
     """A load without an answer that may be carried out after a restart.
 
     The restarted endpoint accepts it when it has accepted ``expected`` orders
-    since its start. The load is no longer valid at ``until_ms``.
+    since its start, at any number if it is ``ANY_COUNT``. The load is no
+    longer valid at ``until_ms``.
     """
 
     expected: int
@@ -107,6 +112,8 @@
       model waits for its turn with the weight store.
     - ``reported``: the last report sent to all gateways;
       ``reported_to_users``: the last one sent to those with requests here.
+    - ``knows_predecessor``: whether a gateway has told of an earlier start of
+      this sidecar.
     - ``kept_record``: the newest configuration record, for gateways that lack
       it; the next one is asked for at ``ask_record_ms``.
     """
@@ -144,6 +151,7 @@
     reported_ms: int = clock.NEVER_MS
     kept_record: messages.KeptRecord | None = None
     ask_record_ms: int = clock.NEVER_MS
+    knows_predecessor: bool = False
 
     @property
     def kept_revision(self) -> int:
--- a/berylhollow/messages.py
+++ b/berylhollow/messages.py
@@ -286,6 +286,8 @@
     of prompts that the gateway sent there and whose answers have not begun.
     With ``shares_reads`` the gateway wants to receive what others read from
     the platform's log. ``revision`` is that of the gateway's configuration.
+    ``predecessor_ms`` is how long ago the gateway last heard from an earlier
+    start of the sidecar, -1 if it was long ago or never.
     """
 
     endpoint: str
@@ -298,6 +300,7 @@
     waiting_tokens: int = 0
     shares_reads: bool = False
     revision: int = 0
+    predecessor_ms: int = -1
 
     @property
     def incarnation(self) -> Incarnation:
--- a/test/hosted/test_gateway_direct.py
+++ b/test/hosted/test_gateway_direct.py
@@ -498,6 +498,26 @@
         self.assertEqual('i-1', self.offered()[0])
 
 
+class PredecessorTest(DirectTestCase):
+    """A sidecar that starts anew while this gateway runs on."""
+
+    def link(self, incarnation, at_ms):
+        """Open the link to a start of the sidecar; return the demand."""
+        peer = addresses.sidecar_peer('10.0.0.1:80')
+        self.open_link(peer, events.Role.ENDPOINT, at_ms, incarnation)
+        (demands,) = self.sent(messages.AdapterDemands)
+        return demands.predecessor_ms
+
+    def test_sidecar_is_told_when_its_earlier_start_was_heard_from(self):
+        """Guards against a late load that the new start knows nothing of."""
+        self.list_instances(direct_instance('i-1', '10.0.0.1:80'))
+        self.assertEqual(-1, self.link('i1', 10))
+        self.report('10.0.0.1:80', at_ms=1000)
+        self.assertEqual(-1, self.link('i1', 1500))
+        self.assertEqual(1200, self.link('i2', 2200))
+        self.assertEqual(-1, self.link('i2', 60_000))
+
+
 class CallerGoneTest(DirectTestCase):
     def test_run_is_cancelled_with_its_caller_even_if_not_repeatable(self):
         self.list_instances(plain('i-1', '10.0.0.1:80'))
--- a/test/loader/test_restarts.py
+++ b/test/loader/test_restarts.py
@@ -134,6 +134,41 @@
         self.assertIsNone(self.state.endpoint)
 
 
+class PredecessorTest(loader_helper.LoaderTestCase):
+    """A sidecar that has just started beside an endpoint."""
+
+    def begin_beside(self, orders, **changes):
+        self.orders = orders
+        self.report([], started_ms=SECOND_MS)
+        self.send_demands(started_ms=SECOND_MS, **changes)
+
+    def test_slot_stays_free_for_a_load_of_an_earlier_start(self):
+        """Guards against one load too many, which crashes the endpoint.
+
+        The sidecar restarts together with its endpoint, and a load that it
+        had sent before is carried out late.
+        """
+        self.begin_beside(0, predecessor_ms=1200)
+        self.assertEqual(1, self.state.slots)
+        late_ms = self.state.options.stray_load_ms - 1200
+        self.feed(events.Ticked(late_ms))
+        self.send_demands(started_ms=SECOND_MS, at_ms=late_ms)
+        self.assertEqual(2, self.state.slots)
+
+    def test_no_slot_stays_free_at_the_first_start(self):
+        self.begin_beside(0)
+        self.assertEqual(2, self.state.slots)
+
+    def test_no_slot_stays_free_if_the_endpoint_did_not_restart(self):
+        self.begin_beside(3, predecessor_ms=1200)
+        self.assertEqual(2, self.state.slots)
+
+    def test_slot_is_reserved_once(self):
+        self.begin_beside(0, predecessor_ms=1200)
+        self.send_demands(started_ms=SECOND_MS, predecessor_ms=1300, peer='g2')
+        self.assertEqual(1, len(self.state.stray_loads))
+
+
 class StrayOrderTest(RestartTestCase):
     """An order without an answer that may be carried out after a restart."""
 
