Bound what is remembered of crashes, and ask for records within the domain

Found by reading the change again. What ran at ended endpoints was kept for 10,000 ends, which may be hundreds of fingerprints each: 512 now. An end that is dropped counts as one with company. A sidecar asked any gateway with a newer revision for its record, also over the border of its failure domain, which is priced; now only gateways that it relays to.

test_quarantine 28, test_kept_record* 12, test_lost_newest 2, test_slow_links 7 passed.

--- a/berylhollow/loader/_kept_record.py
+++ b/berylhollow/loader/_kept_record.py
@@ -18,14 +18,15 @@
 ) -> Effects:
     """Ask a gateway for its record if it has a newer one than is kept here.
 
-    Only sidecars that relay reads keep it: one in a failure domain is enough,
-    and each copy is sent over a gateway's link.
+    Only sidecars that relay reads keep it, and only from the gateways that
+    they relay to: one copy in a failure domain is enough, and traffic within
+    it costs nothing.
     """
     if event.message.revision <= state.kept_revision:
         return []
     if event.at_ms < state.ask_record_ms:
         return []
-    if not state.demand.gateways_sharing_reads():
+    if not event.message.shares_reads:
         return []
     state.ask_record_ms = event.at_ms + ASK_PAUSE_MS
     wanted = messages.RecordWanted(state.kept_revision)
--- a/berylhollow/quarantine/_suspects.py
+++ b/berylhollow/quarantine/_suspects.py
@@ -17,6 +17,9 @@
 MAX_LOSSES = 32
 """Of one fingerprint; a culprit is quarantined after far fewer."""
 
+MAX_ENDS = 512
+"""Ends of endpoints whose runs are remembered."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Rules:
@@ -200,12 +203,12 @@
         ended = _records.ended_epoch(crash.crash_id)
         company = self.companies.setdefault(ended, set())
         company.update(crash.fingerprints)
-        _drop_oldest(self.companies, self.rules.limit)
+        _drop_oldest(self.companies, MAX_ENDS)
         first_ms = min((loss.lost_ms for loss in losses), default=None)
         if first_ms is not None:
             known_ms = self.first_lost_ms.get(ended, first_ms)
             self.first_lost_ms[ended] = min(known_ms, first_ms)
-            _drop_oldest(self.first_lost_ms, self.rules.limit)
+            _drop_oldest(self.first_lost_ms, MAX_ENDS)
 
     def _ended_ms(self, crash_id: str, loss: Loss) -> int:
         """Return when the endpoint of a loss ended, as far as is known."""
