--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -17,6 +17,7 @@
 from tools.soak import _operator
 from tools.soak import _promises
 from tools.soak import _schedule
+from tools.soak import _series
 from tools.soak import _world
 
 CALM_S = 12
@@ -54,9 +55,9 @@
         await callers.crash_endpoints()
         culprit = asyncio.create_task(callers.go_on_crashing())
         tasks.append(culprit)
-        await schedule.play()
+        await _series.BY_NAME[arguments.series](schedule)
         culprit.cancel()
-        await schedule.change_in_calm(CALM_S)
+        await asyncio.sleep(CALM_S)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -108,6 +109,12 @@
     parser.add_argument('--models', type=int, default=2)
     parser.add_argument('--plain', type=int, default=3)
     parser.add_argument('--callers', type=int, default=12)
+    parser.add_argument(
+        '--series',
+        default='rounds',
+        choices=_series.BY_NAME,
+        help='what is done to the programs, faults in rounds by default',
+    )
     parser.add_argument(
         '--other',
         type=pathlib.Path,
--- a/tools/soak/_schedule.py
+++ b/tools/soak/_schedule.py
@@ -69,6 +69,7 @@
         self.faults: list[Fault] = []
         self.left: dict[str, float] = {}
         self.words: list[Word] = []
+        self.changing: asyncio.Task | None = None
         self.kinds: list[collections.abc.Callable] = [
             self.kill,
             self.freeze,
@@ -100,14 +101,13 @@
             begun.append(asyncio.create_task(kinds.pop()()))
             await asyncio.sleep(PAUSE_S * self.chance.random() * 2)
         await asyncio.gather(*begun)
+        self.changing = asyncio.create_task(self.change_in_calm())
 
-    async def change_in_calm(self, duration_s: float) -> None:
-        """Change what can't be judged well beside faults, and wait."""
-        end = time.monotonic() + duration_s
+    async def change_in_calm(self) -> None:
+        """Change what can't be judged well beside faults."""
         await asyncio.sleep(_world.CONTACT_MS / 1000 + 0.1)
         await self.operator.publish_large()
         await self.operator.name_version()
-        await asyncio.sleep(max(0.0, end - time.monotonic()))
 
     def lasting(self) -> float:
         return self.chance.uniform(0.5, LONGEST_S)
--- /dev/null
+++ b/tools/soak/_series.py
@@ -0,0 +1,76 @@
+"""Series of losses that take the place of a schedule's rounds."""
+
+import asyncio
+import collections.abc
+import itertools
+import time
+
+from tools.soak import _schedule
+
+Series = collections.abc.Callable[
+    [_schedule.Schedule], collections.abc.Awaitable[None]
+]
+
+DOWN_S = 1.0
+RECOVERED_S = 6.0
+"""By then callers are served again and suspicions cleared."""
+
+
+async def lose_all(schedule: _schedule.Schedule) -> None:
+    """Kill all plain endpoints in one moment, again and again."""
+    world = schedule.world
+    end = time.monotonic() + schedule.duration_s
+    while time.monotonic() < end:
+        await asyncio.gather(*map(world.replace, world.plain))
+        await asyncio.sleep(DOWN_S)
+        await asyncio.gather(*map(world.start_endpoint, world.plain))
+        await asyncio.sleep(RECOVERED_S)
+
+
+async def lose_each(schedule: _schedule.Schedule) -> None:
+    """Kill one plain endpoint after the other, a second apart."""
+    world = schedule.world
+    end = time.monotonic() + schedule.duration_s
+    for name in itertools.cycle(world.plain):
+        if time.monotonic() >= end:
+            return
+        await world.replace(name)
+        await asyncio.sleep(DOWN_S / 3)
+        await world.start_endpoint(name)
+        await asyncio.sleep(DOWN_S * 2 / 3)
+
+
+async def lose_one(schedule: _schedule.Schedule) -> None:
+    """Kill one plain endpoint once."""
+    world = schedule.world
+    await world.replace(world.plain[0])
+    await asyncio.sleep(DOWN_S)
+    await world.start_endpoint(world.plain[0])
+    await asyncio.sleep(RECOVERED_S)
+
+
+async def lose_newest(schedule: _schedule.Schedule) -> None:
+    """Lose the newest configuration, then restart all gateways.
+
+    A key is replaced, the store comes back from a copy made before, and
+    nobody writes again until the end.
+    """
+    world = schedule.world
+    await world.control('copy')
+    await asyncio.sleep(DOWN_S)
+    await schedule.operator.replace_key()
+    await asyncio.sleep(2 * DOWN_S)
+    await world.control('come_back')
+    for name in world.gateways:
+        await world.replace(name)
+        await world.start_gateway(name)
+    await asyncio.sleep(schedule.duration_s)
+
+
+BY_NAME: dict[str, Series] = {
+    'rounds': _schedule.Schedule.play,
+    'lose-all': lose_all,
+    'lose-each': lose_each,
+    'lose-one': lose_one,
+    'lose-newest': lose_newest,
+}
