Note the faults of the soak's series, and ask right of unanswered culprits

A culprit without an answer that did not run counted as run: the check looked it up in a mapping that adds what is looked up.

--- a/tools/soak/_promises.py
+++ b/tools/soak/_promises.py
@@ -400,7 +400,9 @@
         verdict = Verdict()
         culprits = [e for e in self.exchanges if e.is_culprit]
         crashed = sorted(
-            run['at'] for e in culprits for run in self.runs[e.request_id]
+            run['at']
+            for exchange in culprits
+            for run in self.runs.get(exchange.request_id, ())
         )
         for exchange in culprits:
             if exchange.is_quarantined:
--- a/tools/soak/_series.py
+++ b/tools/soak/_series.py
@@ -16,36 +16,48 @@
 """By then callers are served again and suspicions cleared."""
 
 
+async def _restart(
+    schedule: _schedule.Schedule, name: str, down_s: float = 0.0
+) -> None:
+    """Kill a process and start it again."""
+    world = schedule.world
+    start = world.start_endpoint
+    if name in world.gateways:
+        start = world.start_gateway
+    fault = _schedule.Fault('kill', name, time.monotonic())
+    schedule.faults.append(fault)
+    await world.replace(name)
+    await asyncio.sleep(down_s)
+    await start(name)
+    fault.until = time.monotonic()
+
+
 async def lose_all(schedule: _schedule.Schedule) -> None:
     """Kill all plain endpoints in one moment, again and again."""
-    world = schedule.world
     end = time.monotonic() + schedule.duration_s
     while time.monotonic() < end:
-        await asyncio.gather(*map(world.replace, world.plain))
-        await asyncio.sleep(DOWN_S)
-        await asyncio.gather(*map(world.start_endpoint, world.plain))
+        await asyncio.gather(
+            *(
+                _restart(schedule, name, DOWN_S)
+                for name in schedule.world.plain
+            )
+        )
         await asyncio.sleep(RECOVERED_S)
 
 
 async def lose_each(schedule: _schedule.Schedule) -> None:
     """Kill one plain endpoint after the other, a second apart."""
-    world = schedule.world
     end = time.monotonic() + schedule.duration_s
-    for name in itertools.cycle(world.plain):
+    for name in itertools.cycle(schedule.world.plain):
         if time.monotonic() >= end:
             return
-        await world.replace(name)
-        await asyncio.sleep(DOWN_S / 3)
-        await world.start_endpoint(name)
+        await _restart(schedule, name, DOWN_S / 3)
         await asyncio.sleep(DOWN_S * 2 / 3)
 
 
 async def lose_one(schedule: _schedule.Schedule) -> None:
     """Kill one plain endpoint once."""
-    world = schedule.world
-    await world.replace(world.plain[0])
-    await asyncio.sleep(DOWN_S)
-    await world.start_endpoint(world.plain[0])
+    await _restart(schedule, schedule.world.plain[0], DOWN_S)
     await asyncio.sleep(RECOVERED_S)
 
 
@@ -62,8 +74,7 @@
     await asyncio.sleep(2 * DOWN_S)
     await world.control('come_back')
     for name in world.gateways:
-        await world.replace(name)
-        await world.start_gateway(name)
+        await _restart(schedule, name)
     await asyncio.sleep(schedule.duration_s)
 
 
