--- a/berylhollow/configuration/__init__.py
+++ b/berylhollow/configuration/__init__.py
@@ -11,15 +11,15 @@
 from berylhollow.configuration import _entity_codec
 from berylhollow.configuration import _fold
 from berylhollow.configuration import _follower
+from berylhollow.configuration import _hash_assignment
 from berylhollow.configuration import _history
 from berylhollow.configuration import _log_reader
-from berylhollow.configuration import _ranking
-from berylhollow.configuration import _spread
+from berylhollow.configuration import _propagation
 
 STREAM = _log_reader.STREAM
 SNAPSHOT_STREAM = _log_reader.SNAPSHOT_STREAM
 
-MAX_PUSH_BYTES = _spread.MAX_PUSH_BYTES
+MAX_PUSH_BYTES = _propagation.MAX_PUSH_BYTES
 READERS_PER_DOMAIN = _follower.READERS_PER_DOMAIN
 RULE = _codec.RULE
 Accepted = _fold.Accepted
@@ -35,7 +35,7 @@
 Outcome = _fold.Outcome
 Put = _changes.Put
 Remove = _changes.Remove
-Ring = _ranking.Ring
+Ring = _hash_assignment.Ring
 State = _fold.State
 UnknownRule = _codec.UnknownRule
 Verdict = _fold.Verdict
--- a/berylhollow/configuration/_follower.py
+++ b/berylhollow/configuration/_follower.py
@@ -3,11 +3,11 @@
 import collections.abc
 
 from berylhollow.configuration import _configuration
+from berylhollow.configuration import _hash_assignment
 from berylhollow.configuration import _history
 from berylhollow.configuration import _log_reader
-from berylhollow.configuration import _ranking
+from berylhollow.configuration import _propagation
 from berylhollow.configuration import _snapshot_writer
-from berylhollow.configuration import _spread
 from berylhollow import effects
 from berylhollow import events
 from berylhollow import following
@@ -47,7 +47,7 @@
         self.failure_domain = failure_domain
         self.history = _history.History()
         self.reader = _log_reader.LogReader(self.history, instance)
-        self.propagator = _spread.Propagator(instance, role, self.history)
+        self.propagator = _propagation.Propagator(instance, role, self.history)
         self.writer = _snapshot_writer.SnapshotWriter(instance, self.history)
         self.current: _configuration.Configuration | None = None
         self.domains: dict[str, str] = {}
@@ -213,7 +213,7 @@
         self.is_reader = (
             self.role is events.Role.GATEWAY
             and self.instance
-            in _ranking.choose(
+            in _hash_assignment.choose(
                 READER_TASK,
                 domain_gateways or self.gateways,
                 READERS_PER_DOMAIN,
@@ -229,7 +229,7 @@
         timeout differs by instance, so that in an outage, when no process
         receives news, they do not all read the log at once.
         """
-        fraction = _ranking.fraction_of(READER_TASK, self.instance)
+        fraction = _hash_assignment.fraction_of(READER_TASK, self.instance)
         if self.role is events.Role.GATEWAY:
             since_ms = self.propagator.as_of_ms
             patience_ms = (
--- a/berylhollow/configuration/_spread.py
+++ b/berylhollow/configuration/_propagation.py
@@ -10,8 +10,8 @@
 import collections.abc
 import dataclasses
 
+from berylhollow.configuration import _hash_assignment
 from berylhollow.configuration import _history
-from berylhollow.configuration import _ranking
 from berylhollow import effects
 from berylhollow import events
 from berylhollow import following
@@ -69,7 +69,7 @@
         # The sidecars that this gateway pushes to, as an ordered set.
         self.fed_sidecars: dict[str, None] = {}
         self.pending_sidecars: list[str] = []
-        self.ring = _ranking.Ring()
+        self.ring = _hash_assignment.Ring()
         self.ahead: dict[str, int] = {}
         self.as_of_ms: int | None = None
         self.reported_as_of_ms = NEVER_MS
@@ -144,7 +144,9 @@
             if peer.role is events.Role.GATEWAY
         ]
         self.gateway_targets = tuple(
-            _ranking.choose(self.instance, gateways, MAX_GATEWAY_TARGETS)
+            _hash_assignment.choose(
+                self.instance, gateways, MAX_GATEWAY_TARGETS
+            )
         )
 
     def gateway_statuses(self, at_ms: int) -> tuple[following.PeerStatus, ...]:
--- a/berylhollow/configuration/_snapshot_writer.py
+++ b/berylhollow/configuration/_snapshot_writer.py
@@ -1,8 +1,8 @@
 """Writes snapshots before the log drops the records they include."""
 
+from berylhollow.configuration import _hash_assignment
 from berylhollow.configuration import _history
 from berylhollow.configuration import _log_reader
-from berylhollow.configuration import _ranking
 from berylhollow import effects
 from berylhollow import events
 
@@ -32,11 +32,11 @@
 
     def update_gateways(self, gateways: list[str], at_ms: int) -> None:
         """Start or stop writing according to the list of live gateways."""
-        chosen = _ranking.choose(WRITER_TASK, gateways, WRITER_COUNT)
+        chosen = _hash_assignment.choose(WRITER_TASK, gateways, WRITER_COUNT)
         if self.instance not in chosen:
             self.due_ms = None
         elif self.due_ms is None:
-            fraction = _ranking.fraction_of(WRITER_TASK, self.instance)
+            fraction = _hash_assignment.fraction_of(WRITER_TASK, self.instance)
             self.due_ms = at_ms + int(FIRST_SNAPSHOT_DELAY_MS * (1 + fraction))
 
     def tick(self, at_ms: int) -> list[effects.Effect]:
--- a/berylhollow/endpoint_directory/_directory.py
+++ b/berylhollow/endpoint_directory/_directory.py
@@ -6,7 +6,7 @@
 
 from berylhollow import clock
 from berylhollow.endpoint_directory import _entries
-from berylhollow.endpoint_directory import _lapses
+from berylhollow.endpoint_directory import _held_removals
 from berylhollow import events
 from berylhollow import log_service
 from berylhollow import messages
@@ -60,13 +60,13 @@
         stream: str,
         decode: _entries.Decode,
         time: clock.Clock,
-        held_removals: _lapses.HeldRemovals | None = None,
+        held_removals: _held_removals.HeldRemovals | None = None,
     ):
         self.source = source
         self.stream = stream
         self.entries = _entries.Entries(decode)
         self.time = time
-        self.held_removals = held_removals or _lapses.HeldRemovals()
+        self.held_removals = held_removals or _held_removals.HeldRemovals()
         self.rows: dict[str, events.Instance] = {}
         self.unconfirmed: dict[str, messages.Incarnation] = {}
         self.departed: dict[str, messages.Incarnation | None] = {}
--- a/berylhollow/gateway/_link_pacing.py
+++ b/berylhollow/gateway/_link_pacing.py
@@ -9,7 +9,7 @@
 """
 
 from berylhollow.gateway import _state
-from berylhollow.util import spread
+from berylhollow.util import jitter
 
 MAX_DOUBLINGS = 10
 
@@ -20,12 +20,12 @@
     doublings = min(max(0, refusals - 1), MAX_DOUBLINGS)
     backoff_ms = options.link_retry_ms * 2**doublings
     backoff_ms = min(backoff_ms, options.link_retry_most_ms)
-    return int(backoff_ms * (0.5 + spread.fraction(state.seed, peer)))
+    return int(backoff_ms * (0.5 + jitter.fraction(state.seed, peer)))
 
 
 def first_pause_ms(state: _state.State, peer: str) -> int:
     """Return the pause before an idle link that broke is reopened."""
-    fraction = spread.fraction(state.seed, peer)
+    fraction = jitter.fraction(state.seed, peer)
     return int(state.options.link_spread_ms * fraction)
 
 
--- a/berylhollow/gateway/_load_coordinator.py
+++ b/berylhollow/gateway/_load_coordinator.py
@@ -25,7 +25,7 @@
 
 def wanted(state: _state.State, event: events.MessageReceived) -> Effects:
     """Store the load that a sidecar wants most; grant permits or defer it."""
-    book = state.load_book
+    book = state.load_coordination
     message = event.message
     book.wanted_loads[event.peer] = _state.WantedLoad(message, event.at_ms)
     result = _grant_permits(state, event.at_ms)
@@ -39,7 +39,7 @@
 
 def ended(state: _state.State, event: events.MessageReceived) -> Effects:
     """Take back the permit of a load that ended, and grant the next."""
-    book = state.load_book
+    book = state.load_coordination
     permit = book.permits.pop(event.message.permit, None)
     if permit is not None and event.message.loaded:
         took_ms = event.at_ms - permit.granted_ms
@@ -53,7 +53,7 @@
     Without this, a load that hangs or a sidecar that dies with its permit
     would block the other sidecars for ever.
     """
-    book = state.load_book
+    book = state.load_coordination
     for number in [
         number
         for number, permit in book.permits.items()
@@ -72,7 +72,7 @@
 
 def _grant_permits(state: _state.State, at_ms: int) -> Effects:
     """Grant permits, most valuable load first, within limit and rate."""
-    book = state.load_book
+    book = state.load_coordination
     result: Effects = []
     while (
         book.wanted_loads and len(book.permits) < state.options.loads_at_once
@@ -91,7 +91,7 @@
 
 def _issue_permit(state: _state.State, peer: str, at_ms: int) -> effects.Send:
     """Issue a permit for the load that a sidecar wants."""
-    book = state.load_book
+    book = state.load_coordination
     wish = book.wanted_loads.pop(peer)
     book.granted += 1
     valid_ms = int(
--- a/berylhollow/gateway/_quotas.py
+++ b/berylhollow/gateway/_quotas.py
@@ -11,7 +11,7 @@
 from berylhollow.gateway import _state
 from berylhollow import messages
 from berylhollow.policy import rendezvous
-from berylhollow.util import spread
+from berylhollow.util import jitter
 from berylhollow import workspaces
 
 Effects = list[effects.Effect]
@@ -157,7 +157,7 @@
     for quota_sum in event.message.sums:
         allowance = state.allowances.get(quota_sum.workspace)
         if allowance is not None:
-            draw = spread.fraction(state.seed, quota_sum.workspace)
+            draw = jitter.fraction(state.seed, quota_sum.workspace)
             allowance.update_totals(
                 event.peer, event.message.book, quota_sum, draw, event.at_ms
             )
--- a/berylhollow/gateway/_shell.py
+++ b/berylhollow/gateway/_shell.py
@@ -16,13 +16,13 @@
 from berylhollow import effects
 from berylhollow import errors
 from berylhollow import events
+from berylhollow.gateway import _deployment
 from berylhollow.gateway import _direct_runs
 from berylhollow.gateway import _exchange
 from berylhollow.gateway import _http
 from berylhollow.gateway import _links
 from berylhollow.gateway import _pages
 from berylhollow.gateway import _relay
-from berylhollow.gateway import _surroundings
 from berylhollow.gateway import _workspaces
 from berylhollow import messages
 from berylhollow import settings as all_settings
@@ -55,12 +55,10 @@
         count: AddMetric,
         metrics_text: typing.Callable[[], bytes],
         time: clock.Clock | None = None,
-        surroundings: _surroundings.Deployment | None = None,
+        deployment: _deployment.Deployment | None = None,
     ):
         self.settings = settings
-        environment = surroundings or _surroundings.default_deployment(
-            settings
-        )
+        environment = deployment or _deployment.default_deployment(settings)
         self.last_answers_timeout_s = (
             environment.last_answers_ms / clock.MS_PER_SECOND
         )
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -407,7 +407,7 @@
         default_factory=_placement.Placement
     )
     adapter_policy: policy.Policy = dataclasses.field(init=False)
-    load_book: LoadCoordination = dataclasses.field(init=False)
+    load_coordination: LoadCoordination = dataclasses.field(init=False)
     ticked_ms: int = 0
     instances_read_ms: int = clock.NEVER_MS
     listed_ms: int = clock.NEVER_MS
@@ -418,7 +418,7 @@
     def __post_init__(self):
         self.suspects = quarantine.Suspects(self.options.suspicion)
         self.adapter_policy = policy.create_policy(self.options.policy)
-        self.load_book = LoadCoordination(
+        self.load_coordination = LoadCoordination(
             token_bucket.TokenBucket(
                 self.options.loads_per_s, self.options.loads_burst
             ),
--- a/berylhollow/gateway/service.py
+++ b/berylhollow/gateway/service.py
@@ -8,19 +8,19 @@
 from berylhollow import configuration
 from berylhollow import events
 from berylhollow import following
+from berylhollow.gateway import _deployment
 from berylhollow.gateway import _options
 from berylhollow.gateway import _reducer
 from berylhollow.gateway import _shell
 from berylhollow.gateway import _state
-from berylhollow.gateway import _surroundings
 from berylhollow import metrics
 from berylhollow import settings as all_settings
 from berylhollow import shell
 from berylhollow.util import exits
 from berylhollow.util import loop
 
-PageListener = _surroundings.PageListener
-Deployment = _surroundings.Deployment
+PageListener = _deployment.PageListener
+Deployment = _deployment.Deployment
 
 STOP_MARGIN_MS = 10_000
 """Time to close everything after the reducer's stop grace has ended."""
@@ -74,7 +74,7 @@
         settings: all_settings.GatewaySettings,
         lifetime: loop.Lifetime,
         state: _state.State | None = None,
-        surroundings: Deployment | None = None,
+        deployment: Deployment | None = None,
     ):
         super().__init__()
         self.lifetime = lifetime
@@ -89,22 +89,22 @@
             state or make_state(settings, make_follower(settings)),
             meters.add,
             meters.render,
-            surroundings=surroundings,
+            deployment=deployment,
         )
         self._register_gauges(meters)
-        self.listeners = self._page_listeners(surroundings)
+        self.listeners = self._page_listeners(deployment)
 
     def _page_listeners(
-        self, surroundings: Deployment | None
+        self, deployment: Deployment | None
     ) -> list[shell.PagesServer]:
-        if surroundings is None:
+        if deployment is None:
             return []
         pages = self.shell.pages
         return [
             shell.PagesServer(address.host, address.port, {address.path: page})
             for address, page in (
-                (surroundings.readiness, pages.readiness),
-                (surroundings.metrics, pages.metrics),
+                (deployment.readiness, pages.readiness),
+                (deployment.metrics, pages.metrics),
             )
             if address is not None
         ]
--- a/berylhollow/hosted/gateway_process.py
+++ b/berylhollow/hosted/gateway_process.py
@@ -11,8 +11,8 @@
 from berylhollow import settings as all_settings
 from berylhollow import shared_reads
 from berylhollow import shell
+from berylhollow.util import jitter
 from berylhollow.util import loop
-from berylhollow.util import spread
 from berylhollow import workspaces
 
 STOP_NOTICE_MS = 2500
@@ -86,7 +86,7 @@
                 settings,
                 lifetime,
                 gateway_state(node, settings),
-                _surroundings(node),
+                _deployment(node),
             )
         ],
         stop_grace_ms=grace_ms + STOP_MARGIN_MS,
@@ -229,11 +229,11 @@
         node.instance,
         time,
         list_interval_ms(node),
-        spread.fraction(0.0, node.instance),
+        jitter.fraction(0.0, node.instance),
     )
 
 
-def _surroundings(node: platform.Node) -> gateway_service.Deployment:
+def _deployment(node: platform.Node) -> gateway_service.Deployment:
     store = shared_log(
         node,
         platform.StoreClient(str(node.store)),
--- a/berylhollow/routes/__init__.py
+++ b/berylhollow/routes/__init__.py
@@ -1,9 +1,9 @@
 """Routing of requests to services, as published by the operators."""
 
 from berylhollow.routes._follower import RouteFollower
-from berylhollow.routes._news import MalformedRecordError
-from berylhollow.routes._news import NewAdapterVersion
-from berylhollow.routes._news import PublishedRecord
+from berylhollow.routes._records import MalformedRecordError
+from berylhollow.routes._records import NewAdapterVersion
+from berylhollow.routes._records import PublishedRecord
 from berylhollow.routes._table import Engine
 from berylhollow.routes._table import RepeatPolicy
 from berylhollow.routes._table import RequestLimits
--- a/berylhollow/routes/_follower.py
+++ b/berylhollow/routes/_follower.py
@@ -8,12 +8,12 @@
 from berylhollow import following
 from berylhollow import messages
 from berylhollow.routes import _key_proof
-from berylhollow.routes import _news
+from berylhollow.routes import _records
 from berylhollow.routes import _table
 from berylhollow.routes import _view
 
 Effects = list[effects.Effect]
-Decode = collections.abc.Callable[[bytes], _news.PublishedRecord | None]
+Decode = collections.abc.Callable[[bytes], _records.PublishedRecord | None]
 
 READ_WAIT_MS = 1500
 """How long the store may hold a read until new records arrive.
@@ -115,7 +115,7 @@
         """
         try:
             record = self.decode(data)
-        except _news.MalformedRecordError as error:
+        except _records.MalformedRecordError as error:
             return self._log_malformed(error)
         if isinstance(record, _table.RouteTable):
             self._apply_table(record, data)
@@ -264,18 +264,18 @@
     def _apply_record(self, entry: messages.LogEntry, at_ms: int) -> Effects:
         try:
             record = self.decode(entry.data)
-        except _news.MalformedRecordError as error:
+        except _records.MalformedRecordError as error:
             return self._log_malformed(error)
         self.last_malformed = None
         if isinstance(record, _table.RouteTable):
             self.key_proof.record_configuration(entry.offset)
             self._apply_table(record, entry.data)
             return []
-        if isinstance(record, _news.NewAdapterVersion):
+        if isinstance(record, _records.NewAdapterVersion):
             return self._apply_version(record, at_ms)
         return []
 
-    def _log_malformed(self, error: _news.MalformedRecordError) -> Effects:
+    def _log_malformed(self, error: _records.MalformedRecordError) -> Effects:
         """Log a malformed record, once even if it is written repeatedly."""
         malformed = (error.key, str(error))
         if malformed == self.last_malformed:
@@ -293,7 +293,7 @@
         self.record = data
 
     def _apply_version(
-        self, record: _news.NewAdapterVersion, at_ms: int
+        self, record: _records.NewAdapterVersion, at_ms: int
     ) -> Effects:
         adapter = record.adapter
         known = self.newest_versions.get(adapter.adapter)
--- a/test/configuration/test_ranking.py
+++ b/test/configuration/test_hash_assignment.py
@@ -4,21 +4,25 @@
 import unittest
 
 from berylhollow import configuration
-from berylhollow.configuration import _ranking
+from berylhollow.configuration import _hash_assignment
 
 NAMES = [f'g{number}' for number in range(20)]
 
 
 class RankingTest(unittest.TestCase):
     def test_order_of_the_list_does_not_matter(self):
-        chosen = _ranking.choose('task', NAMES, 3)
-        self.assertEqual(chosen, _ranking.choose('task', NAMES[::-1], 3))
+        chosen = _hash_assignment.choose('task', NAMES, 3)
+        self.assertEqual(
+            chosen, _hash_assignment.choose('task', NAMES[::-1], 3)
+        )
         self.assertEqual(len(set(chosen)), 3)
 
     def test_removing_a_name_keeps_the_other_choices(self):
-        first, *others = _ranking.choose('task', NAMES, 3)
+        first, *others = _hash_assignment.choose('task', NAMES, 3)
         remaining = [name for name in NAMES if name != first]
-        self.assertEqual(_ranking.choose('task', remaining, 3)[:2], others)
+        self.assertEqual(
+            _hash_assignment.choose('task', remaining, 3)[:2], others
+        )
 
 
 class RingTest(unittest.TestCase):
--- a/test/hosted/test_store_cut.py
+++ b/test/hosted/test_store_partition.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from test.hosted import store_cut
+from test.hosted import store_partition
 
 CONTACT_MS = 3000
 """Time after the store's return when a gateway keeps every promise again."""
@@ -10,17 +10,17 @@
 LEAVE_MS = 2000
 """Time for which an endpoint that left the list may still be sent requests."""
 
-PARTITION = store_cut.Span(5000, 17_000)
+PARTITION = store_partition.Span(5000, 17_000)
 PHASES = range(0, 1400, 100)
 """Delays of a partition's end, so that it falls between different reads."""
 
 
 def new_simulation(*leaves_ms):
     writers = [
-        store_cut.Writer(f'i-{number}', 130 * number, at_ms)
+        store_partition.Writer(f'i-{number}', 130 * number, at_ms)
         for number, at_ms in enumerate([*leaves_ms, None, None], 1)
     ]
-    return store_cut.Simulation(writers)
+    return store_partition.Simulation(writers)
 
 
 class LeavingTest(unittest.TestCase):
@@ -48,7 +48,7 @@
         takes effect`.
         """
         for phase_ms in PHASES:
-            partition = store_cut.Span(
+            partition = store_partition.Span(
                 PARTITION.start_ms, PARTITION.end_ms + phase_ms
             )
             with self.subTest(phase_ms=phase_ms):
@@ -56,7 +56,7 @@
 
     def test_endpoint_that_left_just_before_the_partition_ended(self):
         for phase_ms in PHASES:
-            partition = store_cut.Span(
+            partition = store_partition.Span(
                 PARTITION.start_ms, PARTITION.end_ms + phase_ms
             )
             with self.subTest(phase_ms=phase_ms):
@@ -71,7 +71,7 @@
         removal was held back, and the hold could only end with another read.
         """
         for pause_ms in range(1500, 2400, 100):
-            again = store_cut.Span(
+            again = store_partition.Span(
                 PARTITION.end_ms + pause_ms, PARTITION.end_ms + 12_000
             )
             with self.subTest(pause_ms=pause_ms):
@@ -80,7 +80,7 @@
     def test_endpoint_that_left_while_the_gateway_was_suspended(self):
         """A process that was suspended for seconds sees an outage."""
         for phase_ms in PHASES:
-            suspension = store_cut.Span(
+            suspension = store_partition.Span(
                 PARTITION.start_ms, PARTITION.end_ms + phase_ms
             )
             leaves_ms = suspension.end_ms - 100
@@ -103,7 +103,7 @@
         for phase_ms in PHASES:
             with self.subTest(phase_ms=phase_ms):
                 self.check_served_after_expiry(
-                    store_cut.Span(5000, 12_000 + phase_ms)
+                    store_partition.Span(5000, 12_000 + phase_ms)
                 )
 
     def test_second_outage_before_any_endpoint_has_written_again(self):
@@ -111,8 +111,8 @@
 
         The hold must not end while the store is lost again.
         """
-        outage = store_cut.Span(5000, 12_000)
-        again = store_cut.Span(12_500, 17_000)
+        outage = store_partition.Span(5000, 12_000)
+        again = store_partition.Span(12_500, 17_000)
         simulation = new_simulation()
         simulation.store.outages = (outage, again)
         simulation.run_until(11_500)
--- a/test/test_gateway_coordinator.py
+++ b/test/test_gateway_coordinator.py
@@ -51,7 +51,7 @@
     def test_grants_do_not_exceed_the_rate(self):
         for number, at_ms in enumerate((0, 10, 20)):
             self.want(f'e{number}', at_ms)
-            for permit in list(self.state.load_book.permits):
+            for permit in list(self.state.load_coordination.permits):
                 self.end(f'e{number}', permit, at_ms + 5)
         self.assertEqual([], self.granted())
         self.feed(events.Ticked(300))
@@ -88,4 +88,4 @@
         self.end('e1', 1, 401)
         self.want('e2', 402)
         self.want('e3', 403)
-        self.assertEqual(1, len(self.state.load_book.permits))
+        self.assertEqual(1, len(self.state.load_coordination.permits))
--- a/tools/capacity/ring.py
+++ b/tools/capacity/ring.py
@@ -2,8 +2,8 @@
 
 import collections
 
-from berylhollow.configuration import _ranking
-from berylhollow.configuration import _spread
+from berylhollow.configuration import _hash_assignment
+from berylhollow.configuration import _propagation
 from berylhollow import events
 from berylhollow.gateway import _peers
 from tools.capacity import figures
@@ -34,7 +34,7 @@
     readers = []
     for domain in range(DOMAINS):
         own = names[domain::DOMAINS]
-        readers += _ranking.choose('readers', own, READERS_PER_DOMAIN)
+        readers += _hash_assignment.choose('readers', own, READERS_PER_DOMAIN)
     return readers
 
 
@@ -64,8 +64,8 @@
         edge = {
             other
             for name in edge
-            for other in _ranking.choose(
-                name, links[name], _spread.MAX_GATEWAY_TARGETS
+            for other in _hash_assignment.choose(
+                name, links[name], _propagation.MAX_GATEWAY_TARGETS
             )
         } - reached
         if not edge:
--- a/tools/matrix/_fleet.py
+++ b/tools/matrix/_fleet.py
@@ -11,8 +11,8 @@
 from berylhollow.configuration import _follower
 from berylhollow.configuration import _history
 from berylhollow.configuration import _log_reader
+from berylhollow.configuration import _propagation
 from berylhollow.configuration import _snapshot_writer
-from berylhollow.configuration import _spread
 from berylhollow import events
 from berylhollow import gateway
 from berylhollow import manifest
@@ -62,11 +62,11 @@
     (_snapshot_writer, 'FIRST_SNAPSHOT_DELAY_MS', 300),
     (_snapshot_writer, 'INTERVAL_MS', 600),
     (_snapshot_writer, 'RETRY_MS', 200),
-    (_spread, 'REQUEST_PAUSE_MS', 100),
-    (_spread, 'GATEWAY_REPORT_INTERVAL_MS', 200),
-    (_spread, 'SIDECAR_REPORT_INTERVAL_MS', 500),
-    (_spread, 'SILENCE_TIMEOUT_MS', 600),
-    (_spread, 'SNAPSHOT_PAUSE_MS', 200),
+    (_propagation, 'REQUEST_PAUSE_MS', 100),
+    (_propagation, 'GATEWAY_REPORT_INTERVAL_MS', 200),
+    (_propagation, 'SIDECAR_REPORT_INTERVAL_MS', 500),
+    (_propagation, 'SILENCE_TIMEOUT_MS', 600),
+    (_propagation, 'SNAPSHOT_PAUSE_MS', 200),
 )
 
 
