--- a/berylhollow/gateway/_adapters.py
+++ b/berylhollow/gateway/_adapters.py
@@ -17,8 +17,8 @@
 Effects = list[effects.Effect]
 
 PREDECESSOR_TTL_MS = 30_000
-"""How long an earlier start of a sidecar is told to the present one. Its
-loads are valid for half of this."""
+"""How long a gateway reports an earlier start of a sidecar to the present one.
+Loads of the earlier start are valid for half of this."""
 
 
 def runnable_version(
--- a/berylhollow/gateway/_kept_records.py
+++ b/berylhollow/gateway/_kept_records.py
@@ -22,8 +22,8 @@
 """Pause between two requests, doubled with each round of all sidecars."""
 
 UNFOUNDED_MS = 30_000
-"""After this a revision that neither the log nor a process can show is taken
-for wrong. The writers of a restored log write again within seconds."""
+"""After this a revision that neither the log nor a process has is considered
+wrong. The writers of a restored log write again within seconds."""
 
 MAX_RECORD_BYTES = 256 * 1024
 """A record that is larger when compressed is not kept."""
@@ -50,7 +50,7 @@
 
 
 def send(state: _state.State, event: events.MessageReceived) -> Effects:
-    """Send a sidecar the record in force here, if it is newer than its own."""
+    """Send a sidecar the record in force, if it is newer than the kept one."""
     record = state.follower.newest_record()
     if not record or state.revision <= event.message.above:
         return []
@@ -62,7 +62,7 @@
 
 
 def apply(state: _state.State, event: events.MessageReceived) -> Effects:
-    """Apply a record that a sidecar kept, if it is newer and sound."""
+    """Apply a record that a sidecar kept, if it is newer and valid."""
     kept = event.message
     fields = (
         ('peer', event.peer),
@@ -101,7 +101,7 @@
 
 
 def _drop_unfounded(state: _state.State, at_ms: int) -> Effects:
-    """Stop to count a revision that the log does not hold after a while."""
+    """Stop counting a revision that the log still lacks after a while."""
     known = state.known_revisions
     since_ms = known.earliest_ms(state.revision)
     if since_ms is None or at_ms < since_ms + UNFOUNDED_MS:
--- a/berylhollow/gateway/_revisions.py
+++ b/berylhollow/gateway/_revisions.py
@@ -15,7 +15,7 @@
     when they were first heard of. ``was_reached`` says that the revision in
     force here has been the newest known one at some time, ``is_logged`` that
     the log says it is outdated. A revision of 0 says that none is known.
-    ``unfounded`` are revisions that neither the log nor a process could show.
+    ``unfounded`` are revisions that neither the log nor a process has.
     """
 
     newest: int | None = None
@@ -62,7 +62,7 @@
     def drop_unfounded(self, own: int, until_ms: int) -> None:
         """Drop the newer revisions that were heard of until a time.
 
-        They are not counted again when they are heard of once more.
+        They are ignored when a sidecar reports them again.
         """
         dropped = {
             revision
--- a/berylhollow/loader/_reducer.py
+++ b/berylhollow/loader/_reducer.py
@@ -112,9 +112,9 @@
 ) -> Effects:
     """Reserve a slot for a load that an earlier start of ours may have sent.
 
-    A sidecar that restarts together with its endpoint knows nothing of it.
-    An endpoint that has accepted orders did not restart with us: it refuses
-    an order that expects another count.
+    A sidecar that restarts together with its endpoint does not know of it.
+    An endpoint that has accepted orders did not restart with this sidecar and
+    refuses an order that expects another count.
     """
     age_ms = event.message.predecessor_ms
     adapters = state.adapters
