--- a/tools/soak/_standins.py
+++ b/tools/soak/_standins.py
@@ -108,7 +108,7 @@
     async def _request(self, request) -> web.StreamResponse:
         if self.is_down:
             request.transport.abort()
-            raise ConnectionResetError
+            return web.Response(status=503)
         self.transports.add(request.transport)
         try:
             return await self._request_while_up(request)
