Let scripts replace the soak's rounds again, and start processes in one place

What developers saw: the users' scripts all_at_once and log_lost_its_newest, which replace Schedule.play, silently played the ordinary rounds.

Change: it is looked up when it is played. Besides, the series start a process by the schedule's own method, which now knows endpoints too, and two callers build their single requests in one place.

--- a/tools/soak/_callers.py
+++ b/tools/soak/_callers.py
@@ -109,17 +109,9 @@
             paths = [route.value for route in self.operator.large[-2:]]
             if not paths:
                 continue
-            exchange = Exchange(
-                f'id-{next(self.numbers)}',
-                chance.choice(paths),
-                None,
-                _operator.PLAIN_TOKENS,
-                '',
-                chance.choice(self.world.gateways),
-                time.monotonic(),
-            )
-            async with aiohttp.ClientSession() as session:
-                await self._send(session, exchange)
+            path = chance.choice(paths)
+            gateway = chance.choice(self.world.gateways)
+            await self._send_once(path, None, gateway)
 
     async def crash_endpoints(self) -> None:
         """Repeat a request that crashes endpoints until it is refused."""
@@ -137,13 +129,20 @@
 
     async def _send_culprit(self, number: int) -> Exchange:
         gateways = self.world.gateways
+        gateway = gateways[number % len(gateways)]
+        return await self._send_once(CULPRIT_PATH, self.operator.key, gateway)
+
+    async def _send_once(
+        self, path: str, key: str | None, gateway: str
+    ) -> Exchange:
+        """Send a request to a plain endpoint over a connection of its own."""
         exchange = Exchange(
             f'id-{next(self.numbers)}',
-            CULPRIT_PATH,
-            self.operator.key,
+            path,
+            key,
             _operator.PLAIN_TOKENS,
             '',
-            gateways[number % len(gateways)],
+            gateway,
             time.monotonic(),
         )
         async with aiohttp.ClientSession() as session:
--- a/tools/soak/_schedule.py
+++ b/tools/soak/_schedule.py
@@ -135,7 +135,7 @@
         self.faults.append(fault)
         await self.world.replace(name)
         await asyncio.sleep(self.chance.random())
-        await self._start(name)
+        await self.start(name)
         fault.until = time.monotonic()
 
     async def stop(self) -> None:
@@ -153,7 +153,7 @@
         except TimeoutError:
             fault.kind = 'stop beyond its grace'
         await self.world.replace(name)
-        await self._start(name)
+        await self.start(name)
         fault.until = time.monotonic()
 
     async def freeze(self) -> None:
@@ -171,9 +171,12 @@
             for fault in self.faults
         )
 
-    async def _start(self, name: str) -> None:
+    async def start(self, name: str) -> None:
+        """Start a process of any role under its name."""
         if name in self.world.gateways:
             await self.world.start_gateway(name)
+        elif name in (*self.world.models, *self.world.plain):
+            await self.world.start_endpoint(name)
         else:
             await self.world.start_sidecar(name[1:])
 
--- a/tools/soak/_series.py
+++ b/tools/soak/_series.py
@@ -20,15 +20,11 @@
     schedule: _schedule.Schedule, name: str, down_s: float = 0.0
 ) -> None:
     """Kill a process and start it again."""
-    world = schedule.world
-    start = world.start_endpoint
-    if name in world.gateways:
-        start = world.start_gateway
     fault = _schedule.Fault('kill', name, time.monotonic())
     schedule.faults.append(fault)
-    await world.replace(name)
+    await schedule.world.replace(name)
     await asyncio.sleep(down_s)
-    await start(name)
+    await schedule.start(name)
     fault.until = time.monotonic()
 
 
@@ -79,7 +75,7 @@
 
 
 BY_NAME: dict[str, Series] = {
-    'rounds': _schedule.Schedule.play,
+    'rounds': lambda schedule: schedule.play(),
     'lose-all': lose_all,
     'lose-each': lose_each,
     'lose-one': lose_one,
