Say once what is linked, how large a sent part may be and what an end ran

The list of linked sidecars was built in four places: the state names it. The limit on compressed parts and records stood in three modules: stream_parts has it, and the tests take it from there. The check of the keys begins its read by check_log, which did the same. What is known of an endpoint's end was in two mappings with the same key.

No test changed but for the name of the limit.

--- a/berylhollow/gateway/_crashes.py
+++ b/berylhollow/gateway/_crashes.py
@@ -75,9 +75,7 @@
     lost = tuple(runs.values())
     message = messages.Crashed(crash_id, service, tuple(runs), lost)
     result: Effects = [
-        effects.Send(peer, message)
-        for peer, sidecar in state.sidecars.items()
-        if sidecar.link is _state.LinkPhase.OPEN
+        effects.Send(peer, message) for peer in state.linked_sidecars
     ]
     fields = (('endpoint', name), ('suspects', len(runs)))
     result.append(effects.Log('endpoint crashed', fields, warning=True))
--- a/berylhollow/gateway/_kept_records.py
+++ b/berylhollow/gateway/_kept_records.py
@@ -25,9 +25,6 @@
 """After this a revision that neither the log nor a process has is considered
 wrong. The writers of a restored log write again within seconds."""
 
-MAX_RECORD_BYTES = 256 * 1024
-"""A record that is larger when compressed is not kept."""
-
 
 def tick(state: _state.State, at_ms: int) -> Effects:
     """Ask for a newer record that is overdue; drop unfounded revisions."""
@@ -55,7 +52,7 @@
     if not record or state.revision <= event.message.above:
         return []
     data = stream_parts.compress_record(record)
-    if len(data) > MAX_RECORD_BYTES:
+    if len(data) > stream_parts.MAX_SENT_BYTES:
         return []
     kept = messages.KeptRecord(state.revision, len(record), data)
     return [effects.Send(event.peer, kept)]
--- a/berylhollow/gateway/_quarantine.py
+++ b/berylhollow/gateway/_quarantine.py
@@ -73,14 +73,10 @@
     state.suspects.clear(fingerprint)
     message = messages.Cleared(fingerprint, ended)
     # One sidecar forwards it to all gateways that are linked to it.
-    peers = [
-        peer
-        for peer, sidecar in state.sidecars.items()
-        if sidecar.link is _state.LinkPhase.OPEN
-    ][:1]
+    peers = (*state.linked_sidecars[:1], *state.peer_links)
     return [
         _cleared_log(message, active.endpoint),
-        *(effects.Send(peer, message) for peer in (*peers, *state.peer_links)),
+        *(effects.Send(peer, message) for peer in peers),
     ]
 
 
--- a/berylhollow/gateway/_quotas.py
+++ b/berylhollow/gateway/_quotas.py
@@ -195,9 +195,5 @@
 
 def choose_books(state: _state.State) -> None:
     """Choose the sidecars that keep books, among those linked now."""
-    linked = [
-        peer
-        for peer, sidecar in state.sidecars.items()
-        if sidecar.link is _state.LinkPhase.OPEN
-    ]
-    state.quota_books = sorted(linked, key=rendezvous.digest)[:BOOK_COUNT]
+    ranked = sorted(state.linked_sidecars, key=rendezvous.digest)
+    state.quota_books = ranked[:BOOK_COUNT]
--- a/berylhollow/gateway/_rate_limits.py
+++ b/berylhollow/gateway/_rate_limits.py
@@ -107,11 +107,7 @@
     if not state.rate_limited:
         return []
     emitted: Effects = []
-    linked = tuple(
-        peer
-        for peer, sidecar in state.sidecars.items()
-        if sidecar.link is _state.LinkPhase.OPEN
-    )
+    linked = state.linked_sidecars
     for name in list(state.rate_limited):
         endpoint = state.endpoints.get(name)
         if endpoint is None or endpoint.notice.rate_per_s is None:
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -434,6 +434,15 @@
             return True
         return self.listed_ms != clock.NEVER_MS
 
+    @property
+    def linked_sidecars(self) -> tuple[str, ...]:
+        """The sidecars of direct endpoints whose links are open, by peer."""
+        return tuple(
+            peer
+            for peer, sidecar in self.sidecars.items()
+            if sidecar.link is LinkPhase.OPEN
+        )
+
     @property
     def revision(self) -> int:
         """Return the revision of the configuration in force, 0 for none."""
--- a/berylhollow/loader/_kept_record.py
+++ b/berylhollow/loader/_kept_record.py
@@ -4,14 +4,13 @@
 from berylhollow import events
 from berylhollow.loader import _state
 from berylhollow import messages
+from berylhollow import stream_parts
 
 Effects = list[effects.Effect]
 
 ASK_PAUSE_MS = 1000
 """Pause between two requests for a record."""
 
-MAX_RECORD_BYTES = 256 * 1024
-
 
 def ask_if_missing(
     state: _state.State, event: events.MessageReceived
@@ -38,7 +37,7 @@
     record = event.message
     if record.revision <= state.kept_revision:
         return []
-    if len(record.data) > MAX_RECORD_BYTES:
+    if len(record.data) > stream_parts.MAX_SENT_BYTES:
         return []
     state.kept_record = record
     fields = (
--- a/berylhollow/quarantine/_suspects.py
+++ b/berylhollow/quarantine/_suspects.py
@@ -104,20 +104,29 @@
         return True
 
 
+@dataclasses.dataclass(slots=True)
+class End:
+    """The end of an endpoint's epoch, as all reports of it so far say.
+
+    ``first_lost_ms`` is when the first run was lost there; runs that began
+    later did not end it. ``fingerprints`` are the requests that ran there; one
+    gateway knows only its own.
+    """
+
+    first_lost_ms: int
+    fingerprints: set[str] = dataclasses.field(default_factory=set)
+
+
 @dataclasses.dataclass(slots=True)
 class Suspects:
     """Suspicions by fingerprint; their number is bounded.
 
-    ``first_lost_ms`` is when the first run was lost at an endpoint, by its
-    epoch that ended. Runs that began there later did not end it.
-    ``companies`` has the requests that all reports so far name for an epoch,
-    since one gateway knows only its own.
+    ``ends`` has the ends of endpoints by epoch.
     """
 
     rules: Rules
     suspicions: dict[str, Suspicion] = dataclasses.field(default_factory=dict)
-    first_lost_ms: dict[str, int] = dataclasses.field(default_factory=dict)
-    companies: dict[str, set[str]] = dataclasses.field(default_factory=dict)
+    ends: dict[str, End] = dataclasses.field(default_factory=dict)
 
     def count_crash(
         self,
@@ -160,7 +169,8 @@
         """
         ended = _records.ended_epoch(crash.crash_id)
         withdrawn = []
-        for fingerprint in self.companies.get(ended, ()):
+        end = self.ends.get(ended)
+        for fingerprint in end.fingerprints if end else ():
             suspicion = self.suspicions.get(fingerprint)
             if suspicion is None or suspicion.basis != ended:
                 continue
@@ -200,20 +210,19 @@
 
     def _note_end(self, crash: _records.Crash, losses: list[Loss]) -> None:
         """Note what an endpoint ran as it ended, and its first loss."""
+        if not losses:
+            return
+        first_ms = min(loss.lost_ms for loss in losses)
         ended = _records.ended_epoch(crash.crash_id)
-        company = self.companies.setdefault(ended, set())
-        company.update(crash.fingerprints)
-        _drop_oldest(self.companies, MAX_ENDS)
-        first_ms = min((loss.lost_ms for loss in losses), default=None)
-        if first_ms is not None:
-            known_ms = self.first_lost_ms.get(ended, first_ms)
-            self.first_lost_ms[ended] = min(known_ms, first_ms)
-            _drop_oldest(self.first_lost_ms, MAX_ENDS)
+        end = self.ends.setdefault(ended, End(first_ms))
+        end.first_lost_ms = min(end.first_lost_ms, first_ms)
+        end.fingerprints.update(crash.fingerprints)
+        _drop_oldest(self.ends, MAX_ENDS)
 
     def _ended_ms(self, crash_id: str, loss: Loss) -> int:
         """Return when the endpoint of a loss ended, as far as is known."""
-        ended = _records.ended_epoch(crash_id)
-        return min(loss.lost_ms, self.first_lost_ms.get(ended, loss.lost_ms))
+        end = self.ends.get(_records.ended_epoch(crash_id))
+        return min(loss.lost_ms, end.first_lost_ms) if end else loss.lost_ms
 
     def is_suspect(self, fingerprint: str, at_ms: int) -> bool:
         """Tell whether the request is suspect and must run alone."""
@@ -267,7 +276,8 @@
 
     def _threshold(self, ended: str) -> int:
         """Return how many crashes quarantine what ran as an epoch ended."""
-        ran_alone = len(self.companies.get(ended, ())) == 1
+        end = self.ends.get(ended)
+        ran_alone = end is not None and len(end.fingerprints) == 1
         return self.rules.crashes_alone if ran_alone else self.rules.crashes
 
     def _quarantine(self, fingerprint: str, ended: str, at_ms: int) -> bool:
--- a/berylhollow/routes/_follower.py
+++ b/berylhollow/routes/_follower.py
@@ -152,10 +152,9 @@
         if not self._requires_keys():
             return []
         done = self._log_key_state(at_ms)
-        if self.next_offset is None or not self.key_proof.is_check_due(at_ms):
+        if not self.key_proof.is_check_due(at_ms):
             return done
-        self.key_proof.begin_check(at_ms)
-        return [*done, effects.CheckLog(self.stream, self.next_offset)]
+        return done + self.check_log(at_ms)
 
     def _log_key_state(self, at_ms: int) -> Effects:
         """Log when the proof of the keys expires and when it is renewed."""
--- a/berylhollow/shared_reads.py
+++ b/berylhollow/shared_reads.py
@@ -30,10 +30,6 @@
 intervals of 0.8 s the sum is below the 1.5 s after which the endpoint list is
 stale."""
 
-MAX_PUBLISHED_BYTES = 256 * 1024
-"""A part that is larger when compressed is not published: a link of 5 Mbit/s
-would be busy with it for half a second. The others read it from the log."""
-
 MAX_RECEIVED_BYTES = 8 * 1024 * 1024
 """Size of the received records that are kept until they are asked for. Beyond
 it they are dropped and read from the log instead."""
@@ -364,7 +360,7 @@
         compressed = stream_parts.compress(part)
         if compressed is not part:
             self._log_large_part(part, compressed)
-        if stream_parts.size_bytes(compressed) <= MAX_PUBLISHED_BYTES:
+        if stream_parts.size_bytes(compressed) <= stream_parts.MAX_SENT_BYTES:
             self.publish(compressed)
 
     def _log_large_part(
@@ -376,6 +372,6 @@
             'next_offset': part.next_offset,
             'size_bytes': stream_parts.size_bytes(part),
             'compressed_bytes': size_bytes,
-            'published': size_bytes <= MAX_PUBLISHED_BYTES,
+            'published': size_bytes <= stream_parts.MAX_SENT_BYTES,
         }
         LOG.info('large part was read', extra=fields)
--- a/berylhollow/stream_parts.py
+++ b/berylhollow/stream_parts.py
@@ -17,6 +17,10 @@
 """Limit on the records of a part, so that a compressed one can't fill the
 memory of its receiver."""
 
+MAX_SENT_BYTES = 256 * 1024
+"""What is larger when compressed is not passed on: a link of 5 Mbit/s would be
+busy with it for half a second. Its readers get it from the log."""
+
 LEVEL = 1
 """The fastest level of zlib."""
 
--- a/test/test_shared_reads.py
+++ b/test/test_shared_reads.py
@@ -10,6 +10,7 @@
 from berylhollow import messages
 from berylhollow import outgoing
 from berylhollow import shared_reads
+from berylhollow import stream_parts
 
 STREAM = 'operators'
 SILENCE_TIMEOUT_MS = 1000
@@ -237,7 +238,7 @@
     async def test_part_that_stays_large_is_not_published(self):
         """It would occupy the links that the readers of the log share."""
         first = self.gateway('g1')
-        size = shared_reads.MAX_PUBLISHED_BYTES + 1
+        size = stream_parts.MAX_SENT_BYTES + 1
         self.log.records.append(random.Random(1).randbytes(size))
         await self.data(first, 0)
         self.assertEqual([], self.parts)
@@ -245,11 +246,11 @@
     async def test_large_part_is_published_compressed(self):
         """A large configuration was not published: all gateways read it."""
         first, second = self.gateway('g1'), self.gateway('g2')
-        record = b'a route of many ' * shared_reads.MAX_PUBLISHED_BYTES
+        record = b'a route of many ' * stream_parts.MAX_SENT_BYTES
         self.log.records += [record, b'small']
         await self.data(first, 0)
         (part,) = self.parts
-        self.assertLess(len(part.data), shared_reads.MAX_PUBLISHED_BYTES)
+        self.assertLess(len(part.data), stream_parts.MAX_SENT_BYTES)
         self.deliver_to(second)
         self.assertEqual(([record, b'small'], 2), await self.data(second, 0))
         self.assertEqual(1, self.log.calls)
