Log with which version a request ran and how old the newer one was

The logs could not tell which version a request ran with, how old the newer one was when it was offered, nor whether the endpoint still had queued requests of an older version when its sidecar sent no order. No logic of a decision changes.

- answered: version is the one that ran; attempt offered: superseded_ms.
- answer begins on a superseded version: age of the newer one and the wait.
- sidecars: newer version waits for runs, once for each version; order: in_flight and queued.
Gateways report queued with their demand, 0 from older programs.

--- a/berylhollow/configuration/_configuration.py
+++ b/berylhollow/configuration/_configuration.py
@@ -83,6 +83,12 @@
         """Return the versions that may serve a request: only the named one."""
         return (adapter,)
 
+    def superseded_ms(
+        self, adapter: messages.AdapterVersion, at_ms: int
+    ) -> int | None:
+        """Return None: requests name the version that they want."""
+        return None
+
     def adapter_slots(self, service: str) -> int:
         """Return 0, as sidecars learn the number from their engines."""
         return 0
--- a/berylhollow/following.py
+++ b/berylhollow/following.py
@@ -89,6 +89,14 @@
     ) -> tuple[messages.AdapterVersion, ...]:
         """Return the versions that may serve an adapter, best first."""
 
+    def superseded_ms(
+        self, adapter: messages.AdapterVersion, at_ms: int
+    ) -> int | None:
+        """Return how long a newer version of an adapter has been known.
+
+        None if none is known, or if requests name the version that they want.
+        """
+
     def adapter_slots(self, service: str) -> int:
         """Return how many adapters an endpoint of a service can hold.
 
--- a/berylhollow/gateway/_adapters.py
+++ b/berylhollow/gateway/_adapters.py
@@ -232,6 +232,7 @@
         adapter = active.request.adapter.adapter
         waiting[adapter] = waiting.get(adapter, 0) + 1
     in_flight = _in_flight_by_adapter(state, endpoint)
+    queued = _queued_by_adapter(state, endpoint, at_ms)
     held = _held_adapters(endpoint)
     entries = []
     for adapter in dict.fromkeys([*waiting, *in_flight, *held]):
@@ -244,6 +245,7 @@
             waiting.get(adapter, 0),
             in_flight.get(adapter, 0),
             round(rate / max(1, holders), 3),
+            queued.get(adapter, 0),
         )
         if entry.waiting or entry.in_flight or entry.rate:
             entries.append(entry)
@@ -285,6 +287,24 @@
     return counts
 
 
+def _queued_by_adapter(
+    state: _state.State, endpoint: _state.Endpoint, at_ms: int
+) -> dict[str, int]:
+    """Return how many unanswered attempts have an old version, by adapter."""
+    configuration = state.follower.current
+    counts: dict[str, int] = {}
+    for attempt_id in endpoint.attempts_in_flight:
+        active = state.request_of(attempt_id)
+        if active is None or active.phase is not _state.Phase.OFFERED:
+            continue
+        adapter = active.offered_adapter
+        if adapter is None:
+            continue
+        if configuration.superseded_ms(adapter, at_ms) is not None:
+            counts[adapter.adapter] = counts.get(adapter.adapter, 0) + 1
+    return counts
+
+
 def _held_adapters(endpoint: _state.Endpoint) -> list[str]:
     """Return the adapters in an endpoint's slots, as last reported."""
     report = endpoint.report
--- a/berylhollow/gateway/_attempts.py
+++ b/berylhollow/gateway/_attempts.py
@@ -172,6 +172,7 @@
     _backlog.record_answer_start(state, active, event.at_ms)
     active.phase = _state.Phase.RELAYING
     return [
+        *_decisions.superseded_begin_logs(state, active, event.at_ms),
         effects.BeginAnswer(
             active.request.request_id,
             active.attempt_id,
@@ -180,7 +181,7 @@
             message.headers,
             message.adapter,
             message.stalled_ms,
-        )
+        ),
     ]
 
 
@@ -303,6 +304,7 @@
     """Send a new attempt of the request to the endpoint."""
     request = active.request
     endpoint = state.endpoints[name]
+    adapter = _adapters.runnable_version(state, active, name, at_ms)
     _adapters.stop_waiting(state, active)
     _quotas.charge_run(state, active, at_ms)
     if active.attempts == 0:
@@ -321,6 +323,7 @@
     _backlog.add_attempt(endpoint, active)
     state.attempts[active.attempt_id] = request.request_id
     _adapters.note_attempt_placed(state, active)
+    active.offered_adapter = adapter
     active.isolated = _quarantine.must_isolate(state, active, at_ms)
     active.crashes_known = state.suspects.crashes(request.fingerprint)
     offer = messages.Offer(
@@ -328,7 +331,7 @@
         request_id=request.request_id,
         caller=request.caller,
         service=endpoint.instance.service,
-        adapter=_adapters.runnable_version(state, active, name, at_ms),
+        adapter=adapter,
         idempotent=request.idempotent,
         priority=request.priority,
         remaining_ms=active.deadline_ms - at_ms,
--- a/berylhollow/gateway/_decisions.py
+++ b/berylhollow/gateway/_decisions.py
@@ -32,6 +32,7 @@
             ('endpoint', active.endpoint),
             ('service', active.service),
             ('adapter', str(offer.adapter) if offer.adapter else ''),
+            ('superseded_ms', _superseded_ms(state, offer.adapter, at_ms)),
             ('remaining_ms', offer.remaining_ms),
             ('waited_ms', at_ms - active.arrived_ms),
             ('in_flight', len(endpoint.attempts_in_flight)),
@@ -46,6 +47,33 @@
     )
 
 
+def superseded_begin_logs(
+    state: _state.State, active: _state.ActiveRequest, at_ms: int
+) -> list[effects.Log]:
+    """Return the log line for an answer that begins on an old version."""
+    superseded_ms = _superseded_ms(state, active.offered_adapter, at_ms)
+    if superseded_ms is None:
+        return []
+    fields = (
+        ('request_id', active.request.request_id),
+        ('attempt_id', active.attempt_id),
+        ('endpoint', active.endpoint),
+        ('adapter', str(active.offered_adapter)),
+        ('superseded_ms', superseded_ms),
+        ('waited_ms', at_ms - active.offered_ms),
+    )
+    return [effects.Log('answer begins on a superseded version', fields)]
+
+
+def _superseded_ms(
+    state: _state.State, adapter: messages.AdapterVersion | None, at_ms: int
+) -> int | None:
+    configuration = state.follower.current
+    if adapter is None or configuration is None:
+        return None
+    return configuration.superseded_ms(adapter, at_ms)
+
+
 def give_up_logs(
     state: _state.State,
     active: _state.ActiveRequest,
--- a/berylhollow/gateway/_exchange.py
+++ b/berylhollow/gateway/_exchange.py
@@ -54,6 +54,7 @@
         request = self.request
         adapter = request.adapter
         begin = self.relay.begin if self.relay else None
+        ran_with = begin.adapter if begin else adapter
         first_byte_ms = None
         if self.first_byte_ms is not None:
             first_byte_ms = self.first_byte_ms - self.arrived_ms
@@ -66,7 +67,7 @@
                 'caller': request.caller,
                 'service': self.service,
                 'adapter': adapter.adapter if adapter else '',
-                'version': adapter.version if adapter else '',
+                'version': ran_with.version if ran_with else '',
                 'endpoint': begin.peer if begin else '',
                 'fingerprint': request.fingerprint,
                 'revision': revision,
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -191,7 +191,7 @@
     ``room_asked_ms`` is since when it waits for a lender's answer, as every
     remaining endpoint is at its rate limit; None if it does not wait.
     ``key_revision`` is the revision of the configuration in which its key was
-    last looked up.
+    last looked up. ``offered_adapter`` is what its current attempt runs with.
     """
 
     request: events.Request
@@ -209,6 +209,7 @@
     attempts: int = 0
     resume_by_ms: int | None = None
     offered_ms: int = 0
+    offered_adapter: messages.AdapterVersion | None = None
     queued_tokens: int = 0
     tokens_ahead: int = 0
     awaiting: str = ''
--- a/berylhollow/loader/_demand.py
+++ b/berylhollow/loader/_demand.py
@@ -16,7 +16,8 @@
     """Demand for one adapter, summed over all gateways.
 
     ``rate`` is in requests per second; ``gateways`` counts the gateways whose
-    last demand names the adapter.
+    last demand names the adapter. ``queued`` counts the requests in flight
+    that were sent with an older version and have not begun.
     """
 
     adapter: messages.AdapterVersion
@@ -24,6 +25,7 @@
     in_flight: int = 0
     rate: float = 0.0
     gateways: int = 0
+    queued: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -139,4 +141,5 @@
             before.in_flight + sign * entry.in_flight,
             max(0.0, before.rate + sign * entry.rate),
             gateways,
+            before.queued + sign * entry.queued,
         )
--- a/berylhollow/loader/_plan.py
+++ b/berylhollow/loader/_plan.py
@@ -84,6 +84,22 @@
     )
 
 
+def waiting_replacements(
+    state: _state.State,
+) -> list[tuple[messages.AdapterVersion, _demand.AdapterNeed]]:
+    """Return held adapters in use of which a newer version is needed."""
+    if state.adapters is None:
+        return []
+    found = []
+    for held in state.adapters.held:
+        need = state.demand.needs.get(held.adapter)
+        if need is None or not need.in_flight:
+            continue
+        if not _has_needed_version(held, need):
+            found.append((held, need))
+    return found
+
+
 def eviction_candidate(
     state: _state.State, needs: dict[str, _demand.AdapterNeed], at_ms: int
 ) -> tuple[str, float] | None:
--- a/berylhollow/loader/_reducer.py
+++ b/berylhollow/loader/_reducer.py
@@ -207,6 +207,7 @@
         return []
     state.orders += 1
     adapters = state.adapters
+    need = state.demand.needs.get(step.name)
     order = _state.Order(
         str(state.orders), step.load, step.name, at_ms, adapters.orders
     )
@@ -221,6 +222,8 @@
             ('loading', len(adapters.loading)),
             ('slots', state.slots),
             ('report_age_ms', at_ms - adapters.at_ms),
+            ('in_flight', need.in_flight if need else 0),
+            ('queued', need.queued if need else 0),
         ),
         effects.OrderAdapter(
             order.order_id,
@@ -302,7 +305,8 @@
             state.last_used_ms[entry.adapter.adapter] = event.at_ms
     _prune_last_used(state)
     done += _kept_record.ask_if_missing(state, event)
-    done += _log_model_turn(state) + _send_next_order(state, event.at_ms)
+    done += _log_model_turn(state) + _log_waiting_replacements(state)
+    done += _send_next_order(state, event.at_ms)
     return done + _report.send_if_due(state, event.at_ms)
 
 
@@ -347,6 +351,30 @@
     return [effects.Log(text, fields)]
 
 
+def _log_waiting_replacements(state: _state.State) -> Effects:
+    """Log once for each version that its load waits for runs."""
+    waiting = _plan.waiting_replacements(state)
+    logged = state.logged_waiting
+    state.logged_waiting = {
+        held.adapter: need.adapter.version for held, need in waiting
+    }
+    return [
+        effects.Log(
+            'newer version waits for runs',
+            (
+                ('endpoint', str(state.endpoint or '')),
+                ('held', str(held)),
+                ('needed', need.adapter.version),
+                ('waiting', need.waiting),
+                ('in_flight', need.in_flight),
+                ('queued', need.queued),
+            ),
+        )
+        for held, need in waiting
+        if logged.get(held.adapter) != need.adapter.version
+    ]
+
+
 def _forward(
     state: _state.State,
     sender: str,
--- a/berylhollow/loader/_state.py
+++ b/berylhollow/loader/_state.py
@@ -110,6 +110,8 @@
     - ``last_used_ms``: when each adapter was last needed, by name.
     - ``logged_held_back``: whether the last log line about it said that the
       model waits for its turn with the weight store.
+    - ``logged_waiting``: the needed version of each held adapter of which the
+      last log line said that its replacement waits for runs, by name.
     - ``reported``: the last report sent to all gateways;
       ``reported_to_users``: the last one sent to those with requests here.
     - ``knows_predecessor``: whether a gateway has told of an earlier start of
@@ -146,6 +148,7 @@
     refusals: int = 0
     next_order_ms: int = 0
     logged_held_back: bool = False
+    logged_waiting: dict[str, str] = dataclasses.field(default_factory=dict)
     reported: messages.Report | None = None
     reported_to_users: messages.Report | None = None
     reported_ms: int = clock.NEVER_MS
--- a/berylhollow/messages.py
+++ b/berylhollow/messages.py
@@ -266,13 +266,16 @@
 
     ``adapter`` has the newest version that is to be served. ``waiting``
     counts the requests that wait for it, ``in_flight`` those that may be
-    using it, and ``rate`` is how many more a second are expected.
+    using it, and ``rate`` is how many more a second are expected. ``queued``
+    counts those in flight that were sent with an older version and have not
+    begun, as far as the gateway has seen.
     """
 
     adapter: AdapterVersion
     waiting: int
     in_flight: int
     rate: float
+    queued: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/berylhollow/routes/_follower.py
+++ b/berylhollow/routes/_follower.py
@@ -299,8 +299,10 @@
         before = _view.FIRST_VERSION if known is None else known.version
         if int(adapter.version) <= int(before):
             return []
-        self.newest_versions[adapter.adapter] = _view.NewestVersion(
-            adapter.version, at_ms, before
+        self.newest_versions[adapter.adapter] = (
+            _view.NewestVersion(adapter.version, at_ms, before)
+            if known is None
+            else known.replaced_by(adapter.version, at_ms)
         )
         fields = (
             ('adapter', adapter.adapter),
--- a/berylhollow/routes/_view.py
+++ b/berylhollow/routes/_view.py
@@ -25,13 +25,57 @@
 """
 
 
+MAX_SUPERSEDED_VERSIONS = 8
+"""Superseded versions of an adapter whose times are kept apart."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SupersededVersion:
+    """A version, and since when a newer one has been known."""
+
+    version: str
+    since_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class NewestVersion:
-    """The newest version of an adapter and the version that it replaces."""
+    """The newest version of an adapter and the version that it replaces.
+
+    ``earlier`` has the versions before ``previous``, oldest first.
+    """
 
     version: str
     learned_ms: int
     previous: str
+    earlier: tuple[SupersededVersion, ...] = ()
+
+    def replaced_by(self, version: str, at_ms: int) -> 'NewestVersion':
+        """Return what is known once a newer version has been learned.
+
+        The two oldest of too many versions are joined and keep the earlier
+        time, so that none counts as superseded for too short a time.
+        """
+        earlier = self.superseded
+        if len(earlier) > MAX_SUPERSEDED_VERSIONS:
+            oldest, second, *others = earlier
+            joined = SupersededVersion(second.version, oldest.since_ms)
+            earlier = (joined, *others)
+        return NewestVersion(version, at_ms, self.version, earlier)
+
+    @property
+    def superseded(self) -> tuple[SupersededVersion, ...]:
+        """All superseded versions, oldest first."""
+        return (
+            *self.earlier,
+            SupersededVersion(self.previous, self.learned_ms),
+        )
+
+    def superseded_since_ms(self, version: str) -> int | None:
+        """Return since when a newer version is known, None if it is newest."""
+        for known in self.superseded:
+            if int(version) <= int(known.version):
+                return known.since_ms
+        return None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -190,6 +234,16 @@
         previous = messages.AdapterVersion(adapter.adapter, known.previous)
         return (newest, previous)
 
+    def superseded_ms(
+        self, adapter: messages.AdapterVersion, at_ms: int
+    ) -> int | None:
+        """Return how long a newer version has been known, None if none is."""
+        known = self.newest_versions.get(adapter.adapter)
+        if known is None:
+            return None
+        since_ms = known.superseded_since_ms(adapter.version)
+        return None if since_ms is None else at_ms - since_ms
+
     def service(self, name: str) -> DeclaredService | None:
         return DeclaredService() if name in self.services else None
 
--- a/test/builders.py
+++ b/test/builders.py
@@ -54,6 +54,9 @@
     def acceptable_versions(self, adapter, at_ms):
         return (adapter,)
 
+    def superseded_ms(self, adapter, at_ms):
+        return None
+
     def adapter_slots(self, service):
         return 0
 
--- a/test/helper.py
+++ b/test/helper.py
@@ -49,6 +49,14 @@
             if type(item.message) is message_type
         ]
 
+    def logged(self, message):
+        """Return the fields of the last events' log lines with a message."""
+        return [
+            dict(item.fields)
+            for item in self.of_type(effects.Log)
+            if item.text == message
+        ]
+
     def open_link(self, peer, role, at_ms=0, incarnation='i1'):
         return self.feed(events.LinkOpened(at_ms, peer, role, incarnation))
 
--- a/test/hosted/test_gateway_direct.py
+++ b/test/hosted/test_gateway_direct.py
@@ -476,6 +476,29 @@
         self.send_request(MODEL_PATH, adapter='a3', at_ms=1100)
         self.assertEqual(self.adapter_version(), self.offered()[1].adapter)
 
+    def test_age_of_the_newer_version_is_logged(self):
+        """Without it a log can't tell when a version was sent too late."""
+        self.report('10.0.0.1:80', self.adapter_version())
+        self.publish(builders.version_record('a3', 2), at_ms=1000)
+        self.send_request(MODEL_PATH, adapter='a3', at_ms=1100)
+        peer, offer = self.offered()
+        (offered,) = self.logged('attempt offered')
+        self.assertEqual(100, offered['superseded_ms'])
+        started = messages.Started(offer.attempt_id, 200, (), offer.adapter)
+        self.receive(started, 4100, peer)
+        (begun,) = self.logged('answer begins on a superseded version')
+        self.assertEqual(3100, begun['superseded_ms'])
+        self.assertEqual(3000, begun['waited_ms'])
+
+    def test_sidecar_is_told_what_waits_for_an_old_version(self):
+        self.report('10.0.0.1:80', self.adapter_version())
+        self.send_request(MODEL_PATH, adapter='a3', at_ms=900)
+        self.publish(builders.version_record('a3', 2), at_ms=1000)
+        self.feed(events.Ticked(2000, 0.5))
+        (demands,) = self.sent(messages.AdapterDemands)
+        (entry,) = demands.entries
+        self.assertEqual((1, 1), (entry.in_flight, entry.queued))
+
     def test_superseded_version_is_not_used_after_that(self):
         self.report('10.0.0.1:80', self.adapter_version())
         self.publish(builders.version_record('a3', 2), at_ms=1000)
--- a/test/loader/test_loader.py
+++ b/test/loader/test_loader.py
@@ -163,6 +163,16 @@
         self.send_demands(loader_helper.demand('a1', 1, 2, version='2'))
         self.assert_no_order()
 
+    def test_replacement_that_waits_for_runs_is_logged_once(self):
+        """Without it a log can't tell why no order was sent."""
+        entry = loader_helper.demand('a1', 0, 3, version='2', queued=2)
+        self.report(held=[loader_helper.adapter_version('a1')])
+        self.send_demands(entry)
+        (line,) = self.logged('newer version waits for runs')
+        self.assertEqual((3, 2), (line['in_flight'], line['queued']))
+        self.send_demands(entry)
+        self.assertEqual([], self.logged('newer version waits for runs'))
+
 
 class ReportTest(loader_helper.LoaderTestCase):
     def test_loading_adapter_is_not_ready(self):
--- a/test/routes/test_view.py
+++ b/test/routes/test_view.py
@@ -95,6 +95,32 @@
         self.assertEqual(['4'], [a.version for a in later])
 
 
+class SupersededVersionTest(unittest.TestCase):
+    def newest(self, *times):
+        """Return what is known after versions 2, 3, ... came at ``times``."""
+        first, *later = times
+        newest = _view.NewestVersion('2', first, '1')
+        for number, at_ms in enumerate(later, start=3):
+            newest = newest.replaced_by(str(number), at_ms)
+        return newest
+
+    def test_version_is_superseded_by_the_first_newer_one(self):
+        """Guards against an age that starts anew with each newer version."""
+        newest = self.newest(1000, 5000, 9000)
+        since = [newest.superseded_since_ms(v) for v in ('1', '2', '3', '4')]
+        self.assertEqual([1000, 5000, 9000, None], since)
+
+    def test_many_versions_never_look_younger(self):
+        times = range(1000, 101_000, 1000)
+        newest = self.newest(*times)
+        for version, at_ms in enumerate(times, start=1):
+            since_ms = newest.superseded_since_ms(str(version))
+            self.assertLessEqual(since_ms, at_ms)
+        self.assertLessEqual(
+            len(newest.superseded), _view.MAX_SUPERSEDED_VERSIONS + 1
+        )
+
+
 class FollowerTest(unittest.TestCase):
     def setUp(self):
         self.follower = routes.RouteFollower(
