--- /dev/null
+++ b/test/hosted/test_superseded_versions.py
@@ -0,0 +1,157 @@
+"""Tests of the time within which a superseded version may begin to run."""
+
+from berylhollow import errors
+from berylhollow import events
+from berylhollow import messages
+from berylhollow.util import addresses
+from test.hosted import test_gateway_direct as direct
+from test import platform_builders as builders
+
+ADDRESS = '10.0.0.1:80'
+NAMED_MS = 1000
+LIMIT_MS = 5000
+RESUMABLE_PATH = '/resumable/x'
+TICK_MS = 50
+ROUND_TRIP_MS = 100
+LONG_PROMPT_TOKENS = 100_000
+
+
+class SupersededTestCase(direct.DirectTestCase):
+    """One endpoint holds version 1; version 2 is named at ``NAMED_MS``."""
+
+    def configure(self):
+        resumable = builders.route(
+            'again', '/resumable/', Resumable=True, MaxAttempts=2
+        )
+        record = builders.configuration_record(
+            routes=[builders.route(), builders.plain_route(), resumable]
+        )
+        self.publish(record)
+        self.list_instances(direct.direct_instance('i-1', ADDRESS))
+        self.peer = addresses.sidecar_peer(ADDRESS)
+        self.open_link(self.peer, events.Role.ENDPOINT)
+        self.report(ADDRESS, self.version(1))
+
+    def version(self, number):
+        return messages.AdapterVersion(builders.adapter_name(), str(number))
+
+    def name_version(self, number=2, at_ms=NAMED_MS):
+        self.publish(builders.version_record(version=number), at_ms=at_ms)
+
+    def send(self, at_ms, path=direct.MODEL_PATH, **changes):
+        self.send_request(path, at_ms, adapter='a3', **changes)
+
+    def tick_to(self, end_ms):
+        """Tick up to ``end_ms`` and keep the effects of all ticks."""
+        kept = []
+        for at_ms in range(self.state.ticked_ms + TICK_MS, end_ms, TICK_MS):
+            kept += self.feed(events.Ticked(at_ms, 0.5))
+        self.effects = kept
+
+
+class BeginTest(SupersededTestCase):
+    def test_request_that_has_not_begun_is_ended_before_the_limit(self):
+        """Guards against a run on an old version after a long queue.
+
+        The endpoint checks the version when the request arrives, and begins
+        to run it whenever its queue allows.
+        """
+        self.name_version()
+        self.send(NAMED_MS + 500)
+        peer, offer = self.offered()
+        self.assertEqual('1', offer.adapter.version)
+        self.tick_to(NAMED_MS + LIMIT_MS - ROUND_TRIP_MS)
+        self.assertEqual(
+            [offer.attempt_id],
+            [x.attempt_id for x in self.sent(messages.Cancel)],
+        )
+        self.assertIs(errors.Ran.UNKNOWN, self.answer().ran)
+
+    def test_request_sent_before_the_naming_is_ended_in_time(self):
+        """Guards against a wait that is longer than the whole limit."""
+        self.send(NAMED_MS - 100)
+        self.name_version()
+        self.tick_to(NAMED_MS + LIMIT_MS - ROUND_TRIP_MS)
+        self.assertEqual(1, len(self.sent(messages.Cancel)))
+
+    def test_version_named_again_does_not_extend_the_limit(self):
+        """Guards against an age that counts from the newest version."""
+        self.send(NAMED_MS - 100)
+        self.name_version()
+        self.name_version(3, NAMED_MS + LIMIT_MS // 2)
+        self.tick_to(NAMED_MS + LIMIT_MS - ROUND_TRIP_MS)
+        self.assertEqual(1, len(self.sent(messages.Cancel)))
+
+    def test_repeatable_request_runs_with_the_newest_version_instead(self):
+        self.report(ADDRESS, self.version(1))
+        self.name_version()
+        self.send(NAMED_MS + 500, RESUMABLE_PATH)
+        self.list_instances(
+            direct.direct_instance('i-1', ADDRESS),
+            direct.direct_instance('i-2', '10.0.0.2:80'),
+        )
+        self.report('10.0.0.2:80', self.version(2), at_ms=NAMED_MS + 600)
+        self.tick_to(NAMED_MS + LIMIT_MS)
+        peer, offer = self.offered()
+        self.assertEqual(('i-2', '2'), (peer, offer.adapter.version))
+
+    def test_answer_that_has_begun_is_not_ended(self):
+        self.name_version()
+        self.send(NAMED_MS + 500)
+        peer, offer = self.offered()
+        started = messages.Started(offer.attempt_id, 200, (), offer.adapter)
+        self.receive(started, NAMED_MS + 600, peer)
+        self.tick_to(NAMED_MS + LIMIT_MS)
+        self.assertEqual([], self.sent(messages.Cancel))
+
+    def test_request_with_the_newest_version_is_not_ended(self):
+        self.name_version()
+        self.report(ADDRESS, self.version(2), at_ms=NAMED_MS + 100)
+        self.send(NAMED_MS + 500)
+        self.tick_to(NAMED_MS + LIMIT_MS)
+        self.assertEqual([], self.sent(messages.Cancel))
+
+
+class DemandTest(SupersededTestCase):
+    def last_entry(self):
+        (entry,) = self.sent(messages.AdapterDemands)[-1].entries
+        return entry
+
+    def test_sidecar_is_asked_to_replace_a_version_with_queued_requests(self):
+        """Guards against an endpoint that is never idle and keeps it."""
+        self.name_version()
+        self.send(NAMED_MS + 500)
+        self.tick_to(NAMED_MS + LIMIT_MS // 2)
+        self.assertEqual(0, self.last_entry().overdue)
+        self.tick_to(NAMED_MS + LIMIT_MS * 4 // 5)
+        self.assertEqual(1, self.last_entry().overdue)
+
+    def test_request_that_has_begun_is_not_overdue(self):
+        self.name_version()
+        self.send(NAMED_MS + 500)
+        peer, offer = self.offered()
+        started = messages.Started(offer.attempt_id, 200, (), offer.adapter)
+        self.receive(started, NAMED_MS + 600, peer)
+        self.tick_to(NAMED_MS + LIMIT_MS)
+        self.assertEqual(0, self.last_entry().overdue)
+
+
+class OfferTest(SupersededTestCase):
+    def test_superseded_version_is_not_offered_behind_a_long_queue(self):
+        """Guards against a request that would begin after the limit."""
+        self.send_request(
+            direct.MODEL_PATH, NAMED_MS, prompt_tokens=LONG_PROMPT_TOKENS
+        )
+        self.name_version()
+        self.send(NAMED_MS + 100)
+        self.assertEqual([], self.offers())
+
+    def test_superseded_version_is_offered_at_first(self):
+        self.name_version()
+        self.send(NAMED_MS + LIMIT_MS // 2 - 1)
+        self.assertEqual('1', self.offered()[1].adapter.version)
+
+    def test_superseded_version_is_not_offered_near_the_limit(self):
+        self.name_version()
+        self.send(NAMED_MS + LIMIT_MS * 3 // 4)
+        self.assertEqual([], self.offers())
--- a/test/loader/loader_helper.py
+++ b/test/loader/loader_helper.py
@@ -15,9 +15,13 @@
     return messages.AdapterVersion(f'{MODEL}/{adapter}', version)
 
 
-def demand(adapter, waiting=1, in_flight=0, rate=0.0, version='1', queued=0):
+def demand(adapter, waiting=1, in_flight=0, rate=0.0, version='1', **changes):
     return messages.AdapterDemand(
-        adapter_version(adapter, version), waiting, in_flight, rate, queued
+        adapter_version(adapter, version),
+        waiting,
+        in_flight,
+        rate,
+        **changes,
     )
 
 
