Keep the time limit of a superseded version when its request begins

Cause: the limit was checked when a request was sent, with half of it left for the endpoint's queue, and nothing held the queue to that half. The endpoint checks the version when a request arrives. Its sidecar ordered no replacement while anything was in flight, and what waits in the queue counts as in flight. Class: a bound on when something happens that is checked when it is sent.

Sent before the naming: not seen, the same steps hold for it.

Change, from the platform's own limit (Bounds.version_ms, 5 s): - a superseded version is offered only while its age and the expected wait together are below six tenths of the limit; - from there on gateways report queued requests with an old version as overdue, and the sidecar orders the replacement although runs are in flight. The endpoint then answers that they have not run, so they are placed again with the newer version; - what has not begun at nine tenths is ended: the endpoint drops a request whose connection closes. It counts as possibly run, so it is repeated only if it may run more than once. Replacements that wait for runs no longer count as loads under way, or two of them would hold up all loads of an endpoint.

The window of the routes (2.5 s, whatever the queue) is gone; its test is replaced by those of the gateway, which has the bound now: offered below the share of the limit, not at it, and not behind a long queue.

--- a/berylhollow/configuration/_configuration.py
+++ b/berylhollow/configuration/_configuration.py
@@ -78,7 +78,7 @@
         )
 
     def acceptable_versions(
-        self, adapter: messages.AdapterVersion, at_ms: int
+        self, adapter: messages.AdapterVersion
     ) -> tuple[messages.AdapterVersion, ...]:
         """Return the versions that may serve a request: only the named one."""
         return (adapter,)
--- a/berylhollow/following.py
+++ b/berylhollow/following.py
@@ -85,7 +85,7 @@
         """
 
     def acceptable_versions(
-        self, adapter: messages.AdapterVersion, at_ms: int
+        self, adapter: messages.AdapterVersion
     ) -> tuple[messages.AdapterVersion, ...]:
         """Return the versions that may serve an adapter, best first."""
 
--- a/berylhollow/gateway/_adapters.py
+++ b/berylhollow/gateway/_adapters.py
@@ -5,12 +5,15 @@
 sidecar loads the adapters that gateways report demand for.
 """
 
+import collections
+
 from berylhollow import clock
 from berylhollow import effects
 from berylhollow.gateway import _backlog
 from berylhollow.gateway import _model_loads
 from berylhollow.gateway import _shared_reads
 from berylhollow.gateway import _state
+from berylhollow.gateway import _superseded
 from berylhollow import messages
 from berylhollow.util import addresses
 
@@ -36,8 +39,10 @@
     wanted = active.request.adapter
     if wanted is None or not state.endpoints[name].instance.direct:
         return wanted
-    for version in state.follower.current.acceptable_versions(wanted, at_ms):
-        if name in state.placement.ready.get(version, ()):
+    for version in state.follower.current.acceptable_versions(wanted):
+        if name not in state.placement.ready.get(version, ()):
+            continue
+        if _superseded.may_be_offered(state, active, name, version, at_ms):
             return version
     return None
 
@@ -232,12 +237,12 @@
         adapter = active.request.adapter.adapter
         waiting[adapter] = waiting.get(adapter, 0) + 1
     in_flight = _in_flight_by_adapter(state, endpoint)
-    queued = _queued_by_adapter(state, endpoint, at_ms)
+    queued, overdue = _queued_by_adapter(state, endpoint, at_ms)
     held = _held_adapters(endpoint)
     entries = []
     for adapter in dict.fromkeys([*waiting, *in_flight, *held]):
         any_version = messages.AdapterVersion(adapter, '')
-        newest = configuration.acceptable_versions(any_version, at_ms)[0]
+        newest = configuration.acceptable_versions(any_version)[0]
         holders = len(state.placement.ready.get(newest, ()))
         rate = state.demand.rate(any_version, at_ms)
         entry = messages.AdapterDemand(
@@ -245,7 +250,8 @@
             waiting.get(adapter, 0),
             in_flight.get(adapter, 0),
             round(rate / max(1, holders), 3),
-            queued.get(adapter, 0),
+            queued[adapter],
+            overdue[adapter],
         )
         if entry.waiting or entry.in_flight or entry.rate:
             entries.append(entry)
@@ -289,20 +295,21 @@
 
 def _queued_by_adapter(
     state: _state.State, endpoint: _state.Endpoint, at_ms: int
-) -> dict[str, int]:
-    """Return how many unanswered attempts have an old version, by adapter."""
-    configuration = state.follower.current
-    counts: dict[str, int] = {}
+) -> tuple[collections.Counter[str], collections.Counter[str]]:
+    """Count attempts with an old version that have not begun, by adapter.
+
+    The second count has those of them that must not begin any more.
+    """
+    queued: collections.Counter[str] = collections.Counter()
+    overdue: collections.Counter[str] = collections.Counter()
     for attempt_id in endpoint.attempts_in_flight:
         active = state.request_of(attempt_id)
-        if active is None or active.phase is not _state.Phase.OFFERED:
+        if active is None or not _superseded.is_queued(state, active, at_ms):
             continue
-        adapter = active.offered_adapter
-        if adapter is None:
-            continue
-        if configuration.superseded_ms(adapter, at_ms) is not None:
-            counts[adapter.adapter] = counts.get(adapter.adapter, 0) + 1
-    return counts
+        adapter = active.offered_adapter.adapter
+        queued[adapter] += 1
+        overdue[adapter] += _superseded.is_overdue(state, active, at_ms)
+    return queued, overdue
 
 
 def _held_adapters(endpoint: _state.Endpoint) -> list[str]:
--- a/berylhollow/gateway/_attempts.py
+++ b/berylhollow/gateway/_attempts.py
@@ -241,10 +241,27 @@
     state: _state.State, active: _state.ActiveRequest, at_ms: int
 ) -> Effects:
     """Fail an attempt that could not be resumed; its outcome is unknown."""
-    failure = messages.Failed(
+    return _handle_failure(state, active, _outcome_unknown(active), at_ms)
+
+
+def end_superseded(
+    state: _state.State, active: _state.ActiveRequest, at_ms: int
+) -> Effects:
+    """End an attempt that might begin on a version that is too old.
+
+    It may have begun a moment ago, so it is only repeated if it may run more
+    than once.
+    """
+    result: Effects = [_decisions.superseded_end_log(state, active, at_ms)]
+    result += cancel(state, active)
+    failure = _outcome_unknown(active)
+    return result + _handle_failure(state, active, failure, at_ms)
+
+
+def _outcome_unknown(active: _state.ActiveRequest) -> messages.Failed:
+    return messages.Failed(
         active.attempt_id, errors.Kind.OUTCOME_UNKNOWN, errors.Ran.UNKNOWN
     )
-    return _handle_failure(state, active, failure, at_ms)
 
 
 def cancel(state: _state.State, active: _state.ActiveRequest) -> Effects:
--- a/berylhollow/gateway/_decisions.py
+++ b/berylhollow/gateway/_decisions.py
@@ -9,6 +9,7 @@
 from berylhollow.gateway import _backlog
 from berylhollow.gateway import _budget
 from berylhollow.gateway import _state
+from berylhollow.gateway import _superseded
 from berylhollow import messages
 
 
@@ -21,6 +22,7 @@
     """Return the log line for an attempt that is sent to an endpoint."""
     endpoint = state.endpoints[active.endpoint]
     last_refusal = active.last_refusal
+    superseded_ms = _superseded.superseded_for_ms(state, offer.adapter, at_ms)
     report_age_ms = None
     if endpoint.report_at_ms:
         report_age_ms = at_ms - endpoint.report_at_ms
@@ -32,7 +34,7 @@
             ('endpoint', active.endpoint),
             ('service', active.service),
             ('adapter', str(offer.adapter) if offer.adapter else ''),
-            ('superseded_ms', _superseded_ms(state, offer.adapter, at_ms)),
+            ('superseded_ms', superseded_ms),
             ('remaining_ms', offer.remaining_ms),
             ('waited_ms', at_ms - active.arrived_ms),
             ('in_flight', len(endpoint.attempts_in_flight)),
@@ -51,27 +53,35 @@
     state: _state.State, active: _state.ActiveRequest, at_ms: int
 ) -> list[effects.Log]:
     """Return the log line for an answer that begins on an old version."""
-    superseded_ms = _superseded_ms(state, active.offered_adapter, at_ms)
-    if superseded_ms is None:
+    adapter = active.offered_adapter
+    if _superseded.superseded_for_ms(state, adapter, at_ms) is None:
         return []
-    fields = (
+    text = 'answer begins on a superseded version'
+    return [effects.Log(text, _superseded_fields(state, active, at_ms))]
+
+
+def superseded_end_log(
+    state: _state.State, active: _state.ActiveRequest, at_ms: int
+) -> effects.Log:
+    """Return the log line for an attempt that might begin too late."""
+    text = 'attempt on a superseded version ended'
+    return effects.Log(text, _superseded_fields(state, active, at_ms))
+
+
+def _superseded_fields(
+    state: _state.State, active: _state.ActiveRequest, at_ms: int
+) -> tuple[tuple[str, object], ...]:
+    adapter = active.offered_adapter
+    superseded_ms = _superseded.superseded_for_ms(state, adapter, at_ms)
+    return (
         ('request_id', active.request.request_id),
         ('attempt_id', active.attempt_id),
         ('endpoint', active.endpoint),
-        ('adapter', str(active.offered_adapter)),
+        ('adapter', str(adapter)),
         ('superseded_ms', superseded_ms),
+        ('limit_ms', state.options.version_limit_ms),
         ('waited_ms', at_ms - active.offered_ms),
     )
-    return [effects.Log('answer begins on a superseded version', fields)]
-
-
-def _superseded_ms(
-    state: _state.State, adapter: messages.AdapterVersion | None, at_ms: int
-) -> int | None:
-    configuration = state.follower.current
-    if adapter is None or configuration is None:
-        return None
-    return configuration.superseded_ms(adapter, at_ms)
 
 
 def give_up_logs(
--- a/berylhollow/gateway/_fleet.py
+++ b/berylhollow/gateway/_fleet.py
@@ -5,6 +5,7 @@
 from berylhollow.gateway import _backlog
 from berylhollow.gateway import _rate_limits
 from berylhollow.gateway import _state
+from berylhollow.gateway import _superseded
 from berylhollow import messages
 from berylhollow import policy
 
@@ -70,17 +71,30 @@
         milliseconds a request. The least busy of a dozen and a half is
         nearly the least busy of all.
         """
-        versions = self.state.follower.current.acceptable_versions(
-            adapter, self.at_ms
-        )
+        versions = self.state.follower.current.acceptable_versions(adapter)
         for version in versions:
             ready = self.state.placement.ready.get(version, ())
             sampled = _spread(list(ready), self.seed, MAX_HOLDERS_COMPARED)
-            names = self._usable(sampled) or self._usable(ready)
+            names = self._usable_with(sampled, version) or (
+                self._usable_with(ready, version)
+            )
             if names:
                 return names
         return []
 
+    def _usable_with(
+        self,
+        names: collections.abc.Iterable[str],
+        version: messages.AdapterVersion,
+    ) -> list[str]:
+        return [
+            name
+            for name in self._usable(names)
+            if _superseded.may_be_offered(
+                self.state, self.active, name, version, self.at_ms
+            )
+        ]
+
     def awaiting(self, adapter: messages.AdapterVersion) -> list[str]:
         """Return endpoints that load it, or where requests wait for it."""
         names = self.state.placement.endpoints_loading(adapter, self.at_ms)
--- a/berylhollow/gateway/_options.py
+++ b/berylhollow/gateway/_options.py
@@ -56,7 +56,9 @@
     ``keys_ready_ms`` is not ready for callers. After another gateway's newer
     revision has been known for ``outdated_ready_ms`` without coming into force
     here, the gateway is not ready; after ``outdated_refuse_ms`` it refuses
-    requests. ``quota_tolerance`` is how far usage may deviate from a quota.
+    requests. A request must not begin on an adapter version that has been
+    superseded for ``version_limit_ms``. ``quota_tolerance`` is how far usage
+    may deviate from a quota.
     """
 
     instance: str
@@ -120,4 +122,5 @@
     keys_ready_ms: int = 3_600_000
     outdated_ready_ms: int = 3_600_000
     outdated_refuse_ms: int = 3_600_000
+    version_limit_ms: int = 5000
     quota_tolerance: workspaces.Tolerance = workspaces.Tolerance()
--- a/berylhollow/gateway/_requests.py
+++ b/berylhollow/gateway/_requests.py
@@ -15,6 +15,7 @@
 from berylhollow.gateway import _quotas
 from berylhollow.gateway import _settlement
 from berylhollow.gateway import _state
+from berylhollow.gateway import _superseded
 from berylhollow.gateway import _workspaces
 from berylhollow import messages
 
@@ -148,6 +149,8 @@
             emitted += _attempts.resume_failed(state, active, at_ms)
         elif active.retry_at_ms is not None and at_ms >= active.retry_at_ms:
             emitted += _attempts.place(state, active, at_ms)
+        elif _superseded.must_end(state, active, at_ms):
+            emitted += _attempts.end_superseded(state, active, at_ms)
     return emitted
 
 
--- a/berylhollow/hosted/gateway_process.py
+++ b/berylhollow/hosted/gateway_process.py
@@ -188,6 +188,7 @@
         outdated_refuse_ms=int(
             node.configuration_limit_ms * OUTDATED_REFUSE_SHARE
         ),
+        version_limit_ms=node.version_limit_ms,
         quota_tolerance=workspaces.Tolerance(
             node.quota_window_ms / clock.MS_PER_SECOND,
             node.quota_overrun,
--- a/berylhollow/loader/_demand.py
+++ b/berylhollow/loader/_demand.py
@@ -17,7 +17,8 @@
 
     ``rate`` is in requests per second; ``gateways`` counts the gateways whose
     last demand names the adapter. ``queued`` counts the requests in flight
-    that were sent with an older version and have not begun.
+    that were sent with an older version and have not begun, ``overdue`` those
+    of them that must not begin any more.
     """
 
     adapter: messages.AdapterVersion
@@ -26,6 +27,7 @@
     rate: float = 0.0
     gateways: int = 0
     queued: int = 0
+    overdue: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -142,4 +144,5 @@
             max(0.0, before.rate + sign * entry.rate),
             gateways,
             before.queued + sign * entry.queued,
+            before.overdue + sign * entry.overdue,
         )
--- a/berylhollow/loader/_plan.py
+++ b/berylhollow/loader/_plan.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from berylhollow import events
 from berylhollow.loader import _demand
 from berylhollow.loader import _state
 from berylhollow import messages
@@ -28,7 +29,7 @@
         return None
     if not adapters.models:
         return _model_load_step(state)
-    if len(adapters.loading) >= state.options.max_concurrent_loads:
+    if _loads_under_way(adapters) >= state.options.max_concurrent_loads:
         return None
     needs = state.demand.needs
     missing = missing_adapters(state, needs)
@@ -59,25 +60,37 @@
     return Step(True, models[0], 'endpoint is empty') if models else None
 
 
+def _loads_under_way(adapters: events.AdaptersReported) -> int:
+    """Return the number of loads, without replacements.
+
+    A replacement may wait for the runs of the version that it replaces.
+    """
+    held = _by_name(adapters.held)
+    return sum(loading.adapter not in held for loading in adapters.loading)
+
+
 def missing_adapters(
     state: _state.State, needs: dict[str, _demand.AdapterNeed]
 ) -> list[_demand.AdapterNeed]:
     """Return adapters that requests wait for, highest demand first.
 
     Adapters that are loaded or loading in the needed version are left out.
+    Those come first that are held in a version with which requests are queued
+    that must not begin.
     """
     held = _by_name(state.adapters.held)
     loading = _by_name(state.adapters.loading)
     missing = [
         need
         for name, need in needs.items()
-        if need.waiting
+        if (need.waiting or (need.overdue and name in held))
         and not _has_needed_version(held.get(name), need)
         and not _has_needed_version(loading.get(name), need)
     ]
     return sorted(
         missing,
         key=lambda need: (
+            not need.overdue,
             -_expected_requests(state, need),
             need.adapter.adapter,
         ),
@@ -140,8 +153,9 @@
     name = need.adapter.adapter
     if name in _by_name(state.adapters.held):
         # The endpoint replaces an adapter after its runs have ended and
-        # refuses new requests for it until then.
-        return None if need.in_flight else Step(True, name, 'newer version')
+        # refuses queued and new requests for it until then.
+        may_replace = need.overdue or not need.in_flight
+        return Step(True, name, 'newer version') if may_replace else None
     if has_free_slot:
         return Step(True, name, 'requests are waiting')
     if candidate is None:
--- a/berylhollow/loader/_reducer.py
+++ b/berylhollow/loader/_reducer.py
@@ -224,6 +224,7 @@
             ('report_age_ms', at_ms - adapters.at_ms),
             ('in_flight', need.in_flight if need else 0),
             ('queued', need.queued if need else 0),
+            ('overdue', need.overdue if need else 0),
         ),
         effects.OrderAdapter(
             order.order_id,
@@ -368,6 +369,7 @@
                 ('waiting', need.waiting),
                 ('in_flight', need.in_flight),
                 ('queued', need.queued),
+                ('overdue', need.overdue),
             ),
         )
         for held, need in waiting
--- a/berylhollow/messages.py
+++ b/berylhollow/messages.py
@@ -268,7 +268,8 @@
     counts the requests that wait for it, ``in_flight`` those that may be
     using it, and ``rate`` is how many more a second are expected. ``queued``
     counts those in flight that were sent with an older version and have not
-    begun, as far as the gateway has seen.
+    begun, as far as the gateway has seen; ``overdue`` counts those of them
+    that must not begin any more.
     """
 
     adapter: AdapterVersion
@@ -276,6 +277,7 @@
     in_flight: int
     rate: float
     queued: int = 0
+    overdue: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/berylhollow/platform/_node.py
+++ b/berylhollow/platform/_node.py
@@ -19,6 +19,9 @@
 DEFAULT_CONFIGURATION_LIMIT_MS = 2000
 """Used if the file gives none; the value in the platform's own examples."""
 
+DEFAULT_VERSION_LIMIT_MS = 5000
+"""Used if the file gives none; the value in the platform's own examples."""
+
 DEFAULT_QUOTA_WINDOW_S = 1.0
 
 
@@ -59,7 +62,8 @@
     endpoint rewrites its entry, 0 if unknown. ``recovery_limit_ms`` is the
     time after the end of a disturbance within which all guarantees must hold
     again. ``configuration_limit_ms`` is the time after its confirmation from
-    which a configuration must be in force everywhere.
+    which a configuration must be in force everywhere. ``version_limit_ms`` is
+    the time after which no request may begin on an older adapter version.
     ``key_revocation_limit_ms`` is how long a revoked key may still be
     accepted, 0 for no bound. In any ``quota_window_ms`` usage may exceed the
     quota by ``quota_overrun`` times the quota plus ``quota_slack``.
@@ -83,6 +87,7 @@
     heartbeat_ms: int
     recovery_limit_ms: int
     configuration_limit_ms: int
+    version_limit_ms: int
     key_revocation_limit_ms: int
     quota_window_ms: int
     quota_overrun: float
@@ -208,6 +213,9 @@
         configuration_limit_ms=_read_milliseconds(
             fields, 'Bounds.ConfigApplyMs', DEFAULT_CONFIGURATION_LIMIT_MS
         ),
+        version_limit_ms=_read_milliseconds(
+            fields, 'Bounds.version_ms', DEFAULT_VERSION_LIMIT_MS
+        ),
         key_revocation_limit_ms=_read_key_bound_ms(fields),
         quota_window_ms=_read_seconds(
             fields, 'Bounds.QuotaWindowS', DEFAULT_QUOTA_WINDOW_S
--- a/berylhollow/routes/_view.py
+++ b/berylhollow/routes/_view.py
@@ -16,15 +16,6 @@
 FIRST_VERSION = '1'
 """Version of an adapter for which no newer one was published."""
 
-SUPERSEDED_VERSION_MS = 2500
-"""How long the previous version may be used while the new one is loaded.
-
-Half of the five seconds within which users want a new version everywhere. The
-other half covers the queue of an endpoint: a request that is sent in time may
-begin to run late.
-"""
-
-
 MAX_SUPERSEDED_VERSIONS = 8
 """Superseded versions of an adapter whose times are kept apart."""
 
@@ -222,15 +213,13 @@
         return messages.AdapterVersion(adapter, version)
 
     def acceptable_versions(
-        self, adapter: messages.AdapterVersion, at_ms: int
+        self, adapter: messages.AdapterVersion
     ) -> tuple[messages.AdapterVersion, ...]:
-        """Return the versions that may serve a request, newest first."""
+        """Return the newest version and the one that it replaces."""
         known = self.newest_versions.get(adapter.adapter)
         if known is None:
             return (self.newest_version(adapter.adapter),)
         newest = messages.AdapterVersion(adapter.adapter, known.version)
-        if at_ms - known.learned_ms >= SUPERSEDED_VERSION_MS:
-            return (newest,)
         previous = messages.AdapterVersion(adapter.adapter, known.previous)
         return (newest, previous)
 
--- a/test/hosted/test_superseded_versions.py
+++ b/test/hosted/test_superseded_versions.py
@@ -2,6 +2,7 @@
 
 from berylhollow import errors
 from berylhollow import events
+from berylhollow.gateway import _superseded
 from berylhollow import messages
 from berylhollow.util import addresses
 from test.hosted import test_gateway_direct as direct
@@ -146,6 +147,14 @@
         self.send(NAMED_MS + 100)
         self.assertEqual([], self.offers())
 
+    def test_superseded_version_is_offered_for_a_share_of_the_limit(self):
+        share_ms = int(LIMIT_MS * _superseded.REPLACE_SHARE)
+        self.name_version()
+        self.send(NAMED_MS + share_ms - 1)
+        self.assertEqual('1', self.offered()[1].adapter.version)
+        self.send(NAMED_MS + share_ms)
+        self.assertEqual([], self.offers())
+
     def test_superseded_version_is_offered_at_first(self):
         self.name_version()
         self.send(NAMED_MS + LIMIT_MS // 2 - 1)
--- a/test/routes/test_view.py
+++ b/test/routes/test_view.py
@@ -80,19 +80,13 @@
         terms = found.resolve(request(adapter=adapter), 0)
         self.assertEqual('4', terms.adapter.version)
 
-    def test_superseded_version_is_accepted_for_a_limited_time(self):
+    def test_newest_version_comes_before_the_one_that_it_replaces(self):
         name = builders.adapter_name()
         newest = {name: _view.NewestVersion('4', 1000, '3')}
         found = view(builders.route(), newest=newest)
         adapter = messages.AdapterVersion(name, '4')
-        soon = found.acceptable_versions(
-            adapter, 1000 + _view.SUPERSEDED_VERSION_MS - 1
-        )
-        later = found.acceptable_versions(
-            adapter, 1000 + _view.SUPERSEDED_VERSION_MS
-        )
-        self.assertEqual(['4', '3'], [a.version for a in soon])
-        self.assertEqual(['4'], [a.version for a in later])
+        accepted = found.acceptable_versions(adapter)
+        self.assertEqual(['4', '3'], [a.version for a in accepted])
 
 
 class SupersededVersionTest(unittest.TestCase):
