Do not hold up an endpoint's loads for queued requests of an old version

Cause: the endpoint is busy until the runs of the replaced version have ended, and accepts no other order meanwhile. So a second overdue adapter there could not be replaced either.

Change: the order is sent for overdue requests only if nothing has begun with the adapter there; then the queue is returned at once and nothing is held up. In its place the forecast is used with a margin of two, as waits were up to 2.2 times the expected ones, and the order falls due at seven tenths of the limit and is reported with the next tick. What remains is ended by the gateway at nine tenths.

--- a/berylhollow/gateway/_adapters.py
+++ b/berylhollow/gateway/_adapters.py
@@ -183,6 +183,16 @@
         sidecar.told_ms = clock.NEVER_MS
 
 
+def report_overdue(state: _state.State, active: _state.ActiveRequest) -> None:
+    """Report an attempt as overdue with this tick, once."""
+    if active.is_overdue_reported:
+        return
+    active.is_overdue_reported = True
+    sidecar = state.sidecars.get(_sidecar_peer(state, active.endpoint))
+    if sidecar is not None:
+        sidecar.told_ms = clock.NEVER_MS
+
+
 def tick(state: _state.State, at_ms: int) -> Effects:
     """Send demand reports that are due; sidecars forget old ones."""
     result: Effects = []
--- a/berylhollow/gateway/_attempts.py
+++ b/berylhollow/gateway/_attempts.py
@@ -341,6 +341,7 @@
     state.attempts[active.attempt_id] = request.request_id
     _adapters.note_attempt_placed(state, active)
     active.offered_adapter = adapter
+    active.is_overdue_reported = False
     active.isolated = _quarantine.must_isolate(state, active, at_ms)
     active.crashes_known = state.suspects.crashes(request.fingerprint)
     offer = messages.Offer(
--- a/berylhollow/gateway/_requests.py
+++ b/berylhollow/gateway/_requests.py
@@ -7,6 +7,7 @@
 from berylhollow import errors
 from berylhollow import events
 from berylhollow import following
+from berylhollow.gateway import _adapters
 from berylhollow.gateway import _attempts
 from berylhollow.gateway import _budget
 from berylhollow.gateway import _claims
@@ -151,6 +152,8 @@
             emitted += _attempts.place(state, active, at_ms)
         elif _superseded.must_end(state, active, at_ms):
             emitted += _attempts.end_superseded(state, active, at_ms)
+        elif _superseded.is_overdue(state, active, at_ms):
+            _adapters.report_overdue(state, active)
     return emitted
 
 
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -191,7 +191,9 @@
     ``room_asked_ms`` is since when it waits for a lender's answer, as every
     remaining endpoint is at its rate limit; None if it does not wait.
     ``key_revision`` is the revision of the configuration in which its key was
-    last looked up. ``offered_adapter`` is what its current attempt runs with.
+    last looked up. ``offered_adapter`` is what its current attempt runs with;
+    ``is_overdue_reported`` is True once its endpoint's sidecar has been told
+    that this attempt must not begin any more.
     """
 
     request: events.Request
@@ -210,6 +212,7 @@
     resume_by_ms: int | None = None
     offered_ms: int = 0
     offered_adapter: messages.AdapterVersion | None = None
+    is_overdue_reported: bool = False
     queued_tokens: int = 0
     tokens_ahead: int = 0
     awaiting: str = ''
--- a/berylhollow/gateway/_superseded.py
+++ b/berylhollow/gateway/_superseded.py
@@ -3,19 +3,23 @@
 An endpoint checks the version of a request when it arrives, not when it
 begins, which may be seconds later. The limit is therefore kept in three steps:
 a superseded version is sent only where the request is expected to begin early
-enough; then the endpoint is asked to replace the version, which makes it
-return requests that have not begun; an attempt that is still not answered
-shortly before the limit is ended.
+enough; then the sidecar is told of requests that must not begin, and replaces
+the version if that makes the endpoint return them at once; an attempt that is
+still not answered shortly before the limit is ended.
 """
 
 from berylhollow.gateway import _backlog
 from berylhollow.gateway import _state
 from berylhollow import messages
 
-REPLACE_SHARE = 0.6
+REPLACE_SHARE = 0.7
 """Share of the limit after which the version is to be replaced although
 requests wait for it. The order has to arrive, and may have to be repeated."""
 
+WAIT_MARGIN = 2.0
+"""How much longer than expected a request may wait. The expectation leaves out
+what was sent by other gateways since their last reports."""
+
 END_SHARE = 0.9
 """Share of the limit after which an attempt that has not begun is ended. The
 rest covers the way of the cancellation to the endpoint."""
@@ -33,7 +37,7 @@
     if superseded_ms is None:
         return True
     wait_ms = _backlog.before(state, state.endpoints[name], active)
-    return superseded_ms + wait_ms < _replace_after_ms(state)
+    return superseded_ms + WAIT_MARGIN * wait_ms < _replace_after_ms(state)
 
 
 def is_queued(
--- a/berylhollow/loader/_plan.py
+++ b/berylhollow/loader/_plan.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 
-from berylhollow import events
 from berylhollow.loader import _demand
 from berylhollow.loader import _state
 from berylhollow import messages
@@ -29,7 +28,7 @@
         return None
     if not adapters.models:
         return _model_load_step(state)
-    if _loads_under_way(adapters) >= state.options.max_concurrent_loads:
+    if len(adapters.loading) >= state.options.max_concurrent_loads:
         return None
     needs = state.demand.needs
     missing = missing_adapters(state, needs)
@@ -60,15 +59,6 @@
     return Step(True, models[0], 'endpoint is empty') if models else None
 
 
-def _loads_under_way(adapters: events.AdaptersReported) -> int:
-    """Return the number of loads, without replacements.
-
-    A replacement may wait for the runs of the version that it replaces.
-    """
-    held = _by_name(adapters.held)
-    return sum(loading.adapter not in held for loading in adapters.loading)
-
-
 def missing_adapters(
     state: _state.State, needs: dict[str, _demand.AdapterNeed]
 ) -> list[_demand.AdapterNeed]:
@@ -152,10 +142,9 @@
     """
     name = need.adapter.adapter
     if name in _by_name(state.adapters.held):
-        # The endpoint replaces an adapter after its runs have ended and
-        # refuses queued and new requests for it until then.
-        may_replace = need.overdue or not need.in_flight
-        return Step(True, name, 'newer version') if may_replace else None
+        return (
+            Step(True, name, 'newer version') if _may_replace(need) else None
+        )
     if has_free_slot:
         return Step(True, name, 'requests are waiting')
     if candidate is None:
@@ -169,6 +158,17 @@
     return Step(False, least, f'evicted for {name}')
 
 
+def _may_replace(need: _demand.AdapterNeed) -> bool:
+    """Return whether a replacement would not wait for runs.
+
+    While it waits, the endpoint accepts no other order and refuses requests
+    for the adapter. Requests that have not begun are returned at once.
+    """
+    if not need.in_flight:
+        return True
+    return need.overdue > 0 and need.queued == need.in_flight
+
+
 def _expected_requests(
     state: _state.State, need: _demand.AdapterNeed
 ) -> float:
--- a/test/hosted/test_superseded_versions.py
+++ b/test/hosted/test_superseded_versions.py
@@ -127,6 +127,14 @@
         self.tick_to(NAMED_MS + LIMIT_MS * 4 // 5)
         self.assertEqual(1, self.last_entry().overdue)
 
+    def test_sidecar_is_told_of_overdue_requests_at_once(self):
+        """Guards against an order that waits for the next regular report."""
+        self.name_version()
+        self.send(NAMED_MS + 500)
+        due_ms = NAMED_MS + int(LIMIT_MS * _superseded.REPLACE_SHARE)
+        self.tick_to(due_ms + 3 * TICK_MS)
+        self.assertEqual(1, self.last_entry().overdue)
+
     def test_request_that_has_begun_is_not_overdue(self):
         self.name_version()
         self.send(NAMED_MS + 500)
