Count versions that the first read finds as known for long

What callers would see: a gateway that starts takes every version that it finds for one named at this moment, and counts the time limit of the version before from there.

Cause: a time counted from the wrong event, the read instead of the naming. What the first read finds may have been there for any time.

Ruled out: the users' pages don't count machines that were started within the last three seconds (ContactMs), and the gateway offers such a version for six tenths of five seconds, the same three.

Change: versions found by the first read count as named before the process started, so only the newest one is offered at once. Others count from their read, as before.

Before: test_version_found_at_the_start_counts_as_known_for_long failed (60000 not less than 0).

Why it holds: nothing newer than the newest version of the first read can be missing from it, and any other version is older than the limit on the gateway's own clock.

--- a/berylhollow/routes/_follower.py
+++ b/berylhollow/routes/_follower.py
@@ -205,10 +205,11 @@
         self.era = event.era
         self.key_proof.record_log_end(event.next_offset)
         known_offset = self.next_offset or 0
+        named_ms = self._earliest_naming_ms(event)
         for entry in event.entries:
             # A check and a read of the same records end one after the other.
             if event.from_offset is None or entry.offset >= known_offset:
-                done += self._apply_record(entry, event.at_ms)
+                done += self._apply_record(entry, named_ms)
         self.next_offset = max(self.next_offset or 0, event.next_offset)
         self.last_read_ms = event.at_ms
         if event.begun_ms is not None and event.whole:
@@ -216,6 +217,16 @@
             self.key_proof.record_read(event.begun_ms)
         return done
 
+    def _earliest_naming_ms(self, event: events.LogRead) -> int:
+        """Return the earliest time at which versions in a read were named.
+
+        What the first read finds may have been there for any time. Later
+        reads wait for new records and return them at once.
+        """
+        if self.last_read_ms is None:
+            return clock.NEVER_MS
+        return event.at_ms
+
     def _restart_after_restore(self, event: events.LogRead) -> Effects:
         """Start over with the newest records after the log was restored.
 
@@ -260,7 +271,9 @@
         )
         return [effects.Log('stream can not be read', fields, warning=True)]
 
-    def _apply_record(self, entry: messages.LogEntry, at_ms: int) -> Effects:
+    def _apply_record(
+        self, entry: messages.LogEntry, named_ms: int
+    ) -> Effects:
         try:
             record = self.decode(entry.data)
         except _records.MalformedRecordError as error:
@@ -271,7 +284,7 @@
             self._apply_table(record, entry.data)
             return []
         if isinstance(record, _records.NewAdapterVersion):
-            return self._apply_version(record, at_ms)
+            return self._apply_version(record, named_ms)
         return []
 
     def _log_malformed(self, error: _records.MalformedRecordError) -> Effects:
@@ -292,7 +305,7 @@
         self.record = data
 
     def _apply_version(
-        self, record: _records.NewAdapterVersion, at_ms: int
+        self, record: _records.NewAdapterVersion, named_ms: int
     ) -> Effects:
         adapter = record.adapter
         known = self.newest_versions.get(adapter.adapter)
@@ -300,9 +313,9 @@
         if int(adapter.version) <= int(before):
             return []
         self.newest_versions[adapter.adapter] = (
-            _view.NewestVersion(adapter.version, at_ms, before)
+            _view.NewestVersion(adapter.version, named_ms, before)
             if known is None
-            else known.replaced_by(adapter.version, at_ms)
+            else known.replaced_by(adapter.version, named_ms)
         )
         fields = (
             ('adapter', adapter.adapter),
--- a/berylhollow/routes/_view.py
+++ b/berylhollow/routes/_view.py
@@ -32,16 +32,17 @@
 class NewestVersion:
     """The newest version of an adapter and the version that it replaces.
 
+    ``named_ms`` is the earliest time at which it may have been named.
     ``earlier`` has the versions before ``previous``, oldest first.
     """
 
     version: str
-    learned_ms: int
+    named_ms: int
     previous: str
     earlier: tuple[SupersededVersion, ...] = ()
 
-    def replaced_by(self, version: str, at_ms: int) -> 'NewestVersion':
-        """Return what is known once a newer version has been learned.
+    def replaced_by(self, version: str, named_ms: int) -> 'NewestVersion':
+        """Return what is known once a newer version was named.
 
         The two oldest of too many versions are joined and keep the earlier
         time, so that none counts as superseded for too short a time.
@@ -51,14 +52,14 @@
             oldest, second, *others = earlier
             joined = SupersededVersion(second.version, oldest.since_ms)
             earlier = (joined, *others)
-        return NewestVersion(version, at_ms, self.version, earlier)
+        return NewestVersion(version, named_ms, self.version, earlier)
 
     @property
     def superseded(self) -> tuple[SupersededVersion, ...]:
         """All superseded versions, oldest first."""
         return (
             *self.earlier,
-            SupersededVersion(self.previous, self.learned_ms),
+            SupersededVersion(self.previous, self.named_ms),
         )
 
     def superseded_since_ms(self, version: str) -> int | None:
--- a/test/routes/test_view.py
+++ b/test/routes/test_view.py
@@ -11,6 +11,9 @@
 from test import builders as samples
 from test import platform_builders as builders
 
+STARTED_MS = 100_000
+LONG_MS = 60_000
+
 
 def view(*entries, newest=None):
     record = builders.configuration_record(routes=list(entries))
@@ -122,10 +125,15 @@
         )
         self.follower.start(0)
 
-    def read(self, *records, at_ms=10, next_offset=1):
+    def superseded_ms(self, version, at_ms):
+        adapter = messages.AdapterVersion(builders.adapter_name(), version)
+        return self.follower.current.superseded_ms(adapter, at_ms)
+
+    def read(self, *records, at_ms=10, next_offset=1, **changes):
+        first_offset = changes.get('from_offset', 0)
         entries = tuple(
             messages.LogEntry(offset, 0, data)
-            for offset, data in enumerate(records)
+            for offset, data in enumerate(records, start=first_offset)
         )
         return self.follower.handle(
             events.LogRead(
@@ -134,6 +142,7 @@
                 entries,
                 0,
                 next_offset,
+                **changes,
             )
         )
 
@@ -175,6 +184,35 @@
             ['stream can not be read', 'stream is read again'], texts
         )
 
+    def test_version_found_at_the_start_counts_as_known_for_long(self):
+        """Guards against an old version that a new gateway takes for recent.
+
+        A gateway starts long after a version was replaced. It may offer only
+        the newest one at once.
+        """
+        self.read(
+            builders.configuration_record(9),
+            builders.version_record(version=4),
+            at_ms=STARTED_MS,
+            begun_ms=STARTED_MS - 5,
+        )
+        self.assertLess(LONG_MS, self.superseded_ms('1', STARTED_MS))
+
+    def test_version_named_after_the_start_counts_from_its_read(self):
+        self.read(
+            builders.configuration_record(9),
+            at_ms=STARTED_MS,
+            begun_ms=STARTED_MS - 5,
+        )
+        self.read(
+            builders.version_record(version=2),
+            at_ms=STARTED_MS + 700,
+            begun_ms=STARTED_MS + 5,
+            from_offset=1,
+            next_offset=2,
+        )
+        self.assertEqual(10, self.superseded_ms('1', STARTED_MS + 710))
+
     def test_malformed_record_is_logged_and_skipped(self):
         done = self.read(b'\x06config{', builders.configuration_record(9))
         self.assertEqual('record not understood', done[0].text)
