Count versions found after a gap from the last complete read

What callers would see: the log drops records that a gateway has not read, or comes back from an older copy. The next read takes the newest records, and every version that it finds counted as named at this moment, though it may be as old as the gap.

Cause: a time counted from the wrong event, the read instead of the naming.

Change: a version that a read of the newest records finds counts from the time up to which all records were known before: the beginning of the last own read that saw the whole log, or the arrival of a part that another gateway has read. The first read is the same case, with nothing known before. Ruled out: counting from the last own read alone. A gateway that is served by another one's reads makes none for minutes, and would end queued attempts for a version that was named a moment ago.

Why it holds: a record that was named before that time would have been read then. A part of another gateway may be late by its way here, milliseconds on a sound link.

--- a/berylhollow/routes/_follower.py
+++ b/berylhollow/routes/_follower.py
@@ -45,6 +45,8 @@
       before the first read.
     - ``record`` is the one of the routes in force.
     - ``whole_read_ms`` is when the last read began that saw the whole log.
+    - ``complete_ms`` is a time up to which all records are known. It is later
+      than ``whole_read_ms`` where other processes read.
     """
 
     def __init__(self, stream: str, decode: Decode, key_bound_ms: int = 0):
@@ -53,6 +55,7 @@
         self.current: _view.RouteView | None = None
         self.record = b''
         self.whole_read_ms = clock.NEVER_MS
+        self.complete_ms = clock.NEVER_MS
         self.newest_versions: dict[str, _view.NewestVersion] = {}
         self.key_proof = _key_proof.KeyProof(key_bound_ms)
         self.were_keys_valid = True
@@ -212,6 +215,9 @@
                 done += self._apply_record(entry, named_ms)
         self.next_offset = max(self.next_offset or 0, event.next_offset)
         self.last_read_ms = event.at_ms
+        if event.whole:
+            seen_ms = event.at_ms if event.begun_ms is None else event.begun_ms
+            self.complete_ms = max(self.complete_ms, seen_ms)
         if event.begun_ms is not None and event.whole:
             self.whole_read_ms = max(self.whole_read_ms, event.begun_ms)
             self.key_proof.record_read(event.begun_ms)
@@ -220,12 +226,11 @@
     def _earliest_naming_ms(self, event: events.LogRead) -> int:
         """Return the earliest time at which versions in a read were named.
 
-        What the first read finds may have been there for any time. Later
-        reads wait for new records and return them at once.
+        A read from an offset waits for new records and returns them at once.
+        One of the newest records, at the start or after a gap, finds all that
+        were named since the log was last known in full.
         """
-        if self.last_read_ms is None:
-            return clock.NEVER_MS
-        return event.at_ms
+        return self.complete_ms if event.from_offset is None else event.at_ms
 
     def _restart_after_restore(self, event: events.LogRead) -> Effects:
         """Start over with the newest records after the log was restored.
--- a/test/hosted/test_gateway_direct.py
+++ b/test/hosted/test_gateway_direct.py
@@ -63,12 +63,24 @@
         return {}
 
     def publish(self, *records, at_ms=0):
+        """Feed the first read of the log, or one of what is new since."""
+        from_offset = self.state.follower.next_offset
+        first = from_offset or 0
         entries = tuple(
             messages.LogEntry(offset, 0, data)
-            for offset, data in enumerate(records)
+            for offset, data in enumerate(records, start=first)
         )
         stream = platform.CONFIGURATION_STREAM
-        self.feed(events.LogRead(at_ms, stream, entries, 0, len(records)))
+        self.feed(
+            events.LogRead(
+                at_ms,
+                stream,
+                entries,
+                0,
+                first + len(records),
+                from_offset=from_offset,
+            )
+        )
 
     def list_instances(self, *rows, at_ms=0):
         return self.feed(events.InstancesListed(at_ms, rows))
--- a/test/routes/test_view.py
+++ b/test/routes/test_view.py
@@ -125,6 +125,11 @@
         )
         self.follower.start(0)
 
+    def drop_history(self, at_ms):
+        stream = platform.CONFIGURATION_STREAM
+        failed = events.LogReadFailed(at_ms, stream, first_offset=50)
+        self.follower.handle(failed)
+
     def superseded_ms(self, version, at_ms):
         adapter = messages.AdapterVersion(builders.adapter_name(), version)
         return self.follower.current.superseded_ms(adapter, at_ms)
@@ -213,6 +218,49 @@
         )
         self.assertEqual(10, self.superseded_ms('1', STARTED_MS + 710))
 
+    def test_version_found_after_dropped_history_counts_from_before(self):
+        """Guards against a time limit that starts when a gap is closed.
+
+        The store drops records that were not read yet. The versions among
+        them may be as old as the last read that saw the whole log.
+        """
+        self.read(
+            builders.configuration_record(9),
+            at_ms=STARTED_MS,
+            begun_ms=STARTED_MS - 5,
+        )
+        self.drop_history(STARTED_MS + 4000)
+        self.read(builders.version_record(version=2), at_ms=STARTED_MS + 4300)
+        self.assertEqual(4305, self.superseded_ms('1', STARTED_MS + 4300))
+
+    def test_records_of_another_process_close_a_gap_too(self):
+        """Guards against attempts that are ended for a version named now."""
+        self.read(
+            builders.configuration_record(9),
+            at_ms=STARTED_MS,
+            begun_ms=STARTED_MS - 5,
+        )
+        self.read(at_ms=STARTED_MS + 3900, from_offset=1)
+        self.drop_history(STARTED_MS + 4000)
+        self.read(builders.version_record(version=2), at_ms=STARTED_MS + 4300)
+        self.assertEqual(400, self.superseded_ms('1', STARTED_MS + 4300))
+
+    def test_version_found_after_a_restore_counts_from_before(self):
+        """Guards against the same after the log came from an older copy."""
+        self.read(
+            builders.configuration_record(9),
+            at_ms=STARTED_MS,
+            begun_ms=STARTED_MS - 5,
+        )
+        for at_ms in (STARTED_MS + 4000, STARTED_MS + 4010):
+            self.read(
+                builders.version_record(version=2),
+                at_ms=at_ms,
+                begun_ms=at_ms - 5,
+                era=1,
+            )
+        self.assertEqual(4005, self.superseded_ms('1', STARTED_MS + 4000))
+
     def test_malformed_record_is_logged_and_skipped(self):
         done = self.read(b'\x06config{', builders.configuration_record(9))
         self.assertEqual('record not understood', done[0].text)
