Count no version from before the one that it replaces

What callers would see: after a gap in the log, a version counted from before the gap even if the one that it replaces was named later.

A later version can't have been named before an earlier one.

Change: the later of the two times counts.

Before: test_version_is_not_older_than_the_one_before failed (1300 instead of 300 ms). After: test_view 22 passed.

Why it holds: versions only rise, so the earliest time of one bounds the next.

--- a/berylhollow/routes/_view.py
+++ b/berylhollow/routes/_view.py
@@ -44,9 +44,11 @@
     def replaced_by(self, version: str, named_ms: int) -> 'NewestVersion':
         """Return what is known once a newer version was named.
 
-        The two oldest of too many versions are joined and keep the earlier
-        time, so that none counts as superseded for too short a time.
+        It was not named before the version that it replaces. The two oldest
+        of too many versions are joined and keep the earlier time, so that none
+        counts as superseded for too short a time.
         """
+        named_ms = max(named_ms, self.named_ms)
         earlier = self.superseded
         if len(earlier) > MAX_SUPERSEDED_VERSIONS:
             oldest, second, *others = earlier
--- a/test/routes/test_view.py
+++ b/test/routes/test_view.py
@@ -261,6 +261,24 @@
             )
         self.assertEqual(4005, self.superseded_ms('1', STARTED_MS + 4000))
 
+    def test_version_is_not_older_than_the_one_before(self):
+        """Guards against an age that is counted from before the naming."""
+        self.read(
+            builders.configuration_record(9),
+            at_ms=STARTED_MS,
+            begun_ms=STARTED_MS - 5,
+        )
+        self.read(
+            builders.version_record(version=2),
+            at_ms=STARTED_MS + 1000,
+            begun_ms=STARTED_MS,
+            from_offset=1,
+            next_offset=2,
+        )
+        self.drop_history(STARTED_MS + 1010)
+        self.read(builders.version_record(version=3), at_ms=STARTED_MS + 1300)
+        self.assertEqual(300, self.superseded_ms('2', STARTED_MS + 1300))
+
     def test_malformed_record_is_logged_and_skipped(self):
         done = self.read(b'\x06config{', builders.configuration_record(9))
         self.assertEqual('record not understood', done[0].text)
