Count versions that are read late from the last complete read

What callers would see: a connection to the store goes silent while a version is named, or the gateway that reads for the others ends. The next read begins up to two seconds later, and the version counted as named when it was read.

Cause: a time counted from the wrong event, the read instead of the naming.

Change: the time of a read counts only for a read that began when the one before it ended and took no longer than the store may hold it: such a read returns a record at once. Every other version, also one that another gateway has read, counts from the time up to which all records were known. Where gateways share reads that is up to 0.8 s before the naming, so a superseded version is offered that much shorter there.

Ruled out: counting always from there (1.5 s less for every version); a flag for failed reads, which misses a silent reader and a process that stood still.

The tests that name a version do so while a read waits, as a gateway's reads do; what they assert is unchanged.

Before: two tests of test_view failed in three cases (0 instead of 2165, 2165 and 1200 ms). After: test_view 24, test_superseded_versions 12, test_gateway_direct 45 and the other files of test/hosted that need no process passed.

Why it holds: a record that was there before the earlier read ended would have been returned by it, and one that came while a read waited is returned at once.

--- a/berylhollow/routes/_follower.py
+++ b/berylhollow/routes/_follower.py
@@ -27,6 +27,9 @@
 READ_RETRY_MS = 250
 """Pause after a failed read: four calls a second while the store is down."""
 
+READ_GAP_MS = 100
+"""Longest time between two reads that follow each other without a failure."""
+
 READ_TIMEOUT_MS = 4000
 """Time without an answer after which a read is begun again."""
 
@@ -226,11 +229,19 @@
     def _earliest_naming_ms(self, event: events.LogRead) -> int:
         """Return the earliest time at which versions in a read were named.
 
-        A read from an offset waits for new records and returns them at once.
-        One of the newest records, at the start or after a gap, finds all that
-        were named since the log was last known in full.
+        A read that began when the last one ended waits for new records and
+        returns them at once. Any other may find records of any time since the
+        log was last known in full.
         """
-        return self.complete_ms if event.from_offset is None else event.at_ms
+        return event.at_ms if self._is_prompt(event) else self.complete_ms
+
+    def _is_prompt(self, event: events.LogRead) -> bool:
+        """Tell whether a read returned new records when they were written."""
+        if event.from_offset is None or event.begun_ms is None:
+            return False
+        if event.begun_ms - self.last_read_ms > READ_GAP_MS:
+            return False
+        return event.at_ms - event.begun_ms <= READ_WAIT_MS
 
     def _restart_after_restore(self, event: events.LogRead) -> Effects:
         """Start over with the newest records after the log was restored.
--- a/test/hosted/test_gateway_direct.py
+++ b/test/hosted/test_gateway_direct.py
@@ -62,7 +62,7 @@
     def options(self):
         return {}
 
-    def publish(self, *records, at_ms=0):
+    def publish(self, *records, at_ms=0, begun_ms=None):
         """Feed the first read of the log, or one of what is new since."""
         from_offset = self.state.follower.next_offset
         first = from_offset or 0
@@ -78,10 +78,17 @@
                 entries,
                 0,
                 first + len(records),
+                begun_ms=begun_ms,
                 from_offset=from_offset,
             )
         )
 
+    def name_version(self, number, at_ms):
+        """Name a version of an adapter while a read waits for news."""
+        self.publish(at_ms=at_ms)
+        record = builders.version_record(version=number)
+        self.publish(record, at_ms=at_ms, begun_ms=at_ms)
+
     def list_instances(self, *rows, at_ms=0):
         return self.feed(events.InstancesListed(at_ms, rows))
 
@@ -484,14 +491,14 @@
 
     def test_superseded_version_is_used_while_the_new_one_is_loaded(self):
         self.report('10.0.0.1:80', self.adapter_version())
-        self.publish(builders.version_record('a3', 2), at_ms=1000)
+        self.name_version(2, at_ms=1000)
         self.send_request(MODEL_PATH, adapter='a3', at_ms=1100)
         self.assertEqual(self.adapter_version(), self.offered()[1].adapter)
 
     def test_age_of_the_newer_version_is_logged(self):
         """Without it a log can't tell when a version was sent too late."""
         self.report('10.0.0.1:80', self.adapter_version())
-        self.publish(builders.version_record('a3', 2), at_ms=1000)
+        self.name_version(2, at_ms=1000)
         self.send_request(MODEL_PATH, adapter='a3', at_ms=1100)
         peer, offer = self.offered()
         (offered,) = self.logged('attempt offered')
@@ -505,7 +512,7 @@
     def test_sidecar_is_told_what_waits_for_an_old_version(self):
         self.report('10.0.0.1:80', self.adapter_version())
         self.send_request(MODEL_PATH, adapter='a3', at_ms=900)
-        self.publish(builders.version_record('a3', 2), at_ms=1000)
+        self.name_version(2, at_ms=1000)
         self.feed(events.Ticked(2000, 0.5))
         (demands,) = self.sent(messages.AdapterDemands)
         (entry,) = demands.entries
@@ -513,7 +520,7 @@
 
     def test_superseded_version_is_not_used_after_that(self):
         self.report('10.0.0.1:80', self.adapter_version())
-        self.publish(builders.version_record('a3', 2), at_ms=1000)
+        self.name_version(2, at_ms=1000)
         self.send_request(MODEL_PATH, adapter='a3', at_ms=9000)
         self.assertEqual([], self.offers())
 
--- a/test/hosted/test_superseded_versions.py
+++ b/test/hosted/test_superseded_versions.py
@@ -37,7 +37,7 @@
         return messages.AdapterVersion(builders.adapter_name(), str(number))
 
     def name_version(self, number=2, at_ms=NAMED_MS):
-        self.publish(builders.version_record(version=number), at_ms=at_ms)
+        super().name_version(number, at_ms)
 
     def send(self, at_ms, path=direct.MODEL_PATH, **changes):
         self.send_request(path, at_ms, adapter='a3', **changes)
--- a/test/routes/test_view.py
+++ b/test/routes/test_view.py
@@ -261,6 +261,53 @@
             )
         self.assertEqual(4005, self.superseded_ms('1', STARTED_MS + 4000))
 
+    def test_version_found_late_counts_from_the_last_complete_read(self):
+        """Guards against a limit that starts when a lost read is repeated.
+
+        A connection to the store goes silent, or this process stands still,
+        while a version is named and the store is well.
+        """
+        for case, begun_ms, at_ms in (
+            ('after a lost read', 2150, 2160),
+            ('by a read that is late itself', 0, 2160),
+        ):
+            with self.subTest(case):
+                self.setUp()
+                self.read(
+                    builders.configuration_record(9),
+                    at_ms=STARTED_MS,
+                    begun_ms=STARTED_MS - 5,
+                )
+                self.read(
+                    builders.version_record(version=2),
+                    at_ms=STARTED_MS + at_ms,
+                    begun_ms=STARTED_MS + begun_ms,
+                    from_offset=1,
+                    next_offset=2,
+                )
+                superseded_ms = self.superseded_ms('1', STARTED_MS + at_ms)
+                self.assertEqual(at_ms + 5, superseded_ms)
+
+    def test_version_found_by_another_gateway_counts_from_its_last_part(self):
+        """Guards against a limit that starts when another gateway takes over.
+
+        The gateway that reads for others ends. The next one reads a second
+        later what was named meanwhile.
+        """
+        self.read(
+            builders.configuration_record(9),
+            at_ms=STARTED_MS,
+            begun_ms=STARTED_MS - 5,
+        )
+        self.read(at_ms=STARTED_MS + 800, from_offset=1)
+        self.read(
+            builders.version_record(version=2),
+            at_ms=STARTED_MS + 2000,
+            from_offset=1,
+            next_offset=2,
+        )
+        self.assertEqual(1200, self.superseded_ms('1', STARTED_MS + 2000))
+
     def test_version_is_not_older_than_the_one_before(self):
         """Guards against an age that is counted from before the naming."""
         self.read(
