Count a request's deadline from its head, not from the end of its body

What callers would see: a caller that needs two seconds to send its body is kept waiting two seconds past its deadline and its route's timeout, and an endpoint is handed two seconds more than are left.

Cause: a time counted from the wrong event. The deadline is a time from when the caller sends; it was counted from when the whole body had been read.

Ruled out: the platform's BUDGET rule alone does not show it, as the first send hands on the caller's own number. A repeat does, with an end after the caller's own.

A request whose body took all its time is refused as not run.

Why it holds: both times are of one clock, and only the time in which the gateway has the head and lacks the body is taken off. The time before the head was read, on the way or in a busy process, is not known and still missing.

--- a/berylhollow/events.py
+++ b/berylhollow/events.py
@@ -228,7 +228,7 @@
 class Request:
     """A caller's request; only its syntax has been checked.
 
-    ``deadline_ms`` is a duration from arrival. ``key`` is the caller's
+    ``deadline_ms`` is a duration from its head. ``key`` is the caller's
     idempotency key. A request with a key is not idempotent, nor is one on a
     route whose requests are not ``repeatable``. If the caller names no
     version, that of ``adapter`` is empty until it is resolved.
@@ -270,11 +270,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestArrived:
-    """A request arrived; ``seed`` is a new random number in [0, 1)."""
+    """A request arrived; ``seed`` is a new random number in [0, 1).
+
+    ``begun_ms`` is when its head had been read, None if it has no body that
+    took time.
+    """
 
     at_ms: int
     request: Request
     seed: float = 0.5
+    begun_ms: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/berylhollow/gateway/_exchange.py
+++ b/berylhollow/gateway/_exchange.py
@@ -16,6 +16,7 @@
 class Exchange:
     """The shell's state of a request until its answer has ended.
 
+    ``begun_ms`` is when its head had been read, ``arrived_ms`` when all of it.
     ``shown_id`` is the request id that the caller sees: its own, if it sent
     one. ``answer_start`` is the effect that begins the answer. The other
     attributes are written to the log line.
@@ -25,11 +26,13 @@
         self,
         request: events.Request,
         shown_id: str,
+        begun_ms: int,
         arrived_ms: int,
         loop: asyncio.AbstractEventLoop,
     ):
         self.request = request
         self.shown_id = shown_id
+        self.begun_ms = begun_ms
         self.arrived_ms = arrived_ms
         self.answer_start: asyncio.Future[AnswerStart] = loop.create_future()
         self.relay: _relay.Relay | None = None
--- a/berylhollow/gateway/_http.py
+++ b/berylhollow/gateway/_http.py
@@ -139,10 +139,13 @@
             path = _parsing.origin_form(request.raw_path)
             return await self._page_response(request, path.partition('?')[0])
         self._refuse_by_head(draft.head, shown_id)
+        begun_ms = self.owner.now_ms()
         body = await self.body_reader.read(request)
         try:
             accepted = draft.build(request_id, body)
-            return await self._run_exchange(request, accepted, shown_id)
+            return await self._run_exchange(
+                request, accepted, shown_id, begun_ms
+            )
         finally:
             self.body_reader.release(len(body))
 
@@ -167,12 +170,17 @@
         return response
 
     async def _run_exchange(
-        self, request: web.BaseRequest, accepted: events.Request, shown_id: str
+        self,
+        request: web.BaseRequest,
+        accepted: events.Request,
+        shown_id: str,
+        begun_ms: int,
     ) -> web.StreamResponse:
         """Hand a request to the reducer and write its answer."""
         exchange = _exchange.Exchange(
             accepted,
             shown_id,
+            begun_ms,
             self.owner.now_ms(),
             asyncio.get_running_loop(),
         )
--- a/berylhollow/gateway/_requests.py
+++ b/berylhollow/gateway/_requests.py
@@ -43,6 +43,10 @@
         priority=terms.priority,
         repeatable=terms.repeatable,
     )
+    begun_ms = event.at_ms if event.begun_ms is None else event.begun_ms
+    deadline_ms = begun_ms + request.deadline_ms
+    if event.at_ms >= deadline_ms:
+        return [refusal(request.request_id, errors.Kind.DEADLINE_EXCEEDED)]
     refused_ms = _quarantine.refused_ms(state, request, event.at_ms)
     if refused_ms:
         kind = errors.Kind.QUARANTINED
@@ -59,7 +63,7 @@
     active = _state.ActiveRequest(
         request=request,
         arrived_ms=event.at_ms,
-        deadline_ms=event.at_ms + request.deadline_ms,
+        deadline_ms=deadline_ms,
         seed=event.seed,
         service=terms.service,
         most_runs=terms.most_runs or state.options.attempts,
--- a/berylhollow/gateway/_shell.py
+++ b/berylhollow/gateway/_shell.py
@@ -192,7 +192,10 @@
             return
         self.feed(
             events.RequestArrived(
-                exchange.arrived_ms, request, random.random()
+                exchange.arrived_ms,
+                request,
+                random.random(),
+                exchange.begun_ms,
             )
         )
 
