Check a waiting request against the configuration when it begins

What callers would see: an adapter version is withdrawn, and a request for it that waits at a gateway or in a sidecar's queue still runs, whenever its turn comes, up to its deadline. A configuration is to be in force everywhere within 8 s.

Cause: a bound on when something happens that is checked when it is sent. A request is resolved on arrival; the sidecar checked the service only, also on arrival. Between lie a claim, a back-off, links that open, a load, and the sidecar's queue.

Ruled out: a check at the sidecar alone. A request that waited at the gateway is offered with the revision of now, to which it was never held.

Change: the gateway asks the configuration again at each placement. The sidecar asks its own before a run, if that is newer than the offer's; not if it is older, or an adapter that was just added would be refused, and not without a revision, from older programs. The refusal says not run and is not tried elsewhere. Routes say nothing: a request that was sent before its route moved may be served as it was admitted.

Why it holds: nothing but the call to the engine follows the sidecar's check. What has begun is not stopped, as before.

--- a/berylhollow/following.py
+++ b/berylhollow/following.py
@@ -84,6 +84,11 @@
         ``seed`` in [0, 1) selects among the services that share the request.
         """
 
+    def request_error(
+        self, service: str, adapter: messages.AdapterVersion | None
+    ) -> errors.Kind | None:
+        """Return why an admitted request may not run, None if it may."""
+
     def acceptable_versions(
         self, adapter: messages.AdapterVersion
     ) -> tuple[messages.AdapterVersion, ...]:
--- a/berylhollow/gateway/_attempts.py
+++ b/berylhollow/gateway/_attempts.py
@@ -35,6 +35,8 @@
         errors.Kind.CANNOT_BE_ON_TIME,
         errors.Kind.DEADLINE_EXCEEDED,
         errors.Kind.QUARANTINED,
+        errors.Kind.UNKNOWN_ADAPTER,
+        errors.Kind.UNKNOWN_VERSION,
     }
 )
 # The endpoint or its engine went down while it had the attempt.
@@ -60,15 +62,19 @@
 ) -> Effects:
     """Offer a waiting request to an endpoint, or fail or postpone it.
 
-    Checks the attempt limit, quarantine, workspace and quota first. A request
-    without a suitable endpoint, or whose adapter is not loaded at the chosen
-    one, may stay waiting and be placed again later.
+    Checks the attempt limit, configuration, quarantine, workspace and quota
+    first. A request without a suitable endpoint, or whose adapter is not
+    loaded at the chosen one, may stay waiting and be placed again later.
     """
     if active.attempts >= state.options.attempts:
         return give_up(
             state, active, errors.Kind.OVERLOADED, errors.Ran.NOT_RUN
         )
     active.retry_at_ms = None
+    configuration = state.follower.current
+    kind = configuration.request_error(active.service, active.request.adapter)
+    if kind is not None:
+        return give_up(state, active, kind, errors.Ran.NOT_RUN)
     refused_ms = _quarantine.refused_ms(state, active.request, at_ms)
     if refused_ms:
         kind = errors.Kind.QUARANTINED
--- a/berylhollow/routes/_view.py
+++ b/berylhollow/routes/_view.py
@@ -215,6 +215,11 @@
         version = FIRST_VERSION if known is None else known.version
         return messages.AdapterVersion(adapter, version)
 
+    def request_error(
+        self, service: str, adapter: messages.AdapterVersion | None
+    ) -> None:
+        """Return None: routes only say how a request is admitted."""
+
     def acceptable_versions(
         self, adapter: messages.AdapterVersion
     ) -> tuple[messages.AdapterVersion, ...]:
--- a/berylhollow/sidecar/_runs.py
+++ b/berylhollow/sidecar/_runs.py
@@ -193,6 +193,9 @@
     only into slots without pins, and a pin is released only after the last
     byte, a definite "not run" or a confirmed cancel.
     """
+    kind = _configuration_error(state, attempt.offer)
+    if kind is not None:
+        return fail_unstarted(state, attempt, kind, at_ms)
     adapter = attempt.offer.adapter
     if not _isolation.may_begin(state, attempt):
         return []
@@ -221,6 +224,16 @@
     ]
 
 
+def _configuration_error(
+    state: _state.State, offer: messages.Offer
+) -> errors.Kind | None:
+    """Return why a newer configuration than the offer's forbids the run."""
+    view = state.follower.current
+    if view is None or not 0 < offer.revision < view.revision:
+        return None
+    return view.request_error(offer.service, offer.adapter)
+
+
 def _running_attempt(
     state: _state.State, attempt_id: str
 ) -> _state.Attempt | None:
--- a/test/builders.py
+++ b/test/builders.py
@@ -31,19 +31,20 @@
     """A configuration that declares everything with version ``1`` or 2."""
 
     revision: int = 1
+    servable: tuple[str, ...] = ('1', '2')
     limits: manifest.Limits = manifest.Limits()
     has_workspaces: bool = False
     declared_workspaces: tuple = ()
 
-    def refuse(self, service, adapter):
+    def request_error(self, service, adapter):
         if adapter is None and service not in (SERVICE, PLAIN_SERVICE):
             return errors.Kind.UNKNOWN_SERVICE
-        if adapter is not None and adapter.version not in ('1', '2'):
+        if adapter is not None and adapter.version not in self.servable:
             return errors.Kind.UNKNOWN_VERSION
         return None
 
     def resolve(self, request, seed):
-        kind = self.refuse(request.service, request.adapter)
+        kind = self.request_error(request.service, request.adapter)
         if kind is not None:
             return kind
         service = SERVICE if request.adapter else request.service
