--- a/berylhollow/events.py
+++ b/berylhollow/events.py
@@ -228,7 +228,7 @@
 class Request:
     """A caller's request; only its syntax has been checked.
 
-    ``deadline_ms`` is a duration from its head. ``key`` is the caller's
+    ``deadline_ms`` counts from when its head was read. ``key`` is the caller's
     idempotency key. A request with a key is not idempotent, nor is one on a
     route whose requests are not ``repeatable``. If the caller names no
     version, that of ``adapter`` is empty until it is resolved.
--- a/berylhollow/following.py
+++ b/berylhollow/following.py
@@ -43,7 +43,7 @@
 class Terms:
     """How the configuration says a request is to be served.
 
-    ``deadline_ms`` is a duration from arrival. ``most_runs`` limits the
+    ``deadline_ms`` counts from the head of a request. ``most_runs`` limits the
     endpoints that may run the request; if it is None, the gateway's options
     do. ``objective_ms`` is the time within which the answer should begin, 0
     for none. ``workspace`` is the one that the request's key belongs to, None
