Count a version between two known ones as superseded

Numbers may have gaps: after dropped history only the newest version is read. A version between the one before and the newest counted as newest. It is never offered, so no caller saw it. The test failed before (None for 6).

--- a/berylhollow/routes/_view.py
+++ b/berylhollow/routes/_view.py
@@ -69,7 +69,7 @@
         for known in self.superseded:
             if int(version) <= int(known.version):
                 return known.since_ms
-        return None
+        return self.named_ms if int(version) < int(self.version) else None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/test/routes/test_view.py
+++ b/test/routes/test_view.py
@@ -107,6 +107,12 @@
         since = [newest.superseded_since_ms(v) for v in ('1', '2', '3', '4')]
         self.assertEqual([1000, 5000, 9000, None], since)
 
+    def test_version_that_was_never_seen_is_superseded_too(self):
+        """Guards against a gap in the numbers, as after dropped history."""
+        newest = _view.NewestVersion('7', 1000, '4')
+        since = [newest.superseded_since_ms(v) for v in ('4', '6', '7')]
+        self.assertEqual([1000, 1000, None], since)
+
     def test_many_versions_never_look_younger(self):
         times = range(1000, 101_000, 1000)
         newest = self.newest(*times)
