--- a/berylhollow/configuration/_configuration.py
+++ b/berylhollow/configuration/_configuration.py
@@ -77,7 +77,7 @@
             service, request.adapter, request.deadline_ms, request.priority
         )
 
-    def acceptable_versions(
+    def candidate_versions(
         self, adapter: messages.AdapterVersion
     ) -> tuple[messages.AdapterVersion, ...]:
         """Return the versions that may serve a request: only the named one."""
--- a/berylhollow/following.py
+++ b/berylhollow/following.py
@@ -89,10 +89,10 @@
     ) -> errors.Kind | None:
         """Return why an admitted request may not run, None if it may."""
 
-    def acceptable_versions(
+    def candidate_versions(
         self, adapter: messages.AdapterVersion
     ) -> tuple[messages.AdapterVersion, ...]:
-        """Return the versions that may serve an adapter, best first."""
+        """Return the versions that might serve an adapter, best first."""
 
     def superseded_ms(
         self, adapter: messages.AdapterVersion, at_ms: int
--- a/berylhollow/gateway/_adapters.py
+++ b/berylhollow/gateway/_adapters.py
@@ -39,7 +39,7 @@
     wanted = active.request.adapter
     if wanted is None or not state.endpoints[name].instance.direct:
         return wanted
-    for version in state.follower.current.acceptable_versions(wanted):
+    for version in state.follower.current.candidate_versions(wanted):
         if name not in state.placement.ready.get(version, ()):
             continue
         if _superseded.may_be_offered(state, active, name, version, at_ms):
@@ -252,7 +252,7 @@
     entries = []
     for adapter in dict.fromkeys([*waiting, *in_flight, *held]):
         any_version = messages.AdapterVersion(adapter, '')
-        newest = configuration.acceptable_versions(any_version)[0]
+        newest = configuration.candidate_versions(any_version)[0]
         holders = len(state.placement.ready.get(newest, ()))
         rate = state.demand.rate(any_version, at_ms)
         entry = messages.AdapterDemand(
--- a/berylhollow/gateway/_fleet.py
+++ b/berylhollow/gateway/_fleet.py
@@ -71,7 +71,7 @@
         milliseconds a request. The least busy of a dozen and a half is
         nearly the least busy of all.
         """
-        versions = self.state.follower.current.acceptable_versions(adapter)
+        versions = self.state.follower.current.candidate_versions(adapter)
         for version in versions:
             ready = self.state.placement.ready.get(version, ())
             sampled = _spread(list(ready), self.seed, MAX_HOLDERS_COMPARED)
--- a/berylhollow/gateway/_superseded.py
+++ b/berylhollow/gateway/_superseded.py
@@ -4,8 +4,8 @@
 begins, which may be seconds later. The limit is therefore kept in three steps:
 a superseded version is sent only where the request is expected to begin early
 enough; then the sidecar is told of requests that must not begin, and replaces
-the version if that makes the endpoint return them at once; an attempt that is
-still not answered shortly before the limit is ended.
+the version if that makes the endpoint return them at once; an attempt that has
+still not begun to answer shortly before the limit is ended.
 """
 
 from berylhollow.gateway import _backlog
@@ -13,8 +13,9 @@
 from berylhollow import messages
 
 REPLACE_SHARE = 0.7
-"""Share of the limit after which the version is to be replaced although
-requests wait for it. The order has to arrive, and may have to be repeated."""
+"""Share of the limit after which no request should begin any more. A version
+is not offered that would begin later, and is to be replaced where requests are
+still queued with it: the order has to arrive, and may have to be repeated."""
 
 WAIT_MARGIN = 2.0
 """How much longer than expected a request may wait. The expectation leaves out
--- a/berylhollow/routes/_view.py
+++ b/berylhollow/routes/_view.py
@@ -220,7 +220,7 @@
     ) -> None:
         """Return None: routes only say how a request is admitted."""
 
-    def acceptable_versions(
+    def candidate_versions(
         self, adapter: messages.AdapterVersion
     ) -> tuple[messages.AdapterVersion, ...]:
         """Return the newest version and the one that it replaces."""
--- a/test/builders.py
+++ b/test/builders.py
@@ -52,7 +52,7 @@
             service, request.adapter, request.deadline_ms, request.priority
         )
 
-    def acceptable_versions(self, adapter):
+    def candidate_versions(self, adapter):
         return (adapter,)
 
     def superseded_ms(self, adapter, at_ms):
--- a/test/routes/test_view.py
+++ b/test/routes/test_view.py
@@ -88,7 +88,7 @@
         newest = {name: _view.NewestVersion('4', 1000, '3')}
         found = view(builders.route(), newest=newest)
         adapter = messages.AdapterVersion(name, '4')
-        accepted = found.acceptable_versions(adapter)
+        accepted = found.candidate_versions(adapter)
         self.assertEqual(['4', '3'], [a.version for a in accepted])
 
 
