Count a version named in a short pause from the last tick

What callers would see: a gateway stands still for up to a second and a half, a version is named meanwhile, and what it had sent before is ended that much too late.

Cause: a time counted from the wrong event. A read that waited through the pause ended within the time that the store may hold it, so its end counted as the naming.

Change: no later than the last tick, which comes every 50 ms while the process runs.

Before: the test failed (0 instead of 1200 ms). After: test_view 26, test_superseded_versions 13, test_gateway* 128 passed.

Why it holds: what was named before the last tick was read before it, or waited for this process less than one turn of its loop.

--- a/berylhollow/routes/_follower.py
+++ b/berylhollow/routes/_follower.py
@@ -48,6 +48,7 @@
       before the first read.
     - ``record`` is the one of the routes in force.
     - ``whole_read_ms`` is when the last read began that saw the whole log.
+    - ``ticked_ms`` is when the last tick was handled, None before the first.
     - ``complete_ms`` is a time up to which all records are known. It is later
       than ``whole_read_ms`` where other processes read.
     """
@@ -67,6 +68,7 @@
         self.read_begun_ms: int | None = None
         self.next_read_ms = 0
         self.last_read_ms: int | None = None
+        self.ticked_ms: int | None = None
         self.is_unreadable = False
         self.last_malformed: tuple[str, str] | None = None
 
@@ -94,6 +96,7 @@
         self_id: str,
     ) -> Effects:
         """Begin the next read after a pause or when a read was lost."""
+        self.ticked_ms = at_ms
         done = self._begin_check_if_due(at_ms)
         if self.read_begun_ms is not None:
             if at_ms - self.read_begun_ms < READ_TIMEOUT_MS:
@@ -233,7 +236,10 @@
         returns them at once. Any other may find records of any time since the
         log was last known in full.
         """
-        return event.at_ms if self._is_prompt(event) else self.complete_ms
+        if not self._is_prompt(event):
+            return self.complete_ms
+        # The process may have stood still since the last tick.
+        return min(event.at_ms, self.ticked_ms or event.at_ms)
 
     def _is_prompt(self, event: events.LogRead) -> bool:
         """Tell whether a read returned new records when they were written."""
--- a/test/routes/test_view.py
+++ b/test/routes/test_view.py
@@ -294,6 +294,26 @@
                 superseded_ms = self.superseded_ms('1', STARTED_MS + at_ms)
                 self.assertEqual(at_ms + 5, superseded_ms)
 
+    def test_version_named_in_a_pause_counts_from_the_last_tick(self):
+        """Guards against a limit that starts when the process runs again.
+
+        The pause is shorter than the store may hold a read.
+        """
+        self.read(
+            builders.configuration_record(9),
+            at_ms=STARTED_MS,
+            begun_ms=STARTED_MS - 5,
+        )
+        self.follower.tick(STARTED_MS + 100, [], [], 'g1')
+        self.read(
+            builders.version_record(version=2),
+            at_ms=STARTED_MS + 1300,
+            begun_ms=STARTED_MS,
+            from_offset=1,
+            next_offset=2,
+        )
+        self.assertEqual(1200, self.superseded_ms('1', STARTED_MS + 1300))
+
     def test_version_found_by_another_gateway_counts_from_its_last_part(self):
         """Guards against a limit that starts when another gateway takes over.
 
