--- a/test/hosted/test_superseded_versions.py
+++ b/test/hosted/test_superseded_versions.py
@@ -113,6 +113,32 @@
         self.assertEqual([], self.sent(messages.Cancel))
 
 
+class ReturnTest(SupersededTestCase):
+    """The endpoint returns queued requests when it replaces the version."""
+
+    def return_after(self, ms):
+        """Send a request, have it returned; return the demand after that."""
+        self.name_version()
+        self.send(NAMED_MS + 500)
+        peer, offer = self.offered()
+        self.tick_to(NAMED_MS + ms)
+        kind = errors.Kind.OVERLOADED
+        failed = messages.Failed(offer.attempt_id, kind, errors.Ran.NOT_RUN)
+        self.receive(failed, NAMED_MS + ms, peer)
+        self.report(ADDRESS, self.version(2), at_ms=NAMED_MS + ms + TICK_MS)
+        self.tick_to(NAMED_MS + ms + 10 * TICK_MS)
+
+    def test_returned_request_runs_there_with_the_newer_version(self):
+        """Guards against a refusal by the only endpoint that has it."""
+        self.return_after(LIMIT_MS * 3 // 4)
+        peer, offer = self.offered()
+        self.assertEqual(('i-1', '2'), (peer, offer.adapter.version))
+
+    def test_request_refused_before_is_not_sent_there_again(self):
+        self.return_after(LIMIT_MS // 4)
+        self.assertEqual([], self.offers())
+
+
 class DemandTest(SupersededTestCase):
     def last_entry(self):
         (entry,) = self.sent(messages.AdapterDemands)[-1].entries
