--- a/test/hosted/test_composition.py
+++ b/test/hosted/test_composition.py
@@ -49,6 +49,12 @@
 
 
 class SettingsTest(unittest.TestCase):
+    def test_limit_of_superseded_versions_is_the_platforms(self):
+        node = builders.node(version_limit_ms=3000)
+        settings = gateway_process.gateway_settings(node)
+        state = gateway_process.gateway_state(node, settings)
+        self.assertEqual(3000, state.options.version_limit_ms)
+
     def test_reducer_and_shell_read_the_list_at_the_same_interval(self):
         node = builders.node(endpoint_drain_ms=2000)
         settings = gateway_process.gateway_settings(node)
--- a/test/hosted/test_superseded_versions.py
+++ b/test/hosted/test_superseded_versions.py
@@ -2,6 +2,7 @@
 
 from berylhollow import errors
 from berylhollow import events
+from berylhollow.gateway import _backlog
 from berylhollow.gateway import _superseded
 from berylhollow import messages
 from berylhollow.util import addresses
@@ -14,6 +15,7 @@
 RESUMABLE_PATH = '/resumable/x'
 TICK_MS = 50
 ROUND_TRIP_MS = 100
+SHORT_PROMPT_TOKENS = 2000
 LONG_PROMPT_TOKENS = 100_000
 
 
@@ -113,6 +115,25 @@
         self.assertEqual([], self.sent(messages.Cancel))
 
 
+class ShortLimitTest(SupersededTestCase):
+    """The platform may name another limit."""
+
+    def options(self):
+        return {'version_limit_ms': LIMIT_MS // 2}
+
+    def test_request_is_ended_by_the_limit_of_the_platform(self):
+        self.name_version()
+        self.send(NAMED_MS + 500)
+        self.tick_to(NAMED_MS + LIMIT_MS // 2 - ROUND_TRIP_MS)
+        self.assertEqual(1, len(self.sent(messages.Cancel)))
+
+    def test_request_may_begin_for_most_of_the_limit(self):
+        self.name_version()
+        self.send(NAMED_MS + 500)
+        self.tick_to(NAMED_MS + LIMIT_MS * 2 // 5)
+        self.assertEqual([], self.sent(messages.Cancel))
+
+
 class ReturnTest(SupersededTestCase):
     """The endpoint returns queued requests when it replaces the version."""
 
@@ -161,6 +182,23 @@
         self.tick_to(due_ms + 3 * TICK_MS)
         self.assertEqual(1, self.last_entry().overdue)
 
+    def test_sidecar_is_told_of_an_overdue_request_once(self):
+        """Guards against a report with every tick from then on."""
+        self.name_version()
+        self.send(NAMED_MS + 500)
+        due_ms = NAMED_MS + int(LIMIT_MS * _superseded.REPLACE_SHARE)
+        self.tick_to(due_ms + 3 * TICK_MS)
+        self.tick_to(due_ms + 6 * TICK_MS)
+        self.assertEqual([], self.sent(messages.AdapterDemands))
+
+    def test_next_attempt_is_reported_as_overdue_too(self):
+        self.name_version()
+        for number in (2, 3):
+            self.send(NAMED_MS + 500 * number)
+        due_ms = NAMED_MS + int(LIMIT_MS * _superseded.REPLACE_SHARE)
+        self.tick_to(due_ms + 3 * TICK_MS)
+        self.assertEqual(2, self.last_entry().overdue)
+
     def test_request_that_has_begun_is_not_overdue(self):
         self.name_version()
         self.send(NAMED_MS + 500)
@@ -181,6 +219,38 @@
         self.send(NAMED_MS + 100)
         self.assertEqual([], self.offers())
 
+    def test_expected_wait_counts_twice(self):
+        """Guards against a forecast that is taken at its word."""
+        room_ms = LIMIT_MS * _superseded.REPLACE_SHARE - 100
+        for share, expected in ((0.4, 1), (0.6, 0)):
+            with self.subTest(share):
+                self.setUp()
+                tokens = int(share * room_ms / _backlog.INITIAL_TOKEN_MS)
+                self.send_request(
+                    direct.MODEL_PATH, NAMED_MS, prompt_tokens=tokens
+                )
+                self.name_version()
+                self.send(NAMED_MS + 100)
+                self.assertEqual(expected, len(self.offers()))
+
+    def test_request_waits_elsewhere_if_the_holder_has_an_old_version(self):
+        """Guards against a wait for runs of the version before."""
+        self.list_instances(
+            direct.direct_instance('i-1', ADDRESS),
+            direct.direct_instance('i-2', '10.0.0.2:80'),
+        )
+        self.report('10.0.0.2:80')
+        self.send_request(
+            direct.MODEL_PATH,
+            NAMED_MS,
+            adapter='a3',
+            prompt_tokens=SHORT_PROMPT_TOKENS,
+        )
+        self.name_version()
+        self.send(NAMED_MS + LIMIT_MS * 3 // 4)
+        (line,) = self.logged('request waits for its adapter')
+        self.assertEqual('i-2', line['endpoint'])
+
     def test_superseded_version_is_offered_for_a_share_of_the_limit(self):
         share_ms = int(LIMIT_MS * _superseded.REPLACE_SHARE)
         self.name_version()
--- a/test/loader/test_demand.py
+++ b/test/loader/test_demand.py
@@ -19,6 +19,8 @@
             rng.randrange(3),
             rng.random(),
             str(rng.randrange(1, 4)),
+            queued=rng.randrange(3),
+            overdue=rng.randrange(3),
         )
         for name in ADAPTERS
         if rng.random() < 0.5
@@ -40,11 +42,15 @@
     for one in by_gateway.values():
         for entry in one.demands.entries:
             name = entry.adapter.adapter
-            waiting, in_flight, rate = sums.get(name, (0, 0, 0.0))
+            waiting, in_flight, rate, queued, overdue = sums.get(
+                name, (0, 0, 0.0, 0, 0)
+            )
             sums[name] = (
                 waiting + entry.waiting,
                 in_flight + entry.in_flight,
                 rate + entry.rate,
+                queued + entry.queued,
+                overdue + entry.overdue,
             )
     return sums
 
@@ -54,10 +60,11 @@
         expected = sum_demands(demand.by_gateway)
         self.assertEqual(set(expected), set(demand.needs))
         for name, need in demand.needs.items():
-            waiting, in_flight, rate = expected[name]
+            waiting, in_flight, rate, queued, overdue = expected[name]
             self.assertEqual(
                 (waiting, in_flight), (need.waiting, need.in_flight)
             )
+            self.assertEqual((queued, overdue), (need.queued, need.overdue))
             self.assertAlmostEqual(rate, need.rate)
         last = [one.demands for one in demand.by_gateway.values()]
         tokens = sum(one.waiting_tokens for one in last)
--- a/test/loader/test_loader.py
+++ b/test/loader/test_loader.py
@@ -176,6 +176,21 @@
         self.send_demands(entry)
         self.assertEqual('m/a1', self.order().name)
 
+    def test_queued_requests_that_may_still_begin_are_not_returned(self):
+        self.report(held=[loader_helper.adapter_version('a1')])
+        entry = loader_helper.demand('a1', 1, 2, version='2', queued=2)
+        self.send_demands(entry)
+        self.assert_no_order()
+
+    def test_overdue_requests_come_before_other_loads(self):
+        """Guards against a replacement that waits for busier adapters."""
+        self.report(held=[loader_helper.adapter_version('a1')])
+        entry = loader_helper.demand(
+            'a1', 0, 1, version='2', queued=1, overdue=1
+        )
+        self.send_demands(loader_helper.demand('a0', 9), entry)
+        self.assertEqual('m/a1', self.order().name)
+
     def test_version_with_runs_is_not_replaced_for_queued_requests(self):
         """Guards against an endpoint that loads nothing for seconds.
 
--- a/test/platform/test_node.py
+++ b/test/platform/test_node.py
@@ -34,6 +34,14 @@
         self.assertEqual(8000, node.stop_grace_ms)
         self.assertEqual('127.0.0.1:8142', str(node.store))
 
+    def test_limit_of_superseded_versions(self):
+        """Guards against a limit that is not the platform's own."""
+        self.assertEqual(5000, self.load(builders.NODE_FILE).version_limit_ms)
+        text = builders.NODE_FILE.replace(
+            '[Bounds]', '[Bounds]\nversion_ms = 3000'
+        )
+        self.assertEqual(3000, self.load(text).version_limit_ms)
+
     def test_sidecar_needs_no_callers(self):
         text = builders.NODE_FILE.replace('Front =', 'Other =')
         node = self.load(text, serves_callers=False)
