Give the stand-in of a direct endpoint slots, a queue and replacements

A version is checked when a request arrives; the request runs with what is held when it begins, which is recorded with the time. - A change of an adapter in use waits for its runs. What has not begun, queued or new, is refused as not run until then. Orders for other adapters work meanwhile. The report has the loads that wait, the queue and the runs. Unloads wait alike. - A request whose connection closes in the queue is dropped. A restart runs nothing that was queued. - `run_time` says how long a run lasts, nothing by default. By default there is no limit of slots, so present users see a difference only in an order for an adapter that is running at that moment, and in the report.

A failed try: the endpoint inherited the model, and the soak's own endpoint has a method `_leave`, as the model had; no run ever left its slot there, and after an order a5 of the soak stayed in replacement to the end.

--- a/berylhollow/standin/direct_endpoint.py
+++ b/berylhollow/standin/direct_endpoint.py
@@ -1,23 +1,33 @@
 """A stand-in for an endpoint that takes requests and orders directly."""
 
 import asyncio
+import collections.abc
 import dataclasses
 
 from aiohttp import web
 import multidict
 
+from berylhollow import clock
+from berylhollow.standin import endpoint_model
+
 NOT_EXECUTED_HEADERS = {'Not-Executed': '1'}
 
 
 @dataclasses.dataclass
 class Ran:
-    """A request that the endpoint began to run."""
+    """A request that the endpoint began to run.
+
+    ``version`` is the version of its adapter that was held at ``begun_ms``,
+    None for a request without an adapter.
+    """
 
     request_id: str
     path: str
     adapter: str
     body: bytes
     headers: multidict.CIMultiDictProxy[str]
+    version: int | None
+    begun_ms: int
 
 
 @dataclasses.dataclass
@@ -43,19 +53,31 @@
     pauses: tuple[str, ...] = ()
 
 
+async def no_time() -> None:
+    """Return at once: the default length of a run."""
+
+
 class DirectEndpoint:
-    """Runs requests for its loaded adapters and executes orders at once.
+    """Serves a model of an endpoint over HTTP.
 
     ``gone`` lists the IDs of requests whose connection broke during the
-    response.
+    response. ``run_time`` is awaited between the events of a response and its
+    end.
     """
 
-    def __init__(self, instance: str, slots: int = 6):
+    def __init__(
+        self,
+        instance: str,
+        slots: int | None = None,
+        places: int = 0,
+        time: clock.Clock | None = None,
+    ):
         self.instance = instance
-        self.slots = slots
-        self.models: dict[str, dict[str, int]] = {}
-        self.newest: dict[str, int] = {}
-        self.orders = 0
+        self.model = endpoint_model.EndpointModel(slots, places)
+        self.time = time or clock.MonotonicClock()
+        self.run_time: collections.abc.Callable[
+            [], collections.abc.Awaitable[object]
+        ] = no_time
         self.ran: list[Ran] = []
         self.gone: list[str] = []
         self.events = (b'id: 1\ndata: a\n\n', b'id: 2\ndata: b\n\n')
@@ -64,8 +86,21 @@
     def restart(self, instance: str) -> None:
         """Restart as a new incarnation with nothing loaded."""
         self.instance = instance
-        self.models = {}
-        self.orders = 0
+        self.model.clear()
+
+    @property
+    def models(self) -> dict[str, dict[str, int]]:
+        """The versions of the adapters that are held, by model."""
+        return self.model.models
+
+    @models.setter
+    def models(self, models: dict[str, dict[str, int]]) -> None:
+        self.model.models = models
+
+    @property
+    def newest(self) -> dict[str, int]:
+        """The versions that a load fetches, 1 for adapters not in it."""
+        return self.model.newest
 
     def add_to(self, application: web.Application) -> None:
         """Add the routes; any other path is treated as a request."""
@@ -101,9 +136,10 @@
                 'Stage': 'both',
                 'Models': self._description(),
                 'Busy': False,
-                'Seq': self.orders,
-                'Queued': 0,
-                'Active': 0,
+                'Seq': self.model.orders,
+                'Queued': len(self.model.waiting),
+                'Active': len(self.model.running),
+                'Pending': self.model.loading,
                 'KvUsed': 0,
                 'KvTotal': 100,
                 'Handles': 0,
@@ -114,19 +150,13 @@
         if request.headers.get('Expect-Instance') != self.instance:
             return web.Response(status=421)
         order = await request.json()
-        if order.get('Precondition', self.orders) != self.orders:
-            return web.Response(status=409)
-        model, adapter = order['Model'], order.get('Adapter')
-        if adapter and model not in self.models:
-            return web.Response(status=409)
-        self.orders += 1
-        if order['Opcode'] == 'unload':
-            self.models[model].pop(adapter, None)
-            return web.Response(status=200)
-        held = self.models.setdefault(model, {})
-        if adapter:
-            held[adapter] = self.newest.get(adapter, 1)
-        return web.Response(status=202)
+        status = self.model.order(
+            order['Opcode'],
+            order['Model'],
+            order.get('Adapter'),
+            order.get('Precondition'),
+        )
+        return web.Response(status=status)
 
     async def _request(self, request: web.Request) -> web.StreamResponse:
         headers = {'Request-Id': request.headers.get('Request-Id', '')}
@@ -138,27 +168,26 @@
                 status=503, headers=headers | NOT_EXECUTED_HEADERS
             )
         model, _, adapter = request.headers.get('Model', '').partition('/')
-        if adapter and not self._has_adapter(request, model, adapter):
+        expected = request.headers.get('Expect-Version')
+        try:
+            async with self.model.slot(model, adapter, expected) as version:
+                begun_ms = self.time.now_ms()
+                self.ran.append(
+                    Ran(
+                        headers['Request-Id'],
+                        request.raw_path,
+                        adapter,
+                        await request.read(),
+                        request.headers,
+                        version,
+                        begun_ms,
+                    )
+                )
+                return await self._answer(request, headers)
+        except endpoint_model.NotRunError as error:
             return web.Response(
-                status=421, headers=headers | NOT_EXECUTED_HEADERS
+                status=error.status, headers=headers | NOT_EXECUTED_HEADERS
             )
-        self.ran.append(
-            Ran(
-                headers['Request-Id'],
-                request.raw_path,
-                adapter,
-                await request.read(),
-                request.headers,
-            )
-        )
-        return await self._answer(request, headers)
-
-    def _has_adapter(
-        self, request: web.Request, model: str, adapter: str
-    ) -> bool:
-        version = self.models.get(model, {}).get(adapter)
-        wanted = request.headers.get('Expect-Version', str(version))
-        return version is not None and wanted == str(version)
 
     async def _answer(
         self, request: web.Request, headers: dict[str, str]
@@ -189,4 +218,5 @@
             if self.faults.cuts:
                 request.transport.abort()
                 raise ConnectionResetError
+        await self.run_time()
         await response.write_eof()
