Read the log in the test of a full queue as a gateway does

The test names a version by a read of the newest records, as after a gap. Such a version counts from the last complete read since the commits before, so nothing was offered on the old one. The read now waits for the record. Assertions unchanged.

--- a/test/hosted/queued_endpoint.py
+++ b/test/hosted/queued_endpoint.py
@@ -251,10 +251,31 @@
             driver.feed(events.Ticked(self.now_ms(), self.chance.random()))
 
     def publish(self, record: bytes) -> None:
-        entry = messages.LogEntry(0, 0, record)
-        stream = platform.CONFIGURATION_STREAM
+        """Let the gateway's read of the log, which waits, return a record."""
+        now_ms = self.now_ms()
+        from_offset = self.gateway.state.follower.next_offset
+        if from_offset is not None:
+            self.read_log(from_offset, now_ms)
+        self.read_log(from_offset, now_ms, record)
+
+    def read_log(
+        self, from_offset: int | None, begun_ms: int, *records: bytes
+    ) -> None:
+        first = from_offset or 0
+        entries = tuple(
+            messages.LogEntry(offset, 0, record)
+            for offset, record in enumerate(records, start=first)
+        )
         self.gateway.feed(
-            events.LogRead(self.now_ms(), stream, (entry,), 0, 1)
+            events.LogRead(
+                self.now_ms(),
+                platform.CONFIGURATION_STREAM,
+                entries,
+                0,
+                first + len(records),
+                begun_ms=begun_ms,
+                from_offset=from_offset,
+            )
         )
 
     def list_endpoints(self, *names: str) -> None:
