--- a/test/hosted/test_gateway_direct.py
+++ b/test/hosted/test_gateway_direct.py
@@ -37,6 +37,8 @@
 class DirectTestCase(helper.ReducerTestCase):
     """A gateway whose configuration has the routes of the builders."""
 
+    instance = 'g1'
+
     def setUp(self):
         follower = routes.RouteFollower(
             platform.CONFIGURATION_STREAM, platform.decode_configuration_record
@@ -50,7 +52,7 @@
             'retry_reserve': 2.0,
         } | self.options()
         state = gateway.State(
-            gateway.Options(instance='g1', **options), follower
+            gateway.Options(instance=self.instance, **options), follower
         )
         self.begin(gateway.reduce, state)
         self.sent_count = 0
