Keep crashes of direct endpoints at sidecars for gateways that start

What callers saw: a request that was refused with quarantined at all gateways got 502 engine_restarted at one that had just started, and one or two more endpoints went down.

Cause: gateways report crashes of direct endpoints over the sidecars, which forwarded the reports to the gateways linked at that moment and kept nothing.

An answer (KeptCrashes) has 32 runs at most; - times go as ages; a crash counts, and its quarantine ends, by the time of the crash, also where that is before the boot of the machine. A crash is known by the endpoint's start that ended, so it counts once whoever tells of it; - an end says whether requests ran there that it does not name, so that one whose company has been cleared is not taken for alone; - a gateway that clears a request tells all its sidecars (ForgetCrashes). Older ones don't: a sidecar keeps nothing while one of them is linked (AdapterDemands.tells_clearings, a trailing field); - log lines: crash taken over (fingerprint, crash, age_ms, crashes, source), crashes handed over (peer, crashes, kept_ms).

Why it holds: whoever starts has what those who were there have, by the same rules, as long as one sidecar of three to sixteen has run since the crash. Left: all sidecars and all gateways started since; services without any sidecar; the milliseconds until the first answer; a clearing that a sidecar missed as its link was broken; rolls from the version before, until its last gateway has gone.

--- a/berylhollow/gateway/_adapters.py
+++ b/berylhollow/gateway/_adapters.py
@@ -280,6 +280,7 @@
         _shared_reads.listens_to(state, peer),
         configuration.revision,
         _predecessor_ms(state.sidecars[peer], at_ms),
+        tells_clearings=True,
     )
 
 
--- a/berylhollow/gateway/_quarantine.py
+++ b/berylhollow/gateway/_quarantine.py
@@ -7,6 +7,8 @@
 runs only in isolation, and one that crashes an endpoint there is refused.
 """
 
+import collections.abc
+
 from berylhollow import effects
 from berylhollow import errors
 from berylhollow import events
@@ -72,11 +74,15 @@
         return []
     state.suspects.clear(fingerprint)
     message = messages.Cleared(fingerprint, ended)
-    # One sidecar forwards it to all gateways that are linked to it.
-    peers = (*state.linked_sidecars[:1], *state.peer_links)
+    # One sidecar forwards it to all gateways that are linked to it; all forget
+    # the crashes that they keep.
+    linked = state.linked_sidecars
+    peers = (*linked[:1], *state.peer_links)
+    forget = messages.ForgetCrashes(fingerprint, ended)
     return [
         _cleared_log(message, active.endpoint),
         *(effects.Send(peer, message) for peer in peers),
+        *(effects.Send(peer, forget) for peer in linked[1:]),
     ]
 
 
@@ -169,6 +175,17 @@
     is_own: bool = False,
 ) -> Effects:
     quarantined = state.suspects.count_crash(crash, at_ms, reported_ms, is_own)
+    withdrawn = state.suspects.withdraw(crash, at_ms)
+    return changes_logged(state, crash, quarantined, withdrawn)
+
+
+def changes_logged(
+    state: _state.State,
+    crash: quarantine.Crash,
+    quarantined: collections.abc.Iterable[str],
+    withdrawn: collections.abc.Iterable[str],
+) -> Effects:
+    """Return log lines about quarantines that a crash begins or disproves."""
     emitted: Effects = [
         effects.Log(
             'request quarantined',
@@ -183,7 +200,7 @@
         )
         for fingerprint in quarantined
     ]
-    for fingerprint in state.suspects.withdraw(crash, at_ms):
+    for fingerprint in withdrawn:
         fields = (
             ('fingerprint', fingerprint),
             ('service', crash.service),
--- a/berylhollow/gateway/_reducer.py
+++ b/berylhollow/gateway/_reducer.py
@@ -9,6 +9,7 @@
 from berylhollow.gateway import _claim_leader
 from berylhollow.gateway import _claims
 from berylhollow.gateway import _counts
+from berylhollow.gateway import _kept_crashes
 from berylhollow.gateway import _kept_records
 from berylhollow.gateway import _load_coordinator
 from berylhollow.gateway import _membership
@@ -56,6 +57,7 @@
     emitted += _requests.tick(state, event.at_ms)
     emitted += _claims.tick(state, event.at_ms)
     emitted += _quarantine.tick(state, event.at_ms)
+    emitted += _kept_crashes.ask(state, event.at_ms)
     emitted += _quotas.tick(state, event.at_ms)
     emitted += _rate_limits.tick(state, event.at_ms)
     emitted += _load_coordinator.tick(state, event.at_ms)
@@ -100,7 +102,8 @@
 
 def _link_opened(state: _state.State, event: events.LinkOpened) -> Effects:
     if event.peer in state.sidecars:
-        return _sidecars.opened(state, event)
+        opened = _sidecars.opened(state, event)
+        return opened + _kept_crashes.ask(state, event.at_ms)
     if event.role is events.Role.GATEWAY:
         return _peers.opened(state, event)
     return _attempt_links.opened(state, event)
@@ -116,6 +119,7 @@
 
 def _link_closed(state: _state.State, event: events.LinkClosed) -> Effects:
     if event.peer in state.sidecars:
+        _kept_crashes.link_closed(state, event.peer)
         return _sidecars.closed(state, event)
     if event.peer in state.endpoints:
         return _attempt_links.closed(state, event)
@@ -190,6 +194,7 @@
     messages.CompressedStreamPart: _shared_reads.apply_stream_part,
     messages.RecordWanted: _kept_records.send,
     messages.KeptRecord: _kept_records.apply,
+    messages.KeptCrashes: _kept_crashes.take_over,
     messages.QuotaSums: _quotas.sums_received,
     messages.RateLent: _rate_lent,
     messages.LoadWanted: _load_coordinator.wanted,
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -154,6 +154,17 @@
     told_tokens: int = 0
 
 
+@dataclasses.dataclass(slots=True)
+class CrashSource:
+    """A sidecar that was asked at ``asked_ms`` for the crashes it keeps.
+
+    It has kept them for ``kept_ms``, None until it answers.
+    """
+
+    asked_ms: int
+    kept_ms: int | None = None
+
+
 @dataclasses.dataclass(slots=True)
 class Caller:
     """A caller's requests in flight and its limits.
@@ -338,6 +349,9 @@
     is when this gateway started. ``records_asked`` counts how often it asked
     for the record of a newer one, next at ``ask_record_ms``.
 
+    ``crash_sources`` are the sidecars that were asked for the crashes before
+    this gateway started, by peer.
+
     ``allowances`` has what this gateway may use of each workspace's quota,
     ``quota_uses_reported`` the usage last reported to the ``quota_books``.
     """
@@ -397,6 +411,9 @@
     recorded_crashes_ms: dict[str, int] = dataclasses.field(
         default_factory=dict
     )
+    crash_sources: dict[str, CrashSource] = dataclasses.field(
+        default_factory=dict
+    )
     quarantine_offset: int = 0
     quarantine_read_at_ms: int = 0
     peer_links: dict[str, str] = dataclasses.field(default_factory=dict)
--- a/berylhollow/loader/_reducer.py
+++ b/berylhollow/loader/_reducer.py
@@ -2,6 +2,7 @@
 
 from berylhollow import effects
 from berylhollow import events
+from berylhollow.loader import _kept_crashes
 from berylhollow.loader import _kept_record
 from berylhollow.loader import _plan
 from berylhollow.loader import _report
@@ -29,6 +30,7 @@
 
 def _started(state: _state.State, event: events.Started) -> Effects:
     state.incarnation = event.incarnation
+    state.kept_since_ms = event.at_ms
     return _begin_read(state, event.at_ms)
 
 
@@ -284,8 +286,17 @@
 
 def _received(state: _state.State, event: events.MessageReceived) -> Effects:
     message = event.message
-    if isinstance(message, messages.Crashed | messages.Cleared):
+    if isinstance(message, messages.Crashed):
+        _kept_crashes.keep(state, event)
         return _forward(state, event.peer, message)
+    if isinstance(message, messages.Cleared):
+        _kept_crashes.forget(state, event)
+        return _forward(state, event.peer, message)
+    if isinstance(message, messages.ForgetCrashes):
+        _kept_crashes.forget(state, event)
+        return []
+    if isinstance(message, messages.CrashesWanted):
+        return _kept_crashes.send(state, event)
     if isinstance(message, messages.AnyStreamPart):
         return _forward_stream_part(state, event.peer, message)
     if isinstance(message, messages.QuotaUses):
@@ -299,6 +310,7 @@
     if not isinstance(message, messages.AdapterDemands):
         return []
     state.demand.update(event.peer, message, event.at_ms)
+    _kept_crashes.drop_uncertain(state, event)
     state.learn_endpoint(message.incarnation)
     done = _reserve_for_predecessor(state, event)
     for entry in message.entries:
--- a/berylhollow/loader/_state.py
+++ b/berylhollow/loader/_state.py
@@ -6,10 +6,14 @@
 from berylhollow import events
 from berylhollow.loader import _demand
 from berylhollow import messages
+from berylhollow import quarantine
 from berylhollow import rate_limits
 from berylhollow import workspaces
 
 
+MAX_KEPT_SUSPECTS = 2000
+"""Requests whose crashes are kept for gateways that start."""
+
 MAX_ENDED_INCARNATIONS = 64
 """Ended incarnations that are remembered. Gateways with an outdated instance
 list may still name the last few of them."""
@@ -118,6 +122,8 @@
       this sidecar.
     - ``kept_record``: the newest configuration record, for gateways that lack
       it; the next one is asked for at ``ask_record_ms``.
+    - ``suspects``: requests that may have crashed endpoints, for gateways
+      that start; kept since ``kept_since_ms``.
     """
 
     options: Options
@@ -142,6 +148,12 @@
         default_factory=rate_limits.Lender
     )
     incarnation: str = ''
+    kept_since_ms: int = 0
+    suspects: quarantine.Suspects = dataclasses.field(
+        default_factory=lambda: quarantine.Suspects(
+            quarantine.Rules(limit=MAX_KEPT_SUSPECTS)
+        )
+    )
     last_used_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     order: Order | None = None
     orders: int = 0
--- a/berylhollow/messages.py
+++ b/berylhollow/messages.py
@@ -292,7 +292,8 @@
     With ``shares_reads`` the gateway wants to receive what others read from
     the platform's log. ``revision`` is that of the gateway's configuration.
     ``predecessor_ms`` is how long ago the gateway last heard from an earlier
-    start of the sidecar, -1 if it was long ago or never.
+    start of the sidecar, -1 if it was long ago or never. A gateway that
+    ``tells_clearings`` tells each of its sidecars which requests it clears.
     """
 
     endpoint: str
@@ -306,6 +307,7 @@
     shares_reads: bool = False
     revision: int = 0
     predecessor_ms: int = -1
+    tells_clearings: bool = False
 
     @property
     def incarnation(self) -> Incarnation:
@@ -471,6 +473,45 @@
     ended: tuple[str, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ForgetCrashes:
+    """Says the same as Cleared to a sidecar that does not forward it."""
+
+    fingerprint: str
+    ended: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashesWanted:
+    """Asks a sidecar for the crashes it keeps, for a gateway that starts."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeptCrash:
+    """The end of an endpoint's epoch, as a sidecar keeps it.
+
+    ``fingerprints`` are requests suspected of it, each with one run in
+    ``runs``; ``had_others`` says whether other requests ran there as well.
+    The first run was lost there ``lost_ms_ago``. Times are before the message
+    was sent.
+    """
+
+    ended: str
+    service: str
+    lost_ms_ago: int
+    fingerprints: tuple[str, ...]
+    runs: tuple[LostRun, ...]
+    had_others: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeptCrashes:
+    """The crashes that a sidecar has kept for ``kept_ms``, oldest first."""
+
+    kept_ms: int
+    crashes: tuple[KeptCrash, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RecordWanted:
     """Asks for a configuration record with a revision above a number."""
@@ -561,6 +602,9 @@
     | RecordWanted
     | KeptRecord
     | Cleared
+    | ForgetCrashes
+    | CrashesWanted
+    | KeptCrashes
 )
 
 # A tag that has been released is never reused for another message.
@@ -595,4 +639,7 @@
     28: RecordWanted,
     29: KeptRecord,
     30: Cleared,
+    31: ForgetCrashes,
+    32: CrashesWanted,
+    33: KeptCrashes,
 }
--- a/berylhollow/quarantine/__init__.py
+++ b/berylhollow/quarantine/__init__.py
@@ -1,5 +1,8 @@
 """Quarantine of requests that crash endpoints: log records and suspects."""
 
+from berylhollow.quarantine._handover import kept_crashes
+from berylhollow.quarantine._handover import take_over
+from berylhollow.quarantine._handover import Taken
 from berylhollow.quarantine._records import Crash
 from berylhollow.quarantine._records import decode
 from berylhollow.quarantine._records import encode
@@ -19,7 +22,10 @@
     'RecordError',
     'Rules',
     'Suspects',
+    'Taken',
     'decode',
     'encode',
+    'kept_crashes',
     'reported_crash_id',
+    'take_over',
 ]
--- a/berylhollow/quarantine/_suspects.py
+++ b/berylhollow/quarantine/_suspects.py
@@ -110,11 +110,13 @@
 
     ``first_lost_ms`` is when the first run was lost there; runs that began
     later did not end it. ``fingerprints`` are the requests that ran there; one
-    gateway knows only its own.
+    gateway knows only its own. ``had_others`` says whether more ran there,
+    whose fingerprints are not known.
     """
 
     first_lost_ms: int
     fingerprints: set[str] = dataclasses.field(default_factory=set)
+    had_others: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -151,7 +153,7 @@
         quarantined = []
         for fingerprint, loss in zip(crash.fingerprints, losses, strict=True):
             suspicion = self.suspicions.get(fingerprint)
-            if suspicion is None:
+            if suspicion is None or at_ms >= suspicion.forget_at_ms:
                 suspicion = Suspicion(crash.service)
                 self.suspicions[fingerprint] = suspicion
             if not suspicion.add_loss(crash.crash_id, loss):
@@ -214,10 +216,15 @@
             return
         first_ms = min(loss.lost_ms for loss in losses)
         ended = _records.ended_epoch(crash.crash_id)
-        end = self.ends.setdefault(ended, End(first_ms))
-        end.first_lost_ms = min(end.first_lost_ms, first_ms)
+        end = self.note_end(ended, first_ms)
         end.fingerprints.update(crash.fingerprints)
+
+    def note_end(self, ended: str, lost_ms: int) -> End:
+        """Note that a run was lost as an epoch ended; return the end."""
+        end = self.ends.setdefault(ended, End(lost_ms))
+        end.first_lost_ms = min(end.first_lost_ms, lost_ms)
         _drop_oldest(self.ends, MAX_ENDS)
+        return end
 
     def _ended_ms(self, crash_id: str, loss: Loss) -> int:
         """Return when the endpoint of a loss ended, as far as is known."""
@@ -264,6 +271,11 @@
         """Drop a suspicion, disproved by a run alone or lifted."""
         self.suspicions.pop(fingerprint, None)
 
+    def clear_all(self) -> None:
+        """Drop all suspicions and what is known of endpoints that ended."""
+        self.suspicions.clear()
+        self.ends.clear()
+
     def forget_expired(self, at_ms: int) -> None:
         """Drop the suspicions that have expired."""
         expired = [
@@ -277,7 +289,11 @@
     def _threshold(self, ended: str) -> int:
         """Return how many crashes quarantine what ran as an epoch ended."""
         end = self.ends.get(ended)
-        ran_alone = end is not None and len(end.fingerprints) == 1
+        ran_alone = (
+            end is not None
+            and len(end.fingerprints) == 1
+            and not end.had_others
+        )
         return self.rules.crashes_alone if ran_alone else self.rules.crashes
 
     def _quarantine(self, fingerprint: str, ended: str, at_ms: int) -> bool:
@@ -287,15 +303,17 @@
             suspicion.forget_at_ms, at_ms + self.rules.suspect_ms
         )
         count = self.crashes(fingerprint)
-        is_counted = at_ms < suspicion.until_ms and count <= suspicion.counted
+        in_force = suspicion.basis != '' and at_ms < suspicion.until_ms
+        is_counted = in_force and count <= suspicion.counted
         if count < self._threshold(ended) or is_counted:
             return False
         suspicion.counted = count
-        if at_ms >= suspicion.until_ms:
+        if not in_force:
             suspicion.basis = ended
         doublings = min(suspicion.quarantines, MAX_DOUBLINGS)
         suspicion.quarantines += 1
-        suspicion.until_ms = at_ms + self.rules.quarantine_ms * 2**doublings
+        until_ms = at_ms + self.rules.quarantine_ms * 2**doublings
+        suspicion.until_ms = max(suspicion.until_ms, until_ms)
         suspicion.forget_at_ms = suspicion.until_ms + self.rules.suspect_ms
         return True
 
--- a/test/loader/test_loader.py
+++ b/test/loader/test_loader.py
@@ -372,3 +372,47 @@
         self.receive(cleared, peer=loader_helper.PEER)
         (sent,) = self.of_type(effects.Send)
         self.assertEqual(('g2', cleared), (sent.peer, sent.message))
+
+
+class KeptCrashesTest(loader_helper.LoaderTestCase):
+    """Crashes that a sidecar keeps for gateways that start."""
+
+    def crash(self, ended, *fingerprints, at_ms=0):
+        run = messages.LostRun(0, 500, 100)
+        runs = (run,) * len(fingerprints)
+        crash = messages.Crashed(f'{ended} at g1', 's', fingerprints, runs)
+        self.receive(crash, at_ms, loader_helper.PEER)
+
+    def ask(self, at_ms=0):
+        self.receive(messages.CrashesWanted(), at_ms, 'g2')
+        (kept,) = self.sent(messages.KeptCrashes)
+        return kept
+
+    def test_ages_are_those_of_the_crash(self):
+        self.crash('i-1', 'a', 'b', at_ms=1000)
+        self.receive(messages.Cleared('a', ('i-1',)), 1100, 'g3')
+        run = messages.LostRun(0, 2900, 2100)
+        crash = messages.KeptCrash('i-1', 's', 2100, ('b',), (run,), True)
+        self.assertEqual(
+            messages.KeptCrashes(3000, (crash,)), self.ask(at_ms=3000)
+        )
+
+    def test_forgotten_crash_is_not_told_and_nothing_is_forwarded(self):
+        self.open_link('g3', events.Role.GATEWAY)
+        self.crash('i-1', 'a')
+        self.receive(messages.ForgetCrashes('a', ('i-1',)), 10, 'g2')
+        self.assertEqual([], self.effects)
+        self.assertEqual((), self.ask(at_ms=20).crashes)
+
+    def test_answer_is_limited_to_those_that_crashed_most(self):
+        """Guards against answers that grow after a failure domain is lost."""
+        for number in range(3):
+            self.crash(f'culprit-{number}', 'bad', at_ms=number * 5000)
+        innocents = [f'good-{number}' for number in range(3000)]
+        self.crash('i-1', *innocents, at_ms=15_000)
+        kept = self.ask(at_ms=20_000)
+        fingerprints = [
+            name for crash in kept.crashes for name in crash.fingerprints
+        ]
+        self.assertEqual(32, len(fingerprints))
+        self.assertEqual(2000, len(self.state.suspects.suspicions))
--- a/test/test_quarantine.py
+++ b/test/test_quarantine.py
@@ -1,5 +1,6 @@
 """Tests of requests that crash endpoints: suspects and quarantine."""
 
+import dataclasses
 import unittest
 
 import cbor2
@@ -346,6 +347,27 @@
         suspects.forget_expired(100)
         self.assertEqual({}, suspects.suspicions)
 
+    def test_crash_before_the_boot_counts_by_its_time(self):
+        """Guards against wrong times where the clock begins at the boot.
+
+        Two crashes, each alone as far as one sidecar says; another sidecar
+        knows that the request had company at the second.
+        """
+        suspects = quarantine.Suspects(quarantine.Rules())
+        for ended, age_ms in (('i-1', 90_000), ('i-2', 60_000)):
+            run = messages.LostRun(0, age_ms + 10, age_ms)
+            kept = messages.KeptCrash(
+                ended, 's', age_ms, ('bad',), (run,), False
+            )
+            taken = quarantine.take_over(suspects, kept, 1000)
+        self.assertEqual(('bad',), taken.quarantined)
+        self.assertEqual(540_000, suspects.quarantined_ms('bad', 1000))
+        kept = dataclasses.replace(kept, had_others=True)
+        taken = quarantine.take_over(suspects, kept, 1010)
+        self.assertEqual(('bad',), taken.withdrawn)
+        self.assertEqual(0, suspects.quarantined_ms('bad', 1010))
+        self.assertTrue(suspects.is_suspect('bad', 1010))
+
     def test_garbage_is_a_typed_error(self):
         for data in (b'', b'\xff', quarantine.encode.__name__.encode()):
             with self.assertRaises(quarantine.RecordError):
