Keep repeated suspects when the limit of suspicions is reached

What callers would see: after many runs are lost at once, as with a failure domain, a request that crashes endpoints is no longer quarantined, at gateways above 10,000 suspicions and at sidecars above 2,000.

Cause: beyond the limit the suspicion that was added first is dropped, however many crashes it has.

Change: of the 64 oldest, the first with a single crash is dropped; only if all have more, the oldest. What is lost with one crash is a suspicion, not a quarantine.

Before: test_many_losses_do_not_drop_a_repeated_suspect failed, and so did the new line of test_answer_is_limited_to_those_that_crashed_most (0 of 3 runs of the culprit in the answer).

Left: more than 64 suspicions with several crashes at the head of the list still go by age.

--- a/berylhollow/quarantine/_suspects.py
+++ b/berylhollow/quarantine/_suspects.py
@@ -9,6 +9,7 @@
 
 import collections.abc
 import dataclasses
+import itertools
 
 from berylhollow import messages
 from berylhollow.quarantine import _records
@@ -17,6 +18,9 @@
 MAX_LOSSES = 32
 """Of one fingerprint; a culprit is quarantined after far fewer."""
 
+MAX_COMPARED = 64
+"""Oldest suspicions of which one is dropped beyond the limit."""
+
 MAX_ENDS = 512
 """Ends of endpoints whose runs are remembered."""
 
@@ -160,9 +164,17 @@
                 continue
             if self._quarantine(fingerprint, ended, at_ms):
                 quarantined.append(fingerprint)
-        _drop_oldest(self.suspicions, self.rules.limit)
+        self._drop_surplus()
         return quarantined
 
+    def _drop_surplus(self) -> None:
+        """Drop old suspicions beyond the limit, those of one crash first."""
+        suspicions = self.suspicions
+        while len(suspicions) > self.rules.limit:
+            oldest = list(itertools.islice(suspicions, MAX_COMPARED))
+            single = (x for x in oldest if len(suspicions[x].losses) < 2)
+            del suspicions[next(single, oldest[0])]
+
     def withdraw(self, crash: _records.Crash, at_ms: int) -> list[str]:
         """Withdraw the quarantines that a further report disproves.
 
--- a/test/loader/test_loader.py
+++ b/test/loader/test_loader.py
@@ -415,4 +415,5 @@
             name for crash in kept.crashes for name in crash.fingerprints
         ]
         self.assertEqual(32, len(fingerprints))
+        self.assertEqual(3, fingerprints.count('bad'))
         self.assertEqual(2000, len(self.state.suspects.suspicions))
--- a/test/test_quarantine.py
+++ b/test/test_quarantine.py
@@ -368,6 +368,18 @@
         self.assertEqual(0, suspects.quarantined_ms('bad', 1010))
         self.assertTrue(suspects.is_suspect('bad', 1010))
 
+    def test_many_losses_do_not_drop_a_repeated_suspect(self):
+        """Guards against a culprit that is forgotten with a failure domain."""
+        suspects = quarantine.Suspects(quarantine.Rules(limit=10))
+        for number in range(2):
+            crash = quarantine.Crash(f'c{number}', 's', ('bad',))
+            suspects.count_crash(crash, number)
+        many = tuple(f'f{number}' for number in range(30))
+        suspects.count_crash(quarantine.Crash('c9', 's', many), 2)
+        self.assertEqual(10, len(suspects.suspicions))
+        self.assertEqual(2, suspects.crashes('bad'))
+        self.assertGreater(suspects.quarantined_ms('bad', 2), 0)
+
     def test_garbage_is_a_typed_error(self):
         for data in (b'', b'\xff', quarantine.encode.__name__.encode()):
             with self.assertRaises(quarantine.RecordError):
