--- a/berylhollow/gateway/_attempts.py
+++ b/berylhollow/gateway/_attempts.py
@@ -24,7 +24,6 @@
 from berylhollow.gateway import _routing
 from berylhollow.gateway import _settlement
 from berylhollow.gateway import _state
-from berylhollow.gateway import _superseded
 from berylhollow.gateway import _workspaces
 from berylhollow import messages
 
@@ -433,10 +432,6 @@
     endpoint = state.endpoints.get(active.endpoint)
     if endpoint is not None:
         _ejection.record_failure(state, endpoint, failure.kind, at_ms)
-    # An endpoint that returns it for a replacement soon has the newer version.
-    may_return = failure.ran is errors.Ran.NOT_RUN and (
-        _superseded.is_overdue(state, active, at_ms)
-    )
     if not _may_retry(state, active, failure):
         return give_up(
             state, active, failure.kind, failure.ran, failure.retry_after_ms
@@ -447,8 +442,6 @@
     factor = _backoff_factor(failure)
     if failure.kind is errors.Kind.ENGINE_RESTARTED and factor:
         # Allow the same endpoint again, since it may be the only one left.
-        may_return = True
-    if may_return:
         active.tried_endpoints.discard(active.endpoint)
     if not factor:
         return place(state, active, at_ms)
