--- a/test/hosted/test_superseded_versions.py
+++ b/test/hosted/test_superseded_versions.py
@@ -13,6 +13,7 @@
 NAMED_MS = 1000
 LIMIT_MS = 5000
 RESUMABLE_PATH = '/resumable/x'
+OVERDUE_MS = NAMED_MS + int(LIMIT_MS * _superseded.REPLACE_SHARE)
 TICK_MS = 50
 ROUND_TRIP_MS = 100
 SHORT_PROMPT_TOKENS = 2000
@@ -177,25 +178,22 @@
         """Guards against an order that waits for the next regular report."""
         self.name_version()
         self.send(NAMED_MS + 500)
-        due_ms = NAMED_MS + int(LIMIT_MS * _superseded.REPLACE_SHARE)
-        self.tick_to(due_ms + 3 * TICK_MS)
+        self.tick_to(OVERDUE_MS + 3 * TICK_MS)
         self.assertEqual(1, self.last_entry().overdue)
 
     def test_sidecar_is_told_of_an_overdue_request_once(self):
         """Guards against a report with every tick from then on."""
         self.name_version()
         self.send(NAMED_MS + 500)
-        due_ms = NAMED_MS + int(LIMIT_MS * _superseded.REPLACE_SHARE)
-        self.tick_to(due_ms + 3 * TICK_MS)
-        self.tick_to(due_ms + 6 * TICK_MS)
+        self.tick_to(OVERDUE_MS + 3 * TICK_MS)
+        self.tick_to(OVERDUE_MS + 6 * TICK_MS)
         self.assertEqual([], self.sent(messages.AdapterDemands))
 
     def test_next_attempt_is_reported_as_overdue_too(self):
         self.name_version()
         for number in (2, 3):
             self.send(NAMED_MS + 500 * number)
-        due_ms = NAMED_MS + int(LIMIT_MS * _superseded.REPLACE_SHARE)
-        self.tick_to(due_ms + 3 * TICK_MS)
+        self.tick_to(OVERDUE_MS + 3 * TICK_MS)
         self.assertEqual(2, self.last_entry().overdue)
 
     def test_request_that_has_begun_is_not_overdue(self):
@@ -251,11 +249,10 @@
         self.assertEqual('i-2', line['endpoint'])
 
     def test_superseded_version_is_offered_for_a_share_of_the_limit(self):
-        share_ms = int(LIMIT_MS * _superseded.REPLACE_SHARE)
         self.name_version()
-        self.send(NAMED_MS + share_ms - 1)
+        self.send(OVERDUE_MS - 1)
         self.assertEqual('1', self.offered()[1].adapter.version)
-        self.send(NAMED_MS + share_ms)
+        self.send(OVERDUE_MS)
         self.assertEqual([], self.offers())
 
     def test_superseded_version_is_offered_at_first(self):
--- a/test/routes/test_view.py
+++ b/test/routes/test_view.py
@@ -131,6 +131,14 @@
         )
         self.follower.start(0)
 
+    def read_all(self):
+        """Read the whole log; the read began 5 ms before ``STARTED_MS``."""
+        self.read(
+            builders.configuration_record(9),
+            at_ms=STARTED_MS,
+            begun_ms=STARTED_MS - 5,
+        )
+
     def drop_history(self, at_ms):
         stream = platform.CONFIGURATION_STREAM
         failed = events.LogReadFailed(at_ms, stream, first_offset=50)
@@ -210,11 +218,7 @@
         self.assertLess(LONG_MS, self.superseded_ms('1', STARTED_MS))
 
     def test_version_named_after_the_start_counts_from_its_read(self):
-        self.read(
-            builders.configuration_record(9),
-            at_ms=STARTED_MS,
-            begun_ms=STARTED_MS - 5,
-        )
+        self.read_all()
         self.read(
             builders.version_record(version=2),
             at_ms=STARTED_MS + 700,
@@ -230,22 +234,14 @@
         The store drops records that were not read yet. The versions among
         them may be as old as the last read that saw the whole log.
         """
-        self.read(
-            builders.configuration_record(9),
-            at_ms=STARTED_MS,
-            begun_ms=STARTED_MS - 5,
-        )
+        self.read_all()
         self.drop_history(STARTED_MS + 4000)
         self.read(builders.version_record(version=2), at_ms=STARTED_MS + 4300)
         self.assertEqual(4305, self.superseded_ms('1', STARTED_MS + 4300))
 
     def test_records_of_another_process_close_a_gap_too(self):
         """Guards against attempts that are ended for a version named now."""
-        self.read(
-            builders.configuration_record(9),
-            at_ms=STARTED_MS,
-            begun_ms=STARTED_MS - 5,
-        )
+        self.read_all()
         self.read(at_ms=STARTED_MS + 3900, from_offset=1)
         self.drop_history(STARTED_MS + 4000)
         self.read(builders.version_record(version=2), at_ms=STARTED_MS + 4300)
@@ -253,11 +249,7 @@
 
     def test_version_found_after_a_restore_counts_from_before(self):
         """Guards against the same after the log came from an older copy."""
-        self.read(
-            builders.configuration_record(9),
-            at_ms=STARTED_MS,
-            begun_ms=STARTED_MS - 5,
-        )
+        self.read_all()
         for at_ms in (STARTED_MS + 4000, STARTED_MS + 4010):
             self.read(
                 builders.version_record(version=2),
@@ -279,11 +271,7 @@
         ):
             with self.subTest(case):
                 self.setUp()
-                self.read(
-                    builders.configuration_record(9),
-                    at_ms=STARTED_MS,
-                    begun_ms=STARTED_MS - 5,
-                )
+                self.read_all()
                 self.read(
                     builders.version_record(version=2),
                     at_ms=STARTED_MS + at_ms,
@@ -299,11 +287,7 @@
 
         The pause is shorter than the store may hold a read.
         """
-        self.read(
-            builders.configuration_record(9),
-            at_ms=STARTED_MS,
-            begun_ms=STARTED_MS - 5,
-        )
+        self.read_all()
         self.follower.tick(STARTED_MS + 100, [], [], 'g1')
         self.read(
             builders.version_record(version=2),
@@ -320,11 +304,7 @@
         The gateway that reads for others ends. The next one reads a second
         later what was named meanwhile.
         """
-        self.read(
-            builders.configuration_record(9),
-            at_ms=STARTED_MS,
-            begun_ms=STARTED_MS - 5,
-        )
+        self.read_all()
         self.read(at_ms=STARTED_MS + 800, from_offset=1)
         self.read(
             builders.version_record(version=2),
@@ -336,11 +316,7 @@
 
     def test_version_is_not_older_than_the_one_before(self):
         """Guards against an age that is counted from before the naming."""
-        self.read(
-            builders.configuration_record(9),
-            at_ms=STARTED_MS,
-            begun_ms=STARTED_MS - 5,
-        )
+        self.read_all()
         self.read(
             builders.version_record(version=2),
             at_ms=STARTED_MS + 1000,
