Give each soak a loopback network of its own

Now the second number of the addresses is that of the soak's process, and a program that ends at its start ends the run with an error. More than 250 addresses are given too, so that a few hundred processes have room.

--- a/tools/soak/_world.py
+++ b/tools/soak/_world.py
@@ -29,6 +29,8 @@
 QUOTA_OVERRUN = 0.1
 QUOTA_SLACK = 5000
 GRACE_S = 8
+HOSTS = 250
+"""In a subnet of the loopback network."""
 
 NODE_FILE = """
 Node = "{name}"
@@ -108,6 +110,14 @@
         )
         self.reader = asyncio.create_task(self._read(self.process.stdout))
 
+    async def listens(self) -> None:
+        """Return when it listens; it must not end instead."""
+        async with asyncio.timeout(START_S):
+            while not any('listening' in str(line) for line in self.lines):
+                if self.process.returncode is not None:
+                    raise RuntimeError(f'{self.name} ended at its start')
+                await asyncio.sleep(0.02)
+
     async def _read(self, stream: asyncio.StreamReader) -> None:
         async for line in stream:
             self.lines.append(json.loads(line))
@@ -134,7 +144,8 @@
 
     Each instance has a loopback address of its own. Gateways reach the store
     each through a proxy, and endpoints and sidecars through the address that
-    the endpoint lists, which is a proxy's.
+    the endpoint lists, which is a proxy's. The addresses are in a network of
+    this soak's own: soaks that are played at once may draw the same ports.
     """
 
     def __init__(
@@ -147,6 +158,7 @@
     ):
         self.folder = pathlib.Path(folder)
         self.builds = builds
+        self.network = 1 + os.getpid() % 250
         self.link_port, self.metrics_port, *rest = sorted(
             processes.free_ports(7)
         )
@@ -163,7 +175,7 @@
 
     @property
     def store(self) -> str:
-        return f'127.0.1.1:{self.store_port}'
+        return f'{self.host("store")}:{self.store_port}'
 
     async def start(self) -> None:
         self.session = aiohttp.ClientSession()
@@ -178,8 +190,8 @@
     def host(self, name: str) -> str:
         """Return the address of an instance, given on first use."""
         if name not in self.hosts:
-            number = len(self.hosts) + 2
-            self.hosts[name] = f'127.0.1.{number}'
+            subnet, number = divmod(len(self.hosts), HOSTS)
+            self.hosts[name] = f'127.{self.network}.{subnet}.{number + 1}'
         return self.hosts[name]
 
     async def start_endpoint(self, name: str) -> None:
@@ -209,7 +221,8 @@
 
     async def start_gateway(self, name: str) -> None:
         shown = self.host(f'{name} store')
-        await self._proxy(f'{name} store', shown, self.store_port, '127.0.1.1')
+        store = self.host('store')
+        await self._proxy(f'{name} store', shown, self.store_port, store)
         await self._begin_program(
             'gateway',
             name,
@@ -275,13 +288,7 @@
         )
         await process.start()
         self.processes[name] = process
-
-        def listening() -> bool:
-            return any('listening' in str(line) for line in process.lines)
-
-        async with asyncio.timeout(START_S):
-            while not listening() and process.process.returncode is None:
-                await asyncio.sleep(0.02)
+        await process.listens()
 
     async def control(self, what: str, **given) -> float | None:
         """Switch the store; return when it had, None if it refused."""
