Judge what an endpoint said of its leaving by its start

Is a new start bound by its predecessor's word? A start that is listed as ready and has said nothing is to be used. So the product was right, and the check judged by the name.

Endpoints say now which start got a request, and a gateway is told by the start whose answer it passed on. As strict: every start that was used is asked about by itself. The promise about rates still counts by the name: no trace shows that it must not.

--- a/tools/soak/_promises.py
+++ b/tools/soak/_promises.py
@@ -36,6 +36,16 @@
             self.broken.append(told)
 
 
+def _ends(
+    arrived: list[tuple[dict, _callers.Exchange]], until: float
+) -> dict[int, float]:
+    """Return when each start of an endpoint was followed by the next."""
+    begun: dict[int, float] = {}
+    for line, _ in arrived:
+        begun.setdefault(line['started'], line['at'])
+    return dict(zip(begun, [*begun.values(), until][1:], strict=True))
+
+
 class Account:
     """Everything that was seen in a run."""
 
@@ -304,20 +314,26 @@
         return most * (1 + _world.QUOTA_OVERRUN) + _world.QUOTA_SLACK
 
     def _arrived(self, word: _schedule.Word):
-        """Yield what an endpoint got while it said something."""
+        """Yield what an endpoint got, and when, while it said something."""
         for line in self.arrivals:
             exchange = self.by_id.get(line['got'])
             if exchange is None or line['instance'] != word.instance:
                 continue
             if word.since <= line['at'] < (word.until or line['at'] + 1):
-                yield line['at'], exchange
-
-    def _told(self, word: _schedule.Word) -> dict[str, float]:
-        """Return when each gateway had first passed on an answer with it."""
-        told: dict[str, float] = {}
-        for _, exchange in self._arrived(word):
-            earliest = told.get(exchange.gateway, exchange.ended)
-            told[exchange.gateway] = min(earliest, exchange.ended)
+                yield line, exchange
+
+    def _told(
+        self, arrived: list[tuple[dict, _callers.Exchange]]
+    ) -> dict[tuple[str, int], float]:
+        """Return when each gateway had first passed on an answer.
+
+        Apart for each start of the endpoint: it is bound by its own word.
+        """
+        told: dict[tuple[str, int], float] = {}
+        for line, exchange in arrived:
+            start = exchange.gateway, line['started']
+            earliest = told.get(start, exchange.ended)
+            told[start] = min(earliest, exchange.ended)
         return told
 
     def _words(self, kind: str) -> list[_schedule.Word]:
@@ -327,10 +343,13 @@
         """Summed over gateways that knew and were not replaced since."""
         verdict = Verdict()
         for word in self._words('rate'):
-            told_at = self._told(word)
+            arrived = [*self._arrived(word)]
+            told_at: dict[str, float] = {}
+            for (gateway, _), at in self._told(arrived).items():
+                told_at[gateway] = min(at, told_at.get(gateway, at))
             counted: collections.deque = collections.deque()
-            for at, exchange in self._arrived(word):
-                told = told_at[exchange.gateway]
+            for line, exchange in arrived:
+                at, told = line['at'], told_at[exchange.gateway]
                 late = at >= word.since + _world.CONTACT_MS / 1000
                 if not late or at < told + TOLD_S:
                     continue
@@ -344,15 +363,21 @@
         return verdict
 
     def leaving_by_answers(self) -> Verdict:
-        """Asked of each gateway that was told and could have sent more."""
+        """Asked of each gateway that a start told and could have sent more."""
         verdict = Verdict()
         drain_s = _world.DRAIN_MS / 1000
         for word in self._words('leaving'):
-            told = self._told(word)
+            arrived = [*self._arrived(word)]
+            told = self._told(arrived)
             until = word.until or max(told.values(), default=0.0)
-            verdict.asked += sum(at + drain_s < until for at in told.values())
-            for at, exchange in self._arrived(word):
-                since = told[exchange.gateway]
+            ends = _ends(arrived, until)
+            verdict.asked += sum(
+                at + drain_s < ends[started]
+                for (_, started), at in told.items()
+            )
+            for line, exchange in arrived:
+                at = line['at']
+                since = told[exchange.gateway, line['started']]
                 if exchange.sent <= since + drain_s:
                     continue
                 if self._undisturbed(exchange.gateway, since, at):
--- a/tools/soak/_standins.py
+++ b/tools/soak/_standins.py
@@ -119,6 +119,7 @@
         say(
             got=request.headers.get('Request-Id', ''),
             instance=self.instance,
+            started=self.started_ms,
             paused=bool(self.faults.full and self.faults.pauses),
         )
         return await super()._request(request)
