Show that a new start's word is kept for the start before: a failing test

Trace: i-p0 says that it leaves, crashes at 1628.521 and starts again under its name at 1629.52 (...276501). The gateways hear of that start at 1631.72 (the store is away, their list is up to 5.3 s old). Until then they send to "i-p0", which the new start accepts: g1, which has lost four runs there, gets its answer with the word at 1630.00 and logs it for ...247346, the start before.

In the test a run of the start before is lost first, as in the trace: what is said after that may be said by the next start.

Not repaired here.

--- a/test/hosted/test_leaving.py
+++ b/test/hosted/test_leaving.py
@@ -65,6 +65,22 @@
         self.leave('i-2', sent_ms=160)
         self.assertEqual({'i-1@9'}, self.chosen_endpoints())
 
+    def test_notice_of_a_new_start_that_is_not_listed_yet(self):
+        """An answer may be that of a start which has begun since.
+
+        Guards against requests to a start whose own answer has reported that
+        it leaves, but was taken for an answer of the start before.
+        """
+        self.list_instances(LEAVES)
+        self.send_request(at_ms=100)
+        self.fail_attempt(
+            errors.Kind.ENGINE_RESTARTED, errors.Ran.UNKNOWN, at_ms=110
+        )
+        self.leave(sent_ms=1200)
+        again = test_gateway_direct.plain('i-1@9', FIRST)
+        self.list_instances(again, STAYS, at_ms=1300)
+        self.assertEqual({'i-2'}, self.chosen_endpoints(4000))
+
     def test_retry_is_not_sent_to_it(self):
         self.send_request(at_ms=200)
         refusing_endpoint, offer = self.offered()
