--- a/tools/soak/_schedule.py
+++ b/tools/soak/_schedule.py
@@ -249,6 +249,8 @@
         if len(names) < 2 or not self._free(names[0]):
             return
         name = names[0]
+        # Nothing else may restart it while the store takes its time.
+        self.left[name] = float('inf')
         self.left[name] = await self.world.leave(name)
 
     def _speaker(self, names: list[str]) -> str | None:
