Judge a version in the soak by when a request begins

Endpoints with models have four slots, runs of 0.12 s and a queue of 4.5 s, and drop what waits when its connection closes. Crowds of 320 callers fill the queues for two adapters, beside the faults and in the calm, while the operator names three versions of each within the limit of 5 s. Faults of others are no excuse any more, and what was sent before the naming counts. Routes take 6 s, the calm is 18 s long.

The crash of an endpoint is carried out apart from the request that causes it, which is cancelled with its connection: in a first form the endpoint stayed down.

--- a/test/soak/test_promises.py
+++ b/test/soak/test_promises.py
@@ -46,6 +46,8 @@
         ran=1,
         paused=False,
         started=1,
+        waited=0.01,
+        version=None,
         **changes,
     ):
         """Add a request that ran so often; return its id."""
@@ -72,8 +74,9 @@
         self.runs += [
             {
                 'ran': request_id,
-                'at': sent + 0.01,
+                'at': sent + waited,
                 'instance': 'i-p0',
+                'version': version,
                 'headers': headers,
             }
         ] * ran
@@ -145,15 +148,48 @@
         self.request(adapter='a1', headers={'Model': 'base/a2'})
         self.check('adapter as asked', 1, 1)
 
-    def test_old_version_where_nothing_was_disturbed(self):
+    def name_version(self):
+        """Name version 3 of an adapter at 100 s."""
         self.operator.named = [_operator.Confirmed('a1', 3, 100.0)]
-        for version in ('2', '3'):
-            self.request(
-                106.0, adapter='a1', headers={'Expect-Version': version}
-            )
+
+    def test_version_that_begins_after_its_time(self):
+        self.name_version()
+        for version in (2, 3):
+            self.request(106.0, adapter='a1', version=version)
         self.check('newest version', 2, 1)
-        self.fault('down', 'store', 101.0, 102.0)
+
+    def test_version_that_waits_until_its_time_is_over(self):
+        self.name_version()
+        for sent, waited in ((99.0, 5.9), (102.0, 2.9), (104.0, 0.9)):
+            self.request(sent, waited=waited, adapter='a1', version=2)
         self.check('newest version', 0, 0)
+        for sent, waited in ((99.0, 6.1), (102.0, 3.1), (104.0, 1.1)):
+            self.request(sent, waited=waited, adapter='a1', version=2)
+        self.check('newest version', 3, 3)
+
+    def test_version_where_nothing_kept_a_gateway_from_it(self):
+        self.name_version()
+        self.request(104.0, waited=1.1, adapter='a1', version=2)
+        for kind, target in (
+            ('down', 'store'),
+            ('deaf', f'{GATEWAY} store'),
+            ('narrow', f'{GATEWAY} rate'),
+            ('kill', GATEWAY),
+            ('silent', 'm0'),
+            ('reset', 'm0 link'),
+        ):
+            with self.subTest(target=target):
+                self.fault(kind, target, 97.5, 98.0)
+                self.check('newest version', 0, 0)
+                self.schedule.faults.clear()
+        for kind, target in (
+            ('kill', 'g2'),
+            ('freeze', 'sm0'),
+            ('restart', 'm0'),
+        ):
+            self.fault(kind, target, 97.5, 105.0)
+        self.fault('down', 'store', 105.2, 106.0)
+        self.check('newest version', 1, 1)
 
     def declare_large(self):
         """Declare a route at 100 s that another replaces at 110 s."""
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -20,7 +20,7 @@
 from tools.soak import _series
 from tools.soak import _world
 
-CALM_S = 12
+CALM_S = 18
 """Without faults at the end; the last third of it shows the recovery."""
 
 SHOWN = 3
@@ -51,6 +51,9 @@
             limited = number % 3 == 0
             tasks.append(asyncio.create_task(callers.call(limited)))
         tasks.append(asyncio.create_task(callers.call_large()))
+        for number in range(arguments.crowd):
+            in_crowd = callers.call_in_crowd(schedule.crowd, number)
+            tasks.append(asyncio.create_task(in_crowd))
         await asyncio.sleep(_world.CONTACT_MS / 1000)
         await callers.crash_endpoints()
         culprit = asyncio.create_task(callers.go_on_crashing())
@@ -109,6 +112,7 @@
     parser.add_argument('--models', type=int, default=2)
     parser.add_argument('--plain', type=int, default=3)
     parser.add_argument('--callers', type=int, default=12)
+    parser.add_argument('--crowd', type=int, default=320)
     parser.add_argument(
         '--series',
         default='rounds',
--- a/tools/soak/_callers.py
+++ b/tools/soak/_callers.py
@@ -13,6 +13,7 @@
 from tools.soak import _world
 
 DEADLINE_MS = 4000
+CROWD_DEADLINE_MS = 6000
 PATIENCE_S = 8
 PAUSE_S = 0.05
 READY_PAUSE_S = 0.3
@@ -20,6 +21,9 @@
 KNOWN_S = _world.CONTACT_MS / 1000 + 1
 """By then every gateway in touch knows of a crash."""
 
+CROWD_PAUSE_S = 1.0
+"""Before a caller of a crowd comes back that was not served."""
+
 MOST_CRASHES = 3
 """After these a request that crashes endpoints is refused."""
 
@@ -38,6 +42,7 @@
     adapter: str
     gateway: str
     sent: float
+    deadline_ms: int = DEADLINE_MS
     ended: float = 0.0
     status: int | None = None
     body: bytes = b''
@@ -97,6 +102,29 @@
                     await asyncio.sleep(PAUSE_S * self.chance.random() * 2)
             await asyncio.sleep(PAUSE_S)
 
+    async def call_in_crowd(self, crowd: asyncio.Event, number: int) -> None:
+        """Ask for one of the busiest adapters while there is a crowd."""
+        chance = random.Random(number)
+        adapter = _operator.BUSIEST[number % len(_operator.BUSIEST)]
+        async with aiohttp.ClientSession() as session:
+            while True:
+                await crowd.wait()
+                gateway = chance.choice(self.ready or self.world.gateways)
+                exchange = Exchange(
+                    f'id-{next(self.numbers)}',
+                    '/m/x',
+                    self.operator.key,
+                    _operator.MODEL_TOKENS,
+                    adapter,
+                    gateway,
+                    time.monotonic(),
+                    CROWD_DEADLINE_MS,
+                )
+                await self._send(session, exchange)
+                served = exchange.status == 200
+                pause_s = PAUSE_S if served else CROWD_PAUSE_S
+                await asyncio.sleep(pause_s * chance.random() * 2)
+
     async def call_large(self) -> None:
         """Request the newest and the last route of large configurations.
 
@@ -157,7 +185,7 @@
         elif self.chance.random() < 0.15:
             path, key = '/o/x', None
         elif self.chance.random() < 0.6:
-            path, tokens = '/m/x', 400
+            path, tokens = '/m/x', _operator.MODEL_TOKENS
             adapter = f'a{self.chance.randrange(_operator.ADAPTERS)}'
         return Exchange(
             f'id-{next(self.numbers)}',
@@ -186,7 +214,7 @@
         headers = {
             'Host': 'soak.example',
             'Request-Id': exchange.request_id,
-            'Deadline-Ms': str(DEADLINE_MS),
+            'Deadline-Ms': str(exchange.deadline_ms),
             'Tenant': 'made-up',
         }
         if exchange.key is not None:
--- a/tools/soak/_operator.py
+++ b/tools/soak/_operator.py
@@ -6,16 +6,21 @@
 import random
 import time
 
+from tools.soak import _standins
 from tools.soak import _world
 
 MODEL = 'base'
 ADAPTERS = 6
+BUSIEST = ('a0', 'a1')
+"""Adapters that a crowd asks for."""
+
 RETRY_S = 0.2
 WORKSPACE = 'w1'
 LIMITED = 'w2'
 LIMITED_KEY = 'key-of-w2'
 UNKNOWN_KEY = 'key-of-nobody'
 PLAIN_TOKENS = 200
+MODEL_TOKENS = 400
 LARGE_ROUTES = 2000
 
 
@@ -93,10 +98,14 @@
                 at = await self._publish()
                 self.large[-1] = Confirmed('route', path, at, begun)
 
-    async def name_version(self) -> None:
-        """Name a new version of an adapter, which endpoints can load."""
+    async def name_version(self, adapter: str | None = None) -> None:
+        """Name a new version of an adapter, which endpoints can load.
+
+        It is drawn if none is given.
+        """
         async with self.lock:
-            adapter = f'a{self.chance.randrange(ADAPTERS)}'
+            if adapter is None:
+                adapter = f'a{self.chance.randrange(ADAPTERS)}'
             version = self.adapter_versions.get(adapter, 1) + 1
             self.adapter_versions[adapter] = version
             await self.tell_endpoints()
@@ -157,7 +166,7 @@
                     'Name': _world.MODEL_SERVICE,
                     'MaxConns': 400,
                     'Engine': {
-                        'Slots': 64,
+                        'Slots': _standins.MODEL_SLOTS,
                         'AdapterSlots': ADAPTERS,
                         'Models': [{'Name': MODEL, 'Adapters': ADAPTERS}],
                     },
@@ -212,7 +221,7 @@
         'Host': 'soak.example',
         'PathPrefix': prefix,
         'Kind': kind,
-        'TimeoutMs': 4000,
+        'TimeoutMs': 6000,
         'TargetLatencyMs': 1000,
         'Priority': 1,
         'Service': service,
--- a/tools/soak/_promises.py
+++ b/tools/soak/_promises.py
@@ -12,6 +12,9 @@
 SUPERSEDED_S = 5.0
 """Within which a new version of an adapter is in use everywhere."""
 
+LINK_FAULTS = frozenset({'narrow', 'slow', 'silent', 'deaf', 'reset'})
+"""The kinds of faults that are done to connections."""
+
 RATE_WINDOW_S = 4
 RATE_SHARE = 1.5
 RATE_SLACK = 5
@@ -105,7 +108,8 @@
                 f'{exchange.ended:.3f} answered {exchange.status}',
             ]
         for run in self.runs[request_id]:
-            lines.append(f'{run["at"]:.3f} runs at {run["instance"]}')
+            where = f'{run["instance"]} with version {run["version"]}'
+            lines.append(f'{run["at"]:.3f} runs at {where}')
         return sorted(lines)
 
     def _pairs(self):
@@ -151,24 +155,24 @@
         return verdict
 
     def newest_version(self) -> Verdict:
-        """Of versions that nothing disturbed for a while after their naming.
+        """With which a request begins, however long ago it was sent.
 
-        While the store or its channels are away a version can't be known.
+        Of gateways that were in touch, from before the naming until then, and
+        while no link was disturbed.
         """
         verdict = Verdict()
         for named in self.operator.named:
             due = named.at + SUPERSEDED_S
-            if self._disturbed(named.at, due + SUPERSEDED_S):
-                continue
             for exchange, runs in self._pairs():
                 if exchange.adapter != named.what:
                     continue
                 for run in runs:
                     if not due < run['at'] < due + SUPERSEDED_S:
                         continue
-                    version = int(run['headers'].get('Expect-Version', 0))
-                    held = version >= named.value
-                    verdict.check(held, exchange.request_id)
+                    gateway = exchange.gateway
+                    if self._may_know(gateway, named.at, run['at']):
+                        held = run['version'] >= named.value
+                        verdict.check(held, exchange.request_id)
         return verdict
 
     def nothing_after_leaving(self) -> Verdict:
@@ -482,6 +486,13 @@
             fault.target in targets for fault in self._faults(since, until)
         )
 
+    def _may_know(self, gateway: str, since: float, until: float) -> bool:
+        """Tell whether a gateway was in touch and no link was disturbed."""
+        return self._in_touch(gateway, since, until) and not any(
+            fault.kind in LINK_FAULTS
+            for fault in self._faults(since - _world.CONTACT_MS / 1000, until)
+        )
+
     def _faults(self, since: float, until: float):
         """Yield the faults that lasted at some time between two times."""
         for fault in self.schedule.faults:
--- a/tools/soak/_schedule.py
+++ b/tools/soak/_schedule.py
@@ -15,6 +15,12 @@
 PAUSE_S = 1.5
 NARROW_S = 9.0
 GROW_PAUSE_S = 12.0
+CROWD_PAUSE_S = 20.0
+FULL_S = 3.1
+"""After a crowd has come, queues are full, and a calm lasts long enough."""
+
+SERIES_PAUSE_S = 0.7
+SERIES = 3
 CHANNEL_MODES = (
     _proxy.Mode.OPEN,
     _proxy.Mode.SLOW,
@@ -70,6 +76,7 @@
         self.left: dict[str, float] = {}
         self.words: list[Word] = []
         self.changing: asyncio.Task | None = None
+        self.crowd = asyncio.Event()
         self.kinds: list[collections.abc.Callable] = [
             self.kill,
             self.freeze,
@@ -93,7 +100,10 @@
     async def play(self) -> None:
         """Begin faults, in rounds of all kinds, and wait for their ends."""
         end = time.monotonic() + self.duration_s
-        begun = [asyncio.create_task(self.grow(end))]
+        begun = [
+            asyncio.create_task(self.grow(end)),
+            asyncio.create_task(self.press(end)),
+        ]
         kinds: list = []
         while time.monotonic() < end:
             if not kinds:
@@ -105,7 +115,7 @@
 
     async def change_in_calm(self) -> None:
         """Change what can't be judged well beside faults."""
-        await asyncio.sleep(_world.CONTACT_MS / 1000 + 0.1)
+        await self.name_in_crowd()
         await self.operator.publish_large()
         await self.operator.name_version()
 
@@ -345,6 +355,28 @@
                     group.create_task(self._narrow(name))
                 group.create_task(self.operator.publish_large())
 
+    async def press(self, end: float) -> None:
+        """Have crowds come beside the faults, at times of their own."""
+        chance = random.Random(self.duration_s + 1)
+        while True:
+            await asyncio.sleep(CROWD_PAUSE_S * chance.random())
+            if time.monotonic() >= end:
+                return
+            await self.name_in_crowd()
+
+    async def name_in_crowd(self) -> None:
+        """Name versions of the busiest adapters, one after the other.
+
+        Each is named again before the time of the version before is over.
+        """
+        self.crowd.set()
+        await asyncio.sleep(FULL_S)
+        for _ in range(SERIES):
+            for adapter in _operator.BUSIEST:
+                await self.operator.name_version(adapter)
+                await asyncio.sleep(SERIES_PAUSE_S)
+        self.crowd.clear()
+
     async def _narrow(self, name: str) -> None:
         proxy = self.world.proxies[f'{name} store']
         if proxy.mode is not _proxy.Mode.OPEN:
--- a/tools/soak/_series.py
+++ b/tools/soak/_series.py
@@ -74,10 +74,19 @@
     await asyncio.sleep(schedule.duration_s)
 
 
+async def versions(schedule: _schedule.Schedule) -> None:
+    """Name versions in series while a crowd keeps the queues full."""
+    end = time.monotonic() + schedule.duration_s
+    while time.monotonic() < end:
+        await schedule.name_in_crowd()
+        await asyncio.sleep(RECOVERED_S)
+
+
 BY_NAME: dict[str, Series] = {
     'rounds': lambda schedule: schedule.play(),
     'lose-all': lose_all,
     'lose-each': lose_each,
     'lose-one': lose_one,
     'lose-newest': lose_newest,
+    'versions': versions,
 }
--- a/tools/soak/_standins.py
+++ b/tools/soak/_standins.py
@@ -11,9 +11,18 @@
 
 from berylhollow.standin import direct_endpoint
 from berylhollow.standin import metadata_store
+from tools.soak import _world
 
 BEAT_S = 1.2
 RUN_S = 0.03
+PLAIN_SLOTS = 64
+"""As listed; a plain endpoint runs all requests at once."""
+
+MODEL_RUN_S = 0.12
+MODEL_SLOTS = 4
+MODEL_PLACES = 150
+"""For requests that wait: 4.5 s when all are taken."""
+
 DOWN_S = 1.0
 """How long an endpoint is down after a request has crashed it."""
 
@@ -58,7 +67,12 @@
     """An endpoint that says what it runs, and lists itself in the store."""
 
     def __init__(self, name: str, address: str, service: str, store: str):
-        super().__init__(name)
+        if service == _world.MODEL_SERVICE:
+            super().__init__(name, MODEL_SLOTS, MODEL_PLACES)
+            self.run_s = MODEL_RUN_S
+        else:
+            super().__init__(name)
+            self.run_s = RUN_S
         self.started_ms = time.time_ns() // 1_000_000
         self.address = address
         self.service = service
@@ -67,6 +81,7 @@
         self.sequence = 0
         self.written = asyncio.Event()
         self.is_down = False
+        self.crashing: asyncio.Task | None = None
         self.transports: set[asyncio.Transport] = set()
 
     def add_to(self, application: web.Application) -> None:
@@ -129,11 +144,13 @@
         say(
             ran=ran.request_id,
             instance=self.instance,
+            version=ran.version,
             headers=dict(request.headers),
         )
         if ran.body == CRASH_BODY:
-            await self._crash()
-        await asyncio.sleep(RUN_S)
+            self.crashing = asyncio.create_task(self._crash())
+            await asyncio.shield(self.crashing)
+        await asyncio.sleep(self.run_s)
         headers['Server-Seal'] = f'seal-of-{self.instance}'
         return web.Response(
             headers=headers, body=f'answer to {ran.request_id}'.encode()
@@ -158,7 +175,7 @@
             'Address': self.address,
             'Zone': 'z1',
             'Version': 'v1',
-            'Slots': 64,
+            'Slots': self.model.slots or PLAIN_SLOTS,
             'State': self.state,
             'Models': self._description(),
             'Seq': self.sequence,
@@ -186,7 +203,9 @@
         endpoint.add_to(application)
         beating = asyncio.create_task(endpoint.beat())
         beating.add_done_callback(lambda _: sys.exit(1))
-    runner = web.AppRunner(application, access_log=None)
+    runner = web.AppRunner(
+        application, access_log=None, handler_cancellation=True
+    )
     await runner.setup()
     host, _, port = listen.rpartition(':')
     await web.TCPSite(runner, host, int(port)).start()
