End a crowd of the soak in time for the recovery to be judged

Trace: the last third of the calm began at 2118.7 s. The gateways logged the six new versions at 2114.8, 2117.2, 2119.5, 2120.5, 2122.6 and 2123.4, 8.6 s from the first to the last instead of 3.5: the operator told twelve endpoints of each, one after the other, in a process that was busy with the crowd. The crowd called until the last of them, to the end of the run, and the operator still published when the store was ended.

Now the endpoints are told at once, a crowd ends 8 s after it began, and what the operator does in the calm ends with it.

--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -60,6 +60,8 @@
         tasks.append(culprit)
         await _series.BY_NAME[arguments.series](schedule)
         culprit.cancel()
+        if schedule.changing is not None:
+            tasks.append(schedule.changing)
         await asyncio.sleep(CALM_S)
         for task in tasks:
             task.cancel()
--- a/tools/soak/_operator.py
+++ b/tools/soak/_operator.py
@@ -1,11 +1,14 @@
 """The operator: what it publishes, and when that was confirmed."""
 
 import asyncio
+import contextlib
 import dataclasses
 import itertools
 import random
 import time
 
+import aiohttp
+
 from tools.soak import _standins
 from tools.soak import _world
 
@@ -114,16 +117,16 @@
 
     async def tell_endpoints(self) -> None:
         """Let the weight store of each endpoint have the newest versions."""
-        for name in self.world.models:
-            host = self.world.host(name)
-            url = f'http://{host}:{self.world.endpoint_port}/control/newest'
-            try:
-                async with self.world.session.post(
-                    url, json=self.adapter_versions
-                ):
-                    pass
-            except OSError:
-                continue
+        await asyncio.gather(*map(self._tell, self.world.models))
+
+    async def _tell(self, name: str) -> None:
+        host = self.world.host(name)
+        url = f'http://{host}:{self.world.endpoint_port}/control/newest'
+        with contextlib.suppress(OSError, aiohttp.ClientError):
+            async with self.world.session.post(
+                url, json=self.adapter_versions
+            ):
+                pass
 
     async def write_again(self) -> None:
         """Write what an older copy of the store may lack."""
--- a/tools/soak/_schedule.py
+++ b/tools/soak/_schedule.py
@@ -16,6 +16,7 @@
 NARROW_S = 9.0
 GROW_PAUSE_S = 12.0
 CROWD_PAUSE_S = 20.0
+CROWD_S = 8.0
 FULL_S = 3.1
 """After a crowd has come, queues are full, and a calm lasts long enough."""
 
@@ -367,15 +368,16 @@
     async def name_in_crowd(self) -> None:
         """Name versions of the busiest adapters, one after the other.
 
-        Each is named again before the time of the version before is over.
+        Each is named again before the time of the version before is over. The
+        crowd ends in time for what is served in the calm.
         """
         self.crowd.set()
+        asyncio.get_running_loop().call_later(CROWD_S, self.crowd.clear)
         await asyncio.sleep(FULL_S)
         for _ in range(SERIES):
             for adapter in _operator.BUSIEST:
                 await self.operator.name_version(adapter)
                 await asyncio.sleep(SERIES_PAUSE_S)
-        self.crowd.clear()
 
     async def _narrow(self, name: str) -> None:
         proxy = self.world.proxies[f'{name} store']
