Log how an answer's body ended where its framing proves nothing

'answer body ended' has the framing, the size, whether the body is an event stream, whether it ended inside an event and whether the connection was reset. It is written for bodies that only their connection ends and for event streams that end inside an event, so an ordinary answer costs no line.

--- a/berylhollow/gateway/_direct_runs.py
+++ b/berylhollow/gateway/_direct_runs.py
@@ -9,6 +9,7 @@
 import logging
 import typing
 
+from berylhollow import answer_body
 from berylhollow import errors
 from berylhollow import events
 from berylhollow import messages
@@ -217,11 +218,31 @@
                     await self.sender_unblocked.wait()
                 self._report(self.sender.push(part))
         except outgoing.CallOutcomeUnknown as error:
+            self._log_end(answer.body)
             kind = errors.Kind.STREAM_BROKEN
             self._report_failure(kind, errors.Ran.UNKNOWN, str(error))
             return
+        self._log_end(answer.body)
         self._report(self.sender.finish())
 
+    def _log_end(self, body: answer_body.BodyReader) -> None:
+        """Log the end of a body that its framing doesn't prove whole."""
+        is_proven = body.framing is not answer_body.Framing.CONNECTION
+        if is_proven and not body.ended_inside_event:
+            return
+        LOG.info(
+            'answer body ended',
+            extra={
+                'attempt_id': self.offer.attempt_id,
+                'endpoint': self.peer,
+                'framing': body.framing.value,
+                'size_bytes': body.size_bytes,
+                'is_event_stream': body.stream_end is not None,
+                'inside_event': body.ended_inside_event,
+                'reset': body.response.was_reset,
+            },
+        )
+
     def _report_failure(
         self, kind: errors.Kind, ran: errors.Ran, reason: str
     ) -> None:
--- a/berylhollow/platform/_endpoint_calls.py
+++ b/berylhollow/platform/_endpoint_calls.py
@@ -8,6 +8,7 @@
 import multidict
 import yarl
 
+from berylhollow import answer_body
 from berylhollow import events
 from berylhollow import messages
 from berylhollow import outgoing
@@ -86,28 +87,14 @@
     is_signed: bool
     notice: events.EndpointNotice | None
     response: outgoing.Response
+    body: answer_body.BodyReader
 
-    async def parts(self) -> collections.abc.AsyncIterator[bytes]:
+    def parts(self) -> collections.abc.AsyncIterator[bytes]:
         """Yield the body in parts as they arrive.
 
         Raises ``outgoing.CallOutcomeUnknown`` if the body ends early.
         """
-        content = self.response.content
-        try:
-            while True:
-                part = await content.readany()
-                if not part:
-                    break
-                yield part
-        except (aiohttp.ClientError, OSError) as error:
-            raise outgoing.CallOutcomeUnknown(
-                str(error) or type(error).__name__
-            ) from error
-        response = self.response
-        if response.is_delimited_by_close and response.was_reset:
-            raise outgoing.CallOutcomeUnknown(
-                'connection reset before the end of the body'
-            )
+        return self.body.parts()
 
     def close(self) -> None:
         """Close the connection, which cancels the request on it."""
@@ -185,6 +172,7 @@
         is_signed=signed,
         notice=_decode_notice(response, not_run, proven),
         response=response,
+        body=answer_body.BodyReader(response),
     )
 
 
