--- a/test/event_streams.py
+++ b/test/event_streams.py
@@ -32,14 +32,14 @@
 def answers(stream: bytes) -> dict[str, bytes]:
     """Return an answer with ``stream`` as its body, for each framing."""
     length = f'Content-Length: {len(stream)}'.encode()
-    chunks = b'%x\r\n%b\r\n0\r\n\r\n' % (len(stream), stream)
+    chunks = b'%x\r\n%b\r\n' % (len(stream), stream) if stream else b''
     return {
         'no length': b'HTTP/1.1 200 OK\r\n' + HEAD + b'\r\n\r\n' + stream,
         'HTTP/1.0': b'HTTP/1.0 200 OK\r\n' + HEAD + b'\r\n\r\n' + stream,
         'length': b'HTTP/1.1 200 OK\r\n%b\r\n%b\r\n\r\n%b'
         % (HEAD, length, stream),
         'chunks': b'HTTP/1.1 200 OK\r\n%b\r\nTransfer-Encoding: chunked'
-        b'\r\n\r\n%b' % (HEAD, chunks),
+        b'\r\n\r\n%b' % (HEAD, chunks + b'0\r\n\r\n'),
     }
 
 
