Break off an event stream that ends inside an event

Cause: an answer with neither a length nor chunks ends with its connection, and its end was taken for the end of its content unless the connection was reset. A crashed process closes its connections; nobody looked at the events. A well-formed end of chunks or the declared length were proof of the content as well, although a process before the endpoint may write them.

Ruled out: a reset that looks like a close (test_outgoing.LastBytesTest); the record shows bodies that are short, 6 and 7 ms after the crash.

Change: the body of an event stream is whole only if it ends between two events, in every framing; one without a length or chunks must also have had an event, or it would be indistinguishable from an endpoint that died before its first. Compressed streams are judged by their framing alone.

Why it holds: the check is on the bytes that were read, whatever ended them.

--- a/berylhollow/answer_body.py
+++ b/berylhollow/answer_body.py
@@ -109,9 +109,12 @@
         return self.stream_end is not None and self.stream_end.is_inside_event
 
     async def parts(self) -> collections.abc.AsyncIterator[bytes]:
-        """Yield the body in parts as they arrive.
+        """Yield the body in parts as they arrive; its end means it is whole.
 
-        Raises ``outgoing.CallOutcomeUnknown`` if the body ends early.
+        Raises ``outgoing.CallOutcomeUnknown`` if the body ends early. A body
+        without length or chunks ends with its connection: it counts as whole
+        unless the connection was reset, or the body is an event stream that
+        ends inside an event or has none.
         """
         content = self.response.content
         try:
@@ -124,10 +127,21 @@
             raise outgoing.CallOutcomeUnknown(
                 str(error) or type(error).__name__
             ) from error
-        if self.framing is Framing.CONNECTION and self.response.was_reset:
-            raise outgoing.CallOutcomeUnknown(
-                'connection reset before the end of the body'
-            )
+        reason = self._broken_off_reason()
+        if reason:
+            raise outgoing.CallOutcomeUnknown(reason)
+
+    def _broken_off_reason(self) -> str:
+        """Return how a body that has ended shows that it is not whole."""
+        if self.ended_inside_event:
+            return 'event stream ended inside an event'
+        if self.framing is not Framing.CONNECTION:
+            return ''
+        if self.response.was_reset:
+            return 'connection reset before the end of the body'
+        if self.stream_end is not None and not self.stream_end.has_event:
+            return 'event stream without a length ended before an event'
+        return ''
 
 
 def _is_readable_event_stream(response: aiohttp.ClientResponse) -> bool:
