Look whether an endpoint ended together with an answer without a length

An answer with neither a length nor chunks ends with its connection.

Three ways were weighed. Relaying such an answer to the caller without a length closes a connection of each caller, and the caller knows no more: its library takes the close for the end, too, and a break that we do know of would be less certain than a missing last chunk. Refusing them all, as the sidecar does, fails complete ones. Holding back the last chunk until something proves that the endpoint lives costs callers 0.05 s at the end of such answers and the endpoint at most one connection.

Change: after the last byte the gateway waits 50 ms for the endpoint's other connections to close; if none is open it opens one. Only a refused connection is taken for an end, so that an endpoint with too many connections, or behind a link that loses packets, is not. An endpoint that is leaving may end after its answer and isn't asked. The attempt then ends as stream_broken.

--- a/berylhollow/answer_body.py
+++ b/berylhollow/answer_body.py
@@ -15,6 +15,10 @@
 BODYLESS_STATUSES = frozenset({204, 304})
 
 
+class BodyTruncated(outgoing.CallOutcomeUnknown):
+    """A body that ended and shows that it is not whole."""
+
+
 class Framing(enum.Enum):
     """What marks the end of a body."""
 
@@ -129,7 +133,19 @@
             ) from error
         reason = self._broken_off_reason()
         if reason:
-            raise outgoing.CallOutcomeUnknown(reason)
+            raise BodyTruncated(reason)
+
+    async def check_endpoint_lives(self) -> None:
+        """Raise BodyTruncated if the endpoint ended together with the body.
+
+        Only needed where nothing but the connection marks the body's end: an
+        endpoint that crashes between two events, or in a plain body, closes
+        its connection as one does that has finished.
+        """
+        if self.framing is not Framing.CONNECTION:
+            return
+        if await self.response.protocol.has_peer_ended():
+            raise BodyTruncated('the endpoint ended together with its answer')
 
     def _broken_off_reason(self) -> str:
         """Return how a body that has ended shows that it is not whole."""
--- a/berylhollow/gateway/_direct_runs.py
+++ b/berylhollow/gateway/_direct_runs.py
@@ -217,6 +217,8 @@
                     self.sender_unblocked.clear()
                     await self.sender_unblocked.wait()
                 self._report(self.sender.push(part))
+            if not self._is_endpoint_leaving(answer):
+                await answer.body.check_endpoint_lives()
         except outgoing.CallOutcomeUnknown as error:
             self._log_end(answer.body)
             kind = errors.Kind.STREAM_BROKEN
@@ -225,6 +227,13 @@
         self._log_end(answer.body)
         self._report(self.sender.finish())
 
+    def _is_endpoint_leaving(self, answer: platform.Answer) -> bool:
+        """Return whether the endpoint may end as planned after its answer."""
+        if answer.notice is not None and answer.notice.leaving:
+            return True
+        instance = self.owner.listed_instance(self.peer)
+        return instance is not None and instance.leaving
+
     def _log_end(self, body: answer_body.BodyReader) -> None:
         """Log the end of a body that its framing doesn't prove whole."""
         is_proven = body.framing is not answer_body.Framing.CONNECTION
--- a/berylhollow/outgoing.py
+++ b/berylhollow/outgoing.py
@@ -5,13 +5,13 @@
 ``CallOutcomeUnknown``.
 """
 
+import asyncio
 import dataclasses
 import functools
 import json
 import os
 import socket
 import struct
-import typing
 
 import aiohttp
 from aiohttp import client_proto
@@ -29,6 +29,12 @@
 KEEPALIVE_INTERVAL_S = 1
 """Idle time and interval of keep-alive probes: the minimum for TCP."""
 
+SETTLE_MS = 50
+"""Time for the connections of a process that ends to close, all at once."""
+
+PROOF_TIMEOUT_MS = 200
+"""Time limit for the connection that shows whether a port is still open."""
+
 # SO_LINGER with a timeout of 0: a close resets the connection.
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 REFUSAL_STATUSES = frozenset({400, 404, 405, 409, 410, 413, 422, 429, 503})
@@ -86,13 +92,30 @@
     """
 
     peer_reset = False
+    peer: tuple | None = None
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        open_by_peer: dict[tuple, set['Connection']],
+    ):
+        super().__init__(loop)
+        self.open_by_peer = open_by_peer
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Count the connection among those that are open to its peer."""
+        super().connection_made(transport)
+        self.peer = transport.get_extra_info('peername')
+        self.open_by_peer.setdefault(self.peer, set()).add(self)
 
     def close(self) -> None:
         """Close at once and discard the data that is not sent yet."""
+        self._forget()
         self.abort()
 
     def eof_received(self) -> None:
         """Check whether the peer closed or reset the connection."""
+        self._forget()
         opened_socket = self.transport.get_extra_info('socket')
         # The transport's socket object can't be read; a duplicate can.
         with socket.socket(fileno=os.dup(opened_socket.fileno())) as copy:
@@ -104,17 +127,49 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """End with an error if the connection was reset."""
+        self._forget()
         if exc is None and self.peer_reset:
             exc = ConnectionResetError('reset by the peer')
         super().connection_lost(exc)
 
+    async def has_peer_ended(self) -> bool:
+        """Return whether the process ended that closed this connection.
+
+        A process that ends closes its port and all its connections at once.
+        It lives if another connection to it stays open, or if it accepts a
+        new one. False if neither is known in time.
+        """
+        await asyncio.sleep(SETTLE_MS / MS_PER_SECOND)
+        if self.peer is None or self.open_by_peer.get(self.peer):
+            return False
+        host, port = self.peer[:2]
+        try:
+            async with asyncio.timeout(PROOF_TIMEOUT_MS / MS_PER_SECOND):
+                _, writer = await asyncio.open_connection(host, port)
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError):
+            return False
+        writer.transport.abort()
+        return False
+
+    def _forget(self) -> None:
+        others = self.open_by_peer.get(self.peer)
+        if others is not None:
+            others.discard(self)
+            if not others:
+                del self.open_by_peer[self.peer]
+
 
 class Connector(aiohttp.TCPConnector):
     """A connector whose connections tell a reset from a close."""
 
     def __init__(self, **options):
         super().__init__(**options)
-        self._factory = functools.partial(Connection, loop=self._loop)
+        self.open_by_peer: dict[tuple, set[Connection]] = {}
+        self._factory = functools.partial(
+            Connection, loop=self._loop, open_by_peer=self.open_by_peer
+        )
 
 
 class Response(aiohttp.ClientResponse):
@@ -125,7 +180,7 @@
     look complete.
     """
 
-    protocol: typing.Any = None
+    protocol: Connection | None = None
 
     async def start(self, connection):
         self.protocol = connection.protocol
--- a/test/hosted/direct_helper.py
+++ b/test/hosted/direct_helper.py
@@ -24,19 +24,39 @@
 class RawEndpoint:
     """Answers every request with given bytes, then closes or resets.
 
-    ``pause_s`` is the time between the bytes and the reset.
+    ``pause_s`` is the time between the bytes and the reset. One that ``ends``
+    closes its port before its connection, as a process does that crashes.
+    One that ``hangs`` answers nothing.
     """
 
-    def __init__(self, answer, reset=False, pause_s=0.0):
+    def __init__(
+        self, answer, reset=False, pause_s=0.0, ends=False, hangs=False
+    ):
         self.answer = answer
         self.reset = reset
         self.pause_s = pause_s
+        self.ends = ends
+        self.hangs = hangs
         self.received = b''
+        self.connections = 0
+        self.arrived = asyncio.Event()
+        self.server = None
 
     async def serve(self, reader, writer):
-        self.received = await reader.readuntil(b'\r\n\r\n')
+        self.connections += 1
+        try:
+            self.received = await reader.readuntil(b'\r\n\r\n')
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.transport.abort()
+            return
+        self.arrived.set()
+        if self.hangs:
+            await reader.read()
+            return
         writer.write(self.answer)
         await writer.drain()
+        if self.ends:
+            self.server.close()
         if self.reset:
             await asyncio.sleep(self.pause_s)
             accepted = writer.get_extra_info('socket')
@@ -52,6 +72,7 @@
     async def asyncSetUp(self):
         self.told = asyncio.Queue()
         self.notices = []
+        self.leaving = False
         self.stack = contextlib.AsyncExitStack()
         self.addAsyncCleanup(self.stack.aclose)
         self.tasks = shell.Tasks()
@@ -71,7 +92,11 @@
 
     async def begin_raw(self, answer, reset=False, pause_s=0.0):
         self.raw = RawEndpoint(answer, reset, pause_s)
-        server = await asyncio.start_server(self.raw.serve, '127.0.0.1', 0)
+        await self.listen(self.raw)
+
+    async def listen(self, endpoint):
+        server = await asyncio.start_server(endpoint.serve, '127.0.0.1', 0)
+        endpoint.server = server
         self.stack.callback(server.close)
         port = server.sockets[0].getsockname()[1]
         self.address = f'127.0.0.1:{port}'
@@ -111,4 +136,6 @@
         return 0
 
     def listed_instance(self, name):
-        return builders.instance(name, address=self.address, direct=True)
+        return builders.instance(
+            name, address=self.address, direct=True, leaving=self.leaving
+        )
--- a/test/hosted/test_stream_ends.py
+++ b/test/hosted/test_stream_ends.py
@@ -61,3 +61,54 @@
         )
         outcome = await self.outcome_of(answer)
         self.assertIsInstance(outcome, messages.End)
+
+
+class EndpointEndTest(direct_helper.DirectTestCase):
+    """An answer without a length, from an endpoint that lives or has ended.
+
+    Guards against endpoints that crash between two events, or in a plain
+    body: the bytes are those of a complete answer.
+    """
+
+    async def outcome_from(self, endpoint, content_type=b'text/event-stream'):
+        self.raw = endpoint
+        self.raw.answer = self.raw.answer.replace(
+            b'text/event-stream', content_type
+        )
+        await self.listen(endpoint)
+        self.send_offer()
+        return (await self.messages_to_end())[-1]
+
+    def answer(self):
+        return event_streams.answers(event_streams.EVENT)['no length']
+
+    async def test_endpoint_that_ends_with_its_answer_crashed(self):
+        for content_type in (b'text/event-stream', b'text/plain'):
+            with self.subTest(content_type):
+                endpoint = direct_helper.RawEndpoint(self.answer(), ends=True)
+                outcome = await self.outcome_from(endpoint, content_type)
+                self.assertIsInstance(outcome, messages.Failed)
+                self.assertIs(errors.Kind.STREAM_BROKEN, outcome.kind)
+
+    async def test_endpoint_that_accepts_a_connection_lives(self):
+        endpoint = direct_helper.RawEndpoint(self.answer())
+        outcome = await self.outcome_from(endpoint)
+        self.assertIsInstance(outcome, messages.End)
+        self.assertEqual(2, endpoint.connections)
+
+    async def test_endpoint_with_another_open_connection_lives(self):
+        held = direct_helper.RawEndpoint(b'', hangs=True)
+        await self.listen(held)
+        self.send_offer(number=7)
+        await held.arrived.wait()
+        held.answer, held.hangs, held.ends = self.answer(), False, True
+        self.send_offer()
+        outcome = (await self.messages_to_end())[-1]
+        self.assertIsInstance(outcome, messages.End)
+        self.assertEqual(2, held.connections)
+
+    async def test_leaving_endpoint_may_end_after_its_answer(self):
+        self.leaving = True
+        endpoint = direct_helper.RawEndpoint(self.answer(), ends=True)
+        outcome = await self.outcome_from(endpoint)
+        self.assertIsInstance(outcome, messages.End)
