Serve complete answers without a length at sidecars; break off cut streams

Callers of our own endpoints got 502 for every answer with neither a length nor chunks, also for complete ones; an event stream of a plain service that ended inside an event passed for complete if its chunks or its length ended properly.

The sidecar took a missing frame for a proof that content is missing, and a frame for a proof that it is whole.

Change: the sidecar reads bodies with the same reader as the gateway: cut event streams, resets, and endpoints that end together with an answer without a length are failures, and count as broken connections of a crash; other ends are ends. Engines' streams need their done event as before.

--- a/berylhollow/endpoint/_endpoint_client.py
+++ b/berylhollow/endpoint/_endpoint_client.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 
+from berylhollow import answer_body
 from berylhollow.endpoint import _types
 from berylhollow import messages
 from berylhollow import outgoing
@@ -12,9 +13,6 @@
 EPOCH_HEADER = 'X-Engine-Epoch'
 ADAPTER_NOT_LOADED = 'adapter_not_loaded'
 NOT_FOUND = 404
-BODYLESS_STATUSES = frozenset({204, 304})
-HEAD = 'HEAD'
-CHUNKED = 'chunked'
 HOP_BY_HOP = frozenset(
     {
         'connection',
@@ -40,9 +38,7 @@
     the whole body if it was read already, otherwise None.
     """
 
-    def __init__(
-        self, response: aiohttp.ClientResponse, body: bytes | None = None
-    ):
+    def __init__(self, response: outgoing.Response, body: bytes | None = None):
         self.response = response
         self.body = body
         self.status = response.status
@@ -58,38 +54,20 @@
         """Yield the body as it arrives; a normal end means it is complete.
 
         Raises ``outgoing.CallOutcomeUnknown`` if the connection breaks before
-        the end of the body, and after an answer that has neither a length nor
-        chunks.
+        the end of the body, and its subclass ``answer_body.BodyTruncated`` if
+        the end itself shows that the body is not complete.
         """
         if self.body is not None:
             yield self.body
             return
+        reader = answer_body.BodyReader(self.response)
         try:
-            while chunk := await self.response.content.readany():
-                yield chunk
-        except (aiohttp.ClientError, OSError) as error:
+            async for part in reader.parts():
+                yield part
+            await reader.check_endpoint_lives()
+        except outgoing.CallOutcomeUnknown:
             self.close()
-            raise outgoing.CallOutcomeUnknown(
-                str(error) or type(error).__name__
-            ) from error
-        if not self.has_framed_body():
-            raise outgoing.CallOutcomeUnknown(
-                'the answer has neither a length nor chunks'
-            )
-
-    def has_framed_body(self) -> bool:
-        """Return whether the HTTP framing shows where the body ends.
-
-        Guards against a truncated answer that passes for a complete one.
-        Without a length or chunks, the end of the connection is the same
-        whether the endpoint has finished or died.
-        """
-        return (
-            self.response.method == HEAD
-            or self.status in BODYLESS_STATUSES
-            or 'Content-Length' in self.response.headers
-            or self.response.headers.get('Transfer-Encoding') == CHUNKED
-        )
+            raise
 
     def close(self) -> None:
         """Close the connection, unless the whole body was read."""
--- a/berylhollow/sidecar/_run_end.py
+++ b/berylhollow/sidecar/_run_end.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 
+from berylhollow import answer_body
 from berylhollow.sidecar import _run
 
 LOG = logging.getLogger(__name__)
@@ -20,6 +21,8 @@
 
     No error and a timeout do not count as a broken connection.
     """
+    if isinstance(error, answer_body.BodyTruncated):
+        return True
     cause = None if error is None else error.__cause__
     if isinstance(cause, TimeoutError):
         return False
