Take no reset body without a length for a whole one when all of it is read

No caller is known to have seen it: JSON that is cut doesn't parse, and a page of records says where it ends.

The rule for what marks a body's end stands once now, on the response; an answer to HEAD, 204 and 304 have no body to end, and 'gzip, chunked' is chunked.

The stand-in response of rated_link has a length and says so.

--- a/berylhollow/answer_body.py
+++ b/berylhollow/answer_body.py
@@ -12,8 +12,6 @@
 """Bytes kept of the end of an event stream. An event may be longer; only the
 comments after the last one have to fit."""
 
-BODYLESS_STATUSES = frozenset({204, 304})
-
 
 class BodyTruncated(outgoing.CallOutcomeUnknown):
     """A body that ended and shows that it is not whole."""
@@ -28,16 +26,15 @@
     CONNECTION = 'connection'
 
 
-def framing(response: aiohttp.ClientResponse) -> Framing:
+def framing(response: outgoing.Response) -> Framing:
     """Return what marks the end of a response's body, NONE without one."""
-    if response.method == 'HEAD' or response.status in BODYLESS_STATUSES:
-        return Framing.NONE
-    codings = response.headers.get('Transfer-Encoding', '').lower()
-    if codings.rpartition(',')[2].strip() == 'chunked':
+    if response.is_delimited_by_close:
+        return Framing.CONNECTION
+    if response.is_chunked:
         return Framing.CHUNKS
     if response.content_length is not None:
         return Framing.LENGTH
-    return Framing.CONNECTION
+    return Framing.NONE
 
 
 class EventStreamEnd:
--- a/berylhollow/outgoing.py
+++ b/berylhollow/outgoing.py
@@ -37,6 +37,8 @@
 
 # SO_LINGER with a timeout of 0: a close resets the connection.
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+HEAD = 'HEAD'
+BODYLESS_STATUSES = frozenset({204, 304})
 REFUSAL_STATUSES = frozenset({400, 404, 405, 409, 410, 413, 422, 429, 503})
 
 
@@ -189,8 +191,15 @@
     @property
     def is_delimited_by_close(self) -> bool:
         """Whether only the end of the connection marks the body's end."""
-        coding = self.headers.get('Transfer-Encoding', '')
-        return self.content_length is None and coding.lower() != 'chunked'
+        if self.method == HEAD or self.status in BODYLESS_STATUSES:
+            return False
+        return self.content_length is None and not self.is_chunked
+
+    @property
+    def is_chunked(self) -> bool:
+        """Whether the body comes in chunks."""
+        codings = self.headers.get('Transfer-Encoding', '').lower()
+        return codings.rpartition(',')[2].strip() == 'chunked'
 
     @property
     def was_reset(self) -> bool:
@@ -322,12 +331,15 @@
         raise CallOutcomeUnknown(str(error) or type(error).__name__) from error
 
 
-async def read_body(response: aiohttp.ClientResponse) -> bytes:
+async def read_body(response: Response) -> bytes:
     """Return the complete body; raises CallOutcomeUnknown if it ends early."""
     try:
-        return await response.read()
+        body = await response.read()
     except (aiohttp.ClientError, OSError) as error:
         raise CallOutcomeUnknown(str(error) or type(error).__name__) from error
+    if response.is_delimited_by_close and response.was_reset:
+        raise CallOutcomeUnknown('connection reset before the end of the body')
+    return body
 
 
 async def call(
--- a/test/hosted/rated_link.py
+++ b/test/hosted/rated_link.py
@@ -107,6 +107,8 @@
 class _LinkedResponse:
     """A response whose body arrives over a link while it is read."""
 
+    is_delimited_by_close = False
+
     def __init__(self, answer, link, limits):
         self.status = answer.status
         self.headers = answer.headers
--- a/test/test_outgoing.py
+++ b/test/test_outgoing.py
@@ -344,5 +344,25 @@
         """
         self.assertTrue(self.read_from_server(reset=True)[0])
 
+    def test_reset_body_without_a_length_is_not_read(self):
+        """Guards against a truncated answer of the store, a list or an order.
+
+        Such a body was returned like a whole one.
+        """
+
+        async def read():
+            server = LastBytesServer(reset=True)
+            server.start()
+            server.first_bytes_read.set()
+            async with outgoing.open_session() as session:
+                url = f'http://127.0.0.1:{server.port}/'
+                response = await outgoing.open_call(session, 'GET', url)
+                server.ended.wait()
+                with self.assertRaises(outgoing.CallOutcomeUnknown):
+                    await outgoing.read_body(response)
+
+        with asyncio.Runner(loop_factory=loop.new_event_loop) as runner:
+            runner.run(read())
+
     def test_close_with_the_last_bytes_is_an_end(self):
         self.assertEqual((False, b'last'), self.read_from_server(reset=False))
