Take a store's answer whose JSON is cut for no answer

A cut answer to a read of the newest records, an append or a read of deleted ones raised a JSON error, which is none of a failed call: whoever waits for one ends with it. Nobody is known to have seen it.

--- a/berylhollow/platform/_store.py
+++ b/berylhollow/platform/_store.py
@@ -2,7 +2,6 @@
 
 import base64
 import dataclasses
-import json
 import logging
 import struct
 
@@ -46,6 +45,7 @@
 KEYED_PREFIX = 'keyed.'
 PARTITION = '0'
 ERA_HEADER = 'Store-Era'
+OK_STATUS = 200
 GONE_STATUS = 410
 RECORD_PARAMETERS = ('Topic', 'part', 'From', 'after')
 """The parameters that decide which records an answer has."""
@@ -101,7 +101,7 @@
         params = {'Topic': stream, 'part': PARTITION}
         for _ in range(MAX_PAGES):
             answer = await self._get('log-newest', params)
-            page = json.loads(answer.body)
+            page = _parse_object(answer.body)
             eras.add(answer.era)
             # The pages are not one snapshot. Reading on from the end of the
             # first page covers what has changed since.
@@ -163,9 +163,9 @@
             body = await outgoing.read_body(response)
         if response.status in (429, 503, 507):
             raise outgoing.CallNotSent(f'HTTP {response.status}')
-        if response.status != 200:
+        if response.status != OK_STATUS:
             raise outgoing.CallOutcomeUnknown(f'HTTP {response.status}')
-        return int(json.loads(body)['Offset'])
+        return int(_parse_object(body)['Offset'])
 
     async def close(self) -> None:
         """Close all connections."""
@@ -235,11 +235,11 @@
             LOG.info('large answer received', extra=fields)
         era = self._check_era(response.headers.get(ERA_HEADER, '0'))
         if response.status == GONE_STATUS:
-            detail = {'first_offset': json.loads(body)['First']}
+            detail = {'first_offset': _parse_object(body)['First']}
             raise log_service.OffsetGone(
                 outgoing.CallRefused('offset_gone', GONE_STATUS, detail)
             )
-        if response.status != 200:
+        if response.status != OK_STATUS:
             raise outgoing.CallNotSent(f'HTTP {response.status}')
         return _Answer(body, era, begun_ms)
 
@@ -255,6 +255,11 @@
         return era
 
 
+def _parse_object(body: bytes) -> dict:
+    """Return a JSON object; raises CallOutcomeUnknown without a whole one."""
+    return outgoing.Reply(OK_STATUS, body).value()
+
+
 def _is_large(response: aiohttp.ClientResponse) -> bool:
     """Tell whether an answer is large; one without a length may be."""
     length = response.content_length
--- a/test/platform/test_store.py
+++ b/test/platform/test_store.py
@@ -31,7 +31,9 @@
         self.answers = []
         self.calls = 0
         application = web.Application()
-        application.router.add_get('/v1/log-read', self.read)
+        for call in ('read', 'newest'):
+            application.router.add_get(f'/v1/log-{call}', self.read)
+        application.router.add_post('/v1/log-append', self.read)
         port = await self.stack.enter_async_context(
             _http.listening(application, '127.0.0.1', 0)
         )
@@ -244,3 +246,42 @@
 
         self.answers += [part]
         self.assertFalse((await self.client.read(STREAM, 7)).whole)
+
+
+class TruncatedTest(StoreTestCase):
+    """Guards against an answer that was cut and whose frame looks whole."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.client.hedge_ms = NO_HEDGE_MS
+
+    def answer_with(self, body, status=200):
+        async def respond(_request):
+            return web.Response(body=body, status=status)
+
+        self.answers.append(respond)
+
+    async def test_cut_json_is_no_answer(self):
+        """The error would not be one of a failed call, and end its task."""
+        calls = (
+            (lambda: self.client.newest(STREAM), 200),
+            (lambda: self.client.append(STREAM, b'x'), 200),
+            (lambda: self.client.read(STREAM, 7, 100), 410),
+        )
+        for number, (call, status) in enumerate(calls):
+            with self.subTest(number):
+                self.answer_with(b'{"Offset": 1', status)
+                with self.assertRaises(outgoing.CallOutcomeUnknown):
+                    await call()
+
+    async def test_page_cut_inside_a_record_has_the_records_before(self):
+        record = struct.pack('>I', 3) + b'abc'
+        page = struct.pack('>QQ', 9, 0) + record + record
+        for end in range(len(page) - len(record) + 1, len(page)):
+            with self.subTest(end):
+                self.answer_with(page[:end])
+                result = await self.client.read(STREAM, 7, 100)
+                self.assertEqual(1, len(result.records))
+                self.assertEqual(
+                    (8, False), (result.next_offset, result.whole)
+                )
