Reset the connection of a broken answer to a caller that speaks HTTP/1.0

The project's own interface refuses HTTP/1.0.

Change: until such an answer is complete, its connection is set to be reset by a close, which holds for a killed process, too. HTTP/1.1 is as before.

--- a/berylhollow/gateway/_responding.py
+++ b/berylhollow/gateway/_responding.py
@@ -2,11 +2,14 @@
 
 A truncated answer must never look complete to its caller. A body therefore
 has a length or is chunked, and if it can't be completed the connection is
-closed without the last chunk.
+closed without the last chunk. A caller that speaks HTTP/1.0 knows no chunks:
+its connection is reset unless the answer was completed.
 """
 
 import asyncio
 import collections.abc
+import socket
+import struct
 import typing
 
 from aiohttp import abc
@@ -30,6 +33,10 @@
 """Errors that close the connection: another gateway may be able to serve the
 caller, whose next request on this connection would reach this one again."""
 
+# SO_LINGER with and without a timeout of 0: a close resets or just closes.
+RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+PLAIN_CLOSE = struct.pack('ii', 0, 0)
+
 NO_BODY_STATUSES = frozenset({204, 304})
 
 
@@ -140,6 +147,8 @@
         relay = self.relay
         self.exchange.status = relay.begin.status
         self.writer = await self.response.prepare(self.request)
+        if self._is_delimited_by_close():
+            _set_linger(self.request, RESET_ON_CLOSE)
         relay.attach(self)
         await relay.wait()
         while relay.blocked and relay.failure is None:
@@ -184,10 +193,20 @@
             return True
         return self.written_bytes == self.declared_length
 
+    def _is_delimited_by_close(self) -> bool:
+        """Return whether the close of the connection marks the body's end."""
+        return (
+            self.request.version < _dialect.HTTP_1_1
+            and self.declared_length is None
+            and not self.has_no_body
+        )
+
     async def _finish(self) -> None:
         await self.response.write_eof()
         self.relay.acknowledge(0)
         await self._flush(self.stall_timeout_s)
+        if self._is_delimited_by_close():
+            _set_linger(self.request, PLAIN_CLOSE)
         self.exchange.ran = errors.Ran.RAN
         body = (
             None if self.stored_parts is None else b''.join(self.stored_parts)
@@ -263,6 +282,13 @@
     raise RuntimeError('the coroutine had to wait')
 
 
+def _set_linger(request: web.BaseRequest, linger: bytes) -> None:
+    """Set what a close of a request's connection does, also at a kill."""
+    if request.transport is not None:
+        opened_socket = request.transport.get_extra_info('socket')
+        opened_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 def abort_connection(request: web.BaseRequest) -> None:
     """Abort the connection of a request."""
     if request.transport is not None:
--- a/test/hosted/test_programs.py
+++ b/test/hosted/test_programs.py
@@ -5,6 +5,7 @@
 import time
 
 from test.hosted import hosted_helper
+from test import platform_builders as builders
 
 
 class HostedTest(hosted_helper.HostedTestCase):
@@ -86,6 +87,46 @@
         async with self.open_request(path) as got:
             return got.status, await got.read()
 
+    async def read_in_http_1_0(self, during=None):
+        """Return what a caller reads up to the end of its connection."""
+        await self.register_all()
+        self.gateway = await self.begin('gateway')
+        await self.wait_until_ready()
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', self.ports[2]
+        )
+        self.stack.callback(writer.transport.abort)
+        writer.write(
+            b'POST /puxa403/x HTTP/1.0\r\nHost: %b\r\nRequest-Id: id-1\r\n'
+            b'Deadline-Ms: 5000\r\n\r\n' % builders.HOST.encode()
+        )
+        async with asyncio.timeout(hosted_helper.HANG_S):
+            first = await reader.readuntil(self.plain.events[0])
+            if during is not None:
+                during()
+            return first + await reader.read()
+
+    async def test_complete_answer_in_http_1_0_ends_with_a_close(self):
+        whole = await self.read_in_http_1_0()
+        self.assertTrue(whole.endswith(b''.join(self.plain.events)))
+
+    async def test_broken_answer_in_http_1_0_ends_with_a_reset(self):
+        """Guards against truncated answers that look complete.
+
+        Without chunks, a caller that speaks HTTP/1.0 takes the close of its
+        connection for the end of its answer.
+        """
+        self.plain.events = self.plain.events[:1]
+        self.plain.faults.cuts = True
+        with self.assertRaises(ConnectionResetError):
+            await self.read_in_http_1_0()
+
+    async def test_killed_gateway_resets_answers_in_http_1_0(self):
+        """Guards against an answer that looks complete as its gateway ends."""
+        self.plain.run_time = asyncio.Event().wait
+        with self.assertRaises(ConnectionResetError):
+            await self.read_in_http_1_0(lambda: self.gateway.process.kill())
+
     async def test_sidecar_stops_at_once(self):
         await self.begin_all()
 
