Relay event streams in chunks, so that a cut one never looks complete

The gateway had found it broken, but passed on the length, and HTTP calls an answer with all its length complete whatever becomes of the connection. In the project's own interface the error event before the cut could also fill up a declared length.

Change: the head of an event stream goes on without Content-Length; the last chunk is sent only after the last event was found whole. The declared length is checked as before. Answers to HEAD keep theirs.

--- a/berylhollow/gateway/_responding.py
+++ b/berylhollow/gateway/_responding.py
@@ -1,9 +1,10 @@
 """Write the answer of one exchange to its caller.
 
 A truncated answer must never look complete to its caller. A body therefore
-has a length or is chunked, and if it can't be completed the connection is
-closed without the last chunk. A caller that speaks HTTP/1.0 knows no chunks:
-its connection is reset unless the answer was completed.
+has a length or is chunked, an event stream always the latter, and if it can't
+be completed the connection is closed without the last chunk. A caller that
+speaks HTTP/1.0 knows no chunks: its connection is reset unless the answer was
+completed.
 """
 
 import asyncio
@@ -115,11 +116,14 @@
         self.listener = listener
         self.dialect = dialect
         self.stall_timeout_s = stall_timeout_s
-        self.response = self._make_response(close_connection)
-        self.declared_length = self.response.content_length
         self.has_no_body = (
             request.method == 'HEAD' or relay.begin.status in NO_BODY_STATUSES
         )
+        self.response = self._make_response(close_connection)
+        self.declared_length = self.response.content_length
+        if self.is_event_stream and not self.has_no_body:
+            # Whether its last event is whole is known only after its end.
+            self.response.headers.pop('Content-Length', None)
         self.writer: abc.AbstractStreamWriter | None = None
         self.written_bytes = 0
         self.stored_parts: list[bytes] | None = None
@@ -138,6 +142,11 @@
             response.force_close()
         return response
 
+    @property
+    def is_event_stream(self) -> bool:
+        """Whether the answer is a stream of server-sent events."""
+        return self.response.content_type == _answers.EVENT_STREAM_TYPE
+
     async def write(self) -> web.StreamResponse:
         """Write the answer to its end.
 
@@ -197,7 +206,7 @@
         """Return whether the close of the connection marks the body's end."""
         return (
             self.request.version < _dialect.HTTP_1_1
-            and self.declared_length is None
+            and self.response.content_length is None
             and not self.has_no_body
         )
 
@@ -221,10 +230,7 @@
         self.exchange.record_failure(kind, ran)
         self.response.force_close()
         try:
-            is_stream = (
-                self.response.content_type == _answers.EVENT_STREAM_TYPE
-            )
-            if is_stream and self.dialect.sends_error_events:
+            if self.is_event_stream and self.dialect.sends_error_events:
                 event = _answers.error_event(kind, ran, self.exchange.shown_id)
                 await self.writer.write(event, drain=False)
             await self._flush(ERROR_FLUSH_TIMEOUT_S)
--- a/test/test_gateway_answers.py
+++ b/test/test_gateway_answers.py
@@ -114,6 +114,29 @@
         self.assertEqual('endpoint_failed', error['kind'])
         self.assertEqual('unknown', error['ran'])
 
+    async def test_failed_stream_with_all_its_length_looks_incomplete(self):
+        """Guards against truncated streams that look complete.
+
+        A process before the engine declares the length of what it has, and
+        the stream turns out to end inside an event after all of it was sent.
+        """
+        answer = self.post()
+        attempt_id = await self.sidecar.offered()
+        self.sidecar.start(attempt_id, Content_Length='10', **SSE)
+        self.sidecar.answer(attempt_id, b'data: half')
+        self.sidecar.send(builders.failed(attempt_id))
+        with self.assertRaises(aiohttp.ClientPayloadError):
+            await answer
+
+    async def test_stream_shorter_than_its_length_looks_incomplete(self):
+        answer = self.post()
+        attempt_id = await self.sidecar.offered()
+        self.sidecar.start(attempt_id, Content_Length='30', **SSE)
+        self.sidecar.answer(attempt_id, b'data: a\n\n')
+        self.sidecar.end(attempt_id, 1)
+        with self.assertRaises(aiohttp.ClientPayloadError):
+            await answer
+
     async def test_failed_body_aborts_the_connection(self):
         reader, _ = await self.send_raw(
             builders.http_post('{"model": "a1@1"}')
