Count a culprit's crash although its endpoint broke off an answer before

The endpoint had broken off another answer seconds before its crash and had answered since. That run was reported as lost in the crash; the first loss of a crash is taken for its moment, and what began later did not cause it: the culprit's loss did not count.

Change: runs after which the endpoint answered a later request are not reported as lost in its crash. If it has answered after all of them they are reported as before: a new start under its name may have answered that the list doesn't show yet.

--- a/berylhollow/gateway/_crashes.py
+++ b/berylhollow/gateway/_crashes.py
@@ -75,11 +75,22 @@
     if endpoint is None or not endpoint.lost:
         return []
     oldest = at_ms - _state.CUT_OFF_TTL_MS
-    runs = {
-        fingerprint: _lost_run(state, fingerprint, run, at_ms)
+    recent = {
+        fingerprint: run
         for fingerprint, run in endpoint.lost.items()
         if run.lost_ms >= oldest
     }
+    # The endpoint outlived the runs after which it answered. If it seems to
+    # have outlived all, a new start under its name may have answered.
+    lost_at_end = {
+        fingerprint: run
+        for fingerprint, run in recent.items()
+        if not run.endpoint_answered
+    }
+    runs = {
+        fingerprint: _lost_run(state, fingerprint, run, at_ms)
+        for fingerprint, run in (lost_at_end or recent).items()
+    }
     endpoint.lost.clear()
     if not runs:
         return []
--- a/test/hosted/test_gateway_direct.py
+++ b/test/hosted/test_gateway_direct.py
@@ -642,6 +642,44 @@
         self.send_request(fingerprint='same', at_ms=2)
         self.assertEqual(1, len(self.offers()))
 
+    def lose(self, fingerprint, kind, at_ms):
+        self.send_request(fingerprint=fingerprint, at_ms=at_ms)
+        self.fail_attempt(kind, errors.Ran.UNKNOWN, at_ms=at_ms)
+
+    def answer_request(self, at_ms):
+        self.send_request(fingerprint='answered', at_ms=at_ms)
+        peer, offer = self.offered()
+        started = messages.Started(offer.attempt_id, 200, (), None)
+        self.receive(started, at_ms, peer)
+
+    def reported(self, at_ms):
+        """Return what is reported as i-1 turns out to have ended."""
+        later = plain('i-2', '10.0.0.1:80')
+        self.list_instances(plain('i-1', '10.0.0.1:80'), later, at_ms=at_ms)
+        return set(self.state.suspects.ends['i-1'].fingerprints)
+
+    def test_answer_broken_off_before_is_not_lost_in_a_crash(self):
+        """Guards against a culprit that a broken connection hides.
+
+        The endpoint broke off an answer and answered again; what began after
+        the first loss of a crash did not cause it.
+        """
+        self.list_instances(plain('i-1', '10.0.0.1:80'))
+        self.lose('cut', errors.Kind.STREAM_BROKEN, 10)
+        self.answer_request(20)
+        self.lose('bad', errors.Kind.ENGINE_RESTARTED, 30)
+        self.assertEqual({'bad'}, self.reported(40))
+
+    def test_crash_is_reported_after_an_answer_of_the_next_start(self):
+        """Guards against a culprit whose loss the next start settles.
+
+        It has the same name and answers before the list shows it.
+        """
+        self.list_instances(plain('i-1', '10.0.0.1:80'))
+        self.lose('bad', errors.Kind.ENGINE_RESTARTED, 10)
+        self.answer_request(20)
+        self.assertEqual({'bad'}, self.reported(40))
+
     def test_requests_that_another_gateway_lost_there_are_suspects(self):
         """Two reports of one crash each have requests of their own."""
         self.crash_endpoint(1, 'mine')
