Let the soak's endpoints answer in every framing and cut answers

Crashed endpoints reset their connections, proxies pass resets on and refuse connections while their endpoint's process is down.

--- a/berylhollow/standin/direct_endpoint.py
+++ b/berylhollow/standin/direct_endpoint.py
@@ -113,12 +113,17 @@
     async def _add_notices(
         self, _request: web.Request, response: web.StreamResponse
     ) -> None:
-        for value in self.faults.rate_limits:
-            response.headers.add('Server-Limit', value)
-        for value in self.faults.leaving:
-            response.headers.add('Server-Leaving', value)
-        for value in self.faults.pauses:
-            response.headers.add('Retry-After', value)
+        for name, value in self._notices():
+            response.headers.add(name, value)
+
+    def _notices(self) -> list[tuple[str, str]]:
+        """Return the headers that every response carries."""
+        values = {
+            'Server-Limit': self.faults.rate_limits,
+            'Server-Leaving': self.faults.leaving,
+            'Retry-After': self.faults.pauses,
+        }
+        return [(name, value) for name in values for value in values[name]]
 
     def _description(self) -> list[dict]:
         return [
--- a/test/soak/test_promises.py
+++ b/test/soak/test_promises.py
@@ -4,6 +4,7 @@
 import types
 import unittest
 
+from tools.soak import _answers
 from tools.soak import _callers
 from tools.soak import _operator
 from tools.soak import _promises
@@ -132,6 +133,21 @@
         self.request(body=b'answer to id-7')
         self.check('own whole answer', 2, 1)
 
+    def test_cut_answer_that_passes_for_whole(self):
+        plan = _answers.Plan('connection', 'events', 'inside')
+        sent = plan.sent_body('id-0')
+        self.request(body=sent, plan=plan)
+        self.request(status=None, plan=plan)
+        self.check('cut answer looks cut', 2, 1)
+        self.check('own whole answer', 1, 1)
+
+    def test_cut_answer_with_the_bytes_of_a_whole_one(self):
+        """Only the connection ends it, between two events: nobody can tell."""
+        plan = _answers.Plan('connection', 'events', 'between')
+        self.request(body=plan.sent_body('id-0'), plan=plan)
+        self.check('cut answer looks cut', 0, 0)
+        self.check('own whole answer', 1, 0)
+
     def test_refused_and_run(self):
         self.request(status=503)
         self.request(status=429, ran=0)
--- a/tools/soak/_callers.py
+++ b/tools/soak/_callers.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 
+from tools.soak import _answers
 from tools.soak import _operator
 from tools.soak import _standins
 from tools.soak import _world
@@ -53,6 +54,7 @@
     status: int | None = None
     body: bytes = b''
     answer_id: str = ''
+    plan: _answers.Plan = _answers.Plan()
 
     @property
     def is_culprit(self) -> bool:
@@ -208,14 +210,16 @@
         elif self.chance.random() < 0.6:
             path, tokens = '/m/x', _operator.MODEL_TOKENS
             adapter = f'a{self.chance.randrange(_operator.ADAPTERS)}'
+        number = next(self.numbers)
         return Exchange(
-            f'id-{next(self.numbers)}',
+            f'id-{number}',
             path,
             key,
             tokens,
             adapter,
             gateway,
             time.monotonic(),
+            plan=_answers.draw(number),
         )
 
     def _key(self) -> str:
@@ -237,6 +241,7 @@
             'Request-Id': exchange.request_id,
             'Deadline-Ms': str(exchange.deadline_ms),
             'Tenant': 'made-up',
+            _answers.PLAN_HEADER: exchange.plan.encode(),
         }
         if exchange.key is not None:
             headers['Api-Key'] = exchange.key
@@ -246,6 +251,9 @@
         host = self.world.host(exchange.gateway)
         url = f'http://{host}:{self.world.callers_port}{exchange.path}'
         body = _standins.CRASH_BODY if exchange.is_culprit else b'body'
+        if exchange.plan.cut:
+            # A body of its own: runs that are cut off make suspects.
+            body = f'cut {exchange.request_id}'.encode()
         try:
             async with (
                 asyncio.timeout(PATIENCE_S),
--- a/tools/soak/_promises.py
+++ b/tools/soak/_promises.py
@@ -80,6 +80,7 @@
             name.replace('_', ' '): check()
             for name, check in (
                 ('own_whole_answer', self.own_whole_answer),
+                ('cut_answer_looks_cut', self.cut_answer),
                 ('not_run_is_true', self.not_run_is_true),
                 ('at_most_once', self.at_most_once),
                 ('adapter_as_asked', self.adapter_as_asked),
@@ -126,12 +127,24 @@
         verdict = Verdict()
         for exchange in self.exchanges:
             if exchange.status == 200:
-                wanted = f'answer to {exchange.request_id}'.encode()
-                verdict.check(exchange.body == wanted, exchange.request_id)
+                plan, request_id = exchange.plan, exchange.request_id
+                wanted = plan.body(request_id)
+                if plan.cut and plan.looks_whole:
+                    wanted = plan.sent_body(request_id)
+                verdict.check(exchange.body == wanted, request_id)
             elif exchange.answer_id not in ('', exchange.request_id):
                 verdict.check(False, exchange.request_id)
         return verdict
 
+    def cut_answer(self) -> Verdict:
+        """A cut answer that doesn't look whole doesn't become one."""
+        verdict = Verdict()
+        for exchange, _ in self._pairs():
+            if exchange.plan.cut and not exchange.plan.looks_whole:
+                held = exchange.status != 200
+                verdict.check(held, exchange.request_id)
+        return verdict
+
     def not_run_is_true(self) -> Verdict:
         verdict = Verdict()
         for exchange in self.exchanges:
--- a/tools/soak/_proxy.py
+++ b/tools/soak/_proxy.py
@@ -49,6 +49,11 @@
             self._connected, self.host, self.port
         )
 
+    @property
+    def is_listening(self) -> bool:
+        """Whether connections are accepted."""
+        return self.server is not None and self.server.is_serving()
+
     def switch(self, mode: Mode) -> None:
         """Change what becomes of bytes from now on."""
         self.mode = mode
@@ -57,14 +62,23 @@
 
     def reset(self) -> None:
         """Reset all connections; new ones work."""
+        self._reset(self.writers)
         for writer in self.writers:
+            writer.transport.abort()
+
+    def _reset(self, writers: set[asyncio.StreamWriter]) -> None:
+        """Have connections reset when they are closed."""
+        for writer in writers:
             taken = writer.get_extra_info('socket')
             if taken is not None:
                 with contextlib.suppress(OSError):
                     taken.setsockopt(
                         socket.SOL_SOCKET, socket.SO_LINGER, RESET
                     )
-            writer.transport.abort()
+
+    def stop_listening(self) -> None:
+        """Refuse connections, as the port of a process that has ended."""
+        self.server.close()
 
     async def close(self) -> None:
         self.server.close()
@@ -93,6 +107,8 @@
                 group.create_task(
                     self._pass(there, writer, {Mode.SILENT, Mode.DEAF})
                 )
+        except* ConnectionResetError:
+            self._reset(ends)
         except* OSError:
             pass
         finally:
--- a/tools/soak/_standins.py
+++ b/tools/soak/_standins.py
@@ -11,6 +11,7 @@
 
 from berylhollow.standin import direct_endpoint
 from berylhollow.standin import metadata_store
+from tools.soak import _answers
 from tools.soak import _world
 
 BEAT_S = 1.2
@@ -109,10 +110,15 @@
         return web.json_response({'at': time.monotonic()})
 
     async def _crash(self) -> None:
-        """Break all connections, and start anew under the same name."""
+        """Reset all connections, and start anew under the same name.
+
+        The port stays open: a plain close would look like that of an endpoint
+        that lives.
+        """
         say(crashed=self.instance)
         self.is_down = True
         for transport in [*self.transports]:
+            _answers.reset(transport)
             transport.abort()
         await asyncio.sleep(DOWN_S)
         self.restart(self.instance)
@@ -150,11 +156,21 @@
         if ran.body == CRASH_BODY:
             self.crashing = asyncio.create_task(self._crash())
             await asyncio.shield(self.crashing)
-        await asyncio.sleep(self.run_s)
         headers['Server-Seal'] = f'seal-of-{self.instance}'
-        return web.Response(
-            headers=headers, body=f'answer to {ran.request_id}'.encode()
-        )
+        plan = _answers.decode(request.headers.get(_answers.PLAN_HEADER))
+        if plan.kind == 'events':
+            headers['Content-Type'] = 'text/event-stream'
+        pause_s = self.run_s / 2
+        if plan.cut or plan.framing == 'connection':
+            given = [*headers.items(), *self._notices()]
+            return await _answers.send_raw(
+                request, given, plan, ran.request_id, pause_s
+            )
+        body = plan.body(ran.request_id)
+        if plan.framing == 'chunks':
+            return await _answers.send_whole(request, headers, body, pause_s)
+        await asyncio.sleep(self.run_s)
+        return web.Response(headers=headers, body=body)
 
     async def beat(self) -> None:
         """Write the own entry again and again."""
--- a/tools/soak/_world.py
+++ b/tools/soak/_world.py
@@ -235,9 +235,9 @@
         self, name: str, host: str, port: int, target: str
     ) -> None:
         if name not in self.proxies:
-            proxy = _proxy.Proxy(host, port, (target, port))
-            await proxy.start()
-            self.proxies[name] = proxy
+            self.proxies[name] = _proxy.Proxy(host, port, (target, port))
+        if not self.proxies[name].is_listening:
+            await self.proxies[name].start()
 
     async def _begin_program(
         self, role: str, name: str, host: str, shown: str, store: str
@@ -338,6 +338,8 @@
     async def replace(self, name: str) -> None:
         """Keep the lines of a process that has ended."""
         process = self.processes.pop(name)
+        if name in (*self.models, *self.plain):
+            self.proxies[name].stop_listening()
         await process.end()
         self.ended.append(process)
 
