Count losses booked for the start before as company in a crash

The gateway that lost the culprit had not read of the new start and booked its loss for the start before; the innocent that another gateway lost beside it was taken for alone, and two crashes instead of three quarantined it.

Change: losses of another start of the same name count as company if they were lost at the time of the end (0.1 s, and 0.4 s more for a report's delay). Two starts of one name don't end so close, and company only raises the number of crashes that a quarantine takes.

--- a/berylhollow/gateway/_quarantine.py
+++ b/berylhollow/gateway/_quarantine.py
@@ -234,7 +234,13 @@
     is_own: bool = False,
 ) -> Effects:
     ended = quarantine.ended_epoch(crash.crash_id)
-    if state.unsettled.has_others(ended, crash.fingerprints):
+    made_ms = at_ms if reported_ms is None else reported_ms
+    lost_ms = made_ms - max((run.lost_ms_ago for run in crash.runs), default=0)
+    rules = state.options.suspicion
+    within_ms = rules.together_ms + (0 if is_own else rules.report_delay_ms)
+    if state.unsettled.has_others_at_end(
+        ended, crash.fingerprints, lost_ms, within_ms
+    ):
         # Another gateway reports them when it sees the end.
         state.suspects.note_end(ended, at_ms).had_others = True
     quarantined = state.suspects.count_crash(crash, at_ms, reported_ms, is_own)
--- a/berylhollow/messages.py
+++ b/berylhollow/messages.py
@@ -40,6 +40,12 @@
         named, separator, _ = text.rpartition(START_SEPARATOR)
         return bool(separator) and named == name
 
+    @staticmethod
+    def name_in(text: str) -> str:
+        """Return the listed name in the text of an incarnation."""
+        named, separator, _ = text.rpartition(START_SEPARATOR)
+        return named if separator else text
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AdapterVersion:
--- a/berylhollow/quarantine/_unsettled.py
+++ b/berylhollow/quarantine/_unsettled.py
@@ -7,6 +7,7 @@
 import collections.abc
 import dataclasses
 
+from berylhollow import messages
 from berylhollow.util import bounded
 
 MAX_FINGERPRINTS = 4096
@@ -68,6 +69,30 @@
             for fingerprint, losses in self.losses.items()
         )
 
+    def has_others_at_end(
+        self,
+        endpoint: str,
+        fingerprints: collections.abc.Collection[str],
+        lost_ms: int,
+        within_ms: int,
+    ) -> bool:
+        """Tell whether other requests were lost as an endpoint ended.
+
+        A gateway that has not read of a new start books its losses for the
+        start before. So losses of another start of the same name count if
+        they were at the time of the end: no two starts end so close.
+        """
+        if self.has_others(endpoint, fingerprints):
+            return True
+        name = messages.Incarnation.name_in(endpoint)
+        return any(
+            messages.Incarnation.name_in(other) == name
+            and abs(loss.lost_ms - lost_ms) <= within_ms
+            for fingerprint, losses in self.losses.items()
+            if fingerprint not in fingerprints
+            for other, loss in losses.items()
+        )
+
     def settle_endpoint(self, endpoint: str) -> None:
         """Drop all losses at an endpoint."""
         for fingerprint in list(self.losses):
