Keep a pause that a new start asks for before it is listed

Traced: the endpoint had crashed and started again under its name. Gateway g2 had not read the list since; it took the new start's refusal with Retry-After 3 s for an answer of the start before and paused that one, 3 ms before the list showed the new start, which got an entry without a pause.

Change: what an endpoint says after it has cut off a run may be the next start's word. This held for leaving; it holds for pauses, too, with the same 2 s. A pause is short, so that a wrong guess costs the new start a moment.

A test that holds today wants the opposite for a start that is listed 2.1 s later.

--- a/berylhollow/gateway/_notices.py
+++ b/berylhollow/gateway/_notices.py
@@ -38,9 +38,8 @@
         notice = dataclasses.replace(notice, rate_per_s=before.rate_per_s)
     endpoint.notice_sent_ms = max(endpoint.notice_sent_ms, event.sent_ms)
     endpoint.notice = dataclasses.replace(notice, leaving=leaving)
-    emitted = _note_malformed(endpoint, before, event) + _apply_pause(
-        endpoint, event
-    )
+    emitted = _note_malformed(endpoint, before, event)
+    emitted += _apply_pause(state, endpoint, event)
     emitted += _apply_leaving(state, endpoint, before, event)
     return emitted + _apply_rate_limit(state, endpoint, before, event)
 
@@ -65,34 +64,50 @@
     before: events.EndpointNotice,
     event: events.NoticeReceived,
 ) -> Effects:
-    """Stop using an endpoint that says it leaves.
-
-    After it has cut off a run, another start may have answered under its name
-    that is not listed yet.
-    """
+    """Stop using an endpoint that says it leaves."""
     if not endpoint.notice.leaving or before.leaving:
         return []
     endpoint.leaving = True
-    if any(run.lost_ms <= event.sent_ms for run in endpoint.lost.values()):
-        name = endpoint.instance.listed_name
-        state.doubtful_notices[name] = _state.DoubtfulNotice(
-            event.peer, event.at_ms
-        )
-        bounded.drop_oldest(state.doubtful_notices, MAX_ABSENT_NOTICES)
+    _note_doubtful(state, endpoint, event)
     return [
         _log('endpoint says that it leaves', endpoint, event),
         _count(endpoint, 'leaving'),
     ]
 
 
+def _note_doubtful(
+    state: _state.State,
+    endpoint: _state.Endpoint,
+    event: events.NoticeReceived,
+) -> None:
+    """Keep what an endpoint says that may have ended.
+
+    After it has cut off a run, another start may have answered under its name
+    that is not listed yet.
+    """
+    if all(run.lost_ms > event.sent_ms for run in endpoint.lost.values()):
+        return
+    name = endpoint.instance.listed_name
+    known = state.doubtful_notices.pop(name, None)
+    is_same = known is not None and known.instance == event.peer
+    leaving = event.notice.leaving or (is_same and known.leaving)
+    state.doubtful_notices[name] = _state.DoubtfulNotice(
+        event.peer, event.at_ms, leaving, endpoint.paused_until_ms
+    )
+    bounded.drop_oldest(state.doubtful_notices, MAX_ABSENT_NOTICES)
+
+
 def _apply_pause(
-    endpoint: _state.Endpoint, event: events.NoticeReceived
+    state: _state.State,
+    endpoint: _state.Endpoint,
+    event: events.NoticeReceived,
 ) -> Effects:
     """Start a pause when its notice arrives; never shorten one."""
     until_ms = event.at_ms + event.notice.pause_ms
     if not event.notice.pause_ms or until_ms <= endpoint.paused_until_ms:
         return []
     endpoint.paused_until_ms = until_ms
+    _note_doubtful(state, endpoint, event)
     return [
         _log('endpoint asks for a pause', endpoint, event),
         _count(endpoint, 'pause'),
@@ -163,10 +178,14 @@
         if not messages.Incarnation.is_incarnation_of(started, name):
             continue
         del state.doubtful_notices[name]
-        endpoint.leaving = True
+        endpoint.leaving = endpoint.leaving or doubtful.leaving
+        endpoint.paused_until_ms = max(
+            endpoint.paused_until_ms, doubtful.paused_until_ms
+        )
         fields = (
             ('endpoint', started),
             ('taken_for', doubtful.instance),
+            ('leaving', doubtful.leaving),
             ('notice_age_ms', at_ms - doubtful.at_ms),
         )
         return [effects.Log('notice is of a new start', fields)]
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -143,13 +143,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DoubtfulNotice:
-    """A notice of leaving, received at ``at_ms`` as one of ``instance``.
+    """A notice received at ``at_ms`` as one of ``instance``.
 
-    It may be of the next start under the same name.
+    It may be of the next start under the same name. It says that the endpoint
+    is ``leaving``, or wants no requests before ``paused_until_ms``.
     """
 
     instance: str
     at_ms: int
+    leaving: bool = False
+    paused_until_ms: int = clock.NEVER_MS
 
 
 @dataclasses.dataclass(slots=True)
--- a/test/hosted/test_pauses.py
+++ b/test/hosted/test_pauses.py
@@ -49,6 +49,22 @@
         self.list_instances(restarted, INSTANCES[1], at_ms=150)
         self.assertIn('i-1@9', self.chosen_endpoints(200))
 
+    def test_pause_of_a_new_start_that_is_not_listed_yet(self):
+        """Guards against requests within a pause that a new start asked for.
+
+        Its answer was taken for one of the start before, which had cut off a
+        run, and its entry in the list then had no pause.
+        """
+        self.list_instances(INSTANCES[0])
+        self.send_request(at_ms=50)
+        kind = errors.Kind.ENGINE_RESTARTED
+        self.fail_attempt(kind, errors.Ran.UNKNOWN, at_ms=60)
+        self.pause('i-1', 1500)
+        restarted = test_gateway_direct.plain('i-1@9', FIRST)
+        self.list_instances(restarted, INSTANCES[1], at_ms=150)
+        self.assertEqual({'i-2'}, self.chosen_endpoints(1000))
+        self.assertIn('i-1@9', self.chosen_endpoints(1620))
+
     def test_refusal_has_the_soonest_end_if_all_endpoints_pause(self):
         self.pause('i-1', 3000)
         self.pause('i-2', 1000)
