Show in the soak what its caller sent before a broken exchange

The gateway's log has each answer once; it read the requests 2.6 s after the callers had sent the next ones on their connections. What the callers had taken for the answers before was not kept.

A broken exchange now shows the last four of its caller at that gateway: status and time of the head, the request that it names, the beginning of the body.

--- a/tools/soak/_callers.py
+++ b/tools/soak/_callers.py
@@ -39,7 +39,8 @@
     """One request of a caller and its answer; times are monotonic.
 
     ``status`` is None if there was no whole answer; ``answer_id`` is the
-    request id that the answer names.
+    request id that the answer names, whose head came at ``head_at``.
+    ``session`` is the same for requests that may share a connection.
     """
 
     request_id: str
@@ -55,6 +56,9 @@
     body: bytes = b''
     answer_id: str = ''
     plan: _answers.Plan = _answers.Plan()
+    session: int = 0
+    head_at: float = 0.0
+    head_status: int = 0
 
     @property
     def is_culprit(self) -> bool:
@@ -236,6 +240,7 @@
     ) -> bool:
         """Return whether the caller stays with its connection."""
         self.exchanges.append(exchange)
+        exchange.session = id(session)
         headers = {
             'Host': 'soak.example',
             'Request-Id': exchange.request_id,
@@ -259,6 +264,8 @@
                 asyncio.timeout(PATIENCE_S),
                 session.post(url, headers=headers, data=body) as response,
             ):
+                exchange.head_at = time.monotonic()
+                exchange.head_status = response.status
                 exchange.answer_id = response.headers.get('Request-Id', '')
                 exchange.body = await response.read()
                 exchange.status = response.status
--- a/tools/soak/_promises.py
+++ b/tools/soak/_promises.py
@@ -15,6 +15,9 @@
 LINK_FAULTS = frozenset({'narrow', 'slow', 'silent', 'deaf', 'reset'})
 """The kinds of faults that are done to connections."""
 
+MAX_BEFORE = 4
+"""Exchanges of its caller that are shown before a broken one."""
+
 RATE_WINDOW_S = 4
 RATE_SHARE = 1.5
 RATE_SLACK = 5
@@ -52,6 +55,14 @@
     return dict(zip(begun, [*begun.values(), until][1:], strict=True))
 
 
+def _summary(exchange: _callers.Exchange) -> str:
+    head = f'head {exchange.head_status} at {exchange.head_at:.3f}'
+    end = f'ended {exchange.ended:.3f} with {exchange.status}'
+    body = f'names {exchange.answer_id!r}, {exchange.body[:60]!r}'
+    sent = f'{exchange.sent:.3f} before: {exchange.request_id}'
+    return f'{sent}, {head}, {end}, {body}'
+
+
 class Account:
     """Everything that was seen in a run."""
 
@@ -112,11 +123,23 @@
                 f'{exchange.sent:.3f} sent to {exchange.gateway}: {exchange}',
                 f'{exchange.ended:.3f} answered {exchange.status}',
             ]
+            lines += self._before_in_session(exchange)
         for run in self.runs[request_id]:
             where = f'{run["instance"]} with version {run["version"]}'
             lines.append(f'{run["at"]:.3f} runs at {where}')
         return sorted(lines)
 
+    def _before_in_session(self, exchange: _callers.Exchange) -> list[str]:
+        """Return the caller's last exchanges, mostly on one connection."""
+        before = [
+            other
+            for other in self.exchanges
+            if other.session == exchange.session
+            and other.gateway == exchange.gateway
+            and other.sent < exchange.sent
+        ]
+        return [_summary(other) for other in before[-MAX_BEFORE:]]
+
     def _pairs(self):
         for request_id, runs in self.runs.items():
             exchange = self.by_id.get(request_id)
