Cancel no connect while the event loop takes its socket

Cause: if a call is cancelled, or its connect times out, in the turn of the loop in which uvloop takes the connected socket from the HTTP library, uvloop closes the descriptor and the socket object closes the same number again when it is collected. By then another connection may have it; it is closed under its owner, and the next one that gets the number shares it with the transport that still believes to own it.

Ruled out: two answers to one request (each is once in the log), a restart or freeze of g0 (no gap in its log).

Change: the connector gives the socket to the loop in a task that a cancel doesn't reach, and aborts the connection after it. The import is of a library that was pinned as a dependency of another.

Links and the probe of an endpoint let the loop create the socket, which has one owner.

--- a/berylhollow/outgoing.py
+++ b/berylhollow/outgoing.py
@@ -12,7 +12,9 @@
 import os
 import socket
 import struct
+import typing
 
+import aiohappyeyeballs
 import aiohttp
 from aiohttp import client_proto
 
@@ -173,6 +175,51 @@
             Connection, loop=self._loop, open_by_peer=self.open_by_peer
         )
 
+    async def _wrap_create_connection(
+        self,
+        *arguments: typing.Any,
+        addr_infos: list,
+        req: aiohttp.ClientRequest,
+        timeout: aiohttp.ClientTimeout,
+        client_error: type[Exception] = aiohttp.ClientConnectorError,
+        **options: typing.Any,
+    ) -> tuple[asyncio.Transport, Connection]:
+        """Connect; a cancel waits until the loop has taken the socket.
+
+        If the loop is cancelled while it takes a socket, uvloop closes the
+        descriptor, and the socket object closes it again once it is collected.
+        By then it may be that of another connection, whose data then go to
+        the next one that gets the same number.
+        """
+        try:
+            async with asyncio.timeout(timeout.sock_connect):
+                opened_socket = await aiohappyeyeballs.start_connection(
+                    addr_infos=addr_infos,
+                    loop=self._loop,
+                    socket_factory=self._socket_factory,
+                )
+                taking = asyncio.ensure_future(
+                    self._loop.create_connection(
+                        *arguments, **options, sock=opened_socket
+                    )
+                )
+                try:
+                    return await asyncio.shield(taking)
+                except asyncio.CancelledError:
+                    taking.add_done_callback(_abort_connection)
+                    raise
+        except OSError as error:
+            if error.errno is None and isinstance(error, TimeoutError):
+                raise
+            raise client_error(req.connection_key, error) from error
+
+
+def _abort_connection(taking: asyncio.Future) -> None:
+    """Close a connection that was opened for a call that has ended."""
+    if not taking.cancelled() and taking.exception() is None:
+        transport, _ = taking.result()
+        transport.abort()
+
 
 class Response(aiohttp.ClientResponse):
     """A response that knows whether its connection was reset.
--- a/test/test_outgoing.py
+++ b/test/test_outgoing.py
@@ -1,6 +1,8 @@
 """Tests of outgoing calls and of what their errors say."""
 
 import asyncio
+import gc
+import os
 import socket
 import struct
 import threading
@@ -366,3 +368,58 @@
 
     def test_close_with_the_last_bytes_is_an_end(self):
         self.assertEqual((False, b'last'), self.read_from_server(reset=False))
+
+
+class CancelledConnectTest(unittest.TestCase):
+    """Guards against answers that reach the caller of another request.
+
+    A call was cancelled while the loop took its socket. The descriptor was
+    closed twice, the second time as that of another connection.
+    """
+
+    MOST_TURNS = 20
+    TIMES = 4
+    OPENED = 6
+
+    async def closed_by_others(self, turns, url):
+        """Cancel a call after some turns of the loop.
+
+        Returns the descriptors that were opened since and are closed.
+        """
+        async with outgoing.open_session() as session:
+            call = asyncio.create_task(outgoing.open_call(session, 'GET', url))
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            call.cancel()
+            opened = []
+            for _ in range(self.OPENED):
+                await asyncio.sleep(0)
+                opened.append(socket.socket())
+            await asyncio.gather(call, return_exceptions=True)
+            del call
+        gc.collect()
+        return [x.detach() for x in opened if not is_open_and_closed(x)]
+
+    async def check(self):
+        server = SilentServer()
+        try:
+            for turns in self.TIMES * [*range(self.MOST_TURNS)]:
+                with self.subTest(turns):
+                    closed = await self.closed_by_others(turns, server.url)
+                    self.assertEqual([], closed)
+        finally:
+            server.close()
+
+    def test_cancelled_connect_closes_its_own_descriptor_only(self):
+        with asyncio.Runner(loop_factory=loop.new_event_loop) as runner:
+            runner.run(self.check())
+
+
+def is_open_and_closed(opened: socket.socket) -> bool:
+    """Return whether a socket was open, and close it."""
+    try:
+        os.fstat(opened.fileno())
+    except OSError:
+        return False
+    opened.close()
+    return True
