--- a/test/hosted/queued_endpoint.py
+++ b/test/hosted/queued_endpoint.py
@@ -12,6 +12,7 @@
 import itertools
 import random
 
+from berylhollow import answer_body
 from berylhollow import clock
 from berylhollow import effects
 from berylhollow import errors
@@ -102,6 +103,10 @@
 
     run: asyncio.Task
     is_delimited_by_close: bool = False
+    is_chunked: bool = False
+    content_length: int = 0
+    content_type: str = 'application/json'
+    headers: dict = dataclasses.field(default_factory=dict)
 
     @property
     def content(self):
@@ -426,7 +431,11 @@
 
 def answer(status: int, run: asyncio.Task) -> platform.Answer:
     reason = NOT_RUN_REASONS.get(status)
-    return platform.Answer(status, (), reason, True, True, None, RunBody(run))
+    response = RunBody(run)
+    body = answer_body.BodyReader(response)
+    return platform.Answer(
+        status, (), reason, True, True, None, response, body
+    )
 
 
 def play(load: Load) -> World:
