Say once in the soak how a connection is made to reset

Answers, stand-ins and proxies set the same socket option in two copies. The proxy's now serves all.

--- a/tools/soak/_answers.py
+++ b/tools/soak/_answers.py
@@ -3,7 +3,6 @@
 import asyncio
 import dataclasses
 import random
-import socket
 
 from aiohttp import web
 
@@ -134,7 +133,7 @@
     if plan.framing == 'chunks' and plan.end == 'framed':
         transport.write(b'0\r\n\r\n')
     if plan.end == 'reset':
-        reset(transport)
+        _proxy.reset_on_close(transport)
     transport.close()
     return web.Response()
 
@@ -142,10 +141,3 @@
 def _halves(body: bytes) -> list[bytes]:
     middle = len(body) // 2
     return [part for part in (body[:middle], body[middle:]) if part]
-
-
-def reset(transport: asyncio.BaseTransport) -> None:
-    """Have the connection reset when it is closed."""
-    opened = transport.get_extra_info('socket')
-    if opened is not None and not transport.is_closing():
-        opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _proxy.RESET)
--- a/tools/soak/_proxy.py
+++ b/tools/soak/_proxy.py
@@ -30,6 +30,14 @@
 NARROW_CHUNK_BYTES = 4096
 
 
+def reset_on_close(transport: asyncio.BaseTransport) -> None:
+    """Have a connection reset when it is closed."""
+    opened = transport.get_extra_info('socket')
+    if opened is not None:
+        with contextlib.suppress(OSError):
+            opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+
+
 class Proxy:
     """Pass connections to a port on to a target."""
 
@@ -62,20 +70,10 @@
 
     def reset(self) -> None:
         """Reset all connections; new ones work."""
-        self._reset(self.writers)
         for writer in self.writers:
+            reset_on_close(writer.transport)
             writer.transport.abort()
 
-    def _reset(self, writers: set[asyncio.StreamWriter]) -> None:
-        """Have connections reset when they are closed."""
-        for writer in writers:
-            taken = writer.get_extra_info('socket')
-            if taken is not None:
-                with contextlib.suppress(OSError):
-                    taken.setsockopt(
-                        socket.SOL_SOCKET, socket.SO_LINGER, RESET
-                    )
-
     def stop_listening(self) -> None:
         """Refuse connections, as the port of a process that has ended."""
         self.server.close()
@@ -108,7 +106,8 @@
                     self._pass(there, writer, {Mode.SILENT, Mode.DEAF})
                 )
         except* ConnectionResetError:
-            self._reset(ends)
+            for end in ends:
+                reset_on_close(end.transport)
         except* OSError:
             pass
         finally:
--- a/tools/soak/_standins.py
+++ b/tools/soak/_standins.py
@@ -12,6 +12,7 @@
 from berylhollow.standin import direct_endpoint
 from berylhollow.standin import metadata_store
 from tools.soak import _answers
+from tools.soak import _proxy
 from tools.soak import _world
 
 BEAT_S = 1.2
@@ -118,7 +119,7 @@
         say(crashed=self.instance)
         self.is_down = True
         for transport in [*self.transports]:
-            _answers.reset(transport)
+            _proxy.reset_on_close(transport)
             transport.abort()
         await asyncio.sleep(DOWN_S)
         self.restart(self.instance)
