Name the type of event streams and bodies without content once

The gateway's responses, the reader of bodies and the sidecar's end check each named text/event-stream, and the gateway's responses repeated from outgoing calls which statuses have no body and the option that resets on close. They use the one of answer_body and of outgoing now.

--- a/berylhollow/gateway/_answers.py
+++ b/berylhollow/gateway/_answers.py
@@ -9,7 +9,6 @@
 from berylhollow import messages
 
 PROBLEM_MEDIA_TYPE = 'application/problem+json'
-EVENT_STREAM_TYPE = 'text/event-stream'
 PROBLEM_TYPE_PREFIX = 'urn:berylhollow:error:'
 SERVER_NAME = 'berylhollow'
 MS_PER_SECOND = 1000
--- a/berylhollow/gateway/_responding.py
+++ b/berylhollow/gateway/_responding.py
@@ -17,12 +17,14 @@
 from aiohttp import web
 import multidict
 
+from berylhollow import answer_body
 from berylhollow import effects
 from berylhollow import errors
 from berylhollow.gateway import _answers
 from berylhollow.gateway import _dialect
 from berylhollow.gateway import _exchange
 from berylhollow.gateway import _relay
+from berylhollow import outgoing
 
 MAX_STORED_ANSWER_BYTES = 16 * 1024
 """Answers up to this size are stored for requests with an idempotency key."""
@@ -34,12 +36,9 @@
 """Errors that close the connection: another gateway may be able to serve the
 caller, whose next request on this connection would reach this one again."""
 
-# SO_LINGER with and without a timeout of 0: a close resets or just closes.
-RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+# SO_LINGER switched off: a close is a plain one.
 PLAIN_CLOSE = struct.pack('ii', 0, 0)
 
-NO_BODY_STATUSES = frozenset({204, 304})
-
 
 class StalledError(Exception):
     """The caller read nothing of its answer for too long."""
@@ -117,7 +116,8 @@
         self.dialect = dialect
         self.stall_timeout_s = stall_timeout_s
         self.has_no_body = (
-            request.method == 'HEAD' or relay.begin.status in NO_BODY_STATUSES
+            request.method == outgoing.HEAD
+            or relay.begin.status in outgoing.BODYLESS_STATUSES
         )
         self.response = self._make_response(close_connection)
         self.declared_length = self.response.content_length
@@ -145,7 +145,7 @@
     @property
     def is_event_stream(self) -> bool:
         """Whether the answer is a stream of server-sent events."""
-        return self.response.content_type == _answers.EVENT_STREAM_TYPE
+        return self.response.content_type == answer_body.EVENT_STREAM_TYPE
 
     async def write(self) -> web.StreamResponse:
         """Write the answer to its end.
@@ -157,7 +157,7 @@
         self.exchange.status = relay.begin.status
         self.writer = await self.response.prepare(self.request)
         if self._is_delimited_by_close():
-            _set_linger(self.request, RESET_ON_CLOSE)
+            _set_linger(self.request, outgoing.RESET_ON_CLOSE)
         relay.attach(self)
         await relay.wait()
         while relay.blocked and relay.failure is None:
--- a/berylhollow/sidecar/_answer_end.py
+++ b/berylhollow/sidecar/_answer_end.py
@@ -1,9 +1,9 @@
 """Detects an engine's event stream that was cut short."""
 
+from berylhollow import answer_body
 from berylhollow import endpoint
 
 CONTENT_TYPE = 'content-type'
-EVENT_STREAM = 'text/event-stream'
 DONE_EVENT = b'data: [DONE]'
 TAIL_BYTES = 64
 """Bytes kept of the end of a stream, enough to hold the done event."""
@@ -37,6 +37,6 @@
 def _is_event_stream(answer: endpoint.EndpointAnswer) -> bool:
     return any(
         header.name.lower() == CONTENT_TYPE
-        and header.value.lower().startswith(EVENT_STREAM)
+        and header.value.lower().startswith(answer_body.EVENT_STREAM_TYPE)
         for header in answer.headers
     )
