Log a run that another gateway lost

Whether gateways know of each other's losses could not be told from their logs: a gateway says when it loses a run, and said nothing when it heard of one. The line `run lost elsewhere` is bounded as `run cut off` is: one for each message. No decision changes.

--- a/berylhollow/gateway/_probes.py
+++ b/berylhollow/gateway/_probes.py
@@ -167,7 +167,13 @@
         lost.fingerprint, lost.endpoint, lost.is_probe, event.at_ms
     )
     state.successes.pop(lost.fingerprint, None)
-    return []
+    fields = (
+        ('fingerprint', lost.fingerprint),
+        ('endpoint', lost.endpoint),
+        ('is_probe', lost.is_probe),
+        ('peer', event.peer),
+    )
+    return [effects.Log('run lost elsewhere', fields)]
 
 
 def endpoint_answered(
