--- a/test/hosted/crash_fleet.py
+++ b/test/hosted/crash_fleet.py
@@ -48,7 +48,9 @@
     """One play; times in milliseconds.
 
     ``model`` puts the culprit on a service with a model, whose answers begin
-    before their endpoint crashes.
+    before their endpoint crashes. ``link_ms`` is the delay of links to
+    sidecars, ``broken_share`` the share of other requests' answers that are
+    broken off while their endpoint lives.
     """
 
     gateways: int = 4
@@ -58,6 +60,8 @@
     down_ms: int = 3000
     model: bool = False
     seed: int = 1
+    link_ms: int = LINK_MS
+    broken_share: float = 0.0
 
 
 @dataclasses.dataclass
@@ -164,6 +168,15 @@
             name = f'g{index % self.setup.gateways + 1}'
             self.at(at_ms, self.send, name, kind, fingerprint)
 
+    def send_bursts(self, count, interval_ms, until_ms, kind, fingerprint=''):
+        """Have several of a kind come within milliseconds, again and again."""
+        sent = 0
+        for from_ms in range(1000, until_ms, interval_ms):
+            for at_ms in range(from_ms, from_ms + count):
+                name = f'g{sent % self.setup.gateways + 1}'
+                self.at(at_ms, self.send, name, kind, fingerprint)
+                sent += 1
+
     # What is judged.
 
     def late_runs_ms(self):
@@ -225,6 +238,12 @@
         for name in [name for name, other in self.links if other == peer]:
             self.break_link(name, peer)
 
+    def restart_sidecars(self, down_ms):
+        """End all sidecars at once; they start again after a time."""
+        for peer in list(self.sidecars):
+            self.kill_sidecar(peer)
+            self.after(down_ms, self.start_sidecar, peer)
+
     def cut_links(self, name):
         """Cut a gateway off from all sidecars, until it is healed."""
         self.cut.add(name)
@@ -278,7 +297,7 @@
         elif isinstance(effect.message, messages.Cancel):
             self.after(LINK_MS, self._cancelled, name, effect)
         elif {(name, effect.peer), (effect.peer, name)} & self.links:
-            self.after(LINK_MS, self._deliver, name, effect)
+            self.after(self.setup.link_ms, self._deliver, name, effect)
 
     def _deliver(self, source, effect):
         if {(source, effect.peer), (effect.peer, source)} & self.links:
@@ -289,7 +308,7 @@
         self.feed(name, received)
 
     def _open_link(self, name, effect):
-        self.after(LINK_MS, self._link_opened, name, effect.peer)
+        self.after(self.setup.link_ms, self._link_opened, name, effect.peer)
 
     def _link_opened(self, name, peer):
         if name not in self.gateways:
@@ -400,6 +419,16 @@
     def _started(self, offer):
         return messages.Started(offer.attempt_id, 200, (), offer.adapter)
 
+    def _is_broken(self):
+        share = self.setup.broken_share
+        return share > 0 and self.random.random() < share
+
+    def _broken(self, offer):
+        kind = errors.Kind.ENGINE_RESTARTED
+        if self.setup.model:
+            kind = errors.Kind.STREAM_BROKEN
+        return messages.Failed(offer.attempt_id, kind, errors.Ran.UNKNOWN)
+
     def _answer(self, run, source, message):
         self.after(LINK_MS, self._report, run.gateway, source, message)
 
@@ -419,6 +448,9 @@
             self.crashes_ms.append(self.now_ms)
             self.end_endpoint(endpoint.address)
             return
+        if self._is_broken():
+            self._answer(run, endpoint.name, self._broken(run.offer))
+            return
         if not self.setup.model:
             self._answer(run, endpoint.name, self._started(run.offer))
         end = messages.End(run.offer.attempt_id, 0)
@@ -430,14 +462,8 @@
         if not endpoint.up:
             return
         endpoint.up = False
-        kind = errors.Kind.ENGINE_RESTARTED
-        if self.setup.model:
-            kind = errors.Kind.STREAM_BROKEN
         for run in endpoint.runs.values():
-            failed = messages.Failed(
-                run.offer.attempt_id, kind, errors.Ran.UNKNOWN
-            )
-            self._answer(run, endpoint.name, failed)
+            self._answer(run, endpoint.name, self._broken(run.offer))
         endpoint.runs.clear()
         silent_ms = SILENT_HEARTBEATS * HEARTBEAT_MS
         self.after(silent_ms, self.listed.pop, endpoint.name, None)
--- a/test/hosted/test_crash_bound.py
+++ b/test/hosted/test_crash_bound.py
@@ -65,6 +65,79 @@
         self.check('others', model=True)
 
 
+class DisturbedBoundTest(unittest.TestCase):
+    """A culprit while links and sidecars fail or answers are broken off."""
+
+    PLAY_MS = 30_000
+    SIZES = ((4, 4), (8, 6))
+    REPEAT_MS = 60
+    BURST = 8
+    BURST_MS = 900
+    INNOCENT_MS = 50
+
+    def repeat(self, fleet):
+        """Send the culprit to one gateway after the other."""
+        fleet.send_each(
+            self.REPEAT_MS,
+            self.PLAY_MS,
+            crash_fleet.CULPRIT,
+            crash_fleet.CULPRIT,
+        )
+
+    def burst(self, fleet):
+        """Send the culprit to several gateways at once, again and again."""
+        fleet.send_bursts(
+            self.BURST,
+            self.BURST_MS,
+            self.PLAY_MS,
+            crash_fleet.CULPRIT,
+            crash_fleet.CULPRIT,
+        )
+
+    def check(self, disturb=None, **changes):
+        plays = itertools.product(
+            (self.repeat, self.burst), self.SIZES, (False, True), (1, 2)
+        )
+        for send, (gateways, endpoints), model, seed in plays:
+            with self.subTest(
+                send=send.__name__, gateways=gateways, model=model, seed=seed
+            ):
+                setup = crash_fleet.Setup(
+                    gateways=gateways,
+                    endpoints=endpoints,
+                    model=model,
+                    seed=seed,
+                    **changes,
+                )
+                fleet = crash_fleet.CrashFleet(setup)
+                send(fleet)
+                fleet.send_each(
+                    self.INNOCENT_MS, self.PLAY_MS, crash_fleet.INNOCENT
+                )
+                if disturb is not None:
+                    disturb(fleet)
+                fleet.run_until(self.PLAY_MS)
+                late = fleet.late_runs_ms()
+                self.assertLessEqual(len(late), crash_fleet.MAX_LATE_RUNS)
+
+    def test_bound_holds_while_all_sidecars_start_again_at_once(self):
+        """Guards against gateways that each grant themselves a permit."""
+
+        def restart(fleet):
+            for at_ms in (1050, 4400):
+                fleet.at(at_ms, fleet.restart_sidecars, 700)
+
+        self.check(restart)
+
+    def test_bound_holds_over_slow_links(self):
+        """Guards against permits that come later than they are awaited."""
+        self.check(link_ms=160)
+
+    def test_bound_holds_beside_answers_that_are_broken_off(self):
+        """Guards against a culprit that an answer cut before hides."""
+        self.check(broken_share=0.1)
+
+
 class InnocentsTest(unittest.TestCase):
     """Requests of one fingerprint, and endpoints that are lost from outside.
 
