Count a probe's loss although an answer was cut at its endpoint before

Callers saw a culprit end one endpoint after the other, 3.5 s apart, for as long as it came, where endpoints also broke off other answers. Cause: all losses of an endpoint were taken for its end, the first of them for the time of it, and a run that began later did not count. An answer cut seconds before the crash hid the culprit each time, at the same gateway or at another one.

A probe is now sent on a connection of its own. One to an endpoint that has ended is refused and never lost, so a lost probe met a process that was alive, and its loss counts by its own time. Ruled out: counting every later loss, since runs on kept connections to an endpoint that went dark are lost as well.

--- a/berylhollow/gateway/_attempts.py
+++ b/berylhollow/gateway/_attempts.py
@@ -390,6 +390,7 @@
         host=request.host,
         another=_can_retry_after_run(state, active),
         crashes_known=active.crashes_known,
+        is_probe=active.is_probe,
     )
     if not endpoint.instance.direct:
         return [effects.Send(name, offer)]
--- a/berylhollow/messages.py
+++ b/berylhollow/messages.py
@@ -76,6 +76,8 @@
     time, as this one is suspected of crashing endpoints. ``another`` means
     that the gateway may make another attempt if this one fails.
     ``crashes_known`` counts the crashes of which the gateway suspects it.
+    ``is_probe`` asks for a new connection to the endpoint: a run that is lost
+    there has met a process that was alive.
     """
 
     attempt_id: str
@@ -98,6 +100,7 @@
     host: str = ''
     another: bool = False
     crashes_known: int = 0
+    is_probe: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/berylhollow/platform/_endpoint_calls.py
+++ b/berylhollow/platform/_endpoint_calls.py
@@ -102,10 +102,21 @@
 
 
 class EndpointClient:
-    """Client that sends requests directly to endpoints."""
+    """Client that sends requests directly to endpoints.
 
-    def __init__(self, session: aiohttp.ClientSession):
+    Probes go over ``probe_session``, each on a new connection. On one that was
+    open before, a request may be lost because the endpoint has ended already.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        probe_session: aiohttp.ClientSession | None = None,
+    ):
         self.session = session
+        self.probe_session = probe_session or outgoing.open_session(
+            reuse=False
+        )
 
     async def send(
         self, offer: messages.Offer, address: str, instance: str
@@ -118,7 +129,7 @@
         headers = _request_headers(offer, instance)
         url = yarl.URL(f'http://{address}{offer.path}', encoded=True)
         response = await outgoing.open_call(
-            self.session,
+            self.probe_session if offer.is_probe else self.session,
             offer.method,
             url,
             headers=headers,
@@ -130,6 +141,7 @@
     async def close(self) -> None:
         """Close all connections."""
         await self.session.close()
+        await self.probe_session.close()
 
 
 def _request_headers(
--- a/berylhollow/quarantine/_suspects.py
+++ b/berylhollow/quarantine/_suspects.py
@@ -214,7 +214,7 @@
         if suspicion is None:
             return 0
         losses = [
-            (self._ended_ms(crash_id, loss), loss)
+            (self._counted_ms(crash_id, loss), loss)
             for crash_id, loss in suspicion.losses.items()
         ]
         losses.sort(key=lambda x: x[0])
@@ -223,7 +223,7 @@
         for ended_ms, loss in losses:
             if loss.is_probe is not None:
                 is_later = loss.is_probe and loss.crashes_known > 0
-                if count == 0 or (is_later and loss.began_ms <= ended_ms):
+                if count == 0 or is_later:
                     count += 1
                     follows_ms = ended_ms + self.rules.together_ms
                 continue
@@ -263,8 +263,14 @@
             other != fingerprint for other in end.fingerprints
         )
 
-    def _ended_ms(self, crash_id: str, loss: Loss) -> int:
-        """Return when the endpoint of a loss ended, as far as is known."""
+    def _counted_ms(self, crash_id: str, loss: Loss) -> int:
+        """Return when the endpoint of a loss ended, as far as is known.
+
+        It was alive when it took a probe, so that runs lost there before had
+        been broken off.
+        """
+        if loss.is_probe:
+            return loss.lost_ms
         end = self.ends.get(_records.ended_epoch(crash_id))
         return min(loss.lost_ms, end.first_lost_ms) if end else loss.lost_ms
 
--- a/test/hosted/direct_helper.py
+++ b/test/hosted/direct_helper.py
@@ -66,6 +66,18 @@
             writer.close()
 
 
+class KeepingEndpoint(RawEndpoint):
+    """Answers one request after the other on each connection."""
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            while True:
+                await reader.readuntil(b'\r\n\r\n')
+                writer.write(self.answer)
+        writer.close()
+
+
 class DirectTestCase(unittest.IsolatedAsyncioTestCase):
     """Sends offers through ``self.runs`` to the endpoint ``self.address``."""
 
--- a/test/hosted/test_direct_runs.py
+++ b/test/hosted/test_direct_runs.py
@@ -51,6 +51,18 @@
             (await self.messages_to_end())[-1], messages.Failed
         )
 
+    async def test_probe_has_a_connection_of_its_own(self):
+        """Guards against a probe that is lost at an endpoint that ended."""
+        answer = RESPONSE_HEAD + b'Content-Length: 2\r\n\r\nok'
+        endpoint = direct_helper.KeepingEndpoint(answer)
+        await self.listen(endpoint)
+        opened = []
+        for number, is_probe in enumerate((False, False, True, True), 1):
+            self.send_offer(number=number, is_probe=is_probe)
+            await self.messages_to_end()
+            opened.append(endpoint.connections)
+        self.assertEqual([1, 1, 2, 3], opened)
+
     async def test_answer_to_another_request_is_dropped(self):
         """An extra answer arrives on a connection before the expected one."""
         await self.begin()
