Return the permits of other sidecars when one denies a request

Where a sidecar takes longer than 150 ms to answer, a gateway asks a second one. If the first then denied the request, the gateway forgot it had asked the second, which kept a permit that nobody had for as long as the request could have lasted: others like it were refused meanwhile. Seen by reading, on the way to permits over slow links. A denial now returns what the others may grant; one that comes after a grant changes nothing. test_denied_request_returns_the_permit_of_another_sidecar fails before (no ProbeEnded).

--- a/berylhollow/gateway/_probes.py
+++ b/berylhollow/gateway/_probes.py
@@ -136,18 +136,25 @@
 
 def answered(
     state: _state.State, event: events.MessageReceived
-) -> _state.ActiveRequest | None:
-    """Apply a sidecar's answer; return the request that may be sent."""
+) -> tuple[Effects, _state.ActiveRequest | None]:
+    """Apply a sidecar's answer; return the request that may be sent.
+
+    A request that is denied gives back what other sidecars may grant it.
+    """
     message: messages.ProbeAnswered = event.message
     probe = state.probes.get(message.fingerprint)
     if probe is None or event.peer not in probe.asked:
-        return None
+        return [], None
     active = state.requests.get(probe.request_id)
-    if active is None or not message.granted:
-        del state.probes[message.fingerprint]
-        return None
-    probe.granted = True
-    return active
+    if active is not None and message.granted:
+        probe.granted = True
+        return [], active
+    if probe.granted:
+        return [], None
+    del state.probes[message.fingerprint]
+    ended = messages.ProbeEnded(message.fingerprint)
+    others = [peer for peer in probe.asked if peer != event.peer]
+    return [effects.Send(peer, ended) for peer in others], None
 
 
 def link_opened(state: _state.State, event: events.LinkOpened) -> Effects:
--- a/berylhollow/gateway/_reducer.py
+++ b/berylhollow/gateway/_reducer.py
@@ -104,12 +104,10 @@
 def _probe_answered(
     state: _state.State, event: events.MessageReceived
 ) -> Effects:
-    active = _probes.answered(state, event)
-    if active is None:
-        return []
-    if active.phase is not _state.Phase.WAITING:
-        return []
-    return _attempts.place(state, active, event.at_ms)
+    emitted, active = _probes.answered(state, event)
+    if active is None or active.phase is not _state.Phase.WAITING:
+        return emitted
+    return emitted + _attempts.place(state, active, event.at_ms)
 
 
 def _link_opened(state: _state.State, event: events.LinkOpened) -> Effects:
--- a/test/hosted/test_probes.py
+++ b/test/hosted/test_probes.py
@@ -146,6 +146,22 @@
         self.send(20)
         self.assertEqual([], self.offers())
 
+    def test_denied_request_returns_the_permit_of_another_sidecar(self):
+        """Guards against a permit that nobody has and nobody returns."""
+        self.link_sidecars()
+        self.lose_run()
+        self.send(10)
+        asked = self.asked()
+        self.feed(events.Ticked(160, 0.5))
+        asked += self.asked()
+        self.answer_asked(asked[0], False, 200)
+        returned = [
+            effect.peer
+            for effect in self.of_type(effects.Send)
+            if isinstance(effect.message, messages.ProbeEnded)
+        ]
+        self.assertEqual(asked[1:], returned)
+
     def test_loss_without_a_link_is_told_later(self):
         """Guards against a loss that no other gateway ever hears of."""
         lost = self.lose_run()
