Refuse what several endpoints ended under while no sidecar answers

Callers saw a request that had ended three endpoints go to four more within 0.8 s, from as many gateways. Cause: a gateway that no sidecar answers grants itself the permit at once: with none linked, as when all sidecars start again together, or after two times 150 ms, which is less than a round trip over a slow link.

What several endpoints ended under, or may have, now waits for a permit, half a second as beside others like it, and is refused as not run (503, a second as Retry-After) until no sidecar has answered for 3 s. What one endpoint ended under is sent as before. A late answer is still taken, and a sidecar whose link closes is no longer waited for. Ruled out: refusing what one end is suspected of (an outage beside sidecars of an older version), turns by rendezvous and two of three permits (docs/incidents/suspect-sent-without-permit.md).

What innocents lose stands in the postmortem. test_one_success_is_not_enough_after_several_ends now links the sidecars and answers each request for a permit, as a suspect of several ends is not sent without; what it asserts is unchanged.

--- a/berylhollow/gateway/_probes.py
+++ b/berylhollow/gateway/_probes.py
@@ -12,6 +12,7 @@
 
 import dataclasses
 
+from berylhollow import clock
 from berylhollow import effects
 from berylhollow import events
 from berylhollow.gateway import _state
@@ -36,6 +37,12 @@
 """How long after a probe was lost its endpoint is tried again. One that ended
 takes longer to start."""
 
+ALONE_AFTER_MS = 3000
+"""How long no sidecar may have answered before a gateway sends what several
+endpoints ended under on its own. Sidecars that start again take less."""
+
+SEVERAL = 2
+
 MAX_RETOLD = 32
 """Losses that are told again over a link that opens."""
 
@@ -104,7 +111,7 @@
     if probe.request_id != active.request.request_id:
         return _wait(state, active, at_ms)
     asked: Effects = []
-    if not probe.granted and at_ms >= probe.asked_ms + ANSWER_MS:
+    if not probe.granted and at_ms >= probe.ask_again_ms:
         asked = _ask(state, active, probe, at_ms)
     if not probe.granted:
         return _wait(state, active, at_ms, asked)
@@ -142,6 +149,7 @@
     A request that is denied gives back what other sidecars may grant it.
     """
     message: messages.ProbeAnswered = event.message
+    state.silence = None
     probe = state.probes.get(message.fingerprint)
     if probe is None or event.peer not in probe.asked:
         return [], None
@@ -176,6 +184,16 @@
     return emitted[-MAX_RETOLD:]
 
 
+def link_closed(state: _state.State, peer: str, at_ms: int) -> None:
+    """Let those that wait for an answer of a sidecar ask another one."""
+    if not state.linked_sidecars:
+        state.unlinked_ms = at_ms
+    for probe in state.probes.values():
+        if peer in probe.asked and not probe.granted:
+            probe.asked.remove(peer)
+            probe.ask_again_ms = clock.NEVER_MS
+
+
 def run_lost(
     state: _state.State, active: _state.ActiveRequest, at_ms: int
 ) -> Effects:
@@ -259,25 +277,42 @@
     probe: _state.Probe,
     at_ms: int,
 ) -> Effects:
-    """Ask a sidecar for the permit; without any, take it."""
+    """Ask a sidecar for the permit; without any, take it in time."""
     fingerprint = active.request.fingerprint
     linked = [x for x in state.linked_sidecars if x not in probe.asked]
     sidecar = rendezvous.highest(fingerprint, linked)
     if sidecar is None or len(probe.asked) >= MAX_ASKED:
+        silent_ms = _note_silence(state, at_ms)
+        ended = len(known_ends(state, fingerprint, at_ms))
+        if ended >= SEVERAL and silent_ms < ALONE_AFTER_MS:
+            return []
         probe.granted = True
         fields = (
             ('request_id', active.request.request_id),
             ('fingerprint', fingerprint),
             ('asked', len(probe.asked)),
+            ('ended', ended),
+            ('silent_ms', silent_ms),
         )
         text = 'suspect is sent without a permit'
         return [effects.Log(text, fields, warning=True)]
     probe.asked.append(sidecar)
-    probe.asked_ms = at_ms
+    probe.ask_again_ms = at_ms + ANSWER_MS
     lasts_ms = active.deadline_ms - at_ms + PERMIT_MARGIN_MS
     return [effects.Send(sidecar, messages.ProbeWanted(fingerprint, lasts_ms))]
 
 
+def _note_silence(state: _state.State, at_ms: int) -> int:
+    """Note that no sidecar answers; return for how long none has."""
+    if not state.linked_sidecars:
+        return at_ms - state.unlinked_ms
+    silence = state.silence
+    if silence is None or at_ms >= silence.last_ms + ALONE_AFTER_MS:
+        silence = state.silence = _state.Silence(at_ms, at_ms)
+    silence.last_ms = at_ms
+    return at_ms - silence.since_ms
+
+
 def _wait(
     state: _state.State,
     active: _state.ActiveRequest,
--- a/berylhollow/gateway/_reducer.py
+++ b/berylhollow/gateway/_reducer.py
@@ -43,7 +43,7 @@
 
 def _started(state: _state.State, event: events.Started) -> Effects:
     state.incarnation = event.incarnation
-    state.started_ms = event.at_ms
+    state.started_ms = state.unlinked_ms = event.at_ms
     state.settled_ms = event.at_ms + state.options.settle_ms
     wanted = state.follower.start(event.at_ms)
     return wanted + _membership.tick(state, event.at_ms)
@@ -132,7 +132,9 @@
 def _link_closed(state: _state.State, event: events.LinkClosed) -> Effects:
     if event.peer in state.sidecars:
         _kept_crashes.link_closed(state, event.peer)
-        return _sidecars.closed(state, event)
+        closed = _sidecars.closed(state, event)
+        _probes.link_closed(state, event.peer, event.at_ms)
+        return closed
     if event.peer in state.endpoints:
         return _attempt_links.closed(state, event)
     return _peers.closed(state, event)
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -287,16 +287,27 @@
 class Probe:
     """A request that has, or wants, the permit to run as a suspect.
 
-    ``asked`` are the sidecars that were asked for it, the last one at
-    ``asked_ms``.
+    ``asked`` are the sidecars that were asked for it. If none answers, another
+    one is asked at ``ask_again_ms``.
     """
 
     request_id: str
     asked: list[str] = dataclasses.field(default_factory=list)
-    asked_ms: int = clock.NEVER_MS
+    ask_again_ms: int = clock.NEVER_MS
     granted: bool = False
 
 
+@dataclasses.dataclass(slots=True)
+class Silence:
+    """For how long no sidecar has answered who was asked for a permit.
+
+    ``since_ms`` is the first time that none did, ``last_ms`` the last one.
+    """
+
+    since_ms: int
+    last_ms: int
+
+
 @dataclasses.dataclass(slots=True)
 class ForwardedBatch:
     """A batch from another gateway; ``left`` entries are still to append."""
@@ -399,6 +410,8 @@
     this gateway started, by peer. ``unsettled`` has the runs that were cut
     off, ``probes`` the suspect requests that run or want to, by fingerprint,
     ``successes`` how often suspects ran well since they last lost a run.
+    ``silence`` is None while sidecars answer who asks for a permit;
+    ``unlinked_ms`` is when the last link to a sidecar was lost.
 
     ``allowances`` has what this gateway may use of each workspace's quota,
     ``quota_uses_reported`` the usage last reported to the ``quota_books``.
@@ -470,6 +483,8 @@
         default_factory=lambda: quarantine.UnsettledLosses(CUT_OFF_TTL_MS)
     )
     probes: dict[str, Probe] = dataclasses.field(default_factory=dict)
+    silence: Silence | None = None
+    unlinked_ms: int = 0
     quarantine_offset: int = 0
     quarantine_read_at_ms: int = 0
     peer_links: dict[str, str] = dataclasses.field(default_factory=dict)
--- a/test/hosted/test_probes.py
+++ b/test/hosted/test_probes.py
@@ -146,6 +146,38 @@
         self.send(20)
         self.assertEqual([], self.offers())
 
+    def lose_two_elsewhere(self):
+        for name in ('i-8', 'i-9'):
+            lost = messages.RunLost(FINGERPRINT, name, False)
+            self.receive(lost, 0, SIDECARS[0])
+
+    def test_suspect_of_several_ends_waits_for_a_sidecar(self):
+        """Guards against gateways that each send a culprit on their own.
+
+        All sidecars start again at once; their gateways lose all links.
+        """
+        self.lose_two_elsewhere()
+        self.send(1010)
+        self.assertEqual([], self.offers())
+        for at_ms in range(1060, 1600, 50):
+            self.feed(events.Ticked(at_ms, 0.5))
+            self.assertEqual([], self.offers())
+        self.link_sidecars()
+        self.send(1600)
+        (peer,) = self.asked()
+        self.answer_asked(peer, True, 1602)
+        self.assertEqual(1, len(self.offers()))
+
+    def test_sidecars_that_stay_away_hold_a_suspect_for_seconds(self):
+        """Guards against refusals for as long as no sidecar can be reached."""
+        self.lose_two_elsewhere()
+        self.send(2400)
+        self.assertEqual([], self.offers())
+        self.feed(events.Ticked(2900, 0.5))
+        self.assertIs(errors.Kind.SUSPECT, self.answer().kind)
+        self.send(3000)
+        self.assertEqual(1, len(self.offers()))
+
     def test_denied_request_returns_the_permit_of_another_sidecar(self):
         """Guards against a permit that nobody has and nobody returns."""
         self.link_sidecars()
@@ -244,6 +276,7 @@
 
     def test_one_success_is_not_enough_after_several_ends(self):
         """Guards against a culprit that one run like it clears."""
+        self.link_sidecars()
         for number in (8, 9):
             crashed = messages.Crashed(
                 f'i-{number} at g9',
@@ -256,6 +289,8 @@
             at_ms = 20 + number
             self.assertTrue(self.state.suspects.is_suspect(FINGERPRINT, at_ms))
             self.send(at_ms)
+            (peer,) = self.asked()
+            self.answer_asked(peer, True, at_ms)
             _, offer = self.offered()
             relayed = events.AnswerRelayed(
                 at_ms, offer.request_id, offer.attempt_id, 200
