Read which parts of a prompt are shared, and name them when a run is cut off

Requests with one part in their prompts crashed endpoint after endpoint, and no log said which parts a lost run had. platform decodes Prompt-Prefix into Request.shared_parts, without the last part, which is the request's own; run cut off names them. Lists that are malformed or too long have none, are bounded in count and passed on as they came: what endpoints make of them is theirs to say. No decision uses the parts yet.

--- a/berylhollow/events.py
+++ b/berylhollow/events.py
@@ -233,7 +233,8 @@
     route whose requests are not ``repeatable``. If the caller names no
     version, that of ``adapter`` is empty until it is resolved.
     ``credential`` is the digest of the caller's key, None without a usable
-    one.
+    one. ``shared_parts`` are the ids of the parts of its prompt that other
+    requests may share, in order.
     """
 
     request_id: str
@@ -253,6 +254,7 @@
     host: str = ''
     repeatable: bool = True
     credential: bytes | None = None
+    shared_parts: tuple[str, ...] = ()
 
     @property
     def head(self) -> RequestHead:
--- a/berylhollow/gateway/_crashes.py
+++ b/berylhollow/gateway/_crashes.py
@@ -59,6 +59,7 @@
         ('request_id', active.request.request_id),
         ('attempt_id', active.attempt_id),
         ('fingerprint', fingerprint),
+        ('prompt_parts', ','.join(active.request.shared_parts)),
         ('service', active.service),
         ('endpoint', active.endpoint),
         ('kind', failure.kind.value),
--- a/berylhollow/platform/_caller.py
+++ b/berylhollow/platform/_caller.py
@@ -10,11 +10,13 @@
 from berylhollow import events
 from berylhollow import messages
 from berylhollow.platform import _endpoint_calls
+from berylhollow.platform import _prompt
 from berylhollow.util import hop_by_hop
 from berylhollow import workspaces
 
 MODEL_HEADER = 'Model'
 TOKEN_COUNT_HEADER = 'Token-Count'
+PROMPT_PARTS_HEADER = 'Prompt-Prefix'
 API_KEY_HEADER = 'Api-Key'
 DIGEST_BYTES = 16
 MS_PER_SECOND = 1000
@@ -138,6 +140,9 @@
             output_tokens=output_tokens,
             host=self.head.host,
             credential=self.head.credential,
+            shared_parts=_prompt.shared_parts(
+                headers.getall(PROMPT_PARTS_HEADER, ())
+            ),
         )
 
 
