Wait for no sidecar where none is listed

Three tests of innocents beside endpoints that are lost together failed since a suspect of several ends waits for a permit: they have no sidecar at all, so that there is nobody to wait for and nothing to gain.

--- a/berylhollow/gateway/_probes.py
+++ b/berylhollow/gateway/_probes.py
@@ -284,7 +284,8 @@
     if sidecar is None or len(probe.asked) >= MAX_ASKED:
         silent_ms = _note_silence(state, at_ms)
         ended = len(known_ends(state, fingerprint, at_ms))
-        if ended >= SEVERAL and silent_ms < ALONE_AFTER_MS:
+        may_come_back = state.sidecars and silent_ms < ALONE_AFTER_MS
+        if ended >= SEVERAL and may_come_back:
             return []
         probe.granted = True
         fields = (
