List a bad part of prompts that ends endpoint after endpoint; play it

Callers saw requests with one part in their prompts crash 13 and 16 endpoints. A fleet of reducers sends requests with chains of parts, one of them bad: each endpoint that begins to write on it crashes 37 to 100 ms later.

--- a/test/hosted/crash_fleet.py
+++ b/test/hosted/crash_fleet.py
@@ -418,8 +418,11 @@
         endpoint.runs[name, offer.attempt_id] = run
         if run.is_culprit:
             self.runs_ms.append(self.now_ms)
+        self._begin(endpoint, run)
+
+    def _begin(self, endpoint, run):
         if self.setup.model:
-            self._answer(run, effect.peer, self._started(offer))
+            self._answer(run, endpoint.name, self._started(run.offer))
         self.after(self.setup.run_ms, self._end_run, endpoint, run)
 
     def _started(self, offer):
