--- a/test/hosted/test_prompt_parts.py
+++ b/test/hosted/test_prompt_parts.py
@@ -1,4 +1,4 @@
-"""How many endpoints a bad part of prompts may end, and what it costs others."""
+"""How many endpoints a bad part of prompts may end, and what that costs."""
 
 import itertools
 import unittest
