Settle a loss by any answer of its endpoint, at any gateway

Requests that share a fingerprint with a run that was only broken off wait for permits, and are refused once the probe is broken off, too, until it is known that the endpoint lives on: for seconds, as only the gateway that had lost the run could tell, by a later request of its own to that endpoint. Now a gateway settles what others have lost as well; and a run that is still under way 0.2 s after a loss says the same, as an endpoint that ends closes all its connections at once. A machine that goes dark doesn't, and then no request has crashed it.

Both tests in test_probes.py fail before.

--- a/berylhollow/gateway/_attempts.py
+++ b/berylhollow/gateway/_attempts.py
@@ -193,7 +193,7 @@
     _backlog.record_answer_start(state, active, event.at_ms)
     active.phase = _state.Phase.RELAYING
     return [
-        *_probes.endpoint_answered(state, active),
+        *_probes.endpoint_answered(state, active, event.at_ms),
         *_decisions.superseded_begin_logs(state, active, event.at_ms),
         effects.BeginAnswer(
             active.request.request_id,
--- a/berylhollow/gateway/_probes.py
+++ b/berylhollow/gateway/_probes.py
@@ -33,6 +33,10 @@
 MAX_WAIT_MS = 500
 """How long a request may wait for others like it to end."""
 
+ALIVE_AFTER_MS = 200
+"""An endpoint that begins an answer this long after a loss has outlived it.
+All that it had sent before its end has been read by then."""
+
 SAME_START_MS = 500
 """How long after a probe was lost its endpoint is tried again. One that ended
 takes longer to start."""
@@ -236,23 +240,44 @@
     return lost.endpoint in state.unsettled.losses.get(lost.fingerprint, {})
 
 
+def tick(state: _state.State, at_ms: int) -> Effects:
+    """Settle the losses at endpoints that other runs show to be alive.
+
+    An endpoint that ends closes all its connections at once.
+    """
+    emitted: Effects = []
+    for name in state.unsettled.endpoints_lost(at_ms - ALIVE_AFTER_MS):
+        endpoint = state.endpoints.get(name)
+        if endpoint is None:
+            continue
+        for attempt_id in endpoint.attempts_in_flight:
+            active = state.request_of(attempt_id)
+            if active is not None and active.phase is _state.Phase.RELAYING:
+                emitted += endpoint_answered(state, active, at_ms)
+                break
+    return emitted
+
+
 def endpoint_answered(
-    state: _state.State, active: _state.ActiveRequest
+    state: _state.State, active: _state.ActiveRequest, at_ms: int
 ) -> Effects:
-    """Settle the losses at an endpoint that answers a later request."""
-    endpoint = state.endpoints.get(active.endpoint)
-    if endpoint is None or not endpoint.lost:
-        return []
+    """Settle the losses that an endpoint has outlived, whoever had them.
+
+    It has if it answers a request that was sent later, or any that long
+    after.
+    """
+    name = active.endpoint
+    endpoint = state.endpoints.get(name)
     emitted: Effects = []
-    for fingerprint, run in list(endpoint.lost.items()):
-        if run.endpoint_answered or run.lost_ms > active.offered_ms:
+    for key in state.unsettled.keys_at(name):
+        lost_ms = state.unsettled.lost_ms(key, name)
+        if active.offered_ms < lost_ms > at_ms - ALIVE_AFTER_MS:
             continue
-        endpoint.lost[fingerprint] = dataclasses.replace(
-            run, endpoint_answered=True
-        )
-        state.unsettled.settle(fingerprint, active.endpoint)
-        told = messages.EndpointAnswered(fingerprint, active.endpoint)
-        emitted += _tell(state, fingerprint, told)
+        state.unsettled.settle(key, name)
+        if endpoint is not None:
+            _mark_outlived(endpoint, key, lost_ms)
+        told = messages.EndpointAnswered(key, name)
+        emitted += _tell(state, key, told)
     return emitted
 
 
@@ -261,10 +286,21 @@
 ) -> Effects:
     """Settle a loss at an endpoint that answered another gateway."""
     message: messages.EndpointAnswered = event.message
-    state.unsettled.settle(message.fingerprint, message.endpoint)
+    key, name = message.fingerprint, message.endpoint
+    state.unsettled.settle(key, name)
+    endpoint = state.endpoints.get(name)
+    if endpoint is not None:
+        _mark_outlived(endpoint, key, event.at_ms - ALIVE_AFTER_MS)
     return []
 
 
+def _mark_outlived(endpoint: _state.Endpoint, key: str, until_ms: int) -> None:
+    """Mark a loss of this gateway that was not its endpoint's end."""
+    run = endpoint.lost.get(key)
+    if run is not None and run.lost_ms <= until_ms:
+        endpoint.lost[key] = dataclasses.replace(run, endpoint_answered=True)
+
+
 def _is_leaving(state: _state.State, name: str) -> bool:
     """Tell whether an endpoint is listed as leaving: its end is no crash."""
     endpoint = state.endpoints.get(name)
--- a/berylhollow/gateway/_reducer.py
+++ b/berylhollow/gateway/_reducer.py
@@ -58,6 +58,7 @@
     emitted += _requests.tick(state, event.at_ms)
     emitted += _claims.tick(state, event.at_ms)
     emitted += _quarantine.tick(state, event.at_ms)
+    emitted += _probes.tick(state, event.at_ms)
     emitted += _kept_crashes.ask(state, event.at_ms)
     emitted += _quotas.tick(state, event.at_ms)
     emitted += _rate_limits.tick(state, event.at_ms)
--- a/berylhollow/quarantine/_unsettled.py
+++ b/berylhollow/quarantine/_unsettled.py
@@ -56,6 +56,21 @@
             if losses[endpoint].is_probe
         )
 
+    def endpoints_lost(self, until_ms: int) -> set[str]:
+        """Return the endpoints that runs were lost at by a time."""
+        return {
+            endpoint
+            for losses in self.losses.values()
+            for endpoint, loss in losses.items()
+            if loss.lost_ms <= until_ms
+        }
+
+    def keys_at(self, endpoint: str) -> list[str]:
+        """Return the keys that were lost at an endpoint."""
+        return [
+            key for key, losses in self.losses.items() if endpoint in losses
+        ]
+
     def lost_ms(self, fingerprint: str, endpoint: str) -> int:
         """Return when a request was last lost at an endpoint."""
         return self.losses[fingerprint][endpoint].lost_ms
--- a/test/hosted/test_probes.py
+++ b/test/hosted/test_probes.py
@@ -260,6 +260,47 @@
         self.send(40)
         self.assertEqual(1, len(self.offers()))
 
+    def begin_at(self, wanted, fingerprint, at_ms):
+        """Begin an answer at an endpoint; return its offer."""
+        while True:
+            self.send_request(fingerprint=fingerprint, at_ms=at_ms)
+            peer, offer = self.offered()
+            if peer == wanted:
+                break
+        started = messages.Started(offer.attempt_id, 200, (), None)
+        self.receive(started, at_ms + 5, peer)
+        return offer
+
+    def test_endpoint_that_goes_on_with_another_run_has_not_ended(self):
+        """Guards against refusals where answers are only broken off."""
+        self.link_sidecars()
+        self.begin_at('i-1', 'other', 0)
+        offer = self.begin_at('i-1', FINGERPRINT, 10)
+        failed = messages.Failed(
+            offer.attempt_id, errors.Kind.STREAM_BROKEN, errors.Ran.UNKNOWN
+        )
+        self.receive(failed, 20, 'i-1')
+        self.feed(events.Ticked(200, 0.5))
+        self.assertEqual([], self.sent(messages.EndpointAnswered))
+        self.feed(events.Ticked(250, 0.5))
+        self.assertEqual(
+            [messages.EndpointAnswered(FINGERPRINT, 'i-1')],
+            self.sent(messages.EndpointAnswered),
+        )
+        unsettled = self.state.unsettled.endpoints(FINGERPRINT, 250)
+        self.assertEqual((), unsettled)
+
+    def test_answer_here_settles_what_another_gateway_lost(self):
+        """Guards against a loss that its own gateway can't settle."""
+        self.link_sidecars()
+        lost = messages.RunLost(FINGERPRINT, 'i-1', False)
+        self.receive(lost, 0, SIDECARS[0])
+        self.begin_at('i-1', 'other', 10)
+        self.assertEqual(
+            [messages.EndpointAnswered(FINGERPRINT, 'i-1')],
+            self.sent(messages.EndpointAnswered),
+        )
+
     def test_success_does_not_clear_what_was_not_known_when_it_began(self):
         """Guards against a culprit that runs under way clear."""
         self.send(0)
