Search the part of a prompt that crashes endpoints, and refuse what has it

Callers saw requests with one part in their prompts crash 13 and 16 endpoints, one after the other: each was a new request, and a suspicion is of whole requests. Retries were ruled out, these being streams that run once under an id of their own.

A part is now blamed as a whole request is, under a key of its own, with the same losses, permits, reports, clearings and quarantine, over all gateways and sidecars. What differs, since most requests with a part are sound: - A run that begins to write after a loss and lives on for 0.5 s clears its parts. - Requests that share a suspect part go one at a time, by their first one; a lost probe is held against one part: that with most crashes, else not the first of the prompt, which sound requests share. While the first part is the likeliest, those with another suspect part wait for better probes. - A broken-off answer makes no part suspect unless its endpoint cut several runs at once or nobody sees it alive for 0.35 s. - An end that a stronger suspect's probe explains counts for no other key.

Bounds of whole requests are unchanged.

--- a/berylhollow/gateway/_attempts.py
+++ b/berylhollow/gateway/_attempts.py
@@ -19,6 +19,7 @@
 from berylhollow.gateway import _limits
 from berylhollow.gateway import _pauses
 from berylhollow.gateway import _probes
+from berylhollow.gateway import _prompt_parts
 from berylhollow.gateway import _quarantine
 from berylhollow.gateway import _quotas
 from berylhollow.gateway import _rate_limits
@@ -79,7 +80,10 @@
     refused_ms = _quarantine.refused_ms(state, active.request, at_ms)
     if refused_ms:
         kind = errors.Kind.QUARANTINED
-        return give_up(state, active, kind, errors.Ran.NOT_RUN, refused_ms)
+        return [
+            *_quarantine.refusal_logs(state, active.request, at_ms),
+            *give_up(state, active, kind, errors.Ran.NOT_RUN, refused_ms),
+        ]
     refusal = _workspaces.refused(state, active, at_ms)
     if refusal is not None:
         return give_up(
@@ -313,6 +317,7 @@
     endpoint = state.endpoints.get(active.endpoint)
     if endpoint is not None:
         _ejection.record_success(endpoint)
+    _prompt_parts.ended_well(state, active)
     return _quarantine.succeeded(state, active)
 
 
@@ -369,6 +374,9 @@
     active.isolated = _quarantine.must_isolate(state, active, at_ms)
     active.crashes_known = state.suspects.crashes(request.fingerprint)
     active.ends_known = _probes.known_ends(state, request.fingerprint, at_ms)
+    active.part_crashes_known = _prompt_parts.crashes_known(
+        state, active, at_ms
+    )
     offer = messages.Offer(
         attempt_id=active.attempt_id,
         request_id=request.request_id,
--- a/berylhollow/gateway/_crashes.py
+++ b/berylhollow/gateway/_crashes.py
@@ -14,6 +14,7 @@
 from berylhollow import effects
 from berylhollow import errors
 from berylhollow.gateway import _probes
+from berylhollow.gateway import _prompt_parts
 from berylhollow.gateway import _quarantine
 from berylhollow.gateway import _state
 from berylhollow import messages
@@ -25,8 +26,8 @@
     {errors.Kind.ENGINE_RESTARTED, errors.Kind.STREAM_BROKEN}
 )
 
-MAX_CUT_OFF_REQUESTS = 256
-"""Bound for each endpoint, above the number that it runs at once."""
+MAX_CUT_OFF_KEYS = 1024
+"""Bound for each endpoint, above what it runs at once."""
 
 
 def record_cut_off(
@@ -41,24 +42,14 @@
         return []
     if failure.kind not in CUT_OFF_KINDS:
         return []
+    _prompt_parts.run_lost(state, active)
     result = _probes.run_lost(state, active, at_ms)
-    if len(endpoint.lost) >= MAX_CUT_OFF_REQUESTS:
-        return result
-    fingerprint = active.request.fingerprint
-    known = endpoint.lost.get(fingerprint)
-    if (
-        known is not None
-        and not known.endpoint_answered
-        and known.lost_ms >= at_ms - _state.CUT_OFF_TTL_MS
-    ):
-        return result
-    endpoint.lost[fingerprint] = _state.CutOffRun(
-        active.offered_ms, at_ms, active.crashes_known, active.is_probe
-    )
+    for key in active.keys:
+        _record_loss(endpoint, active, key, at_ms)
     fields = (
         ('request_id', active.request.request_id),
         ('attempt_id', active.attempt_id),
-        ('fingerprint', fingerprint),
+        ('fingerprint', active.request.fingerprint),
         ('prompt_parts', ','.join(active.request.shared_parts)),
         ('service', active.service),
         ('endpoint', active.endpoint),
@@ -66,10 +57,40 @@
         ('ran_ms', at_ms - active.offered_ms),
         ('crashes_known', active.crashes_known),
         ('is_probe', active.is_probe),
+        ('probe_for', ','.join(active.probe_for)),
     )
     return [*result, effects.Log('run cut off', fields)]
 
 
+def _record_loss(
+    endpoint: _state.Endpoint,
+    active: _state.ActiveRequest,
+    key: str,
+    at_ms: int,
+) -> None:
+    """Record the loss of a run for a key, unless one is recorded there.
+
+    The probe for a part goes before other runs with that part.
+    """
+    is_probe = key in active.probe_for
+    known = endpoint.lost.get(key)
+    if known is None and len(endpoint.lost) >= MAX_CUT_OFF_KEYS:
+        return
+    if (
+        known is not None
+        and not known.endpoint_answered
+        and known.lost_ms >= at_ms - _state.CUT_OFF_TTL_MS
+        and not (is_probe and quarantine.is_part(key))
+    ):
+        return
+    crashes_known = active.part_crashes_known.get(key, 0)
+    if not quarantine.is_part(key):
+        crashes_known = active.crashes_known
+    endpoint.lost[key] = _state.CutOffRun(
+        active.offered_ms, at_ms, crashes_known, is_probe
+    )
+
+
 def report_crash(state: _state.State, name: str, at_ms: int) -> Effects:
     """Report the runs cut off at an endpoint that ended without draining."""
     endpoint = state.endpoints.get(name)
@@ -111,9 +132,16 @@
 def _lost_run(
     state: _state.State, fingerprint: str, run: _state.CutOffRun, at_ms: int
 ) -> messages.LostRun:
-    """Return a run as it is reported; crashes disproved since don't count."""
+    """Return a run as it is reported; crashes disproved since don't count.
+
+    Those of a part may not be counted yet, as the list shows ends with a lag.
+    """
+    crashes_known = run.crashes_known
+    if not quarantine.is_part(fingerprint):
+        known_now = state.suspects.crashes(fingerprint)
+        crashes_known = min(crashes_known, known_now)
     return messages.LostRun(
-        min(run.crashes_known, state.suspects.crashes(fingerprint)),
+        crashes_known,
         at_ms - run.began_ms,
         at_ms - run.lost_ms,
         run.is_probe,
--- a/berylhollow/gateway/_probes.py
+++ b/berylhollow/gateway/_probes.py
@@ -17,6 +17,7 @@
 from berylhollow import events
 from berylhollow.gateway import _state
 from berylhollow import messages
+from berylhollow import quarantine
 from berylhollow.policy import rendezvous
 
 Effects = list[effects.Effect]
@@ -47,6 +48,10 @@
 
 SEVERAL = 2
 
+BETTER_PROBE_MS = 7000
+"""How long after a loss of a first part the requests with another suspect part
+wait for one without. The list shows the end of an endpoint within 5 s."""
+
 MAX_RETOLD = 32
 """Losses that are told again over a link that opens."""
 
@@ -74,21 +79,22 @@
     One that lives after all may answer at once. Later another start may have
     taken its name.
     """
-    fingerprint = active.request.fingerprint
-    unsettled = [
-        endpoint
-        for endpoint in state.unsettled.probed(fingerprint, at_ms)
-        if not _is_leaving(state, endpoint)
-    ]
-    if not unsettled:
-        active.limited_to = None
-        return
-    oldest_ms = at_ms - SAME_START_MS
-    active.limited_to = tuple(
-        endpoint
-        for endpoint in unsettled
-        if state.unsettled.lost_ms(fingerprint, endpoint) > oldest_ms
-    )
+    active.limited_to = None
+    for key in active.keys:
+        unsettled = [
+            endpoint
+            for endpoint in state.unsettled.probed(key, at_ms)
+            if not _is_leaving(state, endpoint)
+        ]
+        if not unsettled:
+            continue
+        oldest_ms = at_ms - SAME_START_MS
+        active.limited_to = tuple(
+            endpoint
+            for endpoint in unsettled
+            if state.unsettled.lost_ms(key, endpoint) > oldest_ms
+            and (active.limited_to is None or endpoint in active.limited_to)
+        )
 
 
 def admit(
@@ -101,27 +107,90 @@
 
     ``endpoint`` is None if those that it is limited to take no requests.
     """
-    fingerprint = active.request.fingerprint
-    active.is_probe = False
+    active.probe_for = ()
     if endpoint is None:
         return _refuse(state, active, 'its last probe may have ended one')
-    is_direct = state.endpoints[endpoint].instance.direct
-    if not is_direct or not known_ends(state, fingerprint, at_ms):
+    if not state.endpoints[endpoint].instance.direct:
         return Admission(True)
-    probe = state.probes.get(fingerprint)
-    if probe is None or probe.request_id not in state.requests:
-        probe = _state.Probe(active.request.request_id)
-        state.probes[fingerprint] = probe
-    if probe.request_id != active.request.request_id:
+    if _is_poor_probe(state, active, at_ms):
         return _wait(state, active, at_ms)
-    asked: Effects = []
-    if not probe.granted and at_ms >= probe.ask_again_ms:
-        asked = _ask(state, active, probe, at_ms)
-    if not probe.granted:
-        return _wait(state, active, at_ms, asked)
-    active.is_probe = True
+    emitted: Effects = []
+    for key in _locked_keys(state, active, at_ms):
+        probe = state.probes.get(key)
+        if probe is None or probe.request_id not in state.requests:
+            probe = _state.Probe(active.request.request_id)
+            state.probes[key] = probe
+        if probe.request_id != active.request.request_id:
+            return _wait(state, active, at_ms, emitted)
+        if not probe.granted and at_ms >= probe.ask_again_ms:
+            emitted += _ask(state, active, key, probe, at_ms)
+        if not probe.granted:
+            return _wait(state, active, at_ms, emitted)
+    active.probe_for = _blamed_keys(state, active, at_ms)
     active.permit_wanted_ms = None
-    return Admission(True, tuple(asked))
+    return Admission(True, tuple(emitted))
+
+
+def _locked_keys(
+    state: _state.State, active: _state.ActiveRequest, at_ms: int
+) -> list[str]:
+    """Return the keys that a request needs permits for, in this order.
+
+    Of its suspect parts the first one is enough: requests that share a later
+    one share that as well.
+    """
+    fingerprint = active.request.fingerprint
+    locked = [fingerprint] if known_ends(state, fingerprint, at_ms) else []
+    return locked + suspect_parts(state, active, at_ms)[:1]
+
+
+def _blamed_keys(
+    state: _state.State, active: _state.ActiveRequest, at_ms: int
+) -> tuple[str, ...]:
+    """Return the keys that a run is held against if it is lost.
+
+    A request that has crashed more endpoints than its parts explains them.
+    Otherwise it is the part with most crashes; of several the first one, but
+    not the first of the prompt, as most sound requests share that.
+    """
+    fingerprint = active.request.fingerprint
+    blamed = (fingerprint,) if known_ends(state, fingerprint, at_ms) else ()
+    parts = suspect_parts(state, active, at_ms)
+    if not parts:
+        return blamed
+    crashes = {key: state.suspects.crashes(key) for key in parts}
+    most = max(crashes.values())
+    own = state.suspects.crashes(fingerprint)
+    if own >= SEVERAL and own >= most:
+        return blamed
+    strongest = [key for key in parts if crashes[key] == most]
+    first_part = active.keys[1]
+    later = [key for key in strongest if key != first_part]
+    return (*blamed, (later or strongest)[0])
+
+
+def _is_poor_probe(
+    state: _state.State, active: _state.ActiveRequest, at_ms: int
+) -> bool:
+    """Tell whether a request says less of its first part than others would.
+
+    It has a later part that is suspect as well. One without such a part clears
+    the first part, if that is sound; for some time only those are sent.
+    """
+    parts = suspect_parts(state, active, at_ms)
+    if len(parts) < SEVERAL or parts[0] != active.keys[1]:
+        return False
+    if state.suspects.crashes(parts[0]) < SEVERAL:
+        return False
+    last_ms = state.suspects.last_lost_ms(parts[0])
+    return at_ms < last_ms + BETTER_PROBE_MS
+
+
+def suspect_parts(
+    state: _state.State, active: _state.ActiveRequest, at_ms: int
+) -> list[str]:
+    """Return the keys of the suspect parts of a request, in order."""
+    return [key for key in active.keys[1:] if known_ends(state, key, at_ms)]
 
 
 def known_ends(
@@ -131,18 +200,29 @@
     ended = state.suspects.ended(fingerprint)
     if fingerprint not in state.unsettled.losses:
         return ended
-    return ended + state.unsettled.endpoints(fingerprint, at_ms)
+    unsettled = state.unsettled.endpoints(fingerprint, at_ms)
+    if quarantine.is_part(fingerprint):
+        # Many requests share it, so that an answer that is only broken off
+        # must not hold all of them.
+        unsettled = tuple(
+            endpoint
+            for endpoint in unsettled
+            if state.unsettled.has_likely_ended(endpoint, at_ms)
+        )
+    return ended + unsettled
 
 
 def release(state: _state.State, active: _state.ActiveRequest) -> Effects:
     """Return the permit of a request that has ended or lost its run."""
-    fingerprint = active.request.fingerprint
-    probe = state.probes.get(fingerprint)
-    if probe is None or probe.request_id != active.request.request_id:
-        return []
-    del state.probes[fingerprint]
-    ended = messages.ProbeEnded(fingerprint)
-    return [effects.Send(peer, ended) for peer in probe.asked]
+    emitted: Effects = []
+    for key in active.keys:
+        probe = state.probes.get(key)
+        if probe is None or probe.request_id != active.request.request_id:
+            continue
+        del state.probes[key]
+        ended = messages.ProbeEnded(key)
+        emitted += [effects.Send(peer, ended) for peer in probe.asked]
+    return emitted
 
 
 def answered(
@@ -202,11 +282,14 @@
     state: _state.State, active: _state.ActiveRequest, at_ms: int
 ) -> Effects:
     """Tell all gateways of a run that was cut off at a direct endpoint."""
-    fingerprint = active.request.fingerprint
-    lost = messages.RunLost(fingerprint, active.endpoint, active.is_probe)
-    state.unsettled.add(fingerprint, lost.endpoint, lost.is_probe, at_ms)
-    state.successes.pop(fingerprint, None)
-    return _tell(state, fingerprint, lost)
+    emitted: Effects = []
+    for key in active.keys:
+        is_probe = key in active.probe_for
+        lost = messages.RunLost(key, active.endpoint, is_probe)
+        state.unsettled.add(key, lost.endpoint, is_probe, at_ms)
+        state.successes.pop(key, None)
+        emitted += _tell(state, key, lost)
+    return emitted
 
 
 def lost_elsewhere(
@@ -310,23 +393,23 @@
 def _ask(
     state: _state.State,
     active: _state.ActiveRequest,
+    key: str,
     probe: _state.Probe,
     at_ms: int,
 ) -> Effects:
     """Ask a sidecar for the permit; without any, take it in time."""
-    fingerprint = active.request.fingerprint
     linked = [x for x in state.linked_sidecars if x not in probe.asked]
-    sidecar = rendezvous.highest(fingerprint, linked)
+    sidecar = rendezvous.highest(key, linked)
     if sidecar is None or len(probe.asked) >= MAX_ASKED:
         silent_ms = _note_silence(state, at_ms)
-        ended = len(known_ends(state, fingerprint, at_ms))
+        ended = len(known_ends(state, key, at_ms))
         may_come_back = state.sidecars and silent_ms < ALONE_AFTER_MS
         if ended >= SEVERAL and may_come_back:
             return []
         probe.granted = True
         fields = (
             ('request_id', active.request.request_id),
-            ('fingerprint', fingerprint),
+            ('key', key),
             ('asked', len(probe.asked)),
             ('ended', ended),
             ('silent_ms', silent_ms),
@@ -336,7 +419,7 @@
     probe.asked.append(sidecar)
     probe.ask_again_ms = at_ms + ANSWER_MS
     lasts_ms = active.deadline_ms - at_ms + PERMIT_MARGIN_MS
-    return [effects.Send(sidecar, messages.ProbeWanted(fingerprint, lasts_ms))]
+    return [effects.Send(sidecar, messages.ProbeWanted(key, lasts_ms))]
 
 
 def _note_silence(state: _state.State, at_ms: int) -> int:
--- a/berylhollow/gateway/_quarantine.py
+++ b/berylhollow/gateway/_quarantine.py
@@ -26,8 +26,30 @@
 def refused_ms(
     state: _state.State, request: events.Request, at_ms: int
 ) -> int:
-    """Return for how long a request is quarantined, 0 if it is not."""
-    return state.suspects.quarantined_ms(request.fingerprint, at_ms)
+    """Return for how long a request is quarantined, 0 if it is not.
+
+    A request is if a part of its prompt is.
+    """
+    keys = quarantine.keys(request.fingerprint, request.shared_parts)
+    return max(state.suspects.quarantined_ms(key, at_ms) for key in keys)
+
+
+def refusal_logs(
+    state: _state.State, request: events.Request, at_ms: int
+) -> Effects:
+    """Return a log line for each key by which a request is refused."""
+    emitted: Effects = []
+    for key in quarantine.keys(request.fingerprint, request.shared_parts):
+        left_ms = state.suspects.quarantined_ms(key, at_ms)
+        if left_ms:
+            fields = (
+                ('request_id', request.request_id),
+                ('key', key),
+                ('crashes', state.suspects.crashes(key)),
+                ('left_ms', left_ms),
+            )
+            emitted.append(effects.Log('quarantined request refused', fields))
+    return emitted
 
 
 def must_isolate(
@@ -77,8 +99,21 @@
     ended = active.ends_known
     if not ended:
         return []
-    is_cleared = _disprove(state, fingerprint, ended, is_proof=not is_direct)
-    message = messages.Cleared(fingerprint, ended)
+    return clear(
+        state, fingerprint, ended, active.endpoint, is_proof=not is_direct
+    )
+
+
+def clear(
+    state: _state.State,
+    key: str,
+    ended: tuple[str, ...],
+    endpoint: str,
+    is_proof: bool,
+) -> Effects:
+    """Clear a key of ends, as far as a run proves it; tell all gateways."""
+    is_cleared = _disprove(state, key, ended, is_proof)
+    message = messages.Cleared(key, ended)
     # One sidecar forwards it to all gateways that are linked to it; all forget
     # the crashes that they keep.
     linked = state.linked_sidecars
@@ -86,9 +121,9 @@
     told: Effects = [effects.Send(peer, message) for peer in peers]
     if not is_cleared:
         return told
-    forget = messages.ForgetCrashes(fingerprint, ended)
+    forget = messages.ForgetCrashes(key, ended)
     return [
-        _cleared_log(message, active.endpoint),
+        _cleared_log(message, endpoint),
         *told,
         *(effects.Send(peer, forget) for peer in linked[1:]),
     ]
@@ -97,7 +132,9 @@
 def cleared(state: _state.State, event: events.MessageReceived) -> Effects:
     """Clear a suspect request that succeeded at another gateway."""
     message: messages.Cleared = event.message
-    is_proof = event.peer in state.peer_links
+    is_proof = event.peer in state.peer_links or quarantine.is_part(
+        message.fingerprint
+    )
     if not _disprove(state, message.fingerprint, message.ended, is_proof):
         return []
     forwarded = [
--- a/berylhollow/gateway/_reducer.py
+++ b/berylhollow/gateway/_reducer.py
@@ -16,6 +16,7 @@
 from berylhollow.gateway import _notices
 from berylhollow.gateway import _peers
 from berylhollow.gateway import _probes
+from berylhollow.gateway import _prompt_parts
 from berylhollow.gateway import _quarantine
 from berylhollow.gateway import _quotas
 from berylhollow.gateway import _rate_limits
@@ -59,6 +60,7 @@
     emitted += _claims.tick(state, event.at_ms)
     emitted += _quarantine.tick(state, event.at_ms)
     emitted += _probes.tick(state, event.at_ms)
+    emitted += _prompt_parts.tick(state, event.at_ms)
     emitted += _kept_crashes.ask(state, event.at_ms)
     emitted += _quotas.tick(state, event.at_ms)
     emitted += _rate_limits.tick(state, event.at_ms)
@@ -218,6 +220,7 @@
     messages.LoadWanted: _load_coordinator.wanted,
     messages.LoadEnded: _load_coordinator.ended,
     messages.Started: _attempts.begin_answer,
+    messages.Data: _prompt_parts.began_to_write,
     messages.End: _attempts.ended,
     messages.Failed: _attempts.failed,
 }
--- a/berylhollow/gateway/_requests.py
+++ b/berylhollow/gateway/_requests.py
@@ -50,7 +50,10 @@
     refused_ms = _quarantine.refused_ms(state, request, event.at_ms)
     if refused_ms:
         kind = errors.Kind.QUARANTINED
-        return [refusal(request.request_id, kind, refused_ms)]
+        return [
+            *_quarantine.refusal_logs(state, request, event.at_ms),
+            refusal(request.request_id, kind, refused_ms),
+        ]
     tokens = request.head.tokens
     _quotas.record_demand(state, workspace, tokens, event.at_ms)
     wait_ms = _quotas.wait_ms(state, workspace, tokens, event.at_ms)
--- a/berylhollow/gateway/_shell.py
+++ b/berylhollow/gateway/_shell.py
@@ -308,6 +308,8 @@
 
     def message(self, peer: str, message: messages.Message) -> None:
         if type(message) is messages.Data:
+            if message.sequence == 0:
+                self._feed_message(peer, message)
             relay = self._relay_for_frame(peer, message)
             if relay is not None:
                 self._accept_frame(relay, message)
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -227,11 +227,14 @@
     ``key_revision`` is the revision of the configuration in which its key was
     last looked up. ``offered_adapter`` is what its current attempt runs with;
     ``is_overdue_reported`` is True once its endpoint's sidecar has been told
-    that this attempt must not begin any more. ``ends_known`` are the endpoints
-    that were known to have ended, or cut off a run, under the same request
-    when its current attempt was sent; ``is_probe`` says whether that has a
-    permit, for which it has waited since ``permit_wanted_ms``. ``limited_to``
-    are the only endpoints that it may be sent to, if there is such a limit.
+    that this attempt must not begin any more. ``keys`` are what it may be
+    blamed by: its fingerprint, then the shared parts of its prompt.
+    ``ends_known`` are the endpoints that were known to have ended, or cut off
+    a run, under the same request when its current attempt was sent, and
+    ``part_crashes_known`` how many had ended under its parts. That attempt has
+    a permit for the keys of ``probe_for``, for which it has waited since
+    ``permit_wanted_ms``. ``limited_to`` are the only endpoints that it may be
+    sent to, if there is such a limit.
     """
 
     request: events.Request
@@ -264,7 +267,10 @@
     isolated: bool = False
     crashes_known: int = 0
     ends_known: tuple[str, ...] = ()
-    is_probe: bool = False
+    part_crashes_known: dict[str, int] = dataclasses.field(
+        default_factory=dict
+    )
+    probe_for: tuple[str, ...] = ()
     permit_wanted_ms: int | None = None
     limited_to: tuple[str, ...] | None = None
     last_refusal: messages.Failed | None = None
@@ -276,6 +282,16 @@
     key_revision: int = 0
     cost: int = 0
     reserved: bool = False
+    keys: tuple[str, ...] = dataclasses.field(init=False)
+
+    def __post_init__(self):
+        request = self.request
+        self.keys = quarantine.keys(request.fingerprint, request.shared_parts)
+
+    @property
+    def is_probe(self) -> bool:
+        """Tell whether its current attempt was sent with a permit."""
+        return bool(self.probe_for)
 
     @property
     def offered(self) -> bool:
@@ -308,6 +324,21 @@
     last_ms: int
 
 
+@dataclasses.dataclass(slots=True)
+class PartRun:
+    """A run that began to write an answer on suspect parts of a prompt.
+
+    ``ended`` has, by key, the endpoints whose ends the part was suspected of
+    by then. ``is_over`` says whether the answer has ended well since.
+    """
+
+    attempt_id: str
+    endpoint: str
+    began_ms: int
+    ended: dict[str, tuple[str, ...]]
+    is_over: bool = False
+
+
 @dataclasses.dataclass(slots=True)
 class ForwardedBatch:
     """A batch from another gateway; ``left`` entries are still to append."""
@@ -408,7 +439,8 @@
 
     ``crash_sources`` are the sidecars that were asked for the crashes before
     this gateway started, by peer. ``unsettled`` has the runs that were cut
-    off, ``probes`` the suspect requests that run or want to, by fingerprint,
+    off, ``probes`` the suspect requests that run or want to, by key,
+    ``part_runs`` those that may clear parts of their prompts, by request id,
     ``successes`` how often suspects ran well since they last lost a run.
     ``silence`` is None while sidecars answer who asks for a permit;
     ``unlinked_ms`` is when the last link to a sidecar was lost.
@@ -483,6 +515,7 @@
         default_factory=lambda: quarantine.UnsettledLosses(CUT_OFF_TTL_MS)
     )
     probes: dict[str, Probe] = dataclasses.field(default_factory=dict)
+    part_runs: dict[str, PartRun] = dataclasses.field(default_factory=dict)
     silence: Silence | None = None
     unlinked_ms: int = 0
     quarantine_offset: int = 0
--- a/berylhollow/quarantine/__init__.py
+++ b/berylhollow/quarantine/__init__.py
@@ -4,6 +4,9 @@
 from berylhollow.quarantine._handover import MAX_SENT_RUNS
 from berylhollow.quarantine._handover import take_over
 from berylhollow.quarantine._handover import Taken
+from berylhollow.quarantine._keys import is_part
+from berylhollow.quarantine._keys import keys
+from berylhollow.quarantine._keys import part_key
 from berylhollow.quarantine._records import Crash
 from berylhollow.quarantine._records import decode
 from berylhollow.quarantine._records import encode
@@ -31,7 +34,10 @@
     'decode',
     'encode',
     'ended_epoch',
+    'is_part',
     'kept_crashes',
+    'keys',
+    'part_key',
     'reported_crash_id',
     'take_over',
 ]
--- a/berylhollow/quarantine/_handover.py
+++ b/berylhollow/quarantine/_handover.py
@@ -8,6 +8,7 @@
 import heapq
 
 from berylhollow import messages
+from berylhollow.quarantine import _keys
 from berylhollow.quarantine import _records
 from berylhollow.quarantine import _suspects
 
@@ -103,10 +104,16 @@
         at_ms - end.first_lost_ms,
         tuple(losses),
         tuple(_run(loss, at_ms) for loss in losses.values()),
-        end.had_others or len(end.fingerprints) > len(losses),
+        end.had_others or _has_more(end, losses),
     )
 
 
+def _has_more(end: _suspects.End, losses: dict[str, _suspects.Loss]) -> bool:
+    """Tell whether other requests ran there than those of the losses."""
+    whole = _keys.whole_requests(end.fingerprints)
+    return any(fingerprint not in losses for fingerprint in whole)
+
+
 def _run(loss: _suspects.Loss, at_ms: int) -> messages.LostRun:
     began_ms = loss.lost_ms if loss.began_ms is None else loss.began_ms
     return messages.LostRun(
--- a/berylhollow/quarantine/_suspects.py
+++ b/berylhollow/quarantine/_suspects.py
@@ -1,5 +1,8 @@
 """Requests suspected of crashing endpoints, and those in quarantine.
 
+Parts of prompts are suspected and quarantined in the same way, under keys of
+their own. What is said of fingerprints holds for them, unless it is limited.
+
 Endpoints of a failure domain that fails are lost together, with all runs of a
 request that many callers send. Such losses say no more than one crash does.
 Crashes therefore count up only if the run lost in the later one was a probe:
@@ -14,6 +17,7 @@
 import itertools
 
 from berylhollow import messages
+from berylhollow.quarantine import _keys
 from berylhollow.quarantine import _records
 from berylhollow.util import bounded
 
@@ -69,6 +73,16 @@
     crashes_known: int = 0
     is_probe: bool | None = None
 
+    def merge_of_part(self, other: 'Loss') -> 'Loss':
+        """Return what two runs with one part say together.
+
+        A probe for the part says most: the other run may have begun to write
+        on it long before.
+        """
+        if self.is_probe or other.is_probe:
+            return self if self.is_probe else other
+        return self.merge(other)
+
     def merge(self, other: 'Loss') -> 'Loss':
         """Return what two runs that one crash interrupted say together.
 
@@ -86,7 +100,7 @@
 
 @dataclasses.dataclass(slots=True)
 class Suspicion:
-    """The crashes and quarantines of one fingerprint.
+    """The crashes and quarantines of one key.
 
     ``losses`` has an entry for each crash, under the id of its first report.
     ``counted`` is the number of crashes at the last quarantine, ``basis`` the
@@ -100,18 +114,34 @@
     quarantines: int = 0
     counted: int = 0
     basis: str = ''
+    is_part: bool = False
 
     @property
     def crash_ids(self) -> set[str]:
         """The first report of each crash."""
         return set(self.losses)
 
+    def loss_at(self, ended: str) -> Loss | None:
+        """Return the loss at an end, None if there is none."""
+        for crash_id, loss in self.losses.items():
+            if _records.ended_epoch(crash_id) == ended:
+                return loss
+        return None
+
+    def strength(self, until_ms: int) -> int:
+        """Return how many ends one after the other are known by a time."""
+        return 1 + sum(
+            bool(loss.is_probe) and loss.lost_ms <= until_ms
+            for loss in self.losses.values()
+        )
+
     def add_loss(self, crash_id: str, loss: Loss) -> bool:
         """Add a report; return whether it is the first of its crash."""
         ended = _records.ended_epoch(crash_id)
         for reported, known in self.losses.items():
             if _records.ended_epoch(reported) == ended:
-                self.losses[reported] = known.merge(loss)
+                merge = known.merge_of_part if self.is_part else known.merge
+                self.losses[reported] = merge(loss)
                 return False
         self.losses[crash_id] = loss
         bounded.drop_oldest(self.losses, MAX_LOSSES)
@@ -168,9 +198,11 @@
         for fingerprint, loss in zip(crash.fingerprints, losses, strict=True):
             suspicion = self.suspicions.get(fingerprint)
             if suspicion is None or at_ms >= suspicion.forget_at_ms:
-                suspicion = Suspicion(crash.service)
+                is_part = _keys.is_part(fingerprint)
+                suspicion = Suspicion(crash.service, is_part=is_part)
                 self.suspicions[fingerprint] = suspicion
-            if not suspicion.add_loss(crash.crash_id, loss):
+            is_first = suspicion.add_loss(crash.crash_id, loss)
+            if not (is_first or suspicion.is_part):
                 continue
             if self._quarantine(fingerprint, ended, at_ms):
                 quarantined.append(fingerprint)
@@ -198,7 +230,9 @@
             suspicion = self.suspicions.get(fingerprint)
             if suspicion is None or suspicion.basis != ended:
                 continue
-            if self.crashes(fingerprint) >= self._threshold(ended):
+            if self.crashes(fingerprint) >= self._threshold(
+                fingerprint, ended
+            ):
                 continue
             suspicion.until_ms = 0
             suspicion.counted = 0
@@ -216,6 +250,7 @@
         losses = [
             (self._counted_ms(crash_id, loss), loss)
             for crash_id, loss in suspicion.losses.items()
+            if not self._is_explained(fingerprint, crash_id, loss)
         ]
         losses.sort(key=lambda x: x[0])
         count = most_known = 0
@@ -238,6 +273,26 @@
             follows_ms = ended_ms + self.rules.together_ms
         return max(count, most_known + 1)
 
+    def _is_explained(
+        self, fingerprint: str, crash_id: str, loss: Loss
+    ) -> bool:
+        """Tell whether a stronger suspect was a probe at the same end."""
+        ended = _records.ended_epoch(crash_id)
+        end = self.ends.get(ended)
+        if end is None:
+            return False
+        own = self.suspicions[fingerprint].strength(loss.lost_ms)
+        for other in end.fingerprints:
+            suspicion = self.suspicions.get(other)
+            if suspicion is None or other == fingerprint:
+                continue
+            beside = suspicion.loss_at(ended)
+            if beside is None or not beside.is_probe:
+                continue
+            if suspicion.strength(beside.lost_ms) > own:
+                return True
+        return False
+
     def _note_end(self, crash: _records.Crash, losses: list[Loss]) -> None:
         """Note what an endpoint ran as it ended, and its first loss."""
         if not losses:
@@ -259,9 +314,8 @@
         end = self.ends.get(ended)
         if end is None:
             return False
-        return end.had_others or any(
-            other != fingerprint for other in end.fingerprints
-        )
+        whole = _keys.whole_requests(end.fingerprints)
+        return end.had_others or any(x != fingerprint for x in whole)
 
     def _counted_ms(self, crash_id: str, loss: Loss) -> int:
         """Return when the endpoint of a loss ended, as far as is known.
@@ -286,12 +340,21 @@
             return 0
         return max(0, suspicion.until_ms - at_ms)
 
+    def last_lost_ms(self, fingerprint: str) -> int:
+        """Return when the last run was lost that a key is suspected for."""
+        suspicion = self.suspicions[fingerprint]
+        return max(loss.lost_ms for loss in suspicion.losses.values())
+
     def ended(self, fingerprint: str) -> tuple[str, ...]:
         """Return the epochs whose ends a request is suspected of."""
         suspicion = self.suspicions.get(fingerprint)
         if suspicion is None:
             return ()
-        return tuple(map(_records.ended_epoch, suspicion.losses))
+        return tuple(
+            _records.ended_epoch(crash_id)
+            for crash_id, loss in suspicion.losses.items()
+            if not self._is_explained(fingerprint, crash_id, loss)
+        )
 
     def disprove(
         self, fingerprint: str, ended: collections.abc.Collection[str]
@@ -329,12 +392,16 @@
         for fingerprint in expired:
             del self.suspicions[fingerprint]
 
-    def _threshold(self, ended: str) -> int:
-        """Return how many crashes quarantine what ran as an epoch ended."""
+    def _threshold(self, fingerprint: str, ended: str) -> int:
+        """Return how many crashes quarantine what ran as an epoch ended.
+
+        A part is never alone: its request has others.
+        """
         end = self.ends.get(ended)
         ran_alone = (
             end is not None
-            and len(end.fingerprints) == 1
+            and not _keys.is_part(fingerprint)
+            and len(_keys.whole_requests(end.fingerprints)) == 1
             and not end.had_others
         )
         return self.rules.crashes_alone if ran_alone else self.rules.crashes
@@ -348,7 +415,7 @@
         count = self.crashes(fingerprint)
         in_force = suspicion.basis != '' and at_ms < suspicion.until_ms
         is_counted = in_force and count <= suspicion.counted
-        if count < self._threshold(ended) or is_counted:
+        if count < self._threshold(fingerprint, ended) or is_counted:
             return False
         suspicion.counted = count
         if not in_force:
--- a/berylhollow/quarantine/_unsettled.py
+++ b/berylhollow/quarantine/_unsettled.py
@@ -8,10 +8,18 @@
 import dataclasses
 
 from berylhollow import messages
+from berylhollow.quarantine import _keys
 from berylhollow.util import bounded
 
 MAX_FINGERPRINTS = 4096
 
+AT_ONCE_MS = 50
+"""An endpoint that ends cuts off all its runs within this time."""
+
+SEEN_ALIVE_MS = 350
+"""After this time the other gateways would have told that an endpoint lives
+on that has cut off a run."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UnsettledLoss:
@@ -22,7 +30,7 @@
 
 
 class UnsettledLosses:
-    """The unsettled losses by fingerprint and endpoint; bounded.
+    """The unsettled losses by key and endpoint; bounded.
 
     A loss is forgotten after ``ttl_ms``, in milliseconds.
     """
@@ -65,6 +73,23 @@
             if loss.lost_ms <= until_ms
         }
 
+    def has_likely_ended(self, endpoint: str, at_ms: int) -> bool:
+        """Tell whether an endpoint has likely ended, not broken off a run.
+
+        It has if it cut several runs at once, or if nobody has seen it alive
+        for some time since.
+        """
+        lost_ms = [
+            losses[endpoint].lost_ms
+            for key, losses in self.losses.items()
+            if endpoint in losses and not _keys.is_part(key)
+        ]
+        if not lost_ms:
+            return False
+        newest_ms = max(lost_ms)
+        at_once = sum(newest_ms - x <= AT_ONCE_MS for x in lost_ms)
+        return at_once > 1 or at_ms >= newest_ms + SEEN_ALIVE_MS
+
     def keys_at(self, endpoint: str) -> list[str]:
         """Return the keys that were lost at an endpoint."""
         return [
@@ -80,8 +105,9 @@
     ) -> bool:
         """Tell whether other requests were lost at an endpoint, too."""
         return any(
-            endpoint in losses and fingerprint not in fingerprints
+            endpoint in losses
             for fingerprint, losses in self.losses.items()
+            if self._is_other(fingerprint, fingerprints)
         )
 
     def has_others_at_end(
@@ -104,10 +130,15 @@
             messages.Incarnation.name_in(other) == name
             and abs(loss.lost_ms - lost_ms) <= within_ms
             for fingerprint, losses in self.losses.items()
-            if fingerprint not in fingerprints
+            if self._is_other(fingerprint, fingerprints)
             for other, loss in losses.items()
         )
 
+    def _is_other(
+        self, fingerprint: str, fingerprints: collections.abc.Collection[str]
+    ) -> bool:
+        return not (fingerprint in fingerprints or _keys.is_part(fingerprint))
+
     def settle_endpoint(self, endpoint: str) -> None:
         """Drop all losses at an endpoint."""
         for fingerprint in list(self.losses):
--- a/test/hosted/prompt_fleet.py
+++ b/test/hosted/prompt_fleet.py
@@ -31,8 +31,9 @@
     """What requests ask for: kinds of first parts and, after each, seconds.
 
     The first ``bad`` second parts are bad, or the first parts if ``bad_first``
-    is set. One request in ``interval_ms`` is sound, one in
-    ``culprit_ms`` has a bad part.
+    is set. One request in ``interval_ms`` is sound, one in ``culprit_ms`` has
+    a bad part. One in ``whole_ms`` is always the same, with sound parts, and
+    crashes endpoints as a whole.
     """
 
     firsts: int = 3
@@ -41,6 +42,7 @@
     bad_first: bool = False
     interval_ms: int = 25
     culprit_ms: int = 400
+    whole_ms: int = 0
     from_ms: int = 5000
     until_ms: int = 60_000
 
@@ -70,10 +72,15 @@
         prompts = self.prompts
         for at_ms in range(1000, prompts.until_ms, prompts.interval_ms):
             self.at(at_ms, self.ask, False)
-        for at_ms in range(
-            prompts.from_ms, prompts.until_ms, prompts.culprit_ms
-        ):
-            self.at(at_ms, self.ask, True)
+        each_ms = prompts.culprit_ms
+        for at_ms in range(prompts.from_ms, prompts.until_ms, each_ms):
+            if prompts.bad:
+                self.at(at_ms, self.ask, True)
+        if prompts.whole_ms:
+            for at_ms in range(
+                prompts.from_ms, prompts.until_ms, prompts.whole_ms
+            ):
+                self.at(at_ms, self.ask_the_same)
         self.run_until(prompts.until_ms)
 
     def ask(self, is_bad):
@@ -82,8 +89,17 @@
         parts = self._choose(is_bad)
         if name not in self.gateways or self.bad.isdisjoint(parts) is is_bad:
             return
+        self._send_request(name, CULPRIT if is_bad else INNOCENT, parts)
+
+    def ask_the_same(self):
+        """Send a request that crashes endpoints as a whole."""
+        name = f'g{self.random.randrange(self.setup.gateways) + 1}'
+        if name in self.gateways:
+            parts = 'first-0', 'second-0-1'
+            self._send_request(name, CULPRIT, parts, fingerprint=CULPRIT)
+
+    def _send_request(self, name, kind, parts, **changes):
         self.sent += 1
-        kind = CULPRIT if is_bad else INNOCENT
         request = samples.request(
             f'{kind}-{self.sent}',
             host=builders.HOST,
@@ -91,6 +107,7 @@
             adapter=None,
             deadline_ms=5000,
             shared_parts=parts,
+            **changes,
         )
         self.parts[request.request_id] = parts
         self.arrived[request.request_id] = self.now_ms
@@ -99,16 +116,14 @@
 
     def _choose(self, is_bad):
         first = int(self.prompts.firsts * self.random.random() ** 2)
-        if is_bad and not self.prompts.bad_first:
-            first = 0
         skew = 2 if self.prompts.seconds > 2 else 1
         second = int(self.prompts.seconds * self.random.random() ** skew)
         if is_bad:
-            second = self.random.randrange(self.prompts.seconds)
+            bad = self.random.randrange(self.prompts.bad)
             if self.prompts.bad_first:
-                first = self.random.randrange(self.prompts.bad)
+                first = bad
             else:
-                second = self.random.randrange(self.prompts.bad)
+                first, second = 0, bad
         return f'first-{first}', f'second-{first}-{second}'
 
     # Endpoints.
@@ -146,7 +161,7 @@
 
     def late_runs(self):
         """Return the most runs with one bad part that count as late."""
-        return max(map(self._late_runs_of, self.bad))
+        return max(map(self._late_runs_of, self.bad), default=0)
 
     def _late_runs_of(self, part):
         crashes_ms = self.crashes_of[part]
--- a/test/hosted/test_prompt_parts.py
+++ b/test/hosted/test_prompt_parts.py
@@ -3,8 +3,14 @@
 import itertools
 import unittest
 
+from berylhollow import effects
+from berylhollow import errors
+from berylhollow import events
+from berylhollow import messages
 from test.hosted import crash_fleet
 from test.hosted import prompt_fleet
+from test.hosted import test_gateway_direct
+from test import platform_builders as builders
 
 SIZES = ((4, 7), (8, 12))
 
@@ -56,3 +62,202 @@
     def test_two_bad_parts_end_few_endpoints(self):
         """Guards against a search for one part that explains all ends."""
         self.check(bad=2)
+
+    def test_bad_part_beside_a_request_that_is_bad_as_a_whole(self):
+        """Guards against a sound part that is refused for its request."""
+        self.check(whole_ms=400)
+
+    def test_bound_holds_beside_answers_that_are_broken_off(self):
+        """Guards against a part that waits for each answer cut beside it."""
+        self.check(changes={'broken_share': 0.1})
+
+    def test_bound_holds_over_slow_links(self):
+        """Guards against a first part that is blamed for two later ones."""
+        self.check(changes={'link_ms': 80}, bad=2)
+
+    def test_bound_holds_while_gateways_are_killed(self):
+        """Guards against a search that starts anew with each gateway."""
+
+        def kill(fleet):
+            for number, at_ms in enumerate(range(5050, 60_000, 3000)):
+                name = f'g{number % fleet.setup.gateways + 1}'
+                fleet.at(at_ms, fleet.kill_gateway, name)
+                fleet.at(at_ms + 500, fleet.start_gateway, name)
+
+        self.check(kill)
+
+    def test_bound_holds_while_all_sidecars_start_again_at_once(self):
+        """Guards against a search that is lost with the sidecars."""
+
+        def restart(fleet):
+            for at_ms in (5150, 9000, 20_000):
+                fleet.at(at_ms, fleet.restart_sidecars, 700)
+
+        self.check(restart)
+
+    def test_endpoints_lost_together_quarantine_no_part(self):
+        """Guards against refusals after a failure domain loses power."""
+
+        def lose(fleet):
+            count = fleet.setup.endpoints // 2
+            for at_ms in (12_000, 20_000):
+                fleet.at(at_ms, fleet.lose_endpoints, count, 400)
+
+        self.check(lose, bad=0)
+        self.check(lose)
+
+
+class PartTest(test_gateway_direct.DirectTestCase):
+    """A gateway that lost runs of requests with parts in their prompts."""
+
+    PARTS = ('f', 'b')
+
+    def setUp(self):
+        super().setUp()
+        rows = [
+            test_gateway_direct.plain(f'i-{n}', f'10.0.0.{n}:80')
+            for n in (1, 2, 3)
+        ]
+        self.list_instances(*rows)
+
+    def options(self):
+        return {'retry_reserve': 0.0}
+
+    def send(self, at_ms, parts=PARTS):
+        self.send_request(at_ms=at_ms, shared_parts=parts)
+
+    def write(self, at_ms):
+        """Begin to write the answer of the last request; return its offer."""
+        peer, offer = self.offered()
+        for message in (
+            messages.Started(offer.attempt_id, 200, (), None),
+            messages.Data(offer.attempt_id, 0, b'x'),
+        ):
+            self.receive(message, at_ms, peer)
+        return peer, offer
+
+    def crash(self, number, at_ms, keys, is_probe=True):
+        """Hear of an end elsewhere under a request with these keys."""
+        runs = [messages.LostRun(int(is_probe), 50, 0, is_probe)] * len(keys)
+        crashed = messages.Crashed(
+            f'i-{number} at g9',
+            builders.PLAIN_SERVICE,
+            tuple(keys),
+            tuple(runs),
+        )
+        self.receive(crashed, at_ms, 'sidecar')
+
+    def suspect(self, part, at_ms):
+        return self.state.suspects.is_suspect(f'part:{part}', at_ms)
+
+    def test_run_that_lives_on_clears_its_parts(self):
+        """Guards against sound parts that wait for the end of an answer."""
+        self.crash(7, 0, ('other', 'part:f', 'part:b'), is_probe=False)
+        self.send(10)
+        self.write(20)
+        self.feed(events.Ticked(450, 0.5))
+        self.assertTrue(self.suspect('b', 450))
+        self.feed(events.Ticked(520, 0.5))
+        self.assertFalse(self.suspect('b', 520))
+        self.assertFalse(self.suspect('f', 520))
+
+    def test_run_that_is_cut_off_clears_nothing(self):
+        """Guards against a bad part that is cleared as it begins to write."""
+        self.crash(7, 0, ('other', 'part:b'), is_probe=False)
+        self.send(10)
+        peer, offer = self.write(20)
+        kind = errors.Kind.STREAM_BROKEN
+        failed = messages.Failed(offer.attempt_id, kind, errors.Ran.UNKNOWN)
+        self.receive(failed, 60, peer)
+        self.feed(events.Ticked(700, 0.5))
+        self.assertTrue(self.suspect('b', 700))
+
+    def test_short_answer_clears_only_if_its_endpoint_lives_on(self):
+        """Guards against a bad part whose answers end before the crash."""
+        for number, lost in enumerate((True, False)):
+            at_ms = 10_000 * number
+            self.crash(7 + number, at_ms, ('x', 'part:b'), is_probe=False)
+            self.send(at_ms + 10)
+            peer, offer = self.write(at_ms + 20)
+            relayed = events.AnswerRelayed(
+                at_ms + 40, offer.request_id, offer.attempt_id, 200
+            )
+            self.feed(relayed)
+            if lost:
+                told = messages.RunLost('y', peer, False)
+                self.receive(told, at_ms + 80, 'sidecar')
+            self.feed(events.Ticked(at_ms + 530, 0.5))
+            self.assertIs(lost, self.suspect('b', at_ms + 530))
+
+    def test_answer_that_is_broken_off_makes_no_part_suspect_at_once(self):
+        """Guards against refusals wherever a popular part loses an answer."""
+        self.receive(messages.RunLost('x', 'i-1', False), 0, 'sidecar')
+        self.receive(messages.RunLost('part:f', 'i-1', False), 0, 'sidecar')
+        for at_ms in (10, 20):
+            self.send(at_ms)
+            self.assertEqual(1, len(self.offers()))
+            _, offer = self.offered()
+            self.assertFalse(offer.is_probe)
+
+    def test_endpoint_that_cut_several_runs_makes_parts_suspect(self):
+        """Guards against a bad part that goes on until an end is listed."""
+        for key in ('x', 'part:f', 'y', 'part:f'):
+            self.receive(messages.RunLost(key, 'i-1', False), 0, 'sidecar')
+        self.send(10)
+        _, offer = self.offered()
+        self.assertTrue(offer.is_probe)
+        self.send(20)
+        self.assertEqual([], self.offers())
+
+    def test_lost_probe_is_held_against_one_part(self):
+        """Guards against a first part that is blamed for a later one."""
+        self.crash(7, 0, ('x', 'part:f', 'part:b'), is_probe=False)
+        self.send(10)
+        active = next(iter(self.state.requests.values()))
+        self.assertEqual(('part:b',), active.probe_for)
+
+    def test_part_with_most_crashes_is_blamed(self):
+        """Guards against a bad first part that hides behind later ones."""
+        self.crash(7, 0, ('x', 'part:f', 'part:b'), is_probe=False)
+        self.crash(8, 5000, ('y', 'part:f'))
+        self.send(5010)
+        self.assertEqual([], self.offers())
+        self.feed(events.Ticked(5510, 0.5))
+        self.send(12_100)
+        active = next(iter(self.state.requests.values()))
+        self.assertEqual(('part:f',), active.probe_for)
+
+    def test_request_with_a_quarantined_part_is_refused(self):
+        """Guards against a new request for each crash; the log names it."""
+        for number in (7, 8, 9):
+            keys = (f'x{number}', 'part:b')
+            self.crash(number, number * 1000, keys, is_probe=number > 7)
+        self.send(9100)
+        answer = self.answer()
+        self.assertIs(errors.Kind.QUARANTINED, answer.kind)
+        self.assertIs(errors.Ran.NOT_RUN, answer.ran)
+        (line,) = [
+            dict(log.fields)
+            for log in self.of_type(effects.Log)
+            if log.text == 'quarantined request refused'
+        ]
+        self.assertEqual('part:b', line['key'])
+        self.send(9200, ('f', 'c'))
+        self.assertEqual(1, len(self.offers()))
+
+    def test_stronger_suspect_at_the_same_end_explains_it(self):
+        """Guards against a probe that a culprit's crash interrupts."""
+        for number in (6, 7, 8):
+            self.crash(number, number * 1000, ('bad',), is_probe=number > 6)
+        self.crash(5, 7500, ('x', 'part:f'), is_probe=False)
+        self.crash(8, 8000, ('y', 'part:f'))
+        self.crash(9, 9000, ('z', 'part:f'))
+        self.assertEqual(2, self.state.suspects.crashes('part:f'))
+
+    def test_parts_are_no_company_of_their_request(self):
+        """Guards against a culprit that ends one endpoint more."""
+        for number in (7, 8):
+            keys = ('same', 'part:f', 'part:b')
+            self.crash(number, number * 1000, keys, is_probe=number > 7)
+        quarantined_ms = self.state.suspects.quarantined_ms('same', 8100)
+        self.assertGreater(quarantined_ms, 0)
