--- a/berylhollow/gateway/_probes.py
+++ b/berylhollow/gateway/_probes.py
@@ -17,8 +17,8 @@
 from berylhollow import events
 from berylhollow.gateway import _state
 from berylhollow import messages
-from berylhollow import quarantine
 from berylhollow.policy import rendezvous
+from berylhollow import quarantine
 
 Effects = list[effects.Effect]
 
