Don't count a probe that met a closed port behind a proxy

A probe that ran for less than 20 ms counts as before: only if no other run was lost at that endpoint earlier.

--- a/berylhollow/quarantine/_suspects.py
+++ b/berylhollow/quarantine/_suspects.py
@@ -28,6 +28,10 @@
 MAX_COMPARED = 64
 """Oldest suspicions of which one is dropped beyond the limit."""
 
+LEAST_RUN_MS = 20
+"""A run that is lost earlier may have met a closed port, behind a proxy that
+accepts connections for an endpoint that has ended."""
+
 MAX_ENDS = 512
 """Ends of endpoints whose runs are remembered."""
 
@@ -65,13 +69,14 @@
     ``began_ms`` is None if the report does not say it; such a run counts as
     begun after all others were lost. ``crashes_known`` is how many crashes
     its sender knew of when it began; ``is_probe`` is None if that is not
-    known.
+    known. ``ran_ms`` is how long it ran, whatever the delay of the report.
     """
 
     began_ms: int | None
     lost_ms: int
     crashes_known: int = 0
     is_probe: bool | None = None
+    ran_ms: int = 0
 
     def merge_of_part(self, other: 'Loss') -> 'Loss':
         """Return what two runs with one part say together.
@@ -95,6 +100,7 @@
             min(self.lost_ms, other.lost_ms),
             min(self.crashes_known, other.crashes_known),
             _both(self.is_probe, other.is_probe),
+            min(self.ran_ms, other.ran_ms),
         )
 
 
@@ -258,7 +264,7 @@
         for ended_ms, loss in losses:
             if loss.is_probe is not None:
                 is_later = loss.is_probe and loss.crashes_known > 0
-                if count == 0 or is_later:
+                if count == 0 or (is_later and loss.began_ms <= ended_ms):
                     count += 1
                     follows_ms = ended_ms + self.rules.together_ms
                 continue
@@ -320,10 +326,10 @@
     def _counted_ms(self, crash_id: str, loss: Loss) -> int:
         """Return when the endpoint of a loss ended, as far as is known.
 
-        It was alive when it took a probe, so that runs lost there before had
-        been broken off.
+        It was alive when it took a probe that ran for some time, so that runs
+        lost there before had been broken off.
         """
-        if loss.is_probe:
+        if loss.is_probe and loss.ran_ms >= LEAST_RUN_MS:
             return loss.lost_ms
         end = self.ends.get(_records.ended_epoch(crash_id))
         return min(loss.lost_ms, end.first_lost_ms) if end else loss.lost_ms
@@ -440,6 +446,7 @@
         made_ms - max(0, run.lost_ms_ago),
         max(0, run.crashes_known),
         run.is_probe,
+        max(0, run.began_ms_ago - run.lost_ms_ago),
     )
 
 
--- a/test/hosted/test_probes.py
+++ b/test/hosted/test_probes.py
@@ -382,6 +382,25 @@
         self.crash_twice()
         self.assertEqual(2, self.state.suspects.crashes(FINGERPRINT))
 
+    def test_probe_that_met_a_closed_port_is_no_crash(self):
+        """Guards against innocents that a proxy before an endpoint hides.
+
+        It accepts connections and closes them, as the endpoint has ended.
+        """
+        for number, is_probe in ((7, False), (8, True), (9, True)):
+            name = f'i-{number} at'
+            other = (messages.LostRun(0, 900, 500, False),)
+            end = messages.Crashed(
+                f'{name} g8', builders.PLAIN_SERVICE, ('other',), other
+            )
+            run = (messages.LostRun(int(is_probe), 24, 20, is_probe),)
+            closed = messages.Crashed(
+                f'{name} g9', builders.PLAIN_SERVICE, (FINGERPRINT,), run
+            )
+            for crashed in (end, closed):
+                self.receive(crashed, 1000 * number, SIDECARS[0])
+        self.assertEqual(1, self.state.suspects.crashes(FINGERPRINT))
+
     def test_probe_had_company_that_is_not_reported_yet(self):
         """Guards against a quarantine for the time between two reports."""
         lost = messages.RunLost('other', 'i-9', False)
