Let no later request settle what another gateway lost

Only a run that was sent before the loss and goes on 0.2 s after it settles what others have lost, as the connection shows that it is the same start; a later request settles only losses of its own gateway, as it did before. test_next_start_settles_no_loss_of_another_gateway fails before.

--- a/berylhollow/gateway/_probes.py
+++ b/berylhollow/gateway/_probes.py
@@ -333,32 +333,41 @@
         endpoint = state.endpoints.get(name)
         if endpoint is None:
             continue
-        for attempt_id in endpoint.attempts_in_flight:
-            active = state.request_of(attempt_id)
-            if active is not None and active.phase is _state.Phase.RELAYING:
-                emitted += endpoint_answered(state, active, at_ms)
-                break
+        running = [
+            active
+            for active in map(state.request_of, endpoint.attempts_in_flight)
+            if active is not None and active.phase is _state.Phase.RELAYING
+        ]
+        if running:
+            oldest = min(running, key=lambda x: x.offered_ms)
+            emitted += endpoint_answered(state, oldest, at_ms)
     return emitted
 
 
 def endpoint_answered(
     state: _state.State, active: _state.ActiveRequest, at_ms: int
 ) -> Effects:
-    """Settle the losses that an endpoint has outlived, whoever had them.
+    """Settle the losses that an endpoint has outlived.
 
-    It has if it answers a request that was sent later, or any that long
-    after.
+    It has if a run that was sent before goes on long after. A later request
+    says the same of losses of this gateway; it may have met the next start
+    under the same name.
     """
     name = active.endpoint
     endpoint = state.endpoints.get(name)
+    if endpoint is None:
+        return []
     emitted: Effects = []
     for key in state.unsettled.keys_at(name):
         lost_ms = state.unsettled.lost_ms(key, name)
-        if active.offered_ms < lost_ms > at_ms - ALIVE_AFTER_MS:
+        if active.offered_ms <= lost_ms:
+            is_outlived = at_ms >= lost_ms + ALIVE_AFTER_MS
+        else:
+            is_outlived = key in endpoint.lost
+        if not is_outlived:
             continue
         state.unsettled.settle(key, name)
-        if endpoint is not None:
-            _mark_outlived(endpoint, key, lost_ms)
+        _mark_outlived(endpoint, key, lost_ms)
         told = messages.EndpointAnswered(key, name)
         emitted += _tell(state, key, told)
     return emitted
--- a/test/hosted/test_probes.py
+++ b/test/hosted/test_probes.py
@@ -290,12 +290,25 @@
         unsettled = self.state.unsettled.endpoints(FINGERPRINT, 250)
         self.assertEqual((), unsettled)
 
-    def test_answer_here_settles_what_another_gateway_lost(self):
-        """Guards against a loss that its own gateway can't settle."""
+    def test_next_start_settles_no_loss_of_another_gateway(self):
+        """Guards against a culprit that is forgotten after a quick restart.
+
+        The next start has the same name and answers before it is listed.
+        """
         self.link_sidecars()
         lost = messages.RunLost(FINGERPRINT, 'i-1', False)
         self.receive(lost, 0, SIDECARS[0])
         self.begin_at('i-1', 'other', 10)
+        self.feed(events.Ticked(300, 0.5))
+        self.assertEqual([], self.sent(messages.EndpointAnswered))
+
+    def test_run_here_settles_what_another_gateway_lost(self):
+        """Guards against a loss that its own gateway can't settle."""
+        self.link_sidecars()
+        self.begin_at('i-1', 'other', 0)
+        lost = messages.RunLost(FINGERPRINT, 'i-1', False)
+        self.receive(lost, 10, SIDECARS[0])
+        self.feed(events.Ticked(210, 0.5))
         self.assertEqual(
             [messages.EndpointAnswered(FINGERPRINT, 'i-1')],
             self.sent(messages.EndpointAnswered),
