Count no end for two requests whose probes were lost there together

A permit is for one request, so two probes may run at one endpoint.

Where two requests were probes at one end and are as strong, neither counts it; the next probe tells them apart. The test fails before.

--- a/berylhollow/quarantine/_suspects.py
+++ b/berylhollow/quarantine/_suspects.py
@@ -282,7 +282,11 @@
     def _is_explained(
         self, fingerprint: str, crash_id: str, loss: Loss
     ) -> bool:
-        """Tell whether a stronger suspect was a probe at the same end."""
+        """Tell whether a stronger suspect was a probe at the same end.
+
+        Of two requests that are as strong neither counts; their next probes
+        tell them apart. A part is as strong as its own request.
+        """
         ended = _records.ended_epoch(crash_id)
         end = self.ends.get(ended)
         if end is None:
@@ -295,7 +299,9 @@
             beside = suspicion.loss_at(ended)
             if beside is None or not beside.is_probe:
                 continue
-            if suspicion.strength(beside.lost_ms) > own:
+            strength = suspicion.strength(beside.lost_ms)
+            is_whole = not (suspicion.is_part or _keys.is_part(fingerprint))
+            if strength > own or (is_whole and strength == own):
                 return True
         return False
 
--- a/test/hosted/test_probes.py
+++ b/test/hosted/test_probes.py
@@ -395,6 +395,29 @@
         self.crash_twice()
         self.assertEqual(2, self.state.suspects.crashes(FINGERPRINT))
 
+    def crash(self, number, keys):
+        """Hear of an end under requests that were all probes there."""
+        run = messages.LostRun(int(number > 7), 60, 20, number > 7)
+        crashed = messages.Crashed(
+            f'i-{number} at g9',
+            builders.PLAIN_SERVICE,
+            keys,
+            (run,) * len(keys),
+        )
+        self.receive(crashed, 1000 * number, SIDECARS[0])
+
+    def test_probes_of_two_requests_at_one_end_count_for_neither(self):
+        """Guards against an innocent whose probe runs beside a culprit's."""
+        self.crash(7, (FINGERPRINT, 'bad'))
+        self.crash(8, (FINGERPRINT, 'bad'))
+        suspects = self.state.suspects
+        self.assertEqual(1, suspects.crashes(FINGERPRINT))
+        self.assertEqual(1, suspects.crashes('bad'))
+        self.crash(9, ('bad',))
+        self.assertEqual(2, suspects.crashes('bad'))
+        self.crash(10, (FINGERPRINT, 'bad'))
+        self.assertEqual(1, suspects.crashes(FINGERPRINT))
+
     def test_probe_that_met_a_closed_port_is_no_crash(self):
         """Guards against innocents that a proxy before an endpoint hides.
 
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -65,6 +65,10 @@
         if arguments.bursts:
             bursts = callers.crash_in_bursts()
             culprits.append(asyncio.create_task(bursts))
+        if arguments.prompts:
+            for is_bad in (False, True):
+                asking = callers.ask_prompts(is_bad)
+                culprits.append(asyncio.create_task(asking))
         tasks += culprits
         await _series.BY_NAME[arguments.series](schedule)
         for culprit in culprits:
@@ -129,6 +133,11 @@
         action='store_true',
         help='repeat new culprits quickly, at all gateways',
     )
+    parser.add_argument(
+        '--prompts',
+        action='store_true',
+        help='send prompts with shared parts, one of which crashes endpoints',
+    )
     parser.add_argument(
         '--cut-plain',
         action='store_true',
--- a/tools/soak/_callers.py
+++ b/tools/soak/_callers.py
@@ -25,6 +25,16 @@
 CROWD_PAUSE_S = 1.0
 """Before a caller of a crowd comes back that was not served."""
 
+PROMPT_PATH = '/p/prompt'
+FIRST_PARTS = ('a0', 'a1')
+SECOND_PARTS = 5
+BAD_PART = 'bad'
+"""Begins the ids of the parts that crash endpoints."""
+
+PROMPT_PAUSE_S = 0.15
+BAD_PROMPT_PAUSE_S = 0.6
+BAD_PART_LASTS_S = 15.0
+
 MOST_CRASHES = 3
 """After these a request that crashes endpoints is refused."""
 
@@ -59,11 +69,18 @@
     session: int = 0
     head_at: float = 0.0
     head_status: int = 0
+    parts: tuple[str, ...] = ()
 
     @property
     def is_culprit(self) -> bool:
         """Whether the request crashes the endpoint that runs it."""
-        return self.path.startswith(CULPRIT_PATH)
+        return self.path.startswith(CULPRIT_PATH) or bool(self.bad_part)
+
+    @property
+    def bad_part(self) -> str:
+        """The part of its prompt that crashes endpoints, if any."""
+        bad = (part for part in self.parts if part.startswith(BAD_PART))
+        return next(bad, '')
 
     @property
     def is_quarantined(self) -> bool:
@@ -184,13 +201,40 @@
                     await asyncio.sleep(BURST_PAUSE_S)
             await asyncio.sleep(BURST_REST_S)
 
+    async def ask_prompts(self, is_bad: bool) -> None:
+        """Send prompts with shared parts; one part is bad for some time.
+
+        No two requests are alike.
+        """
+        began = time.monotonic()
+        async with asyncio.TaskGroup() as group:
+            while True:
+                first = self.chance.choice(FIRST_PARTS)
+                second = f'b{self.chance.randrange(SECOND_PARTS)}'
+                if is_bad:
+                    elapsed_s = time.monotonic() - began
+                    number = int(elapsed_s / BAD_PART_LASTS_S)
+                    first, second = FIRST_PARTS[0], f'{BAD_PART}{number}'
+                gateway = self.chance.choice(self.world.gateways)
+                parts = first, second
+                key = self.operator.key
+                group.create_task(
+                    self._send_once(PROMPT_PATH, key, gateway, parts)
+                )
+                pause_s = BAD_PROMPT_PAUSE_S if is_bad else PROMPT_PAUSE_S
+                await asyncio.sleep(pause_s * self.chance.random() * 2)
+
     async def _send_culprit(self, number: int) -> Exchange:
         gateways = self.world.gateways
         gateway = gateways[number % len(gateways)]
         return await self._send_once(CULPRIT_PATH, self.operator.key, gateway)
 
     async def _send_once(
-        self, path: str, key: str | None, gateway: str
+        self,
+        path: str,
+        key: str | None,
+        gateway: str,
+        parts: tuple[str, ...] = (),
     ) -> Exchange:
         """Send a request to a plain endpoint over a connection of its own."""
         exchange = Exchange(
@@ -201,6 +245,7 @@
             '',
             gateway,
             time.monotonic(),
+            parts=parts,
         )
         async with aiohttp.ClientSession() as session:
             await self._send(session, exchange)
@@ -260,7 +305,14 @@
             headers['Token-Count'] = f'{exchange.tokens - 10},10'
         host = self.world.host(exchange.gateway)
         url = f'http://{host}:{self.world.callers_port}{exchange.path}'
-        body = _standins.CRASH_BODY if exchange.is_culprit else b'body'
+        body = b'body'
+        if exchange.path.startswith(CULPRIT_PATH):
+            body = _standins.CRASH_BODY
+        if exchange.parts:
+            own = f'{int(exchange.request_id[3:]):x}'
+            chain = ','.join(f'{part}:10' for part in (*exchange.parts, own))
+            headers['Prompt-Prefix'] = chain
+            body = exchange.request_id.encode()
         if exchange.plan.cut:
             # A body of its own: runs that are cut off make suspects.
             body = f'cut {exchange.request_id}'.encode()
--- a/tools/soak/_promises.py
+++ b/tools/soak/_promises.py
@@ -28,6 +28,8 @@
 MAX_LATE_RUNS = 3
 """Of a request that has crashed three endpoints, for the users' bound."""
 
+MOST_CRASHES_OF_PART = 5
+
 SERVED_SHARE = 0.8
 """Of what was asked in the last, calm seconds."""
 
@@ -110,6 +112,7 @@
                 ('only_culprits_are_quarantined', self.quarantined),
                 ('crashing_request_ends_refused', self.culprit),
                 ('crashing_request_ends_few_endpoints', self.bursts),
+                ('bad_part_ends_few_endpoints', self.bad_parts),
                 ('served_after_all', self.served),
             )
         }
@@ -502,23 +505,50 @@
             collections.defaultdict(list)
         )
         for exchange, runs in self._pairs():
-            if exchange.is_culprit and exchange.path != _callers.CULPRIT_PATH:
+            if exchange.bad_part or not exchange.is_culprit:
+                continue
+            if exchange.path != _callers.CULPRIT_PATH:
                 culprits[exchange.path] += [(r['at'], exchange) for r in runs]
         for ran in culprits.values():
-            ran.sort(key=lambda item: item[0])
-            if len(ran) < _callers.MOST_CRASHES:
-                continue
-            third = ran[_callers.MOST_CRASHES - 1][0]
-            late = [
-                exchange.request_id
-                for at, exchange in ran
-                if at > third + _world.CONTACT_MS / 1000
-                and self._hears_of_all(exchange.gateway, third, at)
-            ]
-            verdict.asked += 1
-            verdict.broken += late[MAX_LATE_RUNS:]
+            if len(ran) >= _callers.MOST_CRASHES:
+                self._check_late(verdict, ran, _callers.MOST_CRASHES)
         return verdict
 
+    def bad_parts(self) -> Verdict:
+        """As for whole requests, after the fifth crash."""
+        verdict = Verdict()
+        parts: dict[str, list[tuple[float, _callers.Exchange]]] = (
+            collections.defaultdict(list)
+        )
+        for exchange, runs in self._pairs():
+            if exchange.bad_part:
+                ran = [(r['at'], exchange) for r in runs]
+                parts[exchange.bad_part] += ran
+        for ran in parts.values():
+            if len(ran) >= MOST_CRASHES_OF_PART:
+                self._check_late(verdict, ran, MOST_CRASHES_OF_PART)
+            else:
+                verdict.asked += 1
+        return verdict
+
+    def _check_late(
+        self,
+        verdict: Verdict,
+        ran: list[tuple[float, _callers.Exchange]],
+        most: int,
+    ) -> None:
+        """Check the runs later than the bound after so many crashes."""
+        ran.sort(key=lambda item: item[0])
+        last = ran[most - 1][0]
+        late = [
+            exchange.request_id
+            for at, exchange in ran
+            if at > last + _world.CONTACT_MS / 1000
+            and self._hears_of_all(exchange.gateway, last, at)
+        ]
+        verdict.asked += 1
+        verdict.broken += late[MAX_LATE_RUNS:]
+
     def _hears_of_all(self, gateway: str, since: float, until: float) -> bool:
         """Tell whether nothing kept other gateways' reports from one."""
         sidecars = {f's{name}' for name in self.schedule.world.models}
--- a/tools/soak/_standins.py
+++ b/tools/soak/_standins.py
@@ -29,6 +29,9 @@
 """How long an endpoint is down after a request has crashed it."""
 
 CRASH_BODY = b'crash'
+BAD_PART = 'bad'
+BAD_PART_S = 0.05
+"""From the first event on a bad part of a prompt to the crash."""
 
 
 def say(**fields) -> None:
@@ -127,6 +130,18 @@
         self.is_down = False
         self.written.clear()
 
+    async def _crash_while_answering(
+        self, request, headers
+    ) -> web.StreamResponse:
+        headers['Content-Type'] = 'text/event-stream'
+        response = web.StreamResponse(headers=headers)
+        await response.prepare(request)
+        await response.write(b'id: 0\ndata: a\n\n')
+        await asyncio.sleep(BAD_PART_S)
+        self.crashing = asyncio.create_task(self._crash())
+        await asyncio.shield(self.crashing)
+        return response
+
     async def _request(self, request) -> web.StreamResponse:
         if self.is_down:
             request.transport.abort()
@@ -158,6 +173,8 @@
             self.crashing = asyncio.create_task(self._crash())
             await asyncio.shield(self.crashing)
         headers['Server-Seal'] = f'seal-of-{self.instance}'
+        if BAD_PART in request.headers.get('Prompt-Prefix', ''):
+            return await self._crash_while_answering(request, headers)
         plan = _answers.decode(request.headers.get(_answers.PLAN_HEADER))
         if plan.kind == 'events':
             headers['Content-Type'] = 'text/event-stream'
