Look up unsettled losses by endpoint, and probes by end

What is lost at an endpoint was searched through all losses, up to 4,096, for each answer that begins and for each suspect part of each request; after a failure domain is lost that is thousands of steps a request. Losses are also kept by endpoint now, and an end names its probes. suspect refused says which keys are suspect.

--- a/berylhollow/gateway/_probes.py
+++ b/berylhollow/gateway/_probes.py
@@ -109,7 +109,8 @@
     """
     active.probe_for = ()
     if endpoint is None:
-        return _refuse(state, active, 'its last probe may have ended one')
+        reason = 'its last probe may have ended one'
+        return _refuse(state, active, reason, at_ms)
     if not state.endpoints[endpoint].instance.direct:
         return Admission(True)
     if _is_poor_probe(state, active, at_ms):
@@ -454,17 +455,22 @@
         MAX_WAIT_MS, (active.deadline_ms - active.arrived_ms) // 2
     )
     if at_ms - active.permit_wanted_ms >= longest_ms:
-        return _refuse(state, active, 'others like it run')
+        return _refuse(state, active, 'others like it run', at_ms)
     active.retry_at_ms = at_ms + state.options.retry_pause_ms
     return Admission(False, tuple(emitted))
 
 
 def _refuse(
-    state: _state.State, active: _state.ActiveRequest, reason: str
+    state: _state.State,
+    active: _state.ActiveRequest,
+    reason: str,
+    at_ms: int,
 ) -> Admission:
+    suspects = [key for key in active.keys if known_ends(state, key, at_ms)]
     fields = (
         ('request_id', active.request.request_id),
         ('fingerprint', active.request.fingerprint),
+        ('suspects', ','.join(suspects)),
         ('reason', reason),
     )
     log = effects.Log('suspect refused', fields)
--- a/berylhollow/quarantine/_suspects.py
+++ b/berylhollow/quarantine/_suspects.py
@@ -161,11 +161,12 @@
     ``first_lost_ms`` is when the first run was lost there; runs that began
     later did not end it. ``fingerprints`` are the requests that ran there; one
     gateway knows only its own. ``had_others`` says whether more ran there,
-    whose fingerprints are not known.
+    whose fingerprints are not known. ``probes`` are those of probes.
     """
 
     first_lost_ms: int
     fingerprints: set[str] = dataclasses.field(default_factory=set)
+    probes: set[str] = dataclasses.field(default_factory=set)
     had_others: bool = False
 
 
@@ -289,10 +290,10 @@
         """
         ended = _records.ended_epoch(crash_id)
         end = self.ends.get(ended)
-        if end is None:
+        if end is None or not end.probes:
             return False
         own = self.suspicions[fingerprint].strength(loss.lost_ms)
-        for other in end.fingerprints:
+        for other in end.probes:
             suspicion = self.suspicions.get(other)
             if suspicion is None or other == fingerprint:
                 continue
@@ -313,6 +314,13 @@
         ended = _records.ended_epoch(crash.crash_id)
         end = self.note_end(ended, first_ms)
         end.fingerprints.update(crash.fingerprints)
+        end.probes.update(
+            fingerprint
+            for fingerprint, loss in zip(
+                crash.fingerprints, losses, strict=True
+            )
+            if loss.is_probe
+        )
 
     def note_end(self, ended: str, lost_ms: int) -> End:
         """Note that a run was lost as an epoch ended; return the end."""
--- a/berylhollow/quarantine/_unsettled.py
+++ b/berylhollow/quarantine/_unsettled.py
@@ -9,7 +9,6 @@
 
 from berylhollow import messages
 from berylhollow.quarantine import _keys
-from berylhollow.util import bounded
 
 MAX_FINGERPRINTS = 4096
 
@@ -38,14 +37,18 @@
     def __init__(self, ttl_ms: int):
         self.ttl_ms = ttl_ms
         self.losses: dict[str, dict[str, UnsettledLoss]] = {}
+        self.at_endpoint: dict[str, dict[str, UnsettledLoss]] = {}
 
     def add(
         self, fingerprint: str, endpoint: str, is_probe: bool, at_ms: int
     ) -> None:
         """Add a run that was cut off at an endpoint."""
-        losses = self.losses.setdefault(fingerprint, {})
-        losses[endpoint] = UnsettledLoss(at_ms, is_probe)
-        bounded.drop_oldest(self.losses, MAX_FINGERPRINTS)
+        loss = UnsettledLoss(at_ms, is_probe)
+        self.losses.setdefault(fingerprint, {})[endpoint] = loss
+        self.at_endpoint.setdefault(endpoint, {})[fingerprint] = loss
+        while len(self.losses) > MAX_FINGERPRINTS:
+            oldest = next(iter(self.losses))
+            self.settle(oldest, *self.losses[oldest])
 
     def endpoints(self, fingerprint: str, at_ms: int) -> tuple[str, ...]:
         """Return the endpoints that a request was lost at."""
@@ -68,9 +71,8 @@
         """Return the endpoints that runs were lost at by a time."""
         return {
             endpoint
-            for losses in self.losses.values()
-            for endpoint, loss in losses.items()
-            if loss.lost_ms <= until_ms
+            for endpoint, losses in self.at_endpoint.items()
+            if any(loss.lost_ms <= until_ms for loss in losses.values())
         }
 
     def has_likely_ended(self, endpoint: str, at_ms: int) -> bool:
@@ -80,9 +82,9 @@
         for some time since.
         """
         lost_ms = [
-            losses[endpoint].lost_ms
-            for key, losses in self.losses.items()
-            if endpoint in losses and not _keys.is_part(key)
+            loss.lost_ms
+            for key, loss in self.at_endpoint.get(endpoint, {}).items()
+            if not _keys.is_part(key)
         ]
         if not lost_ms:
             return False
@@ -92,9 +94,7 @@
 
     def keys_at(self, endpoint: str) -> list[str]:
         """Return the keys that were lost at an endpoint."""
-        return [
-            key for key, losses in self.losses.items() if endpoint in losses
-        ]
+        return list(self.at_endpoint.get(endpoint, ()))
 
     def lost_ms(self, fingerprint: str, endpoint: str) -> int:
         """Return when a request was last lost at an endpoint."""
@@ -105,9 +105,8 @@
     ) -> bool:
         """Tell whether other requests were lost at an endpoint, too."""
         return any(
-            endpoint in losses
-            for fingerprint, losses in self.losses.items()
-            if self._is_other(fingerprint, fingerprints)
+            self._is_other(fingerprint, fingerprints)
+            for fingerprint in self.at_endpoint.get(endpoint, ())
         )
 
     def has_others_at_end(
@@ -127,11 +126,11 @@
             return True
         name = messages.Incarnation.name_in(endpoint)
         return any(
-            messages.Incarnation.name_in(other) == name
-            and abs(loss.lost_ms - lost_ms) <= within_ms
-            for fingerprint, losses in self.losses.items()
+            abs(loss.lost_ms - lost_ms) <= within_ms
+            for other, losses in self.at_endpoint.items()
+            if messages.Incarnation.name_in(other) == name
+            for fingerprint, loss in losses.items()
             if self._is_other(fingerprint, fingerprints)
-            for other, loss in losses.items()
         )
 
     def _is_other(
@@ -141,7 +140,7 @@
 
     def settle_endpoint(self, endpoint: str) -> None:
         """Drop all losses at an endpoint."""
-        for fingerprint in list(self.losses):
+        for fingerprint in self.keys_at(endpoint):
             self.settle(fingerprint, endpoint)
 
     def settle(self, fingerprint: str, *endpoints: str) -> None:
@@ -150,7 +149,11 @@
         if losses is None:
             return
         for endpoint in endpoints:
-            losses.pop(endpoint, None)
+            if losses.pop(endpoint, None) is None:
+                continue
+            del self.at_endpoint[endpoint][fingerprint]
+            if not self.at_endpoint[endpoint]:
+                del self.at_endpoint[endpoint]
         if not losses:
             del self.losses[fingerprint]
 
