Let an older loss at an endpoint not keep a short answer from clearing parts

test_short_answer_clears_only_if_its_endpoint_lives_on failed in the whole suite, and alone: a run that ended well within 0.5 s cleared no part while any loss at its endpoint was unsettled, also one of ten seconds before. Losses count now from the moment at which the run began to write.

--- a/berylhollow/gateway/_prompt_parts.py
+++ b/berylhollow/gateway/_prompt_parts.py
@@ -88,6 +88,7 @@
     """Tell whether a run still writes, or its endpoint outlived it."""
     if run.is_over:
         is_listed = run.endpoint in state.endpoints
-        return is_listed and not state.unsettled.has_others(run.endpoint, ())
+        last_ms = state.unsettled.last_lost_ms(run.endpoint)
+        return is_listed and last_ms < run.began_ms
     active = state.requests.get(request_id)
     return active is not None and active.attempt_id == run.attempt_id
--- a/berylhollow/quarantine/_unsettled.py
+++ b/berylhollow/quarantine/_unsettled.py
@@ -7,6 +7,7 @@
 import collections.abc
 import dataclasses
 
+from berylhollow import clock
 from berylhollow import messages
 from berylhollow.quarantine import _keys
 
@@ -138,6 +139,11 @@
     ) -> bool:
         return not (fingerprint in fingerprints or _keys.is_part(fingerprint))
 
+    def last_lost_ms(self, endpoint: str) -> int:
+        """Return when a run was last lost at an endpoint."""
+        losses = self.at_endpoint.get(endpoint, {}).values()
+        return max((x.lost_ms for x in losses), default=clock.NEVER_MS)
+
     def settle_endpoint(self, endpoint: str) -> None:
         """Drop all losses at an endpoint."""
         for fingerprint in self.keys_at(endpoint):
