--- a/berylhollow/messages.py
+++ b/berylhollow/messages.py
@@ -464,7 +464,9 @@
     """An endpoint crashed while requests with these fingerprints ran.
 
     ``crash_id`` names the endpoint and the epoch that ended. ``runs`` has one
-    run of each fingerprint, and is empty if an older process reports.
+    run of each fingerprint, and is empty if an older process reports. As in
+    all messages about crashes, shared parts of prompts stand among the
+    fingerprints, under keys of their own (``quarantine.part_key``).
     """
 
     crash_id: str
