--- a/berylhollow/gateway/_prompt_parts.py
+++ b/berylhollow/gateway/_prompt_parts.py
@@ -1,4 +1,4 @@
-"""Evidence that a part of a prompt crashes nothing, and which one is blamed.
+"""Evidence that a part of a prompt crashes nothing.
 
 A bad part crashes each endpoint that begins to write an answer on it, a moment
 later. So a run that begins to write after a loss, and lives on, clears all of
