Make the first part of a prompt suspect at its second end only

Sound requests waited for permits after each end of an endpoint, since most of them share a first part and some are lost with any endpoint.

The first part is suspect from its second end on, later parts from their first; a run that lives on clears the first part of a single end as well.

--- a/berylhollow/gateway/_probes.py
+++ b/berylhollow/gateway/_probes.py
@@ -190,8 +190,16 @@
 def suspect_parts(
     state: _state.State, active: _state.ActiveRequest, at_ms: int
 ) -> list[str]:
-    """Return the keys of the suspect parts of a request, in order."""
-    return [key for key in active.keys[1:] if known_ends(state, key, at_ms)]
+    """Return the keys of the suspect parts of a request, in order.
+
+    The first part of the prompt is suspect from its second end on: most sound
+    requests share it, and many of them are lost with any endpoint.
+    """
+    return [
+        key
+        for number, key in enumerate(active.keys[1:])
+        if len(known_ends(state, key, at_ms)) >= (1 if number else SEVERAL)
+    ]
 
 
 def known_ends(
--- a/berylhollow/gateway/_prompt_parts.py
+++ b/berylhollow/gateway/_prompt_parts.py
@@ -37,13 +37,14 @@
 def began_to_write(
     state: _state.State, event: events.MessageReceived
 ) -> Effects:
-    """Note a run that begins to write an answer on suspect parts."""
+    """Note a run that begins to write on parts that were lost elsewhere."""
     active = state.request_of(event.message.attempt_id)
     if active is None or active.endpoint != event.peer:
         return []
     ended = {
-        key: _probes.known_ends(state, key, event.at_ms)
-        for key in _probes.suspect_parts(state, active, event.at_ms)
+        key: known
+        for key in active.keys[1:]
+        if (known := _probes.known_ends(state, key, event.at_ms))
     }
     if ended:
         state.part_runs[active.request.request_id] = _state.PartRun(
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -326,7 +326,7 @@
 
 @dataclasses.dataclass(slots=True)
 class PartRun:
-    """A run that began to write an answer on suspect parts of a prompt.
+    """A run that began to write an answer on parts that were lost elsewhere.
 
     ``ended`` has, by key, the endpoints whose ends the part was suspected of
     by then. ``is_over`` says whether the answer has ended well since.
