Work out once per placement what of a request is suspect

A request that is placed asked four times which of its parts are suspect and three times whether it is itself, and its keys were built anew at arrival and at each placement; all of it is handed on now. crashes_known of a part is only read for a probe and only kept for it. One function tells the part that a lost run is held against. The sidecar forwards what gateways hand over with the function that forwards everything else; the second session of the client of endpoints was a parameter that nobody gave; SEVERAL stood twice.

--- a/berylhollow/gateway/_attempts.py
+++ b/berylhollow/gateway/_attempts.py
@@ -77,11 +77,12 @@
     kind = configuration.request_error(active.service, active.request.adapter)
     if kind is not None:
         return give_up(state, active, kind, errors.Ran.NOT_RUN)
-    refused_ms = _quarantine.refused_ms(state, active.request, at_ms)
+    refused_ms = _quarantine.refused_ms(state, active.keys, at_ms)
     if refused_ms:
         kind = errors.Kind.QUARANTINED
+        request_id = active.request.request_id
         return [
-            *_quarantine.refusal_logs(state, active.request, at_ms),
+            *_quarantine.refusal_logs(state, request_id, active.keys, at_ms),
             *give_up(state, active, kind, errors.Ran.NOT_RUN, refused_ms),
         ]
     refusal = _workspaces.refused(state, active, at_ms)
@@ -374,9 +375,7 @@
     active.isolated = _quarantine.must_isolate(state, active, at_ms)
     active.crashes_known = state.suspects.crashes(request.fingerprint)
     active.ends_known = _probes.known_ends(state, request.fingerprint, at_ms)
-    active.part_crashes_known = _prompt_parts.crashes_known(
-        state, active, at_ms
-    )
+    active.part_crashes_known = _prompt_parts.crashes_known(state, active)
     offer = messages.Offer(
         attempt_id=active.attempt_id,
         request_id=request.request_id,
--- a/berylhollow/gateway/_probes.py
+++ b/berylhollow/gateway/_probes.py
@@ -15,6 +15,7 @@
 from berylhollow import clock
 from berylhollow import effects
 from berylhollow import events
+from berylhollow.gateway import _quarantine
 from berylhollow.gateway import _state
 from berylhollow import messages
 from berylhollow.policy import rendezvous
@@ -46,8 +47,6 @@
 """How long no sidecar may have answered before a gateway sends what several
 endpoints ended under on its own. Sidecars that start again take less."""
 
-SEVERAL = 2
-
 BETTER_PROBE_MS = 7000
 """How long after a loss of a first part the requests with another suspect part
 wait for one without. The list shows the end of an endpoint within 5 s."""
@@ -113,10 +112,14 @@
         return _refuse(state, active, reason, at_ms)
     if not state.endpoints[endpoint].instance.direct:
         return Admission(True)
-    if _is_poor_probe(state, active, at_ms):
+    fingerprint = active.request.fingerprint
+    whole = (fingerprint,) if known_ends(state, fingerprint, at_ms) else ()
+    parts = suspect_parts(state, active, at_ms)
+    if _is_poor_probe(state, active, parts, at_ms):
         return _wait(state, active, at_ms)
     emitted: Effects = []
-    for key in _locked_keys(state, active, at_ms):
+    # Requests that share a later suspect part share the first one as well.
+    for key in (*whole, *parts[:1]):
         probe = state.probes.get(key)
         if probe is None or probe.request_id not in state.requests:
             probe = _state.Probe(active.request.request_id)
@@ -127,61 +130,47 @@
             emitted += _ask(state, active, key, probe, at_ms)
         if not probe.granted:
             return _wait(state, active, at_ms, emitted)
-    active.probe_for = _blamed_keys(state, active, at_ms)
+    active.probe_for = whole + _blamed_part(state, active, parts)
     active.permit_wanted_ms = None
     return Admission(True, tuple(emitted))
 
 
-def _locked_keys(
-    state: _state.State, active: _state.ActiveRequest, at_ms: int
-) -> list[str]:
-    """Return the keys that a request needs permits for, in this order.
-
-    Of its suspect parts the first one is enough: requests that share a later
-    one share that as well.
-    """
-    fingerprint = active.request.fingerprint
-    locked = [fingerprint] if known_ends(state, fingerprint, at_ms) else []
-    return locked + suspect_parts(state, active, at_ms)[:1]
-
-
-def _blamed_keys(
-    state: _state.State, active: _state.ActiveRequest, at_ms: int
+def _blamed_part(
+    state: _state.State, active: _state.ActiveRequest, parts: list[str]
 ) -> tuple[str, ...]:
-    """Return the keys that a run is held against if it is lost.
+    """Return the key of the part that a run is held against if it is lost.
 
-    A request that has crashed more endpoints than its parts explains them.
-    Otherwise it is the part with most crashes; of several the first one, but
-    not the first of the prompt, as most sound requests share that.
+    It is the suspect part with most crashes; of several the first one, but not
+    the first of the prompt, as most sound requests share that. None is if the
+    request itself has crashed several endpoints and no part more.
     """
-    fingerprint = active.request.fingerprint
-    blamed = (fingerprint,) if known_ends(state, fingerprint, at_ms) else ()
-    parts = suspect_parts(state, active, at_ms)
     if not parts:
-        return blamed
+        return ()
     crashes = {key: state.suspects.crashes(key) for key in parts}
     most = max(crashes.values())
-    own = state.suspects.crashes(fingerprint)
-    if own >= SEVERAL and own >= most:
-        return blamed
+    own = state.suspects.crashes(active.request.fingerprint)
+    if own >= _quarantine.SEVERAL and own >= most:
+        return ()
     strongest = [key for key in parts if crashes[key] == most]
     first_part = active.keys[1]
     later = [key for key in strongest if key != first_part]
-    return (*blamed, (later or strongest)[0])
+    return ((later or strongest)[0],)
 
 
 def _is_poor_probe(
-    state: _state.State, active: _state.ActiveRequest, at_ms: int
+    state: _state.State,
+    active: _state.ActiveRequest,
+    parts: list[str],
+    at_ms: int,
 ) -> bool:
     """Tell whether a request says less of its first part than others would.
 
     It has a later part that is suspect as well. One without such a part clears
     the first part, if that is sound; for some time only those are sent.
     """
-    parts = suspect_parts(state, active, at_ms)
-    if len(parts) < SEVERAL or parts[0] != active.keys[1]:
+    if len(parts) < 2 or parts[0] != active.keys[1]:
         return False
-    if state.suspects.crashes(parts[0]) < SEVERAL:
+    if state.suspects.crashes(parts[0]) < _quarantine.SEVERAL:
         return False
     last_ms = state.suspects.last_lost_ms(parts[0])
     return at_ms < last_ms + BETTER_PROBE_MS
@@ -198,7 +187,8 @@
     return [
         key
         for number, key in enumerate(active.keys[1:])
-        if len(known_ends(state, key, at_ms)) >= (1 if number else SEVERAL)
+        if len(known_ends(state, key, at_ms))
+        >= (1 if number else _quarantine.SEVERAL)
     ]
 
 
@@ -422,7 +412,7 @@
         silent_ms = _note_silence(state, at_ms)
         ended = len(known_ends(state, key, at_ms))
         may_come_back = state.sidecars and silent_ms < ALONE_AFTER_MS
-        if ended >= SEVERAL and may_come_back:
+        if ended >= _quarantine.SEVERAL and may_come_back:
             return []
         probe.granted = True
         fields = (
--- a/berylhollow/gateway/_prompt_parts.py
+++ b/berylhollow/gateway/_prompt_parts.py
@@ -11,6 +11,7 @@
 from berylhollow.gateway import _probes
 from berylhollow.gateway import _quarantine
 from berylhollow.gateway import _state
+from berylhollow import quarantine
 from berylhollow.util import bounded
 
 Effects = list[effects.Effect]
@@ -22,15 +23,16 @@
 
 
 def crashes_known(
-    state: _state.State, active: _state.ActiveRequest, at_ms: int
+    state: _state.State, active: _state.ActiveRequest
 ) -> dict[str, int]:
-    """Return the crashes known of each suspect part of a request.
+    """Return the crashes known of each part that a run is a probe for.
 
     A part with a loss that is not settled has one at least.
     """
     return {
         key: max(1, state.suspects.crashes(key))
-        for key in _probes.suspect_parts(state, active, at_ms)
+        for key in active.probe_for
+        if quarantine.is_part(key)
     }
 
 
--- a/berylhollow/gateway/_quarantine.py
+++ b/berylhollow/gateway/_quarantine.py
@@ -23,27 +23,24 @@
 SEVERAL = 2
 
 
-def refused_ms(
-    state: _state.State, request: events.Request, at_ms: int
-) -> int:
+def refused_ms(state: _state.State, keys: tuple[str, ...], at_ms: int) -> int:
     """Return for how long a request is quarantined, 0 if it is not.
 
-    A request is if a part of its prompt is.
+    A request is if one of its keys is.
     """
-    keys = quarantine.keys(request.fingerprint, request.shared_parts)
     return max(state.suspects.quarantined_ms(key, at_ms) for key in keys)
 
 
 def refusal_logs(
-    state: _state.State, request: events.Request, at_ms: int
+    state: _state.State, request_id: str, keys: tuple[str, ...], at_ms: int
 ) -> Effects:
     """Return a log line for each key by which a request is refused."""
     emitted: Effects = []
-    for key in quarantine.keys(request.fingerprint, request.shared_parts):
+    for key in keys:
         left_ms = state.suspects.quarantined_ms(key, at_ms)
         if left_ms:
             fields = (
-                ('request_id', request.request_id),
+                ('request_id', request_id),
                 ('key', key),
                 ('crashes', state.suspects.crashes(key)),
                 ('left_ms', left_ms),
--- a/berylhollow/gateway/_requests.py
+++ b/berylhollow/gateway/_requests.py
@@ -19,6 +19,7 @@
 from berylhollow.gateway import _superseded
 from berylhollow.gateway import _workspaces
 from berylhollow import messages
+from berylhollow import quarantine
 
 Effects = list[effects.Effect]
 
@@ -47,11 +48,14 @@
     deadline_ms = begun_ms + request.deadline_ms
     if event.at_ms >= deadline_ms:
         return [refusal(request.request_id, errors.Kind.DEADLINE_EXCEEDED)]
-    refused_ms = _quarantine.refused_ms(state, request, event.at_ms)
+    keys = quarantine.keys(request.fingerprint, request.shared_parts)
+    refused_ms = _quarantine.refused_ms(state, keys, event.at_ms)
     if refused_ms:
         kind = errors.Kind.QUARANTINED
         return [
-            *_quarantine.refusal_logs(state, request, event.at_ms),
+            *_quarantine.refusal_logs(
+                state, request.request_id, keys, event.at_ms
+            ),
             refusal(request.request_id, kind, refused_ms),
         ]
     tokens = request.head.tokens
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -231,10 +231,10 @@
     blamed by: its fingerprint, then the shared parts of its prompt.
     ``ends_known`` are the endpoints that were known to have ended, or cut off
     a run, under the same request when its current attempt was sent, and
-    ``part_crashes_known`` how many had ended under its parts. That attempt has
-    a permit for the keys of ``probe_for``, for which it has waited since
-    ``permit_wanted_ms``. ``limited_to`` are the only endpoints that it may be
-    sent to, if there is such a limit.
+    ``part_crashes_known`` how many had ended under the part that it is a probe
+    for. That attempt has a permit for the keys of ``probe_for``, for which it
+    has waited since ``permit_wanted_ms``. ``limited_to`` are the only
+    endpoints that it may be sent to, if there is such a limit.
     """
 
     request: events.Request
--- a/berylhollow/loader/_kept_crashes.py
+++ b/berylhollow/loader/_kept_crashes.py
@@ -27,10 +27,12 @@
     state.suspects.withdraw(crash, event.at_ms)
 
 
-def take_over(state: _state.State, event: events.MessageReceived) -> Effects:
-    """Keep the crashes that a gateway hands over; forward what is new."""
+def take_over(
+    state: _state.State, event: events.MessageReceived
+) -> messages.KeptCrashes | None:
+    """Keep the crashes that a gateway hands over; return what is new."""
     if _may_miss_clearings(state):
-        return []
+        return None
     message: messages.KeptCrashes = event.message
     new = tuple(
         kept
@@ -38,14 +40,8 @@
         if quarantine.take_over(state.suspects, kept, event.at_ms).counted
     )
     if not new:
-        return []
-    kept_ms = event.at_ms - state.kept_since_ms
-    forwarded = messages.KeptCrashes(kept_ms, new)
-    return [
-        effects.Send(peer, forwarded)
-        for peer in state.links
-        if peer != event.peer
-    ]
+        return None
+    return messages.KeptCrashes(event.at_ms - state.kept_since_ms, new)
 
 
 def forget(state: _state.State, event: events.MessageReceived) -> None:
--- a/berylhollow/loader/_reducer.py
+++ b/berylhollow/loader/_reducer.py
@@ -307,7 +307,8 @@
         _probes.settle(state, message)
         return _forward(state, event.peer, message)
     if isinstance(message, messages.KeptCrashes):
-        return _kept_crashes.take_over(state, event)
+        new = _kept_crashes.take_over(state, event)
+        return _forward(state, event.peer, new) if new else []
     if isinstance(message, messages.ProbeWanted):
         return _probes.wanted(state, event)
     if isinstance(message, messages.ProbeEnded):
@@ -412,7 +413,8 @@
     message: messages.Crashed
     | messages.Cleared
     | messages.RunLost
-    | messages.EndpointAnswered,
+    | messages.EndpointAnswered
+    | messages.KeptCrashes,
 ) -> Effects:
     """Forward what a gateway learnt of a request to the other gateways.
 
--- a/berylhollow/platform/_endpoint_calls.py
+++ b/berylhollow/platform/_endpoint_calls.py
@@ -108,15 +108,9 @@
     open before, a request may be lost because the endpoint has ended already.
     """
 
-    def __init__(
-        self,
-        session: aiohttp.ClientSession,
-        probe_session: aiohttp.ClientSession | None = None,
-    ):
+    def __init__(self, session: aiohttp.ClientSession):
         self.session = session
-        self.probe_session = probe_session or outgoing.open_session(
-            reuse=False
-        )
+        self.probe_session = outgoing.open_session(reuse=False)
 
     async def send(
         self, offer: messages.Offer, address: str, instance: str
