Collect the runs of each culprit once in the soak's checks

The checks of bursts and of bad parts gathered runs in two copies, and the name that begins bad parts stood in two modules.

--- a/tools/soak/_callers.py
+++ b/tools/soak/_callers.py
@@ -28,9 +28,6 @@
 PROMPT_PATH = '/p/prompt'
 FIRST_PARTS = ('a0', 'a1')
 SECOND_PARTS = 5
-BAD_PART = 'bad'
-"""Begins the ids of the parts that crash endpoints."""
-
 PROMPT_PAUSE_S = 0.15
 BAD_PROMPT_PAUSE_S = 0.6
 BAD_PART_LASTS_S = 15.0
@@ -79,9 +76,17 @@
     @property
     def bad_part(self) -> str:
         """The part of its prompt that crashes endpoints, if any."""
-        bad = (part for part in self.parts if part.startswith(BAD_PART))
+        bad = (
+            part for part in self.parts if part.startswith(_standins.BAD_PART)
+        )
         return next(bad, '')
 
+    @property
+    def burst(self) -> str:
+        """The path of a request that comes in bursts, if it is one."""
+        is_one = self.path.startswith(f'{CULPRIT_PATH}-')
+        return self.path if is_one else ''
+
     @property
     def is_quarantined(self) -> bool:
         """Whether it was refused as one that crashes endpoints."""
@@ -214,7 +219,10 @@
                 if is_bad:
                     elapsed_s = time.monotonic() - began
                     number = int(elapsed_s / BAD_PART_LASTS_S)
-                    first, second = FIRST_PARTS[0], f'{BAD_PART}{number}'
+                    first, second = (
+                        FIRST_PARTS[0],
+                        f'{_standins.BAD_PART}{number}',
+                    )
                 gateway = self.chance.choice(self.world.gateways)
                 parts = first, second
                 key = self.operator.key
--- a/tools/soak/_promises.py
+++ b/tools/soak/_promises.py
@@ -1,6 +1,7 @@
 """The promises, checked from what callers and endpoints saw alone."""
 
 import collections
+import collections.abc
 import dataclasses
 
 from tools.soak import _callers
@@ -501,15 +502,7 @@
     def bursts(self) -> Verdict:
         """Later than the bound after the third crash, over all gateways."""
         verdict = Verdict()
-        culprits: dict[str, list[tuple[float, _callers.Exchange]]] = (
-            collections.defaultdict(list)
-        )
-        for exchange, runs in self._pairs():
-            if exchange.bad_part or not exchange.is_culprit:
-                continue
-            if exchange.path != _callers.CULPRIT_PATH:
-                culprits[exchange.path] += [(r['at'], exchange) for r in runs]
-        for ran in culprits.values():
+        for ran in self._runs_by(lambda exchange: exchange.burst):
             if len(ran) >= _callers.MOST_CRASHES:
                 self._check_late(verdict, ran, _callers.MOST_CRASHES)
         return verdict
@@ -517,20 +510,24 @@
     def bad_parts(self) -> Verdict:
         """As for whole requests, after the fifth crash."""
         verdict = Verdict()
-        parts: dict[str, list[tuple[float, _callers.Exchange]]] = (
-            collections.defaultdict(list)
-        )
-        for exchange, runs in self._pairs():
-            if exchange.bad_part:
-                ran = [(r['at'], exchange) for r in runs]
-                parts[exchange.bad_part] += ran
-        for ran in parts.values():
+        for ran in self._runs_by(lambda exchange: exchange.bad_part):
             if len(ran) >= MOST_CRASHES_OF_PART:
                 self._check_late(verdict, ran, MOST_CRASHES_OF_PART)
             else:
                 verdict.asked += 1
         return verdict
 
+    def _runs_by(
+        self, culprit_of: collections.abc.Callable[[_callers.Exchange], str]
+    ) -> collections.abc.Iterable[list[tuple[float, _callers.Exchange]]]:
+        """Return the runs of each culprit, with their times."""
+        runs_by = collections.defaultdict(list)
+        for exchange, runs in self._pairs():
+            culprit = culprit_of(exchange)
+            if culprit:
+                runs_by[culprit] += [(run['at'], exchange) for run in runs]
+        return runs_by.values()
+
     def _check_late(
         self,
         verdict: Verdict,
--- a/tools/soak/_standins.py
+++ b/tools/soak/_standins.py
@@ -30,6 +30,8 @@
 
 CRASH_BODY = b'crash'
 BAD_PART = 'bad'
+"""Begins the ids of the parts of prompts that crash endpoints."""
+
 BAD_PART_S = 0.05
 """From the first event on a bad part of a prompt to the crash."""
 
