Declare the admission of prompts: messages, terms of a service, the page

The sidecar beside an endpoint is where all sends to it meet, so it is to say when a prompt may be sent. This commit has the messages between gateways and sidecars, which services call for it (the allowed gap is at most 100 ms for each token of an event), and the page that the parts are built from. Nothing uses them yet.

--- a/berylhollow/configuration/_configuration.py
+++ b/berylhollow/configuration/_configuration.py
@@ -93,6 +93,10 @@
         """Return 0, as sidecars learn the number from their engines."""
         return 0
 
+    def admission(self, service: str) -> following.AdmissionTerms | None:
+        """Return None, as engines behind a sidecar's link need none."""
+        return None
+
     def models(self, service: str) -> tuple[str, ...]:
         """Return an empty tuple, as engines start with their model."""
         return ()
--- a/berylhollow/following.py
+++ b/berylhollow/following.py
@@ -61,6 +61,19 @@
     workspace: workspaces.Workspace | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdmissionTerms:
+    """How prompts of a service are admitted at its endpoints.
+
+    ``event_gap_ms`` is the longest gap between two events of an answer that
+    every route of the service allows, ``event_steps`` is how many steps of the
+    engine an event takes.
+    """
+
+    event_gap_ms: int
+    event_steps: int
+
+
 class View(typing.Protocol):
     """One accepted revision of the configuration, immutable.
 
@@ -76,6 +89,9 @@
     ) -> workspaces.Workspace | errors.Kind | None:
         """Return the workspace of a request, None, or why it is refused."""
 
+    def admission(self, service: str) -> AdmissionTerms | None:
+        """Return how a service's prompts are admitted, None if they aren't."""
+
     def resolve(
         self, request: events.Request, seed: float
     ) -> Terms | errors.Kind:
--- a/berylhollow/messages.py
+++ b/berylhollow/messages.py
@@ -205,6 +205,9 @@
     ``model_load`` says whether the endpoint still needs its model from the
     weight store. ``waiting_tokens`` is the sum of the prompt tokens that
     gateways last reported for requests sent there and not yet answered.
+    ``token_ms`` is the time that the endpoint takes to read one prompt token,
+    as measured by its sidecar, 0 if it isn't measured. ``read_share`` is the
+    share of the last seconds, from 0 to 1, in which it was reading prompts.
     """
 
     instance: str
@@ -225,6 +228,8 @@
     gateways: int = 1
     model_load: ModelLoad = ModelLoad.NONE
     waiting_tokens: int = 0
+    token_ms: float = 0.0
+    read_share: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -269,6 +274,10 @@
     loaded: bool
 
 
+NO_SLACK_MS = 3_600_000
+"""Slack of a demand without waiting requests, or from an older sender."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AdapterDemand:
     """One gateway's demand for one adapter at one endpoint.
@@ -278,7 +287,8 @@
     using it, and ``rate`` is how many more a second are expected. ``queued``
     counts those in flight that were sent with an older version and have not
     begun, as far as the gateway has seen; ``overdue`` counts those of them
-    that must not begin any more.
+    that must not begin any more. ``slack_ms`` is the least time that one of
+    the waiting requests has left until its first event is late.
     """
 
     adapter: AdapterVersion
@@ -287,6 +297,7 @@
     rate: float
     queued: int = 0
     overdue: int = 0
+    slack_ms: int = NO_SLACK_MS
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -633,6 +644,54 @@
     body: bytes = b''
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdmissionWanted:
+    """A gateway asks a sidecar when it may send a request to its endpoint.
+
+    ``tokens`` is the size of the whole prompt. ``priority`` 0 is the most
+    urgent; ``workspace`` is empty without one. ``objective_ms`` is the time
+    left until the first event would be late, negative if it is already.
+    ``event_gap_ms`` is the longest allowed gap between two events of an
+    answer of the service, and ``event_steps`` is how many steps of the engine
+    an event takes. A further message for a known request replaces the earlier
+    one.
+    """
+
+    request_id: str
+    tokens: int
+    priority: int
+    workspace: str
+    objective_ms: int
+    event_gap_ms: int
+    event_steps: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdmissionQueued:
+    """A sidecar has queued a request; its grant is expected in ``wait_ms``."""
+
+    request_id: str
+    wait_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdmissionGranted:
+    """A sidecar allows a gateway to send a request to its endpoint now."""
+
+    request_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdmissionEnded:
+    """A request no longer waits for admission or for its first event.
+
+    ``begun`` is True if its answer has begun, so that its prompt was read.
+    """
+
+    request_id: str
+    begun: bool
+
+
 Message = (
     Offer
     | Cancel
@@ -672,6 +731,10 @@
     | ProbeWanted
     | ProbeAnswered
     | ProbeEnded
+    | AdmissionWanted
+    | AdmissionQueued
+    | AdmissionGranted
+    | AdmissionEnded
 )
 
 # A tag that has been released is never reused for another message.
@@ -714,4 +777,8 @@
     36: ProbeWanted,
     37: ProbeAnswered,
     38: ProbeEnded,
+    39: AdmissionWanted,
+    40: AdmissionQueued,
+    41: AdmissionGranted,
+    42: AdmissionEnded,
 }
--- a/berylhollow/platform/_records.py
+++ b/berylhollow/platform/_records.py
@@ -212,6 +212,7 @@
             )
             for model in models
         ),
+        tokens_per_event=max(1, _fields.integer(entry, 'Stride', 1)),
     )
 
 
--- a/berylhollow/routes/_table.py
+++ b/berylhollow/routes/_table.py
@@ -35,6 +35,8 @@
       beginning.
     - ``priority``: 0 is the most urgent.
     - ``most_runs``: maximum number of endpoints that one request is sent to.
+    - ``event_gap_ms``: longest gap between two events of a stream with which
+      its answer is still on time, 0 for none.
     - ``public``: requests need no key.
     """
 
@@ -58,12 +60,14 @@
 
     ``adapter_slots`` is how many adapters an engine holds at once, ``batch``
     how many requests it runs at once and ``adapters`` the declared number of
-    adapters of each model.
+    adapters of each model. ``tokens_per_event`` is how many generated tokens
+    one event of a stream holds; an engine generates one token a step.
     """
 
     batch: int
     adapter_slots: int
     adapters: tuple[tuple[str, int], ...]
+    tokens_per_event: int = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/berylhollow/routes/_view.py
+++ b/berylhollow/routes/_view.py
@@ -16,6 +16,14 @@
 FIRST_VERSION = '1'
 """Version of an adapter for which no newer one was published."""
 
+PACED_STEP_MS = 100
+"""Longest allowed gap per engine step for which prompts are admitted.
+
+A step that reads a chunk of prompts takes 50 to 110 ms at the users' engines.
+Where the gap allows more than that for each step of an event, prompts that
+follow each other can't exceed it.
+"""
+
 MAX_SUPERSEDED_VERSIONS = 8
 """Superseded versions of an adapter whose times are kept apart."""
 
@@ -109,7 +117,8 @@
 
     ``by_host`` holds the routes of each host, longest prefix first.
     ``newest_versions`` is shared with the follower, which adds to it.
-    ``by_key`` maps digests of keys to their workspaces.
+    ``by_key`` maps digests of keys to their workspaces. ``admission_terms``
+    has the services whose prompts are admitted by sidecars.
     """
 
     table: _table.RouteTable
@@ -119,6 +128,9 @@
     by_key: dict[bytes, workspaces.Workspace] = dataclasses.field(
         default_factory=dict
     )
+    admission_terms: dict[str, following.AdmissionTerms] = dataclasses.field(
+        default_factory=dict
+    )
 
     @classmethod
     def from_table(
@@ -140,7 +152,14 @@
             for workspace in table.workspaces
             for key in workspace.keys
         }
-        return cls(table, ordered, services, newest_versions, by_key)
+        return cls(
+            table,
+            ordered,
+            services,
+            newest_versions,
+            by_key,
+            _admission_terms(table),
+        )
 
     @property
     def revision(self) -> int:
@@ -251,6 +270,10 @@
             return 0
         return declared.engine.adapter_slots
 
+    def admission(self, service: str) -> following.AdmissionTerms | None:
+        """Return how a service's prompts are admitted, None if they aren't."""
+        return self.admission_terms.get(service)
+
     def models(self, service: str) -> tuple[str, ...]:
         """Return the models that the endpoints of a service should hold."""
         declared = self.services.get(service)
@@ -265,6 +288,28 @@
         return DeclaredCaller()
 
 
+def _admission_terms(
+    table: _table.RouteTable,
+) -> dict[str, following.AdmissionTerms]:
+    """Return the terms of the services whose prompts are admitted."""
+    gaps_ms: dict[str, int] = {}
+    for route in table.routes:
+        if not route.event_gap_ms:
+            continue
+        for share in route.shares:
+            gap_ms = gaps_ms.get(share.service, route.event_gap_ms)
+            gaps_ms[share.service] = min(gap_ms, route.event_gap_ms)
+    terms = {}
+    for service in table.services:
+        gap_ms = gaps_ms.get(service.name)
+        if service.engine is None or gap_ms is None:
+            continue
+        steps = service.engine.tokens_per_event
+        if steps > 1 and gap_ms <= PACED_STEP_MS * steps:
+            terms[service.name] = following.AdmissionTerms(gap_ms, steps)
+    return terms
+
+
 def _priority(
     route: _table.Route, workspace: workspaces.Workspace | None
 ) -> int:
--- a/test/builders.py
+++ b/test/builders.py
@@ -61,6 +61,9 @@
     def adapter_slots(self, service):
         return 0
 
+    def admission(self, service):
+        return None
+
     def models(self, service):
         return ()
 
--- a/test/platform_builders.py
+++ b/test/platform_builders.py
@@ -93,7 +93,8 @@
     return values | changes
 
 
-def configuration(version=7, routes=None, workspaces=None):
+def configuration(version=7, routes=None, workspaces=None, engine=None):
+    """Return routes and services; ``engine`` has its further fields."""
     declared = {} if workspaces is None else {'Tenants': workspaces}
     return declared | {
         'Version': version,
@@ -106,7 +107,8 @@
                     'Slots': 64,
                     'AdapterSlots': 6,
                     'Models': [{'Name': MODEL, 'Adapters': 3000}],
-                },
+                }
+                | (engine or {}),
             },
             {'Name': PLAIN_SERVICE, 'MaxConns': 100},
         ],
--- a/test/routes/test_view.py
+++ b/test/routes/test_view.py
@@ -92,6 +92,43 @@
         self.assertEqual(['4', '3'], [a.version for a in accepted])
 
 
+class AdmissionTest(unittest.TestCase):
+    """Which services have their prompts admitted by sidecars."""
+
+    def terms(self, *gaps_ms, steps):
+        entries = [
+            builders.route(f'r-{number}', f'/a{number}/', GapTargetMs=gap_ms)
+            for number, gap_ms in enumerate(gaps_ms)
+        ]
+        record = builders.configuration_record(
+            routes=entries, engine={'Stride': steps}
+        )
+        table = platform.decode_configuration_record(record)
+        found = routes.RouteView.from_table(table, {})
+        return found.admission(builders.MODEL_SERVICE)
+
+    def test_shortest_gap_of_a_service_counts(self):
+        terms = self.terms(600, 400, steps=4)
+        self.assertEqual((400, 4), (terms.event_gap_ms, terms.event_steps))
+
+    def test_gap_that_allows_for_a_chunk_a_step_needs_no_admission(self):
+        """Guards against a change for deployments that don't call for it."""
+        self.assertIsNone(self.terms(400, steps=3))
+        self.assertIsNone(self.terms(500, steps=4))
+        self.assertIsNone(self.terms(400, steps=2))
+
+    def test_event_of_one_step_needs_no_admission(self):
+        self.assertIsNone(self.terms(50, steps=1))
+
+    def test_route_without_a_gap_does_not_count(self):
+        self.assertIsNone(self.terms(0, 0, steps=4))
+        self.assertEqual(400, self.terms(0, 400, steps=4).event_gap_ms)
+
+    def test_plain_service_needs_no_admission(self):
+        found = view(builders.route(GapTargetMs=100))
+        self.assertIsNone(found.admission(builders.PLAIN_SERVICE))
+
+
 class SupersededVersionTest(unittest.TestCase):
     def newest(self, *times):
         """Return what is known after versions 2, 3, ... came at ``times``."""
