Admit prompts at a sidecar in batches that keep the gap of answers

Change: package admission decides which requests an endpoint reads next, and the sidecar answers AdmissionWanted and AdmissionEnded with it. A batch holds what is read within the allowed gap; the next one begins when all of its requests have begun or ended. The sidecar reports its pace and its share of time spent reading once a gateway has asked.

The load of answers with gaps is not measured yet.

--- /dev/null
+++ b/berylhollow/admission/__init__.py
@@ -0,0 +1,28 @@
+"""When which waiting request may be sent to an endpoint; does no I/O.
+
+An engine that reads one prompt after the other delays the answers that it
+generates beside them. Prompts are therefore admitted in batches that are read
+within the longest gap that the answers allow.
+"""
+
+from berylhollow.admission._admissions import Admissions
+from berylhollow.admission._admissions import Grant
+from berylhollow.admission._budget import EXPIRY_MS
+from berylhollow.admission._budget import ReadingBudget
+from berylhollow.admission._pace import ReadingPace
+from berylhollow.admission._queue import AdmissionQueue
+from berylhollow.admission._queue import RequestKey
+from berylhollow.admission._queue import WaitingRequest
+from berylhollow.admission._shares import WorkspaceShares
+
+__all__ = [
+    'EXPIRY_MS',
+    'AdmissionQueue',
+    'Admissions',
+    'Grant',
+    'ReadingBudget',
+    'ReadingPace',
+    'RequestKey',
+    'WaitingRequest',
+    'WorkspaceShares',
+]
--- a/berylhollow/loader/_reducer.py
+++ b/berylhollow/loader/_reducer.py
@@ -2,6 +2,7 @@
 
 from berylhollow import effects
 from berylhollow import events
+from berylhollow.loader import _admissions
 from berylhollow.loader import _kept_crashes
 from berylhollow.loader import _kept_record
 from berylhollow.loader import _plan
@@ -49,6 +50,7 @@
     if at_ms - state.read_begun_ms >= _read_pause_ms(state):
         done += _begin_read(state, at_ms)
     done += _time_out_order(state, at_ms)
+    done += _admissions.advance(state, at_ms)
     return done + _report.send_if_due(state, at_ms)
 
 
@@ -153,6 +155,7 @@
             _remember_unanswered_load(state, state.order, event.at_ms)
         state.reset_for_restart(event.started_ms)
         done.append(_restart_log(before, event))
+        done += _admissions.reset(state, event.at_ms)
     done += _send_next_order(state, event.at_ms)
     return done + _report.send_if_due(state, event.at_ms)
 
@@ -284,7 +287,8 @@
     The gateway may have lost only the link and still have requests in flight.
     """
     state.links.pop(event.peer, None)
-    return [effects.Log('gateway lost', (('peer', event.peer),))]
+    done = [effects.Log('gateway lost', (('peer', event.peer),))]
+    return done + _admissions.drop_gateway(state, event.peer, event.at_ms)
 
 
 def _received(state: _state.State, event: events.MessageReceived) -> Effects:
@@ -325,6 +329,10 @@
         return _kept_record.send(state, event)
     if isinstance(message, messages.KeptRecord):
         return _kept_record.keep(state, event)
+    if isinstance(message, messages.AdmissionWanted):
+        return _admissions.wanted(state, event)
+    if isinstance(message, messages.AdmissionEnded):
+        return _admissions.ended(state, event)
     if not isinstance(message, messages.AdapterDemands):
         return []
     state.demand.update(event.peer, message, event.at_ms)
--- a/berylhollow/loader/_state.py
+++ b/berylhollow/loader/_state.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from berylhollow import admission
 from berylhollow import clock
 from berylhollow import events
 from berylhollow.loader import _demand
@@ -140,6 +141,9 @@
       that start; kept since ``kept_since_ms``.
     - ``permits``: which gateway may send a suspect request, by fingerprint.
     - ``unsettled``: runs that gateways lost, for those that link later.
+    - ``admissions``: requests that wait to be sent to the endpoint, None until
+      a gateway asks.
+    - ``admission_logs``: log lines about grants in ``admission_log_second``.
     """
 
     options: Options
@@ -187,6 +191,9 @@
     kept_record: messages.KeptRecord | None = None
     ask_record_ms: int = clock.NEVER_MS
     knows_predecessor: bool = False
+    admissions: admission.Admissions | None = None
+    admission_log_second: int = 0
+    admission_logs: int = 0
 
     @property
     def kept_revision(self) -> int:
--- a/berylhollow/metrics/_instruments.py
+++ b/berylhollow/metrics/_instruments.py
@@ -164,6 +164,14 @@
         '{attempt}',
         'Offers of an attempt that the sidecar already had; ignored.',
     ),
+    Instrument(
+        'berylhollow.admissions',
+        COUNTER,
+        '{request}',
+        'Decisions of a sidecar to admit requests to its endpoint, by '
+        'outcome.',
+        (SERVICE, 'berylhollow.outcome'),
+    ),
     Instrument(
         'berylhollow.configuration.age',
         OBSERVED_GAUGE,
