Order replaced requests of equal age, and expect waits by class

Cause: a request that replaced another one with the same age made two heap entries compare equal up to the request itself, which raised TypeError in a trial with repeated request ids. The expected wait counted all requests that can't be in time any more before one that can.

Change: heap entries are numbered as they are pushed. The expected wait of a request that can be in time counts the others that can, and the share of the grants that late ones get.

--- a/berylhollow/admission/_admissions.py
+++ b/berylhollow/admission/_admissions.py
@@ -53,18 +53,28 @@
         """Return the share of the last two seconds spent reading, 0 to 1."""
         return self.pace.read_share(at_ms)
 
-    def is_waiting(self, gateway: str, request_id: str) -> bool:
-        """Tell whether a request is in the queue."""
-        return _queue.RequestKey(gateway, request_id) in self.queue.requests
+    def queued_wait_ms(self, gateway: str, request_id: str) -> int | None:
+        """Return the expected wait of a request, None if it isn't queued."""
+        key = _queue.RequestKey(gateway, request_id)
+        request = self.queue.requests.get(key)
+        if request is None:
+            return None
+        return self.wait_ms(request.tokens, request.is_late)
 
-    def wait_ms(self, tokens: int) -> int:
+    def wait_ms(self, tokens: int, is_late: bool = False) -> int:
         """Return the expected wait of a request that was queued last.
 
-        Others that wait are expected to go first.
+        Others that wait are expected to go first, but of those that can't be
+        in time only their share of the grants before one that can.
         """
+        queue = self.queue
+        ahead = queue.timely_tokens + queue.late_tokens - tokens
+        if not is_late:
+            timely = queue.timely_tokens - tokens
+            ahead = min(ahead, timely * (1 + _queue.LATE_GRANT_SHARE))
+        ahead = max(0, ahead)
         token_ms = self.token_ms
         budget = self.budget
-        ahead = max(0, self.queue.tokens - tokens)
         if not ahead and budget.has_room(tokens, token_ms):
             return 0
         batches = ahead / max(1, tokens, budget.limit_tokens(token_ms))
--- a/berylhollow/admission/_queue.py
+++ b/berylhollow/admission/_queue.py
@@ -10,6 +10,9 @@
 LATE_GRANT_PERIOD = 8
 """At least one in so many grants goes to the oldest late request."""
 
+LATE_GRANT_SHARE = 1 / (LATE_GRANT_PERIOD - 1)
+"""Grants of late requests for each of the others, while there are any."""
+
 MAX_REKEYS = 16
 """Workspaces whose place is corrected for one choice; limits its cost."""
 
@@ -59,24 +62,28 @@
         self, is_valid: collections.abc.Callable[[WaitingRequest], bool]
     ):
         self.is_valid = is_valid
-        self.entries: list[tuple[float, int, WaitingRequest]] = []
+        self.entries: list[tuple[float, int, int, WaitingRequest]] = []
         self.live = 0
+        self.pushes = 0
 
     def push(self, key: float, request: WaitingRequest) -> None:
-        heapq.heappush(self.entries, (key, request.number, request))
+        # A request that replaces another one has its key and its number.
+        self.pushes += 1
+        entry = (key, request.number, self.pushes, request)
+        heapq.heappush(self.entries, entry)
         self.live += 1
 
     def first(self) -> WaitingRequest | None:
         entries = self.entries
-        while entries and not self.is_valid(entries[0][2]):
+        while entries and not self.is_valid(entries[0][-1]):
             heapq.heappop(entries)
-        return entries[0][2] if entries else None
+        return entries[0][-1] if entries else None
 
     def note_removed(self) -> None:
         """Note that an entry has become invalid."""
         self.live -= 1
         if len(self.entries) > 2 * self.live + MIN_COMPACTION:
-            self.entries = [e for e in self.entries if self.is_valid(e[2])]
+            self.entries = [e for e in self.entries if self.is_valid(e[-1])]
             heapq.heapify(self.entries)
 
 
@@ -124,11 +131,6 @@
     def __len__(self) -> int:
         return len(self.requests)
 
-    @property
-    def tokens(self) -> int:
-        """The prompt tokens of all waiting requests."""
-        return self.timely_tokens + self.late_tokens
-
     def add(
         self,
         key: RequestKey,
--- a/berylhollow/loader/_admissions.py
+++ b/berylhollow/loader/_admissions.py
@@ -25,10 +25,9 @@
     asked = (event.peer, message.request_id)
     if any((one.gateway, one.request_id) == asked for one in grants):
         return done
-    wait_ms = NO_PLACE_MS
-    if admissions.is_waiting(*asked):
-        wait_ms = admissions.wait_ms(message.tokens)
-    else:
+    wait_ms = admissions.queued_wait_ms(*asked)
+    if wait_ms is None:
+        wait_ms = NO_PLACE_MS
         done.append(_count(state, 'no_place'))
     answer = messages.AdmissionQueued(message.request_id, wait_ms)
     return [*done, effects.Send(event.peer, answer)]
