--- a/berylhollow/admission/_queue.py
+++ b/berylhollow/admission/_queue.py
@@ -189,7 +189,7 @@
         """Remove a request that is granted."""
         self.remove(request.key)
         self.grants_since_late += 1
-        if request.is_late:
+        if request.is_late or not self.late.live:
             self.grants_since_late = 0
 
     def first(self, at_ms: int) -> WaitingRequest | None:
