Leave an event's steps between two batches; count the batch as time ahead

Requests granted with just the time for their own prompt were late by the batch before them, which in an overload is nearly every request. A request that hangs at a failing endpoint kept the batch open for 3 s.

Now a batch begins three steps after the last one ended, four fifths of the gap are used, what a batch still needs counts as time ahead, and a grant stops to count after four times the expected time of its batch.

--- a/berylhollow/admission/__init__.py
+++ b/berylhollow/admission/__init__.py
@@ -7,7 +7,7 @@
 
 from berylhollow.admission._admissions import Admissions
 from berylhollow.admission._admissions import Grant
-from berylhollow.admission._budget import EXPIRY_MS
+from berylhollow.admission._budget import MAX_EXPIRY_MS
 from berylhollow.admission._budget import ReadingBudget
 from berylhollow.admission._pace import ReadingPace
 from berylhollow.admission._queue import AdmissionQueue
@@ -16,7 +16,7 @@
 from berylhollow.admission._shares import WorkspaceShares
 
 __all__ = [
-    'EXPIRY_MS',
+    'MAX_EXPIRY_MS',
     'AdmissionQueue',
     'Admissions',
     'Grant',
--- a/berylhollow/admission/_admissions.py
+++ b/berylhollow/admission/_admissions.py
@@ -10,6 +10,11 @@
 
 MAX_WAITING = 2048
 
+BEGIN_MARGIN_MS = 100
+"""Subtracted from the time that a request has left for its first event. In an
+overload all grants would otherwise go to requests that miss their objective by
+the time of the links and of a slow step."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Grant:
@@ -75,7 +80,7 @@
         ahead = max(0, ahead)
         token_ms = self.token_ms
         budget = self.budget
-        if not ahead and budget.has_room(tokens, token_ms):
+        if not ahead and budget.has_room(tokens, token_ms, self.at_ms):
             return 0
         batches = ahead / max(1, tokens, budget.limit_tokens(token_ms))
         wait_ms = budget.remaining_ms(token_ms, self.at_ms)
@@ -103,7 +108,7 @@
             tokens,
             wanted.workspace,
             wanted.objective_ms,
-            tokens * self.token_ms + self.budget.quiet_ms,
+            tokens * self.token_ms + BEGIN_MARGIN_MS,
             wanted.priority,
             at_ms,
         )
@@ -148,16 +153,20 @@
         if not self.budget.granted:
             self.pace.end_reading(at_ms)
         grants = []
-        while request := self.queue.first(at_ms):
-            if not self.budget.has_room(request.tokens, self.token_ms):
+        while request := self.queue.first(at_ms, self._begin_ms(at_ms)):
+            if not self.budget.has_room(request.tokens, self.token_ms, at_ms):
                 break
             grants.append(self._grant(request, at_ms))
         return grants
 
+    def _begin_ms(self, at_ms: int) -> int:
+        """Return when the reading of the next prompt is expected to begin."""
+        return at_ms + int(self.budget.remaining_ms(self.token_ms, at_ms))
+
     def _grant(self, request: _queue.WaitingRequest, at_ms: int) -> Grant:
         self.queue.take(request)
         self._forget_key(request.key)
-        self.budget.grant(request.key, request.tokens, at_ms)
+        self.budget.grant(request.key, request.tokens, self.token_ms, at_ms)
         self.pace.begin_reading(at_ms)
         self.shares.grant(
             request.workspace, request.tokens * self.token_ms, at_ms
--- a/berylhollow/admission/_budget.py
+++ b/berylhollow/admission/_budget.py
@@ -3,15 +3,26 @@
 import dataclasses
 
 from berylhollow.admission import _queue
+from berylhollow import clock
 
 STEP_MS = 8
 """Time of an engine's step in which it reads no prompt."""
 
-GAP_SHARE = 0.9
-"""Share of the allowed gap that is used; the rest is a margin for links."""
+GAP_SHARE = 0.8
+"""Share of the allowed gap that is used; the rest is a margin for links and
+for an endpoint that is slower for a moment."""
 
-EXPIRY_MS = 3000
-"""A granted request that neither begins nor ends stops counting after this."""
+FIRST_EVENT_MS = 10
+"""From the end of a prompt's reading until its first event is reported: the
+step that generates the first token, and the links."""
+
+MIN_EXPIRY_MS = 600
+MAX_EXPIRY_MS = 3000
+EXPIRY_FACTOR = 4
+"""A granted request that neither begins nor ends stops counting after
+``MIN_EXPIRY_MS`` and this multiple of the expected time of its batch. One that
+hangs at a failing endpoint would otherwise hold back all others; endpoints are
+up to 3.5 times slower for a while."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -32,9 +43,10 @@
     """The batch of prompts that an endpoint reads, and its limit.
 
     A batch is what is granted without a pause in reading. It ends when all of
-    its requests have begun or ended, as each answer that is being generated
-    had an event by then. ``granted`` holds its requests that have not begun,
-    the oldest grant first. A batch of which a request ended without having
+    its requests have begun or ended. The next one waits for the other steps of
+    an event, so that each answer that is being generated gets an event between
+    the two. ``granted`` holds the requests that have not begun, the oldest
+    grant first. A batch of which a request ended without having
     begun is not measured, since its prompt may not have been read.
     """
 
@@ -44,6 +56,8 @@
         self.granted: dict[_queue.RequestKey, _GrantedRequest] = {}
         self.batch_tokens = 0
         self.batch_begun_ms = 0
+        self.batch_ended_ms = clock.NEVER_MS
+        self.expiry_ms = float(MAX_EXPIRY_MS)
         self.is_measurable = True
 
     def set_terms(self, event_gap_ms: int, event_steps: int) -> None:
@@ -61,14 +75,15 @@
         reading_ms = GAP_SHARE * self.event_gap_ms - self.quiet_ms
         return max(0, int(reading_ms / token_ms))
 
-    def has_room(self, tokens: int, token_ms: float) -> bool:
+    def has_room(self, tokens: int, token_ms: float, at_ms: int) -> bool:
         """Tell whether a prompt may be added to the batch.
 
-        The first one of a batch always may, or else a prompt above the limit
-        would never be read.
+        The first one of a batch may whatever its size, or else a prompt above
+        the limit would never be read. The step of the last first event is
+        already one of those between two batches.
         """
         if not self.granted:
-            return True
+            return at_ms >= self.batch_ended_ms + self.quiet_ms - STEP_MS
         return self.batch_tokens + tokens <= self.limit_tokens(token_ms)
 
     def remaining_ms(self, token_ms: float, at_ms: int) -> float:
@@ -78,13 +93,23 @@
         whole_ms = self.batch_tokens * token_ms + self.quiet_ms
         return max(0.0, self.batch_begun_ms + whole_ms - at_ms)
 
-    def grant(self, key: _queue.RequestKey, tokens: int, at_ms: int) -> None:
+    def grant(
+        self,
+        key: _queue.RequestKey,
+        tokens: int,
+        token_ms: float,
+        at_ms: int,
+    ) -> None:
         """Add a request to the batch, or begin one with it."""
         if not self.granted:
             self.batch_tokens = 0
             self.batch_begun_ms = at_ms
             self.is_measurable = True
         self.batch_tokens += tokens
+        expected_ms = self.batch_tokens * token_ms
+        self.expiry_ms = min(
+            MAX_EXPIRY_MS, MIN_EXPIRY_MS + EXPIRY_FACTOR * expected_ms
+        )
         self.granted[key] = _GrantedRequest(tokens, at_ms)
 
     def renew(self, key: _queue.RequestKey, at_ms: int) -> bool:
@@ -107,9 +132,12 @@
             return None
         if not begun:
             self.is_measurable = False
-        if self.granted or not self.is_measurable:
+        if self.granted:
+            return None
+        self.batch_ended_ms = at_ms
+        if not self.is_measurable:
             return None
-        reading_ms = at_ms - self.batch_begun_ms - self.quiet_ms
+        reading_ms = at_ms - self.batch_begun_ms - FIRST_EVENT_MS
         return ReadBatch(self.batch_tokens, reading_ms)
 
     def expire(self, at_ms: int) -> int:
@@ -117,7 +145,7 @@
         expired = 0
         while self.granted:
             key, oldest = next(iter(self.granted.items()))
-            if at_ms - oldest.granted_ms < EXPIRY_MS:
+            if at_ms - oldest.granted_ms < self.expiry_ms:
                 break
             del self.granted[key]
             self.is_measurable = False
@@ -128,3 +156,4 @@
         """Forget the batch: the endpoint restarted and reads nothing."""
         self.granted.clear()
         self.batch_tokens = 0
+        self.batch_ended_ms = clock.NEVER_MS
--- a/berylhollow/admission/_queue.py
+++ b/berylhollow/admission/_queue.py
@@ -192,9 +192,12 @@
         if request.is_late or not self.late.live:
             self.grants_since_late = 0
 
-    def first(self, at_ms: int) -> WaitingRequest | None:
-        """Return the request that is to be granted next, None without one."""
-        self._separate_late(at_ms)
+    def first(self, at_ms: int, begin_ms: int) -> WaitingRequest | None:
+        """Return the request that is to be granted next, None without one.
+
+        Its reading would begin at ``begin_ms``, after what was granted before.
+        """
+        self._separate_late(begin_ms)
         late = self.late.first()
         if late and self.grants_since_late >= LATE_GRANT_PERIOD - 1:
             return late
@@ -245,10 +248,10 @@
         if not lane.requests.live:
             del self.lanes[request.workspace]
 
-    def _separate_late(self, at_ms: int) -> None:
+    def _separate_late(self, begin_ms: int) -> None:
         """Move requests that can't be in time any more behind the others."""
         while request := self.expiries.first():
-            if at_ms <= request.late_ms:
+            if begin_ms <= request.late_ms:
                 break
             request.is_late = True
             self._leave_lane(request)
