Let a gateway ask a sidecar before it sends a prompt

Each prompt that is sent to an endpoint delays all answers that are generated there, and gateways that send at the same moment don't know of each other.

For a paced service a request with a prompt now asks the sidecar of the chosen endpoint and is sent in the event of the grant. It waits without polling for the grant; meanwhile it counts as waiting for its adapter there. AdmissionEnded follows with the first event of the answer, or when the attempt or the request ends before.

--- a/berylhollow/gateway/_adapters.py
+++ b/berylhollow/gateway/_adapters.py
@@ -85,15 +85,9 @@
 
     The request is placed again after a short interval.
     """
-    is_new = active.awaiting != name
     if active.awaiting_since_ms is None:
         active.awaiting_since_ms = at_ms
-    if is_new:
-        stop_waiting(state, active)
-        active.awaiting = name
-        waiting = state.awaiting_adapter.setdefault(name, {})
-        waiting[active.request.request_id] = None
-        _backlog.add_request(state.endpoints[name], active)
+    is_new = _begin_waiting(state, active, name)
     active.retry_at_ms = at_ms + state.options.adapter_check_ms
     if not is_new:
         return []
@@ -107,6 +101,34 @@
     return [*result, effects.Log('request waits for its adapter', fields)]
 
 
+def wait_for_admission(
+    state: _state.State, active: _state.ActiveRequest, name: str
+) -> None:
+    """Let a request wait where its adapter is loaded, which must stay there.
+
+    If loads wait for a slot there, its sidecar is told with the next tick.
+    """
+    if not _begin_waiting(state, active, name):
+        return
+    sidecar = state.sidecars[_sidecar_peer(state, name)]
+    if sidecar.report is not None and sidecar.report.wanted:
+        sidecar.told_ms = clock.NEVER_MS
+
+
+def _begin_waiting(
+    state: _state.State, active: _state.ActiveRequest, name: str
+) -> bool:
+    """Count a request as waiting at an endpoint; tell whether that is new."""
+    if active.awaiting == name:
+        return False
+    stop_waiting(state, active)
+    active.awaiting = name
+    waiting = state.awaiting_adapter.setdefault(name, {})
+    waiting[active.request.request_id] = None
+    _backlog.add_request(state.endpoints[name], active)
+    return True
+
+
 def stop_waiting(state: _state.State, active: _state.ActiveRequest) -> None:
     """Remove a request from those waiting for an adapter."""
     name = active.awaiting
@@ -244,6 +266,8 @@
     service = endpoint.instance.service
     waiting: dict[str, int] = {}
     for active in requests_awaiting_adapter(state, name):
+        if active.request.adapter is None:
+            continue
         adapter = active.request.adapter.adapter
         waiting[adapter] = waiting.get(adapter, 0) + 1
     in_flight = _in_flight_by_adapter(state, endpoint)
--- a/berylhollow/gateway/_attempts.py
+++ b/berylhollow/gateway/_attempts.py
@@ -11,6 +11,7 @@
 from berylhollow import errors
 from berylhollow import events
 from berylhollow.gateway import _adapters
+from berylhollow.gateway import _admissions
 from berylhollow.gateway import _backlog
 from berylhollow.gateway import _budget
 from berylhollow.gateway import _crashes
@@ -23,7 +24,6 @@
 from berylhollow.gateway import _quarantine
 from berylhollow.gateway import _quotas
 from berylhollow.gateway import _rate_limits
-from berylhollow.gateway import _routing
 from berylhollow.gateway import _settlement
 from berylhollow.gateway import _state
 from berylhollow.gateway import _workspaces
@@ -100,16 +100,25 @@
         return give_up(state, active, kind, errors.Ran.NOT_RUN, wait_ms)
     rate_requests = _rate_limits.request_loans(state, active, at_ms)
     _probes.limit_choice(state, active, at_ms)
-    name = _routing.choose_endpoint(state, active, at_ms)
+    name = _admissions.choose_endpoint(state, active, at_ms)
+    result = rate_requests + _admissions.leave(state, active, name)
     if name is None and active.limited_to is None:
-        return rate_requests + _handle_no_endpoint(state, active, at_ms)
+        return result + _handle_no_endpoint(state, active, at_ms)
     if name is not None and not _adapters.is_ready(state, active, name, at_ms):
-        return rate_requests + _await_adapter(state, active, name, at_ms)
+        return result + _await_adapter(state, active, name, at_ms)
+    if name is not None:
+        if _admissions.refuses(active, name):
+            return result + _refuse_admission(state, active)
+        decision = _admissions.request(state, active, name, at_ms)
+        result += decision.emitted
+        if not decision.may_send:
+            return result
     admission = _probes.admit(state, active, name, at_ms)
-    result = [*rate_requests, *admission.emitted]
+    result += admission.emitted
     if admission.admitted:
         return result + _offer(state, active, name, at_ms)
     _adapters.stop_waiting(state, active)
+    result += _admissions.end_without_permit(state, active)
     if not admission.retry_after_ms:
         return result
     return result + give_up(
@@ -121,6 +130,15 @@
     )
 
 
+def _refuse_admission(
+    state: _state.State, active: _state.ActiveRequest
+) -> Effects:
+    """Fail a request that no sidecar can admit before its deadline."""
+    kind = errors.Kind.OVERLOADED
+    retry_after_ms = _admissions.retry_after_ms(active)
+    return give_up(state, active, kind, errors.Ran.NOT_RUN, retry_after_ms)
+
+
 def _await_adapter(
     state: _state.State,
     active: _state.ActiveRequest,
@@ -198,6 +216,7 @@
     _backlog.record_answer_start(state, active, event.at_ms)
     active.phase = _state.Phase.RELAYING
     return [
+        *_admissions.begin_answer(state, active, message.status),
         *_probes.endpoint_answered(state, active, event.at_ms),
         *_decisions.superseded_begin_logs(state, active, event.at_ms),
         effects.BeginAnswer(
@@ -212,17 +231,26 @@
     ]
 
 
+def first_event(state: _state.State, event: events.MessageReceived) -> Effects:
+    """Tell the sidecar that the prompt of an admitted request was read."""
+    active = _current_request(state, event)
+    if active is None:
+        return []
+    return _admissions.end(state, active, begun=True)
+
+
 def ended(state: _state.State, event: events.MessageReceived) -> Effects:
     """Complete the answer once the endpoint has sent all of it."""
     active = _current_request(state, event)
     if active is None or active.phase is not _state.Phase.RELAYING:
         return []
     return [
+        *_admissions.end(state, active),
         effects.CompleteAnswer(
             active.request.request_id,
             active.attempt_id,
             event.message.count,
-        )
+        ),
     ]
 
 
@@ -303,12 +331,12 @@
 
 def finish(state: _state.State, active: _state.ActiveRequest) -> Effects:
     """Release everything held for a request that has its final answer."""
-    _release_endpoint(state, active)
+    result = _release_endpoint(state, active)
     _adapters.stop_waiting(state, active)
     _quotas.finish(state, active)
     if state.requests.pop(active.request.request_id, None) is not None:
         _limits.release(state, active.request)
-    return _probes.release(state, active)
+    return result + _probes.release(state, active)
 
 
 def record_success(
@@ -466,7 +494,7 @@
         return give_up(
             state, active, failure.kind, failure.ran, failure.retry_after_ms
         )
-    _release_endpoint(state, active)
+    result = _release_endpoint(state, active)
     active.phase = _state.Phase.WAITING
     active.last_refusal = failure
     factor = _backoff_factor(failure)
@@ -474,10 +502,10 @@
         # Allow the same endpoint again, since it may be the only one left.
         active.tried_endpoints.discard(active.endpoint)
     if not factor:
-        return place(state, active, at_ms)
+        return result + place(state, active, at_ms)
     pause_ms = factor * state.options.retry_pause_ms * (1 + active.seed)
     active.retry_at_ms = at_ms + int(pause_ms * active.attempts)
-    return []
+    return result
 
 
 def _backoff_factor(failure: messages.Failed) -> int:
@@ -527,8 +555,8 @@
 
 def _release_endpoint(
     state: _state.State, active: _state.ActiveRequest
-) -> None:
-    """Remove the request's current attempt from its endpoint."""
+) -> Effects:
+    """Remove the request's attempt and admission from its endpoint."""
     endpoint = state.endpoints.get(active.endpoint)
     if endpoint is not None:
         endpoint.attempts_in_flight.discard(active.attempt_id)
@@ -536,3 +564,4 @@
         _adapters.note_attempt_removed(state, active)
     state.attempts.pop(active.attempt_id, None)
     active.resume_by_ms = None
+    return _admissions.end(state, active)
--- a/berylhollow/gateway/_rate_limits.py
+++ b/berylhollow/gateway/_rate_limits.py
@@ -27,10 +27,13 @@
 ) -> bool:
     """Tell whether an endpoint's rate limit allows it a request now.
 
-    Requests that already wait there for their adapter go first.
+    Requests that already wait there go first, but not before one that has
+    been admitted there.
     """
     if endpoint.notice.rate_per_s is None:
         return True
+    if active.is_admitted_at(endpoint.instance.instance):
+        return endpoint.loan.room(at_ms) > 0
     name = endpoint.instance.instance
     waiting = state.awaiting_adapter.get(name, {})
     ahead = len(waiting) - (active.request.request_id in waiting)
--- a/berylhollow/gateway/_reducer.py
+++ b/berylhollow/gateway/_reducer.py
@@ -4,6 +4,7 @@
 from berylhollow import effects
 from berylhollow import events
 from berylhollow.gateway import _adapters
+from berylhollow.gateway import _admissions
 from berylhollow.gateway import _attempt_links
 from berylhollow.gateway import _attempts
 from berylhollow.gateway import _claim_leader
@@ -81,6 +82,8 @@
         return _membership.reported(state, event)
     emitted: Effects = []
     for active in _sidecars.reported(state, event):
+        if active.admission is not None:
+            continue
         emitted += _attempts.place(state, active, event.at_ms)
     return emitted
 
@@ -113,6 +116,29 @@
     return emitted + _attempts.place(state, active, event.at_ms)
 
 
+def _admission_queued(
+    state: _state.State, event: events.MessageReceived
+) -> Effects:
+    emitted, active = _admissions.queued(state, event)
+    if active is None:
+        return emitted
+    return emitted + _attempts.place(state, active, event.at_ms)
+
+
+def _admission_granted(
+    state: _state.State, event: events.MessageReceived
+) -> Effects:
+    emitted, active = _admissions.granted(state, event)
+    if active is None:
+        return emitted
+    return emitted + _attempts.place(state, active, event.at_ms)
+
+
+def _first_data(state: _state.State, event: events.MessageReceived) -> Effects:
+    emitted = _attempts.first_event(state, event)
+    return emitted + _prompt_parts.began_to_write(state, event)
+
+
 def _link_opened(state: _state.State, event: events.LinkOpened) -> Effects:
     if event.peer in state.sidecars:
         opened = _sidecars.opened(state, event)
@@ -137,6 +163,8 @@
         _kept_crashes.link_closed(state, event.peer)
         closed = _sidecars.closed(state, event)
         _probes.link_closed(state, event.peer, event.at_ms)
+        for active in _admissions.link_closed(state, event.peer):
+            closed += _attempts.place(state, active, event.at_ms)
         return closed
     if event.peer in state.endpoints:
         return _attempt_links.closed(state, event)
@@ -201,6 +229,8 @@
 }
 
 _MESSAGES = {
+    messages.AdmissionQueued: _admission_queued,
+    messages.AdmissionGranted: _admission_granted,
     messages.ClaimDecided: _claims.apply_verdict,
     messages.ClaimsForwarded: _claim_leader.queue_forwarded_claims,
     messages.ClaimsTaken: _claim_leader.handle_confirmation,
@@ -220,7 +250,7 @@
     messages.LoadWanted: _load_coordinator.wanted,
     messages.LoadEnded: _load_coordinator.ended,
     messages.Started: _attempts.begin_answer,
-    messages.Data: _prompt_parts.began_to_write,
+    messages.Data: _first_data,
     messages.End: _attempts.ended,
     messages.Failed: _attempts.failed,
 }
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -162,7 +162,8 @@
     ``report`` is the last one while the link is open, received at
     ``heard_ms``. ``incarnation`` is its last known start, an earlier one was
     heard from at ``predecessor_heard_ms``. ``told_ms`` is when the demand was
-    last sent to it, ``told_tokens`` how many waiting tokens it named.
+    last sent to it, ``told_tokens`` how many waiting tokens it named. No
+    admission is asked of it before ``unasked_until_ms``.
     """
 
     address: str
@@ -175,6 +176,7 @@
     predecessor_heard_ms: int = clock.NEVER_MS
     told_ms: int = clock.NEVER_MS
     told_tokens: int = 0
+    unasked_until_ms: int = clock.NEVER_MS
 
 
 @dataclasses.dataclass(slots=True)
@@ -218,6 +220,32 @@
     RELAYING = 'relaying'
 
 
+@dataclasses.dataclass(slots=True)
+class PromptAdmission:
+    """The admission of a request at an endpoint, asked of its sidecar.
+
+    It was found not to be answered yet at ``checked_ms``, None if it was not.
+    If the request was queued and has no grant by ``expires_ms``, the sidecar
+    is asked again.
+    """
+
+    endpoint: str
+    peer: str
+    asked_ms: int
+    checked_ms: int | None = None
+    expires_ms: int | None = None
+    granted: bool = False
+
+    @property
+    def is_queued(self) -> bool:
+        """Whether the sidecar has answered, but has not granted it."""
+        return self.expires_ms is not None and not self.granted
+
+    def is_expired(self, at_ms: int) -> bool:
+        """Tell whether the grant should have come by now."""
+        return self.is_queued and at_ms >= self.expires_ms
+
+
 @dataclasses.dataclass(slots=True)
 class ActiveRequest:
     """A request whose caller has not received the whole answer.
@@ -234,7 +262,10 @@
     ``part_crashes_known`` how many had ended under the part that it is a probe
     for. That attempt has a permit for the keys of ``probe_for``, for which it
     has waited since ``permit_wanted_ms``. ``limited_to`` are the only
-    endpoints that it may be sent to, if there is such a limit.
+    endpoints that it may be sent to, if there is such a limit. ``admission``
+    is kept until the first event of the answer; ``admission_refusals`` has the
+    endpoints whose sidecars can't admit it in time, with the wait that they
+    expect, -1 if they don't queue it.
     """
 
     request: events.Request
@@ -273,6 +304,10 @@
     probe_for: tuple[str, ...] = ()
     permit_wanted_ms: int | None = None
     limited_to: tuple[str, ...] | None = None
+    admission: PromptAdmission | None = None
+    admission_refusals: dict[str, int] = dataclasses.field(
+        default_factory=dict
+    )
     last_refusal: messages.Failed | None = None
     key: bytes = b''
     claim_id: str = ''
@@ -293,6 +328,15 @@
         """Tell whether its current attempt was sent with a permit."""
         return bool(self.probe_for)
 
+    def is_admitted_at(self, name: str) -> bool:
+        """Tell whether the sidecar of an endpoint has admitted it there."""
+        admission = self.admission
+        return (
+            admission is not None
+            and admission.granted
+            and admission.endpoint == name
+        )
+
     @property
     def offered(self) -> bool:
         """Tell whether an attempt is at an endpoint."""
--- a/berylhollow/metrics/_instruments.py
+++ b/berylhollow/metrics/_instruments.py
@@ -96,6 +96,14 @@
         'retries.',
         (SERVICE, 'berylhollow.retry'),
     ),
+    Instrument(
+        'berylhollow.admissions',
+        COUNTER,
+        '{request}',
+        'Admissions of prompts at their endpoints: granted, refused as too '
+        'late, or why a request was sent without.',
+        (SERVICE, 'berylhollow.outcome'),
+    ),
     Instrument(
         'berylhollow.endpoint_notices',
         COUNTER,
