Take a prompt off the backlog of the endpoint where its request waits

A request that was refused by one endpoint and waited for its adapter at another had its prompt counted there. When it ended while it waited, the tokens were taken off the first endpoint: after one such request with 2,000 tokens the backlogs were -2,000 and 2,000, for good. The waiting ends first now, so that both are 0.

This also changes the backlogs of services that are not paced, wherever a retry ends while it waits. The new test fails without the change.

--- a/berylhollow/gateway/_attempts.py
+++ b/berylhollow/gateway/_attempts.py
@@ -331,8 +331,9 @@
 
 def finish(state: _state.State, active: _state.ActiveRequest) -> Effects:
     """Release everything held for a request that has its final answer."""
-    result = _release_endpoint(state, active)
+    # First, as the tokens counted last are those where it waits.
     _adapters.stop_waiting(state, active)
+    result = _release_endpoint(state, active)
     _quotas.finish(state, active)
     if state.requests.pop(active.request.request_id, None) is not None:
         _limits.release(state, active.request)
--- a/test/hosted/test_gateway_direct.py
+++ b/test/hosted/test_gateway_direct.py
@@ -492,6 +492,27 @@
         self.assertEqual({}, self.state.requests)
         self.assertEqual(0, self.state.endpoints['i-1'].waiting_tokens)
 
+    def test_retry_that_stops_waiting_is_no_longer_counted(self):
+        """Guards against a backlog that is wrong for good.
+
+        The prompt of a retry was taken off the backlog of the endpoint that
+        had refused it, and stayed in that of the one where it had waited.
+        """
+        route = builders.route(Kind='safe', MaxAttempts=2)
+        self.publish(builders.configuration_record(8, routes=[route]))
+        self.list_instances(
+            direct_instance('i-1', '10.0.0.1:80'),
+            direct_instance('i-2', '10.0.0.2:80'),
+        )
+        self.report('10.0.0.1:80', self.adapter_version())
+        self.send_request(MODEL_PATH, adapter='a3', prompt_tokens=2000)
+        self.fail_attempt(errors.Kind.OVERLOADED, at_ms=20)
+        self.feed(events.Ticked(200, 0.5))
+        self.assertEqual('i-2', self.state.requests['r1'].awaiting)
+        self.feed(events.CallerGone(300, 'r1'))
+        left = [x.waiting_tokens for x in self.state.endpoints.values()]
+        self.assertEqual([0, 0], left)
+
     def test_request_that_waited_too_long_is_not_run(self):
         self.report('10.0.0.1:80')
         self.send_request(MODEL_PATH, adapter='a3')
