Keep the failures of sidecars and callers from holding admissions

An admission that is not ended counts at the sidecar until it expires, and one that is ended too early lets the next batch begin.

- All requests that waited for a closed link are placed again, also those of an endpoint that has since been replaced at the same address.
- A suspect gives its grant back while others like it run, and keeps it while it asks for its permit.
- A sidecar whose link opens again is asked again at once.
- The demand is told early only for the first use of an adapter.

Run: test_admissions.py 21, test_gateway_direct.py 48, all passed.

--- a/berylhollow/gateway/_adapters.py
+++ b/berylhollow/gateway/_adapters.py
@@ -106,12 +106,21 @@
 ) -> None:
     """Let a request wait where its adapter is loaded, which must stay there.
 
-    If loads wait for a slot there, its sidecar is told with the next tick.
+    If it is the first use of its adapter while loads wait for a slot there,
+    the sidecar is told with the next tick.
     """
     if not _begin_waiting(state, active, name):
         return
     sidecar = state.sidecars[_sidecar_peer(state, name)]
-    if sidecar.report is not None and sidecar.report.wanted:
+    if sidecar.report is None or not sidecar.report.wanted:
+        return
+    if active.request.adapter is None:
+        return
+    adapter = active.request.adapter.adapter
+    endpoint = state.endpoints[name]
+    uses = _waiting_by_adapter(state, name)[adapter]
+    uses += _in_flight_by_adapter(state, endpoint).get(adapter, 0)
+    if uses == 1:
         sidecar.told_ms = clock.NEVER_MS
 
 
@@ -264,12 +273,7 @@
     """Return the message that reports the demand at an endpoint."""
     configuration = state.follower.current
     service = endpoint.instance.service
-    waiting: dict[str, int] = {}
-    for active in requests_awaiting_adapter(state, name):
-        if active.request.adapter is None:
-            continue
-        adapter = active.request.adapter.adapter
-        waiting[adapter] = waiting.get(adapter, 0) + 1
+    waiting = _waiting_by_adapter(state, name)
     in_flight = _in_flight_by_adapter(state, endpoint)
     queued, overdue = _queued_by_adapter(state, endpoint, at_ms)
     held = _held_adapters(endpoint)
@@ -281,7 +285,7 @@
         rate = state.demand.rate(any_version, at_ms)
         entry = messages.AdapterDemand(
             newest,
-            waiting.get(adapter, 0),
+            waiting[adapter],
             in_flight.get(adapter, 0),
             round(rate / max(1, holders), 3),
             queued[adapter],
@@ -314,6 +318,20 @@
     return age_ms if age_ms < PREDECESSOR_TTL_MS else -1
 
 
+def _waiting_by_adapter(
+    state: _state.State, name: str
+) -> collections.Counter[str]:
+    """Return how many requests wait for each adapter at an endpoint.
+
+    One without an adapter may wait there for its admission.
+    """
+    return collections.Counter(
+        active.request.adapter.adapter
+        for active in requests_awaiting_adapter(state, name)
+        if active.request.adapter is not None
+    )
+
+
 def _in_flight_by_adapter(
     state: _state.State, endpoint: _state.Endpoint
 ) -> dict[str, int]:
--- a/berylhollow/gateway/_admissions.py
+++ b/berylhollow/gateway/_admissions.py
@@ -184,9 +184,8 @@
     The sidecar drops its queue for this gateway. It goes on counting what it
     has granted, so that the end of these is told over the next link.
     """
-    name = state.endpoint_by_peer.get(peer, '')
     waiting = []
-    for active in _adapters.requests_awaiting_adapter(state, name):
+    for active in state.requests.values():
         admission = active.admission
         if admission is None or admission.peer != peer or admission.granted:
             continue
@@ -216,6 +215,14 @@
     return [effects.Send(admission.peer, ended)]
 
 
+def permit_denied(state: _state.State, request_id: str) -> Effects:
+    """Give back the admission of a suspect that may not be sent now."""
+    active = state.requests.get(request_id)
+    if active is None or active.phase is not _state.Phase.WAITING:
+        return []
+    return end_without_permit(state, active)
+
+
 def end_without_permit(
     state: _state.State, active: _state.ActiveRequest
 ) -> Effects:
--- a/berylhollow/gateway/_reducer.py
+++ b/berylhollow/gateway/_reducer.py
@@ -110,7 +110,10 @@
 def _probe_answered(
     state: _state.State, event: events.MessageReceived
 ) -> Effects:
+    probe = state.probes.get(event.message.fingerprint)
     emitted, active = _probes.answered(state, event)
+    if active is None and probe is not None:
+        emitted += _admissions.permit_denied(state, probe.request_id)
     if active is None or active.phase is not _state.Phase.WAITING:
         return emitted
     return emitted + _attempts.place(state, active, event.at_ms)
--- a/berylhollow/gateway/_sidecars.py
+++ b/berylhollow/gateway/_sidecars.py
@@ -92,6 +92,7 @@
     sidecar = state.sidecars[event.peer]
     sidecar.link = _state.LinkPhase.OPEN
     sidecar.refusals = 0
+    sidecar.unasked_until_ms = clock.NEVER_MS
     if sidecar.incarnation not in ('', event.incarnation):
         sidecar.predecessor_heard_ms = sidecar.heard_ms
     sidecar.incarnation = event.incarnation
