--- a/berylhollow/gateway/_adapters.py
+++ b/berylhollow/gateway/_adapters.py
@@ -85,15 +85,9 @@
 
     The request is placed again after a short interval.
     """
-    is_new = active.awaiting != name
     if active.awaiting_since_ms is None:
         active.awaiting_since_ms = at_ms
-    if is_new:
-        stop_waiting(state, active)
-        active.awaiting = name
-        waiting = state.awaiting_adapter.setdefault(name, {})
-        waiting[active.request.request_id] = None
-        _backlog.add_request(state.endpoints[name], active)
+    is_new = _begin_waiting(state, active, name)
     active.retry_at_ms = at_ms + state.options.adapter_check_ms
     if not is_new:
         return []
@@ -107,6 +101,43 @@
     return [*result, effects.Log('request waits for its adapter', fields)]
 
 
+def wait_for_admission(
+    state: _state.State, active: _state.ActiveRequest, name: str
+) -> None:
+    """Let a request wait where its adapter is loaded, which must stay there.
+
+    If it is the first use of its adapter while loads wait for a slot there,
+    the sidecar is told with the next tick.
+    """
+    if not _begin_waiting(state, active, name):
+        return
+    sidecar = state.sidecars[_sidecar_peer(state, name)]
+    if sidecar.report is None or not sidecar.report.wanted:
+        return
+    if active.request.adapter is None:
+        return
+    adapter = active.request.adapter.adapter
+    endpoint = state.endpoints[name]
+    uses = _waiting_by_adapter(state, name)[adapter]
+    uses += _in_flight_by_adapter(state, endpoint).get(adapter, 0)
+    if uses == 1:
+        sidecar.told_ms = clock.NEVER_MS
+
+
+def _begin_waiting(
+    state: _state.State, active: _state.ActiveRequest, name: str
+) -> bool:
+    """Count a request as waiting at an endpoint; tell whether that is new."""
+    if active.awaiting == name:
+        return False
+    stop_waiting(state, active)
+    active.awaiting = name
+    waiting = state.awaiting_adapter.setdefault(name, {})
+    waiting[active.request.request_id] = None
+    _backlog.add_request(state.endpoints[name], active)
+    return True
+
+
 def stop_waiting(state: _state.State, active: _state.ActiveRequest) -> None:
     """Remove a request from those waiting for an adapter."""
     name = active.awaiting
@@ -242,10 +273,7 @@
     """Return the message that reports the demand at an endpoint."""
     configuration = state.follower.current
     service = endpoint.instance.service
-    waiting: dict[str, int] = {}
-    for active in requests_awaiting_adapter(state, name):
-        adapter = active.request.adapter.adapter
-        waiting[adapter] = waiting.get(adapter, 0) + 1
+    waiting = _waiting_by_adapter(state, name)
     in_flight = _in_flight_by_adapter(state, endpoint)
     queued, overdue = _queued_by_adapter(state, endpoint, at_ms)
     held = _held_adapters(endpoint)
@@ -257,7 +285,7 @@
         rate = state.demand.rate(any_version, at_ms)
         entry = messages.AdapterDemand(
             newest,
-            waiting.get(adapter, 0),
+            waiting[adapter],
             in_flight.get(adapter, 0),
             round(rate / max(1, holders), 3),
             queued[adapter],
@@ -290,6 +318,20 @@
     return age_ms if age_ms < PREDECESSOR_TTL_MS else -1
 
 
+def _waiting_by_adapter(
+    state: _state.State, name: str
+) -> collections.Counter[str]:
+    """Return how many requests wait for each adapter at an endpoint.
+
+    One without an adapter may wait there for its admission.
+    """
+    return collections.Counter(
+        active.request.adapter.adapter
+        for active in requests_awaiting_adapter(state, name)
+        if active.request.adapter is not None
+    )
+
+
 def _in_flight_by_adapter(
     state: _state.State, endpoint: _state.Endpoint
 ) -> dict[str, int]:
