Use the pace that sidecars report in the choice of an endpoint

Gateways took one average time per prompt token for a whole service, though endpoints differ by 2.4 times, and saw of the reading only what was waiting at the moment of a report. Slow endpoints got as many prompts as fast ones.

Where a report has token_ms, the backlog is computed with it. The choice adds the time to read the request's own prompt there and an expected wait that grows with the share of time spent reading (at most nine tenths count). An endpoint without a measured pace, of a service in which others have one, counts with the average of the service: with 0 every gateway would prefer it. Where no endpoint of a service reports a pace, both terms are left out.

--- a/berylhollow/gateway/_backlog.py
+++ b/berylhollow/gateway/_backlog.py
@@ -84,8 +84,35 @@
     tokens = _total_tokens(endpoint)
     if active.awaiting == endpoint.instance.instance:
         tokens -= active.queued_tokens
+    return tokens * token_ms(state, endpoint)
+
+
+def token_ms(state: _state.State, endpoint: _state.Endpoint) -> float:
+    """Return how long the endpoint takes to read one prompt token, in ms.
+
+    As its sidecar has measured it, otherwise the average of its service.
+    """
+    report = endpoint.report
+    if report is not None and report.token_ms > 0:
+        return report.token_ms
     service = endpoint.instance.service
-    return tokens * state.token_ms.get(service, INITIAL_TOKEN_MS)
+    return state.token_ms.get(service, INITIAL_TOKEN_MS)
+
+
+def read_ms(
+    state: _state.State,
+    endpoint: _state.Endpoint,
+    active: _state.ActiveRequest,
+) -> float:
+    """Return how long the endpoint takes to read the request's own prompt.
+
+    0 if no endpoint of the service has reported its pace. If some have, the
+    average of the service is used for the others: with 0 they would all be
+    preferred.
+    """
+    if not state.placement.measured.get(endpoint.instance.service):
+        return 0.0
+    return active.request.prompt_tokens * token_ms(state, endpoint)
 
 
 def others(report: messages.Report, told_tokens: int) -> int:
--- a/berylhollow/gateway/_decisions.py
+++ b/berylhollow/gateway/_decisions.py
@@ -40,6 +40,7 @@
             ('in_flight', len(endpoint.attempts_in_flight)),
             ('backlog_ms', round(_backlog.before(state, endpoint, active))),
             ('others_tokens', endpoint.others_tokens),
+            *_pace_fields(state, endpoint, active),
             ('report_age_ms', report_age_ms),
             ('list_age_ms', state.list_age_ms(at_ms)),
             ('rate_per_s', endpoint.notice.rate_per_s),
@@ -51,6 +52,25 @@
     )
 
 
+def _pace_fields(
+    state: _state.State,
+    endpoint: _state.Endpoint,
+    active: _state.ActiveRequest,
+) -> tuple[tuple[str, object], ...]:
+    """Return the pace of the endpoint, empty if the choice didn't use it."""
+    read_ms = _backlog.read_ms(state, endpoint, active)
+    if not read_ms:
+        return ()
+    report = endpoint.report
+    share = None if report is None else round(report.read_share, 2)
+    token_ms = round(_backlog.token_ms(state, endpoint), 4)
+    return (
+        ('token_ms', token_ms),
+        ('read_ms', round(read_ms)),
+        ('read_share', share),
+    )
+
+
 def superseded_begin_logs(
     state: _state.State, active: _state.ActiveRequest, at_ms: int
 ) -> list[effects.Log]:
--- a/berylhollow/gateway/_fleet.py
+++ b/berylhollow/gateway/_fleet.py
@@ -115,7 +115,12 @@
         """
         head = self.state.placement.order(self.service, adapter)
         yield from (name for name in head if self.may_choose(name))
-        yield from (name for name in self.names() if name not in head)
+        others = self.state.placement.digests.get(self.service, {})
+        yield from (
+            name
+            for name in others
+            if name not in head and self.may_choose(name)
+        )
 
     def has_held_recently(
         self, name: str, adapter: messages.AdapterVersion
@@ -128,6 +133,7 @@
         endpoint = self.state.endpoints[name]
         report = endpoint.report
         backlog_ms = _backlog.before(self.state, endpoint, self.active)
+        read_ms = _backlog.read_ms(self.state, endpoint, self.active)
         domain = endpoint.instance.failure_domain
         if report is None:
             capacity = endpoint.instance.capacity or UNKNOWN_CAPACITY
@@ -141,6 +147,7 @@
                 True,
                 0.0,
                 backlog_ms,
+                read_ms,
             )
         return policy.EndpointView(
             name,
@@ -152,6 +159,8 @@
             report.evictable,
             report.victim_value,
             backlog_ms,
+            read_ms,
+            report.read_share,
         )
 
     def in_flight(self, endpoint: _state.Endpoint) -> int:
@@ -165,7 +174,7 @@
         if report is None:
             return own
         others = report.running + report.queued - endpoint.in_flight_at_report
-        return own + max(0, others)
+        return own + others if others > 0 else own
 
     def least_loaded(self) -> str | None:
         """Return the endpoint with the least load for its capacity."""
--- a/berylhollow/gateway/_placement.py
+++ b/berylhollow/gateway/_placement.py
@@ -27,7 +27,8 @@
     to those that load them or have queued a load. ``expected_loads`` has the
     times at which the loads expected from offers expire. ``recently_held`` has
     the adapters that each endpoint was last seen with, the oldest first.
-    ``loads_waiting`` counts the queued loads of each service. ``digests`` maps
+    ``loads_waiting`` counts the queued loads of each service, ``measured`` its
+    endpoints that report the time to read a prompt token. ``digests`` maps
     the endpoints of a service to their digests, and ``sorted_names`` caches
     their names. ``cached_orders`` has the head of each adapter's rendezvous
     order and is dropped when an endpoint is added or removed.
@@ -46,6 +47,7 @@
         dataclasses.field(default_factory=dict)
     )
     loads_waiting: dict[str, int] = dataclasses.field(default_factory=dict)
+    measured: dict[str, int] = dataclasses.field(default_factory=dict)
     digests: dict[str, dict[str, int]] = dataclasses.field(
         default_factory=dict
     )
@@ -90,10 +92,12 @@
         """Replace an endpoint's former report by a new one."""
         if old is not None:
             self._add_queued_loads(old, -1)
+            self._add_measured(old, -1)
             _discard(self.ready, name, _ready_adapters(old))
             _discard(self.pending, name, _pending_adapters(old))
         if new is not None:
             self._add_queued_loads(new, 1)
+            self._add_measured(new, 1)
             _insert(self.ready, name, _ready_adapters(new))
             self._record_held(name, _ready_adapters(new))
             _insert(self.pending, name, _pending_adapters(new))
@@ -163,6 +167,11 @@
             report.wanted
         )
 
+    def _add_measured(self, report: messages.Report, sign: int) -> None:
+        if report.token_ms > 0:
+            count = self.measured.get(report.service, 0)
+            self.measured[report.service] = count + sign
+
 
 def _ready_adapters(report: messages.Report) -> list[messages.AdapterVersion]:
     return [
--- a/berylhollow/policy/_direct_router.py
+++ b/berylhollow/policy/_direct_router.py
@@ -52,6 +52,10 @@
 IN_FLIGHT_MS = 3.0
 """Cost of each request in flight; breaks ties between idle endpoints."""
 
+MAX_READ_SHARE = 0.9
+"""Highest share of reading that counts. Closer to 1 the expected wait grows
+without limit, while the share is measured over two seconds only."""
+
 MAX_CANDIDATES = 16
 """Endpoints that are considered for a load."""
 
@@ -76,7 +80,8 @@
     adapter = query.adapter
     holders = fleet.holders(adapter)
     best = _cheapest(holders, lambda name: wait_ms(fleet.view(name)))
-    if best is not None and wait_ms(fleet.view(best)) < REPLICA_MS:
+    best_ms = 0.0 if best is None else known_wait_ms(fleet.view(best))
+    if best is not None and best_ms < REPLICA_MS:
         return best
     pending = [x for x in fleet.awaiting(adapter) if x not in holders]
     loading = _cheapest(pending, lambda name: wait_ms(fleet.view(name)))
@@ -86,10 +91,12 @@
     if other is None:
         return best
     view = fleet.view(other)
-    other_ms = wait_ms(view) + (PENDING_COPY_MS if loading else REPLICA_MS)
+    # Without ``busy_ms``: it changes with each report, and a copy stays.
+    other_ms = known_wait_ms(view)
+    other_ms += PENDING_COPY_MS if loading else REPLICA_MS
     if not view.evictable:
         other_ms += BUSY_SLOTS_MS
-    return other if other_ms < wait_ms(fleet.view(best)) else best
+    return other if other_ms < best_ms else best
 
 
 def _cheapest_load(
@@ -106,8 +113,31 @@
 
 
 def wait_ms(view: _types.EndpointView) -> float:
-    """Return how long a request waits at the endpoint before it runs."""
-    return view.backlog_ms + IN_FLIGHT_MS * view.in_flight
+    """Return the expected time until the endpoint has read the prompt."""
+    known_ms = known_wait_ms(view)
+    return known_ms + busy_ms(view) if view.read_ms else known_ms
+
+
+def known_wait_ms(view: _types.EndpointView) -> float:
+    """Return how long the endpoint takes for what is known to wait there.
+
+    Includes the request's own prompt, if the time to read it is known.
+    """
+    backlog_ms = view.backlog_ms + IN_FLIGHT_MS * view.in_flight
+    return backlog_ms + view.read_ms
+
+
+def busy_ms(view: _types.EndpointView) -> float:
+    """Return the wait to expect for prompts that the backlog doesn't show.
+
+    It is the mean wait of a queue whose server is busy for ``read_share`` of
+    the time. All gateways hear of a backlog up to a second late and would
+    send to the same endpoint if only that counted.
+    """
+    share = view.read_share
+    if share > MAX_READ_SHARE:
+        share = MAX_READ_SHARE
+    return view.read_ms * share / (1 - share)
 
 
 def load_ms(query: _types.RouteQuery, fleet: _types.Fleet, name: str) -> float:
--- a/berylhollow/policy/_types.py
+++ b/berylhollow/policy/_types.py
@@ -51,7 +51,10 @@
     ``loads_waiting`` the number of adapters that it waits to load.
     ``evictable`` is False if every slot is in use; ``victim_value`` is the
     value of the adapter in its least valuable slot. ``backlog_ms`` is the
-    time to work off the requests sent there that have not begun.
+    time to work off the requests sent there that have not begun, ``read_ms``
+    the time to read the request's own prompt there, 0 if no endpoint of the
+    service reports its pace. ``read_share`` is the share of the last seconds,
+    from 0 to 1, in which the endpoint was reading prompts.
     """
 
     name: str
@@ -63,6 +66,8 @@
     evictable: bool
     victim_value: float
     backlog_ms: float = 0.0
+    read_ms: float = 0.0
+    read_share: float = 0.0
 
 
 class Fleet(typing.Protocol):
--- a/test/hosted/crowd.py
+++ b/test/hosted/crowd.py
@@ -190,11 +190,14 @@
         self.callers[request_id] = caller
         name = builders.adapter_name(caller.adapter)
         arrived = events.RequestArrived(
-            self.now_ms, request(request_id, name), self.chance.random()
+            self.now_ms, self.request(request_id, name), self.chance.random()
         )
         gateway_name = self.chance.choice(list(self.gateways))
         self.feed_gateway(gateway_name, arrived)
 
+    def request(self, request_id: str, adapter: str) -> events.Request:
+        return request(request_id, adapter)
+
     def refused(self, request_id: str, retry_after_ms: int) -> None:
         caller = self.callers[request_id]
         self.outcome.refusals += 1
@@ -379,13 +382,18 @@
             return
         endpoint.runs[adapter] += 1
         begins_ms = max(self.now_ms, endpoint.prompts_until_ms)
-        endpoint.prompts_until_ms = begins_ms + self.load.prompt_ms
+        read_ms = self.read_ms(endpoint, begins_ms, offer)
+        endpoint.prompts_until_ms = begins_ms + read_ms
         first_ms = endpoint.prompts_until_ms
         started = messages.Started(offer.attempt_id, 200, (), offer.adapter)
         self.at(first_ms, self.tell, name, effect.peer, started)
         run_ms = self.chance.expovariate(1 / self.load.run_ms)
         self.at(first_ms + run_ms, self.ended, name, effect, adapter, first_ms)
 
+    def read_ms(self, endpoint, begins_ms: float, offer) -> float:
+        """Return how long the endpoint takes to read a prompt."""
+        return self.load.prompt_ms
+
     def ended(self, name, effect, adapter: str, first_ms: float) -> None:
         offer = effect.message
         self.endpoints[effect.peer].runs[adapter] -= 1
--- a/test/hosted/test_gateway_direct.py
+++ b/test/hosted/test_gateway_direct.py
@@ -1,5 +1,7 @@
 """Tests of a gateway's decisions about direct endpoints."""
 
+import collections
+
 from berylhollow import effects
 from berylhollow import errors
 from berylhollow import events
@@ -553,6 +555,67 @@
         self.assertEqual('i-1', self.offered()[0])
 
 
+class PaceTest(DirectTestCase):
+    """Of three endpoints one takes 1.7 times as long to read a prompt."""
+
+    PACES = (0.045, 0.045, 0.0765)
+
+    def setUp(self):
+        super().setUp()
+        self.addresses = [f'10.0.0.{n}:80' for n in (1, 2, 3)]
+        self.list_instances(
+            *(
+                direct_instance(f'i-{n}', address)
+                for n, address in enumerate(self.addresses, start=1)
+            )
+        )
+        for address in self.addresses:
+            peer = addresses.sidecar_peer(address)
+            self.open_link(peer, events.Role.ENDPOINT)
+
+    def report_all(self, token_ms, at_ms=100, **changes):
+        for address, pace_ms in zip(self.addresses, token_ms, strict=True):
+            self.report(address, token_ms=pace_ms, at_ms=at_ms, **changes)
+
+    def counts(self, number=12):
+        """Return how many of some prompts each endpoint gets at once."""
+        counts = collections.Counter()
+        for _ in range(number):
+            self.send_request(MODEL_PATH, at_ms=200, prompt_tokens=2000)
+            counts[self.offered()[0]] += 1
+        return [counts[f'i-{n}'] for n in (1, 2, 3)]
+
+    def test_slow_endpoint_gets_what_it_serves_in_time(self):
+        """Guards against a queue at the endpoint that reads slowly.
+
+        It got as many of a burst as the others and took 1.7 times as long.
+        """
+        self.report_all(self.PACES)
+        self.assertEqual([5, 5, 2], self.counts())
+
+    def test_endpoint_without_a_measured_pace_is_not_preferred(self):
+        """Guards against all gateways sending to a sidecar that just began.
+
+        A prompt there would seem to take no time.
+        """
+        self.report_all((0.045, 0.045, 0.0), read_share=0.8)
+        self.assertEqual([2, 2, 2], self.counts(6))
+
+    def test_pace_is_logged_where_the_choice_uses_it(self):
+        self.report_all((0.0, 0.0, 0.0), read_share=0.8)
+        self.send_request(MODEL_PATH, at_ms=200, prompt_tokens=2000)
+        (line,) = self.logged('attempt offered')
+        self.assertNotIn('read_share', line)
+        self.report_all((0.1, 0.1, 0.1), read_share=0.812)
+        self.send_request(MODEL_PATH, at_ms=200, prompt_tokens=2000)
+        (line,) = self.logged('attempt offered')
+        self.assertEqual(
+            (0.1, 200, 0.81),
+            (line['token_ms'], line['read_ms'], line['read_share']),
+        )
+        self.assertEqual(200, line['backlog_ms'])
+
+
 class PredecessorTest(DirectTestCase):
     """A sidecar that starts anew while this gateway runs on."""
 
--- a/test/policy/test_direct_router.py
+++ b/test/policy/test_direct_router.py
@@ -103,6 +103,51 @@
         self.assertEqual('e2', choose(fleet))
 
 
+class PaceTest(unittest.TestCase):
+    """One of three endpoints reads 1.7 times as slowly as the others."""
+
+    def test_slow_holder_is_chosen_only_if_the_others_are_busier(self):
+        """Equal backlogs in tokens hid that one takes 1.7 times as long."""
+        slow = view('e1', 0, read_ms=181.0)
+        for backlog_ms, expected in ((60, 'e2'), (90, 'e1')):
+            other = view('e2', backlog_ms, read_ms=107.0)
+            fleet = fleets.fleet(slow, other, ready=('e1', 'e2'))
+            self.assertEqual(expected, choose(fleet))
+
+    def test_endpoint_at_nine_tenths_of_reading_gets_less(self):
+        """Its backlog is short by chance when it is reported.
+
+        All gateways sent there until the next report, a second later.
+        """
+        busy = view('e1', 0, read_ms=107.0, read_share=0.9)
+        usual = view('e2', 300, read_ms=107.0, read_share=0.5)
+        fleet = fleets.fleet(busy, usual, ready=('e1', 'e2'))
+        self.assertEqual('e2', choose(fleet))
+
+    def test_no_copy_is_loaded_for_a_share_of_reading_alone(self):
+        """The share changes with each report, a copy takes a slot for good.
+
+        Counted there, it caused an eighth more fetches on six endpoints.
+        """
+        busy = view('e1', 200, read_ms=107.0, read_share=0.9)
+        idle = view('e2', read_ms=107.0)
+        self.assertEqual('e1', choose(fleets.fleet(busy, idle, ready=('e1',))))
+
+    def test_endpoint_that_only_reads_can_still_be_chosen(self):
+        """The expected wait has no bound where reading never pauses."""
+        busy = view('e1', 0, read_ms=100.0, read_share=1.0)
+        longer = view('e2', 2000, read_ms=100.0)
+        fleet = fleets.fleet(busy, longer, ready=('e1', 'e2'))
+        self.assertEqual('e1', choose(fleet))
+
+    def test_share_of_reading_counts_only_with_a_known_pace(self):
+        """Deployments whose sidecars report no pace keep their choices."""
+        busy = view('e1', 99, read_share=0.9)
+        fleet = fleets.fleet(busy, view('e2', 100), ready=('e1', 'e2'))
+        self.assertEqual('e1', choose(fleet))
+        self.assertEqual('e1', choose(fleet, adapter=None))
+
+
 class NoAdapterTest(unittest.TestCase):
     def test_request_goes_to_the_shortest_backlog(self):
         fleet = fleets.fleet(view('e1', 100), view('e2', 50))
