--- a/berylhollow/admission/__init__.py
+++ b/berylhollow/admission/__init__.py
@@ -9,6 +9,7 @@
 from berylhollow.admission._admissions import Grant
 from berylhollow.admission._budget import MAX_EXPIRY_MS
 from berylhollow.admission._budget import ReadingBudget
+from berylhollow.admission._gap_control import GapControl
 from berylhollow.admission._pace import ReadingPace
 from berylhollow.admission._queue import AdmissionQueue
 from berylhollow.admission._queue import RequestKey
@@ -19,6 +20,7 @@
     'MAX_EXPIRY_MS',
     'AdmissionQueue',
     'Admissions',
+    'GapControl',
     'Grant',
     'ReadingBudget',
     'ReadingPace',
--- a/berylhollow/admission/_admissions.py
+++ b/berylhollow/admission/_admissions.py
@@ -127,6 +127,11 @@
             self.pace.record_batch(read.tokens, read.reading_ms)
         return self.advance(at_ms)
 
+    def record_gap(self, longest_gap_ms: int, at_ms: int) -> None:
+        """Note the longest gap in answers that a gateway has seen lately."""
+        allowed_ms = self.budget.event_gap_ms
+        self.budget.gaps.record(longest_gap_ms, allowed_ms, at_ms)
+
     def drop_gateway(self, gateway: str, at_ms: int) -> list[Grant]:
         """Drop the waiting requests of a gateway whose link closed.
 
@@ -155,6 +160,7 @@
         grants = []
         while request := self.queue.first(at_ms, self._begin_ms(at_ms)):
             if not self.budget.has_room(request.tokens, self.token_ms, at_ms):
+                self.budget.gaps.note_limited()
                 break
             grants.append(self._grant(request, at_ms))
         return grants
--- a/berylhollow/admission/_budget.py
+++ b/berylhollow/admission/_budget.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from berylhollow.admission import _gap_control
 from berylhollow.admission import _queue
 from berylhollow import clock
 
@@ -59,6 +60,7 @@
         self.batch_ended_ms = clock.NEVER_MS
         self.expiry_ms = float(MAX_EXPIRY_MS)
         self.is_measurable = True
+        self.gaps = _gap_control.GapControl()
 
     def set_terms(self, event_gap_ms: int, event_steps: int) -> None:
         """Set the longest allowed gap, and how many steps an event takes."""
@@ -73,7 +75,7 @@
     def limit_tokens(self, token_ms: float) -> int:
         """Return how many tokens a batch may have at a pace."""
         reading_ms = GAP_SHARE * self.event_gap_ms - self.quiet_ms
-        return max(0, int(reading_ms / token_ms))
+        return max(0, int(self.gaps.factor * reading_ms / token_ms))
 
     def has_room(self, tokens: int, token_ms: float, at_ms: int) -> bool:
         """Tell whether a prompt may be added to the batch.
--- a/berylhollow/events.py
+++ b/berylhollow/events.py
@@ -311,7 +311,8 @@
     """The whole answer of an attempt has been passed to the caller.
 
     ``body`` is set only for a request with a key whose answer is small
-    enough to be stored; otherwise it is None.
+    enough to be stored; otherwise it is None. ``longest_gap_ms`` is the
+    longest time between two parts of the answer.
     """
 
     at_ms: int
@@ -320,6 +321,7 @@
     status: int
     headers: tuple[messages.Header, ...] = ()
     body: bytes | None = None
+    longest_gap_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/berylhollow/gateway/_adapters.py
+++ b/berylhollow/gateway/_adapters.py
@@ -169,6 +169,7 @@
     demands = _build_demands(state, peer, name, endpoint, at_ms)
     sidecar.told_ms = at_ms
     sidecar.told_tokens = demands.waiting_tokens
+    endpoint.longest_gap_ms = 0
     return [effects.Send(peer, demands)]
 
 
@@ -309,6 +310,7 @@
         configuration.revision,
         _predecessor_ms(state.sidecars[peer], at_ms),
         tells_clearings=True,
+        longest_gap_ms=endpoint.longest_gap_ms,
     )
 
 
--- a/berylhollow/gateway/_admissions.py
+++ b/berylhollow/gateway/_admissions.py
@@ -223,6 +223,16 @@
     return end_without_permit(state, active)
 
 
+def record_gap(
+    state: _state.State, active: _state.ActiveRequest, gap_ms: int
+) -> None:
+    """Note the longest gap of an answer, to be told to the sidecar."""
+    endpoint = state.endpoints.get(active.endpoint)
+    if endpoint is None or _terms(state, active, active.endpoint) is None:
+        return
+    endpoint.longest_gap_ms = max(endpoint.longest_gap_ms, gap_ms)
+
+
 def end_without_permit(
     state: _state.State, active: _state.ActiveRequest
 ) -> Effects:
--- a/berylhollow/gateway/_relay.py
+++ b/berylhollow/gateway/_relay.py
@@ -50,6 +50,8 @@
         self.complete = False
         self.failure: effects.BreakAnswer | None = None
         self.resumed_from: int | None = None
+        self.longest_gap_ms = 0
+        self._arrived_ms: int | None = None
         self._waiter: asyncio.Future | None = None
 
     def attach(self, sink: Sink) -> None:
@@ -57,6 +59,13 @@
         self.sink = sink
         self._write_pending()
 
+    def note_arrival(self, at_ms: int) -> None:
+        """Note when a part of the answer arrived."""
+        if self._arrived_ms is not None:
+            gap_ms = at_ms - self._arrived_ms
+            self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
+        self._arrived_ms = at_ms
+
     def accept(self, frame: Frame) -> bool:
         """Handle a frame; False if earlier frames are missing.
 
--- a/berylhollow/gateway/_requests.py
+++ b/berylhollow/gateway/_requests.py
@@ -8,6 +8,7 @@
 from berylhollow import events
 from berylhollow import following
 from berylhollow.gateway import _adapters
+from berylhollow.gateway import _admissions
 from berylhollow.gateway import _attempts
 from berylhollow.gateway import _budget
 from berylhollow.gateway import _claims
@@ -135,6 +136,7 @@
     if event.body is not None:
         stored = claims.StoredAnswer(event.status, event.headers, event.body)
     _settlement.settle(state, active, errors.Ran.RAN, stored)
+    _admissions.record_gap(state, active, event.longest_gap_ms)
     done = _attempts.record_success(state, active)
     return done + _attempts.finish(state, active)
 
--- a/berylhollow/gateway/_shell.py
+++ b/berylhollow/gateway/_shell.py
@@ -216,6 +216,7 @@
                 begin.status,
                 begin.headers,
                 body,
+                exchange.relay.longest_gap_ms,
             )
         )
 
@@ -312,6 +313,7 @@
                 self._feed_message(peer, message)
             relay = self._relay_for_frame(peer, message)
             if relay is not None:
+                relay.note_arrival(self.now_ms())
                 self._accept_frame(relay, message)
         elif type(message) is messages.End:
             self._handle_end_frame(peer, message)
--- a/berylhollow/loader/_admissions.py
+++ b/berylhollow/loader/_admissions.py
@@ -58,6 +58,13 @@
     return _send(state, state.admissions.reset(at_ms), at_ms)
 
 
+def record_gap(state: _state.State, event: events.MessageReceived) -> None:
+    """Note the longest gap in answers that a gateway reports."""
+    if state.admissions is not None:
+        message: messages.AdapterDemands = event.message
+        state.admissions.record_gap(message.longest_gap_ms, event.at_ms)
+
+
 def advance(state: _state.State, at_ms: int) -> Effects:
     """Grant what became possible as the time passed."""
     if state.admissions is None:
--- a/berylhollow/loader/_reducer.py
+++ b/berylhollow/loader/_reducer.py
@@ -336,6 +336,7 @@
     if not isinstance(message, messages.AdapterDemands):
         return []
     state.demand.update(event.peer, message, event.at_ms)
+    _admissions.record_gap(state, event)
     _kept_crashes.drop_uncertain(state, event)
     state.learn_endpoint(message.incarnation)
     done = _reserve_for_predecessor(state, event)
--- a/berylhollow/messages.py
+++ b/berylhollow/messages.py
@@ -314,6 +314,9 @@
     ``predecessor_ms`` is how long ago the gateway last heard from an earlier
     start of the sidecar, -1 if it was long ago or never. A gateway that
     ``tells_clearings`` tells each of its sidecars which requests it clears.
+    ``longest_gap_ms`` is the longest gap between two parts of an answer from
+    the endpoint, of those that have ended since the last message; it is only
+    told of services whose prompts are admitted.
     """
 
     endpoint: str
@@ -328,6 +331,7 @@
     revision: int = 0
     predecessor_ms: int = -1
     tells_clearings: bool = False
+    longest_gap_ms: int = 0
 
     @property
     def incarnation(self) -> Incarnation:
--- a/test/hosted/test_admissions.py
+++ b/test/hosted/test_admissions.py
@@ -104,6 +104,19 @@
         self.receive(started, self.now_ms, peer)
         return peer, messages.Data(offer.attempt_id, 0, b'x')
 
+    def relay_answer(self, longest_gap_ms=0):
+        peer, data = self.begin_answer()
+        self.receive(data, self.now_ms, peer)
+        self.receive(messages.End(data.attempt_id, 1), self.now_ms, peer)
+        relayed = events.AnswerRelayed(
+            self.now_ms,
+            f'r{self.sent_count}',
+            data.attempt_id,
+            200,
+            longest_gap_ms=longest_gap_ms,
+        )
+        self.feed(relayed)
+
 
 class GrantTest(AdmissionTestCase):
     def test_request_is_sent_in_the_event_of_its_grant(self):
@@ -126,6 +139,17 @@
         self.feed(events.AnswerRelayed(50, 'r1', data.attempt_id, 200))
         self.assertEqual([('i-1', True)], self.ended())
 
+    def test_longest_gap_of_answers_is_told_once(self):
+        """Guards against a limit that never follows what callers see."""
+        for gap_ms in (120, 350):
+            self.send()
+            self.grant()
+            self.relay_answer(gap_ms)
+        self.tick_to(3000)
+        demands = self.told(messages.AdapterDemands)
+        gaps = [x.longest_gap_ms for name, x in demands if name == 'i-1']
+        self.assertEqual([350], [gap_ms for gap_ms in gaps if gap_ms])
+
     def test_answer_without_an_event_ends_the_admission(self):
         """Guards against a grant that counts until it expires after 3 s."""
         self.send()
@@ -432,6 +456,14 @@
 
     tokens_per_event = 1
 
+    def test_gaps_are_not_told(self):
+        """Guards against other messages where nothing calls for them."""
+        self.send()
+        self.relay_answer(350)
+        self.tick_to(3000)
+        demands = self.told(messages.AdapterDemands)
+        self.assertEqual({0}, {x.longest_gap_ms for _, x in demands})
+
     def test_messages_are_those_from_before_admissions(self):
         """Guards against a change where the configuration calls for none.
 
