--- a/berylhollow/gateway/_admissions.py
+++ b/berylhollow/gateway/_admissions.py
@@ -38,9 +38,9 @@
 """How much later than expected a grant may come before it is asked for anew.
 The expected wait leaves out more urgent requests that come later."""
 
-DEADLINE_MARGIN_MS = 500
-"""What must be left until the deadline after the expected wait, for the way
-to the endpoint and the answer."""
+MAX_DEADLINE_SHARE = 0.5
+"""Share of the deadline within which a request must be admitted. One that is
+told early that it can't be may still be served later or given up."""
 
 MIN_RETRY_MS = 400
 RETRY_JITTER_SHARE = 0.5
@@ -144,7 +144,8 @@
     if active is None or active.admission.granted:
         return [], None
     admission = active.admission
-    left_ms = active.deadline_ms - event.at_ms - DEADLINE_MARGIN_MS
+    reserve_ms = (1 - MAX_DEADLINE_SHARE) * active.request.deadline_ms
+    left_ms = active.deadline_ms - event.at_ms - reserve_ms
     if not 0 <= message.wait_ms <= left_ms:
         active.admission_refusals[admission.endpoint] = message.wait_ms
         emitted = end(state, active)
--- a/berylhollow/policy/_direct_router.py
+++ b/berylhollow/policy/_direct_router.py
@@ -80,9 +80,13 @@
     adapter = query.adapter
     holders = fleet.holders(adapter)
     best = _cheapest(holders, lambda name: wait_ms(fleet.view(name)))
-    best_ms = 0.0 if best is None else known_wait_ms(fleet.view(best))
-    if best is not None and best_ms < REPLICA_MS:
-        return best
+    best_ms = 0.0
+    if best is not None:
+        view = fleet.view(best)
+        best_ms = known_wait_ms(view)
+        # The time to read the own prompt is spent at any other endpoint too.
+        if best_ms - view.read_ms < REPLICA_MS:
+            return best
     pending = [x for x in fleet.awaiting(adapter) if x not in holders]
     loading = _cheapest(pending, lambda name: wait_ms(fleet.view(name)))
     if best is None:
