End the admission of a request whose adapter was evicted

It kept its place, and a grant, while its adapter was loaded again. A grant held back the next prompts of the endpoint for 0.6 to 3 s, and the request was not placed with the report of the load.

--- a/berylhollow/gateway/_attempts.py
+++ b/berylhollow/gateway/_attempts.py
@@ -105,6 +105,8 @@
     if name is None and active.limited_to is None:
         return result + _handle_no_endpoint(state, active, at_ms)
     if name is not None and not _adapters.is_ready(state, active, name, at_ms):
+        # A grant that is kept would hold back the endpoint's next prompts.
+        result += _admissions.end(state, active)
         return result + _await_adapter(state, active, name, at_ms)
     if name is not None:
         if _admissions.refuses(active, name):
--- a/test/hosted/test_admissions.py
+++ b/test/hosted/test_admissions.py
@@ -239,6 +239,29 @@
         self.assertEqual([], self.offers())
         self.assertEqual([('i-1', False)] * 2, self.ended())
 
+    def test_evicted_adapter_ends_the_admission(self):
+        """Guards against a grant that is held while an adapter is loaded.
+
+        The endpoint's next prompts would wait for the load. The request asks
+        again with the report that the adapter is there.
+        """
+        only = direct.direct_instance(
+            'i-1', ADDRESSES['i-1'], adapters=(ADAPTER,)
+        )
+        self.list_instances(only, at_ms=self.now_ms)
+        for grants in (False, True):
+            with self.subTest(grants=grants):
+                self.history.clear()
+                self.hold()
+                if grants:
+                    self.grant()
+                else:
+                    self.tick_to(self.now_ms + 150)
+                self.assertEqual([], self.offers())
+                self.assertEqual([('i-1', False)], self.ended())
+                self.hold('i-1')
+                self.assertEqual(['i-1'], self.asked())
+
     def test_closed_link_lets_the_request_be_sent_at_once(self):
         """Guards against a wait for a sidecar that has ended."""
         self.feed(events.LinkClosed(20, PEERS['i-1']))
