End an admission whose sidecar is no longer that of the endpoint

The sidecar goes with a configuration in which the service has no adapters, and changes with the address of the endpoint. The gateway failed with a KeyError if there had been no answer yet, and otherwise waited for a grant that could not come.

--- a/berylhollow/gateway/_admissions.py
+++ b/berylhollow/gateway/_admissions.py
@@ -83,9 +83,15 @@
 def leave(
     state: _state.State, active: _state.ActiveRequest, name: str | None
 ) -> Effects:
-    """End an admission at another endpoint than the one chosen now."""
+    """End an admission that is not one at the endpoint chosen now.
+
+    That endpoint may have another sidecar than the one that was asked, if its
+    address has changed, or none if its service has no adapters any more.
+    """
     admission = active.admission
-    if admission is None or admission.endpoint == name:
+    if admission is None:
+        return []
+    if admission.endpoint == name and _has_sidecar(state, admission):
         return []
     return end(state, active)
 
@@ -283,6 +289,19 @@
     return 'silent' if at_ms < sidecar.unasked_until_ms else ''
 
 
+def _has_sidecar(
+    state: _state.State, admission: _state.PromptAdmission
+) -> bool:
+    """Tell whether the sidecar that was asked is that of the endpoint.
+
+    A grant is valid without a link, but none can come without one.
+    """
+    address = state.endpoints[admission.endpoint].instance.address
+    if admission.peer != addresses.sidecar_peer(address):
+        return False
+    return admission.granted or _is_linked(state, admission.peer)
+
+
 def _is_linked(state: _state.State, peer: str) -> bool:
     sidecar = state.sidecars.get(peer)
     return sidecar is not None and sidecar.link is _state.LinkPhase.OPEN
--- a/test/hosted/test_admissions.py
+++ b/test/hosted/test_admissions.py
@@ -262,6 +262,27 @@
                 self.hold('i-1')
                 self.assertEqual(['i-1'], self.asked())
 
+    def test_sidecar_of_another_address_is_asked_anew(self):
+        """Guards against a wait for the sidecar of a former address."""
+        self.hold('i-1', 'i-2')
+        moved = direct.direct_instance(
+            'i-1', '10.0.0.3:80', adapters=(ADAPTER,)
+        )
+        self.list_instances(moved, at_ms=self.now_ms)
+        self.tick_to(200)
+        self.assertEqual('i-1', self.offered()[0])
+
+    def test_sidecar_that_is_no_longer_used_is_not_waited_for(self):
+        """Guards against a crash, or a wait, without the asked sidecar."""
+        self.send()
+        self.publish(at_ms=20)
+        engine = {'Stride': 4, 'AdapterSlots': 0}
+        record = builders.configuration_record(9, engine=engine)
+        self.publish(record, at_ms=20, begun_ms=20)
+        self.tick_to(250)
+        self.assertEqual({}, self.state.sidecars)
+        self.assertEqual(2, len(self.offers()))
+
     def test_closed_link_lets_the_request_be_sent_at_once(self):
         """Guards against a wait for a sidecar that has ended."""
         self.feed(events.LinkClosed(20, PEERS['i-1']))
