Forget the waiting tokens of a request whose endpoint was removed

They were taken off the endpoint of its last attempt, whose backlog stayed below zero from then on: it looked idle and got too many requests.

--- a/berylhollow/gateway/_adapters.py
+++ b/berylhollow/gateway/_adapters.py
@@ -141,11 +141,16 @@
 def stop_waiting(state: _state.State, active: _state.ActiveRequest) -> None:
     """Remove a request from those waiting for an adapter."""
     name = active.awaiting
+    if not name:
+        return
     active.awaiting = ''
     waiting = state.awaiting_adapter.get(name, {})
     if active.request.request_id in waiting:
         del waiting[active.request.request_id]
         _backlog.remove_request(state.endpoints[name], active)
+    # The backlog of an endpoint that was removed is gone. Its tokens would be
+    # taken off the endpoint of the last attempt.
+    active.queued_tokens = 0
 
 
 def requests_awaiting_adapter(
--- a/test/hosted/test_admissions.py
+++ b/test/hosted/test_admissions.py
@@ -283,6 +283,23 @@
         self.assertEqual({}, self.state.sidecars)
         self.assertEqual(2, len(self.offers()))
 
+    def test_removed_endpoint_keeps_the_backlog_of_the_last_one(self):
+        """Guards against tokens taken off an endpoint they weren't sent to.
+
+        A request that waits at an endpoint that is removed has no tokens
+        anywhere; those it had were taken off where it was tried before.
+        """
+        self.hold('i-1', 'i-2')
+        self.grant()
+        self.fail_attempt(errors.Kind.LEAVING, at_ms=self.now_ms)
+        self.assertEqual(['i-1', 'i-2'], self.asked())
+        first = direct.direct_instance(
+            'i-1', ADDRESSES['i-1'], adapters=(ADAPTER,)
+        )
+        self.list_instances(first, at_ms=self.now_ms)
+        self.feed(events.CallerGone(self.now_ms, 'r1'))
+        self.assertEqual(0, self.state.endpoints['i-1'].waiting_tokens)
+
     def test_closed_link_lets_the_request_be_sent_at_once(self):
         """Guards against a wait for a sidecar that has ended."""
         self.feed(events.LinkClosed(20, PEERS['i-1']))
