Report a restart of the endpoint before granting what it allows

The grants came first, so that gateways sent requests whose adapters had gone with the restart. Each of them was refused and used one of its attempts.

--- a/berylhollow/loader/_reducer.py
+++ b/berylhollow/loader/_reducer.py
@@ -150,14 +150,19 @@
     if before is not None and event.read < before.read:
         return done
     state.adapters = event
-    if before is not None and _has_restarted(before, event):
+    has_restarted = before is not None and _has_restarted(before, event)
+    if has_restarted:
         if state.order is not None:
             _remember_unanswered_load(state, state.order, event.at_ms)
         state.reset_for_restart(event.started_ms)
         done.append(_restart_log(before, event))
-        done += _admissions.reset(state, event.at_ms)
     done += _send_next_order(state, event.at_ms)
-    return done + _report.send_if_due(state, event.at_ms)
+    done += _report.send_if_due(state, event.at_ms)
+    if has_restarted:
+        # After the report, from which gateways learn that the adapters of
+        # the requests that are granted now are gone.
+        done += _admissions.reset(state, event.at_ms)
+    return done
 
 
 def _has_restarted(
--- a/test/loader/test_admissions.py
+++ b/test/loader/test_admissions.py
@@ -62,6 +62,16 @@
         self.end('a', 60)
         self.assertEqual([], self.granted())
 
+    def test_restart_is_reported_before_what_it_allows_is_granted(self):
+        """Requests were sent to an endpoint that had lost their adapter."""
+        held = (loader_helper.adapter_version('a'),)
+        self.report(held, started_ms=1)
+        self.want('a')
+        self.want('b')
+        self.report(started_ms=2, at_ms=500)
+        sent = [type(x.message) for x in self.of_type(effects.Send)]
+        self.assertEqual([messages.Report, messages.AdmissionGranted], sent)
+
     def test_sidecar_that_was_frozen_grants_what_still_waits(self):
         """A sidecar that stood still for seconds granted nothing more."""
         self.want('a')
