--- a/test/hosted/test_admissions.py
+++ b/test/hosted/test_admissions.py
@@ -300,6 +300,15 @@
         self.feed(events.CallerGone(self.now_ms, 'r1'))
         self.assertEqual(0, self.state.endpoints['i-1'].waiting_tokens)
 
+    def test_request_is_sent_once_its_service_is_not_paced(self):
+        """Guards against a wait for admission that nothing calls for."""
+        self.publish(at_ms=20)
+        record = builders.configuration_record(9, engine={'Stride': 1})
+        self.publish(record, at_ms=20, begun_ms=20)
+        self.tick_to(150)
+        self.assertEqual('i-1', self.offered()[0])
+        self.assertEqual([('i-1', False)], self.ended())
+
     def test_closed_link_lets_the_request_be_sent_at_once(self):
         """Guards against a wait for a sidecar that has ended."""
         self.feed(events.LinkClosed(20, PEERS['i-1']))
