Test gateways and sidecars that admit prompts, while processes fail

One sidecar stands still, one is restarted, one gateway is killed with requests waiting, one endpoint is restarted under the same or another name.

--- a/test/hosted/crowd.py
+++ b/test/hosted/crowd.py
@@ -84,6 +84,7 @@
     orders: int = 0
     fetched: int = 0
     prompts_until_ms: float = 0.0
+    started_ms: int = 0
 
 
 @dataclasses.dataclass
@@ -226,7 +227,7 @@
         self.feed_sidecar(peer, started)
 
     def start_gateway(self, name: str) -> None:
-        entries = (messages.LogEntry(0, 0, builders.configuration_record()),)
+        entries = (messages.LogEntry(0, 0, self.configuration()),)
         stream = platform.CONFIGURATION_STREAM
         now_ms = self.now_ms
         for event in (
@@ -236,6 +237,10 @@
         ):
             self.feed_gateway(name, event)
 
+    def configuration(self) -> bytes:
+        """Return the record with the routes and services."""
+        return builders.configuration_record()
+
     def rows(self) -> tuple[events.Instance, ...]:
         """Return the list of endpoints."""
         return tuple(
@@ -319,6 +324,7 @@
             tuple(messages.AdapterVersion(n, '1') for n in endpoint.loading),
             0,
             sum(endpoint.runs.values()),
+            endpoint.started_ms,
         )
         self.feed_sidecar(peer, told)
 
