--- a/test/hosted/test_admissions.py
+++ b/test/hosted/test_admissions.py
@@ -263,6 +263,76 @@
         self.assertEqual([], self.offers())
         self.assertEqual([('i-1', False)] * 2, self.ended())
 
+    def test_evicted_adapter_ends_the_admission(self):
+        """Guards against a grant that is held while an adapter is loaded.
+
+        The endpoint's next prompts would wait for the load. The request asks
+        again with the report that the adapter is there.
+        """
+        only = direct.direct_instance(
+            'i-1', ADDRESSES['i-1'], adapters=(ADAPTER,)
+        )
+        self.list_instances(only, at_ms=self.now_ms)
+        for grants in (False, True):
+            with self.subTest(grants=grants):
+                self.history.clear()
+                self.hold()
+                if grants:
+                    self.grant()
+                else:
+                    self.tick_to(self.now_ms + 150)
+                self.assertEqual([], self.offers())
+                self.assertEqual([('i-1', False)], self.ended())
+                self.hold('i-1')
+                self.assertEqual(['i-1'], self.asked())
+
+    def test_sidecar_of_another_address_is_asked_anew(self):
+        """Guards against a wait for the sidecar of a former address."""
+        self.hold('i-1', 'i-2')
+        moved = direct.direct_instance(
+            'i-1', '10.0.0.3:80', adapters=(ADAPTER,)
+        )
+        self.list_instances(moved, at_ms=self.now_ms)
+        self.tick_to(200)
+        self.assertEqual('i-1', self.offered()[0])
+
+    def test_sidecar_that_is_no_longer_used_is_not_waited_for(self):
+        """Guards against a crash, or a wait, without the asked sidecar."""
+        self.send()
+        self.publish(at_ms=20)
+        engine = {'Stride': 4, 'AdapterSlots': 0}
+        record = builders.configuration_record(9, engine=engine)
+        self.publish(record, at_ms=20, begun_ms=20)
+        self.tick_to(250)
+        self.assertEqual({}, self.state.sidecars)
+        self.assertEqual(2, len(self.offers()))
+
+    def test_removed_endpoint_keeps_the_backlog_of_the_last_one(self):
+        """Guards against tokens taken off an endpoint they weren't sent to.
+
+        A request that waits at an endpoint that is removed has no tokens
+        anywhere; those it had were taken off where it was tried before.
+        """
+        self.hold('i-1', 'i-2')
+        self.grant()
+        self.fail_attempt(errors.Kind.LEAVING, at_ms=self.now_ms)
+        self.assertEqual(['i-1', 'i-2'], self.asked())
+        first = direct.direct_instance(
+            'i-1', ADDRESSES['i-1'], adapters=(ADAPTER,)
+        )
+        self.list_instances(first, at_ms=self.now_ms)
+        self.feed(events.CallerGone(self.now_ms, 'r1'))
+        self.assertEqual(0, self.state.endpoints['i-1'].waiting_tokens)
+
+    def test_request_is_sent_once_its_service_is_not_paced(self):
+        """Guards against a wait for admission that nothing calls for."""
+        self.publish(at_ms=20)
+        record = builders.configuration_record(9, engine={'Stride': 1})
+        self.publish(record, at_ms=20, begun_ms=20)
+        self.tick_to(150)
+        self.assertEqual('i-1', self.offered()[0])
+        self.assertEqual([('i-1', False)], self.ended())
+
     def test_closed_link_lets_the_request_be_sent_at_once(self):
         """Guards against a wait for a sidecar that has ended."""
         self.feed(events.LinkClosed(20, PEERS['i-1']))
