--- a/berylhollow/loader/_state.py
+++ b/berylhollow/loader/_state.py
@@ -144,6 +144,7 @@
     - ``admissions``: requests that wait to be sent to the endpoint, None until
       a gateway asks.
     - ``admission_logs``: log lines about grants in ``admission_log_second``.
+    - ``clearings_ms``: when the last clearings of parts were forwarded.
     """
 
     options: Options
@@ -178,6 +179,9 @@
     unsettled: quarantine.UnsettledLosses = dataclasses.field(
         default_factory=lambda: quarantine.UnsettledLosses(UNSETTLED_MS)
     )
+    clearings_ms: dict[messages.Cleared, int] = dataclasses.field(
+        default_factory=dict
+    )
     last_used_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     order: Order | None = None
     orders: int = 0
