Report no pace of an endpoint before it is measured

Gateways took the initial value of a sidecar for a measured pace, although the report says 0 for that and they have an average of the service.

--- a/berylhollow/admission/_admissions.py
+++ b/berylhollow/admission/_admissions.py
@@ -49,6 +49,11 @@
         """The time to read one prompt token."""
         return self.pace.token_ms
 
+    @property
+    def measured_token_ms(self) -> float:
+        """The time to read one prompt token, 0 before it was measured."""
+        return self.pace.token_ms if self.pace.is_measured else 0.0
+
     @property
     def waiting(self) -> int:
         """How many requests wait."""
--- a/berylhollow/loader/_report.py
+++ b/berylhollow/loader/_report.py
@@ -115,7 +115,7 @@
         gateways=max(1, len(state.links)),
         model_load=state.model_load,
         waiting_tokens=state.demand.waiting_tokens,
-        token_ms=0.0 if admissions is None else admissions.token_ms,
+        token_ms=0.0 if admissions is None else admissions.measured_token_ms,
         read_share=0.0 if admissions is None else admissions.read_share(at_ms),
     )
 
