Show how many requests wait at a sidecar for their admission

Whether a sidecar's queue empties could only be guessed from the lines of single grants, which are limited to 50 a second and leave out requests that are given up. The gauge berylhollow.admissions_waiting has the length of the queue; it is 0 where admission is not in force.

--- a/berylhollow/loader/service.py
+++ b/berylhollow/loader/service.py
@@ -24,6 +24,12 @@
         self.loader = loader
         self.meters = meters
         self.lifetime = lifetime
+        state = loader.driver.state
+        meters.observe(
+            'berylhollow.admissions_waiting',
+            lambda: state.admissions.waiting if state.admissions else 0,
+            [('berylhollow.service', state.options.service)],
+        )
         host, port = listen
         self.pages = shell.PagesServer(
             host, port, {'/metrics': lambda: metrics.page(meters)}
--- a/berylhollow/metrics/_instruments.py
+++ b/berylhollow/metrics/_instruments.py
@@ -180,6 +180,13 @@
         'outcome.',
         (SERVICE, 'berylhollow.outcome'),
     ),
+    Instrument(
+        'berylhollow.admissions_waiting',
+        OBSERVED_GAUGE,
+        '{request}',
+        'Requests that wait for their admission at the endpoint.',
+        (SERVICE,),
+    ),
     Instrument(
         'berylhollow.configuration.age',
         OBSERVED_GAUGE,
--- a/test/loader/test_admissions.py
+++ b/test/loader/test_admissions.py
@@ -1,8 +1,12 @@
 """A sidecar that admits prompts to its endpoint."""
 
+from unittest import mock
+
 from berylhollow import effects
 from berylhollow import events
+from berylhollow.loader import service
 from berylhollow import messages
+from berylhollow import metrics
 from test.loader import loader_helper
 
 
@@ -89,3 +93,16 @@
         self.feed(events.Ticked(324))
         self.assertEqual(80, len(self.granted()))
         self.assertEqual(50, len(self.logged('admission granted')))
+
+    def test_metric_of_the_waiting_requests(self):
+        """A queue that does not empty could not be seen from outside."""
+        meters = metrics.Meters('sidecar', 'side-1', 'd1')
+        loader = mock.Mock()
+        loader.driver.state = self.state
+        service.LoaderService(loader, meters, ('127.0.0.1', 0), mock.Mock())
+        name = 'berylhollow_admissions_waiting'
+        line = f'{name}{{berylhollow_service="s"}}'
+        self.assertIn(f'{line} 0.0\n', meters.render().decode())
+        for number in range(3):
+            self.want(str(number))
+        self.assertIn(f'{line} 2.0\n', meters.render().decode())
