Play the admission of prompts in the fault soak

The soak declared no event gap and one token an event, so that no gateway asked a sidecar for an admission while faults were played.

Two checks are new: what waits for admission after the faults waits no longer than its deadline (gateways' logs), and each sidecar's queue is empty at the end (berylhollow.admissions_waiting). make soak takes other options in SOAK_OPTIONS.

--- a/Makefile
+++ b/Makefile
@@ -67,11 +67,12 @@
 
 SEED ?= 1
 SECONDS ?= 40
+SOAK_OPTIONS ?= --bursts
 SHORT_SEED := 106
 SHORT_SECONDS := 20
 .PHONY: soak soak-short
 soak: $(READY)
-	$(BIN)/python -m tools.soak $(SEED) --seconds $(SECONDS) --bursts
+	$(BIN)/python -m tools.soak $(SEED) --seconds $(SECONDS) $(SOAK_OPTIONS)
 
 soak-short: $(READY)
 	$(BIN)/python -m tools.soak $(SHORT_SEED) --seconds $(SHORT_SECONDS)
--- a/test/soak/test_promises.py
+++ b/test/soak/test_promises.py
@@ -4,6 +4,7 @@
 import types
 import unittest
 
+from tools.soak import _admissions
 from tools.soak import _answers
 from tools.soak import _callers
 from tools.soak import _operator
@@ -22,6 +23,7 @@
         self.exchanges = []
         self.runs = []
         self.arrivals = []
+        self.admissions = _admissions.NOTHING
         self.operator = types.SimpleNamespace(
             key=KEY,
             taken_away={},
@@ -109,6 +111,7 @@
             self.schedule,
             0.0,
             self.arrivals,
+            self.admissions,
         )
         return account.verdicts()[name]
 
@@ -368,3 +371,69 @@
         for _ in range(5):
             self.request(status=503)
         self.check('served after all', 15, 6)
+
+    def test_wait_for_admission_beyond_the_deadline(self):
+        """A request whose grant was lost waited on after its deadline."""
+        shown_id = self.request(100.0, deadline_ms=4000)
+        for until, is_broken in ((104.9, 0), (105.1, 1)):
+            wait = _admissions.Wait('r', GATEWAY, 100.1, until, shown_id)
+            self.admissions = _admissions.Seen(95.0, (wait,))
+            self.check('admission ends in time', 1, is_broken)
+        self.admissions = _admissions.Seen(104.5, (wait,))
+        self.check('admission ends in time', 1, 0)
+
+    def test_wait_for_admission_without_an_answer(self):
+        """The longest deadline counts, as the request is not known."""
+        for until, is_broken in ((106.9, 0), (107.1, 1)):
+            wait = _admissions.Wait('r', GATEWAY, 100.0, until)
+            self.admissions = _admissions.Seen(95.0, (wait,))
+            self.check('admission ends in time', 1, is_broken)
+
+    def test_queue_that_is_not_empty_at_the_end(self):
+        """A request that its gateway gave up was left in the queue."""
+        queues = {'sm0': 0.0, 'sm1': 2.0, 'sm2': None}
+        self.admissions = _admissions.Seen(queues=queues)
+        self.check('admission queues end empty', 3, 2)
+
+
+class AdmissionLinesTest(unittest.TestCase):
+    """What is read from the log of a gateway and the page of a sidecar."""
+
+    def line(self, second, message, request_id='r', **fields):
+        time = f'1970-01-01T00:01:{second:06.3f}Z'
+        fields |= {'message': message, 'request_id': request_id}
+        return {'time': time, **fields}
+
+    def read(self, *lines):
+        waits = _admissions.read_waits('g1', lines, 10.0, 200.0)
+        return [(wait.shown_id, wait.since, wait.until) for wait in waits]
+
+    def test_waits_of_one_request(self):
+        """The wait after a failed attempt was taken for ended."""
+        begin = _admissions.BEGIN
+        lines = (
+            self.line(1.0, begin),
+            self.line(1.5, begin),
+            self.line(2.0, 'attempt offered'),
+            self.line(3.0, begin),
+        )
+        waits = [('', 51.0, 52.0), ('', 53.0, 200.0)]
+        self.assertEqual(waits, self.read(*lines))
+        answered = self.line(4.0, 'answered', shown_id='id-1')
+        waits = [('id-1', 51.0, 52.0), ('id-1', 53.0, 54.0)]
+        self.assertEqual(waits, self.read(*lines, answered))
+
+    def test_end_that_may_be_among_dropped_lines(self):
+        """A wait passed for endless as its end was not logged."""
+        begin = _admissions.BEGIN
+        other = self.line(5.0, begin, 'other', lines_left_out=7)
+        waits = [('', 55.0, 200.0)]
+        self.assertEqual(waits, self.read(self.line(1.0, begin), other))
+
+    def test_metric(self):
+        page = (
+            '# TYPE a_waiting gauge\n'
+            'a_waiting{service="x"} 2.0\na_waiting_total 5.0\n'
+        )
+        self.assertEqual(2.0, _admissions.read_metric(page, 'a_waiting'))
+        self.assertIsNone(_admissions.read_metric(page, 'waiting'))
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -13,6 +13,7 @@
 import tempfile
 import time
 
+from tools.soak import _admissions
 from tools.soak import _callers
 from tools.soak import _operator
 from tools.soak import _promises
@@ -37,7 +38,9 @@
     world = _world.World(
         folder, arguments.gateways, arguments.models, arguments.plain, builds
     )
-    operator = _operator.Operator(world, random.Random(chance.random()))
+    operator = _operator.Operator(
+        world, random.Random(chance.random()), arguments.paced
+    )
     schedule = _schedule.Schedule(
         world, operator, random.Random(chance.random()), arguments.seconds
     )
@@ -70,7 +73,10 @@
                 asking = callers.ask_prompts(is_bad)
                 culprits.append(asyncio.create_task(asking))
         tasks += culprits
+        if arguments.paced:
+            tasks.append(asyncio.create_task(callers.flood()))
         await _series.BY_NAME[arguments.series](schedule)
+        faults_ended = time.monotonic()
         for culprit in culprits:
             culprit.cancel()
         if schedule.changing is not None:
@@ -79,6 +85,10 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        admissions = _admissions.Seen()
+        if arguments.paced:
+            await asyncio.sleep(_admissions.SETTLED_S)
+            admissions = await _admissions.see(world, faults_ended)
         account = _promises.Account(
             callers.exchanges,
             world.runs(),
@@ -86,6 +96,7 @@
             schedule,
             time.monotonic() - CALM_S / 3,
             world.arrivals(),
+            admissions,
         )
         verdicts = account.verdicts()
         _tell(seed, account, verdicts, folder)
@@ -138,6 +149,11 @@
         action='store_true',
         help='send prompts with shared parts, one of which crashes endpoints',
     )
+    parser.add_argument(
+        '--paced',
+        action='store_true',
+        help='declare models whose prompts need an admission, and a flood',
+    )
     parser.add_argument(
         '--cut-plain',
         action='store_true',
--- a/tools/soak/_callers.py
+++ b/tools/soak/_callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import itertools
+import math
 import random
 import time
 
@@ -15,6 +16,7 @@
 
 DEADLINE_MS = 4000
 CROWD_DEADLINE_MS = 6000
+OUTPUT_TOKENS = 10
 PATIENCE_S = 8
 PAUSE_S = 0.05
 READY_PAUSE_S = 0.3
@@ -32,6 +34,16 @@
 BAD_PROMPT_PAUSE_S = 0.6
 BAD_PART_LASTS_S = 15.0
 
+PROMPT_TOKENS = 2370, 1.3
+MOST_PROMPT_TOKENS = 6870
+"""Mean and spread of the size of prompts to paced models, and its maximum."""
+
+FLOOD_S = 2.0
+FLOOD_REST_S = 4.0
+FLOOD_PAUSE_S = 0.04
+USUAL_PAUSE_S = 0.24
+"""A flood is six times the usual requests of its workspace."""
+
 MOST_CRASHES = 3
 """After these a request that crashes endpoints is refused."""
 
@@ -147,11 +159,12 @@
             while True:
                 await crowd.wait()
                 gateway = chance.choice(self.ready or self.world.gateways)
+                number_sent = next(self.numbers)
                 exchange = Exchange(
-                    f'id-{next(self.numbers)}',
+                    f'id-{number_sent}',
                     '/m/x',
                     self.operator.key,
-                    _operator.MODEL_TOKENS,
+                    self._model_tokens(number_sent),
                     adapter,
                     gateway,
                     time.monotonic(),
@@ -162,6 +175,45 @@
                 pause_s = PAUSE_S if served else CROWD_PAUSE_S
                 await asyncio.sleep(pause_s * chance.random() * 2)
 
+    async def flood(self) -> None:
+        """Request models for one workspace, in bursts of several times more.
+
+        Answers are not awaited.
+        """
+        began = time.monotonic()
+        async with asyncio.TaskGroup() as group:
+            while True:
+                since_s = (time.monotonic() - began) % (FLOOD_S + FLOOD_REST_S)
+                is_flood = since_s >= FLOOD_REST_S
+                group.create_task(self._send_to_model())
+                await asyncio.sleep(
+                    FLOOD_PAUSE_S if is_flood else USUAL_PAUSE_S
+                )
+
+    async def _send_to_model(self) -> None:
+        number = next(self.numbers)
+        exchange = Exchange(
+            f'id-{number}',
+            '/m/x',
+            _operator.FLOODING_KEY,
+            self._model_tokens(number),
+            f'a{number % _operator.ADAPTERS}',
+            self.world.gateways[number % len(self.world.gateways)],
+            time.monotonic(),
+        )
+        async with aiohttp.ClientSession() as session:
+            await self._send(session, exchange)
+
+    def _model_tokens(self, number: int) -> int:
+        """Return the size of a request to a model, drawn from its number."""
+        if not self.operator.paced:
+            return _operator.MODEL_TOKENS
+        mean, spread = PROMPT_TOKENS
+        # The mean of a log-normal distribution is exp(mu + spread**2 / 2).
+        mu = math.log(mean) - spread**2 / 2
+        drawn = random.Random(number).lognormvariate(mu, spread)
+        return min(MOST_PROMPT_TOKENS, 1 + int(drawn)) + OUTPUT_TOKENS
+
     async def call_large(self) -> None:
         """Request the newest and the last route of large configurations.
 
@@ -267,9 +319,11 @@
         elif self.chance.random() < 0.15:
             path, key = '/o/x', None
         elif self.chance.random() < 0.6:
-            path, tokens = '/m/x', _operator.MODEL_TOKENS
+            path = '/m/x'
             adapter = f'a{self.chance.randrange(_operator.ADAPTERS)}'
         number = next(self.numbers)
+        if adapter:
+            tokens = self._model_tokens(number)
         plan = _answers.draw(number)
         if not (adapter or self.cut_plain):
             plan = plan.whole()
@@ -310,7 +364,8 @@
             headers['Api-Key'] = exchange.key
         if exchange.adapter:
             headers['Model'] = f'{_operator.MODEL}/{exchange.adapter}'
-            headers['Token-Count'] = f'{exchange.tokens - 10},10'
+            prompt_tokens = exchange.tokens - OUTPUT_TOKENS
+            headers['Token-Count'] = f'{prompt_tokens},{OUTPUT_TOKENS}'
         host = self.world.host(exchange.gateway)
         url = f'http://{host}:{self.world.callers_port}{exchange.path}'
         body = b'body'
--- a/tools/soak/_operator.py
+++ b/tools/soak/_operator.py
@@ -25,6 +25,12 @@
 PLAIN_TOKENS = 200
 MODEL_TOKENS = 400
 LARGE_ROUTES = 2000
+FLOODING = 'w3'
+FLOODING_KEY = 'key-of-w3'
+FLOODING_WORKSPACE = {'Name': FLOODING, 'ApiKeys': [FLOODING_KEY]}
+EVENT_GAP_MS = 400
+TOKENS_PER_EVENT = 4
+"""Of paced models: 100 ms for each step, at which admission is in force."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -42,12 +48,19 @@
 
     ``key`` is the one that is in force, ``taken_away`` those that were, with
     the time at which their removal was confirmed. ``declared`` has each route
-    by its prefix, which keeps its kind in all configurations.
+    by its prefix, which keeps its kind in all configurations. If ``paced`` is
+    set, prompts to models need an admission.
     """
 
-    def __init__(self, world: _world.World, chance: random.Random):
+    def __init__(
+        self,
+        world: _world.World,
+        chance: random.Random,
+        paced: bool = False,
+    ):
         self.world = world
         self.chance = chance
+        self.paced = paced
         self.numbers = itertools.count(1)
         self.version = 1
         self.key = self._new_key()
@@ -172,6 +185,7 @@
                         'Slots': _standins.MODEL_SLOTS,
                         'AdapterSlots': ADAPTERS,
                         'Models': [{'Name': MODEL, 'Adapters': ADAPTERS}],
+                        'Stride': TOKENS_PER_EVENT if self.paced else 1,
                     },
                 },
                 {'Name': _world.PLAIN_SERVICE, 'MaxConns': 400},
@@ -187,13 +201,15 @@
                     'RatePerS': self.rate,
                     'Burst': self.rate,
                 },
+                *([FLOODING_WORKSPACE] if self.paced else []),
             ],
         }
 
     def declare(self) -> list[dict]:
         """Return the routes of now, and note them as declared."""
         routes = [
-            _route('/m/', 'stream', _world.MODEL_SERVICE),
+            _route('/m/', 'stream', _world.MODEL_SERVICE)
+            | {'GapTargetMs': EVENT_GAP_MS if self.paced else 0},
             _route('/p/', 'unsafe', _world.PLAIN_SERVICE),
             _route('/o/', 'safe', _world.PLAIN_SERVICE, public=True),
             *self._large_routes(),
--- a/tools/soak/_promises.py
+++ b/tools/soak/_promises.py
@@ -4,6 +4,7 @@
 import collections.abc
 import dataclasses
 
+from tools.soak import _admissions
 from tools.soak import _callers
 from tools.soak import _operator
 from tools.soak import _schedule
@@ -77,12 +78,14 @@
         schedule: _schedule.Schedule,
         calm_since: float,
         arrivals: list[dict] = (),
+        admissions: _admissions.Seen = _admissions.NOTHING,
     ):
         self.exchanges = [e for e in exchanges if e.ended]
         self.by_id = {e.request_id: e for e in self.exchanges}
         self.operator = operator
         self.schedule = schedule
         self.calm_since = calm_since
+        self.admissions = admissions
         self.arrivals = sorted(arrivals, key=lambda line: line['at'])
         self.runs: dict[str, list[dict]] = collections.defaultdict(list)
         for run in runs:
@@ -114,6 +117,8 @@
                 ('crashing_request_ends_refused', self.culprit),
                 ('crashing_request_ends_few_endpoints', self.bursts),
                 ('bad_part_ends_few_endpoints', self.bad_parts),
+                ('admission_ends_in_time', self.admission),
+                ('admission_queues_end_empty', self.admission_queues),
                 ('served_after_all', self.served),
             )
         }
@@ -313,6 +318,8 @@
                 wanted = None
             elif exchange.key == _operator.LIMITED_KEY:
                 wanted = _operator.LIMITED
+            elif exchange.key == _operator.FLOODING_KEY:
+                wanted = _operator.FLOODING
             for run in runs:
                 held = run['headers'].get('Tenant') == wanted
                 verdict.check(held, exchange.request_id)
@@ -554,6 +561,25 @@
             for fault in self._faults(since, until)
         )
 
+    def admission(self) -> Verdict:
+        """After the faults, none waits longer than its deadline."""
+        verdict = Verdict()
+        for wait in self.admissions.waits:
+            exchange = self.by_id.get(wait.shown_id)
+            due = wait.since + _callers.CROWD_DEADLINE_MS / 1000
+            if exchange is not None:
+                due = exchange.sent + exchange.deadline_ms / 1000
+            due = max(due, self.admissions.faults_ended)
+            held = wait.until <= due + _admissions.LATE_S
+            verdict.check(held, wait.shown_id or f'{wait}')
+        return verdict
+
+    def admission_queues(self) -> Verdict:
+        verdict = Verdict()
+        for name, waiting in self.admissions.queues.items():
+            verdict.check(waiting == 0, f'{waiting} wait at {name}')
+        return verdict
+
     def served(self) -> Verdict:
         """In the calm seconds at the end most of what is allowed is served."""
         verdict = Verdict()
--- a/tools/soak/_world.py
+++ b/tools/soak/_world.py
@@ -335,6 +335,16 @@
         except (aiohttp.ClientError, TimeoutError):
             return False
 
+    async def metrics(self, name: str) -> str:
+        """Return the metrics page of a sidecar, '' if it does not answer."""
+        url = f'http://{self.host(name)}:{self.metrics_port}/metrics'
+        timeout = aiohttp.ClientTimeout(total=2)
+        try:
+            async with self.session.get(url, timeout=timeout) as response:
+                return await response.text()
+        except (aiohttp.ClientError, TimeoutError):
+            return ''
+
     async def replace(self, name: str) -> None:
         """Keep the lines of a process that has ended."""
         process = self.processes.pop(name)
