Load adapters in the order of the priority of those that wait

Gateways now state for each adapter the waiting requests counted by priority, where prompts are admitted, and the sidecar orders its loads by it. What is evicted is decided as before.

--- a/berylhollow/gateway/_adapters.py
+++ b/berylhollow/gateway/_adapters.py
@@ -19,6 +19,10 @@
 
 Effects = list[effects.Effect]
 
+MAX_URGENCY = 3
+"""How many of the least urgent requests a waiting request of priority 0 counts
+for when adapters are loaded; each step of priority counts for one less."""
+
 PREDECESSOR_TTL_MS = 30_000
 """How long a gateway reports an earlier start of a sidecar to the present one.
 Loads of the earlier start are valid for half of this."""
@@ -280,6 +284,7 @@
     configuration = state.follower.current
     service = endpoint.instance.service
     waiting = _waiting_by_adapter(state, name)
+    urgency = _urgency_by_adapter(state, name)
     in_flight = _in_flight_by_adapter(state, endpoint)
     queued, overdue = _queued_by_adapter(state, endpoint, at_ms)
     held = _held_adapters(endpoint)
@@ -296,6 +301,7 @@
             round(rate / max(1, holders), 3),
             queued[adapter],
             overdue[adapter],
+            urgency[adapter],
         )
         if entry.waiting or entry.in_flight or entry.rate:
             entries.append(entry)
@@ -339,6 +345,25 @@
     )
 
 
+def _urgency_by_adapter(
+    state: _state.State, name: str
+) -> collections.Counter[str]:
+    """Count the requests that wait for each adapter by their priority.
+
+    Empty for a service whose prompts are not admitted.
+    """
+    urgency: collections.Counter[str] = collections.Counter()
+    service = state.endpoints[name].instance.service
+    if state.follower.current.admission(service) is None:
+        return urgency
+    for active in requests_awaiting_adapter(state, name):
+        request = active.request
+        if request.adapter is not None:
+            weight = max(1, MAX_URGENCY - request.priority)
+            urgency[request.adapter.adapter] += weight
+    return urgency
+
+
 def _in_flight_by_adapter(
     state: _state.State, endpoint: _state.Endpoint
 ) -> dict[str, int]:
--- a/berylhollow/loader/_demand.py
+++ b/berylhollow/loader/_demand.py
@@ -18,7 +18,8 @@
     ``rate`` is in requests per second; ``gateways`` counts the gateways whose
     last demand names the adapter. ``queued`` counts the requests in flight
     that were sent with an older version and have not begun, ``overdue`` those
-    of them that must not begin any more.
+    of them that must not begin any more. ``urgency`` counts the waiting ones
+    by their priority, 0 where no gateway states it.
     """
 
     adapter: messages.AdapterVersion
@@ -28,6 +29,7 @@
     gateways: int = 0
     queued: int = 0
     overdue: int = 0
+    urgency: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -145,4 +147,5 @@
             gateways,
             before.queued + sign * entry.queued,
             before.overdue + sign * entry.overdue,
+            before.urgency + sign * entry.urgency,
         )
--- a/berylhollow/loader/_plan.py
+++ b/berylhollow/loader/_plan.py
@@ -81,7 +81,7 @@
         missing,
         key=lambda need: (
             not need.overdue,
-            -_expected_requests(state, need),
+            -_load_value(state, need),
             need.adapter.adapter,
         ),
     )
@@ -176,6 +176,16 @@
     return need.waiting + need.rate * state.options.demand_horizon_s
 
 
+def _load_value(state: _state.State, need: _demand.AdapterNeed) -> float:
+    """Return the value of a load, in requests.
+
+    Urgent requests count more, so that a cold adapter that an urgent request
+    waits for goes before one that as many less urgent ones wait for.
+    """
+    extra = max(0, need.urgency - need.waiting)
+    return _expected_requests(state, need) + extra
+
+
 def _is_idle(
     state: _state.State,
     need: _demand.AdapterNeed | None,
--- a/berylhollow/messages.py
+++ b/berylhollow/messages.py
@@ -274,10 +274,6 @@
     loaded: bool
 
 
-NO_SLACK_MS = 3_600_000
-"""Slack of a demand without waiting requests, or from an older sender."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class AdapterDemand:
     """One gateway's demand for one adapter at one endpoint.
@@ -287,8 +283,8 @@
     using it, and ``rate`` is how many more a second are expected. ``queued``
     counts those in flight that were sent with an older version and have not
     begun, as far as the gateway has seen; ``overdue`` counts those of them
-    that must not begin any more. ``slack_ms`` is the least time that one of
-    the waiting requests has left until its first event is late.
+    that must not begin any more. ``urgency`` counts the waiting requests with
+    more weight the more urgent they are; 0 where prompts are not admitted.
     """
 
     adapter: AdapterVersion
@@ -297,7 +293,7 @@
     rate: float
     queued: int = 0
     overdue: int = 0
-    slack_ms: int = NO_SLACK_MS
+    urgency: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/test/hosted/test_admissions.py
+++ b/test/hosted/test_admissions.py
@@ -150,6 +150,25 @@
         gaps = [x.longest_gap_ms for name, x in demands if name == 'i-1']
         self.assertEqual([350], [gap_ms for gap_ms in gaps if gap_ms])
 
+    def test_urgent_requests_count_more_in_the_demand(self):
+        """Guards against loads that are ordered by counts alone."""
+        self.hold()
+        for priority in (0, 2):
+            route = builders.route(Kind='safe', Priority=priority)
+            record = builders.configuration_record(
+                8 + priority, routes=[route], engine={'Stride': 4}
+            )
+            self.publish(record)
+            self.send()
+        self.tick_to(600)
+        entries = [
+            entry
+            for _, message in self.told(messages.AdapterDemands)
+            for entry in message.entries
+            if entry.waiting == 2
+        ]
+        self.assertEqual({4}, {entry.urgency for entry in entries})
+
     def test_answer_without_an_event_ends_the_admission(self):
         """Guards against a grant that counts until it expires after 3 s."""
         self.send()
--- a/test/loader/test_demand.py
+++ b/test/loader/test_demand.py
@@ -21,6 +21,7 @@
             str(rng.randrange(1, 4)),
             queued=rng.randrange(3),
             overdue=rng.randrange(3),
+            urgency=rng.randrange(9),
         )
         for name in ADAPTERS
         if rng.random() < 0.5
@@ -42,8 +43,8 @@
     for one in by_gateway.values():
         for entry in one.demands.entries:
             name = entry.adapter.adapter
-            waiting, in_flight, rate, queued, overdue = sums.get(
-                name, (0, 0, 0.0, 0, 0)
+            waiting, in_flight, rate, queued, overdue, urgency = sums.get(
+                name, (0, 0, 0.0, 0, 0, 0)
             )
             sums[name] = (
                 waiting + entry.waiting,
@@ -51,6 +52,7 @@
                 rate + entry.rate,
                 queued + entry.queued,
                 overdue + entry.overdue,
+                urgency + entry.urgency,
             )
     return sums
 
@@ -60,11 +62,12 @@
         expected = sum_demands(demand.by_gateway)
         self.assertEqual(set(expected), set(demand.needs))
         for name, need in demand.needs.items():
-            waiting, in_flight, rate, queued, overdue = expected[name]
+            waiting, in_flight, rate, queued, overdue, urgency = expected[name]
             self.assertEqual(
                 (waiting, in_flight), (need.waiting, need.in_flight)
             )
             self.assertEqual((queued, overdue), (need.queued, need.overdue))
+            self.assertEqual(urgency, need.urgency)
             self.assertAlmostEqual(rate, need.rate)
         last = [one.demands for one in demand.by_gateway.values()]
         tokens = sum(one.waiting_tokens for one in last)
--- a/test/loader/test_loader.py
+++ b/test/loader/test_loader.py
@@ -191,6 +191,25 @@
         self.send_demands(loader_helper.demand('a0', 9), entry)
         self.assertEqual('m/a1', self.order().name)
 
+    def test_urgent_request_goes_before_as_many_less_urgent_ones(self):
+        """Guards against urgent callers behind others in a burst.
+
+        The burst is for rare adapters, of which each needs a load.
+        """
+        self.report()
+        common = loader_helper.demand('a1', 2, urgency=2)
+        urgent = loader_helper.demand('a2', 1, urgency=3)
+        self.send_demands(common, urgent)
+        self.assertEqual('m/a2', self.order().name)
+
+    def test_demand_without_urgency_is_ordered_by_requests(self):
+        """Guards against another order where prompts are not admitted."""
+        self.report()
+        self.send_demands(
+            loader_helper.demand('a1', 1), loader_helper.demand('a2', 2)
+        )
+        self.assertEqual('m/a2', self.order().name)
+
     def test_version_with_runs_is_not_replaced_for_queued_requests(self):
         """Guards against an endpoint that loads nothing for seconds.
 
