Take the wait of a refused request from sidecars that state one

If the queue of one endpoint was full and another sidecar expected 2.6 s, the caller was told to come back after 400 ms: -1 was taken for the shortest wait. The test got 500 ms before, 3,250 ms now (with half of the wait by its seed).

--- a/berylhollow/gateway/_admissions.py
+++ b/berylhollow/gateway/_admissions.py
@@ -132,9 +132,13 @@
 
 
 def retry_after_ms(active: _state.ActiveRequest) -> int:
-    """Return when the caller of a request that can't be admitted may retry."""
-    shortest_ms = min(active.admission_refusals.values(), default=0)
-    base_ms = max(MIN_RETRY_MS, shortest_ms)
+    """Return when the caller of a request that can't be admitted may retry.
+
+    That is after the shortest expected wait; a full queue states none.
+    """
+    waits_ms = active.admission_refusals.values()
+    stated_ms = [wait_ms for wait_ms in waits_ms if wait_ms >= 0]
+    base_ms = max(MIN_RETRY_MS, min(stated_ms, default=0))
     return base_ms + int(active.seed * RETRY_JITTER_SHARE * base_ms)
 
 
--- a/test/hosted/test_admissions.py
+++ b/test/hosted/test_admissions.py
@@ -452,6 +452,14 @@
             self.assertEqual(refused, self.answer())
         self.assertEqual([('i-1', False)] * 2, self.ended())
 
+    def test_full_queue_says_nothing_of_the_wait(self):
+        """Guards against callers who return at once to a busy service."""
+        self.hold('i-1', 'i-2')
+        self.send()
+        for wait_ms in (-1, 2600):
+            self.queue(wait_ms, self.asked()[-1])
+        self.assertEqual(3250, self.answer().retry_after_ms)
+
 
 class AnyOrderTest(AdmissionTestCase):
     """Events in random order, with a model of what the sidecars hold."""
