Call what the project has, and drop state that can be derived

Written again, now one piece: a value that decays exponentially (the counts of demand and the shares of workspaces: util/decay), the range of successful statuses (three places), the name of an endpoint's sidecar, whether loads wait at an endpoint (use changes and waits for admission), the placing of a request after a sidecar's answer. The requests that wait for adapters were filtered in two ways. A sidecar has its admissions from the start: they report no pace and no reading before a gateway has asked, so that the seven checks for their absence said nothing. The package admission makes public only what others use, and the function that ends an admission at another endpoint is named after that.

--- a/berylhollow/admission/__init__.py
+++ b/berylhollow/admission/__init__.py
@@ -7,24 +7,12 @@
 
 from berylhollow.admission._admissions import Admissions
 from berylhollow.admission._admissions import Grant
-from berylhollow.admission._budget import MAX_EXPIRY_MS
-from berylhollow.admission._budget import ReadingBudget
 from berylhollow.admission._gap_control import GapControl
-from berylhollow.admission._pace import ReadingPace
-from berylhollow.admission._queue import AdmissionQueue
-from berylhollow.admission._queue import RequestKey
-from berylhollow.admission._queue import WaitingRequest
 from berylhollow.admission._shares import WorkspaceShares
 
 __all__ = [
-    'MAX_EXPIRY_MS',
-    'AdmissionQueue',
     'Admissions',
     'GapControl',
     'Grant',
-    'ReadingBudget',
-    'ReadingPace',
-    'RequestKey',
-    'WaitingRequest',
     'WorkspaceShares',
 ]
--- a/berylhollow/admission/_gap_control.py
+++ b/berylhollow/admission/_gap_control.py
@@ -42,11 +42,13 @@
     ) -> None:
         """Note the longest gap that a gateway has seen since its last report.
 
-        0 if it has seen none.
+        0 if it has seen none. ``allowed_gap_ms`` is 0 before it is known.
         """
+        if not allowed_gap_ms:
+            return
         self.longest_gap_ms = max(self.longest_gap_ms, longest_gap_ms)
         is_due = at_ms - self.changed_ms >= INTERVAL_MS
-        if not (is_due and self.longest_gap_ms and allowed_gap_ms):
+        if not (is_due and self.longest_gap_ms):
             return
         gap_share = self.longest_gap_ms / allowed_gap_ms
         if gap_share > HIGH_GAP_SHARE:
--- a/berylhollow/admission/_shares.py
+++ b/berylhollow/admission/_shares.py
@@ -1,31 +1,16 @@
 """How much reading time each workspace got, and what exceeds its share."""
 
 import dataclasses
-import math
+
+from berylhollow.util import decay
 
 TIME_CONSTANT_MS = 2000
 MAX_EXCESS_MS = 400
 
 
-@dataclasses.dataclass(slots=True)
-class _DecayingSum:
-    """A sum of milliseconds that decays with ``TIME_CONSTANT_MS``."""
-
-    value_ms: float
-    at_ms: int
-
-    def decay(self, at_ms: int) -> float:
-        """Let the sum decay to a time and return it."""
-        if at_ms > self.at_ms:
-            elapsed = (at_ms - self.at_ms) / TIME_CONSTANT_MS
-            self.value_ms *= math.exp(-elapsed)
-            self.at_ms = at_ms
-        return self.value_ms
-
-
 @dataclasses.dataclass(slots=True)
 class _Workspace:
-    got: _DecayingSum
+    got_ms: decay.DecayedValue
     active_ms: int
 
 
@@ -38,7 +23,7 @@
 
     def __init__(self):
         self.workspaces: dict[str, _Workspace] = {}
-        self.total = _DecayingSum(0.0, 0)
+        self.total_ms = decay.DecayedValue()
 
     def touch(self, workspace: str, at_ms: int) -> None:
         """Note that a workspace is active."""
@@ -49,13 +34,11 @@
         self._forget_inactive(at_ms)
         entry = self.workspaces.pop(workspace, None)
         if entry is None:
-            entry = _Workspace(_DecayingSum(0.0, at_ms), at_ms)
-        entry.got.decay(at_ms)
-        entry.got.value_ms += reading_ms
+            entry = _Workspace(decay.DecayedValue(), at_ms)
+        entry.got_ms.add(reading_ms, at_ms, TIME_CONSTANT_MS)
         entry.active_ms = at_ms
         self.workspaces[workspace] = entry
-        self.total.decay(at_ms)
-        self.total.value_ms += reading_ms
+        self.total_ms.add(reading_ms, at_ms, TIME_CONSTANT_MS)
 
     def excess_ms(self, workspace: str, at_ms: int) -> float:
         """Return what a workspace got beyond its fair share, 0 to 400 ms."""
@@ -63,8 +46,9 @@
         entry = self.workspaces.get(workspace)
         if entry is None:
             return 0.0
-        fair_ms = self.total.decay(at_ms) / len(self.workspaces)
-        excess_ms = entry.got.decay(at_ms) - fair_ms
+        total_ms = self.total_ms.value_at(at_ms, TIME_CONSTANT_MS)
+        got_ms = entry.got_ms.value_at(at_ms, TIME_CONSTANT_MS)
+        excess_ms = got_ms - total_ms / len(self.workspaces)
         return min(MAX_EXCESS_MS, max(0.0, excess_ms))
 
     def _forget_inactive(self, at_ms: int) -> None:
@@ -73,5 +57,7 @@
             if at_ms - entry.active_ms < TIME_CONSTANT_MS:
                 break
             del self.workspaces[name]
-            remaining = self.total.decay(at_ms) - entry.got.decay(at_ms)
-            self.total.value_ms = max(0.0, remaining)
+            got_ms = entry.got_ms.value_at(at_ms, TIME_CONSTANT_MS)
+            total_ms = self.total_ms.value_at(at_ms, TIME_CONSTANT_MS)
+            left_ms = max(0.0, total_ms - got_ms)
+            self.total_ms = decay.DecayedValue(left_ms, at_ms)
--- a/berylhollow/gateway/_adapters.py
+++ b/berylhollow/gateway/_adapters.py
@@ -9,6 +9,7 @@
 
 from berylhollow import clock
 from berylhollow import effects
+from berylhollow import events
 from berylhollow.gateway import _backlog
 from berylhollow.gateway import _model_loads
 from berylhollow.gateway import _shared_reads
@@ -95,7 +96,7 @@
     active.retry_at_ms = at_ms + state.options.adapter_check_ms
     if not is_new:
         return []
-    result = send_demands(state, _sidecar_peer(state, name), at_ms)
+    result = send_demands(state, sidecar_peer(state, name), at_ms)
     fields = (
         ('request_id', active.request.request_id),
         ('adapter', str(active.request.adapter)),
@@ -115,10 +116,8 @@
     """
     if not _begin_waiting(state, active, name):
         return
-    sidecar = state.sidecars[_sidecar_peer(state, name)]
-    if sidecar.report is None or not sidecar.report.wanted:
-        return
-    if active.request.adapter is None:
+    sidecar = _sidecar_if_loads_wait(state, name)
+    if sidecar is None or active.request.adapter is None:
         return
     adapter = active.request.adapter.adapter
     endpoint = state.endpoints[name]
@@ -214,22 +213,30 @@
     adapter = active.request.adapter
     if endpoint is None or adapter is None or not endpoint.instance.direct:
         return
-    sidecar = state.sidecars.get(_sidecar_peer(state, active.endpoint))
-    if sidecar is None or sidecar.report is None:
-        return
-    if not sidecar.report.wanted:
+    sidecar = _sidecar_if_loads_wait(state, active.endpoint)
+    if sidecar is None:
         return
     uses = _in_flight_by_adapter(state, endpoint).get(adapter.adapter, 0)
     if uses == uses_at_change:
         sidecar.told_ms = clock.NEVER_MS
 
 
+def _sidecar_if_loads_wait(
+    state: _state.State, name: str
+) -> _state.Sidecar | None:
+    """Return the sidecar beside an endpoint if loads wait there."""
+    sidecar = state.sidecars.get(sidecar_peer(state, name))
+    if sidecar is None or sidecar.report is None:
+        return None
+    return sidecar if sidecar.report.wanted else None
+
+
 def report_overdue(state: _state.State, active: _state.ActiveRequest) -> None:
     """Report an attempt as overdue with this tick, once."""
     if active.is_overdue_reported:
         return
     active.is_overdue_reported = True
-    sidecar = state.sidecars.get(_sidecar_peer(state, active.endpoint))
+    sidecar = state.sidecars.get(sidecar_peer(state, active.endpoint))
     if sidecar is not None:
         sidecar.told_ms = clock.NEVER_MS
 
@@ -267,7 +274,7 @@
     return change >= _backlog.MIN_REPORTED_CHANGE_TOKENS
 
 
-def _sidecar_peer(state: _state.State, name: str) -> str:
+def sidecar_peer(state: _state.State, name: str) -> str:
     """Return the peer name of the sidecar beside an endpoint."""
     address = state.endpoints[name].instance.address
     return addresses.sidecar_peer(address)
@@ -334,14 +341,10 @@
 def _waiting_by_adapter(
     state: _state.State, name: str
 ) -> collections.Counter[str]:
-    """Return how many requests wait for each adapter at an endpoint.
-
-    One without an adapter may wait there for its admission.
-    """
+    """Return how many requests wait for each adapter at an endpoint."""
     return collections.Counter(
-        active.request.adapter.adapter
-        for active in requests_awaiting_adapter(state, name)
-        if active.request.adapter is not None
+        request.adapter.adapter
+        for request in _requests_for_adapters(state, name)
     )
 
 
@@ -356,14 +359,24 @@
     service = state.endpoints[name].instance.service
     if state.follower.current.admission(service) is None:
         return urgency
-    for active in requests_awaiting_adapter(state, name):
-        request = active.request
-        if request.adapter is not None:
-            weight = max(1, MAX_URGENCY - request.priority)
-            urgency[request.adapter.adapter] += weight
+    for request in _requests_for_adapters(state, name):
+        weight = max(1, MAX_URGENCY - request.priority)
+        urgency[request.adapter.adapter] += weight
     return urgency
 
 
+def _requests_for_adapters(
+    state: _state.State, name: str
+) -> list[events.Request]:
+    """Return the requests that wait at an endpoint and need an adapter.
+
+    One without an adapter may wait there for its admission.
+    """
+    waiting = requests_awaiting_adapter(state, name)
+    requests = (active.request for active in waiting)
+    return [request for request in requests if request.adapter is not None]
+
+
 def _in_flight_by_adapter(
     state: _state.State, endpoint: _state.Endpoint
 ) -> dict[str, int]:
--- a/berylhollow/gateway/_admissions.py
+++ b/berylhollow/gateway/_admissions.py
@@ -19,7 +19,6 @@
 from berylhollow.gateway import _routing
 from berylhollow.gateway import _state
 from berylhollow import messages
-from berylhollow.util import addresses
 
 Effects = list[effects.Effect]
 
@@ -47,8 +46,6 @@
 """Jitter as a share of the wait, so that refused callers don't all retry at
 once."""
 
-SUCCESS_STATUSES = range(200, 300)
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Decision:
@@ -80,7 +77,7 @@
     return name
 
 
-def leave(
+def end_elsewhere(
     state: _state.State, active: _state.ActiveRequest, name: str | None
 ) -> Effects:
     """End an admission that is not one at the endpoint chosen now.
@@ -113,7 +110,7 @@
     admission = active.admission
     if admission is not None and admission.granted:
         return Decision(True)
-    peer = addresses.sidecar_peer(state.endpoints[name].instance.address)
+    peer = _adapters.sidecar_peer(state, name)
     if admission is None or admission.is_expired(at_ms):
         reason = _unavailable(state, peer, name, at_ms)
         if reason:
@@ -209,7 +206,7 @@
     state: _state.State, active: _state.ActiveRequest, status: int
 ) -> Effects:
     """End the admission of a request that was answered with an error."""
-    if status in SUCCESS_STATUSES:
+    if status in messages.SUCCESS_STATUSES:
         return []
     return end(state, active)
 
@@ -311,8 +308,7 @@
 
     A grant is valid without a link, but none can come without one.
     """
-    address = state.endpoints[admission.endpoint].instance.address
-    if admission.peer != addresses.sidecar_peer(address):
+    if admission.peer != _adapters.sidecar_peer(state, admission.endpoint):
         return False
     return admission.granted or _is_linked(state, admission.peer)
 
--- a/berylhollow/gateway/_attempts.py
+++ b/berylhollow/gateway/_attempts.py
@@ -101,7 +101,7 @@
     rate_requests = _rate_limits.request_loans(state, active, at_ms)
     _probes.limit_choice(state, active, at_ms)
     name = _admissions.choose_endpoint(state, active, at_ms)
-    result = rate_requests + _admissions.leave(state, active, name)
+    result = rate_requests + _admissions.end_elsewhere(state, active, name)
     if name is None and active.limited_to is None:
         return result + _handle_no_endpoint(state, active, at_ms)
     if name is not None and not _adapters.is_ready(state, active, name, at_ms):
--- a/berylhollow/gateway/_direct_runs.py
+++ b/berylhollow/gateway/_direct_runs.py
@@ -36,7 +36,6 @@
     platform.NotRunReason.REFUSED: errors.Kind.OVERLOADED,
 }
 FIRST_SERVER_ERROR = 500
-SUCCESS_STATUSES = range(200, 300)
 
 
 class Owner(typing.Protocol):
@@ -178,7 +177,7 @@
             )
             await self._discard_body(answer)
             return
-        if answer.status in SUCCESS_STATUSES and not answer.is_signed:
+        if answer.status in messages.SUCCESS_STATUSES and not answer.is_signed:
             kind = errors.Kind.ENDPOINT_FAILED
             self._report_failure(
                 kind, errors.Ran.UNKNOWN, 'successful answer is not signed'
--- a/berylhollow/gateway/_fleet.py
+++ b/berylhollow/gateway/_fleet.py
@@ -174,7 +174,7 @@
         if report is None:
             return own
         others = report.running + report.queued - endpoint.in_flight_at_report
-        return own + others if others > 0 else own
+        return own + max(0, others)
 
     def least_loaded(self) -> str | None:
         """Return the endpoint with the least load for its capacity."""
--- a/berylhollow/gateway/_reducer.py
+++ b/berylhollow/gateway/_reducer.py
@@ -1,5 +1,7 @@
 """The gateway's reducer: passes each event to its handler."""
 
+import collections.abc
+
 from berylhollow import claims
 from berylhollow import effects
 from berylhollow import events
@@ -119,22 +121,21 @@
     return emitted + _attempts.place(state, active, event.at_ms)
 
 
-def _admission_queued(
-    state: _state.State, event: events.MessageReceived
-) -> Effects:
-    emitted, active = _admissions.queued(state, event)
-    if active is None:
-        return emitted
-    return emitted + _attempts.place(state, active, event.at_ms)
+def _place_after(
+    handle: collections.abc.Callable[
+        [_state.State, events.MessageReceived],
+        tuple[Effects, _state.ActiveRequest | None],
+    ],
+) -> collections.abc.Callable[[_state.State, events.Event], Effects]:
+    """Return a handler that places the request which ``handle`` returns."""
 
+    def handler(state: _state.State, event: events.Event) -> Effects:
+        emitted, active = handle(state, event)
+        if active is None:
+            return emitted
+        return emitted + _attempts.place(state, active, event.at_ms)
 
-def _admission_granted(
-    state: _state.State, event: events.MessageReceived
-) -> Effects:
-    emitted, active = _admissions.granted(state, event)
-    if active is None:
-        return emitted
-    return emitted + _attempts.place(state, active, event.at_ms)
+    return handler
 
 
 def _first_data(state: _state.State, event: events.MessageReceived) -> Effects:
@@ -232,8 +233,8 @@
 }
 
 _MESSAGES = {
-    messages.AdmissionQueued: _admission_queued,
-    messages.AdmissionGranted: _admission_granted,
+    messages.AdmissionQueued: _place_after(_admissions.queued),
+    messages.AdmissionGranted: _place_after(_admissions.granted),
     messages.ClaimDecided: _claims.apply_verdict,
     messages.ClaimsForwarded: _claim_leader.queue_forwarded_claims,
     messages.ClaimsTaken: _claim_leader.handle_confirmation,
--- a/berylhollow/loader/_admissions.py
+++ b/berylhollow/loader/_admissions.py
@@ -17,8 +17,6 @@
 def wanted(state: _state.State, event: events.MessageReceived) -> Effects:
     """Grant a request, or queue it and tell its gateway the expected wait."""
     message: messages.AdmissionWanted = event.message
-    if state.admissions is None:
-        state.admissions = admission.Admissions()
     admissions = state.admissions
     grants = admissions.want(event.peer, message, event.at_ms)
     done = _send(state, grants, event.at_ms)
@@ -35,8 +33,6 @@
 
 def ended(state: _state.State, event: events.MessageReceived) -> Effects:
     """Take a request out that has begun, or is not sent."""
-    if state.admissions is None:
-        return []
     message: messages.AdmissionEnded = event.message
     grants = state.admissions.end(
         event.peer, message.request_id, message.begun, event.at_ms
@@ -46,29 +42,22 @@
 
 def drop_gateway(state: _state.State, peer: str, at_ms: int) -> Effects:
     """Drop what a gateway without a link waits for."""
-    if state.admissions is None:
-        return []
     return _send(state, state.admissions.drop_gateway(peer, at_ms), at_ms)
 
 
 def reset(state: _state.State, at_ms: int) -> Effects:
     """Forget what was granted before the endpoint restarted."""
-    if state.admissions is None:
-        return []
     return _send(state, state.admissions.reset(at_ms), at_ms)
 
 
 def record_gap(state: _state.State, event: events.MessageReceived) -> None:
     """Note the longest gap in answers that a gateway reports."""
-    if state.admissions is not None:
-        message: messages.AdapterDemands = event.message
-        state.admissions.record_gap(message.longest_gap_ms, event.at_ms)
+    message: messages.AdapterDemands = event.message
+    state.admissions.record_gap(message.longest_gap_ms, event.at_ms)
 
 
 def advance(state: _state.State, at_ms: int) -> Effects:
     """Grant what became possible as the time passed."""
-    if state.admissions is None:
-        return []
     return _send(state, state.admissions.advance(at_ms), at_ms)
 
 
--- a/berylhollow/loader/_report.py
+++ b/berylhollow/loader/_report.py
@@ -96,7 +96,6 @@
     used_slots = len(adapters.held) + len(adapters.loading)
     has_room = used_slots < state.slots
     missing = _plan.missing_adapters(state, needs)
-    admissions = state.admissions
     return messages.Report(
         instance=state.options.instance,
         service=state.options.service,
@@ -115,8 +114,8 @@
         gateways=max(1, len(state.links)),
         model_load=state.model_load,
         waiting_tokens=state.demand.waiting_tokens,
-        token_ms=0.0 if admissions is None else admissions.measured_token_ms,
-        read_share=0.0 if admissions is None else admissions.read_share(at_ms),
+        token_ms=state.admissions.measured_token_ms,
+        read_share=state.admissions.read_share(at_ms),
     )
 
 
--- a/berylhollow/loader/_state.py
+++ b/berylhollow/loader/_state.py
@@ -141,8 +141,7 @@
       that start; kept since ``kept_since_ms``.
     - ``permits``: which gateway may send a suspect request, by fingerprint.
     - ``unsettled``: runs that gateways lost, for those that link later.
-    - ``admissions``: requests that wait to be sent to the endpoint, None until
-      a gateway asks.
+    - ``admissions``: requests that wait to be sent to the endpoint.
     - ``admission_logs``: log lines about grants in ``admission_log_second``.
     - ``clearings_ms``: when the last clearings of parts were forwarded.
     """
@@ -195,7 +194,9 @@
     kept_record: messages.KeptRecord | None = None
     ask_record_ms: int = clock.NEVER_MS
     knows_predecessor: bool = False
-    admissions: admission.Admissions | None = None
+    admissions: admission.Admissions = dataclasses.field(
+        default_factory=admission.Admissions
+    )
     admission_log_second: int = 0
     admission_logs: int = 0
 
--- a/berylhollow/loader/service.py
+++ b/berylhollow/loader/service.py
@@ -27,7 +27,7 @@
         state = loader.driver.state
         meters.observe(
             'berylhollow.admissions_waiting',
-            lambda: state.admissions.waiting if state.admissions else 0,
+            lambda: state.admissions.waiting,
             [('berylhollow.service', state.options.service)],
         )
         host, port = listen
--- a/berylhollow/messages.py
+++ b/berylhollow/messages.py
@@ -12,6 +12,8 @@
 from berylhollow import workspaces
 
 
+SUCCESS_STATUSES = range(200, 300)
+
 START_SEPARATOR = '@'
 """Separates the name and the start time in an incarnation's text."""
 
--- a/berylhollow/policy/_direct_router.py
+++ b/berylhollow/policy/_direct_router.py
@@ -138,9 +138,7 @@
     the time. All gateways hear of a backlog up to a second late and would
     send to the same endpoint if only that counted.
     """
-    share = view.read_share
-    if share > MAX_READ_SHARE:
-        share = MAX_READ_SHARE
+    share = min(view.read_share, MAX_READ_SHARE)
     return view.read_ms * share / (1 - share)
 
 
--- a/berylhollow/replay/_live_calls.py
+++ b/berylhollow/replay/_live_calls.py
@@ -10,6 +10,7 @@
 import json
 
 from berylhollow import errors
+from berylhollow import messages
 from berylhollow.replay import _trace
 
 CHAT_PATH = '/v1/chat/completions'
@@ -24,7 +25,6 @@
 """Makes up a prompt's length; the same for all requests of an adapter."""
 
 MOST_FILLER = 10_000
-OK_STATUSES = range(200, 300)
 NO_ANSWER = 'no_answer_in_time'
 NOT_CONNECTED = 'not_connected'
 CONNECTION_BROKEN = 'connection_broken'
@@ -138,7 +138,7 @@
         )
     if not received.status:
         return _broken(received)
-    if received.status not in OK_STATUSES:
+    if received.status not in messages.SUCCESS_STATUSES:
         return _refusal(received)
     if not call.item.adapter:
         return _service(call, received)
