Resume streams only at the software version that began them

Callers whose stream broke and who came back with Last-Event-Id and Resumes got the rest from any endpoint of the service.

Cause: the version in an endpoint's entry was not decoded, neither header was read, and every way to choose an endpoint took all of the service.

Ruled out: late answers of other requests (each event names the endpoint that the gateway had offered the request to), and a fault of the second gateway alone (killed gateways, crashed endpoints and chains of tries mix streams at the same rate in the modelled fleet).

Change: a gateway keeps which version began each resumable stream and tells two sidecars, found by a hash of the stream, before the caller gets the head. A request that names a stream is bound to that version: from the gateway's own table, from the history of listed versions where only one can have begun the stream, or from the sidecars. It is checked at the choice, at the sending and when the answer begins. What can't be told is refused as not run, with a Retry-After.

--- a/berylhollow/errors.py
+++ b/berylhollow/errors.py
@@ -55,7 +55,9 @@
     OVERLOADED = 'overloaded'
     QUARANTINED = 'quarantined'
     QUOTA_EXCEEDED = 'quota_exceeded'
+    SOFTWARE_VERSION_GONE = 'software_version_gone'
     STREAM_BROKEN = 'stream_broken'
+    STREAM_ORIGIN_UNKNOWN = 'stream_origin_unknown'
     SUSPECT = 'suspect'
     UNKNOWN_ADAPTER = 'unknown_adapter'
     UNKNOWN_KEY = 'unknown_key'
@@ -179,9 +181,21 @@
     Kind.QUOTA_EXCEEDED: Answer(
         429, _NOT_RUN, Retry.LATER, 'The workspace has used up its quota.'
     ),
+    Kind.SOFTWARE_VERSION_GONE: Answer(
+        503,
+        _NOT_RUN,
+        Retry.LATER,
+        'No endpoint has the software version that began the stream.',
+    ),
     Kind.STREAM_BROKEN: Answer(
         502, _UNKNOWN, Retry.IF_IDEMPOTENT, 'The answer ended early.'
     ),
+    Kind.STREAM_ORIGIN_UNKNOWN: Answer(
+        503,
+        _NOT_RUN,
+        Retry.LATER,
+        'Which software version began the stream is not known here.',
+    ),
     Kind.SUSPECT: Answer(
         503, _NOT_RUN, Retry.LATER, 'This request may crash endpoints.'
     ),
--- a/berylhollow/events.py
+++ b/berylhollow/events.py
@@ -100,6 +100,8 @@
     that restarts under the same name is a new entry. ``usable_until_ms`` is
     set for an endpoint that is off the list but may come back: no requests may
     be sent to it from that time on. It is None for a listed one.
+    ``software_version`` is that of the endpoint's software, empty if unknown;
+    events of one stream must all be of one version.
     """
 
     instance: str
@@ -115,6 +117,7 @@
     adapters: tuple[messages.AdapterVersion, ...] = ()
     incarnation: messages.Incarnation | None = None
     usable_until_ms: int | None = None
+    software_version: str = ''
 
     @property
     def listed_name(self) -> str:
@@ -224,6 +227,17 @@
     tokens: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Resumption:
+    """A caller takes a stream up again after the events that it has.
+
+    ``stream_id`` is the caller's id of the request that brought the first
+    event, empty if the caller does not name one.
+    """
+
+    stream_id: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
     """A caller's request; only its syntax has been checked.
@@ -234,7 +248,9 @@
     version, that of ``adapter`` is empty until it is resolved.
     ``credential`` is the digest of the caller's key, None without a usable
     one. ``shared_parts`` are the ids of the parts of its prompt that other
-    requests may share, in order.
+    requests may share, in order. ``caller_request_id`` is the caller's own id
+    of the request, empty without a usable one. ``resumption`` is set if it
+    takes a stream up again.
     """
 
     request_id: str
@@ -255,6 +271,8 @@
     repeatable: bool = True
     credential: bytes | None = None
     shared_parts: tuple[str, ...] = ()
+    caller_request_id: str = ''
+    resumption: Resumption | None = None
 
     @property
     def head(self) -> RequestHead:
--- a/berylhollow/following.py
+++ b/berylhollow/following.py
@@ -47,7 +47,10 @@
     endpoints that may run the request; if it is None, the gateway's options
     do. ``objective_ms`` is the time within which the answer should begin, 0
     for none. ``workspace`` is the one that the request's key belongs to, None
-    without a key.
+    without a key. ``services`` are all that may serve the request and
+    ``timeout_ms`` is the longest time for which one may, 0 if unlimited. With
+    ``resumable`` a caller may take its stream up again; ``is_stream`` is also
+    set for streams that may not be.
     """
 
     service: str
@@ -59,6 +62,10 @@
     objective_ms: int = 0
     route: str = ''
     workspace: workspaces.Workspace | None = None
+    services: tuple[str, ...] = ()
+    timeout_ms: int = 0
+    is_stream: bool = False
+    resumable: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/berylhollow/gateway/_attempts.py
+++ b/berylhollow/gateway/_attempts.py
@@ -18,12 +18,14 @@
 from berylhollow.gateway import _decisions
 from berylhollow.gateway import _ejection
 from berylhollow.gateway import _limits
+from berylhollow.gateway import _origins
 from berylhollow.gateway import _pauses
 from berylhollow.gateway import _probes
 from berylhollow.gateway import _prompt_parts
 from berylhollow.gateway import _quarantine
 from berylhollow.gateway import _quotas
 from berylhollow.gateway import _rate_limits
+from berylhollow.gateway import _resumption
 from berylhollow.gateway import _settlement
 from berylhollow.gateway import _state
 from berylhollow.gateway import _workspaces
@@ -65,8 +67,9 @@
     """Offer a waiting request to an endpoint, or fail or postpone it.
 
     Checks the attempt limit, configuration, quarantine, workspace and quota
-    first. A request without a suitable endpoint, or whose adapter is not
-    loaded at the chosen one, may stay waiting and be placed again later.
+    first, and which software version may run it. A request without a suitable
+    endpoint, or whose adapter is not loaded at the chosen one, may stay
+    waiting and be placed again later.
     """
     if active.attempts >= state.options.attempts:
         return give_up(
@@ -98,10 +101,22 @@
     if wait_ms:
         kind = errors.Kind.QUOTA_EXCEEDED
         return give_up(state, active, kind, errors.Ran.NOT_RUN, wait_ms)
-    rate_requests = _rate_limits.request_loans(state, active, at_ms)
+    resumption = _resumption.settle(state, active, at_ms)
+    result = [*resumption.emitted]
+    if resumption.refusal is not None:
+        return result + give_up(
+            state,
+            active,
+            resumption.refusal.kind,
+            errors.Ran.NOT_RUN,
+            resumption.refusal.retry_after_ms,
+        )
+    if not resumption.may_place:
+        return result
+    result += _rate_limits.request_loans(state, active, at_ms)
     _probes.limit_choice(state, active, at_ms)
     name = _admissions.choose_endpoint(state, active, at_ms)
-    result = rate_requests + _admissions.end_elsewhere(state, active, name)
+    result += _admissions.end_elsewhere(state, active, name)
     if name is None and active.limited_to is None:
         return result + _handle_no_endpoint(state, active, at_ms)
     if name is not None and not _adapters.is_ready(state, active, name, at_ms):
@@ -215,9 +230,13 @@
     active = _current_request(state, event)
     if active is None or active.phase is not _state.Phase.OFFERED:
         return []
+    if not _resumption.may_run_at(state, active, active.endpoint):
+        return _end_other_version(state, active, event.at_ms)
     _backlog.record_answer_start(state, active, event.at_ms)
     active.phase = _state.Phase.RELAYING
     return [
+        # Sidecars are told before the caller gets the first event.
+        *_origins.answer_begins(state, active, message.status, event.at_ms),
         *_admissions.begin_answer(state, active, message.status),
         *_probes.endpoint_answered(state, active, event.at_ms),
         *_decisions.superseded_begin_logs(state, active, event.at_ms),
@@ -317,6 +336,23 @@
     return result + _handle_failure(state, active, failure, at_ms)
 
 
+def _end_other_version(
+    state: _state.State, active: _state.ActiveRequest, at_ms: int
+) -> Effects:
+    """End an attempt whose endpoint may have another software version now.
+
+    The request runs there already, but its caller has got nothing of it.
+    """
+    result: Effects = [_decisions.other_version_log(state, active)]
+    result += cancel(state, active)
+    failure = messages.Failed(
+        active.attempt_id,
+        errors.Kind.SOFTWARE_VERSION_GONE,
+        errors.Ran.UNKNOWN,
+    )
+    return result + _handle_failure(state, active, failure, at_ms)
+
+
 def _outcome_unknown(active: _state.ActiveRequest) -> messages.Failed:
     return messages.Failed(
         active.attempt_id, errors.Kind.OUTCOME_UNKNOWN, errors.Ran.UNKNOWN
@@ -429,6 +465,7 @@
         another=_can_retry_after_run(state, active),
         crashes_known=active.crashes_known,
         is_probe=active.is_probe,
+        software_version=active.software_version,
     )
     if not endpoint.instance.direct:
         return [effects.Send(name, offer)]
--- a/berylhollow/gateway/_decisions.py
+++ b/berylhollow/gateway/_decisions.py
@@ -48,6 +48,7 @@
             ('after', last_refusal.kind.value if last_refusal else None),
             ('fingerprint', active.request.fingerprint),
             ('crashes_known', active.crashes_known),
+            ('software_version', endpoint.instance.software_version),
         ),
     )
 
@@ -71,6 +72,26 @@
     )
 
 
+def other_version_log(
+    state: _state.State, active: _state.ActiveRequest
+) -> effects.Log:
+    """Return the log line for a resumed stream that must not go on there."""
+    endpoint = state.endpoints.get(active.endpoint)
+    report = None if endpoint is None else endpoint.report
+    listed = '' if endpoint is None else endpoint.instance.software_version
+    return effects.Log(
+        'endpoint has another software version',
+        (
+            ('request_id', active.request.request_id),
+            ('attempt_id', active.attempt_id),
+            ('endpoint', active.endpoint),
+            ('reported_start', '' if report is None else report.epoch),
+            ('listed_version', listed),
+            ('software_version', active.software_version),
+        ),
+    )
+
+
 def superseded_begin_logs(
     state: _state.State, active: _state.ActiveRequest, at_ms: int
 ) -> list[effects.Log]:
--- a/berylhollow/gateway/_direct_runs.py
+++ b/berylhollow/gateway/_direct_runs.py
@@ -139,6 +139,15 @@
                 kind, errors.Ran.NOT_RUN, 'endpoint is no longer listed'
             )
             return
+        version = self.offer.software_version
+        if version and instance.software_version != version:
+            kind = errors.Kind.SOFTWARE_VERSION_GONE
+            self._report_failure(
+                kind,
+                errors.Ran.NOT_RUN,
+                f'endpoint is listed with {instance.software_version!r}',
+            )
+            return
         sent_ms = self.owner.now_ms()
         try:
             answer = await self.calls.send(
--- a/berylhollow/gateway/_fleet.py
+++ b/berylhollow/gateway/_fleet.py
@@ -4,6 +4,7 @@
 
 from berylhollow.gateway import _backlog
 from berylhollow.gateway import _rate_limits
+from berylhollow.gateway import _resumption
 from berylhollow.gateway import _state
 from berylhollow.gateway import _superseded
 from berylhollow import messages
@@ -34,6 +35,7 @@
         self.tried = active.tried_endpoints
         self.seed = active.seed
         self.at_ms = at_ms
+        self.uses_ejected = _resumption.are_all_ejected(state, active, at_ms)
 
     def names(self) -> list[str]:
         """Return every endpoint that may be chosen; scans the service."""
@@ -57,13 +59,20 @@
             endpoint is not None
             and name not in self.tried
             and self._is_allowed(name)
-            and endpoint.is_usable_at(self.at_ms)
+            and self._is_usable(endpoint)
             and endpoint.has_model
+            and _resumption.may_run_at(self.state, self.active, name)
             and _rate_limits.has_room(
                 self.state, self.active, endpoint, self.at_ms
             )
         )
 
+    def _is_usable(self, endpoint: _state.Endpoint) -> bool:
+        if self.uses_ejected:
+            is_paused = self.at_ms < endpoint.paused_until_ms
+            return endpoint.is_usable and not is_paused
+        return endpoint.is_usable_at(self.at_ms)
+
     def _is_allowed(self, name: str) -> bool:
         limited_to = self.active.limited_to
         return limited_to is None or name in limited_to
--- a/berylhollow/gateway/_membership.py
+++ b/berylhollow/gateway/_membership.py
@@ -13,6 +13,7 @@
 from berylhollow.gateway import _link_pacing
 from berylhollow.gateway import _model_loads
 from berylhollow.gateway import _notices
+from berylhollow.gateway import _origins
 from berylhollow.gateway import _quotas
 from berylhollow.gateway import _shared_reads
 from berylhollow.gateway import _sidecars
@@ -120,6 +121,7 @@
     An unlisted endpoint is kept while attempts are in flight there: the list
     may be wrong, and callers still wait for its answers.
     """
+    was_listed_ms = state.listed_ms
     state.listed_ms = event.at_ms
     rows = {row.instance: row for row in event.instances}
     result: Effects = []
@@ -156,6 +158,7 @@
             endpoint.listed = False
     result += _mark_superseded(state, event.instances, event.at_ms)
     _sidecars.update_endpoints(state)
+    _origins.list_read(state, event.at_ms, was_listed_ms)
     result += state.follower.handle(event)
     return result + tick(state, event.at_ms)
 
--- a/berylhollow/gateway/_options.py
+++ b/berylhollow/gateway/_options.py
@@ -58,7 +58,8 @@
     here, the gateway is not ready; after ``outdated_refuse_ms`` it refuses
     requests. A request must not begin on an adapter version that has been
     superseded for ``version_limit_ms``. ``quota_tolerance`` is how far usage
-    may deviate from a quota.
+    may deviate from a quota. With ``is_first_start`` no gateway of the
+    system has run before.
     """
 
     instance: str
@@ -123,4 +124,5 @@
     outdated_ready_ms: int = 3_600_000
     outdated_refuse_ms: int = 3_600_000
     version_limit_ms: int = 5000
+    is_first_start: bool = False
     quota_tolerance: workspaces.Tolerance = workspaces.Tolerance()
--- /dev/null
+++ b/berylhollow/gateway/_origins.py
@@ -0,0 +1,223 @@
+"""Keeps which software version began each stream, here and at sidecars.
+
+A caller may take a stream up again at any gateway, also after the first one
+was killed. Each gateway therefore tells two sidecars, which all gateways find
+by a hash of the stream, what began it. Sidecars outlive gateways, and a
+gateway asks them only about a stream that is taken up again.
+"""
+
+from berylhollow import clock
+from berylhollow import effects
+from berylhollow import events
+from berylhollow.gateway import _state
+from berylhollow import messages
+from berylhollow import resumption
+from berylhollow.util import hash_ring
+
+Effects = list[effects.Effect]
+
+KEEPERS = 2
+"""Sidecars that keep the origin of a stream."""
+
+HISTORY_KEEPERS = 4
+"""Sidecars that are told the software versions of a service."""
+
+RETURN_MS = 30_000
+"""How long after the deadline of its last attempt a stream may be resumed."""
+
+HISTORY_MS = 2000
+"""Interval at which sidecars are told the versions that are listed."""
+
+SWEEP_MS = 1000
+"""Interval at which expired origins are dropped."""
+
+
+def proven_version(state: _state.State, name: str) -> str:
+    """Return the software version of an endpoint, '' if it isn't certain.
+
+    Its sidecar may have reported a start that the list doesn't have yet, and
+    another entry may have taken its address.
+    """
+    endpoint = state.endpoints.get(name)
+    if endpoint is None or endpoint.superseded:
+        return ''
+    instance = endpoint.instance
+    report = endpoint.report
+    if report is not None and report.epoch not in ('', instance.instance):
+        return ''
+    return instance.software_version
+
+
+def answer_begins(
+    state: _state.State,
+    active: _state.ActiveRequest,
+    status: int,
+    at_ms: int,
+) -> Effects:
+    """Keep the origin of a stream whose answer begins, and tell sidecars.
+
+    A request that takes a stream up again is kept under both ids.
+    """
+    if active.stream is None or status not in messages.SUCCESS_STATUSES:
+        return []
+    endpoint = state.endpoints.get(active.endpoint)
+    if endpoint is None or not endpoint.instance.direct:
+        return []
+    version = proven_version(state, active.endpoint)
+    until_ms = active.deadline_ms + RETURN_MS
+    origin = resumption.Origin(endpoint.instance.service, version, until_ms)
+    streams = [active.stream]
+    if active.resumption is not None and active.resumption.stream:
+        streams.append(active.resumption.stream)
+    by_peer: dict[str, list[messages.StreamOrigin]] = {}
+    for stream in dict.fromkeys(streams):
+        state.origins.record(stream, origin, at_ms)
+        _add_message(state, stream, at_ms, by_peer)
+    return _sends(by_peer)
+
+
+def learn(
+    state: _state.State, message: messages.StreamOrigin, at_ms: int
+) -> resumption.Origin:
+    """Keep the origin of a stream that a sidecar has told."""
+    origin = resumption.Origin(
+        message.service,
+        message.software_version,
+        at_ms + max(1, message.for_ms),
+    )
+    return state.origins.record(message.stream, origin, at_ms)
+
+
+def keepers(state: _state.State) -> hash_ring.HashRing:
+    """Return the linked sidecars that keep origins."""
+    if state.keepers is None:
+        state.keepers = hash_ring.HashRing(
+            peer
+            for peer, sidecar in state.sidecars.items()
+            if sidecar.link is _state.LinkPhase.OPEN
+            and sidecar.report is not None
+            and sidecar.report.keeps_origins
+        )
+    return state.keepers
+
+
+def keepers_changed(state: _state.State) -> None:
+    """Look up the sidecars that keep origins again, and tell new ones."""
+    state.keepers = None
+    state.retell_streams = True
+    state.histories_told_ms = clock.NEVER_MS
+
+
+def tick(state: _state.State, at_ms: int) -> Effects:
+    """Drop expired origins; tell sidecars that have become keepers."""
+    if at_ms - state.origins_swept_ms >= SWEEP_MS:
+        state.origins_swept_ms = at_ms
+        for stream in state.origins.drop_expired(at_ms):
+            state.streams_told.pop(stream, None)
+    emitted: Effects = []
+    if state.retell_streams:
+        state.retell_streams = False
+        emitted += _retell_streams(state, at_ms)
+    if at_ms - state.histories_told_ms >= HISTORY_MS:
+        state.histories_told_ms = at_ms
+        emitted += _tell_histories(state, at_ms)
+    return emitted
+
+
+def list_read(state: _state.State, at_ms: int, was_read_ms: int) -> None:
+    """Note which software versions are listed for each service.
+
+    The list was read before at ``was_read_ms``.
+    """
+    if was_read_ms == clock.NEVER_MS:
+        since_ms = at_ms
+        if state.options.is_first_start:
+            since_ms = resumption.FIRST_START_MS
+        state.list_watched_since_ms = since_ms
+    elif at_ms - was_read_ms > resumption.MAX_GAP_MS:
+        state.list_watched_since_ms = at_ms
+    versions = {service: set() for service in state.histories}
+    for endpoint in state.endpoints.values():
+        instance = endpoint.instance
+        if instance.direct:
+            listed = versions.setdefault(instance.service, set())
+            listed.add(instance.software_version)
+    for service, listed in versions.items():
+        history = state.histories.get(service)
+        if history is None:
+            since_ms = state.list_watched_since_ms
+            history = resumption.VersionHistory(since_ms, at_ms)
+            state.histories[service] = history
+        if history.observe(listed, at_ms):
+            state.histories_told_ms = clock.NEVER_MS
+
+
+def history_received(
+    state: _state.State, event: events.MessageReceived
+) -> Effects:
+    """Take over which versions were listed before this gateway started."""
+    told: messages.SoftwareHistory = event.message
+    history = state.histories.get(told.service)
+    if history is not None:
+        history.merge(told, event.at_ms)
+    return []
+
+
+def _add_message(
+    state: _state.State,
+    stream: bytes,
+    at_ms: int,
+    by_peer: dict[str, list[messages.StreamOrigin]],
+) -> None:
+    """Add what the keepers of a stream are to be told of it."""
+    origin = state.origins.entries[stream]
+    message = messages.StreamOrigin(
+        stream,
+        origin.service,
+        origin.software_version,
+        origin.until_ms - at_ms,
+    )
+    told = set()
+    for peer in keepers(state).first(stream, KEEPERS):
+        told.add((peer, state.sidecars[peer].incarnation))
+        by_peer.setdefault(peer, []).append(message)
+    state.streams_told[stream] = frozenset(told)
+
+
+def _retell_streams(state: _state.State, at_ms: int) -> Effects:
+    """Tell sidecars of streams whose keepers they have become.
+
+    Only streams that began at this gateway are told again; the others have
+    been told by theirs.
+    """
+    by_peer: dict[str, list[messages.StreamOrigin]] = {}
+    ring = keepers(state)
+    for stream, told in state.streams_told.items():
+        if stream not in state.origins.entries:
+            continue
+        current = frozenset(
+            (peer, state.sidecars[peer].incarnation)
+            for peer in ring.first(stream, KEEPERS)
+        )
+        if not current <= told:
+            _add_message(state, stream, at_ms, by_peer)
+    return _sends(by_peer)
+
+
+def _sends(by_peer: dict[str, list[messages.StreamOrigin]]) -> Effects:
+    return [
+        effects.Send(peer, messages.StreamsBegan(tuple(origins)))
+        for peer, origins in by_peer.items()
+    ]
+
+
+def _tell_histories(state: _state.State, at_ms: int) -> Effects:
+    emitted: Effects = []
+    for service, history in state.histories.items():
+        told = history.describe(service, at_ms)
+        key = service.encode()
+        emitted += [
+            effects.Send(peer, told)
+            for peer in keepers(state).first(key, HISTORY_KEEPERS)
+        ]
+    return emitted
--- a/berylhollow/gateway/_pauses.py
+++ b/berylhollow/gateway/_pauses.py
@@ -1,5 +1,6 @@
 """Retry times for callers while endpoints pause after refusing requests."""
 
+from berylhollow.gateway import _resumption
 from berylhollow.gateway import _state
 
 JITTER_SHARE = 0.25
@@ -18,6 +19,8 @@
     waits = []
     for name in state.placement.names(active.service):
         endpoint = state.endpoints[name]
+        if not _resumption.may_run_at(state, active, name):
+            continue
         if endpoint.is_usable_at(at_ms):
             return 0
         if endpoint.is_usable and endpoint.paused_until_ms > at_ms:
--- a/berylhollow/gateway/_rate_limits.py
+++ b/berylhollow/gateway/_rate_limits.py
@@ -8,6 +8,7 @@
 from berylhollow import clock
 from berylhollow import effects
 from berylhollow import events
+from berylhollow.gateway import _resumption
 from berylhollow.gateway import _state
 from berylhollow import messages
 from berylhollow.policy import rendezvous
@@ -58,6 +59,7 @@
             and endpoint.instance.service == active.service
             and name not in active.tried_endpoints
             and endpoint.is_usable_at(at_ms)
+            and _resumption.may_run_at(state, active, name)
             and not has_room(state, active, endpoint, at_ms)
         ):
             limited.append(endpoint)
--- a/berylhollow/gateway/_reducer.py
+++ b/berylhollow/gateway/_reducer.py
@@ -17,6 +17,7 @@
 from berylhollow.gateway import _load_coordinator
 from berylhollow.gateway import _membership
 from berylhollow.gateway import _notices
+from berylhollow.gateway import _origins
 from berylhollow.gateway import _peers
 from berylhollow.gateway import _probes
 from berylhollow.gateway import _prompt_parts
@@ -24,6 +25,7 @@
 from berylhollow.gateway import _quotas
 from berylhollow.gateway import _rate_limits
 from berylhollow.gateway import _requests
+from berylhollow.gateway import _resumption
 from berylhollow.gateway import _shared_reads
 from berylhollow.gateway import _shutdown
 from berylhollow.gateway import _sidecars
@@ -65,6 +67,7 @@
     emitted += _probes.tick(state, event.at_ms)
     emitted += _prompt_parts.tick(state, event.at_ms)
     emitted += _kept_crashes.ask(state, event.at_ms)
+    emitted += _origins.tick(state, event.at_ms)
     emitted += _quotas.tick(state, event.at_ms)
     emitted += _rate_limits.tick(state, event.at_ms)
     emitted += _load_coordinator.tick(state, event.at_ms)
@@ -121,6 +124,15 @@
     return emitted + _attempts.place(state, active, event.at_ms)
 
 
+def _origin_answered(
+    state: _state.State, event: events.MessageReceived
+) -> Effects:
+    emitted: Effects = []
+    for active in _resumption.answered(state, event):
+        emitted += _attempts.place(state, active, event.at_ms)
+    return emitted
+
+
 def _place_after(
     handle: collections.abc.Callable[
         [_state.State, events.MessageReceived],
@@ -246,6 +258,8 @@
     messages.RecordWanted: _kept_records.send,
     messages.KeptRecord: _kept_records.apply,
     messages.KeptCrashes: _kept_crashes.take_over,
+    messages.OriginAnswered: _origin_answered,
+    messages.SoftwareHistory: _origins.history_received,
     messages.QuotaSums: _quotas.sums_received,
     messages.RateLent: _rate_lent,
     messages.RunLost: _prompt_parts.lost_elsewhere,
--- a/berylhollow/gateway/_requests.py
+++ b/berylhollow/gateway/_requests.py
@@ -15,6 +15,7 @@
 from berylhollow.gateway import _limits
 from berylhollow.gateway import _quarantine
 from berylhollow.gateway import _quotas
+from berylhollow.gateway import _resumption
 from berylhollow.gateway import _settlement
 from berylhollow.gateway import _state
 from berylhollow.gateway import _superseded
@@ -78,7 +79,10 @@
         objective_ms=terms.objective_ms,
         workspace=workspace,
         key_revision=state.follower.current.revision,
+        route_services=terms.services,
+        route_timeout_ms=terms.timeout_ms,
     )
+    _resumption.begin(active, terms.is_stream, terms.resumable, event.at_ms)
     _quotas.reserve(state, active, event.at_ms)
     state.requests[request.request_id] = active
     if request.adapter is not None:
--- a/berylhollow/gateway/_sidecars.py
+++ b/berylhollow/gateway/_sidecars.py
@@ -11,6 +11,7 @@
 from berylhollow.gateway import _backlog
 from berylhollow.gateway import _link_pacing
 from berylhollow.gateway import _model_loads
+from berylhollow.gateway import _origins
 from berylhollow.gateway import _quotas
 from berylhollow.gateway import _shared_reads
 from berylhollow.gateway import _state
@@ -59,6 +60,7 @@
     for peer, sidecar in list(state.sidecars.items()):
         if peer not in state.endpoint_by_peer:
             del state.sidecars[peer]
+            _origins.keepers_changed(state)
             result.append(effects.CloseLink(peer))
             continue
         if sidecar.link is _state.LinkPhase.OPEN and not stalled:
@@ -110,6 +112,8 @@
     sidecar = state.sidecars[event.peer]
     was_open = sidecar.link is _state.LinkPhase.OPEN
     sidecar.link = _state.LinkPhase.CLOSED
+    if was_open:
+        _origins.keepers_changed(state)
     _shared_reads.choose_relays(state)
     _quotas.choose_books(state)
     sidecar.report = None
@@ -133,7 +137,10 @@
 ) -> list[_state.ActiveRequest]:
     """Store a report; return the requests that wait for an adapter there."""
     sidecar = state.sidecars[event.peer]
+    kept_origins = sidecar.report is not None and sidecar.report.keeps_origins
     sidecar.report = event.message
+    if sidecar.report.keeps_origins != kept_origins:
+        _origins.keepers_changed(state)
     sidecar.heard_ms = event.at_ms
     # A sidecar that just started has few links, so the highest count of all
     # sidecars is used.
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -14,6 +14,8 @@
 from berylhollow import policy
 from berylhollow import quarantine
 from berylhollow import rate_limits
+from berylhollow import resumption
+from berylhollow.util import hash_ring
 from berylhollow.util import token_bucket
 from berylhollow import workspaces
 
@@ -248,6 +250,25 @@
         return self.is_queued and at_ms >= self.expires_ms
 
 
+@dataclasses.dataclass(slots=True)
+class Resumption:
+    """A stream that is taken up again, and what is known of its origin.
+
+    ``stream`` is its key, None if the caller doesn't name it. It may go on at
+    ``software_version`` only, which is empty until it is known; ``source``
+    says how it became known. ``begun_ms`` is when the request arrived.
+    ``answered`` maps the sidecars that were asked to whether they have
+    answered, the last of them at ``asked_ms``.
+    """
+
+    stream: bytes | None
+    begun_ms: int
+    software_version: str = ''
+    source: str = ''
+    asked_ms: int = clock.NEVER_MS
+    answered: dict[str, bool] = dataclasses.field(default_factory=dict)
+
+
 @dataclasses.dataclass(slots=True)
 class ActiveRequest:
     """A request whose caller has not received the whole answer.
@@ -267,7 +288,10 @@
     endpoints that it may be sent to, if there is such a limit. ``admission``
     is kept until the first event of the answer; ``admission_refusals`` has the
     endpoints whose sidecars can't admit it in time, with the wait that they
-    expect, -1 if they don't queue it.
+    expect, -1 if they don't queue it. ``stream`` is the key under which its
+    stream may be taken up again, None if it may not be; ``resumption`` is set
+    if it takes one up itself. ``route_services`` and ``route_timeout_ms`` are
+    those of its route.
     """
 
     request: events.Request
@@ -310,6 +334,10 @@
     admission_refusals: dict[str, int] = dataclasses.field(
         default_factory=dict
     )
+    stream: bytes | None = None
+    resumption: Resumption | None = None
+    route_services: tuple[str, ...] = ()
+    route_timeout_ms: int = 0
     last_refusal: messages.Failed | None = None
     key: bytes = b''
     claim_id: str = ''
@@ -330,6 +358,12 @@
         """Tell whether its current attempt was sent with a permit."""
         return bool(self.probe_for)
 
+    @property
+    def software_version(self) -> str:
+        """The only software version that may run it, empty for any."""
+        resumption = self.resumption
+        return '' if resumption is None else resumption.software_version
+
     def is_admitted_at(self, name: str) -> bool:
         """Tell whether the sidecar of an endpoint has admitted it there."""
         admission = self.admission
@@ -506,6 +540,14 @@
     ``silence`` is None while sidecars answer who asks for a permit;
     ``unlinked_ms`` is when the last link to a sidecar was lost.
 
+    ``origins`` has the streams that callers may take up again, as far as this
+    gateway knows them. ``streams_told`` has, by stream, the sidecars that keep
+    its origin, each with its incarnation. ``keepers`` are the sidecars that
+    can keep origins, None if they have to be looked up again, and
+    ``retell_streams`` is set when they have changed. ``histories`` has the
+    software versions of each service; ``list_watched_since_ms`` is since when
+    the list was read without a long gap.
+
     ``allowances`` has what this gateway may use of each workspace's quota,
     ``quota_uses_reported`` the usage last reported to the ``quota_books``.
     """
@@ -520,6 +562,20 @@
     known_revisions: _revisions.KnownRevisions = dataclasses.field(
         default_factory=_revisions.KnownRevisions
     )
+    origins: resumption.Origins = dataclasses.field(
+        default_factory=resumption.Origins
+    )
+    streams_told: dict[bytes, frozenset[tuple[str, str]]] = dataclasses.field(
+        default_factory=dict
+    )
+    keepers: hash_ring.HashRing | None = None
+    retell_streams: bool = False
+    origins_swept_ms: int = clock.NEVER_MS
+    histories: dict[str, resumption.VersionHistory] = dataclasses.field(
+        default_factory=dict
+    )
+    histories_told_ms: int = clock.NEVER_MS
+    list_watched_since_ms: int = clock.NEVER_MS
     allowances: dict[str, workspaces.Allowance] = dataclasses.field(
         default_factory=dict
     )
--- a/berylhollow/hosted/gateway_process.py
+++ b/berylhollow/hosted/gateway_process.py
@@ -189,6 +189,7 @@
             node.configuration_limit_ms * OUTDATED_REFUSE_SHARE
         ),
         version_limit_ms=node.version_limit_ms,
+        is_first_start=node.is_first_start,
         quota_tolerance=workspaces.Tolerance(
             node.quota_window_ms / clock.MS_PER_SECOND,
             node.quota_overrun,
--- a/berylhollow/loader/_reducer.py
+++ b/berylhollow/loader/_reducer.py
@@ -5,6 +5,7 @@
 from berylhollow.loader import _admissions
 from berylhollow.loader import _kept_crashes
 from berylhollow.loader import _kept_record
+from berylhollow.loader import _origins
 from berylhollow.loader import _plan
 from berylhollow.loader import _probes
 from berylhollow.loader import _report
@@ -51,6 +52,7 @@
         done += _begin_read(state, at_ms)
     done += _time_out_order(state, at_ms)
     done += _admissions.advance(state, at_ms)
+    _origins.tick(state, at_ms)
     return done + _report.send_if_due(state, at_ms)
 
 
@@ -283,6 +285,7 @@
     state.links[event.peer] = event.incarnation
     done = [effects.Log('gateway linked', (('peer', event.peer),))]
     done += _probes.losses_for(state, event.peer, event.at_ms)
+    done += _origins.histories_for(state, event.peer, event.at_ms)
     return done + _report.send_to(state, event.peer, event.at_ms)
 
 
@@ -336,6 +339,12 @@
         return _kept_record.send(state, event)
     if isinstance(message, messages.KeptRecord):
         return _kept_record.keep(state, event)
+    if isinstance(message, messages.StreamsBegan):
+        return _origins.keep(state, event)
+    if isinstance(message, messages.OriginWanted):
+        return _origins.answer(state, event)
+    if isinstance(message, messages.SoftwareHistory):
+        return _origins.keep_history(state, event)
     if isinstance(message, messages.AdmissionWanted):
         return _admissions.wanted(state, event)
     if isinstance(message, messages.AdmissionEnded):
--- a/berylhollow/loader/_report.py
+++ b/berylhollow/loader/_report.py
@@ -116,6 +116,7 @@
         waiting_tokens=state.demand.waiting_tokens,
         token_ms=state.admissions.measured_token_ms,
         read_share=state.admissions.read_share(at_ms),
+        keeps_origins=True,
     )
 
 
--- a/berylhollow/loader/_state.py
+++ b/berylhollow/loader/_state.py
@@ -9,6 +9,7 @@
 from berylhollow import messages
 from berylhollow import quarantine
 from berylhollow import rate_limits
+from berylhollow import resumption
 from berylhollow.util import bounded
 from berylhollow import workspaces
 
@@ -143,6 +144,8 @@
     - ``unsettled``: runs that gateways lost, for those that link later.
     - ``admissions``: requests that wait to be sent to the endpoint.
     - ``admission_logs``: log lines about grants in ``admission_log_second``.
+    - ``origins``: which software version began the streams that gateways have
+      told of; ``histories``: the versions listed, by service.
     - ``clearings_ms``: when the last clearings of parts were forwarded.
     """
 
@@ -181,6 +184,13 @@
     clearings_ms: dict[messages.Cleared, int] = dataclasses.field(
         default_factory=dict
     )
+    origins: resumption.Origins = dataclasses.field(
+        default_factory=resumption.Origins
+    )
+    histories: dict[str, resumption.VersionHistory] = dataclasses.field(
+        default_factory=dict
+    )
+    origins_swept_ms: int = clock.NEVER_MS
     last_used_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     order: Order | None = None
     orders: int = 0
--- a/berylhollow/messages.py
+++ b/berylhollow/messages.py
@@ -79,7 +79,8 @@
     that the gateway may make another attempt if this one fails.
     ``crashes_known`` counts the crashes of which the gateway suspects it.
     ``is_probe`` asks for a new connection to the endpoint: a run that is lost
-    there has met a process that was alive.
+    there has met a process that was alive. Only an endpoint with
+    ``software_version`` may run it, if that is not empty.
     """
 
     attempt_id: str
@@ -103,6 +104,7 @@
     another: bool = False
     crashes_known: int = 0
     is_probe: bool = False
+    software_version: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -210,6 +212,7 @@
     ``token_ms`` is the time that the endpoint takes to read one prompt token,
     as measured by its sidecar, 0 if it isn't measured. ``read_share`` is the
     share of the last seconds, from 0 to 1, in which it was reading prompts.
+    A sidecar that ``keeps_origins`` handles ``StreamsBegan``.
     """
 
     instance: str
@@ -232,6 +235,7 @@
     waiting_tokens: int = 0
     token_ms: float = 0.0
     read_share: float = 0.0
+    keeps_origins: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -694,6 +698,70 @@
     begun: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamOrigin:
+    """The software version of a service that began a stream.
+
+    ``stream`` is the key of the request that brought its first event.
+    ``software_version`` is empty if it can't be told. The sidecar that gets
+    it keeps it for ``for_ms``.
+    """
+
+    stream: bytes
+    service: str
+    software_version: str
+    for_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamsBegan:
+    """A gateway tells a sidecar of streams that callers may take up again."""
+
+    origins: tuple[StreamOrigin, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OriginWanted:
+    """A gateway asks a sidecar which software version began a stream."""
+
+    stream: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OriginAnswered:
+    """What a sidecar knows of the origin of a stream, None for nothing."""
+
+    stream: bytes
+    origin: StreamOrigin | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListedVersion:
+    """A software version and how long ago it was last listed."""
+
+    version: str
+    listed_ms_ago: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SoftwareHistory:
+    """The software versions of a service that gateways have seen listed.
+
+    The list was observed for ``watched_ms``, -1 since the first start of the
+    system, up to ``observed_ms_ago`` before the message was sent.
+    """
+
+    service: str
+    watched_ms: int
+    observed_ms_ago: int
+    versions: tuple[ListedVersion, ...]
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether it goes back to the first start of the system."""
+        return self.watched_ms < 0
+
+
 Message = (
     Offer
     | Cancel
@@ -737,6 +805,10 @@
     | AdmissionQueued
     | AdmissionGranted
     | AdmissionEnded
+    | StreamsBegan
+    | OriginWanted
+    | OriginAnswered
+    | SoftwareHistory
 )
 
 # A tag that has been released is never reused for another message.
@@ -783,4 +855,8 @@
     40: AdmissionQueued,
     41: AdmissionGranted,
     42: AdmissionEnded,
+    43: StreamsBegan,
+    44: OriginWanted,
+    45: OriginAnswered,
+    46: SoftwareHistory,
 }
--- a/berylhollow/metrics/_instruments.py
+++ b/berylhollow/metrics/_instruments.py
@@ -180,6 +180,14 @@
         'outcome.',
         (SERVICE, 'berylhollow.outcome'),
     ),
+    Instrument(
+        'berylhollow.resumptions',
+        COUNTER,
+        '{request}',
+        'Streams that callers wanted to take up again: how the software '
+        'version that began them was known, or why they were refused.',
+        (SERVICE, 'berylhollow.outcome'),
+    ),
     Instrument(
         'berylhollow.admissions_waiting',
         OBSERVED_GAUGE,
--- a/berylhollow/platform/_caller.py
+++ b/berylhollow/platform/_caller.py
@@ -1,5 +1,6 @@
 """Decode callers' requests and encode responses in the platform's format."""
 
+import collections.abc
 import dataclasses
 import hashlib
 import json
@@ -18,6 +19,9 @@
 TOKEN_COUNT_HEADER = 'Token-Count'
 PROMPT_PARTS_HEADER = 'Prompt-Prefix'
 API_KEY_HEADER = 'Api-Key'
+LAST_EVENT_HEADER = 'Last-Event-Id'
+RESUMED_STREAM_HEADER = 'Resumes'
+MAX_ID_LENGTH = 256
 DIGEST_BYTES = 16
 MS_PER_SECOND = 1000
 MAX_DEADLINE_MS = 24 * 60 * 60 * 1000
@@ -143,9 +147,30 @@
             shared_parts=_prompt.shared_parts(
                 headers.getall(PROMPT_PARTS_HEADER, ())
             ),
+            caller_request_id=_request_id(
+                headers.getall(_endpoint_calls.REQUEST_ID_HEADER, ())
+            ),
+            resumption=_resumption(headers),
         )
 
 
+def _request_id(values: collections.abc.Sequence[str]) -> str:
+    """Return the id that a header names, '' unless it is one readable id."""
+    if len(values) != 1:
+        return ''
+    text = values[0].strip()
+    is_readable = text.isascii() and text.isprintable()
+    return text if is_readable and len(text) <= MAX_ID_LENGTH else ''
+
+
+def _resumption(headers) -> events.Resumption | None:
+    """Return which stream a request takes up again, None for a new one."""
+    named = headers.getall(RESUMED_STREAM_HEADER, ())
+    if not named and LAST_EVENT_HEADER not in headers:
+        return None
+    return events.Resumption(_request_id(named))
+
+
 def _request_head(request: web.BaseRequest) -> events.RequestHead:
     headers = request.headers
     return events.RequestHead(
--- a/berylhollow/platform/_node.py
+++ b/berylhollow/platform/_node.py
@@ -67,6 +67,7 @@
     ``key_revocation_limit_ms`` is how long a revoked key may still be
     accepted, 0 for no bound. In any ``quota_window_ms`` usage may exceed the
     quota by ``quota_overrun`` times the quota plus ``quota_slack``.
+    ``is_first_start`` is set when the whole system starts for the first time.
     """
 
     instance: str
@@ -92,6 +93,7 @@
     quota_window_ms: int
     quota_overrun: float
     quota_slack: float
+    is_first_start: bool = False
 
 
 class _FieldReader:
@@ -222,6 +224,7 @@
         ),
         quota_overrun=fields.number('Bounds.QuotaOverrun', 0, 10, 0),
         quota_slack=fields.number('Bounds.QuotaSlack', 0, 1e12, 0),
+        is_first_start=bool(fields.get('Bootstrap', (bool,), False)),
     )
 
 
--- a/berylhollow/platform/_records.py
+++ b/berylhollow/platform/_records.py
@@ -245,9 +245,15 @@
         models=loaded_models(models),
         adapters=loaded_adapters(models),
         incarnation=incarnation,
+        software_version=_software_version(entry),
     )
 
 
+def _software_version(entry: dict) -> str:
+    """Return the version of an endpoint's software, '' if it has none."""
+    return _fields.string(entry, 'Version', '')
+
+
 def started_ms(entry: dict) -> int:
     """Return the start time that an endpoint reports, 0 if missing."""
     return _fields.integer(entry, START_TIME_FIELD, 0)
--- a/berylhollow/routes/_view.py
+++ b/berylhollow/routes/_view.py
@@ -204,6 +204,10 @@
             objective_ms=route.objective_ms,
             route=route.name,
             workspace=workspace,
+            services=tuple(share.service for share in route.shares),
+            timeout_ms=route.timeout_ms,
+            is_stream=route.repeat is _table.RepeatPolicy.STREAM,
+            resumable=_is_stream_resumable(route),
         )
 
     def workspace(
@@ -319,9 +323,14 @@
 
 
 def _is_repeatable(route: _table.Route) -> bool:
-    if route.repeat is _table.RepeatPolicy.STREAM:
-        return route.resumable
-    return route.repeat is _table.RepeatPolicy.ANY_NUMBER
+    if route.repeat is _table.RepeatPolicy.ANY_NUMBER:
+        return True
+    return _is_stream_resumable(route)
+
+
+def _is_stream_resumable(route: _table.Route) -> bool:
+    is_stream = route.repeat is _table.RepeatPolicy.STREAM
+    return is_stream and route.resumable
 
 
 def _choose_service(
--- a/test/hosted/crash_fleet.py
+++ b/test/hosted/crash_fleet.py
@@ -213,15 +213,16 @@
         )
         self.gateways[name] = gateway.State(options, follower)
         self.feed(name, events.Started(self.now_ms, f'{name}-{self.now_ms}'))
-        kind = {'Kind': 'safe', 'MaxAttempts': 2}
-        record = builders.configuration_record(
-            8, routes=[builders.route(), builders.plain_route(**kind)]
-        )
+        record = builders.configuration_record(8, routes=self.routes())
         entries = (messages.LogEntry(0, 0, record),)
         stream = platform.CONFIGURATION_STREAM
         self.feed(name, events.LogRead(self.now_ms, stream, entries, 0, 1))
         self._tick_gateway(name, self.gateways[name])
 
+    def routes(self):
+        kind = {'Kind': 'safe', 'MaxAttempts': 2}
+        return [builders.route(), builders.plain_route(**kind)]
+
     def kill_gateway(self, name):
         """End a gateway; endpoints go on with what it has there."""
         del self.gateways[name]
@@ -329,7 +330,10 @@
             peer, events.LinkOpened(self.now_ms, name, role, incarnation)
         )
         role = events.Role.ENDPOINT
-        self.feed(name, events.LinkOpened(self.now_ms, peer, role, peer))
+        incarnation = self.sidecars[peer].incarnation
+        self.feed(
+            name, events.LinkOpened(self.now_ms, peer, role, incarnation)
+        )
 
     def _read_instances(self, name, effect):
         self.after(LINK_MS, self._listed, name)
--- a/test/hosted/direct_helper.py
+++ b/test/hosted/direct_helper.py
@@ -85,6 +85,7 @@
         self.told = asyncio.Queue()
         self.notices = []
         self.leaving = False
+        self.software_version = ''
         self.stack = contextlib.AsyncExitStack()
         self.addAsyncCleanup(self.stack.aclose)
         self.tasks = shell.Tasks()
@@ -149,5 +150,9 @@
 
     def listed_instance(self, name):
         return builders.instance(
-            name, address=self.address, direct=True, leaving=self.leaving
+            name,
+            address=self.address,
+            direct=True,
+            leaving=self.leaving,
+            software_version=self.software_version,
         )
--- a/test/hosted/test_direct_runs.py
+++ b/test/hosted/test_direct_runs.py
@@ -106,6 +106,18 @@
         (failed,) = await self.messages_to_end()
         self.assertIs(errors.Ran.NOT_RUN, failed.ran)
 
+    async def test_version_listed_since_the_choice_is_checked(self):
+        """Guards against a resumed stream at what was listed meanwhile."""
+        await self.begin()
+        self.software_version = 'v2'
+        self.send_offer(software_version='v1')
+        (failed,) = await self.messages_to_end()
+        self.assertIs(errors.Kind.SOFTWARE_VERSION_GONE, failed.kind)
+        self.assertIs(errors.Ran.NOT_RUN, failed.ran)
+        self.assertEqual([], self.endpoint.ran)
+        self.send_offer(number=2, software_version='v2')
+        self.assertIsInstance((await self.messages_to_end())[-1], messages.End)
+
     async def test_no_answer_may_have_run(self):
         await self.begin_raw(b'', reset=True)
         self.send_offer()
