Refuse heads whose text is not UTF-8 before anything uses it

Callers saw a gateway go away with all that it served: one request with `Model: daka510000/pl\xe5t` was answered 500 and the process exited with code 1. A caller who tries again ends the next gateway.

Cause: the HTTP library decodes such bytes to lone surrogates. The project's own interface refuses them, the platform's dialect did not, and the reducer raises UnicodeEncodeError when it hashes the adapter's name. A Request-Id with such bytes was answered 502, as it could not be sent on.

Change: CallerDialect checks the request target and the headers whose text is used, in one place, and refuses with 400. Headers that are only passed on keep their bytes.

It holds since no later code sees text that is not checked.

--- a/berylhollow/platform/_caller.py
+++ b/berylhollow/platform/_caller.py
@@ -22,6 +22,15 @@
 LAST_EVENT_HEADER = 'Last-Event-Id'
 RESUMED_STREAM_HEADER = 'Resumes'
 MAX_ID_LENGTH = 256
+READ_HEADERS = (
+    'Host',
+    MODEL_HEADER,
+    TOKEN_COUNT_HEADER,
+    _endpoint_calls.REQUEST_ID_HEADER,
+)
+"""Headers whose text is used and that must be valid. Others are either passed
+on unread or mean nothing if they are malformed."""
+
 DIGEST_BYTES = 16
 MS_PER_SECOND = 1000
 MAX_DEADLINE_MS = 24 * 60 * 60 * 1000
@@ -46,13 +55,18 @@
     sends_error_events = False
 
     def caller_request_id(self, headers) -> str | None:
-        """Return the request id that the caller sent, if any."""
-        return headers.get(_endpoint_calls.REQUEST_ID_HEADER)
+        """Return the request id that the caller sent, if it is text."""
+        text = headers.get(_endpoint_calls.REQUEST_ID_HEADER)
+        return text if text is not None and _is_text(text) else None
 
     def parse_head(
         self, request: web.BaseRequest, default_deadline_ms: int
     ) -> 'CallerDraft':
-        """Decode the head of a request; callers may use every path."""
+        """Decode the head of a request; callers may use every path.
+
+        Raises ``errors.BerylhollowError``.
+        """
+        _check_text(request)
         return CallerDraft(
             request, default_deadline_ms, _request_head(request)
         )
@@ -171,6 +185,33 @@
     return events.Resumption(_request_id(named))
 
 
+def _check_text(request: web.BaseRequest) -> None:
+    """Raise BAD_HEADER or BAD_REQUEST for bytes that are not UTF-8.
+
+    The HTTP library decodes them to lone surrogates, which can't be hashed or
+    sent over links. Headers that are only passed on may contain any bytes.
+    """
+    if not _is_text(request.raw_path):
+        raise errors.BerylhollowError(
+            errors.Kind.BAD_REQUEST, 'The request target is not valid UTF-8.'
+        )
+    for name in READ_HEADERS:
+        for value in request.headers.getall(name, ()):
+            if not _is_text(value):
+                raise errors.BerylhollowError(
+                    errors.Kind.BAD_HEADER,
+                    f'{name} is not valid UTF-8.',
+                )
+
+
+def _is_text(value: str) -> bool:
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _request_head(request: web.BaseRequest) -> events.RequestHead:
     headers = request.headers
     return events.RequestHead(
--- a/test/hosted/test_programs.py
+++ b/test/hosted/test_programs.py
@@ -42,6 +42,42 @@
         async with self.open_request('/nowhere/x') as got:
             self.assertEqual(404, got.status)
 
+    async def answer_to(self, head):
+        """Send the head of a request as bytes and return the first line."""
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', self.ports[2]
+        )
+        writer.write(head + b'Connection: close\r\nContent-Length: 0\r\n\r\n')
+        async with asyncio.timeout(hosted_helper.HANG_S):
+            line = await reader.readline()
+        writer.close()
+        return line
+
+    async def test_bytes_that_are_no_text_do_not_end_the_gateway(self):
+        """Guards against one request that ends a gateway with all it serves.
+
+        A field value may have bytes that are not UTF-8. In the name of a model
+        they made the reducer fail, which ended the process.
+        """
+        await self.register_all()
+        self.gateway = await self.begin('gateway')
+        await self.wait_until_ready()
+        host = f'Host: {builders.HOST}\r\n'.encode()
+        for text in (b'daka510000/pl\xe5t', b'pl\xe5t', b'm/\xff\xfe'):
+            line = await self.answer_to(
+                b'POST /lohu930/x HTTP/1.1\r\n'
+                + host
+                + b'Request-Id: id-1\r\nModel: %b\r\n' % text
+            )
+            self.assertIn(b' 400 ', line)
+        line = await self.answer_to(
+            b'POST /puxa403/x HTTP/1.1\r\n' + host + b'Request-Id: i\xe5d\r\n'
+        )
+        self.assertIn(b' 400 ', line)
+        async with self.open_request('/puxa403/x', 'id-7') as got:
+            self.assertEqual(200, got.status)
+        self.assertIsNone(self.gateway.process.returncode)
+
     async def test_signal_that_settings_changed_ends_nothing(self):
         await self.begin_all()
         self.gateway.process.send_signal(signal.SIGHUP)
