Bound the numbers in callers' headers by their digits

Callers who sent a Token-Count of 5,000 digits were answered 500 where 400 is right; so was a Deadline-Ms of that length, or of digits of another script, which `str.isdigit` takes for a number and `int` does not.

Cause: both headers went to `int` after `isdigit` alone, and Python refuses integers of over 4,300 digits.

Change: one function reads them.

--- a/berylhollow/platform/_caller.py
+++ b/berylhollow/platform/_caller.py
@@ -34,6 +34,9 @@
 DIGEST_BYTES = 16
 MS_PER_SECOND = 1000
 MAX_DEADLINE_MS = 24 * 60 * 60 * 1000
+MAX_TOKENS = 10**9
+MAX_DIGITS = 15
+TOO_LARGE = 10**MAX_DIGITS
 
 NOT_FORWARDED_TO_ENDPOINT = hop_by_hop.HEADERS | {
     'content-length',
@@ -249,20 +252,40 @@
 def _token_counts(text: str) -> tuple[int, int]:
     """Return the prompt tokens and the maximum of output tokens.
 
-    Both are 0 if the header is missing or invalid.
+    Both are 0 if the header is missing or invalid. Raises BAD_HEADER for a
+    number that is too long.
     """
     prompt, _, output = text.partition(',')
-    if not prompt.strip().isdigit() or not output.strip().isdigit():
+    counts = _integer(prompt), _integer(output)
+    if None in counts:
         return 0, 0
-    return int(prompt), int(output)
+    if max(counts) > MAX_TOKENS:
+        raise errors.BerylhollowError(
+            errors.Kind.BAD_HEADER, f'{TOKEN_COUNT_HEADER} is too large.'
+        )
+    return counts
+
+
+def _integer(text: str) -> int | None:
+    """Return a decimal number, None if the text is none.
+
+    One with more digits than any limit here is returned as ``TOO_LARGE``.
+    """
+    digits = text.strip()
+    if not (digits.isascii() and digits.isdigit()):
+        return None
+    significant = digits.lstrip('0') or '0'
+    if len(significant) > MAX_DIGITS:
+        return TOO_LARGE
+    return int(significant)
 
 
 def _deadline_ms(headers, default_ms: int) -> int:
     """Return the deadline from the caller's header, or the default."""
-    text = headers.get(_endpoint_calls.DEADLINE_HEADER, '').strip()
-    if not text.isdigit():
+    stated_ms = _integer(headers.get(_endpoint_calls.DEADLINE_HEADER, ''))
+    if stated_ms is None:
         return default_ms
-    return max(1, min(int(text), MAX_DEADLINE_MS))
+    return max(1, min(stated_ms, MAX_DEADLINE_MS))
 
 
 def _fingerprint(request: web.BaseRequest, body: bytes) -> str:
--- a/test/platform/test_caller_text.py
+++ b/test/platform/test_caller_text.py
@@ -26,7 +26,16 @@
     'Api-Key',
     'Session',
 )
-ODD_VALUES = (b'm/pl\xe5t', b'/', b'm/@2', b'12,34')
+ODD_VALUES = (
+    b'm/pl\xe5t',
+    b'/',
+    b'm/@2',
+    b'12,34',
+    b'9' * 5000,
+    b'1,' + b'9' * 5000,
+    '²,²'.encode(),
+    '²'.encode(),
+)
 PATHS = (b'/lohu930/2f', b'/puxa403/\xe5', b'/\xff', b'/')
 
 
@@ -82,6 +91,29 @@
             return
         self.feed(events.RequestArrived(10, request, 0.5))
 
+    def test_number_with_thousands_of_digits_is_refused(self):
+        """Guards against an answer that blames this gateway, a 500."""
+        for text in (b'9' * 5000 + b',1', b'1,' + b'9' * 5000):
+            with self.assertRaises(errors.BerylhollowError) as caught:
+                parse([('Token-Count', text)])
+            self.assertIs(errors.Kind.BAD_HEADER, caught.exception.kind)
+
+    def test_longest_deadline_is_kept(self):
+        """Guards against a failure for a deadline far in the future."""
+        request = parse([('Deadline-Ms', b'9' * 5000)])
+        self.assertEqual(24 * 3600 * 1000, request.deadline_ms)
+
+    def test_digits_of_other_scripts_are_no_number(self):
+        """Guards against a 500 for what only looks like a number."""
+        request = parse(
+            [
+                ('Deadline-Ms', '²'.encode()),
+                ('Token-Count', '²,²'.encode()),
+            ]
+        )
+        self.assertEqual(5000, request.deadline_ms)
+        self.assertEqual(0, request.prompt_tokens)
+
     def test_name_that_is_no_text_is_refused(self):
         """Guards against a model's name that can't be hashed."""
         with self.assertRaises(errors.BerylhollowError) as caught:
