Take strings with lone surrogates in the store for malformed

JSON may escape a lone surrogate ("\ud800"). An entry of another writer with one in its service, zone or software version was taken for an endpoint; the first code that hashes the text or sends it over a link would have failed, at each process that read it.

Cause: `_fields` checks the type and length of strings, not that they are valid Unicode. The same class as a request's bytes that are no text.

Change: `string` and `strings` check it, so that every document of the store and of endpoints does.

Shown: three values of test_wrong_values_name_no_endpoint failed before.

--- a/berylhollow/platform/_fields.py
+++ b/berylhollow/platform/_fields.py
@@ -46,9 +46,23 @@
         raise _type_error(field, 'a string', value)
     if not value and default is None:
         raise _type_error(field, 'a string', value)
+    if not _is_text(value):
+        raise _type_error(field, 'valid Unicode', value)
     return value
 
 
+def _is_text(value: str) -> bool:
+    """Return whether a string has no lone surrogates.
+
+    JSON can escape them, and they can't be hashed or sent over links.
+    """
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def integer(
     entry: dict, field: str, default: int | None = None, minimum: int = 0
 ) -> int:
@@ -106,6 +120,8 @@
     values = array(entry, field)
     if not all(isinstance(value, str) and value for value in values):
         raise _type_error(field, 'an array of strings', values)
+    if not all(map(_is_text, values)):
+        raise _type_error(field, 'an array of valid Unicode', values)
     return values
 
 
