Check the end of answers at endpoints removed at short notice

Cause: an answer that only its connection ends is checked for an endpoint that ended together with it, except where the endpoint is leaving. RemainingMs, which tells a removal at short notice from a planned end, was not read.

Ruled out: the check itself; it finds the same end where the entry doesn't say that the endpoint leaves.

Change: the entry's RemainingMs is Instance.removed_in_ms; such an endpoint is checked like any other.

--- a/berylhollow/events.py
+++ b/berylhollow/events.py
@@ -101,7 +101,9 @@
     set for an endpoint that is off the list but may come back: no requests may
     be sent to it from that time on. It is None for a listed one.
     ``software_version`` is that of the endpoint's software, empty if unknown;
-    events of one stream must all be of one version.
+    events of one stream must all be of one version. ``removed_in_ms`` is set
+    for one that is removed at short notice: it is gone after that time, from
+    when its entry was written, whatever it runs.
     """
 
     instance: str
@@ -118,6 +120,7 @@
     incarnation: messages.Incarnation | None = None
     usable_until_ms: int | None = None
     software_version: str = ''
+    removed_in_ms: int | None = None
 
     @property
     def listed_name(self) -> str:
--- a/berylhollow/gateway/_direct_runs.py
+++ b/berylhollow/gateway/_direct_runs.py
@@ -225,7 +225,7 @@
                     self.sender_unblocked.clear()
                     await self.sender_unblocked.wait()
                 self._report(self.sender.push(part))
-            if not self._is_endpoint_leaving(answer):
+            if not self._may_end_as_planned(answer):
                 await answer.body.check_endpoint_lives()
         except outgoing.CallOutcomeUnknown as error:
             self._log_end(answer.body)
@@ -235,11 +235,16 @@
         self._log_end(answer.body)
         self._report(self.sender.finish())
 
-    def _is_endpoint_leaving(self, answer: platform.Answer) -> bool:
-        """Return whether the endpoint may end as planned after its answer."""
+    def _may_end_as_planned(self, answer: platform.Answer) -> bool:
+        """Return whether the endpoint may have ended after its last answer.
+
+        One that is removed at short notice may end in the middle of any.
+        """
+        instance = self.owner.listed_instance(self.peer)
+        if instance is not None and instance.removed_in_ms is not None:
+            return False
         if answer.notice is not None and answer.notice.leaving:
             return True
-        instance = self.owner.listed_instance(self.peer)
         return instance is not None and instance.leaving
 
     def _log_end(self, body: answer_body.BodyReader) -> None:
--- a/berylhollow/platform/_records.py
+++ b/berylhollow/platform/_records.py
@@ -246,9 +246,17 @@
         adapters=loaded_adapters(models),
         incarnation=incarnation,
         software_version=_software_version(entry),
+        removed_in_ms=_removed_in_ms(entry),
     )
 
 
+def _removed_in_ms(entry: dict) -> int | None:
+    """Return the time left to an endpoint that is removed at short notice."""
+    if entry.get('RemainingMs') is None:
+        return None
+    return _fields.milliseconds(entry, 'RemainingMs')
+
+
 def _software_version(entry: dict) -> str:
     """Return the version of an endpoint's software, '' if it has none."""
     return _fields.string(entry, 'Version', '')
--- a/test/hosted/direct_helper.py
+++ b/test/hosted/direct_helper.py
@@ -85,6 +85,7 @@
         self.told = asyncio.Queue()
         self.notices = []
         self.leaving = False
+        self.removed_in_ms = None
         self.software_version = ''
         self.stack = contextlib.AsyncExitStack()
         self.addAsyncCleanup(self.stack.aclose)
@@ -154,5 +155,6 @@
             address=self.address,
             direct=True,
             leaving=self.leaving,
+            removed_in_ms=self.removed_in_ms,
             software_version=self.software_version,
         )
--- a/test/hosted/test_stream_ends.py
+++ b/test/hosted/test_stream_ends.py
@@ -107,6 +107,24 @@
         self.assertIsInstance(outcome, messages.End)
         self.assertEqual(2, held.connections)
 
+    async def test_endpoint_removed_at_short_notice_is_gone_at_any_time(self):
+        """Guards against a cut answer of one that leaves, taken for whole."""
+        self.leaving = True
+        self.removed_in_ms = 2000
+        endpoint = direct_helper.RawEndpoint(self.answer(), ends=True)
+        outcome = await self.outcome_from(endpoint)
+        self.assertIsInstance(outcome, messages.Failed)
+        self.assertIs(errors.Kind.STREAM_BROKEN, outcome.kind)
+
+    async def test_last_answer_before_a_removal_is_whole(self):
+        """Guards against whole answers broken off while the time runs."""
+        self.leaving = True
+        self.removed_in_ms = 2000
+        outcome = await self.outcome_from(
+            direct_helper.RawEndpoint(self.answer())
+        )
+        self.assertIsInstance(outcome, messages.End)
+
     async def test_leaving_endpoint_may_end_after_its_answer(self):
         self.leaving = True
         endpoint = direct_helper.RawEndpoint(self.answer(), ends=True)
--- a/test/platform/test_resumed_streams.py
+++ b/test/platform/test_resumed_streams.py
@@ -65,6 +65,13 @@
         """Guards against endpoints that are lost for a missing field."""
         self.assertEqual('', self.decode(Version=None).software_version)
 
+    def test_entry_tells_the_time_left_before_a_removal(self):
+        self.assertIsNone(self.decode().removed_in_ms)
+        leaving = self.decode(State='draining', RemainingMs=1500)
+        self.assertEqual(1500, leaving.removed_in_ms)
+        with self.assertRaises(routes.MalformedRecordError):
+            self.decode(State='draining', RemainingMs='soon')
+
     def test_version_of_another_type_is_malformed(self):
         """Guards against an entry of another writer taken for a version."""
         with self.assertRaises(routes.MalformedRecordError):
