Take no paused connection as a sign that an endpoint lives

Cause: has_peer_ended takes any other open connection to the endpoint as a sign that its process lives. One whose reading is paused does not see its end.

Change: only connections that are being read count; without one, a new connection decides as before.

Shown: test_paused_connection_does_not_show_that_it_lives failed before.

--- a/berylhollow/outgoing.py
+++ b/berylhollow/outgoing.py
@@ -141,10 +141,14 @@
 
         A process that ends closes its port and all its connections at once.
         It lives if another connection to it stays open, or if it accepts a
-        new one. False if neither is known in time.
+        new one. A connection whose reading is paused doesn't show its end.
+        False if neither is known in time.
         """
         await asyncio.sleep(SETTLE_MS / MS_PER_SECOND)
-        if self.peer is None or self.open_by_peer.get(self.peer):
+        if self.peer is None:
+            return False
+        others = self.open_by_peer.get(self.peer, ())
+        if any(other.transport.is_reading() for other in others):
             return False
         host, port = self.peer[:2]
         try:
--- a/test/hosted/test_stream_ends.py
+++ b/test/hosted/test_stream_ends.py
@@ -107,6 +107,21 @@
         self.assertIsInstance(outcome, messages.End)
         self.assertEqual(2, held.connections)
 
+    async def test_paused_connection_does_not_show_that_it_lives(self):
+        """Guards against slow readers who hide that their endpoint crashed."""
+        held = direct_helper.RawEndpoint(b'', hangs=True)
+        await self.listen(held)
+        self.send_offer(number=7)
+        await held.arrived.wait()
+        opened = self.runs.calls.session.connector.open_by_peer
+        for connection in next(iter(opened.values())):
+            connection.transport.pause_reading()
+        held.answer, held.hangs, held.ends = self.answer(), False, True
+        self.send_offer()
+        outcome = (await self.messages_to_end())[-1]
+        self.assertIsInstance(outcome, messages.Failed)
+        self.assertIs(errors.Kind.STREAM_BROKEN, outcome.kind)
+
     async def test_endpoint_removed_at_short_notice_is_gone_at_any_time(self):
         """Guards against a cut answer of one that leaves, taken for whole."""
         self.leaving = True
