Bound the adapters of an endpoint by its memory

Cause: sidecars count places only. The sizes of models and adapters were not decoded from the configuration.

Ruled out: late or doubled orders; the record shows single orders, each accepted, for a fifth adapter where memory holds four.

Change: Engine.adapter_room bounds by slots and memory, and gateways tell that number to the sidecar, where it already bounds orders, evictions and reports. A model is loaded also where no adapter fits, and a request for an adapter that fits nowhere is refused at once.

--- a/berylhollow/configuration/_configuration.py
+++ b/berylhollow/configuration/_configuration.py
@@ -93,6 +93,10 @@
         """Return 0, as sidecars learn the number from their engines."""
         return 0
 
+    def adapter_room(self, service: str, models: tuple[str, ...]) -> int:
+        """Return 0, as sidecars learn the number from their engines."""
+        return 0
+
     def admission(self, service: str) -> following.AdmissionTerms | None:
         """Return None, as engines behind a sidecar's link need none."""
         return None
--- a/berylhollow/following.py
+++ b/berylhollow/following.py
@@ -131,6 +131,12 @@
         0 for a plain service, or if the endpoint reports the number itself.
         """
 
+    def adapter_room(self, service: str, models: tuple[str, ...]) -> int:
+        """Return how many adapters an endpoint with these models can hold.
+
+        Both its slots and its memory bound them; 0 for a plain service.
+        """
+
     def models(self, service: str) -> tuple[str, ...]:
         """Return the models that endpoints of a service should hold."""
 
--- a/berylhollow/gateway/_adapters.py
+++ b/berylhollow/gateway/_adapters.py
@@ -71,7 +71,12 @@
 
     Once a share of its latency objective has passed, the answer would be late
     anyway. Refused in time, it can be sent again when the adapter is loaded.
+    One that fits beside its model nowhere is not waited for.
     """
+    model, _, _ = active.request.adapter.adapter.partition('/')
+    configuration = state.follower.current
+    if not configuration.adapter_room(active.service, (model,)):
+        return False
     since_ms = active.awaiting_since_ms
     if since_ms is None:
         return True
@@ -312,8 +317,11 @@
         )
         if entry.waiting or entry.in_flight or entry.rate:
             entries.append(entry)
-    slots = configuration.adapter_slots(service)
     models = configuration.models(service)
+    # An endpoint that holds none loads the first model of its service.
+    slots = configuration.adapter_room(
+        service, endpoint.instance.models or models[:1]
+    )
     incarnation = endpoint.instance.incarnation or messages.Incarnation(name)
     return messages.AdapterDemands(
         incarnation.name,
--- a/berylhollow/loader/_plan.py
+++ b/berylhollow/loader/_plan.py
@@ -24,10 +24,12 @@
     it can.
     """
     adapters = state.adapters
-    if adapters is None or not state.slots or adapters.busy:
+    if adapters is None or adapters.busy:
         return None
     if not adapters.models:
         return _model_load_step(state)
+    if not state.slots:
+        return None
     if len(adapters.loading) >= state.options.max_concurrent_loads:
         return None
     needs = state.demand.needs
--- a/berylhollow/platform/_records.py
+++ b/berylhollow/platform/_records.py
@@ -205,14 +205,18 @@
     return routes.Engine(
         batch=max(1, _fields.integer(entry, 'Slots', 1)),
         adapter_slots=_fields.integer(entry, 'AdapterSlots', 0),
-        adapters=tuple(
-            (
-                _fields.string(model, 'Name'),
-                _fields.integer(model, 'Adapters', 0),
-            )
-            for model in models
-        ),
+        models=tuple(map(_parse_model, models)),
         tokens_per_event=max(1, _fields.integer(entry, 'Stride', 1)),
+        memory_mb=_fields.number(entry, 'WeightsMb', 0),
+    )
+
+
+def _parse_model(entry: dict) -> routes.Model:
+    return routes.Model(
+        name=_fields.string(entry, 'Name'),
+        adapters=_fields.integer(entry, 'Adapters', 0),
+        weights_mb=_fields.number(entry, 'WeightsMb', 0),
+        adapter_mb=_fields.number(entry, 'AdapterMb', 0),
     )
 
 
--- a/berylhollow/routes/__init__.py
+++ b/berylhollow/routes/__init__.py
@@ -5,6 +5,7 @@
 from berylhollow.routes._records import NewAdapterVersion
 from berylhollow.routes._records import PublishedRecord
 from berylhollow.routes._table import Engine
+from berylhollow.routes._table import Model
 from berylhollow.routes._table import RepeatPolicy
 from berylhollow.routes._table import RequestLimits
 from berylhollow.routes._table import Route
@@ -20,6 +21,7 @@
     'FIRST_VERSION',
     'Engine',
     'MalformedRecordError',
+    'Model',
     'NewAdapterVersion',
     'PublishedRecord',
     'RepeatPolicy',
--- a/berylhollow/routes/_table.py
+++ b/berylhollow/routes/_table.py
@@ -2,10 +2,16 @@
 
 import dataclasses
 import enum
+import math
 
 from berylhollow import workspaces
 
 
+ROUNDING = 1e-9
+"""Added to a quotient of decimal fractions, which may be just below a whole
+number."""
+
+
 class RepeatPolicy(enum.Enum):
     """How often a request of a route may run.
 
@@ -54,20 +60,50 @@
     public: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Model:
+    """A model that engines can load; sizes in MB, 0 if they aren't stated.
+
+    ``adapters`` is the declared number of its adapters, ``adapter_mb`` the
+    size of each.
+    """
+
+    name: str
+    adapters: int
+    weights_mb: float = 0.0
+    adapter_mb: float = 0.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Engine:
     """Capacity of the model engines of a service.
 
-    ``adapter_slots`` is how many adapters an engine holds at once, ``batch``
-    how many requests it runs at once and ``adapters`` the declared number of
-    adapters of each model. ``tokens_per_event`` is how many generated tokens
-    one event of a stream holds; an engine generates one token a step.
+    ``adapter_slots`` is how many adapters an engine holds at once at most and
+    ``batch`` how many requests it runs at once. ``tokens_per_event`` is how
+    many generated tokens one event of a stream holds; an engine generates one
+    token a step. ``memory_mb`` is for the weights of models and adapters
+    together, 0 if it isn't stated.
     """
 
     batch: int
     adapter_slots: int
-    adapters: tuple[tuple[str, int], ...]
+    models: tuple[Model, ...]
     tokens_per_event: int = 1
+    memory_mb: float = 0.0
+
+    def adapter_room(self, held_models: tuple[str, ...]) -> int:
+        """Return how many adapters fit beside the weights of some models.
+
+        All adapters are taken to be as large as those of the model with the
+        largest ones.
+        """
+        held = [model for model in self.models if model.name in held_models]
+        adapter_mb = max((model.adapter_mb for model in held), default=0.0)
+        if not self.memory_mb or not adapter_mb:
+            return self.adapter_slots
+        left_mb = self.memory_mb - sum(model.weights_mb for model in held)
+        fit = math.floor(left_mb / adapter_mb + ROUNDING)
+        return max(0, min(self.adapter_slots, fit))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/berylhollow/routes/_view.py
+++ b/berylhollow/routes/_view.py
@@ -274,6 +274,13 @@
             return 0
         return declared.engine.adapter_slots
 
+    def adapter_room(self, service: str, models: tuple[str, ...]) -> int:
+        """Return how many adapters an endpoint with these models can hold."""
+        declared = self.services.get(service)
+        if declared is None or declared.engine is None:
+            return 0
+        return declared.engine.adapter_room(models)
+
     def admission(self, service: str) -> following.AdmissionTerms | None:
         """Return how a service's prompts are admitted, None if they aren't."""
         return self.admission_terms.get(service)
@@ -283,7 +290,7 @@
         declared = self.services.get(service)
         if declared is None or declared.engine is None:
             return ()
-        return tuple(name for name, _ in declared.engine.adapters)
+        return tuple(model.name for model in declared.engine.models)
 
     def adapter(self, name: str) -> DeclaredAdapter:
         return DeclaredAdapter()
--- a/test/builders.py
+++ b/test/builders.py
@@ -61,6 +61,9 @@
     def adapter_slots(self, service):
         return 0
 
+    def adapter_room(self, service, models):
+        return 0
+
     def admission(self, service):
         return None
 
--- a/test/loader/test_loader.py
+++ b/test/loader/test_loader.py
@@ -7,6 +7,16 @@
 
 
 class OrderTest(loader_helper.LoaderTestCase):
+    def test_model_is_loaded_where_no_adapter_fits(self):
+        """Guards against an endpoint that stays empty for want of room."""
+        self.send_demands(slots=0)
+        self.report(models=())
+        self.assertEqual(loader_helper.MODEL, self.order().name)
+        self.end_order(at_ms=10)
+        self.send_demands(loader_helper.demand('a1'), slots=0, at_ms=20)
+        self.report(at_ms=30)
+        self.assert_no_order()
+
     def test_adapter_that_requests_wait_for_is_loaded(self):
         self.report()
         self.send_demands(loader_helper.demand('a1'))
