Move an endpoint to the indexes of the service that its entry names

Operators would have seen all gateways end at once: another writer's entry names another service for an endpoint that needs its model, the entry goes, and the next plan raises KeyError.

Cause: an endpoint is added to the indexes of its service when it is first listed, and removed from those of the service in its newest entry. Until it went, it was also chosen for requests of the service before.

Change: a changed service moves it, with a log line.

--- a/berylhollow/gateway/_membership.py
+++ b/berylhollow/gateway/_membership.py
@@ -268,6 +268,8 @@
         endpoint.refusals = 0
         endpoint.retry_link_at_ms = 0
     logs = _leaving_logs(endpoint, row)
+    if endpoint.instance.service != row.service:
+        logs += _change_service(state, endpoint, row)
     endpoint.instance = row
     endpoint.listed = True
     endpoint.leaving = endpoint.leaving or row.leaving
@@ -278,6 +280,27 @@
     return []
 
 
+def _change_service(
+    state: _state.State, endpoint: _state.Endpoint, row: events.Instance
+) -> Effects:
+    """Move an endpoint to the indexes of the service that its entry names.
+
+    The entry may be of another writer, so that the service may change back.
+    """
+    name = row.instance
+    service = endpoint.instance.service
+    state.placement.remove(name, service, endpoint.report)
+    _model_loads.remove_endpoint(state, name, service)
+    endpoint.report = None
+    state.placement.add(name, row.service)
+    fields = (
+        ('endpoint', name),
+        ('service', row.service),
+        ('service_before', service),
+    )
+    return [effects.Log('entry names another service', fields, warning=True)]
+
+
 def _leaving_logs(endpoint: _state.Endpoint, row: events.Instance) -> Effects:
     """Log that a direct endpoint is newly listed as leaving."""
     if not row.direct or not row.leaving or endpoint.leaving:
