Ignore SIGHUP in a service until its event loop handles it

Cause: the handler is set once the imports are done; until then the signal's default ends the process.

Change: the services ignore it from the first line of their program on, and the event loop takes it over. Short commands still end with their terminal. What comes before the interpreter runs that line still ends the process.

Shown: test_changed_settings_do_not_end_a_service_that_starts failed before.

--- a/berylhollow/util/startup.py
+++ b/berylhollow/util/startup.py
@@ -3,6 +3,7 @@
 import collections.abc
 import gc
 import os
+import signal
 
 GC_THRESHOLD_AT_IMPORT = 50_000
 """Objects allocated before the first garbage collection of a process."""
@@ -11,6 +12,9 @@
 """With this option all connections are unencrypted, to an IP address and port
 of the platform. A settings file may name an address that needs TLS."""
 
+SERVICES = frozenset({'gateway', 'sidecar'})
+"""Commands that run until they are told to stop."""
+
 CERTIFICATE_VARIABLES = ('SSL_CERT_FILE', 'SSL_CERT_DIR')
 """Variables with which an operator selects the trusted certificates."""
 
@@ -27,6 +31,16 @@
     raise_gc_threshold()
 
 
+def ignore_hangups(arguments: collections.abc.Sequence[str]) -> None:
+    """Ignore SIGHUP in a service until its event loop handles it.
+
+    A platform sends it when settings have changed, also to a process that is
+    still importing. A short command ends with its terminal as usual.
+    """
+    if arguments and arguments[0] in SERVICES:
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 def raise_gc_threshold() -> None:
     """Raise the garbage collection threshold for the imports.
 
--- a/test/test_startup.py
+++ b/test/test_startup.py
@@ -2,6 +2,9 @@
 
 import gc
 import os
+import signal
+import subprocess
+import sys
 import unittest
 from unittest import mock
 
@@ -39,3 +42,32 @@
     def test_settings_file_may_name_an_address_that_needs_tls(self):
         arguments = ('gateway', '--settings', 'gateway.jsonc')
         self.assertEqual({}, self.environment_after(arguments))
+
+
+PROGRAM = """
+import os, signal, sys, unittest.mock
+from berylhollow import __main__, ui
+def run(arguments):
+    os.kill(os.getpid(), signal.SIGHUP)
+    return 7
+with unittest.mock.patch.object(ui, 'main', run):
+    sys.exit(__main__.main())
+"""
+"""Runs a command whose process gets a signal before it handles any."""
+
+
+class HangupTest(unittest.TestCase):
+    def exit_code(self, *arguments):
+        done = subprocess.run(
+            [sys.executable, '-c', PROGRAM, *arguments], check=False
+        )
+        return done.returncode
+
+    def test_changed_settings_do_not_end_a_service_that_starts(self):
+        """Guards against gateways that end while they are still importing."""
+        self.assertEqual(7, self.exit_code('gateway', '--on-platform'))
+        self.assertEqual(7, self.exit_code('sidecar', '--on-platform'))
+
+    def test_short_command_ends_with_its_terminal(self):
+        """Guards against commands that outlive the terminal they ran in."""
+        self.assertEqual(-signal.SIGHUP, self.exit_code('status'))
