Look up new keepers of streams a thousand at a time

When a sidecar came or went, a gateway with 20,000 streams (the limit) looked up the keepers of all in one tick: 145 ms, in which it relays no token.

--- a/berylhollow/gateway/_origins.py
+++ b/berylhollow/gateway/_origins.py
@@ -19,6 +19,9 @@
 KEEPERS = 2
 """Sidecars that keep the origin of a stream."""
 
+CHECKED_PER_TICK = 1000
+"""Streams whose keepers are looked up again with each tick: about 8 ms."""
+
 HISTORY_KEEPERS = 4
 """Sidecars that are told the software versions of a service."""
 
@@ -104,7 +107,7 @@
 def keepers_changed(state: _state.State) -> None:
     """Look up the sidecars that keep origins again, and tell new ones."""
     state.keepers = None
-    state.retell_streams = True
+    state.streams_to_check = list(state.streams_told)
     state.histories_told_ms = clock.NEVER_MS
 
 
@@ -114,10 +117,7 @@
         state.origins_swept_ms = at_ms
         for stream in state.origins.drop_expired(at_ms):
             state.streams_told.pop(stream, None)
-    emitted: Effects = []
-    if state.retell_streams:
-        state.retell_streams = False
-        emitted += _retell_streams(state, at_ms)
+    emitted = _tell_new_keepers(state, at_ms)
     if at_ms - state.histories_told_ms >= HISTORY_MS:
         state.histories_told_ms = at_ms
         emitted += _tell_histories(state, at_ms)
@@ -184,16 +184,19 @@
     state.streams_told[stream] = frozenset(told)
 
 
-def _retell_streams(state: _state.State, at_ms: int) -> Effects:
-    """Tell sidecars of streams whose keepers they have become.
+def _tell_new_keepers(state: _state.State, at_ms: int) -> Effects:
+    """Tell sidecars of streams whose keepers they have become, newest first.
 
     Only streams that began at this gateway are told again; the others have
     been told by theirs.
     """
+    checked = state.streams_to_check[-CHECKED_PER_TICK:]
+    del state.streams_to_check[-CHECKED_PER_TICK:]
     by_peer: dict[str, list[messages.StreamOrigin]] = {}
     ring = keepers(state)
-    for stream, told in state.streams_told.items():
-        if stream not in state.origins.entries:
+    for stream in reversed(checked):
+        told = state.streams_told.get(stream)
+        if told is None or stream not in state.origins.entries:
             continue
         current = frozenset(
             (peer, state.sidecars[peer].incarnation)
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -544,7 +544,8 @@
     gateway knows them. ``streams_told`` has, by stream, the sidecars that keep
     its origin, each with its incarnation. ``keepers`` are the sidecars that
     can keep origins, None if they have to be looked up again, and
-    ``retell_streams`` is set when they have changed. ``histories`` has the
+    ``streams_to_check`` are those whose keepers may have changed since they
+    were told, the oldest first. ``histories`` has the
     software versions of each service; ``list_watched_since_ms`` is since when
     the list was read without a long gap.
 
@@ -569,7 +570,7 @@
         default_factory=dict
     )
     keepers: hash_ring.HashRing | None = None
-    retell_streams: bool = False
+    streams_to_check: list[bytes] = dataclasses.field(default_factory=list)
     origins_swept_ms: int = clock.NEVER_MS
     histories: dict[str, resumption.VersionHistory] = dataclasses.field(
         default_factory=dict
