Give up a call after sixteen interim responses

Callers got 504 at their deadline from an endpoint that sends 102 responses without end, though another endpoint was free and the route may be repeated.

Cause: the HTTP library reads interim responses until a final one comes.

Change: the connection is closed after sixteen. The attempt has failed with an unknown outcome, as for any connection that breaks before its answer.

Shown: test_interim_responses_without_end_fail_the_attempt failed before, at its time limit; sixteen before a final response are still skipped.

--- a/berylhollow/outgoing.py
+++ b/berylhollow/outgoing.py
@@ -17,6 +17,7 @@
 import aiohappyeyeballs
 import aiohttp
 from aiohttp import client_proto
+from aiohttp import http_exceptions
 
 CONNECT_TIMEOUT_MS = 1000
 CALL_TIMEOUT_MS = 5000
@@ -41,6 +42,10 @@
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 HEAD = 'HEAD'
 BODYLESS_STATUSES = frozenset({204, 304})
+INTERIM_STATUSES = range(100, 200)
+MAX_INTERIM_RESPONSES = 16
+"""Interim responses before a final one. Nothing here asks for any."""
+
 REFUSAL_STATUSES = frozenset({400, 404, 405, 409, 410, 413, 422, 429, 503})
 
 
@@ -97,6 +102,7 @@
 
     peer_reset = False
     peer: tuple | None = None
+    interim_responses = 0
 
     def __init__(
         self,
@@ -112,6 +118,27 @@
         self.peer = transport.get_extra_info('peername')
         self.open_by_peer.setdefault(self.peer, set()).add(self)
 
+    def feed_data(self, data: tuple, size: int = 0) -> None:
+        """Pass on the head of a response; close after too many interim ones.
+
+        The library reads them up to the deadline of the call.
+        """
+        message, _ = data
+        if message.code not in INTERIM_STATUSES:
+            self.interim_responses = 0
+            super().feed_data(data, size)
+            return
+        self.interim_responses += 1
+        if self.interim_responses <= MAX_INTERIM_RESPONSES:
+            super().feed_data(data, size)
+        elif self.exception() is None:
+            error = http_exceptions.HttpProcessingError(
+                code=message.code, message='too many interim responses'
+            )
+            # A close drops the exception of a connection.
+            self.close()
+            self.set_exception(error)
+
     def close(self) -> None:
         """Close at once and discard the data that is not sent yet."""
         self._forget()
--- a/test/hosted/direct_helper.py
+++ b/test/hosted/direct_helper.py
@@ -26,17 +26,25 @@
 
     ``pause_s`` is the time between the bytes and the reset. One that ``ends``
     closes its port before its connection, as a process does that crashes.
-    One that ``hangs`` answers nothing.
+    One that ``hangs`` answers nothing. Without ``closes`` it keeps its
+    connection open after the bytes.
     """
 
     def __init__(
-        self, answer, reset=False, pause_s=0.0, ends=False, hangs=False
+        self,
+        answer,
+        reset=False,
+        pause_s=0.0,
+        ends=False,
+        hangs=False,
+        closes=True,
     ):
         self.answer = answer
         self.reset = reset
         self.pause_s = pause_s
         self.ends = ends
         self.hangs = hangs
+        self.closes = closes
         self.received = b''
         self.connections = 0
         self.arrived = asyncio.Event()
@@ -62,8 +70,10 @@
             accepted = writer.get_extra_info('socket')
             accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
             writer.transport.abort()
-        else:
+        elif self.closes:
             writer.close()
+        else:
+            await reader.read()
 
 
 class KeepingEndpoint(RawEndpoint):
--- a/test/hosted/test_direct_runs.py
+++ b/test/hosted/test_direct_runs.py
@@ -118,6 +118,28 @@
         self.send_offer(number=2, software_version='v2')
         self.assertIsInstance((await self.messages_to_end())[-1], messages.End)
 
+    async def test_interim_responses_without_end_fail_the_attempt(self):
+        """Guards against requests held to their deadline by one endpoint."""
+        self.raw = direct_helper.RawEndpoint(
+            b'HTTP/1.1 102 Processing\r\n\r\n' * 1000, closes=False
+        )
+        await self.listen(self.raw)
+        self.send_offer()
+        (failed,) = await self.messages_to_end()
+        self.assertIs(errors.Kind.ENGINE_RESTARTED, failed.kind)
+        self.assertIs(errors.Ran.UNKNOWN, failed.ran)
+
+    async def test_interim_response_before_the_answer_is_skipped(self):
+        """Guards against an answer lost to a limit on what comes before."""
+        interim = b'HTTP/1.1 102 Processing\r\n\r\n'
+        final = RESPONSE_HEAD + b'Content-Length: 2\r\n\r\nab'
+        self.raw = direct_helper.RawEndpoint(interim * 16 + final)
+        await self.listen(self.raw)
+        self.send_offer()
+        told = await self.messages_to_end()
+        self.assertEqual(200, told[0].status)
+        self.assertIsInstance(told[-1], messages.End)
+
     async def test_no_answer_may_have_run(self):
         await self.begin_raw(b'', reset=True)
         self.send_offer()
