Play streams that are taken up again in the soak

The soak's endpoints were all of one software version and its callers began anew, so that no play could show a stream of two versions. With `--streams` endpoints are of two by turns, each start after a fault has the other one, and callers take up what breaks at any gateway. Two promises: a stream holds each event once and of one version alone, and broken streams go on nearly as often as new ones begin.

Tests break both with made-up streams.

--- a/test/soak/test_promises.py
+++ b/test/soak/test_promises.py
@@ -10,6 +10,7 @@
 from tools.soak import _operator
 from tools.soak import _promises
 from tools.soak import _schedule
+from tools.soak import _streams
 
 KEY = 'key-1'
 GATEWAY = 'g1'
@@ -24,6 +25,7 @@
         self.runs = []
         self.arrivals = []
         self.admissions = _admissions.NOTHING
+        self.streams = []
         self.operator = types.SimpleNamespace(
             key=KEY,
             taken_away={},
@@ -112,6 +114,7 @@
             0.0,
             self.arrivals,
             self.admissions,
+            self.streams,
         )
         return account.verdicts()[name]
 
@@ -437,3 +440,57 @@
         )
         self.assertEqual(2.0, _admissions.read_metric(page, 'a_waiting'))
         self.assertIsNone(_admissions.read_metric(page, 'waiting'))
+
+
+class StreamTest(PromiseTestCase):
+    """Streams that are taken up again, beside four endpoints."""
+
+    def setUp(self):
+        super().setUp()
+        world = self.schedule.world
+        world.plain = ['p0', 'p1', 'p2', 'p3']
+        world.crashes = list
+        world.software_at = lambda name, at: f'v{1 + int(name[1]) % 2}'
+
+    def stream(self, *versions, goes_on=True, sent=100.0):
+        """Add a stream that broke after its first event."""
+        first = _streams.Try('a', GATEWAY, 1, sent, sent + 1, 200, 1)
+        got = len(versions) - 1 if goes_on else 0
+        again = _streams.Try('b', GATEWAY, 2, sent + 1, sent + 2, 200, got)
+        received = list(enumerate(versions, 1))
+        self.streams.append(_streams.Stream([first, again], received))
+
+    def test_stream_of_two_versions(self):
+        self.stream('v1', 'v1')
+        self.check('stream of one software version', 1, 0)
+        self.stream('v1', 'v2')
+        self.check('stream of one software version', 2, 1)
+
+    def test_event_that_comes_twice(self):
+        self.stream('v1', 'v1')
+        self.streams[0].received[1] = (1, 'v1')
+        self.check('stream of one software version', 1, 1)
+
+    def test_too_few_streams_go_on(self):
+        for number in range(20):
+            self.stream('v1', 'v1', goes_on=number >= 2)
+        self.check('broken streams go on', 20, 0)
+        self.stream('v1', goes_on=False)
+        self.check('broken streams go on', 21, 3)
+
+    def test_few_resumptions_say_nothing(self):
+        for _ in range(11):
+            self.stream('v1', goes_on=False)
+        self.check('broken streams go on', 0, 0)
+
+    def test_streams_without_two_endpoints_of_their_version(self):
+        for _ in range(20):
+            self.stream('v1', goes_on=False)
+        self.fault('kill', 'p0', 98.0, 99.0)
+        self.check('broken streams go on', 0, 0)
+
+    def test_gateway_out_of_touch_is_not_asked(self):
+        for _ in range(20):
+            self.stream('v1', goes_on=False)
+        self.fault('freeze', GATEWAY, 99.0, 100.5)
+        self.check('broken streams go on', 0, 0)
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -19,6 +19,7 @@
 from tools.soak import _promises
 from tools.soak import _schedule
 from tools.soak import _series
+from tools.soak import _streams
 from tools.soak import _world
 
 CALM_S = 18
@@ -36,10 +37,18 @@
         arguments.only_first,
     )
     world = _world.World(
-        folder, arguments.gateways, arguments.models, arguments.plain, builds
+        folder,
+        arguments.gateways,
+        arguments.models,
+        arguments.plain,
+        builds,
+        arguments.streams > 0,
     )
     operator = _operator.Operator(
-        world, random.Random(chance.random()), arguments.paced
+        world,
+        random.Random(chance.random()),
+        arguments.paced,
+        arguments.streams > 0,
     )
     schedule = _schedule.Schedule(
         world, operator, random.Random(chance.random()), arguments.seconds
@@ -50,6 +59,7 @@
         random.Random(chance.random()),
         arguments.cut_plain,
     )
+    streams = _streams.Callers(world, seed)
     tasks = []
     try:
         await world.start()
@@ -62,6 +72,8 @@
         for number in range(arguments.crowd):
             in_crowd = callers.call_in_crowd(schedule.crowd, number)
             tasks.append(asyncio.create_task(in_crowd))
+        for _ in range(arguments.streams):
+            tasks.append(asyncio.create_task(streams.call()))
         await asyncio.sleep(_world.CONTACT_MS / 1000)
         await callers.crash_endpoints()
         culprits = [asyncio.create_task(callers.go_on_crashing())]
@@ -97,6 +109,7 @@
             time.monotonic() - CALM_S / 3,
             world.arrivals(),
             admissions,
+            streams.streams,
         )
         verdicts = account.verdicts()
         _tell(seed, account, verdicts, folder)
@@ -154,6 +167,12 @@
         action='store_true',
         help='declare models whose prompts need an admission, and a flood',
     )
+    parser.add_argument(
+        '--streams',
+        type=int,
+        default=0,
+        help='callers who take up broken streams, beside two versions',
+    )
     parser.add_argument(
         '--cut-plain',
         action='store_true',
--- a/tools/soak/_operator.py
+++ b/tools/soak/_operator.py
@@ -10,6 +10,7 @@
 import aiohttp
 
 from tools.soak import _standins
+from tools.soak import _streams
 from tools.soak import _world
 
 MODEL = 'base'
@@ -49,7 +50,8 @@
     ``key`` is the one that is in force, ``taken_away`` those that were, with
     the time at which their removal was confirmed. ``declared`` has each route
     by its prefix, which keeps its kind in all configurations. If ``paced`` is
-    set, prompts to models need an admission.
+    set, prompts to models need an admission; ``streams`` declares a route
+    whose streams may be resumed.
     """
 
     def __init__(
@@ -57,10 +59,12 @@
         world: _world.World,
         chance: random.Random,
         paced: bool = False,
+        streams: bool = False,
     ):
         self.world = world
         self.chance = chance
         self.paced = paced
+        self.streams = streams
         self.numbers = itertools.count(1)
         self.version = 1
         self.key = self._new_key()
@@ -212,6 +216,7 @@
             | {'GapTargetMs': EVENT_GAP_MS if self.paced else 0},
             _route('/p/', 'unsafe', _world.PLAIN_SERVICE),
             _route('/o/', 'safe', _world.PLAIN_SERVICE, public=True),
+            *([STREAM_ROUTE] if self.streams else []),
             *self._large_routes(),
         ]
         self.declared |= {route['PathPrefix']: route for route in routes}
@@ -247,3 +252,12 @@
         'MaxAttempts': 2 if kind == 'safe' else 1,
         'AllowAnonymous': public,
     }
+
+
+STREAM_ROUTE = _route(
+    _streams.PREFIX, 'stream', _world.PLAIN_SERVICE, public=True
+) | {
+    'Resumable': True,
+    'MaxAttempts': 2,
+    'TimeoutMs': _streams.DEADLINE_MS,
+}
--- a/tools/soak/_promises.py
+++ b/tools/soak/_promises.py
@@ -8,6 +8,7 @@
 from tools.soak import _callers
 from tools.soak import _operator
 from tools.soak import _schedule
+from tools.soak import _streams
 from tools.soak import _world
 
 NOT_RUN = frozenset({401, 404, 408, 421, 429, 503})
@@ -79,6 +80,7 @@
         calm_since: float,
         arrivals: list[dict] = (),
         admissions: _admissions.Seen = _admissions.NOTHING,
+        streams: collections.abc.Sequence[_streams.Stream] = (),
     ):
         self.exchanges = [e for e in exchanges if e.ended]
         self.by_id = {e.request_id: e for e in self.exchanges}
@@ -86,6 +88,7 @@
         self.schedule = schedule
         self.calm_since = calm_since
         self.admissions = admissions
+        self.streams = streams
         self.arrivals = sorted(arrivals, key=lambda line: line['at'])
         self.runs: dict[str, list[dict]] = collections.defaultdict(list)
         for run in runs:
@@ -119,6 +122,8 @@
                 ('bad_part_ends_few_endpoints', self.bad_parts),
                 ('admission_ends_in_time', self.admission),
                 ('admission_queues_end_empty', self.admission_queues),
+                ('stream_of_one_software_version', self.one_version),
+                ('broken_streams_go_on', self.streams_go_on),
                 ('served_after_all', self.served),
             )
         }
@@ -580,6 +585,61 @@
             verdict.check(waiting == 0, f'{waiting} wait at {name}')
         return verdict
 
+    def one_version(self) -> Verdict:
+        """A stream has each event once, all of one software version."""
+        verdict = Verdict()
+        for stream in self.streams:
+            if not stream.received:
+                continue
+            held = stream.is_in_order and len(stream.versions) == 1
+            verdict.check(held, f'{stream.tries}: {stream.received}')
+        return verdict
+
+    def streams_go_on(self) -> Verdict:
+        """Broken streams go on nearly as often as new ones begin.
+
+        At gateways in touch, while two endpoints of their version serve.
+        """
+        verdict = Verdict()
+        begun: list[bool] = []
+        for stream in self.streams:
+            for attempt in stream.tries:
+                if not self._may_know(
+                    attempt.gateway, attempt.sent, attempt.ended
+                ):
+                    continue
+                if attempt.first == 1:
+                    begun.append(attempt.got > 0)
+                elif self._is_served(stream.received[0][1], attempt):
+                    verdict.check(attempt.got > 0, f'{attempt}')
+        asked, lost = verdict.asked, len(verdict.broken)
+        if asked < _streams.LEAST_RESUMED or not begun:
+            return Verdict()
+        least = _streams.GOES_ON_SHARE * sum(begun) / len(begun)
+        if asked - lost >= least * asked:
+            verdict.broken.clear()
+        return verdict
+
+    def _is_served(self, version: str, attempt: _streams.Try) -> bool:
+        """Tell whether two endpoints of a version served all the while."""
+        since = attempt.sent - _streams.LISTED_S
+        world = self.schedule.world
+        ended = {
+            fault.target for fault in self._faults(since, attempt.ended)
+        } | {
+            line['crashed'].removeprefix('i-')
+            for line in world.crashes()
+            if since < line['at'] < attempt.ended
+        }
+        serving = [
+            name
+            for name in world.plain
+            if name not in ended
+            and self.schedule.left.get(name, float('inf')) > attempt.ended
+            and world.software_at(name, since) == version
+        ]
+        return len(serving) >= 2
+
     def served(self) -> Verdict:
         """In the calm seconds at the end most of what is allowed is served."""
         verdict = Verdict()
--- a/tools/soak/_standins.py
+++ b/tools/soak/_standins.py
@@ -13,6 +13,7 @@
 from berylhollow.standin import metadata_store
 from tools.soak import _answers
 from tools.soak import _proxy
+from tools.soak import _streams
 from tools.soak import _world
 
 BEAT_S = 1.2
@@ -73,7 +74,14 @@
 class Endpoint(direct_endpoint.DirectEndpoint):
     """An endpoint that says what it runs, and lists itself in the store."""
 
-    def __init__(self, name: str, address: str, service: str, store: str):
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        service: str,
+        store: str,
+        software: str,
+    ):
         if service == _world.MODEL_SERVICE:
             super().__init__(name, MODEL_SLOTS, MODEL_PLACES)
             self.run_s = MODEL_RUN_S
@@ -84,6 +92,7 @@
         self.address = address
         self.service = service
         self.store = store
+        self.software = software
         self.state = 'ready'
         self.sequence = 0
         self.written = asyncio.Event()
@@ -177,6 +186,8 @@
         headers['Server-Seal'] = f'seal-of-{self.instance}'
         if BAD_PART in request.headers.get('Prompt-Prefix', ''):
             return await self._crash_while_answering(request, headers)
+        if request.path.startswith(_streams.PREFIX):
+            return await _streams.answer(request, headers, self.software)
         plan = _answers.decode(request.headers.get(_answers.PLAN_HEADER))
         if plan.kind == 'events':
             headers['Content-Type'] = 'text/event-stream'
@@ -210,7 +221,7 @@
             'Service': self.service,
             'Address': self.address,
             'Zone': 'z1',
-            'Version': 'v1',
+            'Version': self.software,
             'Slots': self.model.slots or PLAIN_SLOTS,
             'State': self.state,
             'Models': self._description(),
--- /dev/null
+++ b/tools/soak/_streams.py
@@ -0,0 +1,159 @@
+"""Streams that callers take up again, over endpoints of two versions."""
+
+import asyncio
+import dataclasses
+import itertools
+import random
+import time
+
+import aiohttp
+from aiohttp import web
+
+from tools.soak import _world
+
+PREFIX = '/s/'
+PATH = f'{PREFIX}x'
+EVENTS = 16
+EVENT_S = 0.12
+TRIES = 5
+DEADLINE_MS = 12_000
+PATIENCE_S = 6
+PAUSE_S = 0.1
+LISTED_S = 6.0
+"""By then the list shows an end or a start, and callers know of neither."""
+
+GOES_ON_SHARE = 0.9
+LEAST_RESUMED = 12
+
+
+async def answer(
+    request: web.BaseRequest, headers: dict[str, str], software: str
+) -> web.StreamResponse:
+    """Write the events after the last one that the caller has."""
+    headers['Content-Type'] = 'text/event-stream'
+    response = web.StreamResponse(headers=headers)
+    await response.prepare(request)
+    last = int(request.headers.get('Last-Event-Id', '0'))
+    for number in range(last + 1, EVENTS + 1):
+        await response.write(f'id: {number}\ndata: {software}\n\n'.encode())
+        await asyncio.sleep(EVENT_S)
+    await response.write_eof()
+    return response
+
+
+@dataclasses.dataclass
+class Try:
+    """One request for a stream; times are monotonic.
+
+    ``first`` is the number of the first event that it was to bring, ``got``
+    counts those that it has brought.
+    """
+
+    request_id: str
+    gateway: str
+    first: int
+    sent: float
+    ended: float = 0.0
+    status: int | None = None
+    got: int = 0
+
+
+@dataclasses.dataclass
+class Stream:
+    """A caller's stream; ``received`` has each event's number and version."""
+
+    tries: list[Try] = dataclasses.field(default_factory=list)
+    received: list[tuple[int, str]] = dataclasses.field(default_factory=list)
+
+    @property
+    def versions(self) -> set[str]:
+        return {version for _, version in self.received}
+
+    @property
+    def is_in_order(self) -> bool:
+        numbers = [number for number, _ in self.received]
+        return numbers == list(range(1, len(numbers) + 1))
+
+    @property
+    def first_id(self) -> str:
+        """The id of the try that brought the first event."""
+        return next(x.request_id for x in self.tries if x.got)
+
+    @property
+    def is_complete(self) -> bool:
+        return len(self.received) == EVENTS
+
+
+class Callers:
+    """Begin streams all the time, and take up those that break."""
+
+    def __init__(self, world: _world.World, seed: int):
+        self.world = world
+        self.chance = random.Random(seed)
+        self.numbers = itertools.count(1)
+        self.streams: list[Stream] = []
+
+    async def call(self) -> None:
+        """Be one caller, with one stream after the other."""
+        while True:
+            stream = Stream()
+            self.streams.append(stream)
+            until = time.monotonic() + DEADLINE_MS / 1000
+            for _ in range(TRIES):
+                pause_s = await self._try(stream, until)
+                if stream.is_complete or time.monotonic() >= until:
+                    break
+                await asyncio.sleep(pause_s)
+            await asyncio.sleep(PAUSE_S * self.chance.random() * 2)
+
+    async def _try(self, stream: Stream, until: float) -> float:
+        """Send one request; return when to come back, in seconds."""
+        now = time.monotonic()
+        number = next(self.numbers)
+        attempt = Try(
+            f'stream-{number}',
+            self.chance.choice(self.world.gateways),
+            len(stream.received) + 1,
+            now,
+        )
+        headers = {
+            'Host': 'soak.example',
+            'Request-Id': attempt.request_id,
+            'Deadline-Ms': str(max(1, int((until - now) * 1000))),
+        }
+        if stream.received:
+            headers['Last-Event-Id'] = str(stream.received[-1][0])
+            headers['Resumes'] = stream.first_id
+        stream.tries.append(attempt)
+        host = self.world.host(attempt.gateway)
+        url = f'http://{host}:{self.world.callers_port}{PATH}'
+        # A body of its own: runs that are cut off make suspects.
+        body = f'{id(stream)}'.encode()
+        pause_s = PAUSE_S
+        try:
+            async with (
+                asyncio.timeout(PATIENCE_S),
+                aiohttp.ClientSession() as session,
+                session.post(url, headers=headers, data=body) as response,
+            ):
+                attempt.status = response.status
+                pause_s = float(response.headers.get('Retry-After', PAUSE_S))
+                if response.status == 200:
+                    await self._read(stream, attempt, response)
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            pass
+        finally:
+            attempt.ended = time.monotonic()
+        return pause_s
+
+    async def _read(self, stream: Stream, attempt: Try, response) -> None:
+        pending = b''
+        async for part in response.content.iter_any():
+            pending += part
+            while b'\n\n' in pending:
+                event, _, pending = pending.partition(b'\n\n')
+                named = dict(
+                    line.split(': ', 1) for line in event.decode().split('\n')
+                )
+                stream.received.append((int(named['id']), named['data']))
+                attempt.got += 1
--- a/tools/soak/_world.py
+++ b/tools/soak/_world.py
@@ -9,6 +9,7 @@
 import pathlib
 import signal
 import sys
+import time
 
 import aiohttp
 
@@ -155,9 +156,12 @@
         models: int,
         plain: int,
         builds: Builds = Builds(),
+        releases: bool = False,
     ):
         self.folder = pathlib.Path(folder)
         self.builds = builds
+        self.releases = releases
+        self.software: dict[str, list[tuple[float, str]]] = {}
         self.network = 1 + os.getpid() % 250
         self.link_port, self.metrics_port, *rest = sorted(
             processes.free_ports(7)
@@ -211,8 +215,30 @@
             address,
             service,
             self.store,
+            self._next_software(name),
         )
 
+    def _next_software(self, name: str) -> str:
+        """Return the version of an endpoint's next start.
+
+        With releases, endpoints begin with one of two by turns, and each
+        start has the other one.
+        """
+        starts = self.software.setdefault(name, [])
+        number = len(starts)
+        if name in self.plain:
+            number += self.plain.index(name)
+        version = f'v{1 + number % 2}' if self.releases else 'v1'
+        starts.append((time.monotonic(), version))
+        return version
+
+    def software_at(self, name: str, at: float) -> str:
+        """Return the version that an endpoint had, '' before its start."""
+        versions = [
+            v for since, v in self.software.get(name, ()) if since < at
+        ]
+        return versions[-1] if versions else ''
+
     async def start_sidecar(self, name: str) -> None:
         shown = self.host(f'{name} proxy')
         await self._begin_program(
@@ -361,6 +387,10 @@
         """Return what endpoints have got, whether they ran it or not."""
         return self._lines('got')
 
+    def crashes(self) -> list[dict]:
+        """Return the crashes of which endpoints have told."""
+        return self._lines('crashed')
+
     def _lines(self, word: str) -> list[dict]:
         everything = [*self.processes.values(), *self.ended]
         return [
