Ask sidecars about a stream before relying on the listed versions

A gateway whose list lags could have taken the only version that it knew for the one that began a stream, while another gateway had already begun it at a newer one: a stream of two versions, which nothing would have shown. Found in reading the change.

Cause: the history of listed versions was asked before the sidecars, which know the stream itself.

Change: a stream that is named is asked for at the sidecars first. What is left is a caller who names none, within the lag of the list.

Shown: test_sidecar_knows_better_than_a_list_that_lags and test_streams_dropped_beyond_the_limit_leave_nothing failed before.

--- a/berylhollow/gateway/_origins.py
+++ b/berylhollow/gateway/_origins.py
@@ -115,8 +115,12 @@
     """Drop expired origins; tell sidecars that have become keepers."""
     if at_ms - state.origins_swept_ms >= SWEEP_MS:
         state.origins_swept_ms = at_ms
-        for stream in state.origins.drop_expired(at_ms):
-            state.streams_told.pop(stream, None)
+        state.origins.drop_expired(at_ms)
+        state.streams_told = {
+            stream: told
+            for stream, told in state.streams_told.items()
+            if stream in state.origins.entries
+        }
     emitted = _tell_new_keepers(state, at_ms)
     if at_ms - state.histories_told_ms >= HISTORY_MS:
         state.histories_told_ms = at_ms
--- a/berylhollow/gateway/_resumption.py
+++ b/berylhollow/gateway/_resumption.py
@@ -80,8 +80,9 @@
 ) -> Decision:
     """Find out which software version may run a request.
 
-    Its own table comes first, then whether only one version can have begun
-    the stream, then the sidecars.
+    Its own table comes first, then the sidecars, then whether only one version
+    can have begun the stream. Sidecars go before that, as the list may lack a
+    version with which another gateway has just begun it.
     """
     resumed = active.resumption
     if resumed is None:
@@ -94,12 +95,8 @@
     if origin is not None:
         source = 'sidecar' if resumed.answered else 'gateway'
         return _apply(state, active, origin, source, at_ms)
-    version = _only_version(state, active, at_ms)
-    if version:
-        origin = resumption.Origin(active.service, version, at_ms)
-        return _apply(state, active, origin, 'only version', at_ms)
     if resumed.stream is None:
-        return _refuse_unknown(state, active, 'not named', at_ms)
+        return _use_only_version(state, active, 'not named', at_ms)
     return _ask(state, active, at_ms)
 
 
@@ -227,6 +224,20 @@
     return Decision(False, emitted, Refusal(kind, retry_after_ms))
 
 
+def _use_only_version(
+    state: _state.State,
+    active: _state.ActiveRequest,
+    reason: str,
+    at_ms: int,
+) -> Decision:
+    """Bind a request to the only version there was, or refuse it."""
+    version = _only_version(state, active, at_ms)
+    if not version:
+        return _refuse_unknown(state, active, reason, at_ms)
+    origin = resumption.Origin(active.service, version, at_ms)
+    return _apply(state, active, origin, 'only version', at_ms)
+
+
 def _only_version(
     state: _state.State, active: _state.ActiveRequest, at_ms: int
 ) -> str:
@@ -264,7 +275,7 @@
     ]
     if not peers:
         reason = 'not kept' if resumed.answered else 'no link'
-        return _refuse_unknown(state, active, reason, at_ms)
+        return _use_only_version(state, active, reason, at_ms)
     resumed.asked_ms = at_ms
     active.retry_at_ms = at_ms + ANSWER_MS
     resumed.answered |= dict.fromkeys(peers, False)
--- a/berylhollow/resumption/_origins.py
+++ b/berylhollow/resumption/_origins.py
@@ -4,7 +4,6 @@
 told apart, so that their origin counts as unknown.
 """
 
-import collections.abc
 import dataclasses
 import hashlib
 
@@ -82,8 +81,8 @@
         del self.entries[stream]
         return None
 
-    def drop_expired(self, at_ms: int) -> collections.abc.Iterable[bytes]:
-        """Drop the origins whose time is over and return their streams."""
+    def drop_expired(self, at_ms: int) -> None:
+        """Drop the origins whose time is over."""
         expired = [
             stream
             for stream, origin in self.entries.items()
@@ -91,4 +90,3 @@
         ]
         for stream in expired:
             del self.entries[stream]
-        return expired
--- a/test/hosted/test_origins.py
+++ b/test/hosted/test_origins.py
@@ -136,6 +136,16 @@
         self.resume('a')
         self.assert_refused()
 
+    def test_streams_dropped_beyond_the_limit_leave_nothing(self):
+        """Guards against memory that only grows at a busy gateway."""
+        self.link_sidecar()
+        self.state.origins.limit = 10
+        for number in range(20):
+            self.begin_stream(f's{number}')
+        self.feed(events.Ticked(3000, 0.5))
+        self.assertEqual(10, len(self.state.origins))
+        self.assertEqual(10, len(self.state.streams_told))
+
     def test_stream_goes_on_where_all_of_its_version_are_ejected(self):
         """Guards against refusals after many channels were reset at once.
 
@@ -284,6 +294,32 @@
             self.resume(stream_id, at_ms=end_ms)
             self.offered()
 
+    def test_sidecar_knows_better_than_a_list_that_lags(self):
+        """Guards against a version that another gateway has read first."""
+        end_ms = LISTED_MS + HORIZON_MS + 1000
+        self.watch(LISTED_MS, end_ms)
+        self.link_sidecar(at_ms=end_ms)
+        self.resume('a', at_ms=end_ms)
+        self.assertEqual([], self.offers())
+        (wanted,) = self.sent(messages.OriginWanted)
+        told = messages.StreamOrigin(
+            wanted.stream, builders.PLAIN_SERVICE, 'v2', 5000
+        )
+        answered = messages.OriginAnswered(wanted.stream, told)
+        self.receive(answered, end_ms + 4, SIDECAR)
+        self.assert_refused(errors.Kind.SOFTWARE_VERSION_GONE)
+
+    def test_stream_that_no_sidecar_knows_goes_on_at_the_only_version(self):
+        """Guards against refusals where there is nothing to mix."""
+        end_ms = LISTED_MS + HORIZON_MS + 1000
+        self.watch(LISTED_MS, end_ms)
+        self.link_sidecar(at_ms=end_ms)
+        self.resume('a', at_ms=end_ms)
+        (wanted,) = self.sent(messages.OriginWanted)
+        answered = messages.OriginAnswered(wanted.stream, None)
+        self.receive(answered, end_ms + 4, SIDECAR)
+        self.offered()
+
     def test_short_history_is_no_proof(self):
         """Guards against a gateway that takes its own start for that of all.
 
