--- a/test/test_startup.py
+++ b/test/test_startup.py
@@ -47,13 +47,17 @@
 PROGRAM = """
 import os, signal, sys, unittest.mock
 from berylhollow import __main__, ui
+signal.signal(signal.SIGHUP, signal.SIG_DFL)
 def run(arguments):
     os.kill(os.getpid(), signal.SIGHUP)
     return 7
 with unittest.mock.patch.object(ui, 'main', run):
     sys.exit(__main__.main())
 """
-"""Runs a command whose process gets a signal before it handles any."""
+"""Runs a command whose process gets a signal before it handles any.
+
+It may have inherited that the signal is ignored, as from nohup.
+"""
 
 
 class HangupTest(unittest.TestCase):
--- a/tools/soak/_standins.py
+++ b/tools/soak/_standins.py
@@ -80,7 +80,7 @@
         address: str,
         service: str,
         store: str,
-        software: str,
+        software: str = 'v1',
     ):
         if service == _world.MODEL_SERVICE:
             super().__init__(name, MODEL_SLOTS, MODEL_PLACES)
