--- a/berylhollow/configuration/_configuration.py
+++ b/berylhollow/configuration/_configuration.py
@@ -97,6 +97,10 @@
         """Return 0, as sidecars learn the number from their engines."""
         return 0
 
+    def can_hold(self, service: str, adapter: messages.AdapterVersion) -> bool:
+        """Return False, as only sidecars know what their engines hold."""
+        return False
+
     def admission(self, service: str) -> following.AdmissionTerms | None:
         """Return None, as engines behind a sidecar's link need none."""
         return None
--- a/berylhollow/following.py
+++ b/berylhollow/following.py
@@ -137,6 +137,9 @@
         Both its slots and its memory bound them; 0 for a plain service.
         """
 
+    def can_hold(self, service: str, adapter: messages.AdapterVersion) -> bool:
+        """Tell whether an adapter fits beside its model at an endpoint."""
+
     def models(self, service: str) -> tuple[str, ...]:
         """Return the models that endpoints of a service should hold."""
 
--- a/berylhollow/gateway/_adapters.py
+++ b/berylhollow/gateway/_adapters.py
@@ -73,9 +73,8 @@
     anyway. Refused in time, it can be sent again when the adapter is loaded.
     One that fits beside its model nowhere is not waited for.
     """
-    model, _, _ = active.request.adapter.adapter.partition('/')
     configuration = state.follower.current
-    if not configuration.adapter_room(active.service, (model,)):
+    if not configuration.can_hold(active.service, active.request.adapter):
         return False
     since_ms = active.awaiting_since_ms
     if since_ms is None:
--- a/berylhollow/gateway/_admissions.py
+++ b/berylhollow/gateway/_admissions.py
@@ -15,6 +15,7 @@
 from berylhollow import events
 from berylhollow import following
 from berylhollow.gateway import _adapters
+from berylhollow.gateway import _counts
 from berylhollow.gateway import _fleet
 from berylhollow.gateway import _routing
 from berylhollow.gateway import _state
@@ -411,8 +412,4 @@
 
 
 def _count(active: _state.ActiveRequest, outcome: str) -> effects.Count:
-    attributes = (
-        ('berylhollow.service', active.service),
-        ('berylhollow.outcome', outcome),
-    )
-    return effects.Count('berylhollow.admissions', 1, attributes)
+    return _counts.count_outcome('berylhollow.admissions', active, outcome)
--- a/berylhollow/gateway/_attempts.py
+++ b/berylhollow/gateway/_attempts.py
@@ -25,6 +25,7 @@
 from berylhollow.gateway import _quarantine
 from berylhollow.gateway import _quotas
 from berylhollow.gateway import _rate_limits
+from berylhollow.gateway import _refusal
 from berylhollow.gateway import _resumption
 from berylhollow.gateway import _settlement
 from berylhollow.gateway import _state
@@ -90,13 +91,7 @@
         ]
     refusal = _workspaces.refused(state, active, at_ms)
     if refusal is not None:
-        return give_up(
-            state,
-            active,
-            refusal.kind,
-            errors.Ran.NOT_RUN,
-            refusal.retry_after_ms,
-        )
+        return _refuse(state, active, refusal)
     wait_ms = _quotas.retry_wait_ms(state, active, at_ms)
     if wait_ms:
         kind = errors.Kind.QUOTA_EXCEEDED
@@ -104,13 +99,7 @@
     resumption = _resumption.settle(state, active, at_ms)
     result = [*resumption.emitted]
     if resumption.refusal is not None:
-        return result + give_up(
-            state,
-            active,
-            resumption.refusal.kind,
-            errors.Ran.NOT_RUN,
-            resumption.refusal.retry_after_ms,
-        )
+        return result + _refuse(state, active, resumption.refusal)
     if not resumption.may_place:
         return result
     result += _rate_limits.request_loans(state, active, at_ms)
@@ -147,6 +136,16 @@
     )
 
 
+def _refuse(
+    state: _state.State,
+    active: _state.ActiveRequest,
+    refusal: _refusal.Refusal,
+) -> Effects:
+    """Fail a request that has not run."""
+    ran, wait_ms = errors.Ran.NOT_RUN, refusal.retry_after_ms
+    return give_up(state, active, refusal.kind, ran, wait_ms)
+
+
 def _refuse_admission(
     state: _state.State, active: _state.ActiveRequest
 ) -> Effects:
@@ -330,10 +329,8 @@
     It may have begun a moment ago, so it is only repeated if it may run more
     than once.
     """
-    result: Effects = [_decisions.superseded_end_log(state, active, at_ms)]
-    result += cancel(state, active)
-    failure = _outcome_unknown(active)
-    return result + _handle_failure(state, active, failure, at_ms)
+    log = _decisions.superseded_end_log(state, active, at_ms)
+    return _end_attempt(state, active, log, _outcome_unknown(active), at_ms)
 
 
 def _end_other_version(
@@ -343,14 +340,26 @@
 
     The request runs there already, but its caller has got nothing of it.
     """
-    result: Effects = [_decisions.other_version_log(state, active)]
-    result += cancel(state, active)
+    log = _decisions.other_version_log(state, active)
     failure = messages.Failed(
         active.attempt_id,
         errors.Kind.SOFTWARE_VERSION_GONE,
         errors.Ran.UNKNOWN,
     )
-    return result + _handle_failure(state, active, failure, at_ms)
+    return _end_attempt(state, active, log, failure, at_ms)
+
+
+def _end_attempt(
+    state: _state.State,
+    active: _state.ActiveRequest,
+    log: effects.Log,
+    failure: messages.Failed,
+    at_ms: int,
+) -> Effects:
+    """Cancel an attempt and handle it as failed."""
+    cancelled = cancel(state, active)
+    handled = _handle_failure(state, active, failure, at_ms)
+    return [log, *cancelled, *handled]
 
 
 def _outcome_unknown(active: _state.ActiveRequest) -> messages.Failed:
--- a/berylhollow/gateway/_counts.py
+++ b/berylhollow/gateway/_counts.py
@@ -16,6 +16,17 @@
     return counts
 
 
+def count_outcome(
+    name: str, active: _state.ActiveRequest, outcome: str
+) -> effects.Count:
+    """Return the count of a request in a metric with service and outcome."""
+    attributes = (
+        ('berylhollow.service', active.service),
+        ('berylhollow.outcome', outcome),
+    )
+    return effects.Count(name, 1, attributes)
+
+
 def _count_attempt(
     state: _state.State, message: messages.Message
 ) -> list[effects.Count]:
--- a/berylhollow/gateway/_http.py
+++ b/berylhollow/gateway/_http.py
@@ -15,8 +15,8 @@
 from berylhollow.gateway import _dialect
 from berylhollow.gateway import _exchange
 from berylhollow.gateway import _parsing
+from berylhollow.gateway import _refusal
 from berylhollow.gateway import _responding
-from berylhollow.gateway import _workspaces
 from berylhollow import settings as all_settings
 
 LOG = logging.getLogger(__name__)
@@ -52,7 +52,7 @@
 
     def head_refusal(
         self, head: events.RequestHead, shown_id: str
-    ) -> _workspaces.Refusal | None:
+    ) -> _refusal.Refusal | None:
         """Return why a request is refused by its head, None if it is not."""
 
     async def gateway_page(self, path: str) -> web.Response | None:
--- a/berylhollow/gateway/_limits.py
+++ b/berylhollow/gateway/_limits.py
@@ -5,28 +5,20 @@
 evenly. Asking the other gateways would delay every request.
 """
 
-import dataclasses
 import math
 
 from berylhollow import errors
 from berylhollow import events
+from berylhollow.gateway import _refusal
 from berylhollow.gateway import _state
 from berylhollow.util import token_bucket
 
 MS_PER_SECOND = 1000
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Refusal:
-    """Why a request is refused, and after how long to retry."""
-
-    kind: errors.Kind
-    retry_after_ms: int
-
-
 def admit(
     state: _state.State, request: events.Request, at_ms: int
-) -> Refusal | None:
+) -> _refusal.Refusal | None:
     """Admit and count a request, or return why it is refused.
 
     The rate is checked last, so that a request refused for another reason
@@ -34,16 +26,18 @@
     """
     options = state.options
     if len(state.requests) >= options.requests_in_flight:
-        return Refusal(errors.Kind.OVERLOADED, options.limit_retry_ms)
+        return _refusal.Refusal(errors.Kind.OVERLOADED, options.limit_retry_ms)
     caller = _get_or_add_caller(state, request.caller)
     if caller.in_flight >= caller.in_flight_limit:
-        return Refusal(errors.Kind.CALLER_LIMIT, options.limit_retry_ms)
+        return _refusal.Refusal(
+            errors.Kind.CALLER_LIMIT, options.limit_retry_ms
+        )
     in_flight = state.adapter_in_flight.get(request.adapter, 0)
     if request.adapter and in_flight >= options.adapter_in_flight:
-        return Refusal(errors.Kind.OVERLOADED, options.limit_retry_ms)
+        return _refusal.Refusal(errors.Kind.OVERLOADED, options.limit_retry_ms)
     if not caller.rate.try_take(at_ms):
         wait_ms = int(MS_PER_SECOND / caller.rate.rate_per_s) + 1
-        return Refusal(errors.Kind.CALLER_LIMIT, wait_ms)
+        return _refusal.Refusal(errors.Kind.CALLER_LIMIT, wait_ms)
     caller.in_flight += 1
     caller.seen_ms = at_ms
     state.adapter_in_flight[request.adapter] = in_flight + 1
--- a/berylhollow/gateway/_origins.py
+++ b/berylhollow/gateway/_origins.py
@@ -31,9 +31,6 @@
 HISTORY_MS = 2000
 """Interval at which sidecars are told the versions that are listed."""
 
-SWEEP_MS = 1000
-"""Interval at which expired origins are dropped."""
-
 
 def proven_version(state: _state.State, name: str) -> str:
     """Return the software version of an endpoint, '' if it isn't certain.
@@ -79,18 +76,6 @@
     return _sends(by_peer)
 
 
-def learn(
-    state: _state.State, message: messages.StreamOrigin, at_ms: int
-) -> resumption.Origin:
-    """Keep the origin of a stream that a sidecar has told."""
-    origin = resumption.Origin(
-        message.service,
-        message.software_version,
-        at_ms + max(1, message.for_ms),
-    )
-    return state.origins.record(message.stream, origin, at_ms)
-
-
 def keepers(state: _state.State) -> hash_ring.HashRing:
     """Return the linked sidecars that keep origins."""
     if state.keepers is None:
@@ -113,9 +98,7 @@
 
 def tick(state: _state.State, at_ms: int) -> Effects:
     """Drop expired origins; tell sidecars that have become keepers."""
-    if at_ms - state.origins_swept_ms >= SWEEP_MS:
-        state.origins_swept_ms = at_ms
-        state.origins.drop_expired(at_ms)
+    if state.origins.drop_expired(at_ms):
         state.streams_told = {
             stream: told
             for stream, told in state.streams_told.items()
@@ -174,18 +157,20 @@
     by_peer: dict[str, list[messages.StreamOrigin]],
 ) -> None:
     """Add what the keepers of a stream are to be told of it."""
-    origin = state.origins.entries[stream]
-    message = messages.StreamOrigin(
-        stream,
-        origin.service,
-        origin.software_version,
-        origin.until_ms - at_ms,
-    )
-    told = set()
-    for peer in keepers(state).first(stream, KEEPERS):
-        told.add((peer, state.sidecars[peer].incarnation))
+    message = state.origins.entries[stream].describe(stream, at_ms)
+    state.streams_told[stream] = _stream_keepers(state, stream)
+    for peer, _ in state.streams_told[stream]:
         by_peer.setdefault(peer, []).append(message)
-    state.streams_told[stream] = frozenset(told)
+
+
+def _stream_keepers(
+    state: _state.State, stream: bytes
+) -> frozenset[tuple[str, str]]:
+    """Return the sidecars that should keep a stream, with incarnations."""
+    return frozenset(
+        (peer, state.sidecars[peer].incarnation)
+        for peer in keepers(state).first(stream, KEEPERS)
+    )
 
 
 def _tell_new_keepers(state: _state.State, at_ms: int) -> Effects:
@@ -197,16 +182,11 @@
     checked = state.streams_to_check[-CHECKED_PER_TICK:]
     del state.streams_to_check[-CHECKED_PER_TICK:]
     by_peer: dict[str, list[messages.StreamOrigin]] = {}
-    ring = keepers(state)
     for stream in reversed(checked):
         told = state.streams_told.get(stream)
         if told is None or stream not in state.origins.entries:
             continue
-        current = frozenset(
-            (peer, state.sidecars[peer].incarnation)
-            for peer in ring.first(stream, KEEPERS)
-        )
-        if not current <= told:
+        if not _stream_keepers(state, stream) <= told:
             _add_message(state, stream, at_ms, by_peer)
     return _sends(by_peer)
 
--- a/berylhollow/gateway/_parsing.py
+++ b/berylhollow/gateway/_parsing.py
@@ -5,7 +5,6 @@
 """
 
 import dataclasses
-import hashlib
 import itertools
 import json
 import re
@@ -15,7 +14,9 @@
 from berylhollow import errors
 from berylhollow import events
 from berylhollow import messages
+from berylhollow.util import digests
 from berylhollow.util import hop_by_hop
+from berylhollow.util import texts
 
 CALLER_HEADER = 'X-Caller'
 DEADLINE_HEADER = 'X-Deadline-Ms'
@@ -162,21 +163,12 @@
     for name, value in headers.items():
         if name.lower() in dropped:
             continue
-        if not value.isascii():
-            _check_encodable(name, value)
+        if not texts.is_encodable(value):
+            raise _bad_header(name)
         forwarded.append(messages.Header(name, value))
     return tuple(forwarded)
 
 
-def _check_encodable(name: str, value: str) -> None:
-    # The HTTP library decodes bytes that are not UTF-8 to lone surrogates,
-    # which the codec of the links can't encode.
-    try:
-        value.encode()
-    except UnicodeEncodeError:
-        raise _bad_header(name) from None
-
-
 def check_json_headers(headers) -> None:
     """Raise UNSUPPORTED_MEDIA_TYPE unless the body is plain JSON."""
     content_type = headers.get('Content-Type', '')
@@ -326,18 +318,11 @@
     adapter: messages.AdapterVersion | None,
     body: bytes,
 ) -> str:
-    """Return a digest that is equal for identical requests.
-
-    Each part but the last is prefixed with its length, so that different
-    requests never have the same digest input.
-    """
-    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    """Return a digest that is equal for identical requests."""
     name = adapter.adapter if adapter else ''
     version = adapter.version if adapter else ''
-    for part in (service, method, path, name, version):
-        data = part.encode()
-        digest.update(b'%d:' % len(data))
-        digest.update(data)
+    named = (service, method, path, name, version)
+    digest = digests.of_parts(map(str.encode, named), DIGEST_BYTES)
     digest.update(body)
     return digest.hexdigest()
 
--- a/berylhollow/gateway/_peers.py
+++ b/berylhollow/gateway/_peers.py
@@ -7,13 +7,12 @@
 distances on it double, which makes the number of hops logarithmic.
 """
 
-import hashlib
-
 from berylhollow import effects
 from berylhollow import events
 from berylhollow.gateway import _claim_leader
 from berylhollow.gateway import _link_pacing
 from berylhollow.gateway import _state
+from berylhollow.util import hash_ring
 
 Effects = list[effects.Effect]
 
@@ -36,7 +35,8 @@
 
 def chosen_peers(state: _state.State) -> list[str]:
     """Return the peers at distances 1, 2, 4 and so on, and claim leaders."""
-    ring = sorted([state.options.instance, *state.peers], key=_ring_key)
+    members = state.options.instance, *state.peers
+    ring = hash_ring.HashRing(members).members
     own = ring.index(state.options.instance)
     distances = [2**power for power in range(state.options.peer_fanout)]
     names = [ring[(own + step) % len(ring)] for step in distances]
@@ -72,8 +72,3 @@
     state.peer_links.pop(event.peer, None)
     _claim_leader.link_closed(state, event)
     return state.follower.handle(event)
-
-
-def _ring_key(name: str) -> bytes:
-    """Return the key that orders the gateways on the ring."""
-    return hashlib.blake2b(name.encode(), digest_size=8).digest()
--- a/berylhollow/gateway/_resumption.py
+++ b/berylhollow/gateway/_resumption.py
@@ -12,7 +12,9 @@
 from berylhollow import effects
 from berylhollow import errors
 from berylhollow import events
+from berylhollow.gateway import _counts
 from berylhollow.gateway import _origins
+from berylhollow.gateway import _refusal
 from berylhollow.gateway import _state
 from berylhollow import messages
 from berylhollow import resumption
@@ -38,21 +40,13 @@
 """When the caller may ask again whether the version is back."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Refusal:
-    """Why a stream can't go on here, and when its caller may come back."""
-
-    kind: errors.Kind
-    retry_after_ms: int
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Decision:
     """Whether a request may be placed now; else it waits or is refused."""
 
     may_place: bool
     emitted: tuple[effects.Effect, ...] = ()
-    refusal: Refusal | None = None
+    refusal: _refusal.Refusal | None = None
 
 
 MAY_PLACE = Decision(True)
@@ -106,7 +100,7 @@
     """Note a sidecar's answer; return the requests to be placed anew."""
     message: messages.OriginAnswered = event.message
     if message.origin is not None:
-        _origins.learn(state, message.origin, event.at_ms)
+        state.origins.take_over(message.origin, event.at_ms)
     requests = _requests_waiting(state, message.stream)
     for active in requests:
         if event.peer in active.resumption.answered:
@@ -174,11 +168,11 @@
     if not origin.is_known:
         return _refuse_unknown(state, active, 'ambiguous', at_ms)
     resumed.software_version = origin.software_version
-    resumed.source = source
     if origin.service in active.route_services:
         active.service = origin.service
     fields = (
-        *_fields(active, at_ms),
+        *_ids(active),
+        ('waited_ms', at_ms - resumed.begun_ms),
         ('software_version', origin.software_version),
         ('source', source),
         ('kept_ms', max(0, origin.until_ms - at_ms)),
@@ -199,29 +193,21 @@
     """Refuse a request at once if no endpoint of its version takes any."""
     if _endpoints_of_version(state, active):
         return MAY_PLACE
-    kind = errors.Kind.SOFTWARE_VERSION_GONE
-    retry_after_ms = int(GONE_RETRY_MS * (1 + active.seed))
     versions = sorted(
         {
             state.endpoints[name].instance.software_version
             for name in state.placement.digests.get(active.service, {})
         }
     )
-    fields = (
-        ('request_id', active.request.request_id),
-        ('shown_id', active.request.caller_request_id),
-        ('resumes', active.request.resumption.stream_id),
-        ('service', active.service),
-        ('reason', 'version gone'),
+    kind = errors.Kind.SOFTWARE_VERSION_GONE
+    return _refuse(
+        active,
+        kind,
+        'version gone',
+        GONE_RETRY_MS,
         ('software_version', active.software_version),
         ('listed_versions', ' '.join(versions)),
-        ('retry_after_ms', retry_after_ms),
-    )
-    emitted = (
-        effects.Log('stream is not resumed', fields),
-        _count(active, 'version gone'),
     )
-    return Decision(False, emitted, Refusal(kind, retry_after_ms))
 
 
 def _use_only_version(
@@ -313,43 +299,54 @@
 ) -> Decision:
     resumed = active.resumption
     kind = errors.Kind.STREAM_ORIGIN_UNKNOWN
-    retry_after_ms = int(RETRY_MS * (1 + active.seed))
     history = state.histories.get(active.service)
     watched_ms = None
     if history is not None:
         watched_ms = history.until_ms - history.since_ms
-    fields = (
-        *_fields(active, at_ms),
-        ('reason', reason),
+    return _refuse(
+        active,
+        kind,
+        reason,
+        RETRY_MS,
+        ('waited_ms', at_ms - resumed.begun_ms),
         ('asked', len(resumed.answered)),
         ('answers', sum(resumed.answered.values())),
         ('keepers', len(_origins.keepers(state).members)),
         ('watched_ms', watched_ms),
+    )
+
+
+def _refuse(
+    active: _state.ActiveRequest,
+    kind: errors.Kind,
+    reason: str,
+    retry_ms: int,
+    *fields: tuple[str, object],
+) -> Decision:
+    """Refuse a request; its caller may return after one or two waits."""
+    retry_after_ms = int(retry_ms * (1 + active.seed))
+    logged = (
+        *_ids(active),
+        ('reason', reason),
+        *fields,
         ('retry_after_ms', retry_after_ms),
     )
     emitted = (
-        effects.Log('stream is not resumed', fields),
+        effects.Log('stream is not resumed', logged),
         _count(active, reason),
     )
-    return Decision(False, emitted, Refusal(kind, retry_after_ms))
+    return Decision(False, emitted, _refusal.Refusal(kind, retry_after_ms))
 
 
-def _fields(
-    active: _state.ActiveRequest, at_ms: int
-) -> tuple[tuple[str, object], ...]:
+def _ids(active: _state.ActiveRequest) -> tuple[tuple[str, object], ...]:
     request = active.request
     return (
         ('request_id', request.request_id),
         ('shown_id', request.caller_request_id),
         ('resumes', request.resumption.stream_id),
         ('service', active.service),
-        ('waited_ms', at_ms - active.resumption.begun_ms),
     )
 
 
 def _count(active: _state.ActiveRequest, outcome: str) -> effects.Count:
-    attributes = (
-        ('berylhollow.service', active.service),
-        ('berylhollow.outcome', outcome),
-    )
-    return effects.Count('berylhollow.resumptions', 1, attributes)
+    return _counts.count_outcome('berylhollow.resumptions', active, outcome)
--- a/berylhollow/gateway/_shell.py
+++ b/berylhollow/gateway/_shell.py
@@ -22,6 +22,7 @@
 from berylhollow.gateway import _http
 from berylhollow.gateway import _links
 from berylhollow.gateway import _pages
+from berylhollow.gateway import _refusal
 from berylhollow.gateway import _relay
 from berylhollow.gateway import _workspaces
 from berylhollow import messages
@@ -243,7 +244,7 @@
 
     def head_refusal(
         self, head: events.RequestHead, shown_id: str
-    ) -> _workspaces.Refusal | None:
+    ) -> _refusal.Refusal | None:
         now_ms = self.now_ms()
         state = self.driver.state
         refusal = _workspaces.refused_by_head(state, head, now_ms)
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -255,8 +255,8 @@
     """A stream that is taken up again, and what is known of its origin.
 
     ``stream`` is its key, None if the caller doesn't name it. It may go on at
-    ``software_version`` only, which is empty until it is known; ``source``
-    says how it became known. ``begun_ms`` is when the request arrived.
+    ``software_version`` only, which is empty until it is known. ``begun_ms``
+    is when the request arrived.
     ``answered`` maps the sidecars that were asked to whether they have
     answered, the last of them at ``asked_ms``.
     """
@@ -264,7 +264,6 @@
     stream: bytes | None
     begun_ms: int
     software_version: str = ''
-    source: str = ''
     asked_ms: int = clock.NEVER_MS
     answered: dict[str, bool] = dataclasses.field(default_factory=dict)
 
@@ -571,7 +570,6 @@
     )
     keepers: hash_ring.HashRing | None = None
     streams_to_check: list[bytes] = dataclasses.field(default_factory=list)
-    origins_swept_ms: int = clock.NEVER_MS
     histories: dict[str, resumption.VersionHistory] = dataclasses.field(
         default_factory=dict
     )
--- a/berylhollow/gateway/_workspaces.py
+++ b/berylhollow/gateway/_workspaces.py
@@ -1,10 +1,9 @@
 """Checks whether the key and quota of a workspace allow a request."""
 
-import dataclasses
-
 from berylhollow import errors
 from berylhollow import events
 from berylhollow.gateway import _quotas
+from berylhollow.gateway import _refusal
 from berylhollow.gateway import _state
 from berylhollow import workspaces
 
@@ -13,21 +12,15 @@
 connection leads to another gateway, which most likely knows it."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Refusal:
-    """Why a request is refused, and after how long its caller may retry."""
-
-    kind: errors.Kind
-    retry_after_ms: int = 0
-
-
-UNPROVEN = Refusal(errors.Kind.KEY_UNPROVEN, OTHER_GATEWAY_RETRY_MS)
-OUTDATED = Refusal(errors.Kind.CONFIGURATION_OUTDATED, OTHER_GATEWAY_RETRY_MS)
+UNPROVEN = _refusal.Refusal(errors.Kind.KEY_UNPROVEN, OTHER_GATEWAY_RETRY_MS)
+OUTDATED = _refusal.Refusal(
+    errors.Kind.CONFIGURATION_OUTDATED, OTHER_GATEWAY_RETRY_MS
+)
 
 
 def refused_by_head(
     state: _state.State, head: events.RequestHead, at_ms: int
-) -> Refusal | None:
+) -> _refusal.Refusal | None:
     """Return why a request will be refused, before its body is read."""
     if state.follower.current is None:
         return None
@@ -40,11 +33,13 @@
         return UNPROVEN
     wait_ms = _quotas.wait_ms(state, found, head.tokens, at_ms)
     if wait_ms:
-        return Refusal(errors.Kind.QUOTA_EXCEEDED, wait_ms)
+        return _refusal.Refusal(errors.Kind.QUOTA_EXCEEDED, wait_ms)
     return None
 
 
-def unknown(state: _state.State, kind: errors.Kind, at_ms: int) -> Refusal:
+def unknown(
+    state: _state.State, kind: errors.Kind, at_ms: int
+) -> _refusal.Refusal:
     """Return the refusal of a request that the configuration does not allow.
 
     A newer revision may allow it. While one is known that is not in force
@@ -52,12 +47,12 @@
     """
     if state.behind_ms(at_ms) is not None:
         return OUTDATED
-    return Refusal(kind)
+    return _refusal.Refusal(kind)
 
 
 def refused(
     state: _state.State, active: _state.ActiveRequest, at_ms: int
-) -> Refusal | None:
+) -> _refusal.Refusal | None:
     """Return why a request may not be sent to an endpoint now.
 
     Guards against a key that is revoked while its request waits, and against
@@ -71,9 +66,9 @@
     if configuration.revision != active.key_revision:
         found = configuration.workspace(active.request.head)
         if isinstance(found, errors.Kind):
-            return Refusal(found)
+            return _refusal.Refusal(found)
         if not _is_same_workspace(found, active.workspace):
-            return Refusal(errors.Kind.UNKNOWN_KEY)
+            return _refusal.Refusal(errors.Kind.UNKNOWN_KEY)
         active.key_revision = configuration.revision
     if not has_proven_keys(state, at_ms):
         return UNPROVEN
--- a/berylhollow/loader/_origins.py
+++ b/berylhollow/loader/_origins.py
@@ -12,25 +12,15 @@
 
 Effects = list[effects.Effect]
 
-MAX_KEPT_MS = 3_600_000
-"""Longest time for which an origin is kept, whatever a gateway asks for."""
-
 MAX_SERVICES = 64
 """Services whose software versions are kept."""
 
-SWEEP_MS = 1000
-"""Interval at which expired origins are dropped."""
-
 
 def keep(state: _state.State, event: events.MessageReceived) -> Effects:
     """Keep the origins that a gateway tells."""
     message: messages.StreamsBegan = event.message
     for told in message.origins:
-        kept_ms = max(0, min(told.for_ms, MAX_KEPT_MS))
-        origin = resumption.Origin(
-            told.service, told.software_version, event.at_ms + kept_ms
-        )
-        state.origins.record(told.stream, origin, event.at_ms)
+        state.origins.take_over(told, event.at_ms)
     return []
 
 
@@ -38,14 +28,7 @@
     """Tell a gateway what began a stream, also that it is not known."""
     stream = event.message.stream
     origin = state.origins.get(stream, event.at_ms)
-    told = None
-    if origin is not None:
-        told = messages.StreamOrigin(
-            stream,
-            origin.service,
-            origin.software_version,
-            origin.until_ms - event.at_ms,
-        )
+    told = None if origin is None else origin.describe(stream, event.at_ms)
     return [effects.Send(event.peer, messages.OriginAnswered(stream, told))]
 
 
@@ -71,10 +54,3 @@
         effects.Send(peer, history.describe(service, at_ms))
         for service, history in state.histories.items()
     ]
-
-
-def tick(state: _state.State, at_ms: int) -> None:
-    """Drop origins that are not needed any more."""
-    if at_ms - state.origins_swept_ms >= SWEEP_MS:
-        state.origins_swept_ms = at_ms
-        state.origins.drop_expired(at_ms)
--- a/berylhollow/loader/_reducer.py
+++ b/berylhollow/loader/_reducer.py
@@ -52,7 +52,7 @@
         done += _begin_read(state, at_ms)
     done += _time_out_order(state, at_ms)
     done += _admissions.advance(state, at_ms)
-    _origins.tick(state, at_ms)
+    state.origins.drop_expired(at_ms)
     return done + _report.send_if_due(state, at_ms)
 
 
@@ -300,57 +300,54 @@
 
 
 def _received(state: _state.State, event: events.MessageReceived) -> Effects:
+    handler = _MESSAGES.get(type(event.message))
+    return [] if handler is None else handler(state, event)
+
+
+def _crashed(state: _state.State, event: events.MessageReceived) -> Effects:
+    _kept_crashes.keep(state, event)
+    _probes.settle(state, event.message)
+    return _forward(state, event.peer, event.message)
+
+
+def _cleared(state: _state.State, event: events.MessageReceived) -> Effects:
     message = event.message
-    if isinstance(message, messages.Crashed):
-        _kept_crashes.keep(state, event)
-        _probes.settle(state, message)
-        return _forward(state, event.peer, message)
-    if isinstance(message, messages.Cleared):
-        _kept_crashes.forget(state, event)
-        _probes.settle(state, message)
-        if _probes.is_repeated(state, message, event.at_ms):
-            return []
-        return _forward(state, event.peer, message)
-    if isinstance(message, messages.ForgetCrashes):
-        _kept_crashes.forget(state, event)
-        return []
-    if isinstance(message, messages.RunLost):
-        is_new = _probes.run_lost(state, event)
-        return _forward(state, event.peer, message) if is_new else []
-    if isinstance(message, messages.EndpointAnswered):
-        _probes.settle(state, message)
-        return _forward(state, event.peer, message)
-    if isinstance(message, messages.KeptCrashes):
-        new = _kept_crashes.take_over(state, event)
-        return _forward(state, event.peer, new) if new else []
-    if isinstance(message, messages.ProbeWanted):
-        return _probes.wanted(state, event)
-    if isinstance(message, messages.ProbeEnded):
-        return _probes.ended(state, event)
-    if isinstance(message, messages.CrashesWanted):
-        return _kept_crashes.send(state, event)
-    if isinstance(message, messages.AnyStreamPart):
-        return _forward_stream_part(state, event.peer, message)
-    if isinstance(message, messages.QuotaUses):
-        return _update_quota_sums(state, event)
-    if isinstance(message, messages.RateWanted):
-        return _lend_requests(state, event)
-    if isinstance(message, messages.RecordWanted):
-        return _kept_record.send(state, event)
-    if isinstance(message, messages.KeptRecord):
-        return _kept_record.keep(state, event)
-    if isinstance(message, messages.StreamsBegan):
-        return _origins.keep(state, event)
-    if isinstance(message, messages.OriginWanted):
-        return _origins.answer(state, event)
-    if isinstance(message, messages.SoftwareHistory):
-        return _origins.keep_history(state, event)
-    if isinstance(message, messages.AdmissionWanted):
-        return _admissions.wanted(state, event)
-    if isinstance(message, messages.AdmissionEnded):
-        return _admissions.ended(state, event)
-    if not isinstance(message, messages.AdapterDemands):
+    _kept_crashes.forget(state, event)
+    _probes.settle(state, message)
+    if _probes.is_repeated(state, message, event.at_ms):
         return []
+    return _forward(state, event.peer, message)
+
+
+def _forget_crashes(
+    state: _state.State, event: events.MessageReceived
+) -> Effects:
+    _kept_crashes.forget(state, event)
+    return []
+
+
+def _run_lost(state: _state.State, event: events.MessageReceived) -> Effects:
+    is_new = _probes.run_lost(state, event)
+    return _forward(state, event.peer, event.message) if is_new else []
+
+
+def _endpoint_answered(
+    state: _state.State, event: events.MessageReceived
+) -> Effects:
+    _probes.settle(state, event.message)
+    return _forward(state, event.peer, event.message)
+
+
+def _take_over_crashes(
+    state: _state.State, event: events.MessageReceived
+) -> Effects:
+    new = _kept_crashes.take_over(state, event)
+    return _forward(state, event.peer, new) if new else []
+
+
+def _demanded(state: _state.State, event: events.MessageReceived) -> Effects:
+    """Plan for a gateway's demand, and ask for what it has and we lack."""
+    message: messages.AdapterDemands = event.message
     state.demand.update(event.peer, message, event.at_ms)
     _admissions.record_gap(state, event)
     _kept_crashes.drop_uncertain(state, event)
@@ -451,13 +448,13 @@
 
 
 def _forward_stream_part(
-    state: _state.State, sender: str, part: messages.AnyStreamPart
+    state: _state.State, event: events.MessageReceived
 ) -> Effects:
     """Forward what a gateway has read to those that share its reads."""
     return [
-        effects.Send(peer, part)
+        effects.Send(peer, event.message)
         for peer in state.demand.gateways_sharing_reads()
-        if peer != sender and peer in state.links
+        if peer != event.peer and peer in state.links
     ]
 
 
@@ -496,3 +493,27 @@
     events.EndpointUnreachable: _unreachable,
     events.OrderEnded: _order_ended,
 }
+
+_MESSAGES = {
+    messages.AdapterDemands: _demanded,
+    messages.Crashed: _crashed,
+    messages.Cleared: _cleared,
+    messages.ForgetCrashes: _forget_crashes,
+    messages.RunLost: _run_lost,
+    messages.EndpointAnswered: _endpoint_answered,
+    messages.KeptCrashes: _take_over_crashes,
+    messages.ProbeWanted: _probes.wanted,
+    messages.ProbeEnded: _probes.ended,
+    messages.CrashesWanted: _kept_crashes.send,
+    messages.StreamPart: _forward_stream_part,
+    messages.CompressedStreamPart: _forward_stream_part,
+    messages.QuotaUses: _update_quota_sums,
+    messages.RateWanted: _lend_requests,
+    messages.RecordWanted: _kept_record.send,
+    messages.KeptRecord: _kept_record.keep,
+    messages.StreamsBegan: _origins.keep,
+    messages.OriginWanted: _origins.answer,
+    messages.SoftwareHistory: _origins.keep_history,
+    messages.AdmissionWanted: _admissions.wanted,
+    messages.AdmissionEnded: _admissions.ended,
+}
--- a/berylhollow/loader/_state.py
+++ b/berylhollow/loader/_state.py
@@ -190,7 +190,6 @@
     histories: dict[str, resumption.VersionHistory] = dataclasses.field(
         default_factory=dict
     )
-    origins_swept_ms: int = clock.NEVER_MS
     last_used_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     order: Order | None = None
     orders: int = 0
--- a/berylhollow/platform/_caller.py
+++ b/berylhollow/platform/_caller.py
@@ -2,7 +2,6 @@
 
 import collections.abc
 import dataclasses
-import hashlib
 import json
 
 from aiohttp import web
@@ -12,7 +11,9 @@
 from berylhollow import messages
 from berylhollow.platform import _endpoint_calls
 from berylhollow.platform import _prompt
+from berylhollow.util import digests
 from berylhollow.util import hop_by_hop
+from berylhollow.util import texts
 from berylhollow import workspaces
 
 MODEL_HEADER = 'Model'
@@ -60,7 +61,9 @@
     def caller_request_id(self, headers) -> str | None:
         """Return the request id that the caller sent, if it is text."""
         text = headers.get(_endpoint_calls.REQUEST_ID_HEADER)
-        return text if text is not None and _is_text(text) else None
+        if text is None or not texts.is_encodable(text):
+            return None
+        return text
 
     def parse_head(
         self, request: web.BaseRequest, default_deadline_ms: int
@@ -191,30 +194,21 @@
 def _check_text(request: web.BaseRequest) -> None:
     """Raise BAD_HEADER or BAD_REQUEST for bytes that are not UTF-8.
 
-    The HTTP library decodes them to lone surrogates, which can't be hashed or
-    sent over links. Headers that are only passed on may contain any bytes.
+    Headers that are only passed on may contain any bytes.
     """
-    if not _is_text(request.raw_path):
+    if not texts.is_encodable(request.raw_path):
         raise errors.BerylhollowError(
             errors.Kind.BAD_REQUEST, 'The request target is not valid UTF-8.'
         )
     for name in READ_HEADERS:
         for value in request.headers.getall(name, ()):
-            if not _is_text(value):
+            if not texts.is_encodable(value):
                 raise errors.BerylhollowError(
                     errors.Kind.BAD_HEADER,
                     f'{name} is not valid UTF-8.',
                 )
 
 
-def _is_text(value: str) -> bool:
-    try:
-        value.encode()
-    except UnicodeEncodeError:
-        return False
-    return True
-
-
 def _request_head(request: web.BaseRequest) -> events.RequestHead:
     headers = request.headers
     return events.RequestHead(
@@ -290,10 +284,8 @@
 
 def _fingerprint(request: web.BaseRequest, body: bytes) -> str:
     """Return a digest that is equal for identical requests."""
-    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
-    for part in (request.method, request.raw_path, request.host):
-        data = part.encode(errors='surrogateescape')
-        digest.update(b'%d:' % len(data))
-        digest.update(data)
+    named = (request.method, request.raw_path, request.host)
+    parts = (part.encode(errors='surrogateescape') for part in named)
+    digest = digests.of_parts(parts, DIGEST_BYTES)
     digest.update(body)
     return digest.hexdigest()
--- a/berylhollow/platform/_fields.py
+++ b/berylhollow/platform/_fields.py
@@ -12,6 +12,7 @@
 import typing
 
 from berylhollow import routes
+from berylhollow.util import texts
 
 Value = typing.TypeVar('Value')
 
@@ -46,23 +47,11 @@
         raise _type_error(field, 'a string', value)
     if not value and default is None:
         raise _type_error(field, 'a string', value)
-    if not _is_text(value):
+    if not texts.is_encodable(value):
         raise _type_error(field, 'valid Unicode', value)
     return value
 
 
-def _is_text(value: str) -> bool:
-    """Return whether a string has no lone surrogates.
-
-    JSON can escape them, and they can't be hashed or sent over links.
-    """
-    try:
-        value.encode()
-    except UnicodeEncodeError:
-        return False
-    return True
-
-
 def integer(
     entry: dict, field: str, default: int | None = None, minimum: int = 0
 ) -> int:
@@ -120,7 +109,7 @@
     values = array(entry, field)
     if not all(isinstance(value, str) and value for value in values):
         raise _type_error(field, 'an array of strings', values)
-    if not all(map(_is_text, values)):
+    if not all(map(texts.is_encodable, values)):
         raise _type_error(field, 'an array of valid Unicode', values)
     return values
 
--- a/berylhollow/platform/_records.py
+++ b/berylhollow/platform/_records.py
@@ -249,7 +249,7 @@
         models=loaded_models(models),
         adapters=loaded_adapters(models),
         incarnation=incarnation,
-        software_version=_software_version(entry),
+        software_version=_fields.string(entry, 'Version', ''),
         removed_in_ms=_removed_in_ms(entry),
     )
 
@@ -261,11 +261,6 @@
     return _fields.milliseconds(entry, 'RemainingMs')
 
 
-def _software_version(entry: dict) -> str:
-    """Return the version of an endpoint's software, '' if it has none."""
-    return _fields.string(entry, 'Version', '')
-
-
 def started_ms(entry: dict) -> int:
     """Return the start time that an endpoint reports, 0 if missing."""
     return _fields.integer(entry, START_TIME_FIELD, 0)
--- a/berylhollow/policy/_rendezvous.py
+++ b/berylhollow/policy/_rendezvous.py
@@ -4,10 +4,10 @@
 """
 
 import collections.abc
-import hashlib
 import heapq
 
-DIGEST_BYTES = 8
+from berylhollow.util import digests
+
 MASK_64 = 2**64 - 1
 # Multipliers of the splitmix64 finaliser. It mixes well and is cheap: scoring
 # a thousand endpoints does not need a thousand cryptographic digests.
@@ -17,8 +17,7 @@
 
 def digest(text: str) -> int:
     """Return a 64-bit hash of a text, the same in every process."""
-    data = hashlib.blake2b(text.encode(), digest_size=DIGEST_BYTES)
-    return int.from_bytes(data.digest(), 'big')
+    return digests.number(text.encode())
 
 
 def score(key: int, member: int) -> int:
--- a/berylhollow/resumption/_origins.py
+++ b/berylhollow/resumption/_origins.py
@@ -5,14 +5,22 @@
 """
 
 import dataclasses
-import hashlib
 
+from berylhollow import clock
+from berylhollow import messages
 from berylhollow.util import bounded
+from berylhollow.util import digests
 
 KEY_BYTES = 16
+MAX_KEPT_MS = 3_600_000
+"""Longest time for which an origin is kept, whatever another process says."""
+
+SWEEP_MS = 1000
+"""Interval at which expired origins are dropped."""
+
 MAX_ORIGINS = 20_000
 """Streams that one process keeps: those of two minutes at a hundred and fifty
-a second, in about 6 MB."""
+a second, in 3.3 MB."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -31,6 +39,13 @@
     def is_known(self) -> bool:
         return bool(self.software_version)
 
+    def describe(self, stream: bytes, at_ms: int) -> messages.StreamOrigin:
+        """Return the origin of a stream as it is told to another process."""
+        for_ms = self.until_ms - at_ms
+        return messages.StreamOrigin(
+            stream, self.service, self.software_version, for_ms
+        )
+
 
 def stream_key(workspace: str, request_id: str) -> bytes:
     """Return the key of a stream, from the id of its first request.
@@ -38,12 +53,8 @@
     Callers of different workspaces may use the same id; ``workspace`` is
     empty without one.
     """
-    digest = hashlib.blake2b(digest_size=KEY_BYTES)
-    for text in (workspace, request_id):
-        data = text.encode(errors='surrogateescape')
-        digest.update(b'%d:' % len(data))
-        digest.update(data)
-    return digest.digest()
+    parts = workspace.encode(), request_id.encode()
+    return digests.of_parts(parts, KEY_BYTES).digest()
 
 
 class Origins:
@@ -52,12 +63,13 @@
     def __init__(self, limit: int = MAX_ORIGINS):
         self.limit = limit
         self.entries: dict[bytes, Origin] = {}
+        self.swept_ms = clock.NEVER_MS
 
     def __len__(self) -> int:
         return len(self.entries)
 
-    def record(self, stream: bytes, origin: Origin, at_ms: int) -> Origin:
-        """Keep the origin of a stream and return what is kept of it now."""
+    def record(self, stream: bytes, origin: Origin, at_ms: int) -> None:
+        """Keep the origin of a stream, beside what is known of it."""
         known = self.get(stream, at_ms)
         if known is not None:
             version = origin.software_version
@@ -71,7 +83,12 @@
             del self.entries[stream]
         self.entries[stream] = origin
         bounded.drop_oldest(self.entries, self.limit)
-        return origin
+
+    def take_over(self, told: messages.StreamOrigin, at_ms: int) -> None:
+        """Keep what another process has told of a stream."""
+        kept_ms = max(1, min(told.for_ms, MAX_KEPT_MS))
+        origin = Origin(told.service, told.software_version, at_ms + kept_ms)
+        self.record(told.stream, origin, at_ms)
 
     def get(self, stream: bytes, at_ms: int) -> Origin | None:
         """Return the origin of a stream, None if it is not kept."""
@@ -81,8 +98,11 @@
         del self.entries[stream]
         return None
 
-    def drop_expired(self, at_ms: int) -> None:
-        """Drop the origins whose time is over."""
+    def drop_expired(self, at_ms: int) -> bool:
+        """Drop the origins whose time is over, if it is due; tell whether."""
+        if at_ms - self.swept_ms < SWEEP_MS:
+            return False
+        self.swept_ms = at_ms
         expired = [
             stream
             for stream, origin in self.entries.items()
@@ -90,3 +110,4 @@
         ]
         for stream in expired:
             del self.entries[stream]
+        return True
--- a/berylhollow/routes/_view.py
+++ b/berylhollow/routes/_view.py
@@ -281,6 +281,11 @@
             return 0
         return declared.engine.adapter_room(models)
 
+    def can_hold(self, service: str, adapter: messages.AdapterVersion) -> bool:
+        """Tell whether an adapter fits beside its model."""
+        model, _, _ = adapter.adapter.partition(ADAPTER_SEPARATOR)
+        return self.adapter_room(service, (model,)) > 0
+
     def admission(self, service: str) -> following.AdmissionTerms | None:
         """Return how a service's prompts are admitted, None if they aren't."""
         return self.admission_terms.get(service)
--- a/berylhollow/util/hash_ring.py
+++ b/berylhollow/util/hash_ring.py
@@ -6,28 +6,23 @@
 
 import bisect
 import collections.abc
-import hashlib
 
-POINT_BYTES = 8
-
-
-def point(data: bytes) -> int:
-    """Return the position of a key or member, the same in every process."""
-    digest = hashlib.blake2b(data, digest_size=POINT_BYTES)
-    return int.from_bytes(digest.digest(), 'big')
+from berylhollow.util import digests
 
 
 class HashRing:
-    """A fixed set of members on a ring."""
+    """A fixed set of members, in the order of their digests."""
 
     def __init__(self, members: collections.abc.Iterable[str]):
-        ordered = sorted((point(name.encode()), name) for name in members)
+        ordered = sorted(
+            (digests.number(name.encode()), name) for name in members
+        )
         self.points = [position for position, _ in ordered]
         self.members = tuple(name for _, name in ordered)
 
     def first(self, key: bytes, count: int) -> tuple[str, ...]:
         """Return the first ``count`` members after a key, nearest first."""
-        start = bisect.bisect_right(self.points, point(key))
+        start = bisect.bisect_right(self.points, digests.number(key))
         total = len(self.members)
         return tuple(
             self.members[(start + step) % total]
--- a/test/builders.py
+++ b/test/builders.py
@@ -64,6 +64,9 @@
     def adapter_room(self, service, models):
         return 0
 
+    def can_hold(self, service, adapter):
+        return False
+
     def admission(self, service):
         return None
 
