Drop what the tests of resumed streams had twice

No assertion changed; the 57 tests of test_origins, 18 of test_resumption and 4 of test_adapter_room pass as before.

--- a/test/hosted/stream_fleet.py
+++ b/test/hosted/stream_fleet.py
@@ -32,7 +32,6 @@
 
     number: int
     version: str
-    endpoint: str
 
 
 @dataclasses.dataclass(eq=False)
@@ -65,18 +64,14 @@
 class StreamFleet(crash_fleet.CrashFleet):
     """Plays streams; ``versions`` maps addresses to software versions."""
 
-    def __init__(
-        self, *, gateways=2, endpoints=6, max_tries=2, link_ms=2, old=()
-    ):
+    def __init__(self, *, gateways=2, endpoints=6, max_tries=2, old=()):
         self.versions = {}
         self.streams = []
         self.by_request = {}
         self.max_tries = max_tries
         self.old = set(old)
         self.store_up = True
-        setup = crash_fleet.Setup(
-            gateways=gateways, endpoints=endpoints, link_ms=link_ms
-        )
+        setup = crash_fleet.Setup(gateways=gateways, endpoints=endpoints)
         super().__init__(setup)
 
     def routes(self):
@@ -165,9 +160,6 @@
 
     # Processes.
 
-    def start_gateway(self, name):
-        super().start_gateway(name)
-
     def kill_gateway(self, name):
         for endpoint in self.endpoints.values():
             for key in [key for key in endpoint.runs if key[0] == name]:
@@ -240,9 +232,8 @@
 
     def release(self, address, version):
         """Replace what runs at an address by another version."""
-        endpoint = self.endpoints[address]
         self.versions[address] = version
-        self.end_endpoint(endpoint.address)
+        self.end_endpoint(address)
 
     def reset_channels(self, gateway, share):
         """Reset a share of a gateway's channels to endpoints."""
@@ -280,7 +271,7 @@
             return
         stream.first_id = stream.first_id or caller_id
         number = len(stream.received) + 1
-        stream.received.append(Received(number, version, endpoint.name))
+        stream.received.append(Received(number, version))
         if number < EVENTS:
             self.after(
                 EVENT_MS,
--- a/test/hosted/test_adapter_room.py
+++ b/test/hosted/test_adapter_room.py
@@ -28,18 +28,11 @@
         self.list_instances(direct.direct_instance('i-1', ADDRESS))
         self.open_link(addresses.sidecar_peer(ADDRESS), events.Role.ENDPOINT)
 
-    def demands(self):
-        return [
-            effect.message
-            for effect in self.of_type(effects.Send)
-            if isinstance(effect.message, messages.AdapterDemands)
-        ]
-
 
 class TightMemoryTest(RoomTestCase):
     def test_sidecar_is_told_what_memory_holds(self):
         """Guards against a fifth adapter where memory holds four."""
-        (told,) = self.demands()
+        (told,) = self.sent(messages.AdapterDemands)
         self.assertEqual(4, told.slots)
 
     def test_waits_for_an_adapter_that_fits(self):
@@ -58,6 +51,6 @@
 
     def test_link_to_the_sidecar_is_kept(self):
         """Guards against a model that nobody loads, as no adapter fits."""
-        (told,) = self.demands()
+        (told,) = self.sent(messages.AdapterDemands)
         self.assertEqual(0, told.slots)
         self.assertEqual((builders.MODEL,), told.models)
--- a/test/hosted/test_origins.py
+++ b/test/hosted/test_origins.py
@@ -74,13 +74,6 @@
         self.open_link(SIDECAR, events.Role.ENDPOINT)
         self.report(SIDECAR_ADDRESS, at_ms=at_ms, keeps_origins=keeps_origins)
 
-    def sent(self, kind):
-        return [
-            effect.message
-            for effect in self.of_type(effects.Send)
-            if isinstance(effect.message, kind)
-        ]
-
     def assert_refused(self, kind=errors.Kind.STREAM_ORIGIN_UNKNOWN):
         self.assertEqual([], self.offers())
         answer = self.answer()
