Name each counted metric where it is recorded

The metrics themselves were recorded all the while.

The test is unchanged: it failed before and passes now.

--- a/berylhollow/gateway/_admissions.py
+++ b/berylhollow/gateway/_admissions.py
@@ -412,4 +412,5 @@
 
 
 def _count(active: _state.ActiveRequest, outcome: str) -> effects.Count:
-    return _counts.count_outcome('berylhollow.admissions', active, outcome)
+    attributes = _counts.outcome_attributes(active, outcome)
+    return effects.Count('berylhollow.admissions', 1, attributes)
--- a/berylhollow/gateway/_counts.py
+++ b/berylhollow/gateway/_counts.py
@@ -16,15 +16,14 @@
     return counts
 
 
-def count_outcome(
-    name: str, active: _state.ActiveRequest, outcome: str
-) -> effects.Count:
-    """Return the count of a request in a metric with service and outcome."""
-    attributes = (
+def outcome_attributes(
+    active: _state.ActiveRequest, outcome: str
+) -> tuple[tuple[str, str], ...]:
+    """Return the service of a request and an outcome as metric attributes."""
+    return (
         ('berylhollow.service', active.service),
         ('berylhollow.outcome', outcome),
     )
-    return effects.Count(name, 1, attributes)
 
 
 def _count_attempt(
--- a/berylhollow/gateway/_resumption.py
+++ b/berylhollow/gateway/_resumption.py
@@ -349,4 +349,5 @@
 
 
 def _count(active: _state.ActiveRequest, outcome: str) -> effects.Count:
-    return _counts.count_outcome('berylhollow.resumptions', active, outcome)
+    attributes = _counts.outcome_attributes(active, outcome)
+    return effects.Count('berylhollow.resumptions', 1, attributes)
