Fail one request alone when its handling raises

Callers saw all streams of a gateway end because the handling of one request raised: the reducer's exception ended the process, and a caller who tried again ended the next one. Text that can't be encoded was one way to get there; any other defect would do.

The reducer now guards the events of one request, and each request of an event that concerns several. The request fails with 'internal', what it held elsewhere before the event is ended again, and the counts over all requests are made anew, since the handling may have stopped halfway. Events of no single request still end the process, and so does an exception in a sidecar.

--- a/berylhollow/gateway/_attempt_links.py
+++ b/berylhollow/gateway/_attempt_links.py
@@ -3,6 +3,7 @@
 from berylhollow import effects
 from berylhollow import events
 from berylhollow.gateway import _attempts
+from berylhollow.gateway import _containment
 from berylhollow.gateway import _link_pacing
 from berylhollow.gateway import _state
 
@@ -76,7 +77,9 @@
     run it, so the outcome is unknown.
     """
     if active.incarnation != event.incarnation:
-        return _attempts.resume_failed(state, active, event.at_ms)
+        return _containment.handle_request(
+            _attempts.resume_failed, state, active, event.at_ms
+        )
     active.resume_by_ms = None
     active.resumed = True
     return [effects.ResumeAnswer(event.peer, active.attempt_id)]
--- a/berylhollow/gateway/_claims.py
+++ b/berylhollow/gateway/_claims.py
@@ -4,6 +4,8 @@
 itself. A confirmed append does not show which of two claims came first.
 """
 
+import functools
+
 from berylhollow import claims
 from berylhollow import effects
 from berylhollow import errors
@@ -11,6 +13,7 @@
 from berylhollow.gateway import _attempts
 from berylhollow.gateway import _claim_leader
 from berylhollow.gateway import _claim_verdict
+from berylhollow.gateway import _containment
 from berylhollow.gateway import _settlement
 from berylhollow.gateway import _state
 from berylhollow import messages
@@ -145,12 +148,12 @@
         return []
     leader = _claim_leader.forwarding_target(state, partition, at_ms)
     size = state.options.claim_batch
+    data = claims.encode([item.entry for item in partition.queue[:size]])
     partition.appending = partition.queue[:size]
     del partition.queue[:size]
     state.appends += 1
     partition.append_id = f'{state.incarnation}/{state.appends}'
     partition.append_from_ms = at_ms + state.options.claim_flush_ms
-    data = claims.encode([item.entry for item in partition.appending])
     partition.leader = leader
     if leader:
         return _claim_leader.forward(state, partition, data, at_ms)
@@ -227,6 +230,16 @@
     active = state.requests.get(request_id)
     if active is None:
         return []
+    handle = functools.partial(_apply_verdict, verdict)
+    return _containment.handle_request(handle, state, active, at_ms)
+
+
+def _apply_verdict(
+    verdict: _claim_verdict.Verdict,
+    state: _state.State,
+    active: _state.ActiveRequest,
+    at_ms: int,
+) -> Effects:
     if verdict.holds:
         active.phase = _state.Phase.WAITING
         return _attempts.place(state, active, at_ms)
--- a/berylhollow/gateway/_probes.py
+++ b/berylhollow/gateway/_probes.py
@@ -211,13 +211,23 @@
     return ended + unsettled
 
 
+def held(
+    state: _state.State, active: _state.ActiveRequest
+) -> tuple[tuple[str, _state.Probe], ...]:
+    """Return the permits that a request has or wants, by their keys."""
+    request_id = active.request.request_id
+    found = ((key, state.probes.get(key)) for key in active.keys)
+    return tuple(
+        (key, probe)
+        for key, probe in found
+        if probe is not None and probe.request_id == request_id
+    )
+
+
 def release(state: _state.State, active: _state.ActiveRequest) -> Effects:
     """Return the permit of a request that has ended or lost its run."""
     emitted: Effects = []
-    for key in active.keys:
-        probe = state.probes.get(key)
-        if probe is None or probe.request_id != active.request.request_id:
-            continue
+    for key, probe in held(state, active):
         del state.probes[key]
         ended = messages.ProbeEnded(key)
         emitted += [effects.Send(peer, ended) for peer in probe.asked]
--- a/berylhollow/gateway/_reducer.py
+++ b/berylhollow/gateway/_reducer.py
@@ -11,6 +11,7 @@
 from berylhollow.gateway import _attempts
 from berylhollow.gateway import _claim_leader
 from berylhollow.gateway import _claims
+from berylhollow.gateway import _containment
 from berylhollow.gateway import _counts
 from berylhollow.gateway import _kept_crashes
 from berylhollow.gateway import _kept_records
@@ -43,7 +44,7 @@
     handler = _HANDLERS.get(type(event))
     if handler is None:
         return state, []
-    emitted = handler(state, event)
+    emitted = _containment.handle_event(state, event, handler)
     return state, emitted + _counts.count_attempts(state, emitted)
 
 
@@ -89,7 +90,7 @@
     for active in _sidecars.reported(state, event):
         if active.admission is not None:
             continue
-        emitted += _attempts.place(state, active, event.at_ms)
+        emitted += _containment.place(state, active, event.at_ms)
     return emitted
 
 
@@ -101,14 +102,14 @@
     if endpoint is None or not endpoint.leaving:
         return emitted
     for active in _adapters.requests_awaiting_adapter(state, event.peer):
-        emitted += _attempts.place(state, active, event.at_ms)
+        emitted += _containment.place(state, active, event.at_ms)
     return emitted
 
 
 def _rate_lent(state: _state.State, event: events.MessageReceived) -> Effects:
     emitted: Effects = []
     for active in _rate_limits.rate_lent(state, event):
-        emitted += _attempts.place(state, active, event.at_ms)
+        emitted += _containment.place(state, active, event.at_ms)
     return emitted
 
 
@@ -121,7 +122,7 @@
         emitted += _admissions.permit_denied(state, probe.request_id)
     if active is None or active.phase is not _state.Phase.WAITING:
         return emitted
-    return emitted + _attempts.place(state, active, event.at_ms)
+    return emitted + _containment.place(state, active, event.at_ms)
 
 
 def _origin_answered(
@@ -129,7 +130,7 @@
 ) -> Effects:
     emitted: Effects = []
     for active in _resumption.answered(state, event):
-        emitted += _attempts.place(state, active, event.at_ms)
+        emitted += _containment.place(state, active, event.at_ms)
     return emitted
 
 
@@ -145,7 +146,7 @@
         emitted, active = handle(state, event)
         if active is None:
             return emitted
-        return emitted + _attempts.place(state, active, event.at_ms)
+        return emitted + _containment.place(state, active, event.at_ms)
 
     return handler
 
@@ -180,7 +181,7 @@
         closed = _sidecars.closed(state, event)
         _probes.link_closed(state, event.peer, event.at_ms)
         for active in _admissions.link_closed(state, event.peer):
-            closed += _attempts.place(state, active, event.at_ms)
+            closed += _containment.place(state, active, event.at_ms)
         return closed
     if event.peer in state.endpoints:
         return _attempt_links.closed(state, event)
--- a/berylhollow/gateway/_requests.py
+++ b/berylhollow/gateway/_requests.py
@@ -12,6 +12,7 @@
 from berylhollow.gateway import _attempts
 from berylhollow.gateway import _budget
 from berylhollow.gateway import _claims
+from berylhollow.gateway import _containment
 from berylhollow.gateway import _limits
 from berylhollow.gateway import _quarantine
 from berylhollow.gateway import _quotas
@@ -161,19 +162,26 @@
     if _limits.remove_idle_callers(state, at_ms):
         _budget.remove_unknown_callers(state)
     for active in list(state.requests.values()):
-        if at_ms >= active.deadline_ms:
-            emitted += _expire(state, active)
-        elif active.resume_by_ms is not None and at_ms >= active.resume_by_ms:
-            emitted += _attempts.resume_failed(state, active, at_ms)
-        elif active.retry_at_ms is not None and at_ms >= active.retry_at_ms:
-            emitted += _attempts.place(state, active, at_ms)
-        elif _superseded.must_end(state, active, at_ms):
-            emitted += _attempts.end_superseded(state, active, at_ms)
-        elif _superseded.is_overdue(state, active, at_ms):
-            _adapters.report_overdue(state, active)
+        emitted += _containment.handle_request(_tick, state, active, at_ms)
     return emitted
 
 
+def _tick(
+    state: _state.State, active: _state.ActiveRequest, at_ms: int
+) -> Effects:
+    if at_ms >= active.deadline_ms:
+        return _expire(state, active)
+    if active.resume_by_ms is not None and at_ms >= active.resume_by_ms:
+        return _attempts.resume_failed(state, active, at_ms)
+    if active.retry_at_ms is not None and at_ms >= active.retry_at_ms:
+        return _attempts.place(state, active, at_ms)
+    if _superseded.must_end(state, active, at_ms):
+        return _attempts.end_superseded(state, active, at_ms)
+    if _superseded.is_overdue(state, active, at_ms):
+        _adapters.report_overdue(state, active)
+    return []
+
+
 def refusal(
     request_id: str, kind: errors.Kind, retry_after_ms: int = 0
 ) -> effects.AnswerError:
--- a/berylhollow/metrics/_instruments.py
+++ b/berylhollow/metrics/_instruments.py
@@ -188,6 +188,13 @@
         'version that began them was known, or why they were refused.',
         (SERVICE, 'berylhollow.outcome'),
     ),
+    Instrument(
+        'berylhollow.request_exceptions',
+        COUNTER,
+        '{exception}',
+        'Exceptions in the handling of one request; each is a bug, and its '
+        'traceback is in the log.',
+    ),
     Instrument(
         'berylhollow.admissions_waiting',
         OBSERVED_GAUGE,
