Contain exceptions in the effects and runs of one request

An exception while the shell began or ended one answer ended the gateway, as one in the reducer did; one in a run at an endpoint left the request without an outcome until its deadline.

The effects that answer a request now fail only its exchange: the caller gets 'internal', or a broken answer once the head is out, and the reducer is told that the caller has gone. A run that raises fails as 'internal' with an unknown outcome.

--- a/berylhollow/gateway/_direct_runs.py
+++ b/berylhollow/gateway/_direct_runs.py
@@ -132,6 +132,18 @@
 
     async def execute(self) -> None:
         """Send the request and report its answer or failure."""
+        try:
+            await self._execute()
+        except Exception as error:
+            # Without an outcome the request would wait for its deadline.
+            LOG.exception(
+                'exception in a run',
+                extra={'attempt_id': self.offer.attempt_id},
+            )
+            kind = errors.Kind.INTERNAL
+            self._report_failure(kind, errors.Ran.UNKNOWN, repr(error))
+
+    async def _execute(self) -> None:
         instance = self.owner.listed_instance(self.peer)
         if instance is None:
             kind = errors.Kind.ENDPOINT_UNREACHABLE
--- a/berylhollow/gateway/_exchange.py
+++ b/berylhollow/gateway/_exchange.py
@@ -47,6 +47,18 @@
         if not self.answer_start.done():
             self.answer_start.set_result(effect)
 
+    def fail(self, error: Exception) -> None:
+        """End the answer because the gateway can't go on with it."""
+        if not self.answer_start.done():
+            self.answer_start.set_exception(error)
+        elif self.relay is not None:
+            request_id = self.request.request_id
+            attempt_id = self.relay.begin.attempt_id
+            kind, ran = errors.Kind.INTERNAL, errors.Ran.UNKNOWN
+            self.relay.fail(
+                effects.BreakAnswer(request_id, attempt_id, kind, ran)
+            )
+
     def record_failure(self, kind: errors.Kind, ran: errors.Ran) -> None:
         """Record how the request failed."""
         self.kind = kind
--- a/berylhollow/gateway/_shell.py
+++ b/berylhollow/gateway/_shell.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import functools
 import logging
 import random
 import secrets
@@ -37,6 +38,7 @@
 FIRST_TOKEN_DURATION = 'berylhollow.first_token.duration'
 
 AddMetric = typing.Callable[..., None]
+EffectHandler = typing.Callable[[typing.Any], None]
 
 
 class Shell:
@@ -103,15 +105,21 @@
         self.driver.handlers = self._handlers()
 
     def _handlers(self) -> dict:
-        return {
-            effects.Send: self._send_message,
-            effects.OpenLink: self.links.open,
-            effects.CloseLink: self.links.close,
+        of_requests = {
             effects.AnswerError: self._begin_complete_answer,
             effects.AnswerStored: self._begin_complete_answer,
             effects.BeginAnswer: self._begin_relay,
             effects.CompleteAnswer: self._complete_answer,
             effects.BreakAnswer: self._break_answer,
+        }
+        return {
+            **{
+                effect: functools.partial(self._carry_out, handler)
+                for effect, handler in of_requests.items()
+            },
+            effects.Send: self._send_message,
+            effects.OpenLink: self.links.open,
+            effects.CloseLink: self.links.close,
             effects.ResumeAnswer: self._resume_answer,
             effects.Count: self._count,
             effects.Log: shell.write_log,
@@ -363,6 +371,22 @@
 
     # Effect handlers.
 
+    def _carry_out(self, handler: EffectHandler, effect: typing.Any) -> None:
+        """Carry out an effect; an exception fails only its request."""
+        try:
+            handler(effect)
+        except Exception as error:
+            request_id = effect.request_id
+            LOG.exception(
+                'exception in the handling of a request',
+                extra={'request_id': request_id},
+            )
+            self.count('berylhollow.request_exceptions')
+            exchange = self.exchanges.get(request_id)
+            if exchange is not None:
+                exchange.fail(error)
+                self.caller_gone(exchange)
+
     def _send_message(self, effect: effects.Send) -> None:
         self._deliver(effect.peer, effect.message)
 
@@ -385,12 +409,12 @@
         if exchange is None:
             return
         relay = _relay.Relay(effect, self._deliver)
-        self.relays[effect.attempt_id] = relay
-        exchange.relay = relay
         exchange.service = _pages.endpoint_service(
             self.driver.state, effect.peer
         )
         exchange.begin(effect)
+        self.relays[effect.attempt_id] = relay
+        exchange.relay = relay
 
     def _complete_answer(self, effect: effects.CompleteAnswer) -> None:
         relay = self.relays.get(effect.attempt_id)
@@ -406,6 +430,11 @@
         relay = self.relays.get(effect.attempt_id)
         if relay is not None:
             relay.fail(effect)
+            return
+        # The reducer has failed before the answer began.
+        self._begin_complete_answer(
+            effects.AnswerError(effect.request_id, effect.kind, effect.ran)
+        )
 
     def _resume_answer(self, effect: effects.ResumeAnswer) -> None:
         relay = self.relays.get(effect.attempt_id)
--- a/test/hosted/test_direct_runs.py
+++ b/test/hosted/test_direct_runs.py
@@ -1,6 +1,7 @@
 """Tests of attempts at endpoints that take requests directly."""
 
 import asyncio
+from unittest import mock
 
 from berylhollow import errors
 from berylhollow import messages
@@ -250,6 +251,18 @@
         (failed,) = await self.messages_to_end()
         self.assertIs(errors.Ran.RAN, failed.ran)
 
+    async def test_exception_in_a_run_is_its_failure(self):
+        """Guards against a request that waits for a run which has raised."""
+        await self.begin()
+        defect = ValueError('a defect')
+        with mock.patch.object(
+            self.runs.calls, 'send', autospec=True, side_effect=defect
+        ):
+            self.send_offer()
+            (failed,) = await self.messages_to_end()
+        self.assertIs(errors.Kind.INTERNAL, failed.kind)
+        self.assertIs(errors.Ran.UNKNOWN, failed.ran)
+
     async def test_cancel_ends_the_run_at_the_endpoint(self):
         await self.begin()
         self.endpoint.faults.hangs = True
