Bound the versions of adapters by their digits

An endpoint that reports an adapter with a version of more than 4300 digits ended its sidecar, whose reducer compares versions as numbers. Versions were checked for their characters only; now they are at most 2^53, as other integers from outside, or the state is malformed.

--- a/berylhollow/messages.py
+++ b/berylhollow/messages.py
@@ -49,6 +49,10 @@
         return named if separator else text
 
 
+MAX_VERSION_DIGITS = 20
+"""Python reads no numbers of several thousand digits."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AdapterVersion:
     """An adapter and its version, written ``adapter@version``."""
@@ -59,6 +63,14 @@
     def __str__(self) -> str:
         return f'{self.adapter}@{self.version}'
 
+    @property
+    def number(self) -> int:
+        """The version as a number, -1 if it is none of at most 20 digits."""
+        version = self.version
+        if len(version) > MAX_VERSION_DIGITS or not version.isascii():
+            return -1
+        return int(version) if version.isdecimal() else -1
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Header:
--- a/berylhollow/platform/_records.py
+++ b/berylhollow/platform/_records.py
@@ -288,9 +288,12 @@
 
 
 def parse_adapter(text: str) -> messages.AdapterVersion:
-    """Parse MODEL/NAME@VERSION; a missing version means the first one."""
+    """Parse MODEL/NAME@VERSION; a missing version means the first one.
+
+    Raises ``routes.MalformedRecordError``.
+    """
     name, _, version = text.partition('@')
-    version = version or routes.FIRST_VERSION
-    if not (version.isascii() and version.isdecimal()):
+    adapter = messages.AdapterVersion(name, version or routes.FIRST_VERSION)
+    if not 0 <= adapter.number <= _fields.MAX_INTEGER:
         raise routes.MalformedRecordError(f'invalid adapter: {text[:80]!r}')
-    return messages.AdapterVersion(name, version)
+    return adapter
