Compare versions from links that may be no numbers

A sidecar that received a demand whose version isn't a number ended with a ValueError. No version of the program sends one today; a later one might, and during a rollout it is linked to older sidecars.

A version that is no number is now older than all others. test_no_message_makes_a_sidecar_fail failed before; it and the one of gateways feed any message from any peer.

--- a/berylhollow/loader/_demand.py
+++ b/berylhollow/loader/_demand.py
@@ -7,6 +7,7 @@
 
 import collections
 import dataclasses
+import operator
 
 from berylhollow import messages
 
@@ -137,7 +138,7 @@
         newest = max(
             before.adapter,
             entry.adapter,
-            key=lambda adapter: int(adapter.version),
+            key=operator.attrgetter('number'),
         )
         self.needs[name] = AdapterNeed(
             newest,
--- a/berylhollow/loader/_plan.py
+++ b/berylhollow/loader/_plan.py
@@ -209,4 +209,4 @@
 def _has_needed_version(
     held: messages.AdapterVersion | None, need: _demand.AdapterNeed
 ) -> bool:
-    return held is not None and int(held.version) >= int(need.adapter.version)
+    return held is not None and held.number >= need.adapter.number
