Break off answers of an endpoint that crashes while it leaves

An answer without a length whose endpoint ended together with it passed for complete if the endpoint was leaving, as one that leaves as planned ends after its last answer. One that crashed meanwhile left all such answers looking complete.

The check is now made there too. The end of the endpoint is accepted only with its last answer at this gateway, and only if none of its answers was broken off while it was leaving. A crash ends several answers at once: the first one that is judged finds the others in flight, the others find it broken off.

Two of the three new tests failed before; the third shows that the last answers of one that leaves as planned are still whole.

--- a/berylhollow/gateway/_direct_runs.py
+++ b/berylhollow/gateway/_direct_runs.py
@@ -17,12 +17,16 @@
 from berylhollow import platform
 from berylhollow import shell
 from berylhollow import stream
+from berylhollow.util import bounded
 
 LOG = logging.getLogger(__name__)
 
 READ_AHEAD_BYTES = 256 * 1024
 """How far an answer is read ahead of its caller before reading pauses."""
 
+MAX_ENDED_PEERS = 1000
+"""An endpoint that starts again has another name."""
+
 ATTEMPT_MESSAGES = (
     messages.Offer,
     messages.Cancel,
@@ -57,7 +61,11 @@
 
 
 class DirectRuns:
-    """The running exchanges, by attempt id."""
+    """The running exchanges, by attempt id.
+
+    ``ended_peers`` are endpoints that were leaving when an answer of theirs
+    was broken off.
+    """
 
     def __init__(
         self,
@@ -69,6 +77,7 @@
         self.owner = owner
         self.tasks = tasks
         self.runs: dict[str, DirectRun] = {}
+        self.ended_peers: dict[str, None] = {}
 
     def is_attempt_message(self, message: messages.Message) -> bool:
         """Return whether a message concerns an attempt."""
@@ -92,13 +101,25 @@
         await self.calls.close()
 
     def _start_run(self, peer: str, offer: messages.Offer) -> None:
-        run = DirectRun(self.calls, self.owner, peer, offer)
+        run = DirectRun(self.calls, self.owner, self, peer, offer)
         self.runs[offer.attempt_id] = run
         run.task = self.tasks.start(run.execute())
         run.task.add_done_callback(
             lambda _: self._forget_run(offer.attempt_id)
         )
 
+    def note_end(self, peer: str) -> None:
+        """Note that an answer of a leaving endpoint was broken off."""
+        self.ended_peers[peer] = None
+        bounded.drop_oldest(self.ended_peers, MAX_ENDED_PEERS)
+
+    def is_last(self, run: 'DirectRun') -> bool:
+        """Return whether a run was the last one of a leaving endpoint."""
+        peer = run.peer
+        if peer in self.ended_peers:
+            return False
+        return all(x is run or x.peer != peer for x in self.runs.values())
+
     def _forget_run(self, attempt_id: str) -> None:
         self.runs.pop(attempt_id, None)
 
@@ -110,11 +131,13 @@
         self,
         calls: platform.EndpointClient,
         owner: Owner,
+        others: DirectRuns,
         peer: str,
         offer: messages.Offer,
     ):
         self.calls = calls
         self.owner = owner
+        self.others = others
         self.peer = peer
         self.offer = offer
         self.task: asyncio.Task | None = None
@@ -237,16 +260,30 @@
                     self.sender_unblocked.clear()
                     await self.sender_unblocked.wait()
                 self._report(self.sender.push(part))
-            if not self._may_end_as_planned(answer):
-                await answer.body.check_endpoint_lives()
+            await self._check_end(answer)
         except outgoing.CallOutcomeUnknown as error:
             self._log_end(answer.body)
+            if self._may_end_as_planned(answer):
+                self.others.note_end(self.peer)
             kind = errors.Kind.STREAM_BROKEN
             self._report_failure(kind, errors.Ran.UNKNOWN, str(error))
             return
         self._log_end(answer.body)
         self._report(self.sender.finish())
 
+    async def _check_end(self, answer: platform.Answer) -> None:
+        """Raise BodyTruncated if the endpoint crashed at the body's end.
+
+        One that leaves as planned ends after the last of its answers, so
+        that none of the others may end together with it.
+        """
+        try:
+            await answer.body.check_endpoint_lives()
+        except answer_body.BodyTruncated:
+            is_last = self.others.is_last(self)
+            if not (is_last and self._may_end_as_planned(answer)):
+                raise
+
     def _may_end_as_planned(self, answer: platform.Answer) -> bool:
         """Return whether the endpoint may have ended after its last answer.
 
--- a/test/hosted/direct_helper.py
+++ b/test/hosted/direct_helper.py
@@ -47,11 +47,19 @@
         self.closes = closes
         self.received = b''
         self.connections = 0
+        self.writers = []
         self.arrived = asyncio.Event()
         self.server = None
 
+    def end(self):
+        """Close the port and all connections, as a process that ends."""
+        self.server.close()
+        for writer in self.writers:
+            writer.close()
+
     async def serve(self, reader, writer):
         self.connections += 1
+        self.writers.append(writer)
         try:
             self.received = await reader.readuntil(b'\r\n\r\n')
         except (asyncio.IncompleteReadError, ConnectionError):
--- a/test/hosted/test_stream_ends.py
+++ b/test/hosted/test_stream_ends.py
@@ -140,6 +140,60 @@
         )
         self.assertIsInstance(outcome, messages.End)
 
+    async def test_leaving_endpoint_that_crashes_leaves_no_whole_answer(self):
+        """Guards against cut answers of one that leaves, taken for whole.
+
+        Both of its answers end together with it.
+        """
+        self.leaving = True
+        held = direct_helper.RawEndpoint(self.answer(), closes=False)
+        await self.listen(held)
+        self.send_offer(number=7)
+        self.send_offer(number=8)
+        told = [await self.next_message() for _ in range(4)]
+        self.assertNotIn(messages.End, map(type, told))
+        held.end()
+        outcomes = [await self.next_message() for _ in range(2)]
+        for outcome in outcomes:
+            self.assertIsInstance(outcome, messages.Failed)
+            self.assertIs(errors.Kind.STREAM_BROKEN, outcome.kind)
+
+    async def test_crash_is_seen_by_the_answers_in_chunks(self):
+        """Guards against one cut answer taken for the last of all.
+
+        The other answer has chunks, so that it is known to be cut at once.
+        """
+        self.leaving = True
+        answers = event_streams.answers(event_streams.EVENT)
+        chunks = answers['chunks'].removesuffix(b'0\r\n\r\n')
+        self.assertNotEqual(chunks, answers['chunks'])
+        endpoint = direct_helper.RawEndpoint(chunks, closes=False)
+        await self.listen(endpoint)
+        self.send_offer(number=7)
+        told = [await self.next_message() for _ in range(2)]
+        endpoint.answer = answers['no length']
+        self.send_offer(number=8)
+        told += [await self.next_message() for _ in range(2)]
+        self.assertNotIn(messages.End, map(type, told))
+        endpoint.end()
+        for _ in range(2):
+            outcome = await self.next_message()
+            self.assertIsInstance(outcome, messages.Failed)
+
+    async def test_leaving_endpoint_serves_its_last_answers(self):
+        """Guards against whole answers of one that leaves, broken off."""
+        self.leaving = True
+        endpoint = direct_helper.RawEndpoint(self.answer(), closes=False)
+        await self.listen(endpoint)
+        self.send_offer(number=7)
+        told = [await self.next_message() for _ in range(2)]
+        self.assertNotIn(messages.End, map(type, told))
+        endpoint.closes = True
+        self.send_offer(number=8)
+        self.assertIsInstance((await self.messages_to_end())[-1], messages.End)
+        endpoint.end()
+        self.assertIsInstance(await self.next_message(), messages.End)
+
     async def test_leaving_endpoint_may_end_after_its_answer(self):
         self.leaving = True
         endpoint = direct_helper.RawEndpoint(self.answer(), ends=True)
