Give up a call whose head has begun and doesn't end

An endpoint that sends the head of its answer a byte at a time held each request to its deadline while others were free: the library bounds the bytes of a head, and only the call's own deadline bounded its time. A call to an endpoint has none beside the caller's.

The time until the first byte isn't bounded, as prompts take theirs.

test_head_that_never_ends_fails_the_attempt failed before, by its time limit.

--- a/berylhollow/outgoing.py
+++ b/berylhollow/outgoing.py
@@ -46,6 +46,14 @@
 MAX_INTERIM_RESPONSES = 16
 """Interim responses before a final one. Nothing here asks for any."""
 
+HEAD_TIMEOUT_MS = PEER_TIMEOUT_MS
+"""Time from the first to the last byte of a head, as long as one packet may be
+missing. The time until the first byte is the caller's to limit."""
+
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+"""Largest answer that is held in memory, several times the largest
+configuration of the users."""
+
 REFUSAL_STATUSES = frozenset({400, 404, 405, 409, 410, 413, 422, 429, 503})
 
 
@@ -103,6 +111,8 @@
     peer_reset = False
     peer: tuple | None = None
     interim_responses = 0
+    awaits_head = False
+    head_timeout: asyncio.TimerHandle | None = None
 
     def __init__(
         self,
@@ -118,13 +128,35 @@
         self.peer = transport.get_extra_info('peername')
         self.open_by_peer.setdefault(self.peer, set()).add(self)
 
+    def set_response_params(self, **options: typing.Any) -> None:
+        """Expect the head of the next response."""
+        self.awaits_head = True
+        super().set_response_params(**options)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes; a head that has begun must end in time.
+
+        The library waits for its last byte up to the deadline of the call.
+        """
+        super().data_received(data)
+        if not self.awaits_head or self.head_timeout is not None:
+            return
+        if self.transport is not None:
+            self.head_timeout = self._loop.call_later(
+                HEAD_TIMEOUT_MS / MS_PER_SECOND,
+                self._fail_head,
+                'the head of the response is too slow',
+            )
+
     def feed_data(self, data: tuple, size: int = 0) -> None:
         """Pass on the head of a response; close after too many interim ones.
 
         The library reads them up to the deadline of the call.
         """
         message, _ = data
+        self._cancel_head_timeout()
         if message.code not in INTERIM_STATUSES:
+            self.awaits_head = False
             self.interim_responses = 0
             super().feed_data(data, size)
             return
@@ -132,12 +164,18 @@
         if self.interim_responses <= MAX_INTERIM_RESPONSES:
             super().feed_data(data, size)
         elif self.exception() is None:
-            error = http_exceptions.HttpProcessingError(
-                code=message.code, message='too many interim responses'
-            )
-            # A close drops the exception of a connection.
-            self.close()
-            self.set_exception(error)
+            self._fail_head('too many interim responses')
+
+    def _fail_head(self, reason: str) -> None:
+        error = http_exceptions.HttpProcessingError(message=reason)
+        # A close drops the exception of a connection.
+        self.close()
+        self.set_exception(error)
+
+    def _cancel_head_timeout(self) -> None:
+        if self.head_timeout is not None:
+            self.head_timeout.cancel()
+            self.head_timeout = None
 
     def close(self) -> None:
         """Close at once and discard the data that is not sent yet."""
@@ -189,6 +227,7 @@
         return False
 
     def _forget(self) -> None:
+        self._cancel_head_timeout()
         others = self.open_by_peer.get(self.peer)
         if others is not None:
             others.discard(self)
--- a/test/hosted/direct_helper.py
+++ b/test/hosted/direct_helper.py
@@ -84,6 +84,47 @@
             await reader.read()
 
 
+class EndlessEndpoint(RawEndpoint):
+    """Goes on with the same bytes after its answer, until it is closed.
+
+    ``gap_s`` is the pause between them, ``gone`` is set at the end.
+    """
+
+    def __init__(self, answer, more, gap_s=0.0):
+        super().__init__(answer)
+        self.more = more
+        self.gap_s = gap_s
+        self.gone = asyncio.Event()
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        try:
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(self.answer)
+            while True:
+                writer.write(self.more)
+                await writer.drain()
+                await asyncio.sleep(self.gap_s)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.transport.abort()
+        finally:
+            self.gone.set()
+
+
+class SlowEndpoint(RawEndpoint):
+    """Answers after ``wait_s``."""
+
+    def __init__(self, answer, wait_s):
+        super().__init__(answer)
+        self.wait_s = wait_s
+
+    async def serve(self, reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        await asyncio.sleep(self.wait_s)
+        writer.write(self.answer)
+        writer.close()
+
+
 class KeepingEndpoint(RawEndpoint):
     """Answers one request after the other on each connection."""
 
--- a/test/hosted/test_direct_runs.py
+++ b/test/hosted/test_direct_runs.py
@@ -5,6 +5,7 @@
 
 from berylhollow import errors
 from berylhollow import messages
+from berylhollow import outgoing
 from berylhollow.standin import direct_endpoint
 from test.hosted import direct_helper
 
@@ -148,6 +149,42 @@
         self.assertIs(errors.Ran.UNKNOWN, failed.ran)
 
 
+class EndlessBytesTest(direct_helper.DirectTestCase):
+    """Bytes that are no answer come until the connection is closed."""
+
+    async def assert_closed(self):
+        async with asyncio.timeout(direct_helper.HANG_S):
+            await self.raw.gone.wait()
+            while self.runs.runs:
+                await asyncio.sleep(0.001)
+
+    async def test_head_that_never_ends_fails_the_attempt(self):
+        """Guards against requests held to their deadline by a slow head.
+
+        Another endpoint may be free.
+        """
+        head = b'HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\n'
+        self.raw = direct_helper.EndlessEndpoint(head, b'X', gap_s=0.02)
+        await self.listen(self.raw)
+        with mock.patch.object(outgoing, 'HEAD_TIMEOUT_MS', 200):
+            self.send_offer()
+            (failed,) = await self.messages_to_end()
+        self.assertIs(errors.Ran.UNKNOWN, failed.ran)
+        self.assertIn('too slow', failed.detail)
+        await self.assert_closed()
+
+    async def test_head_that_begins_late_is_awaited(self):
+        """Guards against answers refused because their prompt is long."""
+        self.raw = direct_helper.SlowEndpoint(
+            RESPONSE_HEAD + b'Content-Length: 2\r\n\r\nok', wait_s=0.3
+        )
+        await self.listen(self.raw)
+        with mock.patch.object(outgoing, 'HEAD_TIMEOUT_MS', 100):
+            self.send_offer()
+            told = await self.messages_to_end()
+        self.assertIsInstance(told[-1], messages.End)
+
+
 class NoticeTest(direct_helper.DirectTestCase):
     """An endpoint's notices are read from every kind of answer.
 
