Read no more of an unused body than its connection is worth

A gateway reads the body of a refusal so that its connection can be used again. One without end was read for ever, with no limit in bytes or time, after its request had gone elsewhere; each such refusal kept a connection and processor time until the process ended.

At most 64 KiB and a second are spent on it now, then the connection is closed. test_unused_body_that_never_ends_is_not_read_on failed before, for a fast and a slow body. 50 streams without end at once, whose callers read nothing, take 47 MB to 77 MB and leave 53 MB.

--- a/berylhollow/gateway/_direct_runs.py
+++ b/berylhollow/gateway/_direct_runs.py
@@ -27,6 +27,10 @@
 MAX_ENDED_PEERS = 1000
 """An endpoint that starts again has another name."""
 
+MAX_DISCARDED_BYTES = 64 * 1024
+DISCARD_TIMEOUT_S = 1.0
+"""Bounds of an unused body that is read for the sake of its connection."""
+
 ATTEMPT_MESSAGES = (
     messages.Offer,
     messages.Cancel,
@@ -243,14 +247,19 @@
         await self._relay_body(answer)
 
     async def _discard_body(self, answer: platform.Answer) -> None:
-        """Read an unused body, so that the connection can be reused."""
+        """Read an unused body, so that the connection can be reused.
+
+        One that is large or slow is not worth it: the connection is closed.
+        """
         try:
-            async for _ in answer.parts():
-                pass
-        except outgoing.CallOutcomeUnknown as error:
+            async with asyncio.timeout(DISCARD_TIMEOUT_S):
+                async for _ in answer.parts():
+                    if answer.body.size_bytes > MAX_DISCARDED_BYTES:
+                        break
+        except (outgoing.CallOutcomeUnknown, TimeoutError) as error:
             LOG.info(
                 'reading an unused answer body failed',
-                extra={'reason': str(error)},
+                extra={'reason': str(error) or type(error).__name__},
             )
 
     async def _relay_body(self, answer: platform.Answer) -> None:
--- a/test/hosted/test_direct_runs.py
+++ b/test/hosted/test_direct_runs.py
@@ -184,6 +184,22 @@
             told = await self.messages_to_end()
         self.assertIsInstance(told[-1], messages.End)
 
+    async def test_unused_body_that_never_ends_is_not_read_on(self):
+        """Guards against a body that is read for ever after a failure."""
+        head = (
+            b'HTTP/1.1 503 Busy\r\nRequest-Id: id-1\r\nNot-Executed: 1\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n'
+        )
+        chunk = b'1000\r\n' + b'x' * 4096 + b'\r\n'
+        for gap_s in (0.0, 0.3):
+            with self.subTest(gap_s=gap_s):
+                self.raw = direct_helper.EndlessEndpoint(head, chunk, gap_s)
+                await self.listen(self.raw)
+                self.send_offer()
+                (failed,) = await self.messages_to_end()
+                self.assertIs(errors.Ran.NOT_RUN, failed.ran)
+                await self.assert_closed()
+
 
 class NoticeTest(direct_helper.DirectTestCase):
     """An endpoint's notices are read from every kind of answer.
