Bound the answers that are held in memory

Reads of the store, of endpoint states and of all other services took any answer into memory whole, for up to a second at the speed of the link. One without end from an endpoint could take the memory of the sidecar beside it.

The new test needs the limit that it sets, and there was none before.

--- a/berylhollow/outgoing.py
+++ b/berylhollow/outgoing.py
@@ -448,15 +448,25 @@
         raise CallOutcomeUnknown(str(error) or type(error).__name__) from error
 
 
-async def read_body(response: Response) -> bytes:
-    """Return the complete body; raises CallOutcomeUnknown if it ends early."""
+async def read_body(
+    response: Response, limit_bytes: int = MAX_ANSWER_BYTES
+) -> bytes:
+    """Return the complete body.
+
+    Raises CallOutcomeUnknown if it ends early or is larger than the limit.
+    """
+    body = bytearray()
     try:
-        body = await response.read()
+        while part := await response.content.readany():
+            body += part
+            if len(body) > limit_bytes:
+                response.close()
+                raise CallOutcomeUnknown(f'body of over {limit_bytes} bytes')
     except (aiohttp.ClientError, OSError) as error:
         raise CallOutcomeUnknown(str(error) or type(error).__name__) from error
     if response.is_delimited_by_close and response.was_reset:
         raise CallOutcomeUnknown('connection reset before the end of the body')
-    return body
+    return bytes(body)
 
 
 async def call(
@@ -464,15 +474,19 @@
     method: str,
     url: str,
     timeout_ms: int | None = CALL_TIMEOUT_MS,
+    limit_bytes: int = MAX_ANSWER_BYTES,
     **options,
 ) -> Reply:
     """Send a call and return its complete answer if its status is 2xx.
 
+    ``limit_bytes`` is the largest body of the answer.
+
     Raises ``CallNotSent``, ``CallOutcomeUnknown`` or ``CallRefused``.
     """
     response = await open_call(session, method, url, timeout_ms, **options)
     async with response:
-        reply = Reply(response.status, await read_body(response))
+        body = await read_body(response, limit_bytes)
+    reply = Reply(response.status, body)
     if reply.status // 100 == 2:
         return reply
     raise error_from_reply(reply)
--- a/berylhollow/platform/_order.py
+++ b/berylhollow/platform/_order.py
@@ -15,6 +15,8 @@
 from berylhollow import routes
 
 CALL_TIMEOUT_MS = 200
+MAX_ANSWER_BYTES = 1024 * 1024
+"""Many times the report of an endpoint with hundreds of adapters."""
 """The endpoint is on the same instance and answers within milliseconds.
 
 An unanswered order blocks all later ones. Giving up on it early is safe: if
@@ -95,7 +97,11 @@
     async def state(self) -> EndpointState:
         """Fetch the endpoint's report. Raises ``outgoing.CallError``."""
         reply = await outgoing.call(
-            self.session, 'GET', f'{self.url}/report', CALL_TIMEOUT_MS
+            self.session,
+            'GET',
+            f'{self.url}/report',
+            CALL_TIMEOUT_MS,
+            MAX_ANSWER_BYTES,
         )
         try:
             return _parse_state(reply.value())
@@ -130,7 +136,7 @@
             },
         )
         async with response:
-            await outgoing.read_body(response)
+            await outgoing.read_body(response, MAX_ANSWER_BYTES)
         return VERDICT_BY_STATUS.get(
             response.status, events.OrderVerdict.REFUSED
         )
--- a/test/test_outgoing.py
+++ b/test/test_outgoing.py
@@ -118,6 +118,17 @@
         with self.assertRaises(outgoing.CallOutcomeUnknown):
             await self.call(RecordingServer(TRUNCATED_ANSWER))
 
+    async def test_body_that_never_ends_is_not_kept(self):
+        """Guards against an answer that takes all of a process's memory."""
+        chunk = b'1000\r\n' + b'x' * 4096 + b'\r\n'
+        head = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+        server = RecordingServer(head + 100 * chunk, keep_open=True)
+        url = await server.start(self)
+        with self.assertRaisesRegex(outgoing.CallOutcomeUnknown, 'over 65536'):
+            await outgoing.call(
+                await self.session(), 'GET', url, limit_bytes=65536
+            )
+
     async def test_timeout_is_maybe_done(self):
         url = await RecordingServer(keep_open=True).start(self)
         with self.assertRaises(outgoing.CallOutcomeUnknown):
