Read header lines of callers up to the configured length

A header line of over 8190 bytes was refused with 400, though the operator's MaxHeaderBytes allows 16384: the limit was the HTTP library's default, and the configured one was parsed and not used.

Connections now take the limit of the configuration in force when they are opened. Without one, and for the project's own interface, it stays 8190. test_header_line_of_the_configured_length_is_read failed before.

--- a/berylhollow/configuration/_configuration.py
+++ b/berylhollow/configuration/_configuration.py
@@ -97,6 +97,10 @@
         """Return 0, as sidecars learn the number from their engines."""
         return 0
 
+    @property
+    def header_bytes(self) -> int:
+        return following.DEFAULT_HEADER_BYTES
+
     def can_hold(self, service: str, adapter: messages.AdapterVersion) -> bool:
         """Return False, as only sidecars know what their engines hold."""
         return False
--- a/berylhollow/following.py
+++ b/berylhollow/following.py
@@ -12,6 +12,10 @@
 from berylhollow import workspaces
 
 
+DEFAULT_HEADER_BYTES = 8190
+"""Longest header line of a request where the configuration doesn't say."""
+
+
 class Service(typing.Protocol):
     """Weights declared for a service."""
 
@@ -85,9 +89,11 @@
     """One accepted revision of the configuration, immutable.
 
     If ``has_workspaces`` is set, callers need the key of a workspace.
+    ``header_bytes`` is the longest header line that they may send.
     """
 
     revision: int
+    header_bytes: int
     has_workspaces: bool
     declared_workspaces: tuple[workspaces.Workspace, ...]
 
--- a/berylhollow/gateway/_connections.py
+++ b/berylhollow/gateway/_connections.py
@@ -1,6 +1,7 @@
 """Callers' connections: their limit, timeouts and failures."""
 
 import asyncio
+import collections.abc
 import logging
 
 from aiohttp import http_exceptions
@@ -33,6 +34,7 @@
     """A caller's connection; input that is not HTTP gets a typed error."""
 
     def __init__(self, server: 'Server'):
+        header_bytes = server.header_bytes()
         super().__init__(
             server,
             loop=asyncio.get_running_loop(),
@@ -40,6 +42,8 @@
             auto_decompress=False,
             keepalive_timeout=KEEPALIVE_TIMEOUT_S,
             lingering_time=LINGERING_TIME_S,
+            max_line_size=header_bytes,
+            max_field_size=header_bytes,
         )
         self.server = server
 
@@ -109,6 +113,7 @@
     """The server for callers' connections, at most ``limit`` of them.
 
     ``busy`` holds the connections on which a request is being answered.
+    ``header_bytes`` returns the longest header line that callers may send.
     """
 
     def __init__(
@@ -117,11 +122,13 @@
         request_ids: _parsing.RequestIds,
         limit: int,
         dialect: _dialect.Dialect,
+        header_bytes: collections.abc.Callable[[], int],
     ):
         super().__init__(handler, handler_cancellation=True)
         self.request_ids = request_ids
         self.dialect = dialect
         self.limit = limit
+        self.header_bytes = header_bytes
         self.busy: set[asyncio.BaseProtocol] = set()
         self.refused_count = 0
         self._pending_refusals = 0
--- a/berylhollow/gateway/_http.py
+++ b/berylhollow/gateway/_http.py
@@ -47,6 +47,9 @@
     def forget_exchange(self, exchange: _exchange.Exchange) -> None:
         """Drop the exchange: its caller will get nothing more."""
 
+    def header_bytes(self) -> int:
+        """Return the longest header line that a caller may send."""
+
     def request_refused(self, kind: errors.Kind) -> None:
         """A request was refused before the reducer knew of it."""
 
@@ -87,6 +90,7 @@
             self.request_ids,
             self.settings.listen.connections,
             self.dialect,
+            self.owner.header_bytes,
         )
         self._listener = await asyncio.get_running_loop().create_server(
             self.server,
--- a/berylhollow/gateway/_shell.py
+++ b/berylhollow/gateway/_shell.py
@@ -17,6 +17,7 @@
 from berylhollow import effects
 from berylhollow import errors
 from berylhollow import events
+from berylhollow import following
 from berylhollow.gateway import _deployment
 from berylhollow.gateway import _direct_runs
 from berylhollow.gateway import _exchange
@@ -246,6 +247,12 @@
         exchange.log(self.now_ms(), state.revision)
         self._record_metrics(exchange, service)
 
+    def header_bytes(self) -> int:
+        configuration = self.driver.state.follower.current
+        if configuration is None:
+            return following.DEFAULT_HEADER_BYTES
+        return configuration.header_bytes
+
     def request_refused(self, kind: errors.Kind) -> None:
         ran = errors.ANSWERS[kind].ran
         self._count_error('', kind, ran)
--- a/berylhollow/routes/_view.py
+++ b/berylhollow/routes/_view.py
@@ -165,6 +165,10 @@
     def revision(self) -> int:
         return self.table.version
 
+    @property
+    def header_bytes(self) -> int:
+        return self.table.limits.header_bytes
+
     @property
     def has_workspaces(self) -> bool:
         return bool(self.table.workspaces)
--- a/test/builders.py
+++ b/test/builders.py
@@ -33,6 +33,7 @@
     revision: int = 1
     servable: tuple[str, ...] = ('1', '2')
     limits: manifest.Limits = manifest.Limits()
+    header_bytes: int = following.DEFAULT_HEADER_BYTES
     has_workspaces: bool = False
     declared_workspaces: tuple = ()
 
--- a/test/platform/test_records.py
+++ b/test/platform/test_records.py
@@ -23,6 +23,12 @@
         self.assertEqual(6, model.engine.adapter_slots)
         self.assertIsNone(other.engine)
 
+    def test_longest_header_line_is_the_configured_one(self):
+        record = builders.configuration_record()
+        table = platform.decode_configuration_record(record)
+        view = routes.RouteView.from_table(table, {})
+        self.assertEqual(16384, view.header_bytes)
+
     def test_split_of_a_route_keeps_its_weights(self):
         split = [
             {'Service': 'huvo11a', 'Weight': 90},
--- a/test/test_connections.py
+++ b/test/test_connections.py
@@ -17,10 +17,10 @@
 
 
 class UnansweredFailureTest(unittest.IsolatedAsyncioTestCase):
-    async def ask(self, handler, dialect, headers):
+    async def ask(self, handler, dialect, headers, header_bytes=8190):
         """Return status and headers of the response to one request."""
         server = _connections.Server(
-            handler, _parsing.RequestIds(), 10, dialect
+            handler, _parsing.RequestIds(), 10, dialect, lambda: header_bytes
         )
         runner = web.ServerRunner(server)
         await runner.setup()
@@ -52,3 +52,19 @@
                 status, headers = await self.ask(handler, dialect, sent)
                 self.assertEqual(500, status)
                 self.assertEqual(sent[name], headers[name])
+
+    async def test_header_line_of_the_configured_length_is_read(self):
+        """Guards against refusals of headers that the operator allows."""
+
+        async def handler(request):
+            return web.Response()
+
+        for length, expected in ((12_000, 200), (17_000, 400)):
+            with self.subTest(length):
+                status, _ = await self.ask(
+                    handler,
+                    platform.CallerDialect(),
+                    {'Session': 'x' * length},
+                    header_bytes=16_384,
+                )
+                self.assertEqual(expected, status)
