Refuse numbers in links that are not finite

A rate of infinity in a message ended the sidecar that lends requests: it can't be counted.

Links now refuse such numbers when they decode them, as any other value that doesn't fit its field. test_rate_without_end_does_not_travel failed before.

--- a/berylhollow/link/_codec.py
+++ b/berylhollow/link/_codec.py
@@ -16,6 +16,7 @@
 import dataclasses
 import enum
 import functools
+import math
 import operator
 import types
 import typing
@@ -222,7 +223,7 @@
     if hint in _PLAIN_TYPES:
         return FieldCodec(hint, None, _exact_type_decoder(hint))
     if hint is float:
-        return FieldCodec(float, None, _to_float)
+        return FieldCodec(None, None, _to_float)
     if hint is type(None):
         return FieldCodec(type(None), None, _exact_type_decoder(type(None)))
     if isinstance(hint, type) and issubclass(hint, enum.Enum):
@@ -262,9 +263,12 @@
     if type(value) not in (int, float):
         raise CodecError(f'{type(value).__name__} is not float')
     try:
-        return float(value)
+        number = float(value)
     except OverflowError as error:
         raise CodecError('number too large for a float') from error
+    if not math.isfinite(number):
+        raise CodecError(f'{number} is not a finite number')
+    return number
 
 
 def _enum_codec(cls: type[enum.Enum]) -> FieldCodec:
--- a/test/hosted/test_any_messages.py
+++ b/test/hosted/test_any_messages.py
@@ -94,7 +94,10 @@
 
     def travel(message):
         data = _codec.encode_list([codec.encode(message)])
-        return codec.decode(data)
+        try:
+            return codec.decode(data)
+        except _codec.CodecError:
+            return []
 
     tables = [instances(cls) for cls in messages.TAGS.values()]
     return strategies.one_of(*tables).map(travel)
@@ -145,6 +148,17 @@
             self.feed(events.Ticked(at_ms, 0.5))
 
 
+class LentRateTest(loader_helper.LoaderTestCase):
+    def test_rate_without_end_does_not_travel(self):
+        """Guards against a gateway that ends the sidecar it is linked to."""
+        codec = _codec.Codec(messages.TAGS)
+        for rate_per_s in (float('inf'), float('nan')):
+            wanted = messages.RateWanted('i-1', rate_per_s, 1)
+            data = _codec.encode_list([codec.encode(wanted)])
+            with self.assertRaises(_codec.CodecError):
+                codec.decode(data)
+
+
 class SidecarTest(ContainedCase, loader_helper.LoaderTestCase):
     @SETTINGS
     @hypothesis.given(given=received())
