--- a/test/hosted/rated_link.py
+++ b/test/hosted/rated_link.py
@@ -114,6 +114,8 @@
         self.headers = answer.headers
         self.body = bytes(answer.body)
         self.content_length = len(self.body)
+        self.content = self
+        self.arrived = 0
         self.link = link
         self.limits = limits
 
@@ -126,11 +128,12 @@
     async def __aexit__(self, *_error):
         pass
 
-    async def read(self):
-        arrived = 0
-        while arrived < len(self.body):
-            piece = min(self.link.turn_bytes, len(self.body) - arrived)
+    async def readany(self):
+        """Return the next piece, b'' after the last one."""
+        start = self.arrived
+        piece = min(self.link.turn_bytes, len(self.body) - start)
+        if piece:
             async with self.limits.progress():
                 await self.link.transfer(piece, 'store')
-            arrived += piece
-        return self.body
+        self.arrived += piece
+        return self.body[start : self.arrived]
