--- a/test/hosted/stream_fleet.py
+++ b/test/hosted/stream_fleet.py
@@ -114,7 +114,7 @@
             host=builders.HOST,
             path=crash_fleet.PLAIN_PATH,
             adapter=None,
-            fingerprint=f'body of {stream.number}',
+            fingerprint=self.fingerprint(stream),
             deadline_ms=stream.deadline_ms - self.now_ms,
             caller_request_id=caller_id,
             resumption=resumption,
@@ -124,6 +124,9 @@
         seed = self.random.random()
         self.feed(name, events.RequestArrived(self.now_ms, request, seed))
 
+    def fingerprint(self, stream):
+        return f'body of {stream.number}'
+
     def try_again(self, stream, wait_ms=BACK_MS):
         """Let a caller come back at the next gateway that runs."""
         if stream.tries >= self.max_tries or not self.gateways:
