Call one piece of code where the last changes had written it twice

Cause: two messages placed the requests that they concern by the same loop, an exchange and the shell broke off an answer by the same lines, and two test files looked for contained exceptions each by itself. Other tests of reducers didn't look, so that an exception which now fails one request alone could have passed unseen in them.

Now _place_each_after serves both messages, Exchange.break_off both callers, and ReducerTestCase.feed fails every test in which a handler raises. Behaviour, bounds and assertions stay as they are.

--- a/berylhollow/gateway/_containment.py
+++ b/berylhollow/gateway/_containment.py
@@ -25,12 +25,6 @@
     [_state.State, _state.ActiveRequest, int], Effects
 ]
 
-REQUEST_EVENTS = (
-    events.RequestArrived,
-    events.CallerGone,
-    events.AnswerRelayed,
-    events.AnswerBroken,
-)
 Attempt = tuple[str, str]
 """The endpoint and the id of an attempt there."""
 
@@ -44,6 +38,9 @@
 ENDING_EVENTS = (events.CallerGone, events.AnswerRelayed)
 """Events after which no answer is awaited."""
 
+REQUEST_EVENTS = (*ENDING_EVENTS, events.AnswerBroken)
+"""Events that name their request by its id."""
+
 ATTEMPT_MESSAGES = (
     messages.Started,
     messages.Data,
@@ -69,10 +66,10 @@
     except Exception:
         active = before or state.requests.get(request_id)
         ran = _ran_at(event, active)
-        answer = []
+        emitted = _records(request_id)
         if not isinstance(event, ENDING_EVENTS):
-            answer = _answer(request_id, active, ran)
-        return _records(request_id) + answer + _end(state, active, held, ran)
+            emitted.append(_answer(request_id, active, ran))
+        return emitted + _end(state, active, held, ran)
 
 
 def handle_request(
@@ -88,8 +85,8 @@
     except Exception:
         request_id = active.request.request_id
         ran = _ran(active)
-        answer = _answer(request_id, active, ran)
-        return _records(request_id) + answer + _end(state, active, held, ran)
+        emitted = [*_records(request_id), _answer(request_id, active, ran)]
+        return emitted + _end(state, active, held, ran)
 
 
 def place(
@@ -174,12 +171,12 @@
 
 def _answer(
     request_id: str, active: _state.ActiveRequest | None, ran: errors.Ran
-) -> Effects:
+) -> effects.Effect:
     kind = errors.Kind.INTERNAL
     if active is not None and active.phase is _state.Phase.RELAYING:
         attempt_id = active.attempt_id
-        return [effects.BreakAnswer(request_id, attempt_id, kind, ran)]
-    return [effects.AnswerError(request_id, kind, ran)]
+        return effects.BreakAnswer(request_id, attempt_id, kind, ran)
+    return effects.AnswerError(request_id, kind, ran)
 
 
 def _end(
--- a/berylhollow/gateway/_exchange.py
+++ b/berylhollow/gateway/_exchange.py
@@ -52,12 +52,15 @@
         if not self.answer_start.done():
             self.answer_start.set_exception(error)
         elif self.relay is not None:
-            request_id = self.request.request_id
-            attempt_id = self.relay.begin.attempt_id
-            kind, ran = errors.Kind.INTERNAL, errors.Ran.UNKNOWN
-            self.relay.fail(
-                effects.BreakAnswer(request_id, attempt_id, kind, ran)
-            )
+            self.break_off(errors.Ran.UNKNOWN)
+
+    def break_off(self, ran: errors.Ran) -> None:
+        """Break off an answer that has begun, as INTERNAL."""
+        begin = self.relay.begin
+        kind = errors.Kind.INTERNAL
+        self.relay.fail(
+            effects.BreakAnswer(begin.request_id, begin.attempt_id, kind, ran)
+        )
 
     def record_failure(self, kind: errors.Kind, ran: errors.Ran) -> None:
         """Record how the request failed."""
--- a/berylhollow/gateway/_reducer.py
+++ b/berylhollow/gateway/_reducer.py
@@ -106,13 +106,6 @@
     return emitted
 
 
-def _rate_lent(state: _state.State, event: events.MessageReceived) -> Effects:
-    emitted: Effects = []
-    for active in _rate_limits.rate_lent(state, event):
-        emitted += _containment.place(state, active, event.at_ms)
-    return emitted
-
-
 def _probe_answered(
     state: _state.State, event: events.MessageReceived
 ) -> Effects:
@@ -125,15 +118,6 @@
     return emitted + _containment.place(state, active, event.at_ms)
 
 
-def _origin_answered(
-    state: _state.State, event: events.MessageReceived
-) -> Effects:
-    emitted: Effects = []
-    for active in _resumption.answered(state, event):
-        emitted += _containment.place(state, active, event.at_ms)
-    return emitted
-
-
 def _place_after(
     handle: collections.abc.Callable[
         [_state.State, events.MessageReceived],
@@ -151,6 +135,23 @@
     return handler
 
 
+def _place_each_after(
+    handle: collections.abc.Callable[
+        [_state.State, events.MessageReceived],
+        collections.abc.Iterable[_state.ActiveRequest],
+    ],
+) -> collections.abc.Callable[[_state.State, events.Event], Effects]:
+    """Return a handler that places all requests which ``handle`` returns."""
+
+    def handler(state: _state.State, event: events.Event) -> Effects:
+        emitted: Effects = []
+        for active in handle(state, event):
+            emitted += _containment.place(state, active, event.at_ms)
+        return emitted
+
+    return handler
+
+
 def _first_data(state: _state.State, event: events.MessageReceived) -> Effects:
     emitted = _attempts.first_event(state, event)
     return emitted + _prompt_parts.began_to_write(state, event)
@@ -259,10 +260,10 @@
     messages.RecordWanted: _kept_records.send,
     messages.KeptRecord: _kept_records.apply,
     messages.KeptCrashes: _kept_crashes.take_over,
-    messages.OriginAnswered: _origin_answered,
+    messages.OriginAnswered: _place_each_after(_resumption.answered),
     messages.SoftwareHistory: _origins.history_received,
     messages.QuotaSums: _quotas.sums_received,
-    messages.RateLent: _rate_lent,
+    messages.RateLent: _place_each_after(_rate_limits.rate_lent),
     messages.RunLost: _prompt_parts.lost_elsewhere,
     messages.EndpointAnswered: _probes.answered_elsewhere,
     messages.ProbeAnswered: _probe_answered,
--- a/berylhollow/gateway/_shell.py
+++ b/berylhollow/gateway/_shell.py
@@ -480,12 +480,9 @@
         self, exchange: _exchange.Exchange, ran: errors.Ran
     ) -> None:
         """Answer INTERNAL: the reducer will not decide on the request."""
+        if exchange.relay is not None:
+            exchange.break_off(ran)
+            return
         request_id = exchange.request.request_id
         kind = errors.Kind.INTERNAL
-        if exchange.relay is None:
-            exchange.begin(effects.AnswerError(request_id, kind, ran))
-            return
-        attempt_id = exchange.relay.begin.attempt_id
-        exchange.relay.fail(
-            effects.BreakAnswer(request_id, attempt_id, kind, ran)
-        )
+        exchange.begin(effects.AnswerError(request_id, kind, ran))
--- a/test/helper.py
+++ b/test/helper.py
@@ -22,6 +22,8 @@
         for event in given:
             self.state, done = self.reduce(self.state, event)
             self.effects += done
+        for log in self.of_type(effects.Log):
+            self.assertNotIn('traceback', dict(log.fields))
         return self.effects
 
     def receive(self, message, at_ms=0, peer='e1'):
--- a/test/hosted/test_any_messages.py
+++ b/test/hosted/test_any_messages.py
@@ -11,7 +11,6 @@
 import hypothesis
 from hypothesis import strategies
 
-from berylhollow import effects
 from berylhollow import events
 from berylhollow.link import _codec
 from berylhollow import messages
@@ -108,18 +107,7 @@
     return strategies.lists(pairs, max_size=6)
 
 
-class ContainedCase:
-    """Fails a test when an exception in a request was contained."""
-
-    def feed(self, *given):
-        found = super().feed(*given)
-        for effect in found:
-            if isinstance(effect, effects.Log):
-                self.assertNotIn('traceback', dict(effect.fields))
-        return found
-
-
-class GatewayTest(ContainedCase, direct.DirectTestCase):
+class GatewayTest(direct.DirectTestCase):
     @SETTINGS
     @hypothesis.given(given=received())
     def test_no_message_makes_a_gateway_fail(self, given):
@@ -159,7 +147,7 @@
                 codec.decode(data)
 
 
-class SidecarTest(ContainedCase, loader_helper.LoaderTestCase):
+class SidecarTest(loader_helper.LoaderTestCase):
     @SETTINGS
     @hypothesis.given(given=received())
     def test_no_message_makes_a_sidecar_fail(self, given):
--- a/test/platform/test_any_values.py
+++ b/test/platform/test_any_values.py
@@ -112,13 +112,6 @@
     def configure(self):
         self.publish(builders.keyed('config', CONFIGURATION))
 
-    def feed(self, *given):
-        found = super().feed(*given)
-        for effect in found:
-            if isinstance(effect, effects.Log):
-                self.assertNotIn('traceback', dict(effect.fields))
-        return found
-
     def decoded(self, name, entry):
         try:
             return platform.decode_instance(builders.keyed(name, entry))[1]
