--- a/tools/soak/_standins.py
+++ b/tools/soak/_standins.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import errno
 import json
 import sys
 import time
@@ -26,6 +27,9 @@
 MODEL_PLACES = 150
 """For requests that wait: 4.5 s when all are taken."""
 
+PORT_WAIT_S = 0.001
+"""How often a start tries a port that is not free yet."""
+
 DOWN_S = 1.0
 """How long an endpoint is down after a request has crashed it."""
 
@@ -240,22 +244,39 @@
             return False
 
 
+async def _listen(runner: web.AppRunner, host: str, port: int) -> None:
+    """Listen as soon as the port is free."""
+    while True:
+        try:
+            await web.TCPSite(runner, host, port).start()
+        except OSError as error:
+            if error.errno != errno.EADDRINUSE:
+                raise
+            await asyncio.sleep(PORT_WAIT_S)
+        else:
+            return
+
+
 async def main(role: str, listen: str, *arguments: str) -> None:
     """Serve until killed."""
     application = web.Application()
+    endpoint = None
     if role == 'store':
         Store().add_to(application)
     else:
         endpoint = Endpoint(*arguments)
         endpoint.add_to(application)
-        beating = asyncio.create_task(endpoint.beat())
-        beating.add_done_callback(lambda _: sys.exit(1))
     runner = web.AppRunner(
         application, access_log=None, handler_cancellation=True
     )
     await runner.setup()
     host, _, port = listen.rpartition(':')
-    await web.TCPSite(runner, host, int(port)).start()
+    say(waiting=listen)
+    await _listen(runner, host, int(port))
+    if endpoint is not None:
+        endpoint.started_ms = time.time_ns() // 1_000_000
+        beating = asyncio.create_task(endpoint.beat())
+        beating.add_done_callback(lambda _: sys.exit(1))
     say(listening=listen)
     await asyncio.Event().wait()
 
--- a/tools/soak/_streams.py
+++ b/tools/soak/_streams.py
@@ -9,6 +9,7 @@
 import aiohttp
 from aiohttp import web
 
+from tools.soak import _answers
 from tools.soak import _world
 
 PREFIX = '/s/'
@@ -24,6 +25,7 @@
 
 GOES_ON_SHARE = 0.9
 LEAST_RESUMED = 12
+FRAMINGS = ('chunks', 'length', 'connection')
 
 
 async def answer(
@@ -31,22 +33,49 @@
 ) -> web.StreamResponse:
     """Write the events after the last one that the caller has."""
     headers['Content-Type'] = 'text/event-stream'
+    last = int(request.headers.get('Last-Event-Id', '0'))
+    events = [
+        f'id: {number}\ndata: {software}\n\n'.encode()
+        for number in range(last + 1, EVENTS + 1)
+    ]
+    plan = _answers.decode(request.headers.get(_answers.PLAN_HEADER))
+    if plan.framing == 'connection':
+        return await _write_unframed(request, headers, events)
     response = web.StreamResponse(headers=headers)
+    if plan.framing == 'length':
+        response.content_length = sum(map(len, events))
     await response.prepare(request)
-    last = int(request.headers.get('Last-Event-Id', '0'))
-    for number in range(last + 1, EVENTS + 1):
-        await response.write(f'id: {number}\ndata: {software}\n\n'.encode())
+    for event in events:
+        await response.write(event)
         await asyncio.sleep(EVENT_S)
     await response.write_eof()
     return response
 
 
+async def _write_unframed(
+    request: web.BaseRequest, headers: dict[str, str], events: list[bytes]
+) -> web.Response:
+    """Write events without the library, which would frame them."""
+    lines = ['HTTP/1.1 200 OK', 'Connection: close']
+    lines += [f'{name}: {value}' for name, value in headers.items()]
+    transport = request.transport
+    if transport is None:
+        raise ConnectionResetError
+    transport.write('\r\n'.join([*lines, '', '']).encode())
+    for event in events:
+        transport.write(event)
+        await asyncio.sleep(EVENT_S)
+    transport.close()
+    return web.Response()
+
+
 @dataclasses.dataclass
 class Try:
     """One request for a stream; times are monotonic.
 
     ``first`` is the number of the first event that it was to bring, ``got``
-    counts those that it has brought.
+    counts those that it has brought. ``is_whole`` is set if it ended as a
+    complete answer, ``framing`` is that of the endpoint's answer.
     """
 
     request_id: str
@@ -56,6 +85,8 @@
     ended: float = 0.0
     status: int | None = None
     got: int = 0
+    framing: str = 'chunks'
+    is_whole: bool = False
 
 
 @dataclasses.dataclass
@@ -85,10 +116,19 @@
 
 
 class Callers:
-    """Begin streams all the time, and take up those that break."""
+    """Begin streams all the time, and take up those that break.
+
+    ``framings`` are those that answers may have.
+    """
 
-    def __init__(self, world: _world.World, seed: int):
+    def __init__(
+        self,
+        world: _world.World,
+        seed: int,
+        framings: tuple[str, ...] = FRAMINGS[:1],
+    ):
         self.world = world
+        self.framings = framings
         self.chance = random.Random(seed)
         self.numbers = itertools.count(1)
         self.streams: list[Stream] = []
@@ -115,11 +155,13 @@
             self.chance.choice(self.world.gateways),
             len(stream.received) + 1,
             now,
+            framing=self.chance.choice(self.framings),
         )
         headers = {
             'Host': 'soak.example',
             'Request-Id': attempt.request_id,
             'Deadline-Ms': str(max(1, int((until - now) * 1000))),
+            _answers.PLAN_HEADER: _answers.Plan(attempt.framing).encode(),
         }
         if stream.received:
             headers['Last-Event-Id'] = str(stream.received[-1][0])
@@ -157,3 +199,4 @@
                 )
                 stream.received.append((int(named['id']), named['data']))
                 attempt.got += 1
+        attempt.is_whole = True
--- a/tools/soak/_world.py
+++ b/tools/soak/_world.py
@@ -145,8 +145,10 @@
 
     Each instance has a loopback address of its own. Gateways reach the store
     each through a proxy, and endpoints and sidecars through the address that
-    the endpoint lists, which is a proxy's. The addresses are in a network of
-    this soak's own: soaks that are played at once may draw the same ports.
+    the endpoint lists, which is a proxy's. With ``in_place`` plain endpoints
+    list their own address, and each has a next start that waits for its port.
+    The addresses are in a network of this soak's own: soaks that are played at
+    once may draw the same ports.
     """
 
     def __init__(
@@ -157,10 +159,13 @@
         plain: int,
         builds: Builds = Builds(),
         releases: bool = False,
+        in_place: bool = False,
     ):
         self.folder = pathlib.Path(folder)
         self.builds = builds
         self.releases = releases
+        self.in_place = in_place
+        self.next_starts: dict[str, Process] = {}
         self.software: dict[str, list[tuple[float, str]]] = {}
         self.network = 1 + os.getpid() % 250
         self.link_port, self.metrics_port, *rest = sorted(
@@ -201,22 +206,53 @@
     async def start_endpoint(self, name: str) -> None:
         """Start an endpoint, at its old address and name if it had one."""
         host, shown = self.host(name), self.host(f'{name} proxy')
-        service = MODEL_SERVICE if name in self.models else PLAIN_SERVICE
-        address = f'{shown}:{self.endpoint_port}'
-        await self._proxy(name, shown, self.endpoint_port, host)
+        if name in self.plain and self.in_place:
+            shown = host
+        else:
+            await self._proxy(name, shown, self.endpoint_port, host)
         if name in self.models:
             await self._proxy(f'{name} link', shown, self.link_port, host)
-        await self._begin(
-            name,
-            'tools.soak._standins',
+        process = self._endpoint(name, shown, self._next_software(name))
+        await process.start()
+        self.processes[name] = process
+        await process.listens()
+        if name in self.plain and self.in_place:
+            await self._prepare_next_start(name)
+
+    def _endpoint(self, name: str, shown: str, software: str) -> Process:
+        service = MODEL_SERVICE if name in self.models else PLAIN_SERVICE
+        arguments = (
             'endpoint',
-            f'{host}:{self.endpoint_port}',
+            f'{self.host(name)}:{self.endpoint_port}',
             f'i-{name}',
-            address,
+            f'{shown}:{self.endpoint_port}',
             service,
             self.store,
-            self._next_software(name),
+            software,
         )
+        return Process(name, ['-m', 'tools.soak._standins', *arguments], {})
+
+    async def _prepare_next_start(self, name: str) -> None:
+        """Start the process that takes over an endpoint's port."""
+        starts = self.software[name]
+        process = self._endpoint(name, self.host(name), starts[-1][1])
+        await process.start()
+        self.next_starts[name] = process
+
+    async def restart_in_place(self, name: str) -> float:
+        """Kill an endpoint, whose next start listens at once; return when.
+
+        The next one after it is prepared then.
+        """
+        killed = self.processes[name]
+        killed.signal(signal.SIGKILL)
+        at = time.monotonic()
+        await killed.ended()
+        self.ended.append(killed)
+        self.processes[name] = self.next_starts.pop(name)
+        await self.processes[name].listens()
+        await self._prepare_next_start(name)
+        return at
 
     def _next_software(self, name: str) -> str:
         """Return the version of an endpoint's next start.
@@ -409,7 +445,7 @@
                     file.write(json.dumps(line) + '\n')
 
     async def close(self) -> None:
-        for process in self.processes.values():
+        for process in (*self.processes.values(), *self.next_starts.values()):
             await process.end()
         for proxy in self.proxies.values():
             await proxy.close()
