Show a crash that passes for the end of an answer

An answer without a length is cut between two events or in a plain body by its endpoint's crash, and the next start listens at the address at once: the caller gets a complete answer.

--- a/test/hosted/direct_helper.py
+++ b/test/hosted/direct_helper.py
@@ -163,12 +163,18 @@
         port = await self.stack.enter_async_context(listening)
         self.address = f'127.0.0.1:{port}'
 
+    async def restart(self, endpoint, next_start):
+        """End an endpoint; its next start listens at its port at once."""
+        port = endpoint.server.sockets[0].getsockname()[1]
+        endpoint.end()
+        await self.listen(next_start, port)
+
     async def begin_raw(self, answer, reset=False, pause_s=0.0):
         self.raw = RawEndpoint(answer, reset, pause_s)
         await self.listen(self.raw)
 
-    async def listen(self, endpoint):
-        server = await asyncio.start_server(endpoint.serve, '127.0.0.1', 0)
+    async def listen(self, endpoint, port=0):
+        server = await asyncio.start_server(endpoint.serve, '127.0.0.1', port)
         endpoint.server = server
         self.stack.callback(server.close)
         port = server.sockets[0].getsockname()[1]
--- a/test/hosted/test_stream_ends.py
+++ b/test/hosted/test_stream_ends.py
@@ -199,3 +199,28 @@
         endpoint = direct_helper.RawEndpoint(self.answer(), ends=True)
         outcome = await self.outcome_from(endpoint)
         self.assertIsInstance(outcome, messages.End)
+
+
+class NextStartTest(direct_helper.DirectTestCase):
+    """Guards against the next start at an address, taken for the last one."""
+
+    async def test_answer_cut_by_a_crash_is_broken_off_after_a_restart(self):
+        """Guards against cut answers that pass for complete ones.
+
+        The endpoint crashes between two events or in a plain body, and its
+        next start listens at the same address at once.
+        """
+        answer = event_streams.answers(event_streams.EVENT)['no length']
+        for content_type in (b'text/event-stream', b'text/plain'):
+            with self.subTest(content_type):
+                cut = answer.replace(b'text/event-stream', content_type)
+                endpoint = direct_helper.RawEndpoint(cut, closes=False)
+                await self.listen(endpoint)
+                self.send_offer()
+                told = [await self.next_message() for _ in range(2)]
+                self.assertNotIn(messages.End, map(type, told))
+                next_start = direct_helper.RawEndpoint(answer)
+                await self.restart(endpoint, next_start)
+                outcome = (await self.messages_to_end())[-1]
+                self.assertIsInstance(outcome, messages.Failed)
+                self.assertIs(errors.Kind.STREAM_BROKEN, outcome.kind)
