--- a/berylhollow/gateway/_direct_runs.py
+++ b/berylhollow/gateway/_direct_runs.py
@@ -320,6 +320,7 @@
                 'is_event_stream': body.stream_end is not None,
                 'inside_event': body.ended_inside_event,
                 'reset': body.response.was_reset,
+                'evidence': body.response.protocol.end_evidence,
             },
         )
 
--- a/berylhollow/outgoing.py
+++ b/berylhollow/outgoing.py
@@ -110,6 +110,7 @@
 
     peer_reset = False
     peer: tuple | None = None
+    end_evidence = ''
     interim_responses = 0
     awaits_head = False
     head_timeout: asyncio.TimerHandle | None = None
@@ -204,6 +205,8 @@
     async def has_peer_ended(self) -> bool:
         """Return whether the process ended that closed this connection.
 
+        ``end_evidence`` then says what showed it.
+
         A process that ends closes its port and all its connections at once.
         It lives if another connection to it stays open, or if it accepts a
         new one. A connection whose reading is paused doesn't show its end.
@@ -214,15 +217,19 @@
             return False
         others = self.open_by_peer.get(self.peer, ())
         if any(other.transport.is_reading() for other in others):
+            self.end_evidence = 'another connection is open'
             return False
         host, port = self.peer[:2]
         try:
             async with asyncio.timeout(PROOF_TIMEOUT_MS / MS_PER_SECOND):
                 _, writer = await asyncio.open_connection(host, port)
         except ConnectionRefusedError:
+            self.end_evidence = 'address refuses connections'
             return True
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError) as error:
+            self.end_evidence = f'unknown: {type(error).__name__}'
             return False
+        self.end_evidence = 'address accepts connections'
         writer.transport.abort()
         return False
 
