Ask the process, not its address, whether an answer is complete

Callers saw: answers with neither length nor chunks that their endpoint's crash had cut between two events, or in a plain body, ended as complete if its next start listened at once.

Cause: has_peer_ended connected to the address 50 ms after the end, or took another open connection for a sign of life. Both hold for a next start. It also took an address that did not answer in time for a living endpoint.

Why it holds: a connection leads to one process as long as it is open. Only a health check that was sent after the end and answered over a connection that led to the process before counts; all else is broken off.

Tests: stand-ins that 'end' now close all their connections, as a process does, not only their port; those that keep a connection open after their port closed say so (stops_listening) and must still be served. Counts of connections are of those that carried a request, as one more is open for checks.

--- a/berylhollow/answer_body.py
+++ b/berylhollow/answer_body.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 
+from berylhollow import liveness
 from berylhollow import outgoing
 
 EVENT_STREAM_TYPE = 'text/event-stream'
@@ -93,16 +94,27 @@
     """Reads the body of one answer.
 
     ``size_bytes`` is what has been read. ``stream_end`` is None for a body
-    that is not a readable event stream.
+    that is not a readable event stream. ``evidence`` is what shows whether the
+    endpoint has outlived its answer, None if nothing was asked.
     """
 
-    def __init__(self, response: outgoing.Response):
+    def __init__(
+        self,
+        response: outgoing.Response,
+        begin_observation: collections.abc.Callable[
+            [outgoing.Connection], liveness.Observation
+        ],
+    ):
         self.response = response
         self.framing = framing(response)
         self.size_bytes = 0
         self.stream_end: EventStreamEnd | None = None
         if _is_readable_event_stream(response):
             self.stream_end = EventStreamEnd()
+        self.evidence: liveness.Evidence | None = None
+        self.observation: liveness.Observation | None = None
+        if self.framing is Framing.CONNECTION:
+            self.observation = begin_observation(response.protocol)
 
     @property
     def ended_inside_event(self) -> bool:
@@ -133,16 +145,23 @@
             raise BodyTruncated(reason)
 
     async def check_endpoint_lives(self) -> None:
-        """Raise BodyTruncated if the endpoint ended together with the body.
+        """Raise BodyTruncated unless the endpoint has outlived the body.
 
         Only needed where nothing but the connection marks the body's end: an
         endpoint that crashes between two events, or in a plain body, closes
         its connection as one does that has finished.
         """
-        if self.framing is not Framing.CONNECTION:
+        if self.observation is None:
             return
-        if await self.response.protocol.has_peer_ended():
-            raise BodyTruncated('the endpoint ended together with its answer')
+        self.evidence = await self.observation.evidence()
+        if not self.evidence.is_proof:
+            raise BodyTruncated(f'endpoint: {self.evidence.value}')
+
+    def close(self) -> None:
+        """Close the connection, unless the whole body was read."""
+        if self.observation is not None:
+            self.observation.end()
+        self.response.close()
 
     def _broken_off_reason(self) -> str:
         """Return how a body that has ended shows that it is not whole."""
--- a/berylhollow/configuration/_configuration.py
+++ b/berylhollow/configuration/_configuration.py
@@ -109,6 +109,10 @@
         """Return None, as engines behind a sidecar's link need none."""
         return None
 
+    def check_path(self, service: str) -> str:
+        """Return the default: the manifest names none."""
+        return following.DEFAULT_CHECK_PATH
+
     def models(self, service: str) -> tuple[str, ...]:
         """Return an empty tuple, as engines start with their model."""
         return ()
--- a/berylhollow/endpoint/_endpoint_client.py
+++ b/berylhollow/endpoint/_endpoint_client.py
@@ -6,6 +6,8 @@
 
 from berylhollow import answer_body
 from berylhollow.endpoint import _types
+from berylhollow import following
+from berylhollow import liveness
 from berylhollow import messages
 from berylhollow import outgoing
 
@@ -35,11 +37,16 @@
 
     ``adapter`` and ``epoch`` are those in which a model engine says that it
     ran the request; they are None and empty for a plain service. ``body`` is
-    the whole body if it was read already, otherwise None.
+    the whole body if it was read already, otherwise None; ``reader`` reads it.
     """
 
-    def __init__(self, response: outgoing.Response, body: bytes | None = None):
-        self.response = response
+    def __init__(
+        self,
+        response: outgoing.Response,
+        reader: answer_body.BodyReader | None,
+        body: bytes | None = None,
+    ):
+        self.reader = reader
         self.body = body
         self.status = response.status
         self.headers = tuple(
@@ -60,18 +67,18 @@
         if self.body is not None:
             yield self.body
             return
-        reader = answer_body.BodyReader(self.response)
         try:
-            async for part in reader.parts():
+            async for part in self.reader.parts():
                 yield part
-            await reader.check_endpoint_lives()
+            await self.reader.check_endpoint_lives()
         except outgoing.CallOutcomeUnknown:
             self.close()
             raise
 
     def close(self) -> None:
         """Close the connection, unless the whole body was read."""
-        self.response.close()
+        if self.reader is not None:
+            self.reader.close()
 
 
 class EndpointClient:
@@ -96,6 +103,7 @@
         self.unpooled_session = unpooled_session or outgoing.open_session(
             reuse=False
         )
+        self.watches = liveness.Watches(_send_check, self.pooled_session)
 
     async def open(
         self, request: _types.EndpointRequest, timeout_ms: int | None = None
@@ -112,6 +120,9 @@
             if request.idempotent
             else self.unpooled_session
         )
+        target = liveness.Target(self.url, '', following.DEFAULT_CHECK_PATH)
+        watch = self.watches.watch(target)
+        watch.prepare()
         response = await outgoing.open_call(
             session,
             request.method,
@@ -122,7 +133,8 @@
             skip_auto_headers=SKIPPED_AUTO_HEADERS,
         )
         if not self.engine or response.status != NOT_FOUND:
-            return EndpointAnswer(response)
+            body = answer_body.BodyReader(response, watch.begin)
+            return EndpointAnswer(response, body)
         body = await outgoing.read_body(response)
         error = outgoing.error_from_reply(
             outgoing.Reply(response.status, body)
@@ -130,14 +142,21 @@
         refused = isinstance(error, outgoing.CallRefused)
         if refused and error.kind == ADAPTER_NOT_LOADED:
             raise error
-        return EndpointAnswer(response, body)
+        return EndpointAnswer(response, None, body)
 
     async def close(self) -> None:
         """Close the connections."""
+        await self.watches.close()
         await self.pooled_session.close()
         await self.unpooled_session.close()
 
 
+async def _send_check(session, target: liveness.Target) -> liveness.Checked:
+    """Send a health check; raises ``outgoing.CallError`` without an answer."""
+    _, checked = await liveness.send_check(session, target, {})
+    return checked
+
+
 def _end_to_end_headers(headers: tuple[messages.Header, ...]) -> list:
     """Return the headers to forward to the endpoint, as aiohttp takes them."""
     return [
--- a/berylhollow/following.py
+++ b/berylhollow/following.py
@@ -12,6 +12,10 @@
 from berylhollow import workspaces
 
 
+DEFAULT_CHECK_PATH = '/healthz'
+"""Where health checks are sent if a configuration names no path. Any answer
+shows that an endpoint lives."""
+
 DEFAULT_HEADER_BYTES = 8190
 """Longest header line of a request where the configuration doesn't say."""
 
@@ -146,6 +150,9 @@
     def can_hold(self, service: str, adapter: messages.AdapterVersion) -> bool:
         """Tell whether an adapter fits beside its model at an endpoint."""
 
+    def check_path(self, service: str) -> str:
+        """Return where endpoints of a service answer health checks."""
+
     def models(self, service: str) -> tuple[str, ...]:
         """Return the models that endpoints of a service should hold."""
 
--- a/berylhollow/gateway/_direct_runs.py
+++ b/berylhollow/gateway/_direct_runs.py
@@ -63,6 +63,9 @@
     def listed_instance(self, name: str) -> events.Instance | None:
         """Return the listed instance of an endpoint, None if unknown."""
 
+    def check_path(self, service: str) -> str:
+        """Return where endpoints of a service answer health checks."""
+
 
 class DirectRuns:
     """The running exchanges, by attempt id.
@@ -190,7 +193,10 @@
         sent_ms = self.owner.now_ms()
         try:
             answer = await self.calls.send(
-                self.offer, instance.address, instance.listed_name
+                self.offer,
+                instance.address,
+                instance.listed_name,
+                self.owner.check_path(instance.service),
             )
         except outgoing.CallNotSent as error:
             kind = errors.Kind.ENDPOINT_UNREACHABLE
@@ -281,7 +287,7 @@
         self._report(self.sender.finish())
 
     async def _check_end(self, answer: platform.Answer) -> None:
-        """Raise BodyTruncated if the endpoint crashed at the body's end.
+        """Raise BodyTruncated unless the endpoint has outlived the body.
 
         One that leaves as planned ends after the last of its answers, so
         that none of the others may end together with it.
@@ -320,7 +326,7 @@
                 'is_event_stream': body.stream_end is not None,
                 'inside_event': body.ended_inside_event,
                 'reset': body.response.was_reset,
-                'evidence': body.response.protocol.end_evidence,
+                'evidence': body.evidence.value if body.evidence else '',
             },
         )
 
--- a/berylhollow/gateway/_shell.py
+++ b/berylhollow/gateway/_shell.py
@@ -321,6 +321,13 @@
         endpoint = self.driver.state.endpoints.get(name)
         return None if endpoint is None else endpoint.instance
 
+    def check_path(self, service: str) -> str:
+        """Return where endpoints of a service answer health checks."""
+        view = self.driver.state.follower.current
+        if view is None:
+            return following.DEFAULT_CHECK_PATH
+        return view.check_path(service)
+
     # Called by the links and the direct runs.
 
     def message(self, peer: str, message: messages.Message) -> None:
--- a/berylhollow/outgoing.py
+++ b/berylhollow/outgoing.py
@@ -10,6 +10,7 @@
 import functools
 import json
 import os
+import select
 import socket
 import struct
 import typing
@@ -18,11 +19,13 @@
 import aiohttp
 from aiohttp import client_proto
 from aiohttp import http_exceptions
+import yarl
 
 CONNECT_TIMEOUT_MS = 1000
 CALL_TIMEOUT_MS = 5000
 MS_PER_SECOND = 1000
 BUFFER_BYTES = 128 * 1024
+KEEP_UNUSED_MS = 15_000
 PEER_TIMEOUT_MS = 2000
 """A connection is closed when the peer has been silent for this long. TCP
 retransmits a lost packet after 0.2, 0.4 and 0.8 s, so a loss of one packet in
@@ -32,14 +35,9 @@
 KEEPALIVE_INTERVAL_S = 1
 """Idle time and interval of keep-alive probes: the minimum for TCP."""
 
-SETTLE_MS = 50
-"""Time for the connections of a process that ends to close, all at once."""
-
-PROOF_TIMEOUT_MS = 200
-"""Time limit for the connection that shows whether a port is still open."""
-
 # SO_LINGER with a timeout of 0: a close resets the connection.
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+END_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 HEAD = 'HEAD'
 BODYLESS_STATUSES = frozenset({204, 304})
 INTERIM_STATUSES = range(100, 200)
@@ -106,32 +104,47 @@
     If a reset arrives together with the last bytes, libuv reports a plain end
     of the connection. A crashed endpoint's partial answer without a length
     would then look complete. A read from the socket itself returns the reset.
+
+    ``opened`` is when it was opened, ``asked`` when its last request was sent,
+    ``answered`` when its first response arrived, all by the event loop's
+    clock. ``was_paused`` is set once reading has been paused.
     """
 
     peer_reset = False
     peer: tuple | None = None
-    end_evidence = ''
+    opened = 0.0
+    asked = 0.0
+    answered: float | None = None
+    was_paused = False
     interim_responses = 0
     awaits_head = False
     head_timeout: asyncio.TimerHandle | None = None
 
-    def __init__(
-        self,
-        loop: asyncio.AbstractEventLoop,
-        open_by_peer: dict[tuple, set['Connection']],
-    ):
-        super().__init__(loop)
-        self.open_by_peer = open_by_peer
-
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Count the connection among those that are open to its peer."""
+        """Note when and to which address the connection was opened."""
         super().connection_made(transport)
+        self.opened = self._loop.time()
         self.peer = transport.get_extra_info('peername')
-        self.open_by_peer.setdefault(self.peer, set()).add(self)
+
+    def pause_reading(self) -> None:
+        """Stop reading until the answer's reader has caught up."""
+        self.was_paused = True
+        super().pause_reading()
+
+    @property
+    def has_received_end(self) -> bool:
+        """Whether the peer's end has arrived here, read or not."""
+        if not self.is_connected():
+            return True
+        poll = select.poll()
+        opened_socket = self.transport.get_extra_info('socket')
+        poll.register(opened_socket.fileno(), END_EVENTS)
+        return bool(poll.poll(0))
 
     def set_response_params(self, **options: typing.Any) -> None:
         """Expect the head of the next response."""
         self.awaits_head = True
+        self.asked = self._loop.time()
         super().set_response_params(**options)
 
     def data_received(self, data: bytes) -> None:
@@ -159,6 +172,8 @@
         if message.code not in INTERIM_STATUSES:
             self.awaits_head = False
             self.interim_responses = 0
+            if self.answered is None:
+                self.answered = self._loop.time()
             super().feed_data(data, size)
             return
         self.interim_responses += 1
@@ -180,12 +195,12 @@
 
     def close(self) -> None:
         """Close at once and discard the data that is not sent yet."""
-        self._forget()
+        self._cancel_head_timeout()
         self.abort()
 
     def eof_received(self) -> None:
         """Check whether the peer closed or reset the connection."""
-        self._forget()
+        self._cancel_head_timeout()
         opened_socket = self.transport.get_extra_info('socket')
         # The transport's socket object can't be read; a duplicate can.
         with socket.socket(fileno=os.dup(opened_socket.fileno())) as copy:
@@ -197,60 +212,40 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """End with an error if the connection was reset."""
-        self._forget()
+        self._cancel_head_timeout()
         if exc is None and self.peer_reset:
             exc = ConnectionResetError('reset by the peer')
         super().connection_lost(exc)
 
-    async def has_peer_ended(self) -> bool:
-        """Return whether the process ended that closed this connection.
-
-        ``end_evidence`` then says what showed it.
-
-        A process that ends closes its port and all its connections at once.
-        It lives if another connection to it stays open, or if it accepts a
-        new one. A connection whose reading is paused doesn't show its end.
-        False if neither is known in time.
-        """
-        await asyncio.sleep(SETTLE_MS / MS_PER_SECOND)
-        if self.peer is None:
-            return False
-        others = self.open_by_peer.get(self.peer, ())
-        if any(other.transport.is_reading() for other in others):
-            self.end_evidence = 'another connection is open'
-            return False
-        host, port = self.peer[:2]
-        try:
-            async with asyncio.timeout(PROOF_TIMEOUT_MS / MS_PER_SECOND):
-                _, writer = await asyncio.open_connection(host, port)
-        except ConnectionRefusedError:
-            self.end_evidence = 'address refuses connections'
-            return True
-        except (OSError, TimeoutError) as error:
-            self.end_evidence = f'unknown: {type(error).__name__}'
-            return False
-        self.end_evidence = 'address accepts connections'
-        writer.transport.abort()
-        return False
-
-    def _forget(self) -> None:
-        self._cancel_head_timeout()
-        others = self.open_by_peer.get(self.peer)
-        if others is not None:
-            others.discard(self)
-            if not others:
-                del self.open_by_peer[self.peer]
-
 
 class Connector(aiohttp.TCPConnector):
     """A connector whose connections tell a reset from a close."""
 
     def __init__(self, **options):
         super().__init__(**options)
-        self.open_by_peer: dict[tuple, set[Connection]] = {}
-        self._factory = functools.partial(
-            Connection, loop=self._loop, open_by_peer=self.open_by_peer
-        )
+        self._factory = functools.partial(Connection, loop=self._loop)
+
+    def kept_connections(self, url: str) -> list[Connection]:
+        """Return the open connections to a URL's host that no call uses."""
+        kept = self._conns.get(self._request(url).connection_key, ())
+        return [x for x, _ in kept if x.is_connected()]
+
+    async def open_kept(self, url: str) -> Connection:
+        """Open a connection for the next call, if none is kept.
+
+        Raises ``CallNotSent`` if it can't be opened.
+        """
+        request = self._request(url)
+        try:
+            opened = await self.connect(request, [], client_timeout(None))
+        except (aiohttp.ClientError, OSError) as error:
+            raise CallNotSent(str(error)) from error
+        connection = opened.protocol
+        opened.release()
+        return connection
+
+    def _request(self, url: str) -> aiohttp.ClientRequest:
+        return aiohttp.ClientRequest('GET', yarl.URL(url), loop=self._loop)
 
     async def _wrap_create_connection(
         self,
@@ -351,17 +346,22 @@
 
 
 def open_session(
-    reuse: bool = True, buffer_bytes: int = BUFFER_BYTES
+    reuse: bool = True,
+    buffer_bytes: int = BUFFER_BYTES,
+    keep_unused_ms: int = KEEP_UNUSED_MS,
 ) -> aiohttp.ClientSession:
     """Return a session that sends each call at most once.
 
-    Without ``reuse`` every call opens its own connection. If an answer is
-    not read, about ``buffer_bytes`` of it are buffered in this process, and
-    as much again in the kernel.
+    Without ``reuse`` every call opens its own connection; with it, unused ones
+    are kept open for ``keep_unused_ms``. If an answer is not read, about
+    ``buffer_bytes`` of it are buffered in this process, and as much again in
+    the kernel.
     """
+    kept = {'keepalive_timeout': keep_unused_ms / MS_PER_SECOND}
     connector = Connector(
         limit=0,
         force_close=not reuse,
+        **(kept if reuse else {}),
         socket_factory=functools.partial(open_socket, buffer_bytes),
     )
     return aiohttp.ClientSession(
--- a/berylhollow/platform/_endpoint_calls.py
+++ b/berylhollow/platform/_endpoint_calls.py
@@ -10,6 +10,7 @@
 
 from berylhollow import answer_body
 from berylhollow import events
+from berylhollow import liveness
 from berylhollow import messages
 from berylhollow import outgoing
 from berylhollow.platform import _notices
@@ -98,7 +99,7 @@
 
     def close(self) -> None:
         """Close the connection, which cancels the request on it."""
-        self.response.close()
+        self.body.close()
 
 
 class EndpointClient:
@@ -111,17 +112,27 @@
     def __init__(self, session: aiohttp.ClientSession):
         self.session = session
         self.probe_session = outgoing.open_session(reuse=False)
+        self.watches = liveness.Watches(_send_check, session)
 
     async def send(
-        self, offer: messages.Offer, address: str, instance: str
+        self,
+        offer: messages.Offer,
+        address: str,
+        instance: str,
+        check_path: str,
     ) -> Answer:
         """Send one attempt and return the head of its response.
 
+        ``check_path`` is where the endpoint answers health checks.
+
         Raises ``outgoing.CallNotSent`` if nothing was sent, and
         ``outgoing.CallOutcomeUnknown`` on any later failure.
         """
         headers = _request_headers(offer, instance)
         url = yarl.URL(f'http://{address}{offer.path}', encoded=True)
+        target = liveness.Target(f'http://{address}', instance, check_path)
+        watch = self.watches.watch(target)
+        watch.prepare()
         response = await outgoing.open_call(
             self.probe_session if offer.is_probe else self.session,
             offer.method,
@@ -130,10 +141,13 @@
             data=offer.body or None,
             skip_auto_headers=SKIPPED_DEFAULT_HEADERS,
         )
-        return _decode_head(response, headers.get(REQUEST_ID_HEADER), instance)
+        body = answer_body.BodyReader(response, watch.begin)
+        request_id = headers.get(REQUEST_ID_HEADER)
+        return _decode_head(response, body, request_id, instance)
 
     async def close(self) -> None:
         """Close all connections."""
+        await self.watches.close()
         await self.session.close()
         await self.probe_session.close()
 
@@ -159,8 +173,31 @@
     return headers
 
 
+async def _send_check(session, target: liveness.Target) -> liveness.Checked:
+    """Send a health check; raises ``outgoing.CallError`` without an answer.
+
+    An answer of another endpoint is none.
+    """
+    response, checked = await liveness.send_check(
+        session,
+        target,
+        {
+            EXPECTED_INSTANCE_HEADER: target.instance,
+            DEADLINE_HEADER: str(liveness.CHECK_DEADLINE_MS),
+        },
+    )
+    if _not_run_reason(response, target.instance) is (
+        NotRunReason.ANOTHER_INSTANCE
+    ):
+        raise outgoing.CallOutcomeUnknown('answered by another endpoint')
+    return checked
+
+
 def _decode_head(
-    response: aiohttp.ClientResponse, request_id: str | None, instance: str
+    response: outgoing.Response,
+    body: answer_body.BodyReader,
+    request_id: str | None,
+    instance: str,
 ) -> Answer:
     headers = tuple(
         messages.Header(name, value)
@@ -178,7 +215,7 @@
         is_signed=signed,
         notice=_decode_notice(response, not_run, proven),
         response=response,
-        body=answer_body.BodyReader(response),
+        body=body,
     )
 
 
--- a/berylhollow/platform/_records.py
+++ b/berylhollow/platform/_records.py
@@ -27,6 +27,7 @@
 }
 
 START_TIME_FIELD = 'born'
+REPORT_PATH = '/v1/report'
 """Start time of an endpoint as a Unix time in milliseconds.
 
 It is in every document that an endpoint writes about itself. The endpoint's
@@ -197,9 +198,21 @@
         connections=_fields.integer(entry, 'MaxConns', 0)
         or UNLIMITED_CONNECTIONS,
         engine=_parse_engine(engine) if engine else None,
+        check_path=_check_path(entry, bool(engine)),
     )
 
 
+def _check_path(entry: dict, has_engine: bool) -> str:
+    """Return where endpoints of a service answer health checks.
+
+    The report of a model endpoint is answered without a slot.
+    """
+    if has_engine:
+        return REPORT_PATH
+    path = _fields.string(entry, 'HealthPath', '')
+    return path if path.startswith('/') else ''
+
+
 def _parse_engine(entry: dict) -> routes.Engine:
     models = _fields.objects(entry, 'Models')
     return routes.Engine(
--- a/berylhollow/routes/_table.py
+++ b/berylhollow/routes/_table.py
@@ -111,12 +111,14 @@
     """A service; ``engine`` is None for a plain one.
 
     ``connections`` is the maximum number of connections that an endpoint
-    accepts from all its callers together.
+    accepts from all its callers together. ``check_path`` is where endpoints
+    answer health checks, empty if it isn't declared.
     """
 
     name: str
     connections: int
     engine: Engine | None = None
+    check_path: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/berylhollow/routes/_view.py
+++ b/berylhollow/routes/_view.py
@@ -294,6 +294,13 @@
         """Return how a service's prompts are admitted, None if they aren't."""
         return self.admission_terms.get(service)
 
+    def check_path(self, service: str) -> str:
+        """Return where endpoints of a service answer health checks."""
+        declared = self.services.get(service)
+        if declared is None or not declared.check_path:
+            return following.DEFAULT_CHECK_PATH
+        return declared.check_path
+
     def models(self, service: str) -> tuple[str, ...]:
         """Return the models that the endpoints of a service should hold."""
         declared = self.services.get(service)
--- a/berylhollow/standin/direct_endpoint.py
+++ b/berylhollow/standin/direct_endpoint.py
@@ -107,6 +107,7 @@
         application.on_response_prepare.append(self._add_notices)
         router = application.router
         router.add_get('/v1/report', self._report)
+        router.add_get('/healthz', self._health)
         router.add_post('/v1/order', self._order)
         router.add_route('*', '/{tail:.*}', self._request)
 
@@ -135,6 +136,12 @@
             for model, held in self.models.items()
         ]
 
+    async def _health(self, request: web.Request) -> web.Response:
+        headers = {'Instance-Id': self.instance}
+        if request.headers.get('Expect-Instance') != self.instance:
+            return web.Response(status=421, headers=headers)
+        return web.Response(headers=headers)
+
     async def _report(self, _request: web.Request) -> web.Response:
         return web.json_response(
             {
--- a/test/builders.py
+++ b/test/builders.py
@@ -71,6 +71,9 @@
     def admission(self, service):
         return None
 
+    def check_path(self, service):
+        return '/healthz'
+
     def models(self, service):
         return ()
 
--- a/test/hosted/direct_helper.py
+++ b/test/hosted/direct_helper.py
@@ -18,6 +18,7 @@
 ENDPOINT = 'i-1'
 REQUEST_ID = messages.Header('Request-Id', 'id-1')
 HANG_S = 30
+CHECK = b'GET /healthz '
 RESET = struct.pack('ii', 1, 0)
 
 
@@ -25,11 +26,18 @@
     """Answers every request with given bytes, then closes or resets.
 
     ``pause_s`` is the time between the bytes and the reset. One that ``ends``
-    closes its port before its connection, as a process does that crashes.
+    closes its port and all its connections, as a process does that crashes;
+    one that ``stops_listening`` only its port.
     One that ``hangs`` answers nothing. Without ``closes`` it keeps its
-    connection open after the bytes.
+    connection open after the bytes. It answers health checks unless it is
+    ``mute``, and keeps their connections open unless ``keeps`` is not set;
+    ``checks`` counts them.
     """
 
+    keeps = True
+    mute = False
+    stops_listening = False
+
     def __init__(
         self,
         answer,
@@ -47,6 +55,7 @@
         self.closes = closes
         self.received = b''
         self.connections = 0
+        self.checks = 0
         self.writers = []
         self.arrived = asyncio.Event()
         self.server = None
@@ -57,14 +66,28 @@
         for writer in self.writers:
             writer.close()
 
+    async def answer_check(self, writer):
+        """Answer a health check."""
+        self.checks += 1
+        if self.mute:
+            return
+        end = b'' if self.keeps else b'Connection: close\r\n'
+        writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n%b\r\n' % end)
+        if not self.keeps:
+            writer.close()
+
     async def serve(self, reader, writer):
         self.connections += 1
         self.writers.append(writer)
         try:
-            self.received = await reader.readuntil(b'\r\n\r\n')
+            head = await reader.readuntil(b'\r\n\r\n')
+            while head.startswith(CHECK):
+                await self.answer_check(writer)
+                head = await reader.readuntil(b'\r\n\r\n')
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.transport.abort()
             return
+        self.received = head
         self.arrived.set()
         if self.hangs:
             await reader.read()
@@ -72,6 +95,8 @@
         writer.write(self.answer)
         await writer.drain()
         if self.ends:
+            self.end()
+        if self.stops_listening:
             self.server.close()
         if self.reset:
             await asyncio.sleep(self.pause_s)
@@ -126,13 +151,18 @@
 
 
 class KeepingEndpoint(RawEndpoint):
-    """Answers one request after the other on each connection."""
+    """Answers one request after the other on each connection.
+
+    ``connections`` counts those that carried one.
+    """
 
     async def serve(self, reader, writer):
-        self.connections += 1
+        requests = 0
         with contextlib.suppress(asyncio.IncompleteReadError):
             while True:
                 await reader.readuntil(b'\r\n\r\n')
+                requests += 1
+                self.connections += requests == 1
                 writer.write(self.answer)
         writer.close()
 
@@ -214,6 +244,9 @@
     def now_ms(self):
         return 0
 
+    def check_path(self, service):
+        return '/healthz'
+
     def listed_instance(self, name):
         return builders.instance(
             name,
--- a/test/hosted/test_stream_ends.py
+++ b/test/hosted/test_stream_ends.py
@@ -101,11 +101,12 @@
         await self.listen(held)
         self.send_offer(number=7)
         await held.arrived.wait()
-        held.answer, held.hangs, held.ends = self.answer(), False, True
+        held.answer, held.hangs = self.answer(), False
+        held.stops_listening = True
         self.send_offer()
         outcome = (await self.messages_to_end())[-1]
         self.assertIsInstance(outcome, messages.End)
-        self.assertEqual(2, held.connections)
+        self.assertEqual(3, held.connections)
 
     async def test_paused_connection_does_not_show_that_it_lives(self):
         """Guards against slow readers who hide that their endpoint crashed."""
@@ -113,9 +114,8 @@
         await self.listen(held)
         self.send_offer(number=7)
         await held.arrived.wait()
-        opened = self.runs.calls.session.connector.open_by_peer
-        for connection in next(iter(opened.values())):
-            connection.transport.pause_reading()
+        (connection,) = self.runs.calls.session.connector._acquired
+        connection.transport.pause_reading()
         held.answer, held.hangs, held.ends = self.answer(), False, True
         self.send_offer()
         outcome = (await self.messages_to_end())[-1]
--- a/test/sidecar_helper.py
+++ b/test/sidecar_helper.py
@@ -41,6 +41,7 @@
         self.script = script
         self.heads = []
         self.handlers = set()
+        self.writers = []
         self.url = ''
         self.server = None
 
@@ -55,8 +56,15 @@
             self.server.close()
             await asyncio.gather(*self.handlers)
 
+    def end(self):
+        """Close the port and all connections, as a process that ends."""
+        self.server.close()
+        for writer in self.writers:
+            writer.close()
+
     async def serve(self, reader, writer):
         self.handlers.add(asyncio.current_task())
+        self.writers.append(writer)
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             self.heads.append(await reader.readuntil(b'\r\n\r\n'))
             await self.script(reader, writer)
--- a/test/standin/test_direct_endpoint.py
+++ b/test/standin/test_direct_endpoint.py
@@ -76,7 +76,9 @@
             ),
         )
         async with asyncio.timeout(HANG_S):
-            answer = await self.client.send(offer, self.address, 'i-1')
+            answer = await self.client.send(
+                offer, self.address, 'i-1', '/healthz'
+            )
         try:
             async for _ in answer.parts():
                 pass
--- a/test/test_outgoing.py
+++ b/test/test_outgoing.py
@@ -29,7 +29,8 @@
 class RecordingServer:
     """Reads each request's head, sends a fixed answer and closes.
 
-    One that ``ends`` closes its port first; ``reset`` ends the connection.
+    One that ``ends`` closes its port and all its connections; ``reset`` ends
+    the connection. ``connections`` counts those that carried a request.
     """
 
     def __init__(
@@ -45,13 +46,17 @@
         self.ends = ends
         self.heads: list[bytes] = []
         self.connections = 0
+        self.writers = []
         self.server = None
 
     async def serve(self, reader, writer):
-        self.connections += 1
+        self.writers.append(writer)
+        requests = 0
         try:
             while True:
                 self.heads.append(await reader.readuntil(b'\r\n\r\n'))
+                requests += 1
+                self.connections += requests == 1
                 writer.write(self.script)
                 await writer.drain()
                 if not self.keep_open:
@@ -59,8 +64,10 @@
         except (asyncio.IncompleteReadError, ConnectionResetError):
             pass
         finally:
-            if self.ends:
+            if self.ends and requests:
                 self.server.close()
+                for other in self.writers:
+                    other.close()
             if self.reset:
                 accepted = writer.get_extra_info('socket')
                 accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
--- a/test/test_sidecar_runs.py
+++ b/test/test_sidecar_runs.py
@@ -182,8 +182,8 @@
     async def test_truncated_bodies_are_failures(self):
         """Guards against taking the end of a connection for a whole answer.
 
-        The engine dies in the middle of an answer, and its connection and its
-        port close; the caller would take half an answer for the whole one.
+        The engine dies in the middle of an answer, and its connections and
+        its port close; the caller would take half an answer for the whole one.
         """
         length = sidecar_helper.HEAD + b'Content-Length: 9\r\n\r\n'
         cut = {
@@ -205,12 +205,11 @@
                 self.assertEqual({}, self.calls.runs)
 
     def _end_after(self, script):
-        """Return a script that closes its port, too, as a crash does."""
+        """Return a script that closes all the endpoint has, as a crash."""
 
         async def ending(reader, writer):
             await script(reader, writer)
-            self.endpoint.server.close()
-            writer.close()
+            self.endpoint.end()
             await writer.wait_closed()
 
         return ending
