Let checks of an endpoint outlive the answers that wait for them

A caller who left while a check was under way cancelled it and closed the connection for checks: the answers of others that had ended were broken off. A check is a task of its own now; one serves all answers that ended before it was sent.

--- a/berylhollow/liveness.py
+++ b/berylhollow/liveness.py
@@ -152,7 +152,7 @@
         self.connection: outgoing.Connection | None = None
         self.shown: tuple[outgoing.Connection, float] | None = None
         self.idle_ms: float | None = None
-        self.lock = asyncio.Lock()
+        self.checking: asyncio.Task | None = None
         self.observations: set[Observation] = set()
         self.unproven = asyncio.Event()
         self.opening: asyncio.Task | None = None
@@ -195,7 +195,7 @@
 
     def stop(self) -> None:
         """Send no more checks."""
-        for task in (self.opening, self.keeping):
+        for task in (self.opening, self.checking, self.keeping):
             if task is not None:
                 task.cancel()
 
@@ -222,14 +222,14 @@
 
         One check serves all the answers that ended before it was sent.
         """
-        async with self.lock:
+        while True:
             if self.shown is not None:
                 shown, sent = self.shown
                 if shown is proven and sent >= ended:
                     return True
             if proven is not self.connection or not self._is_open:
                 return False
-            return await self._check() is proven
+            await self._check()
 
     async def _answers_over_pool(self, observation: Observation) -> bool:
         """Tell whether a kept connection shows that the process lives.
@@ -258,9 +258,7 @@
         while True:
             if not self._is_open or await self._is_check_due():
                 self.unproven.clear()
-                async with self.lock:
-                    connection = await self._check()
-                if connection is None:
+                if not await self._check():
                     await asyncio.sleep(RETRY_MS / MS_PER_SECOND)
 
     async def _is_check_due(self) -> bool:
@@ -298,29 +296,43 @@
         finally:
             self.opening = None
 
-    async def _check(self) -> outgoing.Connection | None:
-        """Send a check; return the connection that it was answered over."""
+    async def _check(self) -> bool:
+        """Await the check that is under way, or one more if there is none.
+
+        It goes on if an answer that waits for it is cancelled.
+        """
+        if self.checking is None:
+            self.checking = asyncio.create_task(self._send_check())
+            self.checking.add_done_callback(self._check_ended)
+        return await asyncio.shield(self.checking)
+
+    def _check_ended(self, _checking: asyncio.Task) -> None:
+        self.checking = None
+
+    async def _send_check(self) -> bool:
+        """Send a check; return whether it was answered."""
         sent = self.loop.time()
         try:
             checked = await self.watches.send(
                 self.watches.session, self.target
             )
-        except outgoing.CallError:
-            return None
+        except outgoing.CallError as error:
+            LOG.debug('health check failed: %s', error)
+            return False
         connection = checked.connection
         self.shown = (connection, sent)
         if checked.keep_open_ms is not None:
             self.idle_ms = checked.keep_open_ms
         if not checked.closes:
             self._adopt(connection)
-            return connection
+            return True
         # The next check needs a connection that is open before the end.
         self._release(connection)
         self.connection = None
         await self._open()
         if self._is_open:
             self._adopt(self.connection)
-        return connection
+        return True
 
     def _adopt(self, connection: outgoing.Connection) -> None:
         """Use a connection, also for answers that run and have none."""
@@ -377,7 +389,8 @@
 ) -> tuple[outgoing.Response, Checked]:
     """Send a health check over HTTP; return the response that was read.
 
-    Raises ``outgoing.CallError`` if there is none.
+    Raises ``outgoing.CallError`` if there is none. An earlier extra response
+    on the connection is none.
     """
     response = await outgoing.open_call(
         session,
@@ -389,6 +402,9 @@
     connection = response.protocol
     keep_open_ms = _keep_open_ms(response.headers.get('Keep-Alive', ''))
     async with response:
+        if connection.had_surplus:
+            response.close()
+            raise outgoing.CallOutcomeUnknown('a response without a request')
         await outgoing.read_body(response, MAX_CHECK_BYTES)
     closes = not connection.is_connected()
     return response, Checked(connection, closes, keep_open_ms)
--- a/berylhollow/outgoing.py
+++ b/berylhollow/outgoing.py
@@ -107,7 +107,8 @@
 
     ``opened`` is when it was opened, ``asked`` when its last request was sent,
     ``answered`` when its first response arrived, all by the event loop's
-    clock. ``was_paused`` is set once reading has been paused.
+    clock. ``was_paused`` is set once reading has been paused, ``had_surplus``
+    once a request was sent after bytes that answer none had arrived.
     """
 
     peer_reset = False
@@ -116,6 +117,7 @@
     asked = 0.0
     answered: float | None = None
     was_paused = False
+    had_surplus = False
     interim_responses = 0
     awaits_head = False
     head_timeout: asyncio.TimerHandle | None = None
@@ -144,6 +146,8 @@
     def set_response_params(self, **options: typing.Any) -> None:
         """Expect the head of the next response."""
         self.awaits_head = True
+        if self._buffer or self._tail:
+            self.had_surplus = True
         self.asked = self._loop.time()
         super().set_response_params(**options)
 
--- a/test/hosted/direct_helper.py
+++ b/test/hosted/direct_helper.py
@@ -31,11 +31,13 @@
     One that ``hangs`` answers nothing. Without ``closes`` it keeps its
     connection open after the bytes. It answers health checks unless it is
     ``mute``, and keeps their connections open unless ``keeps`` is not set;
-    ``checks`` counts them.
+    ``checks`` counts them. ``answering`` are the connections that carry an
+    answer.
     """
 
     keeps = True
     mute = False
+    check_pause_s = 0.0
     stops_listening = False
 
     def __init__(
@@ -57,9 +59,15 @@
         self.connections = 0
         self.checks = 0
         self.writers = []
+        self.answering = []
         self.arrived = asyncio.Event()
         self.server = None
 
+    @property
+    def waiting(self):
+        """The connections that carry no answer."""
+        return [x for x in self.writers if x not in self.answering]
+
     def end(self):
         """Close the port and all connections, as a process that ends."""
         self.server.close()
@@ -71,6 +79,7 @@
         self.checks += 1
         if self.mute:
             return
+        await asyncio.sleep(self.check_pause_s)
         end = b'' if self.keeps else b'Connection: close\r\n'
         writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n%b\r\n' % end)
         if not self.keeps:
@@ -88,6 +97,7 @@
             writer.transport.abort()
             return
         self.received = head
+        self.answering.append(writer)
         self.arrived.set()
         if self.hangs:
             await reader.read()
