Count answers without a length by what showed their endpoint alive

berylhollow.unframed_answers tells operators how many are broken off without a proof, and why; the log line alone had to be counted by hand.

--- a/berylhollow/gateway/_direct_runs.py
+++ b/berylhollow/gateway/_direct_runs.py
@@ -12,6 +12,7 @@
 from berylhollow import answer_body
 from berylhollow import errors
 from berylhollow import events
+from berylhollow import liveness
 from berylhollow import messages
 from berylhollow import outgoing
 from berylhollow import platform
@@ -63,6 +64,11 @@
     def listed_instance(self, name: str) -> events.Instance | None:
         """Return the listed instance of an endpoint, None if unknown."""
 
+    def count(
+        self, name: str, value: int, attributes: tuple[tuple[str, str], ...]
+    ) -> None:
+        """Add to a counter."""
+
     def check_path(self, service: str) -> str:
         """Return where endpoints of a service answer health checks."""
 
@@ -311,11 +317,22 @@
             return True
         return instance is not None and instance.leaving
 
+    def _count_end(self, evidence: liveness.Evidence) -> None:
+        instance = self.owner.listed_instance(self.peer)
+        service = '' if instance is None else instance.service
+        attributes = (
+            ('berylhollow.service', service),
+            ('berylhollow.evidence', evidence.name.lower()),
+        )
+        self.owner.count('berylhollow.unframed_answers', 1, attributes)
+
     def _log_end(self, body: answer_body.BodyReader) -> None:
         """Log the end of a body that its framing doesn't prove whole."""
         is_proven = body.framing is not answer_body.Framing.CONNECTION
         if is_proven and not body.ended_inside_event:
             return
+        if body.evidence is not None:
+            self._count_end(body.evidence)
         LOG.info(
             'answer body ended',
             extra={
--- a/berylhollow/metrics/_instruments.py
+++ b/berylhollow/metrics/_instruments.py
@@ -112,6 +112,14 @@
         'what they say.',
         (SERVICE, 'berylhollow.notice'),
     ),
+    Instrument(
+        'berylhollow.unframed_answers',
+        COUNTER,
+        '{answer}',
+        'Answers with neither a length nor chunks that have ended, by what '
+        'shows, or fails to show, that their endpoint has outlived them.',
+        (SERVICE, 'berylhollow.evidence'),
+    ),
     Instrument(
         'berylhollow.errors',
         COUNTER,
--- a/test/hosted/direct_helper.py
+++ b/test/hosted/direct_helper.py
@@ -183,6 +183,7 @@
     async def asyncSetUp(self):
         self.told = asyncio.Queue()
         self.notices = []
+        self.counts = []
         self.leaving = False
         self.removed_in_ms = None
         self.software_version = ''
@@ -254,6 +255,9 @@
     def now_ms(self):
         return 0
 
+    def count(self, name, value, attributes):
+        self.counts.append((name, dict(attributes)))
+
     def check_path(self, service):
         return '/healthz'
 
--- a/test/hosted/test_answer_ends.py
+++ b/test/hosted/test_answer_ends.py
@@ -51,6 +51,9 @@
         await self.begin_answer(endpoint)
         self.end_answers(endpoint)
         await self.assert_broken_off()
+        ((name, attributes),) = self.counts
+        self.assertEqual('berylhollow.unframed_answers', name)
+        self.assertEqual('unanswered', attributes['berylhollow.evidence'])
 
     async def test_inherited_port_does_not_show_that_a_process_lives(self):
         """Guards against a listening socket that outlives the process.
