--- a/test/test_sidecar_runs.py
+++ b/test/test_sidecar_runs.py
@@ -214,6 +214,35 @@
 
         return ending
 
+    async def test_next_start_does_not_complete_a_cut_answer(self):
+        """Guards against a next start at the address, taken for the last one.
+
+        The engine dies in the middle of an answer without a length, and its
+        next start listens at once.
+        """
+        script = write_parts(sidecar_helper.HEAD + b'\r\n', b'half')
+        await self.begin(self._restart_after(script))
+        self.start()
+        outcome = await self.wait_for_event(
+            (events.RunFailed, events.RunEnded)
+        )
+        self.assertIsInstance(outcome, events.RunFailed)
+        self.assertEqual(errors.Kind.STREAM_BROKEN, outcome.kind)
+
+    def _restart_after(self, script):
+        """Return a script that ends all, and listens again at its port."""
+
+        async def ending(reader, writer):
+            await script(reader, writer)
+            port = self.endpoint.server.sockets[0].getsockname()[1]
+            self.endpoint.end()
+            self.endpoint.server = await asyncio.start_server(
+                self.endpoint.serve, '127.0.0.1', port
+            )
+            await writer.wait_closed()
+
+        return ending
+
     async def test_answer_that_ends_with_its_connection_is_complete(self):
         """Guards against whole answers that are given up for their framing."""
         parts = (sidecar_helper.HEAD + b'\r\n', b'all of it')
