Open at most one connection a second for checks ahead of requests

An endpoint at its limit of connections resets those beyond it; each request then opened one more. The test counted 10 of 20 requests before, 3 at most are allowed.

--- a/berylhollow/liveness.py
+++ b/berylhollow/liveness.py
@@ -40,6 +40,10 @@
 """Interval of checks that keep a connection open while answers are running."""
 
 MIN_REFRESH_MS = 100
+PREPARE_INTERVAL_MS = 1000
+"""Shortest time between two connections that are opened for requests. An
+endpoint resets those beyond its limit."""
+
 KEEP_UNUSED_MS = 60_000
 """How long an unused connection is kept for the checks to come."""
 
@@ -156,6 +160,7 @@
         self.observations: set[Observation] = set()
         self.unproven = asyncio.Event()
         self.opening: asyncio.Task | None = None
+        self.prepare_again = 0.0
         self.keeping: asyncio.Task | None = None
 
     def prepare(self) -> None:
@@ -165,6 +170,10 @@
         """
         if self._is_open or self.opening is not None:
             return
+        now = self.loop.time()
+        if now < self.prepare_again:
+            return
+        self.prepare_again = now + PREPARE_INTERVAL_MS / MS_PER_SECOND
         connector = self.watches.pooled_session.connector
         kept = connector.kept_connections(self.target.url)
         if len(kept) < KEPT_FOR_PROOF:
--- a/test/hosted/test_answer_ends.py
+++ b/test/hosted/test_answer_ends.py
@@ -117,6 +117,20 @@
         self.end_answers(endpoint)
         await self.assert_broken_off()
 
+    async def test_endpoint_that_resets_connections_is_not_asked_for_more(
+        self,
+    ):
+        """Guards against a connection for checks with each request.
+
+        An endpoint at its limit of connections resets those beyond it.
+        """
+        endpoint = direct_helper.RawEndpoint(ANSWER, closes=False)
+        for number in range(20):
+            await self.begin_answer(endpoint, number)
+            for writer in endpoint.waiting:
+                writer.transport.abort()
+        self.assertLessEqual(len(endpoint.waiting), 3)
+
     async def test_one_check_serves_answers_that_end_together(self):
         """Guards against a check for each of many answers."""
         endpoint = direct_helper.RawEndpoint(ANSWER, closes=False)
