Keep a health check going if a caller who waits for it leaves

Callers saw: a complete answer without a length was broken off ('the connection to it was lost') if another caller of the same endpoint left, or ran into its time limit, while a health check was on its way for its answer's end.

Cause: the check ran in the task of one answer. A cancel of it closed the connection for checks, which is the proof of all answers of the endpoint.

Evidence: test_cancelled_caller_does_not_end_the_check_of_others failed before (Failed for End).

Why it holds: a check is a task of its own, and the next one waits for it; only the end of the gateway cancels it.

--- a/berylhollow/liveness.py
+++ b/berylhollow/liveness.py
@@ -9,6 +9,8 @@
 """
 
 import asyncio
+import collections.abc
+import contextlib
 import dataclasses
 import enum
 import logging
@@ -156,6 +158,7 @@
         self.observations: set[Observation] = set()
         self.unproven = asyncio.Event()
         self.opening: asyncio.Task | None = None
+        self.checking: asyncio.Task | None = None
         self.keeping: asyncio.Task | None = None
 
     def prepare(self) -> None:
@@ -195,7 +198,7 @@
 
     def stop(self) -> None:
         """Send no more checks."""
-        for task in (self.opening, self.keeping):
+        for task in (self.opening, self.checking, self.keeping):
             if task is not None:
                 task.cancel()
 
@@ -222,7 +225,7 @@
 
         One check serves all the answers that ended before it was sent.
         """
-        async with self.lock:
+        async with self._turn():
             if self.shown is not None:
                 shown, sent = self.shown
                 if shown is proven and sent >= ended:
@@ -258,7 +261,7 @@
         while True:
             if not self._is_open or await self._is_check_due():
                 self.unproven.clear()
-                async with self.lock:
+                async with self._turn():
                     connection = await self._check()
                 if connection is None:
                     await asyncio.sleep(RETRY_MS / MS_PER_SECOND)
@@ -298,8 +301,28 @@
         finally:
             self.opening = None
 
+    @contextlib.asynccontextmanager
+    async def _turn(self) -> collections.abc.AsyncIterator[None]:
+        """Wait until a check may be sent: one runs at a time."""
+        async with self.lock:
+            if self._is_checking:
+                await asyncio.wait([self.checking])
+            yield
+
+    @property
+    def _is_checking(self) -> bool:
+        return self.checking is not None and not self.checking.done()
+
     async def _check(self) -> outgoing.Connection | None:
-        """Send a check; return the connection that it was answered over."""
+        """Send a check; return the connection that it was answered over.
+
+        A cancel of the caller doesn't end the check, as that would close the
+        connection, which other answers need.
+        """
+        self.checking = asyncio.create_task(self._send_check())
+        return await asyncio.shield(self.checking)
+
+    async def _send_check(self) -> outgoing.Connection | None:
         sent = self.loop.time()
         try:
             checked = await self.watches.send(
--- /dev/null
+++ b/test/hosted/test_end_interleavings.py
@@ -0,0 +1,105 @@
+"""Tests of the proof of an answer's end: odd connections and odd orders."""
+
+import asyncio
+import contextlib
+
+from berylhollow import messages
+from test import event_streams
+from test.hosted import direct_helper
+
+STREAM = event_streams.answers(event_streams.EVENT)
+CHECK_ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
+SETTLE_S = 0.1
+
+
+class EndpointProcess:
+    """An endpoint whose test decides when it answers and what it closes.
+
+    A request is answered with ``answer``; its connection stays open.
+    ``check_s`` is how long a check takes. ``requests`` and ``checks`` are the
+    connections that carried any, in order; ``opened`` are all.
+    """
+
+    def __init__(self, answer=STREAM['no length']):
+        self.answer = answer
+        self.check_answer = CHECK_ANSWER
+        self.check_s = 0.0
+        self.opened = []
+        self.requests = []
+        self.checks = []
+
+    async def serve(self, reader, writer):
+        self.opened.append(writer)
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                if head.startswith(b'GET /healthz'):
+                    self.checks.append(writer)
+                    await asyncio.sleep(self.check_s)
+                    writer.write(self.check_answer)
+                else:
+                    self.requests.append(writer)
+                    writer.write(self.answer)
+        writer.close()
+
+    def end(self):
+        """Close everything, as a process that ends."""
+        for writer in self.opened:
+            writer.close()
+
+
+class InterleavingTestCase(direct_helper.DirectTestCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.process = EndpointProcess()
+
+    async def until(self, condition):
+        async with asyncio.timeout(direct_helper.HANG_S):
+            while not condition():
+                await asyncio.sleep(0.005)
+
+    async def begin_answer(self, number=1):
+        """Send a request; return when the head and a part have arrived."""
+        self.send_offer(number=number)
+        told = [await self.next_message() for _ in range(2)]
+        self.assertNotIn(messages.End, map(type, told))
+
+    async def begin_shown_answer(self, number=1):
+        """Begin an answer whose endpoint has answered a check."""
+        before = len(self.process.checks)
+        await self.begin_answer(number)
+        await self.until(lambda: self.watch.shown or self.process.checks)
+        if not before:
+            await self.until(lambda: self.watch.shown)
+
+    @property
+    def watch(self):
+        (watch,) = self.runs.calls.watches.by_target.values()
+        return watch
+
+    async def outcome(self):
+        return (await self.messages_to_end())[-1]
+
+
+class WholeAnswerTest(InterleavingTestCase):
+    """Guards against a complete answer that is broken off without a crash."""
+
+    async def test_cancelled_caller_does_not_end_the_check_of_others(self):
+        """Guards against one caller's cancel that breaks others' answers.
+
+        Two answers end together; the caller whose check is on its way
+        leaves.
+        """
+        await self.listen(self.process)
+        await self.begin_shown_answer(number=1)
+        await self.begin_answer(number=2)
+        await asyncio.sleep(SETTLE_S)
+        self.process.check_s = 0.2
+        before = len(self.process.checks)
+        first, second = self.process.requests
+        first.close()
+        await self.until(lambda: len(self.process.checks) > before)
+        second.close()
+        await asyncio.sleep(0.05)
+        self.runs.runs['r1.1'].cancel()
+        self.assertIsInstance(await self.outcome(), messages.End)
