Check an endpoint over the connection that is the proof

Callers saw: a complete answer without a length was broken off ('the connection to it was lost') after the connection for checks had been closed as idle and a request came while the next check opened another one.

Cause: the request opened a second connection for checks. The pool hands out the one that was unused for longest, so that each check went over the other one than the answers' proof.

Evidence: test_request_that_comes_during_a_check failed before (Failed for End).

Why it holds: checks and openings wait for each other, and a check asks the pool for the watch's own connection.

--- a/berylhollow/liveness.py
+++ b/berylhollow/liveness.py
@@ -166,7 +166,7 @@
 
         A short answer has ended before one that is opened later can be.
         """
-        if self._is_open or self.opening is not None:
+        if self._is_open or self._is_checking or self.opening is not None:
             return
         connector = self.watches.pooled_session.connector
         kept = connector.kept_connections(self.target.url)
@@ -305,8 +305,9 @@
     async def _turn(self) -> collections.abc.AsyncIterator[None]:
         """Wait until a check may be sent: one runs at a time."""
         async with self.lock:
-            if self._is_checking:
-                await asyncio.wait([self.checking])
+            for task in (self.opening, self.checking):
+                if task is not None:
+                    await asyncio.wait([task])
             yield
 
     @property
@@ -323,11 +324,12 @@
         return await asyncio.shield(self.checking)
 
     async def _send_check(self) -> outgoing.Connection | None:
+        session = self.watches.session
+        if self._is_open:
+            session.connector.prefer(self.target.url, self.connection)
         sent = self.loop.time()
         try:
-            checked = await self.watches.send(
-                self.watches.session, self.target
-            )
+            checked = await self.watches.send(session, self.target)
         except outgoing.CallError:
             return None
         connection = checked.connection
--- a/berylhollow/outgoing.py
+++ b/berylhollow/outgoing.py
@@ -230,6 +230,18 @@
         kept = self._conns.get(self._request(url).connection_key, ())
         return [x for x, _ in kept if x.is_connected()]
 
+    def prefer(self, url: str, connection: Connection) -> None:
+        """Let the next call to a URL's host use a connection, if it is kept.
+
+        Otherwise it takes the one that has been unused for longest.
+        """
+        kept = self._conns.get(self._request(url).connection_key, ())
+        for entry in kept:
+            if entry[0] is connection:
+                kept.remove(entry)
+                kept.appendleft(entry)
+                return
+
     async def open_kept(self, url: str) -> Connection:
         """Open a connection for the next call, if none is kept.
 
--- a/test/hosted/test_end_interleavings.py
+++ b/test/hosted/test_end_interleavings.py
@@ -103,3 +103,24 @@
         await asyncio.sleep(0.05)
         self.runs.runs['r1.1'].cancel()
         self.assertIsInstance(await self.outcome(), messages.End)
+
+    async def test_request_that_comes_during_a_check(self):
+        """Guards against two connections for checks that are used in turn.
+
+        The first connection for checks is lost; another one is opened by the
+        keeper's check and one by a request that comes meanwhile.
+        """
+        await self.listen(self.process)
+        await self.begin_shown_answer(number=1)
+        await asyncio.sleep(SETTLE_S)
+        self.process.check_s = 0.2
+        before = len(self.process.checks)
+        self.process.checks[-1].close()
+        await self.until(lambda: len(self.process.checks) > before)
+        await self.begin_answer(number=2)
+        await asyncio.sleep(0.5)
+        self.process.check_s = 0.0
+        for writer in self.process.requests:
+            writer.close()
+        for _ in range(2):
+            self.assertIsInstance(await self.outcome(), messages.End)
