Keep one watch of an endpoint when its check path changes

Callers saw: a complete answer without a length was broken off if the configuration had named another path for health checks while it ran.

Cause: a watch for each path of an address, all with the same pool; at the ends of two answers each opened a connection that was not the answer's proof.

Evidence: test_changed_check_path_keeps_the_proof failed before (Failed for End).

Why it holds: the path isn't part of what tells watches apart.

--- a/berylhollow/liveness.py
+++ b/berylhollow/liveness.py
@@ -376,18 +376,20 @@
         self.send = send
         self.pooled_session = pooled_session
         self.session = outgoing.open_session(keep_unused_ms=KEEP_UNUSED_MS)
-        self.by_target: dict[Target, Watch] = {}
+        self.by_endpoint: dict[tuple[str, str], Watch] = {}
 
     def watch(self, target: Target) -> Watch:
-        """Return the watch of an endpoint."""
-        watch = self.by_target.pop(target, None) or Watch(self, target)
-        self.by_target[target] = watch
-        bounded.drop_oldest(self.by_target, MAX_WATCHES)
+        """Return the watch of an endpoint, which checks this path now."""
+        endpoint = (target.url, target.instance)
+        watch = self.by_endpoint.pop(endpoint, None) or Watch(self, target)
+        watch.target = target
+        self.by_endpoint[endpoint] = watch
+        bounded.drop_oldest(self.by_endpoint, MAX_WATCHES)
         return watch
 
     async def close(self) -> None:
         """Close the connections of the checks."""
-        for watch in self.by_target.values():
+        for watch in self.by_endpoint.values():
             watch.stop()
         await self.session.close()
 
--- a/test/hosted/test_end_interleavings.py
+++ b/test/hosted/test_end_interleavings.py
@@ -74,7 +74,7 @@
 
     @property
     def watch(self):
-        (watch,) = self.runs.calls.watches.by_target.values()
+        (watch,) = self.runs.calls.watches.by_endpoint.values()
         return watch
 
     async def outcome(self):
@@ -124,3 +124,20 @@
             writer.close()
         for _ in range(2):
             self.assertIsInstance(await self.outcome(), messages.End)
+
+    async def test_changed_check_path_keeps_the_proof(self):
+        """Guards against checks over the connection of another watch.
+
+        The configuration names another path while an answer runs; both
+        watches use connections to the same address.
+        """
+        await self.listen(self.process)
+        await self.begin_shown_answer(number=1)
+        await asyncio.sleep(SETTLE_S)
+        self.check_path = lambda _service: '/healthz2'
+        await self.begin_answer(number=2)
+        await asyncio.sleep(SETTLE_S)
+        for writer in self.process.requests:
+            writer.close()
+        for _ in range(2):
+            self.assertIsInstance(await self.outcome(), messages.End)
