Take no connection for proof that may still wait to be accepted

Callers saw: an answer without a length that a crash had cut passed for complete if the endpoint had stopped accepting connections, as at its maximum, and its next start got the same listening socket from a supervisor.

Cause: a connection for checks counted if it was open before the request was sent. Beside a reused connection for the request it may still wait to be accepted; the next start accepts it and answers the check.

Evidence: test_waiting_connection_is_accepted_by_the_next_start failed before (End for Failed).

Why it holds: such a connection counts once the endpoint has answered on it.

--- a/berylhollow/liveness.py
+++ b/berylhollow/liveness.py
@@ -176,12 +176,19 @@
     def begin(self, connection: outgoing.Connection) -> Observation:
         """Begin to watch for an answer whose head has just arrived.
 
-        A connection that was open before the request was sent leads to the
-        process that got it.
+        A connection that was open before the answer's own one leads to the
+        process that got the request. One that is newer than a reused one may
+        still wait to be accepted, by a next start with the same listening
+        socket, unless it has been answered on.
         """
         observation = Observation(self, connection)
         self.observations.add(observation)
-        if self._is_open and self.connection.opened <= connection.asked:
+        is_reused = _answered_before(connection, connection.asked)
+        before = connection.opened if is_reused else connection.asked
+        if self._is_open and (
+            self.connection.opened <= before
+            or _answered_before(self.connection, connection.asked)
+        ):
             observation.proven = self.connection
         else:
             self.unproven.set()
--- a/test/hosted/test_end_interleavings.py
+++ b/test/hosted/test_end_interleavings.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import contextlib
+import socket
 
 from berylhollow import messages
+from berylhollow import outgoing
 from test import event_streams
 from test.hosted import direct_helper
 
@@ -77,10 +79,50 @@
         (watch,) = self.runs.calls.watches.by_endpoint.values()
         return watch
 
+    async def refuse(self, _url):
+        raise outgoing.CallNotSent('refused')
+
     async def outcome(self):
         return (await self.messages_to_end())[-1]
 
 
+class CutAnswerTest(InterleavingTestCase):
+    """Guards against an answer that a crash cut, taken for complete."""
+
+    async def test_waiting_connection_is_accepted_by_the_next_start(self):
+        """Guards against a connection that the crashed process never took.
+
+        A supervisor holds the listening socket. The endpoint serves one
+        connection and accepts no other; its next start accepts the one that
+        waits, and answers the check on it.
+        """
+        listening = socket.create_server(('127.0.0.1', 0))
+        listening.setblocking(False)
+        self.stack.callback(listening.close)
+        port = listening.getsockname()[1]
+        self.address = f'127.0.0.1:{port}'
+        loop = asyncio.get_running_loop()
+        self.process.answer = STREAM['length']
+        connector = self.runs.calls.session.connector
+        await connector.open_kept(f'http://{self.address}')
+        await self.accept(loop, listening, self.process)
+        self.send_offer(number=1)
+        self.assertIsInstance(await self.outcome(), messages.End)
+        await self.until(lambda: self.watch.connection is not None)
+        self.process.answer = STREAM['no length']
+        await self.begin_answer(number=2)
+        self.process.end()
+        next_start = EndpointProcess()
+        await self.accept(loop, listening, next_start)
+        self.assertIsInstance(await self.outcome(), messages.Failed)
+
+    async def accept(self, loop, listening, process):
+        accepted, _ = await loop.sock_accept(listening)
+        reader = asyncio.StreamReader()
+        protocol = asyncio.StreamReaderProtocol(reader, process.serve)
+        await loop.connect_accepted_socket(lambda: protocol, accepted)
+
+
 class WholeAnswerTest(InterleavingTestCase):
     """Guards against a complete answer that is broken off without a crash."""
 
