Take no extra response for the answer to a health check

Callers saw: an answer without a length that a crash had cut passed for complete if the endpoint had sent an extra response on the connection for checks, or on a kept one, and that connection ended later than the answer's.

Cause: a call on a kept connection takes whatever has arrived there as its answer. Requests are told apart by their id, checks have none.

Evidence: both test_extra_answer... failed before (End for Failed).

Why it holds: a connection on which anything has arrived unasked proves nothing; it is closed, and the next one is checked as after any loss. Not covered: an extra response that arrives after the check was sent.

--- a/berylhollow/liveness.py
+++ b/berylhollow/liveness.py
@@ -239,6 +239,8 @@
                     return True
             if proven is not self.connection or not self._is_open:
                 return False
+            if proven.has_unread:
+                return False
             return await self._check() is proven
 
     async def _answers_over_pool(self, observation: Observation) -> bool:
@@ -251,6 +253,10 @@
         asked = observation.connection.asked
         for _ in range(MAX_POOLED_CHECKS):
             kept = session.connector.kept_connections(self.target.url)
+            for connection in kept:
+                if connection.has_unread:
+                    connection.close()
+            kept = [x for x in kept if x.is_connected()]
             if not any(_answered_before(x, asked) for x in kept):
                 return False
             try:
@@ -289,10 +295,14 @@
             )
         finally:
             waiting.cancel()
-        if connection.is_connected():
+        if connection.is_connected() and not connection.has_unread:
             return True
-        _, used = self.shown or (connection, connection.opened)
-        self.idle_ms = (self.loop.time() - used) * MS_PER_SECOND
+        if connection.is_connected():
+            # An extra response would be taken for the next check's.
+            connection.close()
+        else:
+            _, used = self.shown or (connection, connection.opened)
+            self.idle_ms = (self.loop.time() - used) * MS_PER_SECOND
         # If its process has ended, so do the answers within this time.
         await asyncio.sleep(CLOSE_SPREAD_MS / MS_PER_SECOND)
         self._release(connection)
--- a/berylhollow/outgoing.py
+++ b/berylhollow/outgoing.py
@@ -136,9 +136,20 @@
         """Whether the peer's end has arrived here, read or not."""
         if not self.is_connected():
             return True
+        return self._has_event(END_EVENTS)
+
+    @property
+    def has_unread(self) -> bool:
+        """Whether anything has arrived after the last complete response.
+
+        The next call would take it for its answer.
+        """
+        return self.should_close or self._has_event(select.POLLIN)
+
+    def _has_event(self, events: int) -> bool:
         poll = select.poll()
         opened_socket = self.transport.get_extra_info('socket')
-        poll.register(opened_socket.fileno(), END_EVENTS)
+        poll.register(opened_socket.fileno(), events)
         return bool(poll.poll(0))
 
     def set_response_params(self, **options: typing.Any) -> None:
--- a/test/hosted/test_end_interleavings.py
+++ b/test/hosted/test_end_interleavings.py
@@ -89,6 +89,51 @@
 class CutAnswerTest(InterleavingTestCase):
     """Guards against an answer that a crash cut, taken for complete."""
 
+    async def test_extra_answer_is_no_answer_to_a_later_check(self):
+        """Guards against an extra response taken for the check's answer.
+
+        The endpoint answers a check twice, the second time a little later.
+        It crashes; the end of that connection arrives 100 ms after the others.
+        """
+        await self.listen(self.process)
+        await self.begin_shown_answer()
+        await asyncio.sleep(SETTLE_S)
+        self.process.checks[-1].write(CHECK_ANSWER)
+        await asyncio.sleep(SETTLE_S)
+        self.process.check_s = direct_helper.HANG_S
+        self.process.requests[-1].close()
+        outcome = asyncio.create_task(self.outcome())
+        await asyncio.sleep(SETTLE_S)
+        self.process.end()
+        self.assertIsInstance(await outcome, messages.Failed)
+
+    async def test_extra_answer_to_a_request_is_no_answer_to_a_check(self):
+        """Guards against an extra response on a connection kept for requests.
+
+        Two kept ones get extra responses, and no other connection is open.
+        """
+        self.process.answer = STREAM['length']
+        await self.listen(self.process)
+        for number in (1, 2, 3):
+            self.send_offer(number=number)
+        for _ in range(3):
+            self.assertIsInstance(await self.outcome(), messages.End)
+        self.watch.connection.close()
+        self.process.check_s = direct_helper.HANG_S
+        self.process.answer = STREAM['no length']
+        self.send_offer(number=4)
+        await self.until(lambda: len(self.process.requests) == 4)
+        cut = self.process.requests[-1]
+        for writer in self.process.requests[:3]:
+            if writer is not cut:
+                writer.write(STREAM['length'])
+        await asyncio.sleep(SETTLE_S)
+        cut.close()
+        outcome = asyncio.create_task(self.outcome())
+        await asyncio.sleep(SETTLE_S)
+        self.process.end()
+        self.assertIsInstance(await outcome, messages.Failed)
+
     async def test_waiting_connection_is_accepted_by_the_next_start(self):
         """Guards against a connection that the crashed process never took.
 
