Show running answers again after an idle connection was closed

Callers saw: a complete answer without a length was broken off ('no connection on which it answered before the end') up to 4 s after the endpoint had closed the connection for checks as idle, if another request had opened a new one.

Cause: the running answers were released from the closed connection, but no check was sent over the open one until the next refresh.

Evidence: test_request_after_the_loss_of_the_connection_for_checks failed before (Failed for End).

Why it holds: answers that are released ask for a check at once.

--- a/berylhollow/liveness.py
+++ b/berylhollow/liveness.py
@@ -306,6 +306,7 @@
         # If its process has ended, so do the answers within this time.
         await asyncio.sleep(CLOSE_SPREAD_MS / MS_PER_SECOND)
         self._release(connection)
+        self.unproven.set()
         return False
 
     async def _open(self) -> None:
--- a/test/hosted/test_end_interleavings.py
+++ b/test/hosted/test_end_interleavings.py
@@ -212,6 +212,26 @@
         for _ in range(2):
             self.assertIsInstance(await self.outcome(), messages.End)
 
+    async def test_request_after_the_loss_of_the_connection_for_checks(self):
+        """Guards against running answers that are left without a proof.
+
+        The connection for checks is closed as idle. A request whose answer
+        has a length opens another one before the running answer may use it;
+        that answer ends a little later.
+        """
+        await self.listen(self.process)
+        await self.begin_shown_answer(number=1)
+        await asyncio.sleep(1.5)
+        self.process.checks[-1].close()
+        await self.until(lambda: not self.watch._is_open)
+        self.process.answer = STREAM['length']
+        self.send_offer(number=2)
+        self.assertIsInstance(await self.outcome(), messages.End)
+        self.process.requests[1].close()
+        await asyncio.sleep(0.5)
+        self.process.requests[0].close()
+        self.assertIsInstance(await self.outcome(), messages.End)
+
     async def test_changed_check_path_keeps_the_proof(self):
         """Guards against checks over the connection of another watch.
 
