Log no error when a connection for checks is reset

Operators saw 'Future exception was never retrieved' in a gateway's log for each reset of a connection for checks, as by an endpoint at its maximum.

Cause: the keeper waits for the connection's closed future, whose exception nobody read.

Evidence: test_reset_of_the_connection_for_checks_leaves_no_error failed before.

Why it holds: the exception is read when the connection is lost.

--- a/berylhollow/outgoing.py
+++ b/berylhollow/outgoing.py
@@ -227,6 +227,10 @@
         if exc is None and self.peer_reset:
             exc = ConnectionResetError('reset by the peer')
         super().connection_lost(exc)
+        closed = self.closed
+        if closed is not None and not closed.cancelled():
+            # Who waits for the end needs no reason; asyncio logs one unread.
+            closed.exception()
 
 
 class Connector(aiohttp.TCPConnector):
--- a/test/hosted/test_end_interleavings.py
+++ b/test/hosted/test_end_interleavings.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import gc
 import socket
 
 from berylhollow import messages
@@ -248,3 +249,24 @@
             writer.close()
         for _ in range(2):
             self.assertIsInstance(await self.outcome(), messages.End)
+
+    async def test_reset_of_the_connection_for_checks_leaves_no_error(self):
+        """Guards against errors in futures that nobody reads."""
+        errors = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: errors.append(context))
+        await self.listen(self.process)
+        await self.begin_shown_answer(number=1)
+        await asyncio.sleep(SETTLE_S)
+        writer = self.process.checks[-1]
+        writer.get_extra_info('socket').setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, direct_helper.RESET
+        )
+        writer.transport.abort()
+        await asyncio.sleep(0.6)
+        self.process.requests[-1].close()
+        self.assertIsInstance(await self.outcome(), messages.End)
+        for _ in range(3):
+            gc.collect()
+            await asyncio.sleep(0.01)
+        self.assertEqual([], errors)
