--- a/berylhollow/liveness.py
+++ b/berylhollow/liveness.py
@@ -168,7 +168,7 @@
 
         A short answer has ended before one that is opened later can be.
         """
-        if self._is_open or self.opening is not None:
+        if self._is_open or self.opening or self.checking:
             return
         now = self.loop.time()
         if now < self.prepare_again:
@@ -182,12 +182,19 @@
     def begin(self, connection: outgoing.Connection) -> Observation:
         """Begin to watch for an answer whose head has just arrived.
 
-        A connection that was open before the request was sent leads to the
-        process that got it.
+        A connection that was open before the answer's own one leads to the
+        process that got the request. One that is newer than a reused one may
+        still wait to be accepted, by a next start with the same listening
+        socket, unless it has been answered on.
         """
         observation = Observation(self, connection)
         self.observations.add(observation)
-        if self._is_open and self.connection.opened <= connection.asked:
+        is_reused = _answered_before(connection, connection.asked)
+        before = connection.opened if is_reused else connection.asked
+        if self._is_open and (
+            self.connection.opened <= before
+            or _answered_before(self.connection, connection.asked)
+        ):
             observation.proven = self.connection
         else:
             self.unproven.set()
@@ -238,7 +245,8 @@
                     return True
             if proven is not self.connection or not self._is_open:
                 return False
-            await self._check()
+            if not await self._check():
+                return False
 
     async def _answers_over_pool(self, observation: Observation) -> bool:
         """Tell whether a kept connection shows that the process lives.
@@ -250,6 +258,10 @@
         asked = observation.connection.asked
         for _ in range(MAX_POOLED_CHECKS):
             kept = session.connector.kept_connections(self.target.url)
+            for connection in kept:
+                if connection.has_unread:
+                    connection.close()
+            kept = [x for x in kept if x.is_connected()]
             if not any(_answered_before(x, asked) for x in kept):
                 return False
             try:
@@ -262,8 +274,6 @@
 
     async def _keep(self) -> None:
         """Have an open connection while answers are running."""
-        if self.opening is not None:
-            await asyncio.wait([self.opening])
         while True:
             if not self._is_open or await self._is_check_due():
                 self.unproven.clear()
@@ -293,6 +303,7 @@
         # If its process has ended, so do the answers within this time.
         await asyncio.sleep(CLOSE_SPREAD_MS / MS_PER_SECOND)
         self._release(connection)
+        self.unproven.set()
         return False
 
     async def _open(self) -> None:
@@ -320,11 +331,18 @@
 
     async def _send_check(self) -> bool:
         """Send a check; return whether it was answered."""
+        if self.opening is not None:
+            await asyncio.wait([self.opening])
+        session = self.watches.session
+        if self._is_open:
+            if self.connection.has_unread:
+                # An extra response would be taken for this check's.
+                self.connection.close()
+                return False
+            session.connector.prefer(self.target.url, self.connection)
         sent = self.loop.time()
         try:
-            checked = await self.watches.send(
-                self.watches.session, self.target
-            )
+            checked = await self.watches.send(session, self.target)
         except outgoing.CallError as error:
             LOG.debug('health check failed: %s', error)
             return False
@@ -372,18 +390,20 @@
         self.send = send
         self.pooled_session = pooled_session
         self.session = outgoing.open_session(keep_unused_ms=KEEP_UNUSED_MS)
-        self.by_target: dict[Target, Watch] = {}
+        self.by_endpoint: dict[tuple[str, str], Watch] = {}
 
     def watch(self, target: Target) -> Watch:
-        """Return the watch of an endpoint."""
-        watch = self.by_target.pop(target, None) or Watch(self, target)
-        self.by_target[target] = watch
-        bounded.drop_oldest(self.by_target, MAX_WATCHES)
+        """Return the watch of an endpoint, which checks this path now."""
+        endpoint = (target.url, target.instance)
+        watch = self.by_endpoint.pop(endpoint, None) or Watch(self, target)
+        watch.target = target
+        self.by_endpoint[endpoint] = watch
+        bounded.drop_oldest(self.by_endpoint, MAX_WATCHES)
         return watch
 
     async def close(self) -> None:
         """Close the connections of the checks."""
-        for watch in self.by_target.values():
+        for watch in self.by_endpoint.values():
             watch.stop()
         await self.session.close()
 
@@ -398,8 +418,7 @@
 ) -> tuple[outgoing.Response, Checked]:
     """Send a health check over HTTP; return the response that was read.
 
-    Raises ``outgoing.CallError`` if there is none. An earlier extra response
-    on the connection is none.
+    Raises ``outgoing.CallError`` if there is none.
     """
     response = await outgoing.open_call(
         session,
@@ -411,9 +430,6 @@
     connection = response.protocol
     keep_open_ms = _keep_open_ms(response.headers.get('Keep-Alive', ''))
     async with response:
-        if connection.had_surplus:
-            response.close()
-            raise outgoing.CallOutcomeUnknown('a response without a request')
         await outgoing.read_body(response, MAX_CHECK_BYTES)
     closes = not connection.is_connected()
     return response, Checked(connection, closes, keep_open_ms)
--- a/berylhollow/outgoing.py
+++ b/berylhollow/outgoing.py
@@ -107,8 +107,7 @@
 
     ``opened`` is when it was opened, ``asked`` when its last request was sent,
     ``answered`` when its first response arrived, all by the event loop's
-    clock. ``was_paused`` is set once reading has been paused, ``had_surplus``
-    once a request was sent after bytes that answer none had arrived.
+    clock. ``was_paused`` is set once reading has been paused.
     """
 
     peer_reset = False
@@ -117,7 +116,6 @@
     asked = 0.0
     answered: float | None = None
     was_paused = False
-    had_surplus = False
     interim_responses = 0
     awaits_head = False
     head_timeout: asyncio.TimerHandle | None = None
@@ -138,16 +136,25 @@
         """Whether the peer's end has arrived here, read or not."""
         if not self.is_connected():
             return True
+        return self._has_event(END_EVENTS)
+
+    @property
+    def has_unread(self) -> bool:
+        """Whether anything has arrived after the last complete response.
+
+        The next call would take it for its answer.
+        """
+        return self.should_close or self._has_event(select.POLLIN)
+
+    def _has_event(self, events: int) -> bool:
         poll = select.poll()
         opened_socket = self.transport.get_extra_info('socket')
-        poll.register(opened_socket.fileno(), END_EVENTS)
+        poll.register(opened_socket.fileno(), events)
         return bool(poll.poll(0))
 
     def set_response_params(self, **options: typing.Any) -> None:
         """Expect the head of the next response."""
         self.awaits_head = True
-        if self._buffer or self._tail:
-            self.had_surplus = True
         self.asked = self._loop.time()
         super().set_response_params(**options)
 
@@ -220,6 +227,10 @@
         if exc is None and self.peer_reset:
             exc = ConnectionResetError('reset by the peer')
         super().connection_lost(exc)
+        closed = self.closed
+        if closed is not None and not closed.cancelled():
+            # Who waits for the end needs no reason; asyncio logs one unread.
+            closed.exception()
 
 
 class Connector(aiohttp.TCPConnector):
@@ -234,6 +245,18 @@
         kept = self._conns.get(self._request(url).connection_key, ())
         return [x for x, _ in kept if x.is_connected()]
 
+    def prefer(self, url: str, connection: Connection) -> None:
+        """Let the next call to a URL's host use a connection, if it is kept.
+
+        Otherwise it takes the one that has been unused for longest.
+        """
+        kept = self._conns.get(self._request(url).connection_key, ())
+        for entry in kept:
+            if entry[0] is connection:
+                kept.remove(entry)
+                kept.appendleft(entry)
+                return
+
     async def open_kept(self, url: str) -> Connection:
         """Open a connection for the next call, if none is kept.
 
--- a/test/hosted/queued_endpoint.py
+++ b/test/hosted/queued_endpoint.py
@@ -369,6 +369,9 @@
     def listed_instance(self, name: str) -> events.Instance:
         return self.gateway.state.endpoints[name].instance
 
+    def check_path(self, _service: str) -> str:
+        return '/healthz'
+
     def message(self, peer: str, message) -> None:
         if not isinstance(message, messages.End):
             self.soon(self.gateway, peer, message)
@@ -381,7 +384,11 @@
         self.gateway.feed(relayed)
 
     async def send(
-        self, offer: messages.Offer, _address: str, name: str
+        self,
+        offer: messages.Offer,
+        _address: str,
+        name: str,
+        _check_path: str,
     ) -> platform.Answer:
         head = asyncio.get_running_loop().create_future()
         run = self.tasks.start(self.endpoints[name].serve(offer, head))
@@ -432,7 +439,7 @@
 def answer(status: int, run: asyncio.Task) -> platform.Answer:
     reason = NOT_RUN_REASONS.get(status)
     response = RunBody(run)
-    body = answer_body.BodyReader(response)
+    body = answer_body.BodyReader(response, lambda _: None)
     return platform.Answer(
         status, (), reason, True, True, None, response, body
     )
--- a/test/hosted/test_answer_ends.py
+++ b/test/hosted/test_answer_ends.py
@@ -108,7 +108,7 @@
         """
         endpoint = direct_helper.RawEndpoint(ANSWER, closes=False)
         await self.begin_answer(endpoint)
-        (watch,) = self.runs.calls.watches.by_target.values()
+        (watch,) = self.runs.calls.watches.by_endpoint.values()
         self.assertTrue(await watch._check())
         endpoint.mute = True
         for writer in endpoint.waiting:
@@ -149,7 +149,7 @@
         self.end_answers(endpoint)
         await self.assert_served()
         await asyncio.sleep(PAUSE_S)
-        (watch,) = self.runs.calls.watches.by_target.values()
+        (watch,) = self.runs.calls.watches.by_endpoint.values()
         self.assertEqual(set(), watch.observations)
         self.assertIsNone(watch.keeping)
 
@@ -175,10 +175,14 @@
         self.addAsyncCleanup(watches.close)
         watch = watches.watch(liveness.Target('http://127.0.0.1:1', 'i', '/'))
         watch.connection = types.SimpleNamespace(
-            opened=opened, is_connected=lambda: True
+            opened=opened, answered=None, is_connected=lambda: True
         )
         answering = types.SimpleNamespace(
-            asked=asked, was_paused=False, has_received_end=ended
+            opened=0.5,
+            asked=asked,
+            answered=None,
+            was_paused=False,
+            has_received_end=ended,
         )
         observation = watch.begin(answering)
         self.addCleanup(observation.end)
--- /dev/null
+++ b/test/hosted/test_end_interleavings.py
@@ -0,0 +1,272 @@
+"""Tests of the proof of an answer's end: odd connections and odd orders."""
+
+import asyncio
+import contextlib
+import gc
+import socket
+
+from berylhollow import messages
+from berylhollow import outgoing
+from test import event_streams
+from test.hosted import direct_helper
+
+STREAM = event_streams.answers(event_streams.EVENT)
+CHECK_ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
+SETTLE_S = 0.1
+
+
+class EndpointProcess:
+    """An endpoint whose test decides when it answers and what it closes.
+
+    A request is answered with ``answer``; its connection stays open.
+    ``check_s`` is how long a check takes. ``requests`` and ``checks`` are the
+    connections that carried any, in order; ``opened`` are all.
+    """
+
+    def __init__(self, answer=STREAM['no length']):
+        self.answer = answer
+        self.check_answer = CHECK_ANSWER
+        self.check_s = 0.0
+        self.opened = []
+        self.requests = []
+        self.checks = []
+
+    async def serve(self, reader, writer):
+        self.opened.append(writer)
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                if head.startswith(b'GET /healthz'):
+                    self.checks.append(writer)
+                    await asyncio.sleep(self.check_s)
+                    writer.write(self.check_answer)
+                else:
+                    self.requests.append(writer)
+                    writer.write(self.answer)
+        writer.close()
+
+    def end(self):
+        """Close everything, as a process that ends."""
+        for writer in self.opened:
+            writer.close()
+
+
+class InterleavingTestCase(direct_helper.DirectTestCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.process = EndpointProcess()
+
+    async def until(self, condition):
+        async with asyncio.timeout(direct_helper.HANG_S):
+            while not condition():
+                await asyncio.sleep(0.005)
+
+    async def begin_answer(self, number=1):
+        """Send a request; return when the head and a part have arrived."""
+        self.send_offer(number=number)
+        told = [await self.next_message() for _ in range(2)]
+        self.assertNotIn(messages.End, map(type, told))
+
+    async def begin_shown_answer(self, number=1):
+        """Begin an answer whose endpoint has answered a check."""
+        before = len(self.process.checks)
+        await self.begin_answer(number)
+        await self.until(lambda: self.watch.shown or self.process.checks)
+        if not before:
+            await self.until(lambda: self.watch.shown)
+
+    @property
+    def watch(self):
+        (watch,) = self.runs.calls.watches.by_endpoint.values()
+        return watch
+
+    async def refuse(self, _url):
+        raise outgoing.CallNotSent('refused')
+
+    async def outcome(self):
+        return (await self.messages_to_end())[-1]
+
+
+class CutAnswerTest(InterleavingTestCase):
+    """Guards against an answer that a crash cut, taken for complete."""
+
+    async def test_extra_answer_is_no_answer_to_a_later_check(self):
+        """Guards against an extra response taken for the check's answer.
+
+        The endpoint answers a check twice, the second time a little later.
+        It crashes; the end of that connection arrives 100 ms after the others.
+        """
+        await self.listen(self.process)
+        await self.begin_shown_answer()
+        await asyncio.sleep(SETTLE_S)
+        self.process.checks[-1].write(CHECK_ANSWER)
+        await asyncio.sleep(SETTLE_S)
+        self.process.check_s = direct_helper.HANG_S
+        self.process.requests[-1].close()
+        outcome = asyncio.create_task(self.outcome())
+        await asyncio.sleep(SETTLE_S)
+        self.process.end()
+        self.assertIsInstance(await outcome, messages.Failed)
+
+    async def test_extra_answer_to_a_request_is_no_answer_to_a_check(self):
+        """Guards against an extra response on a connection kept for requests.
+
+        Two kept ones get extra responses, and no other connection is open.
+        """
+        self.process.answer = STREAM['length']
+        await self.listen(self.process)
+        for number in (1, 2, 3):
+            self.send_offer(number=number)
+        for _ in range(3):
+            self.assertIsInstance(await self.outcome(), messages.End)
+        self.watch.connection.close()
+        self.process.check_s = direct_helper.HANG_S
+        self.process.answer = STREAM['no length']
+        self.send_offer(number=4)
+        await self.until(lambda: len(self.process.requests) == 4)
+        cut = self.process.requests[-1]
+        for writer in self.process.requests[:3]:
+            if writer is not cut:
+                writer.write(STREAM['length'])
+        await asyncio.sleep(SETTLE_S)
+        cut.close()
+        outcome = asyncio.create_task(self.outcome())
+        await asyncio.sleep(SETTLE_S)
+        self.process.end()
+        self.assertIsInstance(await outcome, messages.Failed)
+
+    async def test_waiting_connection_is_accepted_by_the_next_start(self):
+        """Guards against a connection that the crashed process never took.
+
+        A supervisor holds the listening socket. The endpoint serves one
+        connection and accepts no other; its next start accepts the one that
+        waits, and answers the check on it.
+        """
+        listening = socket.create_server(('127.0.0.1', 0))
+        listening.setblocking(False)
+        self.stack.callback(listening.close)
+        port = listening.getsockname()[1]
+        self.address = f'127.0.0.1:{port}'
+        loop = asyncio.get_running_loop()
+        self.process.answer = STREAM['length']
+        connector = self.runs.calls.session.connector
+        await connector.open_kept(f'http://{self.address}')
+        await self.accept(loop, listening, self.process)
+        self.send_offer(number=1)
+        self.assertIsInstance(await self.outcome(), messages.End)
+        await self.until(lambda: self.watch.connection is not None)
+        self.process.answer = STREAM['no length']
+        await self.begin_answer(number=2)
+        self.process.end()
+        next_start = EndpointProcess()
+        await self.accept(loop, listening, next_start)
+        self.assertIsInstance(await self.outcome(), messages.Failed)
+
+    async def accept(self, loop, listening, process):
+        accepted, _ = await loop.sock_accept(listening)
+        reader = asyncio.StreamReader()
+        protocol = asyncio.StreamReaderProtocol(reader, process.serve)
+        await loop.connect_accepted_socket(lambda: protocol, accepted)
+
+
+class WholeAnswerTest(InterleavingTestCase):
+    """Guards against a complete answer that is broken off without a crash."""
+
+    async def test_cancelled_caller_does_not_end_the_check_of_others(self):
+        """Guards against one caller's cancel that breaks others' answers.
+
+        Two answers end together; the caller whose check is on its way
+        leaves.
+        """
+        await self.listen(self.process)
+        await self.begin_shown_answer(number=1)
+        await self.begin_answer(number=2)
+        await asyncio.sleep(SETTLE_S)
+        self.process.check_s = 0.2
+        before = len(self.process.checks)
+        first, second = self.process.requests
+        first.close()
+        await self.until(lambda: len(self.process.checks) > before)
+        second.close()
+        await asyncio.sleep(0.05)
+        self.runs.runs['r1.1'].cancel()
+        self.assertIsInstance(await self.outcome(), messages.End)
+
+    async def test_request_that_comes_during_a_check(self):
+        """Guards against two connections for checks that are used in turn.
+
+        The first connection for checks is lost; another one is opened by the
+        keeper's check and one by a request that comes meanwhile.
+        """
+        await self.listen(self.process)
+        await self.begin_shown_answer(number=1)
+        await asyncio.sleep(SETTLE_S)
+        self.process.check_s = 0.2
+        before = len(self.process.checks)
+        self.process.checks[-1].close()
+        await self.until(lambda: len(self.process.checks) > before)
+        await self.begin_answer(number=2)
+        await asyncio.sleep(0.5)
+        self.process.check_s = 0.0
+        for writer in self.process.requests:
+            writer.close()
+        for _ in range(2):
+            self.assertIsInstance(await self.outcome(), messages.End)
+
+    async def test_request_after_the_loss_of_the_connection_for_checks(self):
+        """Guards against running answers that are left without a proof.
+
+        The connection for checks is closed as idle. A request whose answer
+        has a length opens another one before the running answer may use it;
+        that answer ends a little later.
+        """
+        await self.listen(self.process)
+        await self.begin_shown_answer(number=1)
+        await asyncio.sleep(1.5)
+        self.process.checks[-1].close()
+        await self.until(lambda: not self.watch._is_open)
+        self.process.answer = STREAM['length']
+        self.send_offer(number=2)
+        self.assertIsInstance(await self.outcome(), messages.End)
+        self.process.requests[1].close()
+        await asyncio.sleep(0.5)
+        self.process.requests[0].close()
+        self.assertIsInstance(await self.outcome(), messages.End)
+
+    async def test_changed_check_path_keeps_the_proof(self):
+        """Guards against checks over the connection of another watch.
+
+        The configuration names another path while an answer runs; both
+        watches use connections to the same address.
+        """
+        await self.listen(self.process)
+        await self.begin_shown_answer(number=1)
+        await asyncio.sleep(SETTLE_S)
+        self.check_path = lambda _service: '/healthz2'
+        await self.begin_answer(number=2)
+        await asyncio.sleep(SETTLE_S)
+        for writer in self.process.requests:
+            writer.close()
+        for _ in range(2):
+            self.assertIsInstance(await self.outcome(), messages.End)
+
+    async def test_reset_of_the_connection_for_checks_leaves_no_error(self):
+        """Guards against errors in futures that nobody reads."""
+        errors = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: errors.append(context))
+        await self.listen(self.process)
+        await self.begin_shown_answer(number=1)
+        await asyncio.sleep(SETTLE_S)
+        writer = self.process.checks[-1]
+        writer.get_extra_info('socket').setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, direct_helper.RESET
+        )
+        writer.transport.abort()
+        await asyncio.sleep(0.6)
+        self.process.requests[-1].close()
+        self.assertIsInstance(await self.outcome(), messages.End)
+        for _ in range(3):
+            gc.collect()
+            await asyncio.sleep(0.01)
+        self.assertEqual([], errors)
