Refuse requests for a model that the stand-in doesn't hold

The users' page says that a request for a model or adapter that isn't present receives 421.

A request for a model that is not held is now refused as not run. test_model_that_a_restart_dropped_is_not_run failed before with (200, None) in place of (421, '1').

--- a/berylhollow/standin/endpoint_model.py
+++ b/berylhollow/standin/endpoint_model.py
@@ -69,7 +69,7 @@
         not be the one with which the request begins. Raises ``NotRunError``.
         """
         run = Run((model, adapter), asyncio.get_running_loop().create_future())
-        self._check_adapter(run.name, expected)
+        self._check_present(run.name, expected)
         if self._has_free_slot:
             self._start(run)
         elif len(self.waiting) < self.places:
@@ -117,10 +117,13 @@
     def _has_free_slot(self) -> bool:
         return self.slots is None or len(self.running) < self.slots
 
-    def _check_adapter(
+    def _check_present(
         self, name: tuple[str, str], expected: str | None
     ) -> None:
-        if not name[1]:
+        model, adapter = name
+        if model and model not in self.models:
+            raise NotRunError(MISDIRECTED_STATUS)
+        if not adapter:
             return
         if name in self.changes:
             raise NotRunError(UNAVAILABLE_STATUS)
--- a/test/standin/test_direct_endpoint.py
+++ b/test/standin/test_direct_endpoint.py
@@ -87,6 +87,15 @@
     def send(self, number, adapter='a3', version='1'):
         return self.tasks.start(self.status(number, adapter, version))
 
+    async def send_for_model(self, model):
+        """Return the status of a request that names no adapter."""
+        headers = {'Expect-Instance': 'i-1', 'Model': model}
+        async with (
+            outgoing.open_session() as session,
+            session.post(f'http://{self.address}/x', headers=headers) as got,
+        ):
+            return got.status, got.headers.get('Not-Executed')
+
     async def send_running(self, number, adapter='a3'):
         task = self.send(number, adapter)
         await self.wait_until(lambda: f'r{number}' in self.begun())
@@ -163,6 +172,14 @@
         self.assertEqual(refused, await queued)
         self.assertEqual([], self.endpoint.model.running)
 
+    async def test_model_that_a_restart_dropped_is_not_run(self):
+        """Guards against a start that serves a model which it lacks."""
+        self.endpoint.restart('i-1')
+        self.assertEqual((421, '1'), await self.send_for_model(MODEL))
+        self.endpoint.models = {MODEL: {}}
+        self.end_run()
+        self.assertEqual((200, None), await self.send_for_model(MODEL))
+
 
 class ReplacementTest(DirectEndpointTestCase):
     async def asyncSetUp(self):
