Have the soak's proxies listen after their endpoint

A proxy in front of an endpoint that starts again accepted connections some 0.5 s before the endpoint listened. A gateway that asks whether the address accepts a connection, as after an answer without a length, was told by the proxy that the endpoint lives: a fault of the play alone.

Found by reading; no play without the change was made to show it. The proxy now begins to listen once its endpoint does.

--- a/tools/soak/_world.py
+++ b/tools/soak/_world.py
@@ -206,16 +206,18 @@
     async def start_endpoint(self, name: str) -> None:
         """Start an endpoint, at its old address and name if it had one."""
         host, shown = self.host(name), self.host(f'{name} proxy')
-        if name in self.plain and self.in_place:
+        is_direct = name in self.plain and self.in_place
+        if is_direct:
             shown = host
-        else:
-            await self._proxy(name, shown, self.endpoint_port, host)
-        if name in self.models:
-            await self._proxy(f'{name} link', shown, self.link_port, host)
         process = self._endpoint(name, shown, self._next_software(name))
         await process.start()
         self.processes[name] = process
         await process.listens()
+        # A proxy that listens earlier accepts for an endpoint that doesn't.
+        if not is_direct:
+            await self._proxy(name, shown, self.endpoint_port, host)
+        if name in self.models:
+            await self._proxy(f'{name} link', shown, self.link_port, host)
         if name in self.plain and self.in_place:
             await self._prepare_next_start(name)
 
