Send no probe to an endpoint's next start

What callers saw: a culprit crashed one endpoint again and again. Its next start listened at the same address, under the same name, within milliseconds, and was taken for the endpoint that had lost the probe.

Cause: a gateway tries the endpoint of a lost probe again for half a second, as it can't end twice. That holds for a start, not for a name: the next start has the name as well, and ends too. Each loss began the half second anew. Only a name without a start time belongs to one start.

Why it holds: between a probe's loss and its settlement no start under that name gets the request, however soon it listens. Endpoints with a name for each start are tried again as before.

--- a/berylhollow/events.py
+++ b/berylhollow/events.py
@@ -129,6 +129,14 @@
             return self.instance
         return self.incarnation.name
 
+    @property
+    def may_restart_under_name(self) -> bool:
+        """Tell whether the next start may answer under the listed name.
+
+        One that doesn't say when it started has its name for itself.
+        """
+        return self.incarnation is not None and self.incarnation.started_ms > 0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class InstancesListed:
--- a/berylhollow/gateway/_probes.py
+++ b/berylhollow/gateway/_probes.py
@@ -75,8 +75,8 @@
 ) -> None:
     """Limit the choice of endpoints while the last probe is unsettled.
 
-    One that lives after all may answer at once. Later another start may have
-    taken its name.
+    One that lives after all may answer at once, unless its next start may
+    already have taken its name.
     """
     active.limited_to = None
     for key in active.keys:
@@ -92,6 +92,7 @@
             endpoint
             for endpoint in unsettled
             if state.unsettled.lost_ms(key, endpoint) > oldest_ms
+            and not _may_be_next_start(state, endpoint)
             and (active.limited_to is None or endpoint in active.limited_to)
         )
 
@@ -408,6 +409,12 @@
         endpoint.lost[key] = dataclasses.replace(run, endpoint_answered=True)
 
 
+def _may_be_next_start(state: _state.State, name: str) -> bool:
+    """Tell whether the next start of an endpoint may have its name."""
+    endpoint = state.endpoints.get(name)
+    return endpoint is not None and endpoint.instance.may_restart_under_name
+
+
 def _is_leaving(state: _state.State, name: str) -> bool:
     """Tell whether an endpoint is listed as leaving: its end is no crash."""
     endpoint = state.endpoints.get(name)
