Take no answer of a next start for a sign of life

What callers saw: a request that crashes endpoints went on to crash them, and innocents beside it were refused, where a supervisor starts endpoints in place.

Cause: an answer to a later request settled the losses of its gateway at that endpoint and marked them as no crash, at all gateways. The next start under the name gives such answers before the list shows it. If it then broke off another run, its report left out the culprit.

Why it holds: only a run that was sent before a loss and goes on after it shows that the process lives, as its connection leads to that process. A name that each start has for itself shows the same; there an answer to a later request still settles.

--- a/berylhollow/gateway/_probes.py
+++ b/berylhollow/gateway/_probes.py
@@ -366,8 +366,8 @@
     """Settle the losses that an endpoint has outlived.
 
     It has if a run that was sent before goes on long after. A later request
-    says the same of losses of this gateway; it may have met the next start
-    under the same name.
+    says the same of losses of this gateway, unless it may have met the next
+    start under the same name.
     """
     name = active.endpoint
     endpoint = state.endpoints.get(name)
@@ -379,11 +379,22 @@
         if active.offered_ms <= lost_ms:
             is_outlived = at_ms >= lost_ms + ALIVE_AFTER_MS
         else:
-            is_outlived = key in endpoint.lost
+            is_outlived = (
+                key in endpoint.lost
+                and not endpoint.instance.may_restart_under_name
+            )
         if not is_outlived:
             continue
         state.unsettled.settle(key, name)
         _mark_outlived(endpoint, key, lost_ms)
+        fields = (
+            ('key', key),
+            ('endpoint', name),
+            ('shown_by', active.attempt_id),
+            ('sent_ms_ago', at_ms - active.offered_ms),
+            ('lost_ms_ago', at_ms - lost_ms),
+        )
+        emitted.append(effects.Log('endpoint outlived a loss', fields))
         told = messages.EndpointAnswered(key, name)
         emitted += _tell(state, key, told)
     return emitted
--- a/test/hosted/test_restarts_in_place.py
+++ b/test/hosted/test_restarts_in_place.py
@@ -4,8 +4,14 @@
 shows it later.
 """
 
+import itertools
+import unittest
+
 from berylhollow import errors
+from berylhollow import events
 from berylhollow import messages
+from test.hosted import crash_fleet
+from test.hosted import in_place_fleet
 from test.hosted import test_gateway_direct
 from test.hosted import test_probes
 
@@ -53,3 +59,113 @@
         self.assertEqual([], self.offers())
         self.assertIs(errors.Kind.SUSPECT, self.answer().kind)
         self.assertIs(errors.Ran.NOT_RUN, self.answer().ran)
+
+    def answer_at(self, wanted, fingerprint, at_ms):
+        """Begin an answer at an endpoint; return its offer."""
+        while True:
+            self.send(fingerprint, at_ms)
+            peer, offer = self.offered()
+            if peer == wanted:
+                break
+        started = messages.Started(offer.attempt_id, 200, (), None)
+        self.receive(started, at_ms + 5, peer)
+        return offer
+
+    def end_answer(self, offer, at_ms):
+        relayed = events.AnswerRelayed(
+            at_ms, offer.request_id, offer.attempt_id, 200
+        )
+        self.feed(relayed)
+
+    def link_sidecars(self):
+        for peer in SIDECARS:
+            self.open_link(peer, events.Role.ENDPOINT)
+
+    def test_next_start_settles_no_loss_of_its_own_gateway(self):
+        """Guards against a culprit that all gateways take for settled."""
+        self.link_sidecars()
+        lost = self.lose_run(FINGERPRINT, 0)
+        self.answer_at(lost, 'other', 20)
+        self.assertEqual([], self.sent(messages.EndpointAnswered))
+        self.feed(events.Ticked(300, 0.5))
+        self.assertEqual([], self.sent(messages.EndpointAnswered))
+        unsettled = self.state.unsettled.endpoints(FINGERPRINT, 300)
+        self.assertEqual((lost,), unsettled)
+
+    def test_crash_is_reported_after_the_next_start_has_answered(self):
+        """Guards against a crash that does not count against its culprit.
+
+        The next start answers a request and breaks off another before it is
+        listed.
+        """
+        lost = self.lose_run(FINGERPRINT, 0)
+        self.end_answer(self.answer_at(lost, 'other', 20), 30)
+        offer = self.answer_at(lost, 'cut', 40)
+        failed = messages.Failed(
+            offer.attempt_id, errors.Kind.STREAM_BROKEN, errors.Ran.UNKNOWN
+        )
+        self.receive(failed, 50, lost)
+        self.link_sidecars()
+        number = int(lost[2])
+        rows = [start(n, 2 if n == number else 1) for n in (1, 2)]
+        self.list_instances(*rows, *self.beside, at_ms=300)
+        crashes = self.sent(messages.Crashed)
+        self.assertTrue(crashes)
+        for crashed in crashes:
+            self.assertIn(FINGERPRINT, crashed.fingerprints)
+
+
+class BoundTest(unittest.TestCase):
+    """How many endpoints a culprit may end that start again in place."""
+
+    PLAY_MS = 30_000
+    INTERVALS_MS = (20, 150, None)
+    LAGS_MS = (0, 300, 1200)
+    BURST = 8
+    BURST_MS = 900
+    INNOCENT_MS = 40
+
+    def check(self, innocents, **changes):
+        plays = itertools.product((1, 4), self.INTERVALS_MS, self.LAGS_MS)
+        for gateways, interval_ms, lag_ms in plays:
+            with self.subTest(
+                gateways=gateways, interval_ms=interval_ms, lag_ms=lag_ms
+            ):
+                setup = in_place_fleet.Setup(
+                    gateways=gateways, list_ms=100, lag_ms=lag_ms, **changes
+                )
+                fleet = in_place_fleet.InPlaceFleet(setup)
+                self.send_culprit(fleet, interval_ms)
+                if innocents:
+                    fleet.send_each(
+                        self.INNOCENT_MS, self.PLAY_MS, crash_fleet.INNOCENT
+                    )
+                fleet.run_until(self.PLAY_MS)
+                late = fleet.late_runs_ms()
+                self.assertLessEqual(len(late), crash_fleet.MAX_LATE_RUNS)
+
+    def send_culprit(self, fleet, interval_ms):
+        """Send it at equal intervals, or in bursts if there is none."""
+        culprit = crash_fleet.CULPRIT
+        if interval_ms is not None:
+            fleet.send_each(interval_ms, self.PLAY_MS, culprit, culprit)
+            return
+        fleet.send_bursts(
+            self.BURST, self.BURST_MS, self.PLAY_MS, culprit, culprit
+        )
+
+    def test_culprit_alone_ends_few_starts(self):
+        """Guards against a next start that gets the culprit at once."""
+        self.check(False)
+
+    def test_culprit_alone_ends_few_starts_with_a_model(self):
+        """Guards against answers that begin at the next start."""
+        self.check(False, model=True)
+
+    def test_culprit_among_other_requests_ends_few_starts(self):
+        """Guards against answers of a next start that settle a loss."""
+        self.check(True)
+
+    def test_culprit_among_others_ends_few_starts_with_a_model(self):
+        """Guards against answers of a next start that begin at once."""
+        self.check(True, model=True)
