Report a crash when the next start is listed

What callers saw: after endpoints had started again in place, requests were refused as suspects although their crash was over.

Cause: an endpoint that left the list was kept, and its crash not reported, while this gateway had requests under way under its name. Those had met the next start, before that was listed. A stream of 10 s hid the crash for good, as losses are forgotten by then.

Evidence: the modelled fleet with requests of one body, from a second after the list shows the last start.

Why it holds: a list with a newer start of the name shows that the last one has ended, whatever runs. An entry that is only missing says no such thing; there the endpoint is kept as before.

--- a/berylhollow/gateway/_membership.py
+++ b/berylhollow/gateway/_membership.py
@@ -136,13 +136,15 @@
         del state.peers[name]
         state.peer_refusals.pop(name, None)
         state.peer_retry_at_ms.pop(name, None)
+    started = {
+        row.listed_name for row in rows.values() if row.may_restart_under_name
+    }
     for name in [name for name in state.endpoints if name not in rows]:
         endpoint = state.endpoints[name]
+        has_next_start = endpoint.instance.listed_name in started
+        if has_next_start or not endpoint.attempts_in_flight:
+            result += _note_end(state, name, event.at_ms)
         if not endpoint.attempts_in_flight:
-            if not endpoint.leaving:
-                result += _crashes.report_crash(state, name, event.at_ms)
-            elif endpoint.instance.leaving:
-                state.unsettled.settle_endpoint(name)
             state.placement.remove(
                 name, endpoint.instance.service, endpoint.report
             )
@@ -163,6 +165,16 @@
     return result + tick(state, event.at_ms)
 
 
+def _note_end(state: _state.State, name: str, at_ms: int) -> Effects:
+    """Settle the losses at an endpoint that has ended, by a crash or not."""
+    endpoint = state.endpoints[name]
+    if not endpoint.leaving:
+        return _crashes.report_crash(state, name, at_ms)
+    if endpoint.instance.leaving:
+        state.unsettled.settle_endpoint(name)
+    return []
+
+
 def _mark_superseded(
     state: _state.State, rows: tuple[events.Instance, ...], at_ms: int
 ) -> Effects:
--- a/test/hosted/test_restarts_in_place.py
+++ b/test/hosted/test_restarts_in_place.py
@@ -77,6 +77,12 @@
         )
         self.feed(relayed)
 
+    def list_next_start(self, ended, at_ms):
+        rows = [
+            start(n, 2 if ended == start(n).instance else 1) for n in (1, 2)
+        ]
+        self.list_instances(*rows, *self.beside, at_ms=at_ms)
+
     def link_sidecars(self):
         for peer in SIDECARS:
             self.open_link(peer, events.Role.ENDPOINT)
@@ -106,14 +112,26 @@
         )
         self.receive(failed, 50, lost)
         self.link_sidecars()
-        number = int(lost[2])
-        rows = [start(n, 2 if n == number else 1) for n in (1, 2)]
-        self.list_instances(*rows, *self.beside, at_ms=300)
+        self.list_next_start(lost, 300)
         crashes = self.sent(messages.Crashed)
         self.assertTrue(crashes)
         for crashed in crashes:
             self.assertIn(FINGERPRINT, crashed.fingerprints)
 
+    def test_crash_is_reported_while_the_next_start_runs_requests(self):
+        """Guards against a crash that is counted when a stream has ended.
+
+        The stream began at the next start, before that was listed.
+        """
+        lost = self.lose_run(FINGERPRINT, 0)
+        self.answer_at(lost, 'stream', 20)
+        self.link_sidecars()
+        self.list_next_start(lost, 300)
+        crashes = self.sent(messages.Crashed)
+        self.assertEqual(len(SIDECARS), len(crashes))
+        for crashed in crashes:
+            self.assertEqual((FINGERPRINT,), crashed.fingerprints)
+
 
 class BoundTest(unittest.TestCase):
     """How many endpoints a culprit may end that start again in place."""
@@ -169,3 +187,47 @@
     def test_culprit_among_others_ends_few_starts_with_a_model(self):
         """Guards against answers of a next start that begin at once."""
         self.check(True, model=True)
+
+
+class InnocentsTest(unittest.TestCase):
+    """Requests of one fingerprint, and endpoints that start again in place.
+
+    From a second after the list shows the last start, each ends well.
+    """
+
+    LOST_MS = 5000
+    SETTLED_MS = 1000
+    AFTER_MS = 5000
+
+    def check(self, **changes):
+        plays = itertools.product((1, 4), (2, 4), (0, 30, 400), (0, 300, 1200))
+        for gateways, count, gap_ms, lag_ms in plays:
+            with self.subTest(
+                gateways=gateways, count=count, gap_ms=gap_ms, lag_ms=lag_ms
+            ):
+                setup = in_place_fleet.Setup(
+                    gateways=gateways, lag_ms=lag_ms, **changes
+                )
+                fleet = in_place_fleet.InPlaceFleet(setup)
+                innocent = crash_fleet.INNOCENT
+                last_ms = self.LOST_MS + gap_ms * (count - 1)
+                back_ms = last_ms + setup.down_ms + lag_ms
+                until_ms = back_ms + self.AFTER_MS
+                fleet.send_each(25, until_ms, innocent, innocent)
+                fleet.at(self.LOST_MS, fleet.lose_endpoints, count, gap_ms)
+                fleet.run_until(until_ms + self.SETTLED_MS)
+                failed = [
+                    x
+                    for x in fleet.outcomes
+                    if x.arrived_ms >= back_ms + self.SETTLED_MS
+                    and x.kind is not None
+                ]
+                self.assertEqual([], failed)
+
+    def test_restarts_cost_no_request_later_on(self):
+        """Guards against refusals while a next start runs requests."""
+        self.check()
+
+    def test_restarts_cost_no_request_later_on_with_a_model(self):
+        """Guards against the same where answers begin before the loss."""
+        self.check(model=True)
