Hold a lost run against the start that it met

What callers saw: a culprit ended two starts of an endpoint, one after the other, and one crash was counted.

Cause: a run that is sent to a name before its next start is listed belongs to that next start. When that crashed as well, the loss was booked for the start before, whose crash had been reported already; other gateways ignore a second report of it.

Evidence: the new test fails before ('i-2@1' in place of 'i-2@2').

Why it holds: once the list shows a newer start of the name, a run that was sent after the first loss of the last one can only have met a newer one. A run that was sent earlier stays with the start that it was sent to, also if its break is read late.

--- a/berylhollow/gateway/_crashes.py
+++ b/berylhollow/gateway/_crashes.py
@@ -37,14 +37,14 @@
     at_ms: int,
 ) -> Effects:
     """Record a request whose run at a direct endpoint was cut off."""
-    name = active.endpoint
+    name = _start_met(state, active)
     endpoint = state.endpoints.get(name)
     if endpoint is None or not endpoint.instance.direct:
         return []
     if failure.kind not in CUT_OFF_KINDS:
         return []
     _prompt_parts.run_lost(state, active)
-    result = _probes.run_lost(state, active, at_ms)
+    result = _probes.run_lost(state, active, name, at_ms)
     for key in active.keys:
         if not _quarantine.is_part_cleared(state, key, name, at_ms):
             _record_loss(endpoint, active, key, at_ms)
@@ -56,7 +56,7 @@
         ('fingerprint', active.request.fingerprint),
         ('prompt_parts', ','.join(active.request.shared_parts)),
         ('service', active.service),
-        ('endpoint', active.endpoint),
+        ('endpoint', name),
         ('kind', failure.kind.value),
         ('ran_ms', at_ms - active.offered_ms),
         ('crashes_known', active.crashes_known),
@@ -66,6 +66,31 @@
     return [*result, effects.Log('run cut off', fields)]
 
 
+def _start_met(state: _state.State, active: _state.ActiveRequest) -> str:
+    """Return the start of an endpoint that has a request's run.
+
+    A run that was sent to a start after its end has met the next one under
+    its name, before that was listed.
+    """
+    name = active.endpoint
+    endpoint = state.endpoints.get(name)
+    if endpoint is None or endpoint.listed:
+        return name
+    if endpoint.ended_ms is not None and active.offered_ms < endpoint.ended_ms:
+        return name
+    return next(
+        (
+            other
+            for other, next_start in state.endpoints.items()
+            if next_start.listed
+            and next_start.instance.may_restart_under_name
+            and next_start.instance.listed_name
+            == endpoint.instance.listed_name
+        ),
+        name,
+    )
+
+
 def _record_loss(
     endpoint: _state.Endpoint,
     active: _state.ActiveRequest,
@@ -120,6 +145,7 @@
     endpoint.lost.clear()
     if not runs:
         return []
+    endpoint.ended_ms = min(recent[x].lost_ms for x in runs)
     service = endpoint.instance.service
     crash_id = quarantine.reported_crash_id(name, state.options.instance)
     lost = tuple(runs.values())
--- a/berylhollow/gateway/_probes.py
+++ b/berylhollow/gateway/_probes.py
@@ -289,15 +289,18 @@
 
 
 def run_lost(
-    state: _state.State, active: _state.ActiveRequest, at_ms: int
+    state: _state.State,
+    active: _state.ActiveRequest,
+    endpoint: str,
+    at_ms: int,
 ) -> Effects:
     """Tell all gateways of a run that was cut off at a direct endpoint."""
     emitted: Effects = []
     for key in active.keys:
-        if _quarantine.is_part_cleared(state, key, active.endpoint, at_ms):
+        if _quarantine.is_part_cleared(state, key, endpoint, at_ms):
             continue
         is_probe = key in active.probe_for
-        lost = messages.RunLost(key, active.endpoint, is_probe)
+        lost = messages.RunLost(key, endpoint, is_probe)
         state.unsettled.add(key, lost.endpoint, is_probe, at_ms)
         state.successes.pop(key, None)
         emitted += _tell(state, key, lost)
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -64,8 +64,9 @@
     tokens of this gateway's requests there whose answers have not begun or
     that wait for their adapter; ``others_tokens`` counts those of other
     gateways, as of the last report. ``lost`` has a run for each fingerprint
-    of the requests whose runs there were interrupted. ``longest_gap_ms`` is
-    the longest gap in an answer that has ended since its sidecar was told.
+    of the requests whose runs there were interrupted; ``ended_ms`` is when the
+    first of those was lost that its end cut off. ``longest_gap_ms`` is the
+    longest gap in an answer that has ended since its sidecar was told.
 
     ``notice`` is the newest one in an answer, to a request that was sent at
     ``notice_sent_ms``. ``loan`` is what this gateway may send while the
@@ -94,6 +95,7 @@
     others_tokens: int = 0
     longest_gap_ms: int = 0
     lost: dict[str, CutOffRun] = dataclasses.field(default_factory=dict)
+    ended_ms: int | None = None
     failures: int = 0
     ejections: int = 0
     ejected_until_ms: int = 0
--- a/test/hosted/test_restarts_in_place.py
+++ b/test/hosted/test_restarts_in_place.py
@@ -132,6 +132,25 @@
         for crashed in crashes:
             self.assertEqual((FINGERPRINT,), crashed.fingerprints)
 
+    def test_run_cut_off_later_is_not_held_against_the_ended_start(self):
+        """Guards against two crashes that count as one.
+
+        The run began at the next start, before that was listed.
+        """
+        ended = self.lose_run('other', 0)
+        offer = self.answer_at(ended, FINGERPRINT, 20)
+        self.link_sidecars()
+        self.list_next_start(ended, 300)
+        failed = messages.Failed(
+            offer.attempt_id, errors.Kind.STREAM_BROKEN, errors.Ran.UNKNOWN
+        )
+        self.receive(failed, 400, ended)
+        next_start = start(int(ended[2]), 2).instance
+        (lost,) = self.sent(messages.RunLost)
+        self.assertEqual(next_start, lost.endpoint)
+        unsettled = self.state.unsettled.endpoints(FINGERPRINT, 400)
+        self.assertEqual((next_start,), unsettled)
+
 
 class BoundTest(unittest.TestCase):
     """How many endpoints a culprit may end that start again in place."""
