Take no answer that has ended for a run that goes on

What callers saw: a request, or a part of prompts, that crashes endpoints was settled or cleared at all gateways while slow callers read answers that the endpoint had sent in full before its crash.

Cause: until its caller has read it, an answer counted as a run under way. One that was sent before a loss and was read 0.2 s after it settled that loss, and one that was read 0.5 s after its begin cleared its parts.

Evidence: both new tests fail before: EndpointAnswered was sent, and the part was no longer suspect.

Why it holds: once the endpoint has sent the whole answer, its reader shows nothing of the endpoint. A short answer clears its parts by the rule for those that have been read. Open: an answer whose reading is paused, since its caller is slow, still counts as under way until its end is read; the reducer isn't told of pauses.

--- a/berylhollow/gateway/_attempts.py
+++ b/berylhollow/gateway/_attempts.py
@@ -264,6 +264,7 @@
     active = _current_request(state, event)
     if active is None or active.phase is not _state.Phase.RELAYING:
         return []
+    active.has_ended = True
     return [
         *_admissions.end(state, active),
         effects.CompleteAnswer(
--- a/berylhollow/gateway/_probes.py
+++ b/berylhollow/gateway/_probes.py
@@ -355,7 +355,9 @@
         running = [
             active
             for active in map(state.request_of, endpoint.attempts_in_flight)
-            if active is not None and active.phase is _state.Phase.RELAYING
+            if active is not None
+            and active.phase is _state.Phase.RELAYING
+            and not active.has_ended
         ]
         if running:
             oldest = min(running, key=lambda x: x.offered_ms)
--- a/berylhollow/gateway/_prompt_parts.py
+++ b/berylhollow/gateway/_prompt_parts.py
@@ -157,9 +157,10 @@
     state: _state.State, request_id: str, run: _state.PartRun
 ) -> bool:
     """Tell whether a run still writes, or its endpoint outlived it."""
-    if run.is_over:
+    active = state.requests.get(request_id)
+    is_current = active is not None and active.attempt_id == run.attempt_id
+    if run.is_over or (is_current and active.has_ended):
         is_listed = run.endpoint in state.endpoints
         last_ms = state.unsettled.last_lost_ms(run.endpoint)
         return is_listed and last_ms < run.began_ms
-    active = state.requests.get(request_id)
-    return active is not None and active.attempt_id == run.attempt_id
+    return is_current
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -291,8 +291,9 @@
     endpoints whose sidecars can't admit it in time, with the wait that they
     expect, -1 if they don't queue it. ``stream`` is the key under which its
     stream may be taken up again, None if it may not be; ``resumption`` is set
-    if it takes one up itself. ``route_services`` and ``route_timeout_ms`` are
-    those of its route.
+    if it takes one up itself. ``has_ended`` is set once its endpoint has sent
+    the whole answer, which its caller may still be reading.
+    ``route_services`` and ``route_timeout_ms`` are those of its route.
     """
 
     request: events.Request
@@ -304,6 +305,7 @@
     objective_ms: int = 0
     runs: int = 0
     phase: Phase = Phase.WAITING
+    has_ended: bool = False
     attempt_id: str = ''
     endpoint: str = ''
     incarnation: str = ''
--- a/test/hosted/test_prompt_parts.py
+++ b/test/hosted/test_prompt_parts.py
@@ -295,6 +295,28 @@
             self.feed(events.Ticked(at_ms + 530, 0.5))
             self.assertIs(lost, self.suspect('b', at_ms + 530))
 
+    def test_short_answer_that_is_read_slowly_does_not_live_on(self):
+        """Guards against a bad part that slow callers of its answers clear.
+
+        The endpoint has sent the whole answer and crashes a moment later.
+        """
+        for number, lost in enumerate((True, False)):
+            at_ms = 10_000 * number
+            self.crash(7 + number, at_ms, ('x', 'part:b'), is_probe=False)
+            self.send(at_ms + 10)
+            peer, offer = self.write(at_ms + 20)
+            end = messages.End(offer.attempt_id, 1)
+            self.receive(end, at_ms + 40, peer)
+            if lost:
+                told = messages.RunLost('y', peer, False)
+                self.receive(told, at_ms + 80, 'sidecar')
+            self.feed(events.Ticked(at_ms + 530, 0.5))
+            self.assertIs(lost, self.suspect('b', at_ms + 530))
+            relayed = events.AnswerRelayed(
+                at_ms + 900, offer.request_id, offer.attempt_id, 200
+            )
+            self.feed(relayed)
+
     def test_answer_that_is_broken_off_makes_no_part_suspect_at_once(self):
         """Guards against refusals wherever a popular part loses an answer."""
         self.receive(messages.RunLost('x', 'i-1', False), 0, 'sidecar')
--- a/test/hosted/test_restarts_in_place.py
+++ b/test/hosted/test_restarts_in_place.py
@@ -132,6 +132,21 @@
         for crashed in crashes:
             self.assertEqual((FINGERPRINT,), crashed.fingerprints)
 
+    def test_answer_that_had_ended_does_not_show_a_later_life(self):
+        """Guards against a slow caller who hides that an endpoint crashed.
+
+        The endpoint has sent the whole answer; its caller still reads it.
+        """
+        self.link_sidecars()
+        offer = self.answer_at('i-1@1', 'slow', 0)
+        self.receive(messages.End(offer.attempt_id, 1), 10, 'i-1@1')
+        lost = messages.RunLost(FINGERPRINT, 'i-1@1', False)
+        self.receive(lost, 20, SIDECARS[0])
+        self.feed(events.Ticked(250, 0.5))
+        self.assertEqual([], self.sent(messages.EndpointAnswered))
+        unsettled = self.state.unsettled.endpoints(FINGERPRINT, 250)
+        self.assertEqual(('i-1@1',), unsettled)
+
     def test_run_cut_off_later_is_not_held_against_the_ended_start(self):
         """Guards against two crashes that count as one.
 
