Judge by its begin whether a run is older than a loss

What callers saw: nothing yet; found by reading. A culprit's loss could be settled at all gateways by a run at the next start.

Cause: a run that was sent before its gateway knew of a loss, and goes on 0.2 s later, settles the loss. A gateway knows of a loss some ms after the crash, of another one's loss by two links more. Where the next start listens within that time, the run may have met the next start.

Evidence: the new test fails before: EndpointAnswered was sent.

Why it holds: the lost run met a process that lived when it was sent, so only a run that was sent before that shows by going on that this process lives. RunLost tells how long the run lasted; what other gateways lost is dated by the allowed delay of a report. Gateways of an older version tell no duration; their losses count as begun when they were lost. Where each start has a name of its own nothing changes.

--- a/berylhollow/gateway/_probes.py
+++ b/berylhollow/gateway/_probes.py
@@ -273,7 +273,10 @@
             if run.endpoint_answered or run.lost_ms < oldest_ms:
                 continue
             age_ms = event.at_ms - run.lost_ms
-            lost = messages.RunLost(fingerprint, name, run.is_probe, age_ms)
+            ran_ms = run.lost_ms - run.began_ms
+            lost = messages.RunLost(
+                fingerprint, name, run.is_probe, age_ms, ran_ms
+            )
             emitted.append(effects.Send(event.peer, lost))
     return emitted[-MAX_RETOLD:]
 
@@ -295,13 +298,16 @@
     at_ms: int,
 ) -> Effects:
     """Tell all gateways of a run that was cut off at a direct endpoint."""
+    ran_ms = at_ms - active.offered_ms
     emitted: Effects = []
     for key in active.keys:
         if _quarantine.is_part_cleared(state, key, endpoint, at_ms):
             continue
         is_probe = key in active.probe_for
-        lost = messages.RunLost(key, endpoint, is_probe)
-        state.unsettled.add(key, lost.endpoint, is_probe, at_ms)
+        lost = messages.RunLost(key, endpoint, is_probe, ran_ms=ran_ms)
+        state.unsettled.add(
+            key, lost.endpoint, is_probe, at_ms, ran_ms, is_own=True
+        )
         state.successes.pop(key, None)
         emitted += _tell(state, key, lost)
     return emitted
@@ -322,7 +328,11 @@
     ):
         return []
     state.unsettled.add(
-        lost.fingerprint, lost.endpoint, lost.is_probe, lost_ms
+        lost.fingerprint,
+        lost.endpoint,
+        lost.is_probe,
+        lost_ms,
+        max(0, lost.ran_ms),
     )
     state.successes.pop(lost.fingerprint, None)
     fields = (
@@ -371,8 +381,9 @@
     """Settle the losses that an endpoint has outlived.
 
     It has if a run that was sent before goes on long after. A later request
-    says the same of losses of this gateway, unless it may have met the next
-    start under the same name.
+    says the same of losses of this gateway. If the next start may have the
+    name, it has to be sent before the lost run was: the endpoint may have
+    ended, and started again, before this gateway knew of the loss.
     """
     name = active.endpoint
     endpoint = state.endpoints.get(name)
@@ -380,8 +391,13 @@
         return []
     emitted: Effects = []
     for key in state.unsettled.keys_at(name):
-        lost_ms = state.unsettled.lost_ms(key, name)
-        if active.offered_ms <= lost_ms:
+        loss = state.unsettled.loss(key, name)
+        lost_ms = loss.lost_ms
+        before_ms = lost_ms
+        if endpoint.instance.may_restart_under_name:
+            delay_ms = state.options.suspicion.report_delay_ms
+            before_ms = loss.began_ms - (0 if loss.is_own else delay_ms)
+        if active.offered_ms <= before_ms:
             is_outlived = at_ms >= lost_ms + ALIVE_AFTER_MS
         else:
             is_outlived = (
--- a/berylhollow/loader/_probes.py
+++ b/berylhollow/loader/_probes.py
@@ -74,7 +74,11 @@
         return False
     lost_ms = event.at_ms - max(0, lost.lost_ms_ago)
     state.unsettled.add(
-        lost.fingerprint, lost.endpoint, lost.is_probe, lost_ms
+        lost.fingerprint,
+        lost.endpoint,
+        lost.is_probe,
+        lost_ms,
+        max(0, lost.ran_ms),
     )
     return True
 
@@ -116,7 +120,11 @@
         effects.Send(
             peer,
             messages.RunLost(
-                fingerprint, endpoint, loss.is_probe, at_ms - loss.lost_ms
+                fingerprint,
+                endpoint,
+                loss.is_probe,
+                at_ms - loss.lost_ms,
+                loss.lost_ms - loss.began_ms,
             ),
         )
         for fingerprint, losses in state.unsettled.losses.items()
--- a/berylhollow/messages.py
+++ b/berylhollow/messages.py
@@ -559,13 +559,14 @@
     """A run was cut off at a direct endpoint, which may have ended.
 
     ``is_probe`` says whether it had a permit (see ``ProbeWanted``). It was
-    lost ``lost_ms_ago`` before the message was sent.
+    lost ``lost_ms_ago`` before the message was sent, after ``ran_ms``.
     """
 
     fingerprint: str
     endpoint: str
     is_probe: bool
     lost_ms_ago: int = 0
+    ran_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/berylhollow/quarantine/_unsettled.py
+++ b/berylhollow/quarantine/_unsettled.py
@@ -27,10 +27,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UnsettledLoss:
-    """A loss that ``is_probe`` if the run was sent as a probe."""
+    """A loss of a run that was sent at ``began_ms``, ``is_probe`` as a probe.
+
+    ``is_own`` says that this process lost it. Other losses are told with a
+    delay, so that both times are somewhat late.
+    """
 
     lost_ms: int
     is_probe: bool
+    began_ms: int
+    is_own: bool = False
 
 
 class UnsettledLosses:
@@ -45,10 +51,16 @@
         self.at_endpoint: dict[str, dict[str, UnsettledLoss]] = {}
 
     def add(
-        self, fingerprint: str, endpoint: str, is_probe: bool, at_ms: int
+        self,
+        fingerprint: str,
+        endpoint: str,
+        is_probe: bool,
+        at_ms: int,
+        ran_ms: int = 0,
+        is_own: bool = False,
     ) -> None:
-        """Add a run that was cut off at an endpoint."""
-        loss = UnsettledLoss(at_ms, is_probe)
+        """Add a run that was cut off at an endpoint after ``ran_ms``."""
+        loss = UnsettledLoss(at_ms, is_probe, at_ms - ran_ms, is_own)
         self.losses.setdefault(fingerprint, {})[endpoint] = loss
         self.at_endpoint.setdefault(endpoint, {})[fingerprint] = loss
         while len(self.losses) > MAX_FINGERPRINTS:
@@ -102,6 +114,10 @@
         """Return the keys that were lost at an endpoint."""
         return list(self.at_endpoint.get(endpoint, ()))
 
+    def loss(self, fingerprint: str, endpoint: str) -> UnsettledLoss:
+        """Return the last loss of a request at an endpoint."""
+        return self.losses[fingerprint][endpoint]
+
     def lost_ms(self, fingerprint: str, endpoint: str) -> int:
         """Return when a request was last lost at an endpoint."""
         return self.losses[fingerprint][endpoint].lost_ms
--- a/test/hosted/test_restarts_in_place.py
+++ b/test/hosted/test_restarts_in_place.py
@@ -147,6 +147,31 @@
         unsettled = self.state.unsettled.endpoints(FINGERPRINT, 250)
         self.assertEqual(('i-1@1',), unsettled)
 
+    def test_run_sent_to_the_next_start_settles_no_loss_told_later(self):
+        """Guards against a loss that is told after the next start has begun.
+
+        The endpoint crashed under the lost run, and this run met the next
+        start, before this gateway heard of it.
+        """
+        self.link_sidecars()
+        self.answer_at('i-1@1', 'other', 15)
+        lost = messages.RunLost(FINGERPRINT, 'i-1@1', False, ran_ms=300)
+        self.receive(lost, 20, SIDECARS[0])
+        self.feed(events.Ticked(250, 0.5))
+        self.assertEqual([], self.sent(messages.EndpointAnswered))
+
+    def test_run_sent_before_the_lost_one_settles_it(self):
+        """Guards against refusals where answers are only broken off."""
+        self.link_sidecars()
+        self.answer_at('i-1@1', 'other', 0)
+        lost = messages.RunLost(FINGERPRINT, 'i-1@1', False, ran_ms=100)
+        self.receive(lost, 500, SIDECARS[0])
+        self.feed(events.Ticked(700, 0.5))
+        self.assertEqual(
+            [messages.EndpointAnswered(FINGERPRINT, 'i-1@1')],
+            self.sent(messages.EndpointAnswered),
+        )
+
     def test_run_cut_off_later_is_not_held_against_the_ended_start(self):
         """Guards against two crashes that count as one.
 
