Let no second loss settle the first one

What callers saw: nothing yet; found by reading. A crash could go uncounted.

Cause: a loss of the same request at the same name took the place of the first one, with its time. A run at the next start that was older than the second loss, and went on, then settled both, and the crash was taken for an answer that was broken off.

Evidence: the new test fails before: no loss was unsettled.

Why it holds: a run shows an endpoint alive for all its losses only if it was sent before the first of them that is not settled.

--- a/berylhollow/quarantine/_unsettled.py
+++ b/berylhollow/quarantine/_unsettled.py
@@ -59,8 +59,21 @@
         ran_ms: int = 0,
         is_own: bool = False,
     ) -> None:
-        """Add a run that was cut off at an endpoint after ``ran_ms``."""
+        """Add a run that was cut off at an endpoint after ``ran_ms``.
+
+        What shows that the endpoint outlived the run has to show it for the
+        first one that is unsettled there.
+        """
         loss = UnsettledLoss(at_ms, is_probe, at_ms - ran_ms, is_own)
+        first = self.losses.get(fingerprint, {}).get(endpoint)
+        if (
+            first is not None
+            and at_ms < first.lost_ms + self.ttl_ms
+            and first.began_ms < loss.began_ms
+        ):
+            loss = dataclasses.replace(
+                loss, began_ms=first.began_ms, is_own=first.is_own
+            )
         self.losses.setdefault(fingerprint, {})[endpoint] = loss
         self.at_endpoint.setdefault(endpoint, {})[fingerprint] = loss
         while len(self.losses) > MAX_FINGERPRINTS:
--- a/test/hosted/test_restarts_in_place.py
+++ b/test/hosted/test_restarts_in_place.py
@@ -172,6 +172,21 @@
             self.sent(messages.EndpointAnswered),
         )
 
+    def test_second_loss_does_not_settle_the_first(self):
+        """Guards against a crash that a loss at the next start hides.
+
+        The next start breaks off an answer and goes on with another one.
+        """
+        self.list_instances(start(1), *self.beside)
+        self.lose_run(FINGERPRINT, 0)
+        self.answer_at('i-1@1', 'other', 20)
+        self.lose_run(FINGERPRINT, 30)
+        self.feed(events.Ticked(300, 0.5))
+        unsettled = self.state.unsettled.endpoints(FINGERPRINT, 300)
+        self.assertEqual(('i-1@1',), unsettled)
+        run = self.state.endpoints['i-1@1'].lost[FINGERPRINT]
+        self.assertFalse(run.endpoint_answered)
+
     def test_run_cut_off_later_is_not_held_against_the_ended_start(self):
         """Guards against two crashes that count as one.
 
