Take back no permit that a gateway's last start had

What callers saw: nothing yet; found by reading. Two runs of a suspect could be under way at once.

Cause: a sidecar took back a permit by the gateway's name. A request of a gateway that had started again, and that gave up before the sidecar had answered it, returned the permit of the start before, whose run may go on at its endpoint.

Evidence: the new test fails before: a second gateway got the permit.

Why it holds: a permit belongs to one start of a gateway, also when it is returned. That of a killed one ends by its time.

--- a/berylhollow/loader/_probes.py
+++ b/berylhollow/loader/_probes.py
@@ -35,7 +35,7 @@
     granted = (
         holder is None
         or event.at_ms >= holder.until_ms
-        or (holder.peer, holder.incarnation) == (event.peer, incarnation)
+        or _has_permit(state, event.peer, holder)
     )
     if granted:
         lasts_ms = max(0, min(message.lasts_ms, MAX_PERMIT_MS))
@@ -58,14 +58,20 @@
 
 
 def ended(state: _state.State, event: events.MessageReceived) -> Effects:
-    """Take back the permit of a gateway."""
+    """Take back the permit of a gateway, unless its last start had it."""
     fingerprint = event.message.fingerprint
     holder = state.permits.get(fingerprint)
-    if holder is not None and holder.peer == event.peer:
+    if holder is not None and _has_permit(state, event.peer, holder):
         del state.permits[fingerprint]
     return []
 
 
+def _has_permit(state: _state.State, peer: str, holder: _state.Permit) -> bool:
+    """Tell whether the linked start of a gateway is the one with a permit."""
+    incarnation = state.links.get(peer, '')
+    return (holder.peer, holder.incarnation) == (peer, incarnation)
+
+
 def run_lost(state: _state.State, event: events.MessageReceived) -> bool:
     """Keep a run that a gateway lost; tell whether it is new."""
     lost: messages.RunLost = event.message
--- a/test/hosted/test_probes.py
+++ b/test/hosted/test_probes.py
@@ -483,6 +483,17 @@
         self.open_link('g1', events.Role.GATEWAY, 20, 'i2')
         self.assertFalse(self.ask('g1', 30))
 
+    def test_new_start_of_a_gateway_returns_no_permit_of_the_last(self):
+        """Guards against a second run beside that of a killed gateway.
+
+        A request of the new start gives up before its answer has come.
+        """
+        self.assertTrue(self.ask('g1'))
+        self.feed(events.LinkClosed(10, 'g1'))
+        self.open_link('g1', events.Role.GATEWAY, 20, 'i2')
+        self.receive(messages.ProbeEnded(FINGERPRINT), 30, 'g1')
+        self.assertFalse(self.ask('g2', 40))
+
     def test_lost_runs_are_told_to_gateways_that_link_later(self):
         """Guards against a gateway that sends on what others have lost."""
         lost = messages.RunLost(FINGERPRINT, 'i-1', True)
