--- a/berylhollow/gateway/_probes.py
+++ b/berylhollow/gateway/_probes.py
@@ -75,8 +75,8 @@
 ) -> None:
     """Limit the choice of endpoints while the last probe is unsettled.
 
-    One that lives after all may answer at once. Later another start may have
-    taken its name.
+    One that lives after all may answer at once, unless its next start may
+    already have taken its name.
     """
     active.limited_to = None
     for key in active.keys:
@@ -92,6 +92,7 @@
             endpoint
             for endpoint in unsettled
             if state.unsettled.lost_ms(key, endpoint) > oldest_ms
+            and not _may_be_next_start(state, endpoint)
             and (active.limited_to is None or endpoint in active.limited_to)
         )
 
@@ -272,7 +273,10 @@
             if run.endpoint_answered or run.lost_ms < oldest_ms:
                 continue
             age_ms = event.at_ms - run.lost_ms
-            lost = messages.RunLost(fingerprint, name, run.is_probe, age_ms)
+            ran_ms = run.lost_ms - run.began_ms
+            lost = messages.RunLost(
+                fingerprint, name, run.is_probe, age_ms, ran_ms
+            )
             emitted.append(effects.Send(event.peer, lost))
     return emitted[-MAX_RETOLD:]
 
@@ -288,16 +292,22 @@
 
 
 def run_lost(
-    state: _state.State, active: _state.ActiveRequest, at_ms: int
+    state: _state.State,
+    active: _state.ActiveRequest,
+    endpoint: str,
+    at_ms: int,
 ) -> Effects:
     """Tell all gateways of a run that was cut off at a direct endpoint."""
+    ran_ms = at_ms - active.offered_ms
     emitted: Effects = []
     for key in active.keys:
-        if _quarantine.is_part_cleared(state, key, active.endpoint, at_ms):
+        if _quarantine.is_part_cleared(state, key, endpoint, at_ms):
             continue
         is_probe = key in active.probe_for
-        lost = messages.RunLost(key, active.endpoint, is_probe)
-        state.unsettled.add(key, lost.endpoint, is_probe, at_ms)
+        lost = messages.RunLost(key, endpoint, is_probe, ran_ms=ran_ms)
+        state.unsettled.add(
+            key, lost.endpoint, is_probe, at_ms, ran_ms, is_own=True
+        )
         state.successes.pop(key, None)
         emitted += _tell(state, key, lost)
     return emitted
@@ -318,7 +328,11 @@
     ):
         return []
     state.unsettled.add(
-        lost.fingerprint, lost.endpoint, lost.is_probe, lost_ms
+        lost.fingerprint,
+        lost.endpoint,
+        lost.is_probe,
+        lost_ms,
+        max(0, lost.ran_ms),
     )
     state.successes.pop(lost.fingerprint, None)
     fields = (
@@ -351,7 +365,9 @@
         running = [
             active
             for active in map(state.request_of, endpoint.attempts_in_flight)
-            if active is not None and active.phase is _state.Phase.RELAYING
+            if active is not None
+            and active.phase is _state.Phase.RELAYING
+            and not active.has_ended
         ]
         if running:
             oldest = min(running, key=lambda x: x.offered_ms)
@@ -365,8 +381,9 @@
     """Settle the losses that an endpoint has outlived.
 
     It has if a run that was sent before goes on long after. A later request
-    says the same of losses of this gateway; it may have met the next start
-    under the same name.
+    says the same of losses of this gateway. If the next start may have the
+    name, it has to be sent before the lost run was: the endpoint may have
+    ended, and started again, before this gateway knew of the loss.
     """
     name = active.endpoint
     endpoint = state.endpoints.get(name)
@@ -374,15 +391,31 @@
         return []
     emitted: Effects = []
     for key in state.unsettled.keys_at(name):
-        lost_ms = state.unsettled.lost_ms(key, name)
-        if active.offered_ms <= lost_ms:
+        loss = state.unsettled.loss(key, name)
+        lost_ms = loss.lost_ms
+        before_ms = lost_ms
+        if endpoint.instance.may_restart_under_name:
+            delay_ms = state.options.suspicion.report_delay_ms
+            before_ms = loss.began_ms - (0 if loss.is_own else delay_ms)
+        if active.offered_ms <= before_ms:
             is_outlived = at_ms >= lost_ms + ALIVE_AFTER_MS
         else:
-            is_outlived = key in endpoint.lost
+            is_outlived = (
+                key in endpoint.lost
+                and not endpoint.instance.may_restart_under_name
+            )
         if not is_outlived:
             continue
         state.unsettled.settle(key, name)
         _mark_outlived(endpoint, key, lost_ms)
+        fields = (
+            ('key', key),
+            ('endpoint', name),
+            ('shown_by', active.attempt_id),
+            ('sent_ms_ago', at_ms - active.offered_ms),
+            ('lost_ms_ago', at_ms - lost_ms),
+        )
+        emitted.append(effects.Log('endpoint outlived a loss', fields))
         told = messages.EndpointAnswered(key, name)
         emitted += _tell(state, key, told)
     return emitted
@@ -408,6 +441,12 @@
         endpoint.lost[key] = dataclasses.replace(run, endpoint_answered=True)
 
 
+def _may_be_next_start(state: _state.State, name: str) -> bool:
+    """Tell whether the next start of an endpoint may have its name."""
+    endpoint = state.endpoints.get(name)
+    return endpoint is not None and endpoint.instance.may_restart_under_name
+
+
 def _is_leaving(state: _state.State, name: str) -> bool:
     """Tell whether an endpoint is listed as leaving: its end is no crash."""
     endpoint = state.endpoints.get(name)
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -64,8 +64,9 @@
     tokens of this gateway's requests there whose answers have not begun or
     that wait for their adapter; ``others_tokens`` counts those of other
     gateways, as of the last report. ``lost`` has a run for each fingerprint
-    of the requests whose runs there were interrupted. ``longest_gap_ms`` is
-    the longest gap in an answer that has ended since its sidecar was told.
+    of the requests whose runs there were interrupted; ``ended_ms`` is when the
+    first of those was lost that its end cut off. ``longest_gap_ms`` is the
+    longest gap in an answer that has ended since its sidecar was told.
 
     ``notice`` is the newest one in an answer, to a request that was sent at
     ``notice_sent_ms``. ``loan`` is what this gateway may send while the
@@ -94,6 +95,7 @@
     others_tokens: int = 0
     longest_gap_ms: int = 0
     lost: dict[str, CutOffRun] = dataclasses.field(default_factory=dict)
+    ended_ms: int | None = None
     failures: int = 0
     ejections: int = 0
     ejected_until_ms: int = 0
@@ -289,8 +291,9 @@
     endpoints whose sidecars can't admit it in time, with the wait that they
     expect, -1 if they don't queue it. ``stream`` is the key under which its
     stream may be taken up again, None if it may not be; ``resumption`` is set
-    if it takes one up itself. ``route_services`` and ``route_timeout_ms`` are
-    those of its route.
+    if it takes one up itself. ``has_ended`` is set once its endpoint has sent
+    the whole answer, which its caller may still be reading.
+    ``route_services`` and ``route_timeout_ms`` are those of its route.
     """
 
     request: events.Request
@@ -302,6 +305,7 @@
     objective_ms: int = 0
     runs: int = 0
     phase: Phase = Phase.WAITING
+    has_ended: bool = False
     attempt_id: str = ''
     endpoint: str = ''
     incarnation: str = ''
