Drop a sidecar's report of a start that the list has replaced

An endpoint that crashes and starts again at once under its name may be in the list before its sidecar has read it: sidecars read an idle endpoint every 300 ms. Callers then got requests sent to the new start for the model and adapters of the old one, each refused there, at the cost of an attempt and of the retry budget.

Cause: a report counts if it names the listed endpoint "at any start", as it is taken to be newer than the list. One that is older than the list was applied to the new start in the same way, with `ready` and all slots.

Evidence: test_report_of_the_old_start_is_not_used failed before ("True is not false": the new start, which is listed without a model, counted as one that holds it).

The gateway now keeps which start the list had beside a sidecar before the present one. A report of that start is not applied; one of a start that the list has never had is newer than the list, as before. Start times are still compared for equality only. Two restarts within the lag of one report are not told apart.

--- a/berylhollow/gateway/_sidecars.py
+++ b/berylhollow/gateway/_sidecars.py
@@ -42,9 +42,12 @@
             )
             _add_sidecar(state, peer, instance)
     for peer, name in endpoint_of_peer.items():
+        sidecar = state.sidecars[peer]
         if state.endpoint_by_peer.get(peer) != name:
             # Resend the demand soon, for the endpoint that is there now.
-            state.sidecars[peer].told_ms = clock.NEVER_MS
+            sidecar.told_ms = clock.NEVER_MS
+        if sidecar.listed != name:
+            sidecar.listed_before, sidecar.listed = sidecar.listed, name
     state.endpoint_by_peer = endpoint_of_peer
     for peer, name in endpoint_of_peer.items():
         _apply_report(state, state.sidecars[peer], state.endpoints[name])
@@ -203,11 +206,14 @@
     A report that names another endpoint is ignored, since its adapters are
     not those of this one. A report of the same endpoint after a restart is
     newer than the list, which still has the start before: the adapters held
-    then are gone.
+    then are gone. So are those in a report of the start that the list had
+    before: its sidecar has not read the new one yet.
     """
     name = endpoint.instance.instance
     report = sidecar.report
-    if report is None or not _is_report_of(report, endpoint.instance):
+    if report is None or not _is_report_of(
+        report, endpoint.instance, sidecar.listed_before
+    ):
         report = _report_from_list(endpoint.instance)
     if report == endpoint.report:
         return
@@ -217,10 +223,17 @@
     _model_loads.update_from_report(state, name)
 
 
-def _is_report_of(report: messages.Report, instance: events.Instance) -> bool:
-    """Tell whether a report is about the listed endpoint, at any start."""
+def _is_report_of(
+    report: messages.Report, instance: events.Instance, listed_before: str
+) -> bool:
+    """Tell whether a report is about the listed start or a later one.
+
+    ``listed_before`` is the start that the list had before, '' for none.
+    """
     if report.epoch in ('', instance.instance):
         return True
+    if report.epoch == listed_before:
+        return False
     return messages.Incarnation.is_incarnation_of(
         report.epoch, instance.listed_name
     )
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -167,7 +167,8 @@
     ``heard_ms``. ``incarnation`` is its last known start, an earlier one was
     heard from at ``predecessor_heard_ms``. ``told_ms`` is when the demand was
     last sent to it, ``told_tokens`` how many waiting tokens it named. No
-    admission is asked of it before ``unasked_until_ms``.
+    admission is asked of it before ``unasked_until_ms``. ``listed`` is the
+    start of its endpoint in the list, ``listed_before`` the one before that.
     """
 
     address: str
@@ -181,6 +182,8 @@
     told_ms: int = clock.NEVER_MS
     told_tokens: int = 0
     unasked_until_ms: int = clock.NEVER_MS
+    listed: str = ''
+    listed_before: str = ''
 
 
 @dataclasses.dataclass(slots=True)
--- a/test/hosted/test_restarts.py
+++ b/test/hosted/test_restarts.py
@@ -92,6 +92,26 @@
         self.send_request(direct.MODEL_PATH, at_ms=110, adapter='a3')
         self.assertEqual([], self.offers())
 
+    def test_report_of_the_old_start_is_not_used(self):
+        """Guards against requests for adapters that went with a crash.
+
+        The list shows the new start before the sidecar has read it; the last
+        report is of the old start.
+        """
+        adapter = messages.AdapterVersion(builders.adapter_name('a3'), '1')
+        self.list_instances(started(FIRST_MS))
+        self.open_link(addresses.sidecar_peer(ADDRESS), events.Role.ENDPOINT)
+        self.report(ADDRESS, adapter, epoch=f'i-1@{FIRST_MS}')
+        self.list_instances(started(SECOND_MS, models=()), at_ms=100)
+        self.assertFalse(self.state.endpoints[f'i-1@{SECOND_MS}'].has_model)
+        self.send_request(direct.MODEL_PATH, at_ms=110, adapter='a3')
+        self.assertEqual([], self.offers())
+        self.report(ADDRESS, adapter, epoch=f'i-1@{FIRST_MS}', at_ms=120)
+        self.assertEqual([], self.offers())
+        self.report(ADDRESS, adapter, epoch=f'i-1@{SECOND_MS}', at_ms=400)
+        self.send_request(direct.MODEL_PATH, at_ms=410, adapter='a3')
+        self.offered()
+
     def test_demands_to_sidecars_name_the_start(self):
         self.list_instances(started(SECOND_MS))
         self.open_link(addresses.sidecar_peer(ADDRESS), events.Role.ENDPOINT)
