Count an endpoint's own orders apart from those of a sidecar's earlier start

A sidecar that restarts together with its endpoint keeps a slot free for a load that its earlier start may have sent without an answer. It learns of that start from gateways. If the gateway that knows was linked only after the sidecar's first order, no slot was kept: an endpoint that is then asked to hold one adapter too many crashes with all its runs.

Cause: "an endpoint that has accepted orders did not restart with this sidecar" was judged by the count in the newest report, which holds the orders of this start as well.

Evidence: test_slot_stays_free_after_an_order_of_this_start failed before (2 slots used, 1 allowed).

The sidecar now keeps how many orders the endpoint's present start had accepted when this start of the sidecar first read it, 0 once the endpoint has restarted. Only those show that it is older than the sidecar. test_slot_stays_free_if_a_restart_was_read_before_the_link passed before and guards the second half.

--- a/berylhollow/loader/_reducer.py
+++ b/berylhollow/loader/_reducer.py
@@ -121,8 +121,8 @@
     """Reserve a slot for a load that an earlier start of ours may have sent.
 
     A sidecar that restarts together with its endpoint does not know of it.
-    An endpoint that has accepted orders did not restart with this sidecar and
-    refuses an order that expects another count.
+    An endpoint that had accepted orders before this sidecar's own did not
+    restart with it and refuses an order that expects another count.
     """
     age_ms = event.message.predecessor_ms
     adapters = state.adapters
@@ -130,7 +130,7 @@
         return []
     state.knows_predecessor = True
     valid_ms = state.options.stray_load_ms - age_ms
-    if adapters.orders or valid_ms <= 0:
+    if state.earlier_orders or valid_ms <= 0:
         return []
     until_ms = event.at_ms + valid_ms
     stray = _state.StrayLoad(_state.ANY_COUNT, until_ms)
@@ -152,6 +152,8 @@
     if before is not None and event.read < before.read:
         return done
     state.adapters = event
+    if before is None:
+        state.earlier_orders = event.orders
     has_restarted = before is not None and _has_restarted(before, event)
     if has_restarted:
         if state.order is not None:
--- a/berylhollow/loader/_state.py
+++ b/berylhollow/loader/_state.py
@@ -125,6 +125,8 @@
     - ``ended``: incarnations that are known to have ended, the latest last.
     - ``unanswered_loads``: loads sent to the current incarnation whose answer
       was lost; ``stray_loads``: those sent to earlier ones.
+    - ``earlier_orders``: how many orders the endpoint's present start had
+      accepted when this start of the sidecar first read it.
     - ``min_planning_read``: the first read begun after the last order ended.
       An earlier read may not show the result of that order.
     - ``last_used_ms``: when each adapter was last needed, by name.
@@ -159,6 +161,7 @@
     adapters: events.AdaptersReported | None = None
     is_reading: bool = False
     reads: int = 0
+    earlier_orders: int = 0
     min_planning_read: int = 0
     read_begun_ms: int = clock.NEVER_MS
     is_unreachable: bool = False
@@ -262,6 +265,7 @@
         self.refusals = 0
         self.next_order_ms = 0
         self.last_used_ms = {}
+        self.earlier_orders = 0
         self.mark_endpoint_ended()
         if self.endpoint is None and before is not None and started_ms:
             candidate = messages.Incarnation(before.name, started_ms)
--- a/test/loader/test_restarts.py
+++ b/test/loader/test_restarts.py
@@ -163,6 +163,35 @@
         self.begin_beside(3, predecessor_ms=1200)
         self.assertEqual(2, self.state.slots)
 
+    def test_slot_stays_free_after_an_order_of_this_start(self):
+        """Guards against one load too many, which crashes the endpoint.
+
+        A gateway that knows of the earlier start is linked only after this
+        start has sent its first order, which the endpoint has counted.
+        """
+        self.begin_beside(0)
+        self.send_demands(demand('a1'), at_ms=50, started_ms=SECOND_MS)
+        self.end_order(at_ms=60)
+        self.feed(events.Ticked(70))
+        self.report([adapter_version('a1')], at_ms=70, started_ms=SECOND_MS)
+        self.send_demands(
+            at_ms=80, started_ms=SECOND_MS, predecessor_ms=1200, peer='g2'
+        )
+        self.assertEqual(1, self.state.slots)
+
+    def test_slot_stays_free_if_a_restart_was_read_before_the_link(self):
+        """Guards against one load too many, which crashes the endpoint.
+
+        The endpoint restarts after its sidecar, and then a gateway is linked
+        that knows of the sidecar's earlier start.
+        """
+        self.begin_beside(3)
+        self.feed(events.Ticked(100))
+        self.orders = 0
+        self.report(at_ms=100, started_ms=SECOND_MS + 900)
+        self.send_demands(at_ms=200, predecessor_ms=1200, peer='g2')
+        self.assertEqual(1, self.state.slots)
+
     def test_slot_is_reserved_once(self):
         self.begin_beside(0, predecessor_ms=1200)
         self.send_demands(started_ms=SECOND_MS, predecessor_ms=1300, peer='g2')
