Keep a sidecar's earlier load in mind until its endpoint restarts

A sidecar crashes with a load in flight and starts again at once; a moment later its endpoint does the same under its name. The load of the sidecar's earlier start may be carried out seconds later at the endpoint's new start, where no slot was kept for it: an endpoint that holds one adapter too many crashes with all its runs.

Cause: that the endpoint had accepted orders was taken to make the load harmless for good. It does so for the life of that endpoint process only: the next one counts its orders from zero and reaches the same count.

Evidence: test_slot_stays_free_if_the_endpoint_restarts_after_its_sidecar failed before (2 slots used, 1 allowed).

Such a load is now kept like one of this start without an answer: it costs nothing until the endpoint restarts, and a slot from then on until it is no longer valid. It can't expect a higher count than the endpoint had when this start of the sidecar first read it.

--- a/berylhollow/loader/_reducer.py
+++ b/berylhollow/loader/_reducer.py
@@ -122,7 +122,8 @@
 
     A sidecar that restarts together with its endpoint does not know of it.
     An endpoint that had accepted orders before this sidecar's own did not
-    restart with it and refuses an order that expects another count.
+    restart with it and refuses an order that expects another count, until it
+    restarts as well.
     """
     age_ms = event.message.predecessor_ms
     adapters = state.adapters
@@ -130,9 +131,13 @@
         return []
     state.knows_predecessor = True
     valid_ms = state.options.stray_load_ms - age_ms
-    if state.earlier_orders or valid_ms <= 0:
+    if valid_ms <= 0:
         return []
     until_ms = event.at_ms + valid_ms
+    if state.earlier_orders:
+        stray = _state.StrayLoad(state.earlier_orders, until_ms)
+        state.unanswered_loads.append(stray)
+        return []
     stray = _state.StrayLoad(_state.ANY_COUNT, until_ms)
     state.stray_loads.append(stray)
     fields = (('gateway', event.peer), ('valid_ms', valid_ms))
--- a/test/loader/test_restarts.py
+++ b/test/loader/test_restarts.py
@@ -192,6 +192,18 @@
         self.send_demands(at_ms=200, predecessor_ms=1200, peer='g2')
         self.assertEqual(1, self.state.slots)
 
+    def test_slot_stays_free_if_the_endpoint_restarts_after_its_sidecar(self):
+        """Guards against one load too many, which crashes the endpoint.
+
+        The sidecar restarts first. The load that its earlier start sent is
+        harmless only as long as the endpoint doesn't restart as well.
+        """
+        self.begin_beside(3, predecessor_ms=1200)
+        self.feed(events.Ticked(100))
+        self.orders = 0
+        self.report(at_ms=100, started_ms=SECOND_MS + 900)
+        self.assertEqual(1, self.state.slots)
+
     def test_slot_is_reserved_once(self):
         self.begin_beside(0, predecessor_ms=1200)
         self.send_demands(started_ms=SECOND_MS, predecessor_ms=1300, peer='g2')
