Keep the rate limit that a new start names before it is listed

An endpoint with a rate limit crashes and starts again at once under its name. Its answers name the limit, but gateways take them for answers of the start before until the list shows the new one. From then on the endpoint had no limit at a gateway until it had answered there again: all gateways together could send it as many requests as callers had, for as long as its first answers took.

Cause: what a new start says before it is listed was kept for leaving and for a pause, not for a rate limit; nor would it have been where the start before had named the same limit, as only a change was looked at.

Evidence: test_limit_of_a_new_start_that_is_not_listed_yet failed before (None instead of 2.0, with no limit before and with the same one).

The limit is kept beside leaving and pause, with the time at which it was named, on the same evidence: a run cut off before the request was sent. It is wrong at most until the first answer of the new start, which names its limit or none.

--- a/berylhollow/gateway/_notices.py
+++ b/berylhollow/gateway/_notices.py
@@ -68,33 +68,35 @@
     if not endpoint.notice.leaving or before.leaving:
         return []
     endpoint.leaving = True
-    _note_doubtful(state, endpoint, event)
+    doubtful = _doubtful_notice(state, endpoint, event)
+    if doubtful is not None:
+        doubtful.at_ms = event.at_ms
+        doubtful.leaving = True
     return [
         _log('endpoint says that it leaves', endpoint, event),
         _count(endpoint, 'leaving'),
     ]
 
 
-def _note_doubtful(
+def _doubtful_notice(
     state: _state.State,
     endpoint: _state.Endpoint,
     event: events.NoticeReceived,
-) -> None:
-    """Keep what an endpoint says that may have ended.
+) -> _state.DoubtfulNotice | None:
+    """Return where to keep what is said by an endpoint that may have ended.
 
     After it has cut off a run, another start may have answered under its name
-    that is not listed yet.
+    that is not listed yet. Returns None if it has not.
     """
     if all(run.lost_ms > event.sent_ms for run in endpoint.lost.values()):
-        return
+        return None
     name = endpoint.instance.listed_name
-    known = state.doubtful_notices.pop(name, None)
-    is_same = known is not None and known.instance == event.peer
-    leaving = event.notice.leaving or (is_same and known.leaving)
-    state.doubtful_notices[name] = _state.DoubtfulNotice(
-        event.peer, event.at_ms, leaving, endpoint.paused_until_ms
-    )
+    doubtful = state.doubtful_notices.pop(name, None)
+    if doubtful is None or doubtful.instance != event.peer:
+        doubtful = _state.DoubtfulNotice(event.peer)
+    state.doubtful_notices[name] = doubtful
     bounded.drop_oldest(state.doubtful_notices, MAX_ABSENT_NOTICES)
+    return doubtful
 
 
 def _apply_pause(
@@ -107,7 +109,10 @@
     if not event.notice.pause_ms or until_ms <= endpoint.paused_until_ms:
         return []
     endpoint.paused_until_ms = until_ms
-    _note_doubtful(state, endpoint, event)
+    doubtful = _doubtful_notice(state, endpoint, event)
+    if doubtful is not None:
+        doubtful.at_ms = event.at_ms
+        doubtful.paused_until_ms = until_ms
     return [
         _log('endpoint asks for a pause', endpoint, event),
         _count(endpoint, 'pause'),
@@ -121,6 +126,12 @@
     event: events.NoticeReceived,
 ) -> Effects:
     rate_per_s = endpoint.notice.rate_per_s
+    is_limited = rate_per_s is not None or before.rate_per_s is not None
+    if is_limited and event.sent_ms == endpoint.notice_sent_ms:
+        doubtful = _doubtful_notice(state, endpoint, event)
+        if doubtful is not None:
+            doubtful.rate_stated_ms = event.at_ms
+            doubtful.rate_per_s = rate_per_s
     if rate_per_s == before.rate_per_s:
         return []
     if rate_per_s is None:
@@ -170,7 +181,9 @@
     """Apply a notice to a new start that may have been the one to give it."""
     started = endpoint.instance.instance
     for name, doubtful in list(state.doubtful_notices.items()):
-        if at_ms > doubtful.at_ms + LISTING_LAG_MS:
+        is_recent = at_ms <= doubtful.at_ms + LISTING_LAG_MS
+        has_rate = at_ms <= doubtful.rate_stated_ms + LISTING_LAG_MS
+        if not is_recent and not has_rate:
             del state.doubtful_notices[name]
             continue
         if started == doubtful.instance:
@@ -178,20 +191,35 @@
         if not messages.Incarnation.is_incarnation_of(started, name):
             continue
         del state.doubtful_notices[name]
-        endpoint.leaving = endpoint.leaving or doubtful.leaving
-        endpoint.paused_until_ms = max(
-            endpoint.paused_until_ms, doubtful.paused_until_ms
-        )
+        if is_recent:
+            endpoint.leaving = endpoint.leaving or doubtful.leaving
+            endpoint.paused_until_ms = max(
+                endpoint.paused_until_ms, doubtful.paused_until_ms
+            )
+        if has_rate and doubtful.rate_per_s is not None:
+            _limit_rate(state, endpoint, doubtful.rate_per_s)
+        heard_ms = max(doubtful.at_ms, doubtful.rate_stated_ms)
         fields = (
             ('endpoint', started),
             ('taken_for', doubtful.instance),
-            ('leaving', doubtful.leaving),
-            ('notice_age_ms', at_ms - doubtful.at_ms),
+            ('leaving', is_recent and doubtful.leaving),
+            ('rate_per_s', endpoint.notice.rate_per_s),
+            ('notice_age_ms', at_ms - heard_ms),
         )
         return [effects.Log('notice is of a new start', fields)]
     return []
 
 
+def _limit_rate(
+    state: _state.State, endpoint: _state.Endpoint, rate_per_s: float
+) -> None:
+    """Apply a rate limit until an answer of the endpoint says otherwise."""
+    endpoint.notice = dataclasses.replace(
+        endpoint.notice, rate_per_s=rate_per_s
+    )
+    state.rate_limited[endpoint.instance.instance] = None
+
+
 def _log(
     text: str,
     endpoint: _state.Endpoint,
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -145,18 +145,21 @@
     paused_until_ms: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class DoubtfulNotice:
-    """A notice received at ``at_ms`` as one of ``instance``.
+    """What was received as notices of ``instance``.
 
-    It may be of the next start under the same name. It says that the endpoint
-    is ``leaving``, or wants no requests before ``paused_until_ms``.
+    They may be of the next start under the same name. At ``at_ms`` it said
+    that it is ``leaving``, or wants no requests before ``paused_until_ms``.
+    ``rate_per_s`` is the rate limit that it named at ``rate_stated_ms``.
     """
 
     instance: str
-    at_ms: int
+    at_ms: int = clock.NEVER_MS
     leaving: bool = False
     paused_until_ms: int = clock.NEVER_MS
+    rate_per_s: float | None = None
+    rate_stated_ms: int = clock.NEVER_MS
 
 
 @dataclasses.dataclass(slots=True)
--- a/test/hosted/test_notices.py
+++ b/test/hosted/test_notices.py
@@ -1,7 +1,9 @@
 """Tests of the notices that a gateway keeps of its endpoints."""
 
 from berylhollow import effects
+from berylhollow import errors
 from berylhollow import events
+from berylhollow import messages
 from test.hosted import test_gateway_direct
 
 
@@ -62,6 +64,45 @@
         self.send_request(at_ms=200)
         self.assertEqual([], self.offers())
 
+    def restart_unlisted(self, rate_before=None):
+        """Let a run be cut off by the crash of the start that is listed.
+
+        The start has named ``rate_before`` as its rate limit.
+        """
+        self.send_request(at_ms=50)
+        name, offer = self.offered()
+        self.receive_notice(rate_before, sent_ms=51)
+        lost = messages.Failed(
+            offer.attempt_id, errors.Kind.ENGINE_RESTARTED, errors.Ran.UNKNOWN
+        )
+        self.receive(lost, 62, name)
+
+    def list_new_start(self, at_ms):
+        row = test_gateway_direct.plain('i-1@2', '10.0.0.1:80')
+        self.list_instances(row, at_ms=at_ms)
+        return self.state.endpoints['i-1@2'].notice.rate_per_s
+
+    def test_limit_of_a_new_start_that_is_not_listed_yet(self):
+        """Guards against an endpoint that is sent more than its rate limit.
+
+        The answer that named the limit was taken for one of the start before,
+        which had named the same limit or none.
+        """
+        for rate_before in (None, 2.0):
+            self.setUp()
+            self.restart_unlisted(rate_before)
+            self.receive_notice(2.0, sent_ms=100)
+            self.assertEqual(2.0, self.list_new_start(200))
+            self.send_request(at_ms=210)
+            self.assertEqual([], self.offers())
+
+    def test_limit_that_a_new_start_has_ended_is_not_kept(self):
+        """Guards against a limit that its endpoint has taken back."""
+        self.restart_unlisted()
+        self.receive_notice(2.0, sent_ms=100)
+        self.receive_notice(None, sent_ms=120)
+        self.assertIsNone(self.list_new_start(200))
+
     def test_new_incarnation_has_no_notice(self):
         self.receive_notice(2.0, sent_ms=100)
         self.list_instances(test_gateway_direct.plain('i-1@2', '10.0.0.1:80'))
