Give a notice to the start that the sidecar reports before it is listed

An endpoint crashes without a run of this gateway in flight and starts again at once under its name; its sidecar reports the new start, and the list shows it later, in an outage of the store much later. What the new start says in its answers meanwhile (it leaves, it asks for a pause, it names a rate limit) was taken for the old start's and dropped with it. Requests then went to a start whose own answer had said that it leaves.

Cause: only a run that was cut off raised a doubt whose answer it was. The report of the sidecar beside the endpoint, which names the start, was not looked at.

Evidence: test_notice_of_a_start_that_only_its_sidecar_shows and test_limit_and_pause_of_a_start_that_only_its_sidecar_shows failed before. test_notice_asked_for_before_a_restart_is_of_the_old_start passed and guards the other side.

An answer to a request that was sent after the sidecar had reported a new start is of no earlier one. Its notice is kept under the name of that start, like that of an endpoint which has left the list, and applied once it is listed; no lag of the list is assumed. Services without sidecars have only the cut-off run to go by, as before.

--- a/berylhollow/gateway/_notices.py
+++ b/berylhollow/gateway/_notices.py
@@ -30,20 +30,51 @@
     if endpoint is None:
         return []
     before = endpoint.notice
-    leaving = before.leaving or event.notice.leaving
-    notice = event.notice
-    if event.sent_ms < endpoint.notice_sent_ms:
-        notice = before
-    elif notice.malformed:
-        notice = dataclasses.replace(notice, rate_per_s=before.rate_per_s)
+    endpoint.notice = _merge(before, endpoint.notice_sent_ms, event)
     endpoint.notice_sent_ms = max(endpoint.notice_sent_ms, event.sent_ms)
-    endpoint.notice = dataclasses.replace(notice, leaving=leaving)
+    if endpoint.reported_start and event.sent_ms >= endpoint.reported_ms:
+        _keep_for_unlisted(state, endpoint.reported_start, event)
     emitted = _note_malformed(endpoint, before, event)
     emitted += _apply_pause(state, endpoint, event)
     emitted += _apply_leaving(state, endpoint, before, event)
     return emitted + _apply_rate_limit(state, endpoint, before, event)
 
 
+def _merge(
+    before: events.EndpointNotice,
+    before_sent_ms: int,
+    event: events.NoticeReceived,
+) -> events.EndpointNotice:
+    """Return the notice that holds after another one was received."""
+    notice = event.notice
+    if event.sent_ms < before_sent_ms:
+        notice = before
+    elif notice.malformed:
+        notice = dataclasses.replace(notice, rate_per_s=before.rate_per_s)
+    leaving = before.leaving or event.notice.leaving
+    return dataclasses.replace(notice, leaving=leaving)
+
+
+def _keep_for_unlisted(
+    state: _state.State, started: str, event: events.NoticeReceived
+) -> None:
+    """Keep a notice for the start that a sidecar reports, until it is listed.
+
+    The request was sent after that report, so that the answer is of no
+    earlier start.
+    """
+    stored = state.absent_notices.pop(started, _state.StoredNotice())
+    until_ms = stored.paused_until_ms
+    if event.notice.pause_ms:
+        until_ms = max(until_ms, event.at_ms + event.notice.pause_ms)
+    state.absent_notices[started] = _state.StoredNotice(
+        _merge(stored.notice, stored.sent_ms, event),
+        max(stored.sent_ms, event.sent_ms),
+        until_ms,
+    )
+    bounded.drop_oldest(state.absent_notices, MAX_ABSENT_NOTICES)
+
+
 def _note_malformed(
     endpoint: _state.Endpoint,
     before: events.EndpointNotice,
--- a/berylhollow/gateway/_sidecars.py
+++ b/berylhollow/gateway/_sidecars.py
@@ -164,11 +164,21 @@
         event.message, sidecar.told_tokens
     )
     _apply_report(state, sidecar, endpoint)
+    _note_start(endpoint, event.at_ms)
     if before is None or before.model_load is not event.message.model_load:
         _schedule_demand(state, endpoint.instance.service)
     return _adapters.requests_awaiting_adapter(state, name)
 
 
+def _note_start(endpoint: _state.Endpoint, at_ms: int) -> None:
+    """Note a start that the sidecar reports before it is listed."""
+    started = endpoint.report.epoch
+    if started in ('', endpoint.instance.instance, endpoint.reported_start):
+        return
+    endpoint.reported_start = started
+    endpoint.reported_ms = at_ms
+
+
 def _schedule_demand(state: _state.State, service: str) -> None:
     """Make the demand due to be sent to the sidecars of a service."""
     for peer, name in state.endpoint_by_peer.items():
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -71,6 +71,9 @@
     ``notice_sent_ms``. ``loan`` is what this gateway may send while the
     endpoint has a rate limit. No request is sent before ``paused_until_ms``.
 
+    ``reported_start`` is another start at its name, not listed yet, which its
+    sidecar has reported since ``reported_ms``.
+
     ``leaving`` of a direct endpoint is final: it has announced it or was
     found to have ended. ``listed`` and ``superseded`` follow the newest list
     and may change back: an entry can expire while its endpoint is alive, and
@@ -100,6 +103,8 @@
     notice: events.EndpointNotice = events.EndpointNotice()
     notice_sent_ms: int = clock.NEVER_MS
     paused_until_ms: int = clock.NEVER_MS
+    reported_start: str = ''
+    reported_ms: int = clock.NEVER_MS
     loan: rate_limits.Loan = dataclasses.field(
         default_factory=rate_limits.Loan
     )
@@ -135,14 +140,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoredNotice:
-    """The last notice of an endpoint that has left the instance list.
+    """The last notice of an endpoint that is not in the instance list.
 
     It came in the answer to a request that was sent at ``sent_ms``.
     """
 
-    notice: events.EndpointNotice
-    sent_ms: int
-    paused_until_ms: int
+    notice: events.EndpointNotice = events.EndpointNotice()
+    sent_ms: int = clock.NEVER_MS
+    paused_until_ms: int = clock.NEVER_MS
 
 
 @dataclasses.dataclass(slots=True)
--- a/test/hosted/test_leaving.py
+++ b/test/hosted/test_leaving.py
@@ -5,6 +5,7 @@
 from berylhollow import errors
 from berylhollow import events
 from berylhollow import messages
+from berylhollow.util import addresses
 from test.hosted import limited_crowd
 from test.hosted import test_gateway_direct
 from test import platform_builders as builders
@@ -26,6 +27,13 @@
         super().configure()
         self.list_instances(LEAVES, STAYS)
 
+    def start(self, started_ms):
+        """Return a start of an endpoint with a sidecar, under one name."""
+        incarnation = messages.Incarnation('i-1', started_ms)
+        return test_gateway_direct.direct_instance(
+            str(incarnation), FIRST, incarnation=incarnation
+        )
+
     def leave(self, name='i-1', sent_ms=100):
         notice = events.EndpointNotice(leaving=True)
         self.feed(events.NoticeReceived(sent_ms + 10, name, sent_ms, notice))
@@ -81,6 +89,43 @@
         self.list_instances(again, STAYS, at_ms=1300)
         self.assertEqual({'i-2'}, self.chosen_endpoints(4000))
 
+    def test_notice_of_a_start_that_only_its_sidecar_shows(self):
+        """Guards against requests to a start that has said it leaves.
+
+        No run showed the end of the start before, but the sidecar did.
+        """
+        before, after = (self.start(started_ms) for started_ms in (1, 9))
+        self.list_instances(before)
+        self.open_link(addresses.sidecar_peer(FIRST), events.Role.ENDPOINT)
+        self.report(FIRST, epoch=before.instance, at_ms=100)
+        self.report(FIRST, epoch=after.instance, at_ms=1000)
+        self.leave(before.instance, sent_ms=1200)
+        self.list_instances(after, at_ms=4000)
+        self.assertTrue(self.state.endpoints[after.instance].leaving)
+
+    def test_limit_and_pause_of_a_start_that_only_its_sidecar_shows(self):
+        """Guards against requests beyond what a new start has allowed."""
+        before, after = (self.start(started_ms) for started_ms in (1, 9))
+        self.list_instances(before)
+        self.open_link(addresses.sidecar_peer(FIRST), events.Role.ENDPOINT)
+        self.report(FIRST, epoch=after.instance, at_ms=1000)
+        notice = events.EndpointNotice(rate_per_s=2.0, pause_ms=9000)
+        self.feed(events.NoticeReceived(1210, before.instance, 1200, notice))
+        self.list_instances(after, at_ms=4000)
+        endpoint = self.state.endpoints[after.instance]
+        self.assertEqual(2.0, endpoint.notice.rate_per_s)
+        self.assertEqual(10_210, endpoint.paused_until_ms)
+
+    def test_notice_asked_for_before_a_restart_is_of_the_old_start(self):
+        """Guards against a start that is never used."""
+        before, after = (self.start(started_ms) for started_ms in (1, 9))
+        self.list_instances(before)
+        self.open_link(addresses.sidecar_peer(FIRST), events.Role.ENDPOINT)
+        self.report(FIRST, epoch=after.instance, at_ms=1000)
+        self.leave(before.instance, sent_ms=995)
+        self.list_instances(after, at_ms=1300)
+        self.assertFalse(self.state.endpoints[after.instance].leaving)
+
     def test_notice_before_a_later_start_is_not_of_that(self):
         """Guards against a start that is never used.
 
