Drop the origin of streams whose start the list has replaced

A plain endpoint crashes and starts again at once under its name and address, with another software version. A stream that begins at the new start before the list shows it was kept as one of the old version. Callers who took it up again after that got the rest from an endpoint of the other version: events of two versions in one stream. The same for a resumed request that was sent before the list showed the new start and answered after.

Cause: the version of an endpoint counted as proven for as long as runs were in flight at it, though the list had meanwhile named another start under its name. What was kept before that was never looked at again.

Once the list has a start with another version under the name of one that has runs in flight, the version of these runs is not proven: a resumed request whose answer has not begun is ended, and streams that have begun get an unknown origin, here and at the sidecars. They are refused where they could be mixed.

--- a/berylhollow/gateway/_membership.py
+++ b/berylhollow/gateway/_membership.py
@@ -156,6 +156,7 @@
         elif endpoint.instance.direct:
             # Callers wait for its answers, but it gets no new requests.
             endpoint.listed = False
+    result += _note_replaced(state, event)
     result += _mark_superseded(state, event.instances, event.at_ms)
     _sidecars.update_endpoints(state)
     _origins.list_read(state, event.at_ms, was_listed_ms)
@@ -163,6 +164,32 @@
     return result + tick(state, event.at_ms)
 
 
+def _note_replaced(
+    state: _state.State, event: events.InstancesListed
+) -> Effects:
+    """Note endpoints whose name another start has taken.
+
+    The software version of their answers is then certain only if both starts
+    have the same one.
+    """
+    unlisted = [
+        endpoint
+        for endpoint in state.endpoints.values()
+        if not (endpoint.listed or endpoint.is_replaced)
+    ]
+    if not unlisted:
+        return []
+    by_name = {row.listed_name: row for row in event.instances if row.direct}
+    result: Effects = []
+    for endpoint in unlisted:
+        instance = endpoint.instance
+        row = by_name.get(instance.listed_name, instance)
+        if row.software_version != instance.software_version:
+            result.append(_endpoint_log('endpoint replaced', row))
+            result += _origins.start_replaced(state, endpoint, event.at_ms)
+    return result
+
+
 def _mark_superseded(
     state: _state.State, rows: tuple[events.Instance, ...], at_ms: int
 ) -> Effects:
--- a/berylhollow/gateway/_origins.py
+++ b/berylhollow/gateway/_origins.py
@@ -36,10 +36,10 @@
     """Return the software version of an endpoint, '' if it isn't certain.
 
     Its sidecar may have reported a start that the list doesn't have yet, and
-    another entry may have taken its address.
+    another entry or a later start may have taken its address.
     """
     endpoint = state.endpoints.get(name)
-    if endpoint is None or endpoint.superseded:
+    if endpoint is None or endpoint.superseded or endpoint.is_replaced:
         return ''
     instance = endpoint.instance
     report = endpoint.report
@@ -60,6 +60,13 @@
     """
     if active.stream is None or status not in messages.SUCCESS_STATUSES:
         return []
+    return _keep_origin(state, active, at_ms)
+
+
+def _keep_origin(
+    state: _state.State, active: _state.ActiveRequest, at_ms: int
+) -> Effects:
+    """Keep what began a stream as far as it is certain, and tell sidecars."""
     endpoint = state.endpoints.get(active.endpoint)
     if endpoint is None or not endpoint.instance.direct:
         return []
@@ -76,6 +83,25 @@
     return _sends(by_peer)
 
 
+def start_replaced(
+    state: _state.State, endpoint: _state.Endpoint, at_ms: int
+) -> Effects:
+    """Forget what began the streams under way at a start that has ended.
+
+    Their answers may be of the start that is listed in its place, which may
+    have answered before it was listed.
+    """
+    endpoint.is_replaced = True
+    emitted: Effects = []
+    for attempt_id in sorted(endpoint.attempts_in_flight):
+        active = state.request_of(attempt_id)
+        if active is None or active.phase is not _state.Phase.RELAYING:
+            continue
+        if active.stream in state.origins.entries:
+            emitted += _keep_origin(state, active, at_ms)
+    return emitted
+
+
 def keepers(state: _state.State) -> hash_ring.HashRing:
     """Return the linked sidecars that keep origins."""
     if state.keepers is None:
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -77,7 +77,8 @@
     ``leaving`` of a direct endpoint is final: it has announced it or was
     found to have ended. ``listed`` and ``superseded`` follow the newest list
     and may change back: an entry can expire while its endpoint is alive, and
-    an entry of another writer may name its address.
+    an entry of another writer may name its address. ``is_replaced`` is set
+    once a start with another software version is listed under its name.
     """
 
     instance: events.Instance
@@ -89,6 +90,7 @@
     leaving: bool = False
     listed: bool = True
     superseded: bool = False
+    is_replaced: bool = False
     retry_link_at_ms: int = 0
     refusals: int = 0
     link_address: str = ''
--- a/test/hosted/test_origins.py
+++ b/test/hosted/test_origins.py
@@ -184,6 +184,81 @@
         self.assertEqual({}, self.state.streams_told)
 
 
+def start(started_ms, version, number=1):
+    """Return a start of an endpoint under one name and address."""
+    incarnation = messages.Incarnation(f'i-{number}', started_ms)
+    return dataclasses.replace(
+        endpoint(number, version),
+        instance=str(incarnation),
+        incarnation=incarnation,
+    )
+
+
+class ReplacedStartTest(ResumptionTestCase):
+    """``i-1`` crashes and starts again at once, with another version."""
+
+    rows = (start(1, 'v1'),)
+    after = (start(9, 'v2'), endpoint(2, 'v1'))
+
+    def send_first(self):
+        """Send the first request of a stream; return the answer's head."""
+        self.send_request(at_ms=1100, caller_request_id='a')
+        peer, offer = self.offered()
+        head = messages.Started(offer.attempt_id, 200, (), None)
+        return events.MessageReceived(1400, peer, head)
+
+    def test_resumed_answer_that_begins_after_its_start_was_replaced(self):
+        """Guards against a stream that is mixed though the list told of it.
+
+        The request was sent before the list showed the new start, and its
+        answer begins after that.
+        """
+        self.begin_stream('a')
+        self.resume('a')
+        peer, offer = self.offered()
+        self.list_instances(*self.after, at_ms=1300)
+        head = messages.Started(offer.attempt_id, 200, (), None)
+        self.receive(head, 1400, peer)
+        self.assertEqual([], self.of_type(effects.BeginAnswer))
+
+    def test_stream_that_begins_after_its_start_was_replaced(self):
+        """Guards against an origin taken from a start that has ended."""
+        head = self.send_first()
+        self.list_instances(*self.after, at_ms=1300)
+        self.feed(head)
+        self.resume('a', at_ms=1500)
+        self.assert_refused()
+
+    def test_stream_under_way_when_its_start_is_replaced(self):
+        """Guards against an origin that the list later shows to be wrong.
+
+        The new start has answered before the list showed it.
+        """
+        self.link_sidecar()
+        self.begin_stream('a')
+        self.list_instances(*self.after, beside(), at_ms=1300)
+        (told,) = self.sent(messages.StreamsBegan)
+        self.assertEqual('', told.origins[0].software_version)
+        self.resume('a', at_ms=1500)
+        self.assert_refused()
+
+    def test_start_replaced_by_one_of_the_same_version(self):
+        """Guards against refusals where there is nothing to mix."""
+        head = self.send_first()
+        self.list_instances(start(9, 'v1'), endpoint(2, 'v2'), at_ms=1300)
+        self.feed(head)
+        self.resume('a', at_ms=1500)
+        self.assertEqual('i-1@9', self.offered()[0])
+
+    def test_entry_that_expires_while_a_stream_runs(self):
+        """Guards against refusals because a live endpoint's entry lapsed."""
+        head = self.send_first()
+        self.list_instances(endpoint(2, 'v1'), at_ms=1300)
+        self.feed(head)
+        self.resume('a', at_ms=1500)
+        self.assertEqual('i-2', self.offered()[0])
+
+
 class UnknownStreamTest(ResumptionTestCase):
     def test_unknown_malformed_or_unnamed_stream_is_refused(self):
         """Guards against guesses where two versions serve."""
