Take a load permit back only from the sidecar that has it

The gateway that coordinates loads crashes and starts again at once under its name. It numbers its permits from 1 again, and a sidecar that gives back permit 1 of the earlier start frees the permit 1 that another sidecar has just got. More loads then run at once than the weight store serves at full speed, each of them slower, and the average load time is taken from the wrong permit.

Cause: a permit was looked up by its number alone.

Evidence: test_permit_of_an_earlier_coordinator_is_not_taken_for_a_new_one failed before (a second sidecar got a permit while the first had one).

The permit must be that of the peer which gives it back.

--- a/berylhollow/gateway/_load_coordinator.py
+++ b/berylhollow/gateway/_load_coordinator.py
@@ -38,10 +38,17 @@
 
 
 def ended(state: _state.State, event: events.MessageReceived) -> Effects:
-    """Take back the permit of a load that ended, and grant the next."""
+    """Take back the permit of a load that ended, and grant the next.
+
+    Permits are numbered anew with each start of a coordinator: the number of
+    one that an earlier start has granted may be that of another sidecar now.
+    """
     book = state.load_coordination
-    permit = book.permits.pop(event.message.permit, None)
-    if permit is not None and event.message.loaded:
+    permit = book.permits.get(event.message.permit)
+    if permit is None or permit.peer != event.peer:
+        return _grant_permits(state, event.at_ms)
+    del book.permits[event.message.permit]
+    if event.message.loaded:
         took_ms = event.at_ms - permit.granted_ms
         book.load_ms += LOAD_TIME_SMOOTHING * (took_ms - book.load_ms)
     return _grant_permits(state, event.at_ms)
--- a/test/test_gateway_coordinator.py
+++ b/test/test_gateway_coordinator.py
@@ -82,6 +82,18 @@
         self.end('e1', 1, 1700)
         self.assertEqual([], self.granted())
 
+    def test_permit_of_an_earlier_coordinator_is_not_taken_for_a_new_one(self):
+        """Guards against more loads at once than the store serves.
+
+        The coordinator restarted and numbers its permits from 1 again, and a
+        sidecar gives back the permit that the earlier start had granted.
+        """
+        self.want('e1')
+        self.end('e2', 1, 400)
+        self.want('e3', 500)
+        self.assertEqual([], self.granted())
+        self.assertEqual(1, len(self.state.load_coordination.permits))
+
     def test_permit_given_back_twice_counts_once(self):
         self.want('e1')
         self.end('e1', 1, 400)
