Remember a sidecar's earlier start while its endpoint is off the list

A machine is lost with a load in flight for longer than its endpoint's entry lasts, and comes back under the same names. Gateways then told the sidecar's new start nothing of the earlier one, so that it kept no slot for the load, which may be carried out late: an endpoint that holds one adapter too many crashes with all its runs.

Cause: a gateway forgot a sidecar, and with it which start it had heard from when, once no endpoint was listed beside it. A load without an answer is valid for 15 s, an entry for three heartbeats.

Evidence: test_sidecar_whose_endpoint_was_off_the_list_is_told_as_well failed before (-1 instead of 5200 ms).

What a gateway knows of the starts of a sidecar is kept, for 1024 of them, and used again if an endpoint of the same name is listed there. Another endpoint refuses the late load, as orders name theirs: test_sidecar_of_another_endpoint_at_the_address_is_told_nothing passed before and guards that side.

--- a/berylhollow/gateway/_sidecars.py
+++ b/berylhollow/gateway/_sidecars.py
@@ -17,6 +17,7 @@
 from berylhollow.gateway import _state
 from berylhollow import messages
 from berylhollow.util import addresses
+from berylhollow.util import bounded
 
 Effects = list[effects.Effect]
 
@@ -25,6 +26,9 @@
 least every second. A connection can go silent without a reset, and then no
 load can be ordered over it."""
 
+MAX_ABSENT_SIDECARS = 1024
+"""Sidecars kept in memory whose endpoints have left the instance list."""
+
 STALL_THRESHOLD_MS = 500
 """A tick this long after the last one means that this gateway stalled. The
 sidecars are not silent then: their reports have not been read yet."""
@@ -62,7 +66,7 @@
     state.ticked_ms = at_ms
     for peer, sidecar in list(state.sidecars.items()):
         if peer not in state.endpoint_by_peer:
-            del state.sidecars[peer]
+            _remove_sidecar(state, peer)
             _origins.keepers_changed(state)
             result.append(effects.CloseLink(peer))
             continue
@@ -202,10 +206,24 @@
     state: _state.State, peer: str, instance: events.Instance
 ) -> None:
     """Add the sidecar at an endpoint's host unless it is known."""
-    if peer not in state.sidecars:
-        host = instance.address.rpartition(':')[0]
-        address = f'{host}:{state.options.sidecar_port}'
-        state.sidecars[peer] = _state.Sidecar(address)
+    if peer in state.sidecars:
+        return
+    host = instance.address.rpartition(':')[0]
+    address = f'{host}:{state.options.sidecar_port}'
+    sidecar = _state.Sidecar(address)
+    known = state.absent_sidecars.pop(peer, None)
+    name = instance.listed_name
+    if known and messages.Incarnation.name_in(known.listed) == name:
+        sidecar.incarnation = known.incarnation
+        sidecar.heard_ms = known.heard_ms
+        sidecar.predecessor_heard_ms = known.predecessor_heard_ms
+    state.sidecars[peer] = sidecar
+
+
+def _remove_sidecar(state: _state.State, peer: str) -> None:
+    """Remove a sidecar, but keep which start of it was heard from when."""
+    state.absent_sidecars[peer] = state.sidecars.pop(peer)
+    bounded.drop_oldest(state.absent_sidecars, MAX_ABSENT_SIDECARS)
 
 
 def _apply_report(
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -525,7 +525,8 @@
 class State:
     """The whole state of a gateway's reducer.
 
-    ``sidecars`` are those of direct endpoints, by peer name;
+    ``sidecars`` are those of direct endpoints, by peer name,
+    ``absent_sidecars`` those whose endpoints have left the instance list;
     ``endpoint_by_peer`` maps a peer name to the endpoint that is listed there
     now. ``awaiting_adapter`` has, by endpoint, the requests that wait for an
     adapter there; ``model_loads`` has, by service, the endpoints that need
@@ -599,6 +600,9 @@
     )
     endpoints: dict[str, Endpoint] = dataclasses.field(default_factory=dict)
     sidecars: dict[str, Sidecar] = dataclasses.field(default_factory=dict)
+    absent_sidecars: dict[str, Sidecar] = dataclasses.field(
+        default_factory=dict
+    )
     endpoint_by_peer: dict[str, str] = dataclasses.field(default_factory=dict)
     awaiting_adapter: dict[str, dict[str, None]] = dataclasses.field(
         default_factory=dict
--- a/test/hosted/test_gateway_direct.py
+++ b/test/hosted/test_gateway_direct.py
@@ -656,6 +656,32 @@
         self.assertEqual(1200, self.link('i2', 2200))
         self.assertEqual(-1, self.link('i2', 60_000))
 
+    def test_sidecar_whose_endpoint_was_off_the_list_is_told_as_well(self):
+        """Guards against a late load that the new start knows nothing of.
+
+        The machine was lost for so long that the endpoint's entry expired.
+        """
+        self.list_instances(direct_instance('i-1', '10.0.0.1:80'))
+        self.link('i1', 10)
+        self.report('10.0.0.1:80', at_ms=1000)
+        self.list_instances(at_ms=5000)
+        self.feed(events.Ticked(5050, 0.5))
+        self.list_instances(direct_instance('i-1', '10.0.0.1:80'), at_ms=6000)
+        self.assertEqual(5200, self.link('i2', 6200))
+
+    def test_sidecar_of_another_endpoint_at_the_address_is_told_nothing(self):
+        """Guards against a slot that stays free where no late load can come.
+
+        Orders name their endpoint.
+        """
+        self.list_instances(direct_instance('i-1', '10.0.0.1:80'))
+        self.link('i1', 10)
+        self.report('10.0.0.1:80', at_ms=1000)
+        self.list_instances(at_ms=5000)
+        self.feed(events.Ticked(5050, 0.5))
+        self.list_instances(direct_instance('i-2', '10.0.0.1:80'), at_ms=6000)
+        self.assertEqual(-1, self.link('i2', 6200))
+
 
 class CallerGoneTest(DirectTestCase):
     def test_run_is_cancelled_with_its_caller_even_if_not_repeatable(self):
