Lend requests to a rate-limited endpoint under its listed name

An endpoint with a rate limit crashes and starts again at once under its name and address. Gateways whose list has the new start borrowed from one lender, those whose list has the one before from another: both reach the new start, at up to twice its rate until the last gateway has read the list, which takes long for one that is cut off from the store.

Cause: lenders were chosen, and buckets kept, by the start of an endpoint as each gateway's list has it.

Evidence: test_gateways_borrow_from_one_bucket_at_any_start failed before (eight starts asked for in eight ways).

The name in the list is the same for all starts, so that all gateways choose one lender and share one bucket. Between gateways of this and of an earlier build, while both run, there are two buckets, as there were in the case above; a lender hands back the name that it was asked for.

--- a/berylhollow/gateway/_rate_limits.py
+++ b/berylhollow/gateway/_rate_limits.py
@@ -3,6 +3,10 @@
 An endpoint's rate limit applies to all gateways together. One sidecar, which
 all gateways choose alike, is the lender: it lends them single requests. A
 gateway without a loan sends nothing to the endpoint.
+
+Loans are for the name in the instance list: until all gateways have read of
+a restart, some of their requests are sent under the start before, and reach
+the new one.
 """
 
 from berylhollow import clock
@@ -130,8 +134,8 @@
 ) -> list[_state.ActiveRequest]:
     """Apply a lender's answer; return the requests that may wait for it."""
     message = event.message
-    endpoint = state.endpoints.get(message.endpoint)
-    if endpoint is None or endpoint.loan.lender != event.peer:
+    endpoint = _borrower(state, message.endpoint, event)
+    if endpoint is None:
         return []
     endpoint.loan.take_answer(message.count, message.wait_ms, event.at_ms)
     return [
@@ -143,6 +147,22 @@
     ]
 
 
+def _borrower(
+    state: _state.State, listed_name: str, event: events.MessageReceived
+) -> _state.Endpoint | None:
+    """Return the endpoint whose lender has answered, None if none waits."""
+    for name in state.rate_limited:
+        endpoint = state.endpoints.get(name)
+        if (
+            endpoint is not None
+            and endpoint.instance.listed_name == listed_name
+            and endpoint.loan.lender == event.peer
+            and endpoint.loan.is_awaiting_answer(event.at_ms)
+        ):
+            return endpoint
+    return None
+
+
 def _choose_lender(
     endpoint: _state.Endpoint, linked: tuple[str, ...], at_ms: int
 ) -> Effects:
@@ -154,13 +174,13 @@
     if loan.lender and loan.candidates == linked:
         return []
     loan.candidates = linked
-    name = endpoint.instance.instance
+    name = endpoint.instance.listed_name
     lender = ''
     if not loan.lender or loan.lender in linked:
         lender = rendezvous.highest(name, linked) or ''
     if not loan.set_lender(lender, at_ms):
         return []
-    fields = (('endpoint', name), ('lender', lender))
+    fields = (('endpoint', endpoint.instance.instance), ('lender', lender))
     return [effects.Log('lender of a rate limit chosen', fields)]
 
 
@@ -172,7 +192,7 @@
         return []
     rate_per_s = endpoint.notice.rate_per_s
     wanted = messages.RateWanted(
-        endpoint.instance.instance,
+        endpoint.instance.listed_name,
         rate_per_s,
         loan.begin_asking(rate_per_s, at_ms),
     )
--- a/berylhollow/messages.py
+++ b/berylhollow/messages.py
@@ -413,7 +413,8 @@
 class RateWanted:
     """A gateway asks how many requests it may send to a limited endpoint.
 
-    ``rate_per_s`` is the endpoint's rate limit as last known to the gateway.
+    ``endpoint`` is its name in the instance list, which all its starts have.
+    ``rate_per_s`` is its rate limit as last known to the gateway.
     """
 
     endpoint: str
--- a/test/hosted/test_rate_limited_requests.py
+++ b/test/hosted/test_rate_limited_requests.py
@@ -158,3 +158,54 @@
         )
         self.send_request(at_ms=100)
         self.assertEqual('i-1@2', self.offered()[0])
+
+
+class RestartTest(test_gateway_direct.DirectTestCase):
+    """Gateways whose lists have different starts of a limited endpoint."""
+
+    def ask(self, started_ms):
+        """Return the loan that a gateway with a start in its list asks for.
+
+        Returns it with the sidecar that is asked.
+        """
+        self.setUp()
+        incarnation = messages.Incarnation('i-1', started_ms)
+        name = str(incarnation)
+        lenders = [f'10.0.1.{number}:80' for number in range(20)]
+        self.list_instances(
+            test_gateway_direct.plain(
+                name, FIRST_ADDRESS, incarnation=incarnation
+            ),
+            *(
+                test_gateway_direct.direct_instance(f'm-{address}', address)
+                for address in lenders
+            ),
+        )
+        for address in lenders:
+            peer = addresses.sidecar_peer(address)
+            self.open_link(peer, events.Role.ENDPOINT)
+        notice = events.EndpointNotice(rate_per_s=3.0)
+        self.feed(events.NoticeReceived(10, name, 10, notice))
+        self.feed(events.Ticked(50, 0.5))
+        self.send_request(at_ms=100)
+        (asked,) = (
+            effect
+            for effect in self.of_type(effects.Send)
+            if isinstance(effect.message, messages.RateWanted)
+        )
+        return asked
+
+    def test_gateways_borrow_from_one_bucket_at_any_start(self):
+        """Guards against twice the rate while lists differ.
+
+        Both gateways reach the new start, which keeps its name and address.
+        """
+        asked = {self.ask(started_ms) for started_ms in range(1, 9)}
+        self.assertEqual(1, len(asked), asked)
+
+    def test_loan_for_a_name_is_of_the_start_that_asked(self):
+        """Guards against answers that are taken for those of nobody."""
+        asked = self.ask(9)
+        lent = messages.RateLent(asked.message.endpoint, 1, 0)
+        self.receive(lent, 105, asked.peer)
+        self.assertEqual('i-1@9', self.offered()[0])
