Log an earlier load that only a restart of the endpoint makes harmful

A sidecar that learns of a load of its earlier start beside an endpoint that did not restart keeps it in mind without a word in the log, though it decides later on a slot that stays free. The line names the gateway that told of it and how long it is valid.

--- a/berylhollow/loader/_reducer.py
+++ b/berylhollow/loader/_reducer.py
@@ -134,13 +134,13 @@
     if valid_ms <= 0:
         return []
     until_ms = event.at_ms + valid_ms
+    fields = (('gateway', event.peer), ('valid_ms', valid_ms))
     if state.earlier_orders:
         stray = _state.StrayLoad(state.earlier_orders, until_ms)
         state.unanswered_loads.append(stray)
-        return []
+        return [effects.Log('earlier load may follow a restart', fields)]
     stray = _state.StrayLoad(_state.ANY_COUNT, until_ms)
     state.stray_loads.append(stray)
-    fields = (('gateway', event.peer), ('valid_ms', valid_ms))
     return [effects.Log('slot reserved for an earlier load', fields)]
 
 
--- a/test/loader/test_restarts.py
+++ b/test/loader/test_restarts.py
@@ -199,6 +199,9 @@
         harmless only as long as the endpoint doesn't restart as well.
         """
         self.begin_beside(3, predecessor_ms=1200)
+        self.assertEqual(
+            1, len(self.logged('earlier load may follow a restart'))
+        )
         self.feed(events.Ticked(100))
         self.orders = 0
         self.report(at_ms=100, started_ms=SECOND_MS + 900)
