Resume streams away from endpoints that have cut off a run

A plain endpoint crashes and starts again at once under its name and address, with another software version. Callers resume their streams within milliseconds, and gateways sent them to the new start as one of the version that the list still showed: events of two versions in one stream.

Cause: the listed version counted as proven until the list showed the new start, also at an endpoint that had just cut off runs.

A resumed stream now avoids endpoints that have cut off a run, until the list has been read two seconds later, as long as others of its version may take it. Where none may, or only the connection was reset, streams go on as before: nothing is refused for it. Endpoints with a sidecar's report are not avoided; their next start holds no model until the sidecar has reported it.

--- a/berylhollow/gateway/_attempts.py
+++ b/berylhollow/gateway/_attempts.py
@@ -285,6 +285,8 @@
         state.endpoints[event.peer].leaving = True
     if message.kind is errors.Kind.ENDPOINT_REPLACED:
         result = _crashes.report_crash(state, event.peer, event.at_ms)
+    if message.kind in _crashes.CUT_OFF_KINDS:
+        state.endpoints[event.peer].cut_off_ms = event.at_ms
     result += _crashes.record_cut_off(state, active, message, event.at_ms)
     if message.ran is not errors.Ran.NOT_RUN:
         result += _probes.release(state, active)
--- a/berylhollow/gateway/_fleet.py
+++ b/berylhollow/gateway/_fleet.py
@@ -3,6 +3,7 @@
 import collections.abc
 
 from berylhollow.gateway import _backlog
+from berylhollow.gateway import _origins
 from berylhollow.gateway import _rate_limits
 from berylhollow.gateway import _resumption
 from berylhollow.gateway import _state
@@ -36,6 +37,11 @@
         self.seed = active.seed
         self.at_ms = at_ms
         self.uses_ejected = _resumption.are_all_ejected(state, active, at_ms)
+        self.avoids_doubtful = False
+        if active.software_version:
+            self.avoids_doubtful = any(
+                not _origins.is_doubtful(state, name) for name in self.names()
+            )
 
     def names(self) -> list[str]:
         """Return every endpoint that may be chosen; scans the service."""
@@ -62,6 +68,9 @@
             and self._is_usable(endpoint)
             and endpoint.has_model
             and _resumption.may_run_at(self.state, self.active, name)
+            and not (
+                self.avoids_doubtful and _origins.is_doubtful(self.state, name)
+            )
             and _rate_limits.has_room(
                 self.state, self.active, endpoint, self.at_ms
             )
--- a/berylhollow/gateway/_origins.py
+++ b/berylhollow/gateway/_origins.py
@@ -9,9 +9,11 @@
 from berylhollow import clock
 from berylhollow import effects
 from berylhollow import events
+from berylhollow.gateway import _notices
 from berylhollow.gateway import _state
 from berylhollow import messages
 from berylhollow import resumption
+from berylhollow.util import addresses
 from berylhollow.util import hash_ring
 
 Effects = list[effects.Effect]
@@ -48,6 +50,22 @@
     return instance.software_version
 
 
+def is_doubtful(state: _state.State, name: str) -> bool:
+    """Tell whether an endpoint may have started again since it was listed.
+
+    One that has cut off a run may have crashed. Its next start has the same
+    name, perhaps another version, and is in the list only after a lag. Where
+    there is a sidecar, the new start holds nothing until that reports it.
+    """
+    endpoint = state.endpoints[name]
+    shown_ms = endpoint.cut_off_ms + _notices.LISTING_LAG_MS
+    if state.listed_ms >= shown_ms:
+        return False
+    peer = addresses.sidecar_peer(endpoint.instance.address)
+    sidecar = state.sidecars.get(peer)
+    return sidecar is None or sidecar.report is None
+
+
 def answer_begins(
     state: _state.State,
     active: _state.ActiveRequest,
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -64,7 +64,8 @@
     tokens of this gateway's requests there whose answers have not begun or
     that wait for their adapter; ``others_tokens`` counts those of other
     gateways, as of the last report. ``lost`` has a run for each fingerprint
-    of the requests whose runs there were interrupted. ``longest_gap_ms`` is
+    of the requests whose runs there were interrupted, the last of them at
+    ``cut_off_ms``. ``longest_gap_ms`` is
     the longest gap in an answer that has ended since its sidecar was told.
 
     ``notice`` is the newest one in an answer, to a request that was sent at
@@ -99,6 +100,7 @@
     others_tokens: int = 0
     longest_gap_ms: int = 0
     lost: dict[str, CutOffRun] = dataclasses.field(default_factory=dict)
+    cut_off_ms: int = clock.NEVER_MS
     failures: int = 0
     ejections: int = 0
     ejected_until_ms: int = 0
--- a/test/hosted/test_origins.py
+++ b/test/hosted/test_origins.py
@@ -1,5 +1,6 @@
 """A gateway's decisions about requests that take a stream up again."""
 
+import collections
 import dataclasses
 
 from berylhollow import effects
@@ -139,6 +140,52 @@
         self.assertEqual(10, len(self.state.origins))
         self.assertEqual(10, len(self.state.streams_told))
 
+    def break_streams(self, count):
+        """Let streams begin and break; return by endpoint how many did."""
+        broken = collections.Counter()
+        for number in range(count):
+            self.begin_stream(f's{number}')
+            active = self.state.requests[f'r{self.sent_count}']
+            lost = messages.Failed(
+                active.attempt_id,
+                errors.Kind.STREAM_BROKEN,
+                errors.Ran.UNKNOWN,
+            )
+            broken[active.endpoint] += 1
+            self.receive(lost, 1150, active.endpoint)
+        return broken
+
+    def test_stream_goes_on_where_no_run_was_cut_off(self):
+        """Guards against a next start that the list doesn't show yet.
+
+        It may have another version than the start that cut off the stream.
+        """
+        self.list_instances(endpoint(2, 'v2'), at_ms=1050)
+        self.break_streams(4)
+        self.list_instances(endpoint(2, 'v2'), endpoint(3, 'v2'), at_ms=1200)
+        for number in range(4):
+            self.resume(f's{number}', at_ms=1210)
+            self.assertEqual('i-3', self.offered()[0])
+
+    def test_stream_goes_on_where_the_list_has_been_read_since(self):
+        """Guards against an endpoint that is avoided for good."""
+        rows = endpoint(2, 'v2'), endpoint(3, 'v2')
+        self.list_instances(rows[0], at_ms=1050)
+        self.break_streams(8)
+        self.list_instances(*rows, at_ms=3200)
+        names = set()
+        for number in range(8):
+            self.resume(f's{number}', at_ms=3210)
+            names.add(self.offered()[0])
+        self.assertEqual({'i-2', 'i-3'}, names)
+
+    def test_stream_goes_on_where_a_run_was_cut_off_everywhere(self):
+        """Guards against refusals after many channels were reset at once."""
+        self.list_instances(endpoint(2, 'v2'), at_ms=1050)
+        self.break_streams(1)
+        self.resume('s0', at_ms=1210)
+        self.assertEqual('i-2', self.offered()[0])
+
     def test_stream_goes_on_where_all_of_its_version_are_ejected(self):
         """Guards against refusals after many channels were reset at once.
 
--- a/test/hosted/test_restarts_in_place.py
+++ b/test/hosted/test_restarts_in_place.py
@@ -12,6 +12,9 @@
 from test.hosted import stream_fleet
 
 STREAMS = 60
+FEW_STREAMS = 24
+"""Too few for an endpoint to be ejected when it cuts off its own."""
+
 LIST_LAG_MS = 400
 BEGIN_MS = 3000
 END_MS = 20_000
@@ -49,14 +52,18 @@
 
     def restart_all(self):
         """Let endpoints of two versions change place under their names."""
-        for endpoint in self.endpoints.values():
-            address = endpoint.address
-            for run in endpoint.runs.values():
-                self._answer(run, run.start, self._broken(run.offer))
-            endpoint.runs.clear()
-            self.versions[address] = SWAPPED[self.versions[address]]
-            self.started_ms[address] += 1
-            self.after(LIST_LAG_MS, self.list_start, address)
+        for address in self.endpoints:
+            self.restart(address)
+
+    def restart(self, address):
+        """Let an endpoint start again in place with the other version."""
+        endpoint = self.endpoints[address]
+        for run in endpoint.runs.values():
+            self._answer(run, run.start, self._broken(run.offer))
+        endpoint.runs.clear()
+        self.versions[address] = SWAPPED[self.versions[address]]
+        self.started_ms[address] += 1
+        self.after(LIST_LAG_MS, self.list_start, address)
 
     def _offered(self, name, effect):
         listed_name = messages.Incarnation.name_in(effect.peer)
@@ -96,6 +103,18 @@
             self.fleet.reset_channels(name, 0.7)
         self.check()
 
+    def test_streams_of_one_endpoint_go_on_elsewhere(self):
+        """Guards against a version that is taken for that of a next start.
+
+        Others of the version serve, of which no run was cut off.
+        """
+        self.fleet.begin_streams(FEW_STREAMS)
+        self.fleet.run_until(BEGIN_MS + 600)
+        for number in (1, 4):
+            self.fleet.restart(f'10.0.0.{number}:80')
+        self.check(least_resumed=5)
+        self.assertEqual(self.fleet.resumed, self.fleet.went_on)
+
     def test_streams_resumed_before_the_list_shows_the_next_start(self):
         """Guards against a version that is taken for that of a next start.
 
