Merge what is believed of earlier starts

A gateway may keep both when an endpoint's runs were cut off last and when its end first cut one off.

--- a/berylhollow/gateway/_notices.py
+++ b/berylhollow/gateway/_notices.py
@@ -30,20 +30,51 @@
     if endpoint is None:
         return []
     before = endpoint.notice
-    leaving = before.leaving or event.notice.leaving
-    notice = event.notice
-    if event.sent_ms < endpoint.notice_sent_ms:
-        notice = before
-    elif notice.malformed:
-        notice = dataclasses.replace(notice, rate_per_s=before.rate_per_s)
+    endpoint.notice = _merge(before, endpoint.notice_sent_ms, event)
     endpoint.notice_sent_ms = max(endpoint.notice_sent_ms, event.sent_ms)
-    endpoint.notice = dataclasses.replace(notice, leaving=leaving)
+    if endpoint.reported_start and event.sent_ms >= endpoint.reported_ms:
+        _keep_for_unlisted(state, endpoint.reported_start, event)
     emitted = _note_malformed(endpoint, before, event)
     emitted += _apply_pause(state, endpoint, event)
     emitted += _apply_leaving(state, endpoint, before, event)
     return emitted + _apply_rate_limit(state, endpoint, before, event)
 
 
+def _merge(
+    before: events.EndpointNotice,
+    before_sent_ms: int,
+    event: events.NoticeReceived,
+) -> events.EndpointNotice:
+    """Return the notice that holds after another one was received."""
+    notice = event.notice
+    if event.sent_ms < before_sent_ms:
+        notice = before
+    elif notice.malformed:
+        notice = dataclasses.replace(notice, rate_per_s=before.rate_per_s)
+    leaving = before.leaving or event.notice.leaving
+    return dataclasses.replace(notice, leaving=leaving)
+
+
+def _keep_for_unlisted(
+    state: _state.State, started: str, event: events.NoticeReceived
+) -> None:
+    """Keep a notice for the start that a sidecar reports, until it is listed.
+
+    The request was sent after that report, so that the answer is of no
+    earlier start.
+    """
+    stored = state.absent_notices.pop(started, _state.StoredNotice())
+    until_ms = stored.paused_until_ms
+    if event.notice.pause_ms:
+        until_ms = max(until_ms, event.at_ms + event.notice.pause_ms)
+    state.absent_notices[started] = _state.StoredNotice(
+        _merge(stored.notice, stored.sent_ms, event),
+        max(stored.sent_ms, event.sent_ms),
+        until_ms,
+    )
+    bounded.drop_oldest(state.absent_notices, MAX_ABSENT_NOTICES)
+
+
 def _note_malformed(
     endpoint: _state.Endpoint,
     before: events.EndpointNotice,
@@ -68,33 +99,35 @@
     if not endpoint.notice.leaving or before.leaving:
         return []
     endpoint.leaving = True
-    _note_doubtful(state, endpoint, event)
+    doubtful = _doubtful_notice(state, endpoint, event)
+    if doubtful is not None:
+        doubtful.at_ms = event.at_ms
+        doubtful.leaving = True
     return [
         _log('endpoint says that it leaves', endpoint, event),
         _count(endpoint, 'leaving'),
     ]
 
 
-def _note_doubtful(
+def _doubtful_notice(
     state: _state.State,
     endpoint: _state.Endpoint,
     event: events.NoticeReceived,
-) -> None:
-    """Keep what an endpoint says that may have ended.
+) -> _state.DoubtfulNotice | None:
+    """Return where to keep what is said by an endpoint that may have ended.
 
     After it has cut off a run, another start may have answered under its name
-    that is not listed yet.
+    that is not listed yet. Returns None if it has not.
     """
     if all(run.lost_ms > event.sent_ms for run in endpoint.lost.values()):
-        return
+        return None
     name = endpoint.instance.listed_name
-    known = state.doubtful_notices.pop(name, None)
-    is_same = known is not None and known.instance == event.peer
-    leaving = event.notice.leaving or (is_same and known.leaving)
-    state.doubtful_notices[name] = _state.DoubtfulNotice(
-        event.peer, event.at_ms, leaving, endpoint.paused_until_ms
-    )
+    doubtful = state.doubtful_notices.pop(name, None)
+    if doubtful is None or doubtful.instance != event.peer:
+        doubtful = _state.DoubtfulNotice(event.peer)
+    state.doubtful_notices[name] = doubtful
     bounded.drop_oldest(state.doubtful_notices, MAX_ABSENT_NOTICES)
+    return doubtful
 
 
 def _apply_pause(
@@ -107,7 +140,10 @@
     if not event.notice.pause_ms or until_ms <= endpoint.paused_until_ms:
         return []
     endpoint.paused_until_ms = until_ms
-    _note_doubtful(state, endpoint, event)
+    doubtful = _doubtful_notice(state, endpoint, event)
+    if doubtful is not None:
+        doubtful.at_ms = event.at_ms
+        doubtful.paused_until_ms = until_ms
     return [
         _log('endpoint asks for a pause', endpoint, event),
         _count(endpoint, 'pause'),
@@ -121,6 +157,12 @@
     event: events.NoticeReceived,
 ) -> Effects:
     rate_per_s = endpoint.notice.rate_per_s
+    is_limited = rate_per_s is not None or before.rate_per_s is not None
+    if is_limited and event.sent_ms == endpoint.notice_sent_ms:
+        doubtful = _doubtful_notice(state, endpoint, event)
+        if doubtful is not None:
+            doubtful.rate_stated_ms = event.at_ms
+            doubtful.rate_per_s = rate_per_s
     if rate_per_s == before.rate_per_s:
         return []
     if rate_per_s is None:
@@ -170,7 +212,9 @@
     """Apply a notice to a new start that may have been the one to give it."""
     started = endpoint.instance.instance
     for name, doubtful in list(state.doubtful_notices.items()):
-        if at_ms > doubtful.at_ms + LISTING_LAG_MS:
+        is_recent = at_ms <= doubtful.at_ms + LISTING_LAG_MS
+        has_rate = at_ms <= doubtful.rate_stated_ms + LISTING_LAG_MS
+        if not is_recent and not has_rate:
             del state.doubtful_notices[name]
             continue
         if started == doubtful.instance:
@@ -178,20 +222,35 @@
         if not messages.Incarnation.is_incarnation_of(started, name):
             continue
         del state.doubtful_notices[name]
-        endpoint.leaving = endpoint.leaving or doubtful.leaving
-        endpoint.paused_until_ms = max(
-            endpoint.paused_until_ms, doubtful.paused_until_ms
-        )
+        if is_recent:
+            endpoint.leaving = endpoint.leaving or doubtful.leaving
+            endpoint.paused_until_ms = max(
+                endpoint.paused_until_ms, doubtful.paused_until_ms
+            )
+        if has_rate and doubtful.rate_per_s is not None:
+            _limit_rate(state, endpoint, doubtful.rate_per_s)
+        heard_ms = max(doubtful.at_ms, doubtful.rate_stated_ms)
         fields = (
             ('endpoint', started),
             ('taken_for', doubtful.instance),
-            ('leaving', doubtful.leaving),
-            ('notice_age_ms', at_ms - doubtful.at_ms),
+            ('leaving', is_recent and doubtful.leaving),
+            ('rate_per_s', endpoint.notice.rate_per_s),
+            ('notice_age_ms', at_ms - heard_ms),
         )
         return [effects.Log('notice is of a new start', fields)]
     return []
 
 
+def _limit_rate(
+    state: _state.State, endpoint: _state.Endpoint, rate_per_s: float
+) -> None:
+    """Apply a rate limit until an answer of the endpoint says otherwise."""
+    endpoint.notice = dataclasses.replace(
+        endpoint.notice, rate_per_s=rate_per_s
+    )
+    state.rate_limited[endpoint.instance.instance] = None
+
+
 def _log(
     text: str,
     endpoint: _state.Endpoint,
--- a/berylhollow/gateway/_origins.py
+++ b/berylhollow/gateway/_origins.py
@@ -9,9 +9,11 @@
 from berylhollow import clock
 from berylhollow import effects
 from berylhollow import events
+from berylhollow.gateway import _notices
 from berylhollow.gateway import _state
 from berylhollow import messages
 from berylhollow import resumption
+from berylhollow.util import addresses
 from berylhollow.util import hash_ring
 
 Effects = list[effects.Effect]
@@ -36,10 +38,10 @@
     """Return the software version of an endpoint, '' if it isn't certain.
 
     Its sidecar may have reported a start that the list doesn't have yet, and
-    another entry may have taken its address.
+    another entry or a later start may have taken its address.
     """
     endpoint = state.endpoints.get(name)
-    if endpoint is None or endpoint.superseded:
+    if endpoint is None or endpoint.superseded or endpoint.is_replaced:
         return ''
     instance = endpoint.instance
     report = endpoint.report
@@ -48,6 +50,22 @@
     return instance.software_version
 
 
+def is_doubtful(state: _state.State, name: str) -> bool:
+    """Tell whether an endpoint may have started again since it was listed.
+
+    One that has cut off a run may have crashed. Its next start has the same
+    name, perhaps another version, and is in the list only after a lag. Where
+    there is a sidecar, the new start holds nothing until that reports it.
+    """
+    endpoint = state.endpoints[name]
+    shown_ms = endpoint.cut_off_ms + _notices.LISTING_LAG_MS
+    if state.listed_ms >= shown_ms:
+        return False
+    peer = addresses.sidecar_peer(endpoint.instance.address)
+    sidecar = state.sidecars.get(peer)
+    return sidecar is None or sidecar.report is None
+
+
 def answer_begins(
     state: _state.State,
     active: _state.ActiveRequest,
@@ -60,6 +78,13 @@
     """
     if active.stream is None or status not in messages.SUCCESS_STATUSES:
         return []
+    return _keep_origin(state, active, at_ms)
+
+
+def _keep_origin(
+    state: _state.State, active: _state.ActiveRequest, at_ms: int
+) -> Effects:
+    """Keep what began a stream as far as it is certain, and tell sidecars."""
     endpoint = state.endpoints.get(active.endpoint)
     if endpoint is None or not endpoint.instance.direct:
         return []
@@ -76,6 +101,25 @@
     return _sends(by_peer)
 
 
+def start_replaced(
+    state: _state.State, endpoint: _state.Endpoint, at_ms: int
+) -> Effects:
+    """Forget what began the streams under way at a start that has ended.
+
+    Their answers may be of the start that is listed in its place, which may
+    have answered before it was listed.
+    """
+    endpoint.is_replaced = True
+    emitted: Effects = []
+    for attempt_id in sorted(endpoint.attempts_in_flight):
+        active = state.request_of(attempt_id)
+        if active is None or active.phase is not _state.Phase.RELAYING:
+            continue
+        if active.stream in state.origins.entries:
+            emitted += _keep_origin(state, active, at_ms)
+    return emitted
+
+
 def keepers(state: _state.State) -> hash_ring.HashRing:
     """Return the linked sidecars that keep origins."""
     if state.keepers is None:
--- a/berylhollow/gateway/_sidecars.py
+++ b/berylhollow/gateway/_sidecars.py
@@ -17,6 +17,7 @@
 from berylhollow.gateway import _state
 from berylhollow import messages
 from berylhollow.util import addresses
+from berylhollow.util import bounded
 
 Effects = list[effects.Effect]
 
@@ -25,6 +26,9 @@
 least every second. A connection can go silent without a reset, and then no
 load can be ordered over it."""
 
+MAX_ABSENT_SIDECARS = 1024
+"""Sidecars kept in memory whose endpoints have left the instance list."""
+
 STALL_THRESHOLD_MS = 500
 """A tick this long after the last one means that this gateway stalled. The
 sidecars are not silent then: their reports have not been read yet."""
@@ -42,9 +46,12 @@
             )
             _add_sidecar(state, peer, instance)
     for peer, name in endpoint_of_peer.items():
+        sidecar = state.sidecars[peer]
         if state.endpoint_by_peer.get(peer) != name:
             # Resend the demand soon, for the endpoint that is there now.
-            state.sidecars[peer].told_ms = clock.NEVER_MS
+            sidecar.told_ms = clock.NEVER_MS
+        if sidecar.listed != name:
+            sidecar.listed_before, sidecar.listed = sidecar.listed, name
     state.endpoint_by_peer = endpoint_of_peer
     for peer, name in endpoint_of_peer.items():
         _apply_report(state, state.sidecars[peer], state.endpoints[name])
@@ -59,7 +66,7 @@
     state.ticked_ms = at_ms
     for peer, sidecar in list(state.sidecars.items()):
         if peer not in state.endpoint_by_peer:
-            del state.sidecars[peer]
+            _remove_sidecar(state, peer)
             _origins.keepers_changed(state)
             result.append(effects.CloseLink(peer))
             continue
@@ -161,11 +168,21 @@
         event.message, sidecar.told_tokens
     )
     _apply_report(state, sidecar, endpoint)
+    _note_start(endpoint, event.at_ms)
     if before is None or before.model_load is not event.message.model_load:
         _schedule_demand(state, endpoint.instance.service)
     return _adapters.requests_awaiting_adapter(state, name)
 
 
+def _note_start(endpoint: _state.Endpoint, at_ms: int) -> None:
+    """Note a start that the sidecar reports before it is listed."""
+    started = endpoint.report.epoch
+    if started in ('', endpoint.instance.instance, endpoint.reported_start):
+        return
+    endpoint.reported_start = started
+    endpoint.reported_ms = at_ms
+
+
 def _schedule_demand(state: _state.State, service: str) -> None:
     """Make the demand due to be sent to the sidecars of a service."""
     for peer, name in state.endpoint_by_peer.items():
@@ -189,10 +206,24 @@
     state: _state.State, peer: str, instance: events.Instance
 ) -> None:
     """Add the sidecar at an endpoint's host unless it is known."""
-    if peer not in state.sidecars:
-        host = instance.address.rpartition(':')[0]
-        address = f'{host}:{state.options.sidecar_port}'
-        state.sidecars[peer] = _state.Sidecar(address)
+    if peer in state.sidecars:
+        return
+    host = instance.address.rpartition(':')[0]
+    address = f'{host}:{state.options.sidecar_port}'
+    sidecar = _state.Sidecar(address)
+    known = state.absent_sidecars.pop(peer, None)
+    name = instance.listed_name
+    if known and messages.Incarnation.name_in(known.listed) == name:
+        sidecar.incarnation = known.incarnation
+        sidecar.heard_ms = known.heard_ms
+        sidecar.predecessor_heard_ms = known.predecessor_heard_ms
+    state.sidecars[peer] = sidecar
+
+
+def _remove_sidecar(state: _state.State, peer: str) -> None:
+    """Remove a sidecar, but keep which start of it was heard from when."""
+    state.absent_sidecars[peer] = state.sidecars.pop(peer)
+    bounded.drop_oldest(state.absent_sidecars, MAX_ABSENT_SIDECARS)
 
 
 def _apply_report(
@@ -203,11 +234,14 @@
     A report that names another endpoint is ignored, since its adapters are
     not those of this one. A report of the same endpoint after a restart is
     newer than the list, which still has the start before: the adapters held
-    then are gone.
+    then are gone. So are those in a report of the start that the list had
+    before: its sidecar has not read the new one yet.
     """
     name = endpoint.instance.instance
     report = sidecar.report
-    if report is None or not _is_report_of(report, endpoint.instance):
+    if report is None or not _is_report_of(
+        report, endpoint.instance, sidecar.listed_before
+    ):
         report = _report_from_list(endpoint.instance)
     if report == endpoint.report:
         return
@@ -217,10 +251,17 @@
     _model_loads.update_from_report(state, name)
 
 
-def _is_report_of(report: messages.Report, instance: events.Instance) -> bool:
-    """Tell whether a report is about the listed endpoint, at any start."""
+def _is_report_of(
+    report: messages.Report, instance: events.Instance, listed_before: str
+) -> bool:
+    """Tell whether a report is about the listed start or a later one.
+
+    ``listed_before`` is the start that the list had before, '' for none.
+    """
     if report.epoch in ('', instance.instance):
         return True
+    if report.epoch == listed_before:
+        return False
     return messages.Incarnation.is_incarnation_of(
         report.epoch, instance.listed_name
     )
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -64,18 +64,23 @@
     tokens of this gateway's requests there whose answers have not begun or
     that wait for their adapter; ``others_tokens`` counts those of other
     gateways, as of the last report. ``lost`` has a run for each fingerprint
-    of the requests whose runs there were interrupted; ``ended_ms`` is when the
-    first of those was lost that its end cut off. ``longest_gap_ms`` is the
-    longest gap in an answer that has ended since its sidecar was told.
+    of the requests whose runs there were interrupted, the last of them at
+    ``cut_off_ms``; ``ended_ms`` is when the first of those was lost that its
+    end cut off. ``longest_gap_ms`` is the longest gap in an answer that has
+    ended since its sidecar was told.
 
     ``notice`` is the newest one in an answer, to a request that was sent at
     ``notice_sent_ms``. ``loan`` is what this gateway may send while the
     endpoint has a rate limit. No request is sent before ``paused_until_ms``.
 
+    ``reported_start`` is another start at its name, not listed yet, which its
+    sidecar has reported since ``reported_ms``.
+
     ``leaving`` of a direct endpoint is final: it has announced it or was
     found to have ended. ``listed`` and ``superseded`` follow the newest list
     and may change back: an entry can expire while its endpoint is alive, and
-    an entry of another writer may name its address.
+    an entry of another writer may name its address. ``is_replaced`` is set
+    once a start with another software version is listed under its name.
     """
 
     instance: events.Instance
@@ -87,6 +92,7 @@
     leaving: bool = False
     listed: bool = True
     superseded: bool = False
+    is_replaced: bool = False
     retry_link_at_ms: int = 0
     refusals: int = 0
     link_address: str = ''
@@ -96,12 +102,15 @@
     longest_gap_ms: int = 0
     lost: dict[str, CutOffRun] = dataclasses.field(default_factory=dict)
     ended_ms: int | None = None
+    cut_off_ms: int = clock.NEVER_MS
     failures: int = 0
     ejections: int = 0
     ejected_until_ms: int = 0
     notice: events.EndpointNotice = events.EndpointNotice()
     notice_sent_ms: int = clock.NEVER_MS
     paused_until_ms: int = clock.NEVER_MS
+    reported_start: str = ''
+    reported_ms: int = clock.NEVER_MS
     loan: rate_limits.Loan = dataclasses.field(
         default_factory=rate_limits.Loan
     )
@@ -137,28 +146,31 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoredNotice:
-    """The last notice of an endpoint that has left the instance list.
+    """The last notice of an endpoint that is not in the instance list.
 
     It came in the answer to a request that was sent at ``sent_ms``.
     """
 
-    notice: events.EndpointNotice
-    sent_ms: int
-    paused_until_ms: int
+    notice: events.EndpointNotice = events.EndpointNotice()
+    sent_ms: int = clock.NEVER_MS
+    paused_until_ms: int = clock.NEVER_MS
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class DoubtfulNotice:
-    """A notice received at ``at_ms`` as one of ``instance``.
+    """What was received as notices of ``instance``.
 
-    It may be of the next start under the same name. It says that the endpoint
-    is ``leaving``, or wants no requests before ``paused_until_ms``.
+    They may be of the next start under the same name. At ``at_ms`` it said
+    that it is ``leaving``, or wants no requests before ``paused_until_ms``.
+    ``rate_per_s`` is the rate limit that it named at ``rate_stated_ms``.
     """
 
     instance: str
-    at_ms: int
+    at_ms: int = clock.NEVER_MS
     leaving: bool = False
     paused_until_ms: int = clock.NEVER_MS
+    rate_per_s: float | None = None
+    rate_stated_ms: int = clock.NEVER_MS
 
 
 @dataclasses.dataclass(slots=True)
@@ -169,7 +181,8 @@
     ``heard_ms``. ``incarnation`` is its last known start, an earlier one was
     heard from at ``predecessor_heard_ms``. ``told_ms`` is when the demand was
     last sent to it, ``told_tokens`` how many waiting tokens it named. No
-    admission is asked of it before ``unasked_until_ms``.
+    admission is asked of it before ``unasked_until_ms``. ``listed`` is the
+    start of its endpoint in the list, ``listed_before`` the one before that.
     """
 
     address: str
@@ -183,6 +196,8 @@
     told_ms: int = clock.NEVER_MS
     told_tokens: int = 0
     unasked_until_ms: int = clock.NEVER_MS
+    listed: str = ''
+    listed_before: str = ''
 
 
 @dataclasses.dataclass(slots=True)
@@ -516,7 +531,8 @@
 class State:
     """The whole state of a gateway's reducer.
 
-    ``sidecars`` are those of direct endpoints, by peer name;
+    ``sidecars`` are those of direct endpoints, by peer name,
+    ``absent_sidecars`` those whose endpoints have left the instance list;
     ``endpoint_by_peer`` maps a peer name to the endpoint that is listed there
     now. ``awaiting_adapter`` has, by endpoint, the requests that wait for an
     adapter there; ``model_loads`` has, by service, the endpoints that need
@@ -590,6 +606,9 @@
     )
     endpoints: dict[str, Endpoint] = dataclasses.field(default_factory=dict)
     sidecars: dict[str, Sidecar] = dataclasses.field(default_factory=dict)
+    absent_sidecars: dict[str, Sidecar] = dataclasses.field(
+        default_factory=dict
+    )
     endpoint_by_peer: dict[str, str] = dataclasses.field(default_factory=dict)
     awaiting_adapter: dict[str, dict[str, None]] = dataclasses.field(
         default_factory=dict
--- a/berylhollow/loader/_reducer.py
+++ b/berylhollow/loader/_reducer.py
@@ -121,8 +121,9 @@
     """Reserve a slot for a load that an earlier start of ours may have sent.
 
     A sidecar that restarts together with its endpoint does not know of it.
-    An endpoint that has accepted orders did not restart with this sidecar and
-    refuses an order that expects another count.
+    An endpoint that had accepted orders before this sidecar's own did not
+    restart with it and refuses an order that expects another count, until it
+    restarts as well.
     """
     age_ms = event.message.predecessor_ms
     adapters = state.adapters
@@ -130,12 +131,16 @@
         return []
     state.knows_predecessor = True
     valid_ms = state.options.stray_load_ms - age_ms
-    if adapters.orders or valid_ms <= 0:
+    if valid_ms <= 0:
         return []
     until_ms = event.at_ms + valid_ms
+    fields = (('gateway', event.peer), ('valid_ms', valid_ms))
+    if state.earlier_orders:
+        stray = _state.StrayLoad(state.earlier_orders, until_ms)
+        state.unanswered_loads.append(stray)
+        return [effects.Log('earlier load may follow a restart', fields)]
     stray = _state.StrayLoad(_state.ANY_COUNT, until_ms)
     state.stray_loads.append(stray)
-    fields = (('gateway', event.peer), ('valid_ms', valid_ms))
     return [effects.Log('slot reserved for an earlier load', fields)]
 
 
@@ -152,6 +157,8 @@
     if before is not None and event.read < before.read:
         return done
     state.adapters = event
+    if before is None:
+        state.earlier_orders = event.orders
     has_restarted = before is not None and _has_restarted(before, event)
     if has_restarted:
         if state.order is not None:
--- a/test/hosted/test_origins.py
+++ b/test/hosted/test_origins.py
@@ -1,5 +1,6 @@
 """A gateway's decisions about requests that take a stream up again."""
 
+import collections
 import dataclasses
 
 from berylhollow import effects
@@ -139,6 +140,52 @@
         self.assertEqual(10, len(self.state.origins))
         self.assertEqual(10, len(self.state.streams_told))
 
+    def break_streams(self, count):
+        """Let streams begin and break; return by endpoint how many did."""
+        broken = collections.Counter()
+        for number in range(count):
+            self.begin_stream(f's{number}')
+            active = self.state.requests[f'r{self.sent_count}']
+            lost = messages.Failed(
+                active.attempt_id,
+                errors.Kind.STREAM_BROKEN,
+                errors.Ran.UNKNOWN,
+            )
+            broken[active.endpoint] += 1
+            self.receive(lost, 1150, active.endpoint)
+        return broken
+
+    def test_stream_goes_on_where_no_run_was_cut_off(self):
+        """Guards against a next start that the list doesn't show yet.
+
+        It may have another version than the start that cut off the stream.
+        """
+        self.list_instances(endpoint(2, 'v2'), at_ms=1050)
+        self.break_streams(4)
+        self.list_instances(endpoint(2, 'v2'), endpoint(3, 'v2'), at_ms=1200)
+        for number in range(4):
+            self.resume(f's{number}', at_ms=1210)
+            self.assertEqual('i-3', self.offered()[0])
+
+    def test_stream_goes_on_where_the_list_has_been_read_since(self):
+        """Guards against an endpoint that is avoided for good."""
+        rows = endpoint(2, 'v2'), endpoint(3, 'v2')
+        self.list_instances(rows[0], at_ms=1050)
+        self.break_streams(8)
+        self.list_instances(*rows, at_ms=3200)
+        names = set()
+        for number in range(8):
+            self.resume(f's{number}', at_ms=3210)
+            names.add(self.offered()[0])
+        self.assertEqual({'i-2', 'i-3'}, names)
+
+    def test_stream_goes_on_where_a_run_was_cut_off_everywhere(self):
+        """Guards against refusals after many channels were reset at once."""
+        self.list_instances(endpoint(2, 'v2'), at_ms=1050)
+        self.break_streams(1)
+        self.resume('s0', at_ms=1210)
+        self.assertEqual('i-2', self.offered()[0])
+
     def test_stream_goes_on_where_all_of_its_version_are_ejected(self):
         """Guards against refusals after many channels were reset at once.
 
@@ -184,6 +231,81 @@
         self.assertEqual({}, self.state.streams_told)
 
 
+def start(started_ms, version, number=1):
+    """Return a start of an endpoint under one name and address."""
+    incarnation = messages.Incarnation(f'i-{number}', started_ms)
+    return dataclasses.replace(
+        endpoint(number, version),
+        instance=str(incarnation),
+        incarnation=incarnation,
+    )
+
+
+class ReplacedStartTest(ResumptionTestCase):
+    """``i-1`` crashes and starts again at once, with another version."""
+
+    rows = (start(1, 'v1'),)
+    after = (start(9, 'v2'), endpoint(2, 'v1'))
+
+    def send_first(self):
+        """Send the first request of a stream; return the answer's head."""
+        self.send_request(at_ms=1100, caller_request_id='a')
+        peer, offer = self.offered()
+        head = messages.Started(offer.attempt_id, 200, (), None)
+        return events.MessageReceived(1400, peer, head)
+
+    def test_resumed_answer_that_begins_after_its_start_was_replaced(self):
+        """Guards against a stream that is mixed though the list told of it.
+
+        The request was sent before the list showed the new start, and its
+        answer begins after that.
+        """
+        self.begin_stream('a')
+        self.resume('a')
+        peer, offer = self.offered()
+        self.list_instances(*self.after, at_ms=1300)
+        head = messages.Started(offer.attempt_id, 200, (), None)
+        self.receive(head, 1400, peer)
+        self.assertEqual([], self.of_type(effects.BeginAnswer))
+
+    def test_stream_that_begins_after_its_start_was_replaced(self):
+        """Guards against an origin taken from a start that has ended."""
+        head = self.send_first()
+        self.list_instances(*self.after, at_ms=1300)
+        self.feed(head)
+        self.resume('a', at_ms=1500)
+        self.assert_refused()
+
+    def test_stream_under_way_when_its_start_is_replaced(self):
+        """Guards against an origin that the list later shows to be wrong.
+
+        The new start has answered before the list showed it.
+        """
+        self.link_sidecar()
+        self.begin_stream('a')
+        self.list_instances(*self.after, beside(), at_ms=1300)
+        (told,) = self.sent(messages.StreamsBegan)
+        self.assertEqual('', told.origins[0].software_version)
+        self.resume('a', at_ms=1500)
+        self.assert_refused()
+
+    def test_start_replaced_by_one_of_the_same_version(self):
+        """Guards against refusals where there is nothing to mix."""
+        head = self.send_first()
+        self.list_instances(start(9, 'v1'), endpoint(2, 'v2'), at_ms=1300)
+        self.feed(head)
+        self.resume('a', at_ms=1500)
+        self.assertEqual('i-1@9', self.offered()[0])
+
+    def test_entry_that_expires_while_a_stream_runs(self):
+        """Guards against refusals because a live endpoint's entry lapsed."""
+        head = self.send_first()
+        self.list_instances(endpoint(2, 'v1'), at_ms=1300)
+        self.feed(head)
+        self.resume('a', at_ms=1500)
+        self.assertEqual('i-2', self.offered()[0])
+
+
 class UnknownStreamTest(ResumptionTestCase):
     def test_unknown_malformed_or_unnamed_stream_is_refused(self):
         """Guards against guesses where two versions serve."""
