Prove the version of a start that the list shows again

A start whose name the list gave to another version for a while, and that is listed again, kept its streams without an origin for as long as it lived: they were refused when callers resumed them. Whether a start is replaced follows the newest list, as its other marks do.

--- a/berylhollow/gateway/_membership.py
+++ b/berylhollow/gateway/_membership.py
@@ -299,6 +299,7 @@
         logs += _change_service(state, endpoint, row)
     endpoint.instance = row
     endpoint.listed = True
+    endpoint.is_replaced = False
     endpoint.leaving = endpoint.leaving or row.leaving
     if row.direct:
         return logs
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -78,8 +78,8 @@
     ``leaving`` of a direct endpoint is final: it has announced it or was
     found to have ended. ``listed`` and ``superseded`` follow the newest list
     and may change back: an entry can expire while its endpoint is alive, and
-    an entry of another writer may name its address. ``is_replaced`` is set
-    once a start with another software version is listed under its name.
+    an entry of another writer may name its address. So may ``is_replaced``:
+    a start with another software version is listed under its name.
     """
 
     instance: events.Instance
--- a/test/hosted/test_origins.py
+++ b/test/hosted/test_origins.py
@@ -297,6 +297,15 @@
         self.resume('a', at_ms=1500)
         self.assertEqual('i-1@9', self.offered()[0])
 
+    def test_start_that_is_listed_again(self):
+        """Guards against a start that is in doubt for as long as it lives."""
+        head = self.send_first()
+        self.list_instances(*self.after, at_ms=1300)
+        self.list_instances(*self.rows, at_ms=1350)
+        self.feed(head)
+        self.resume('a', at_ms=1500)
+        self.assertEqual('i-1@1', self.offered()[0])
+
     def test_entry_that_expires_while_a_stream_runs(self):
         """Guards against refusals because a live endpoint's entry lapsed."""
         head = self.send_first()
