Don't flood an endpoint with checks after one early close

Endpoints saw ten health checks a second from each gateway while an answer without a length was running, if one connection for checks had been closed right after a check. Checks wait for a slot as requests do.

Cause: the time until that close was taken for the endpoint's idle time-out.

Evidence: test_one_early_close_does_not_multiply_the_checks counted 21 checks in 2 s before, at most 5 asked.

Why it holds: a close that comes sooner than checks could follow isn't an idle time-out, and the time counts from the connection's own last use.

--- a/berylhollow/liveness.py
+++ b/berylhollow/liveness.py
@@ -298,14 +298,27 @@
             waiting.cancel()
         if connection.is_connected():
             return True
-        _, used = self.shown or (connection, connection.opened)
-        self.idle_ms = (self.loop.time() - used) * MS_PER_SECOND
+        self._note_idle_time(connection)
         # If its process has ended, so do the answers within this time.
         await asyncio.sleep(CLOSE_SPREAD_MS / MS_PER_SECOND)
         self._release(connection)
         self.unproven.set()
         return False
 
+    def _note_idle_time(self, connection: outgoing.Connection) -> None:
+        """Note how long an endpoint kept a connection open without a request.
+
+        One that was closed sooner than checks could follow was not idle.
+        """
+        used = connection.opened
+        if self.shown is not None:
+            shown, sent = self.shown
+            if shown is connection:
+                used = sent
+        unused_ms = (self.loop.time() - used) * MS_PER_SECOND
+        if unused_ms >= 2 * MIN_REFRESH_MS:
+            self.idle_ms = unused_ms
+
     async def _open(self) -> None:
         """Open a connection that the next check uses."""
         connector = self.watches.session.connector
--- a/test/hosted/test_end_interleavings.py
+++ b/test/hosted/test_end_interleavings.py
@@ -250,6 +250,19 @@
         for _ in range(2):
             self.assertIsInstance(await self.outcome(), messages.End)
 
+    async def test_one_early_close_does_not_multiply_the_checks(self):
+        """Guards against endpoints that are flooded with health checks.
+
+        One connection is closed right after a check, without a reason given.
+        Checks wait for a slot of the endpoint as requests do.
+        """
+        await self.listen(self.process)
+        await self.begin_shown_answer(number=1)
+        self.process.checks[-1].close()
+        await self.until(lambda: len(self.process.checks) > 1)
+        await asyncio.sleep(2.0)
+        self.assertLessEqual(len(self.process.checks), 5)
+
     async def test_reset_of_the_connection_for_checks_leaves_no_error(self):
         """Guards against errors in futures that nobody reads."""
         errors = []
