--- a/tools/soak/_operator.py
+++ b/tools/soak/_operator.py
@@ -60,11 +60,13 @@
         chance: random.Random,
         paced: bool = False,
         streams: bool = False,
+        stream_service: str = _world.PLAIN_SERVICE,
     ):
         self.world = world
         self.chance = chance
         self.paced = paced
         self.streams = streams
+        self.stream_service = stream_service
         self.numbers = itertools.count(1)
         self.version = 1
         self.key = self._new_key()
@@ -216,7 +218,7 @@
             | {'GapTargetMs': EVENT_GAP_MS if self.paced else 0},
             _route('/p/', 'unsafe', _world.PLAIN_SERVICE),
             _route('/o/', 'safe', _world.PLAIN_SERVICE, public=True),
-            *([STREAM_ROUTE] if self.streams else []),
+            *([self._stream_route()] if self.streams else []),
             *self._large_routes(),
         ]
         self.declared |= {route['PathPrefix']: route for route in routes}
@@ -230,6 +232,15 @@
         route = self.declared[max(matching, key=len)]
         return route['MaxAttempts'] if route['Kind'] == 'safe' else 1
 
+    def _stream_route(self) -> dict:
+        path = _streams.PREFIX
+        route = _route(path, 'stream', self.stream_service, public=True)
+        return route | {
+            'Resumable': True,
+            'MaxAttempts': 2,
+            'TimeoutMs': _streams.DEADLINE_MS,
+        }
+
     def _large_routes(self) -> list[dict]:
         if not self.large:
             return []
@@ -252,12 +263,3 @@
         'MaxAttempts': 2 if kind == 'safe' else 1,
         'AllowAnonymous': public,
     }
-
-
-STREAM_ROUTE = _route(
-    _streams.PREFIX, 'stream', _world.PLAIN_SERVICE, public=True
-) | {
-    'Resumable': True,
-    'MaxAttempts': 2,
-    'TimeoutMs': _streams.DEADLINE_MS,
-}
--- a/tools/soak/_schedule.py
+++ b/tools/soak/_schedule.py
@@ -138,8 +138,8 @@
         free = [name for name in names if name not in busy]
         return self.chance.choice(free or names)
 
-    async def kill(self) -> None:
-        name = self.program()
+    async def kill(self, name: str = '') -> None:
+        name = name or self.program()
         if not self._free(name):
             return
         fault = Fault('kill', name, time.monotonic())
@@ -149,9 +149,9 @@
         await self.start(name)
         fault.until = time.monotonic()
 
-    async def stop(self) -> None:
+    async def stop(self, name: str = '') -> None:
         """Stop a program as planned, and start it again."""
-        name = self.program()
+        name = name or self.program()
         if not self._free(name):
             return
         fault = Fault('stop', name, time.monotonic())
@@ -167,8 +167,8 @@
         await self.start(name)
         fault.until = time.monotonic()
 
-    async def freeze(self) -> None:
-        name = self.program()
+    async def freeze(self, name: str = '') -> None:
+        name = name or self.program()
         if not self._free(name):
             return
         process = self.world.processes[name]
--- a/tools/soak/_series.py
+++ b/tools/soak/_series.py
@@ -16,7 +16,7 @@
 """By then callers are served again and suspicions cleared."""
 
 
-async def _restart(
+async def restart(
     schedule: _schedule.Schedule, name: str, down_s: float = 0.0
 ) -> None:
     """Kill a process and start it again."""
@@ -33,10 +33,7 @@
     end = time.monotonic() + schedule.duration_s
     while time.monotonic() < end:
         await asyncio.gather(
-            *(
-                _restart(schedule, name, DOWN_S)
-                for name in schedule.world.plain
-            )
+            *(restart(schedule, name, DOWN_S) for name in schedule.world.plain)
         )
         await asyncio.sleep(RECOVERED_S)
 
@@ -47,13 +44,13 @@
     for name in itertools.cycle(schedule.world.plain):
         if time.monotonic() >= end:
             return
-        await _restart(schedule, name, DOWN_S / 3)
+        await restart(schedule, name, DOWN_S / 3)
         await asyncio.sleep(DOWN_S * 2 / 3)
 
 
 async def lose_one(schedule: _schedule.Schedule) -> None:
     """Kill one plain endpoint once."""
-    await _restart(schedule, schedule.world.plain[0], DOWN_S)
+    await restart(schedule, schedule.world.plain[0], DOWN_S)
     await asyncio.sleep(RECOVERED_S)
 
 
@@ -70,7 +67,7 @@
     await asyncio.sleep(2 * DOWN_S)
     await world.control('come_back')
     for name in world.gateways:
-        await _restart(schedule, name)
+        await restart(schedule, name)
     await asyncio.sleep(schedule.duration_s)
 
 
--- a/tools/soak/_streams.py
+++ b/tools/soak/_streams.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import itertools
+import os
 import random
 import time
 
@@ -31,12 +32,16 @@
 async def answer(
     request: web.BaseRequest, headers: dict[str, str], software: str
 ) -> web.StreamResponse:
-    """Write the events after the last one that the caller has."""
+    """Write the events after the last one that the caller has.
+
+    Each event names its run, and the first event that the run makes.
+    """
     headers['Content-Type'] = 'text/event-stream'
-    last = int(request.headers.get('Last-Event-Id', '0'))
+    first = int(request.headers.get('Last-Event-Id', '0')) + 1
+    run = f'{os.getpid()}-{time.monotonic_ns()} {first}'
     events = [
-        f'id: {number}\ndata: {software}\n\n'.encode()
-        for number in range(last + 1, EVENTS + 1)
+        f'id: {number}\ndata: {software}\nrun: {run}\n\n'.encode()
+        for number in range(first, EVENTS + 1)
     ]
     plan = _answers.decode(request.headers.get(_answers.PLAN_HEADER))
     if plan.framing == 'connection':
@@ -75,7 +80,9 @@
 
     ``first`` is the number of the first event that it was to bring, ``got``
     counts those that it has brought. ``is_whole`` is set if it ended as a
-    complete answer, ``framing`` is that of the endpoint's answer.
+    complete answer, ``framing`` is that of the endpoint's answer. ``runs``
+    are those whose events it has; ``is_joined`` is set if one of them had
+    begun with another event than the first one of it here.
     """
 
     request_id: str
@@ -87,6 +94,13 @@
     got: int = 0
     framing: str = 'chunks'
     is_whole: bool = False
+    runs: list[str] = dataclasses.field(default_factory=list)
+    is_joined: bool = False
+
+    @property
+    def has_last(self) -> bool:
+        """Whether it has brought the last event of its stream."""
+        return self.first + self.got > EVENTS
 
 
 @dataclasses.dataclass
@@ -118,7 +132,8 @@
 class Callers:
     """Begin streams all the time, and take up those that break.
 
-    ``framings`` are those that answers may have.
+    ``framings`` are those that answers may have, ``model`` is the one that
+    requests name.
     """
 
     def __init__(
@@ -126,9 +141,11 @@
         world: _world.World,
         seed: int,
         framings: tuple[str, ...] = FRAMINGS[:1],
+        model: str = '',
     ):
         self.world = world
         self.framings = framings
+        self.model = model
         self.chance = random.Random(seed)
         self.numbers = itertools.count(1)
         self.streams: list[Stream] = []
@@ -163,6 +180,8 @@
             'Deadline-Ms': str(max(1, int((until - now) * 1000))),
             _answers.PLAN_HEADER: _answers.Plan(attempt.framing).encode(),
         }
+        if self.model:
+            headers['Model'] = self.model
         if stream.received:
             headers['Last-Event-Id'] = str(stream.received[-1][0])
             headers['Resumes'] = stream.first_id
@@ -199,4 +218,8 @@
                 )
                 stream.received.append((int(named['id']), named['data']))
                 attempt.got += 1
+                run, first = named['run'].split()
+                if attempt.runs[-1:] != [run]:
+                    attempt.runs.append(run)
+                    attempt.is_joined |= first != named['id']
         attempt.is_whole = True
--- a/tools/soak/_world.py
+++ b/tools/soak/_world.py
@@ -113,8 +113,12 @@
 
     async def listens(self) -> None:
         """Return when it listens; it must not end instead."""
+        await self.says('listening')
+
+    async def says(self, word: str) -> None:
+        """Return when it has said a word; it must not end instead."""
         async with asyncio.timeout(START_S):
-            while not any('listening' in str(line) for line in self.lines):
+            while not any(word in str(line) for line in self.lines):
                 if self.process.returncode is not None:
                     raise RuntimeError(f'{self.name} ended at its start')
                 await asyncio.sleep(0.02)
@@ -145,10 +149,14 @@
 
     Each instance has a loopback address of its own. Gateways reach the store
     each through a proxy, and endpoints and sidecars through the address that
-    the endpoint lists, which is a proxy's. With ``in_place`` plain endpoints
-    list their own address, and each has a next start that waits for its port.
-    The addresses are in a network of this soak's own: soaks that are played at
-    once may draw the same ports.
+    the endpoint lists, which is a proxy's. With ``direct`` endpoints list
+    their own address. With ``releases`` endpoints are of two software
+    versions by turns, and each start has the other one unless
+    ``keeps_software`` is set. The addresses are in a network of this soak's
+    own: soaks that are played at once may draw the same ports.
+
+    ``streaming`` are the endpoints of which streams come: plain ones, or those
+    with models if there are no others.
     """
 
     def __init__(
@@ -159,12 +167,14 @@
         plain: int,
         builds: Builds = Builds(),
         releases: bool = False,
-        in_place: bool = False,
+        keeps_software: bool = False,
+        direct: bool = False,
     ):
         self.folder = pathlib.Path(folder)
         self.builds = builds
         self.releases = releases
-        self.in_place = in_place
+        self.keeps_software = keeps_software
+        self.direct = direct
         self.next_starts: dict[str, Process] = {}
         self.software: dict[str, list[tuple[float, str]]] = {}
         self.network = 1 + os.getpid() % 250
@@ -176,6 +186,7 @@
         self.gateways = [f'g{number}' for number in range(gateways)]
         self.models = [f'm{number}' for number in range(models)]
         self.plain = [f'p{number}' for number in range(plain)]
+        self.streaming = self.plain or self.models
         self.processes: dict[str, Process] = {}
         self.proxies: dict[str, _proxy.Proxy] = {}
         self.ended: list[Process] = []
@@ -205,68 +216,65 @@
 
     async def start_endpoint(self, name: str) -> None:
         """Start an endpoint, at its old address and name if it had one."""
-        host, shown = self.host(name), self.host(f'{name} proxy')
-        is_direct = name in self.plain and self.in_place
-        if is_direct:
-            shown = host
-        process = self._endpoint(name, shown, self._next_software(name))
+        host, shown = self.host(name), self._shown(name)
+        process = self._endpoint(name, self._next_software(name))
         await process.start()
         self.processes[name] = process
         await process.listens()
         # A proxy that listens earlier accepts for an endpoint that doesn't.
-        if not is_direct:
+        if shown != host:
             await self._proxy(name, shown, self.endpoint_port, host)
-        if name in self.models:
-            await self._proxy(f'{name} link', shown, self.link_port, host)
-        if name in self.plain and self.in_place:
-            await self._prepare_next_start(name)
+            if name in self.models:
+                await self._proxy(f'{name} link', shown, self.link_port, host)
+
+    def _shown(self, name: str) -> str:
+        """Return the address that an endpoint lists."""
+        return self.host(name if self.direct else f'{name} proxy')
 
-    def _endpoint(self, name: str, shown: str, software: str) -> Process:
+    def _endpoint(self, name: str, software: str) -> Process:
         service = MODEL_SERVICE if name in self.models else PLAIN_SERVICE
         arguments = (
             'endpoint',
             f'{self.host(name)}:{self.endpoint_port}',
             f'i-{name}',
-            f'{shown}:{self.endpoint_port}',
+            f'{self._shown(name)}:{self.endpoint_port}',
             service,
             self.store,
             software,
         )
         return Process(name, ['-m', 'tools.soak._standins', *arguments], {})
 
-    async def _prepare_next_start(self, name: str) -> None:
-        """Start the process that takes over an endpoint's port."""
-        starts = self.software[name]
-        process = self._endpoint(name, self.host(name), starts[-1][1])
-        await process.start()
-        self.next_starts[name] = process
-
-    async def restart_in_place(self, name: str) -> float:
-        """Kill an endpoint, whose next start listens at once; return when.
+    async def restart_in_place(self, name: str, software: str) -> float:
+        """Kill an endpoint whose next start waits for its port; return when.
 
-        The next one after it is prepared then.
+        ``software`` is the version of the next start.
         """
+        next_start = self._endpoint(name, software)
+        await next_start.start()
+        self.next_starts[name] = next_start
+        await next_start.says('waiting')
         killed = self.processes[name]
         killed.signal(signal.SIGKILL)
         at = time.monotonic()
+        self.software[name].append((at, software))
         await killed.ended()
         self.ended.append(killed)
         self.processes[name] = self.next_starts.pop(name)
-        await self.processes[name].listens()
-        await self._prepare_next_start(name)
+        await next_start.listens()
         return at
 
     def _next_software(self, name: str) -> str:
         """Return the version of an endpoint's next start.
 
-        With releases, endpoints begin with one of two by turns, and each
-        start has the other one.
+        With releases, endpoints begin with one of two by turns.
         """
         starts = self.software.setdefault(name, [])
-        number = len(starts)
-        if name in self.plain:
-            number += self.plain.index(name)
+        number = 0 if self.keeps_software else len(starts)
+        if name in self.streaming:
+            number += self.streaming.index(name)
         version = f'v{1 + number % 2}' if self.releases else 'v1'
+        if self.keeps_software and starts:
+            version = starts[-1][1]
         starts.append((time.monotonic(), version))
         return version
 
@@ -278,9 +286,12 @@
         return versions[-1] if versions else ''
 
     async def start_sidecar(self, name: str) -> None:
-        shown = self.host(f'{name} proxy')
         await self._begin_program(
-            'sidecar', f's{name}', self.host(name), shown, self.store
+            'sidecar',
+            f's{name}',
+            self.host(name),
+            self._shown(name),
+            self.store,
         )
 
     async def start_gateway(self, name: str) -> None:
@@ -412,7 +423,7 @@
     async def replace(self, name: str) -> None:
         """Keep the lines of a process that has ended."""
         process = self.processes.pop(name)
-        if name in (*self.models, *self.plain):
+        if name in (*self.models, *self.plain) and name in self.proxies:
             self.proxies[name].stop_listening()
         await process.end()
         self.ended.append(process)
