--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -114,8 +114,8 @@
         verdicts = account.verdicts()
         _tell(seed, account, verdicts, folder)
     finally:
-        world.logs()
         await world.close()
+        world.logs()
     return verdicts
 
 
--- a/tools/soak/restarts.py
+++ b/tools/soak/restarts.py
@@ -204,8 +204,8 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
     finally:
-        world.logs()
         await world.close()
+        world.logs()
     return _tell(callers.streams, schedule.faults, stopped, folder)
 
 
