Resume no stream where an unlisted next start may answer

Cause: the version that the list shows was taken for proven at an endpoint that had just cut off runs. Its next start has the name, answers at once and is in the list only after a lag. Avoiding such endpoints left the case in which all have cut off runs.

Entries without a start time belong to one start and are not concerned.

--- a/berylhollow/gateway/_origins.py
+++ b/berylhollow/gateway/_origins.py
@@ -44,6 +44,8 @@
     if endpoint is None or endpoint.superseded or endpoint.is_replaced:
         return ''
     instance = endpoint.instance
+    if may_have_next_start(state, name):
+        return ''
     report = endpoint.report
     if report is not None and report.epoch not in ('', instance.instance):
         return ''
@@ -58,14 +60,20 @@
     there is a sidecar, the new start holds nothing until that reports it.
     """
     endpoint = state.endpoints[name]
-    shown_ms = endpoint.cut_off_ms + _notices.LISTING_LAG_MS
-    if state.listed_ms >= shown_ms:
+    lost_ms = max(endpoint.cut_off_ms, state.unsettled.last_lost_ms(name))
+    if state.listed_ms >= lost_ms + _notices.LISTING_LAG_MS:
         return False
     peer = addresses.sidecar_peer(endpoint.instance.address)
     sidecar = state.sidecars.get(peer)
     return sidecar is None or sidecar.report is None
 
 
+def may_have_next_start(state: _state.State, name: str) -> bool:
+    """Tell whether a next start may answer under an endpoint's name."""
+    instance = state.endpoints[name].instance
+    return instance.may_restart_under_name and is_doubtful(state, name)
+
+
 def answer_begins(
     state: _state.State,
     active: _state.ActiveRequest,
--- a/berylhollow/gateway/_resumption.py
+++ b/berylhollow/gateway/_resumption.py
@@ -143,6 +143,23 @@
     ]
 
 
+def _unproven_endpoints(
+    state: _state.State, active: _state.ActiveRequest
+) -> list[str]:
+    """Return those in use that are listed with a resumed stream's version.
+
+    A next start may answer there that is not listed yet.
+    """
+    return [
+        name
+        for name in state.placement.digests.get(active.service, {})
+        if state.endpoints[name].is_usable
+        and state.endpoints[name].instance.software_version
+        == active.software_version
+        and _origins.may_have_next_start(state, name)
+    ]
+
+
 def _requests_waiting(
     state: _state.State, stream: bytes
 ) -> list[_state.ActiveRequest]:
@@ -193,6 +210,16 @@
     """Refuse a request at once if no endpoint of its version takes any."""
     if _endpoints_of_version(state, active):
         return MAY_PLACE
+    unproven = _unproven_endpoints(state, active)
+    if unproven:
+        return _refuse(
+            active,
+            errors.Kind.STREAM_ORIGIN_UNKNOWN,
+            'version unproven',
+            GONE_RETRY_MS,
+            ('software_version', active.software_version),
+            ('unproven', ' '.join(unproven)),
+        )
     versions = sorted(
         {
             state.endpoints[name].instance.software_version
