Prove the end of an answer by connections older than its request only

Cause: a connection that was opened while the answer ran counted if the answer's own connection had not ended yet. That end may be late. A check's answer used up the only connection, and a check that was late for a second closed it.

Change: connections of a process are kept together. A new one joins them if it was open before a check was sent that the process answered over another one. An answer is proven over connections that are older than its request, or that have joined those. There are two while answers run long or together, used in turn; a check may take 4 s, the proof at an end 1.5 s, and what arrived while the gateway stood still is read first.

Why it holds: nothing is concluded from when an end arrives any more.

--- a/berylhollow/answer_body.py
+++ b/berylhollow/answer_body.py
@@ -18,6 +18,10 @@
     """A body that ended and shows that it is not whole."""
 
 
+class EndUnproven(BodyTruncated):
+    """A body that may be whole: its endpoint hasn't crashed, nor answered."""
+
+
 class Framing(enum.Enum):
     """What marks the end of a body."""
 
@@ -154,8 +158,12 @@
         if self.observation is None:
             return
         self.evidence = await self.observation.evidence()
-        if not self.evidence.is_proof:
-            raise BodyTruncated(f'endpoint: {self.evidence.value}')
+        if self.evidence.is_proof:
+            return
+        reason = f'endpoint: {self.evidence.value}'
+        if self.evidence is liveness.Evidence.UNANSWERED:
+            raise EndUnproven(reason)
+        raise BodyTruncated(reason)
 
     def close(self) -> None:
         """Close the connection, unless the whole body was read."""
--- a/berylhollow/liveness.py
+++ b/berylhollow/liveness.py
@@ -20,24 +20,24 @@
 LOG = logging.getLogger(__name__)
 
 MS_PER_SECOND = 1000
-CHECK_TIMEOUT_MS = 1000
+PROOF_TIMEOUT_MS = 1500
 """Time limit for the proof at an answer's end. Callers abandon a stream that
 pauses for 2 s."""
 
+LATE_MS = 50
+"""Time to read a proof that arrived while this process stood still."""
+
+CHECK_TIMEOUT_MS = 4000
 CHECK_DEADLINE_MS = 400
 """Deadline that a check tells the endpoint, which may queue it. An endpoint
 that refuses it has answered, too."""
 
 MAX_CHECK_BYTES = 1024 * 1024
-CLOSE_SPREAD_MS = 300
-"""The connections of a process that ends are all closed within this time, if
-one packet is lost: TCP sends it again after 200 ms."""
-
 RETRY_MS = 200
 """Pause after a health check that failed."""
 
-REFRESH_MS = 4000
-"""Interval of checks that keep a connection open while answers are running."""
+REFRESH_MS = 2000
+"""Interval of checks that keep connections open while answers are running."""
 
 MIN_REFRESH_MS = 100
 PREPARE_INTERVAL_MS = 1000
@@ -52,6 +52,8 @@
 """Kept connections of which one is likely to be left when a request ends."""
 
 MAX_POOLED_CHECKS = 2
+USED_AT_ONCE = 2
+"""Connections for checks while answers run: one may close after its use."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,13 +72,11 @@
 class Checked:
     """The answer to a health check.
 
-    ``connection`` is the one that it came over, ``closes`` is set if the
-    endpoint closes it, ``keep_open_ms`` is how long the endpoint keeps it open
-    without a request, None if it doesn't say.
+    ``connection`` is the one that it came over, ``keep_open_ms`` is how long
+    the endpoint keeps it open without a request, None if it doesn't say.
     """
 
     connection: outgoing.Connection
-    closes: bool = False
     keep_open_ms: int | None = None
 
 
@@ -106,35 +106,68 @@
         return self in (Evidence.CHECKED, Evidence.POOLED)
 
 
-class Observation:
-    """The proof for one answer, while it is being read.
+class Process:
+    """The connections that lead to one process of an endpoint.
 
-    ``connection`` is the answer's own one. ``proven`` is a connection that
-    leads to the process that writes the answer, None if there is none yet.
+    One that was open before a check was sent is added once the process has
+    answered that check over another: it listened all the while. ``shown`` is
+    when the last check that it answered was sent.
     """
 
-    def __init__(self, watch: 'Watch', connection: outgoing.Connection):
-        self.watch = watch
-        self.connection = connection
-        self.proven: outgoing.Connection | None = None
+    def __init__(self, connection: outgoing.Connection):
+        self.connections = [connection]
+        self.shown: float | None = None
 
     @property
-    def is_running(self) -> bool:
-        """Whether the answer's process is known to be still writing it.
+    def open_connections(self) -> list[outgoing.Connection]:
+        """Return the connections that a check may be sent over."""
+        return [x for x in self.connections if x.is_connected()]
+
+    def got_request(self, answering: outgoing.Connection) -> bool:
+        """Tell whether a request on a connection reached this process.
 
-        The end of a connection whose reading was paused may not have arrived.
+        It did if a connection here is older than that one, or was answered on
+        before the request was sent. One that is newer than a reused one may
+        still wait to be accepted, by a next start with the same listening
+        socket.
         """
-        return not (
-            self.connection.was_paused or self.connection.has_received_end
+        asked = answering.asked
+        is_reused = _answered_before(answering, asked)
+        before = answering.opened if is_reused else asked
+        return any(
+            x.opened <= before or _answered_before(x, asked)
+            for x in self.open_connections
         )
 
+
+class Observation:
+    """The proof for one answer, while it is being read.
+
+    ``connection`` is the answer's own one, ``process`` the one that writes
+    the answer, None if no connection to it is known.
+    """
+
+    def __init__(
+        self,
+        watch: 'Watch',
+        connection: outgoing.Connection,
+        process: Process | None,
+    ):
+        self.watch = watch
+        self.connection = connection
+        self.process = process
+
     async def evidence(self) -> Evidence:
         """Return the evidence after the answer's end."""
+        finding = asyncio.ensure_future(self.watch.evidence_for(self))
         try:
-            async with asyncio.timeout(CHECK_TIMEOUT_MS / MS_PER_SECOND):
-                return await self.watch.evidence_for(self)
-        except TimeoutError:
-            return Evidence.UNANSWERED
+            for timeout_ms in (PROOF_TIMEOUT_MS, LATE_MS):
+                await asyncio.wait(
+                    [finding], timeout=timeout_ms / MS_PER_SECOND
+                )
+            return finding.result() if finding.done() else Evidence.UNANSWERED
+        finally:
+            finding.cancel()
 
     def end(self) -> None:
         """Stop watching for the sake of this answer."""
@@ -142,25 +175,26 @@
 
 
 class Watch:
-    """The health checks of one endpoint, over one connection at a time.
+    """The health checks of one endpoint.
 
-    ``connection`` is kept in the pool of the checks. ``shown`` is the one of
-    the last successful check, and when that was sent. ``idle_ms`` is how long
-    the endpoint keeps an unused connection open, as far as it is known.
+    ``process`` is the one that is listening there, as far as connections are
+    open to it; ``spares`` are connections that were opened since its last
+    check, ``wanted`` is how many should be open. ``idle_ms`` is how long the
+    endpoint keeps an unused connection open, as far as it is known.
     """
 
     def __init__(self, watches: 'Watches', target: Target):
         self.watches = watches
         self.target = target
         self.loop = asyncio.get_running_loop()
-        self.connection: outgoing.Connection | None = None
-        self.shown: tuple[outgoing.Connection, float] | None = None
+        self.process: Process | None = None
+        self.spares: list[outgoing.Connection] = []
         self.idle_ms: float | None = None
-        self.checking: asyncio.Task | None = None
         self.observations: set[Observation] = set()
-        self.unproven = asyncio.Event()
-        self.opening: asyncio.Task | None = None
+        self.wanted = 1
         self.prepare_again = 0.0
+        self.opening: asyncio.Task | None = None
+        self.checking: asyncio.Task | None = None
         self.keeping: asyncio.Task | None = None
 
     def prepare(self) -> None:
@@ -178,26 +212,15 @@
         kept = connector.kept_connections(self.target.url)
         if len(kept) < KEPT_FOR_PROOF:
             self.opening = asyncio.create_task(self._open())
+            self.opening.add_done_callback(self._opened)
 
     def begin(self, connection: outgoing.Connection) -> Observation:
-        """Begin to watch for an answer whose head has just arrived.
-
-        A connection that was open before the answer's own one leads to the
-        process that got the request. One that is newer than a reused one may
-        still wait to be accepted, by a next start with the same listening
-        socket, unless it has been answered on.
-        """
-        observation = Observation(self, connection)
+        """Begin to watch for an answer whose head has just arrived."""
+        process = self.process
+        if process is not None and not process.got_request(connection):
+            process = None
+        observation = Observation(self, connection, process)
         self.observations.add(observation)
-        is_reused = _answered_before(connection, connection.asked)
-        before = connection.opened if is_reused else connection.asked
-        if self._is_open and (
-            self.connection.opened <= before
-            or _answered_before(self.connection, connection.asked)
-        ):
-            observation.proven = self.connection
-        else:
-            self.unproven.set()
         if self.keeping is None:
             self.keeping = asyncio.create_task(self._keep())
         return observation
@@ -208,6 +231,7 @@
         if not self.observations and self.keeping is not None:
             self.keeping.cancel()
             self.keeping = None
+            self.wanted = 1
 
     def stop(self) -> None:
         """Send no more checks."""
@@ -218,35 +242,30 @@
     async def evidence_for(self, observation: Observation) -> Evidence:
         """Return what shows that the process has outlived an answer."""
         ended = self.loop.time()
-        proven = observation.proven
-        if proven is not None and await self._answers_over(proven, ended):
+        process = observation.process
+        if process is not None and await self._answers(process, ended):
             return Evidence.CHECKED
         if await self._answers_over_pool(observation):
             return Evidence.POOLED
-        if proven is None:
+        if process is None:
             return Evidence.UNKNOWN_BEFORE
         return Evidence.CONNECTION_LOST
 
     @property
     def _is_open(self) -> bool:
-        return self.connection is not None and self.connection.is_connected()
+        return self.process is not None and bool(self.process.open_connections)
 
-    async def _answers_over(
-        self, proven: outgoing.Connection, ended: float
-    ) -> bool:
-        """Tell whether a check sent after a time is answered over this.
+    async def _answers(self, process: Process, ended: float) -> bool:
+        """Tell whether a process answers a check sent after a time.
 
         One check serves all the answers that ended before it was sent.
         """
-        while True:
-            if self.shown is not None:
-                shown, sent = self.shown
-                if shown is proven and sent >= ended:
-                    return True
-            if proven is not self.connection or not self._is_open:
+        while process.shown is None or process.shown < ended:
+            if process is not self.process or not self._is_open:
                 return False
             if not await self._check():
                 return False
+        return True
 
     async def _answers_over_pool(self, observation: Observation) -> bool:
         """Tell whether a kept connection shows that the process lives.
@@ -273,61 +292,61 @@
         return False
 
     async def _keep(self) -> None:
-        """Have an open connection while answers are running."""
+        """Have open connections while answers are running.
+
+        Most have ended before the first check.
+        """
+        if self._is_open:
+            await asyncio.sleep(MIN_REFRESH_MS / MS_PER_SECOND)
+        self.wanted = USED_AT_ONCE
         while True:
-            if not self._is_open or await self._is_check_due():
-                self.unproven.clear()
-                if not await self._check():
-                    await asyncio.sleep(RETRY_MS / MS_PER_SECOND)
-
-    async def _is_check_due(self) -> bool:
-        """Wait until the connection is to be used again, or is lost."""
-        connection = self.connection
+            if not await self._check() or await self._has_lost_connection():
+                await asyncio.sleep(RETRY_MS / MS_PER_SECOND)
+
+    async def _has_lost_connection(self) -> bool:
+        """Wait until a connection is to be used again, or one is lost."""
         refresh_ms = REFRESH_MS
         if self.idle_ms is not None:
-            refresh_ms = min(refresh_ms, self.idle_ms / 2)
-        timeout_s = max(MIN_REFRESH_MS, refresh_ms) / MS_PER_SECOND
-        waiting = asyncio.ensure_future(self.unproven.wait())
-        try:
+            refresh_ms = min(refresh_ms, self.idle_ms / (2 * USED_AT_ONCE))
+        connections = [*self.process.open_connections, *self.spares]
+        closed = {x: x.closed for x in connections}
+        if None not in closed.values():
             await asyncio.wait(
-                {connection.closed, waiting},
-                timeout=timeout_s,
+                closed.values(),
+                timeout=max(MIN_REFRESH_MS, refresh_ms) / MS_PER_SECOND,
                 return_when=asyncio.FIRST_COMPLETED,
             )
-        finally:
-            waiting.cancel()
-        if connection.is_connected():
-            return True
-        self._note_idle_time(connection)
-        # If its process has ended, so do the answers within this time.
-        await asyncio.sleep(CLOSE_SPREAD_MS / MS_PER_SECOND)
-        self._release(connection)
-        self.unproven.set()
-        return False
+        lost = [x for x in connections if not x.is_connected()]
+        for connection in lost:
+            self._note_idle_time(connection)
+        return bool(lost)
 
     def _note_idle_time(self, connection: outgoing.Connection) -> None:
         """Note how long an endpoint kept a connection open without a request.
 
         One that was closed sooner than checks could follow was not idle.
         """
-        used = connection.opened
-        if self.shown is not None:
-            shown, sent = self.shown
-            if shown is connection:
-                used = sent
+        used = max(connection.opened, connection.asked)
         unused_ms = (self.loop.time() - used) * MS_PER_SECOND
         if unused_ms >= 2 * MIN_REFRESH_MS:
             self.idle_ms = unused_ms
 
     async def _open(self) -> None:
-        """Open a connection that the next check uses."""
+        """Open a connection for checks, beside those that are open."""
         connector = self.watches.session.connector
         try:
-            self.connection = await connector.open_kept(self.target.url)
+            connection = await connector.open_kept(self.target.url)
         except outgoing.CallError as error:
             LOG.debug('no connection for health checks: %s', error)
-        finally:
-            self.opening = None
+            return
+        if self._is_open:
+            self.spares.append(connection)
+        else:
+            self.process = Process(connection)
+            self.spares.clear()
+
+    def _opened(self, _opening: asyncio.Task) -> None:
+        self.opening = None
 
     async def _check(self) -> bool:
         """Await the check that is under way, or one more if there is none.
@@ -343,52 +362,52 @@
         self.checking = None
 
     async def _send_check(self) -> bool:
-        """Send a check; return whether it was answered."""
+        """Send a check; return whether the process answered it."""
         if self.opening is not None:
             await asyncio.wait([self.opening])
+        self._drop_unusable()
+        opened = len(self.spares)
+        if self.process is not None:
+            opened += len(self.process.open_connections)
+        others = len(self.observations) > 1
+        for _ in range(opened, USED_AT_ONCE if others else self.wanted):
+            await self._open()
+        if not self._is_open:
+            return False
+        process = self.process
+        connection = process.open_connections[0]
         session = self.watches.session
-        if self._is_open:
-            if self.connection.has_unread:
-                # An extra response would be taken for this check's.
-                self.connection.close()
-                return False
-            session.connector.prefer(self.target.url, self.connection)
+        session.connector.prefer(self.target.url, connection)
         sent = self.loop.time()
         try:
             checked = await self.watches.send(session, self.target)
         except outgoing.CallError as error:
             LOG.debug('health check failed: %s', error)
             return False
-        connection = checked.connection
-        self.shown = (connection, sent)
+        if checked.connection is not connection:
+            return False
         if checked.keep_open_ms is not None:
             self.idle_ms = checked.keep_open_ms
-        if not checked.closes:
-            self._adopt(connection)
-            return True
-        # The next check needs a connection that is open before the end.
-        self._release(connection)
-        self.connection = None
-        await self._open()
-        if self._is_open:
-            self._adopt(self.connection)
+        process.shown = sent
+        self.prepare_again = 0.0
+        # The one that has not been used for longest is used next.
+        process.connections.remove(connection)
+        process.connections += [
+            *(x for x in self.spares if x.opened <= sent),
+            connection,
+        ]
+        self.spares = [x for x in self.spares if x.opened > sent]
         return True
 
-    def _adopt(self, connection: outgoing.Connection) -> None:
-        """Use a connection, also for answers that run and have none."""
-        self.connection = connection
-        for observation in self.observations:
-            if observation.proven is None and observation.is_running:
-                observation.proven = connection
-
-    def _release(self, connection: outgoing.Connection) -> None:
-        """Let running answers be shown by another connection.
-
-        This one was closed while its process lives.
-        """
-        for observation in self.observations:
-            if observation.proven is connection and observation.is_running:
-                observation.proven = None
+    def _drop_unusable(self) -> None:
+        """Close connections with bytes that no check has asked for."""
+        known = self.process.connections if self.process is not None else []
+        for connection in (*known, *self.spares):
+            if connection.is_connected() and connection.has_unread:
+                connection.close()
+        self.spares = [x for x in self.spares if x.is_connected()]
+        if self.process is not None:
+            self.process.connections = self.process.open_connections
 
 
 class Watches:
@@ -444,8 +463,7 @@
     keep_open_ms = _keep_open_ms(response.headers.get('Keep-Alive', ''))
     async with response:
         await outgoing.read_body(response, MAX_CHECK_BYTES)
-    closes = not connection.is_connected()
-    return response, Checked(connection, closes, keep_open_ms)
+    return response, Checked(connection, keep_open_ms)
 
 
 def _keep_open_ms(header: str) -> int | None:
--- a/berylhollow/sidecar/_run_end.py
+++ b/berylhollow/sidecar/_run_end.py
@@ -19,8 +19,11 @@
 def is_broken_connection(error: Exception | None) -> bool:
     """Tell whether a call failed because its connection broke, as in a crash.
 
-    No error and a timeout do not count as a broken connection.
+    No error and a timeout do not count as a broken connection, nor does an
+    endpoint that is too busy to show that it has outlived its answer.
     """
+    if isinstance(error, answer_body.EndUnproven):
+        return False
     if isinstance(error, answer_body.BodyTruncated):
         return True
     cause = None if error is None else error.__cause__
--- a/test/test_sidecar_runs.py
+++ b/test/test_sidecar_runs.py
@@ -243,6 +243,25 @@
 
         return ending
 
+    async def test_unanswered_check_is_no_crash(self):
+        """Guards against crash reports of an endpoint that is only busy.
+
+        All requests that run there would be suspected of the crash.
+        """
+        script = _close_after(
+            write_parts(sidecar_helper.HEAD + b'\r\n', b'all of it')
+        )
+
+        async def busy(reader, writer):
+            if self.endpoint.heads[-1].startswith(b'GET /healthz'):
+                await reader.read()
+                return
+            await script(reader, writer)
+
+        failed = await self.run_until_failure(busy)
+        self.assertEqual(errors.Kind.STREAM_BROKEN, failed.kind)
+        self.assertFalse(failed.crashed)
+
     async def test_answer_that_ends_with_its_connection_is_complete(self):
         """Guards against whole answers that are given up for their framing."""
         parts = (sidecar_helper.HEAD + b'\r\n', b'all of it')
