--- a/berylhollow/liveness.py
+++ b/berylhollow/liveness.py
@@ -202,7 +202,7 @@
 
         A short answer has ended before one that is opened later can be.
         """
-        if self._is_open or self.opening or self.checking:
+        if self._is_open or self.opening:
             return
         now = self.loop.time()
         if now < self.prepare_again:
