Open the connection for checks before the request's own one

Cause: the connection was begun after the request's own one. It is begun first now, and is checked at once where an endpoint has answered without a length before.

--- a/berylhollow/liveness.py
+++ b/berylhollow/liveness.py
@@ -179,7 +179,8 @@
 
     ``process`` is the one that is listening there, as far as connections are
     open to it; ``spares`` are connections that were opened since its last
-    check, ``wanted`` is how many should be open. ``idle_ms`` is how long the
+    check, ``wanted`` is how many should be open. ``has_unframed`` is set once
+    an answer has had neither a length nor chunks. ``idle_ms`` is how long the
     endpoint keeps an unused connection open, as far as it is known.
     """
 
@@ -192,13 +193,14 @@
         self.idle_ms: float | None = None
         self.observations: set[Observation] = set()
         self.wanted = 1
+        self.has_unframed = False
         self.prepare_again = 0.0
         self.opening: asyncio.Task | None = None
         self.checking: asyncio.Task | None = None
         self.keeping: asyncio.Task | None = None
 
-    def prepare(self) -> None:
-        """Open a connection before a request is sent, if none would show.
+    async def prepare(self) -> None:
+        """Begin to open a connection before a request, if none would show.
 
         A short answer has ended before one that is opened later can be.
         """
@@ -213,6 +215,8 @@
         if len(kept) < KEPT_FOR_PROOF:
             self.opening = asyncio.create_task(self._open())
             self.opening.add_done_callback(self._opened)
+            # So that it is older than the request's own connection.
+            await asyncio.sleep(0)
 
     def begin(self, connection: outgoing.Connection) -> Observation:
         """Begin to watch for an answer whose head has just arrived."""
@@ -227,11 +231,11 @@
 
     def end(self, observation: Observation) -> None:
         """Stop watching for an answer."""
+        self.has_unframed = True
         self.observations.discard(observation)
         if not self.observations and self.keeping is not None:
             self.keeping.cancel()
             self.keeping = None
-            self.wanted = 1
 
     def stop(self) -> None:
         """Send no more checks."""
@@ -345,18 +349,24 @@
             self.process = Process(connection)
             self.spares.clear()
 
-    def _opened(self, _opening: asyncio.Task) -> None:
+    def _opened(self, opening: asyncio.Task) -> None:
         self.opening = None
+        if self.has_unframed and not opening.cancelled():
+            # Requests on connections older than this one need its answer.
+            self._begin_check()
 
     async def _check(self) -> bool:
         """Await the check that is under way, or one more if there is none.
 
         It goes on if an answer that waits for it is cancelled.
         """
+        return await asyncio.shield(self._begin_check())
+
+    def _begin_check(self) -> asyncio.Task:
         if self.checking is None:
             self.checking = asyncio.create_task(self._send_check())
             self.checking.add_done_callback(self._check_ended)
-        return await asyncio.shield(self.checking)
+        return self.checking
 
     def _check_ended(self, _checking: asyncio.Task) -> None:
         self.checking = None
@@ -369,8 +379,9 @@
         opened = len(self.spares)
         if self.process is not None:
             opened += len(self.process.open_connections)
-        others = len(self.observations) > 1
-        for _ in range(opened, USED_AT_ONCE if others else self.wanted):
+        if self.has_unframed or len(self.observations) > 1:
+            self.wanted = USED_AT_ONCE
+        for _ in range(opened, self.wanted):
             await self._open()
         if not self._is_open:
             return False
