--- a/berylhollow/liveness.py
+++ b/berylhollow/liveness.py
@@ -4,7 +4,7 @@
 has finished them. Its address shows nothing: a next start may listen there at
 once. An open connection leads to the same process as before. So a process has
 outlived its answer if it answers a health check that was sent after the
-answer's end, over a connection that led to it before that end.
+answer's end, over a connection that led to it before the request was sent.
 Design: ``docs/design/0026-ends-of-answers.md``.
 """
 
@@ -96,7 +96,7 @@
 
     CHECKED = 'answered a check'
     POOLED = 'answered a check over a kept connection'
-    UNKNOWN_BEFORE = 'no connection on which it answered before the end'
+    NO_CONNECTION = 'no connection that is older than the request'
     CONNECTION_LOST = 'the connection to it was lost'
     UNANSWERED = 'did not answer a check'
 
@@ -252,7 +252,7 @@
         if await self._answers_over_pool(observation):
             return Evidence.POOLED
         if process is None:
-            return Evidence.UNKNOWN_BEFORE
+            return Evidence.NO_CONNECTION
         return Evidence.CONNECTION_LOST
 
     @property
