Send a new check where the last one has just ended

Cause: a check that had ended, and whose callback had not run yet, was awaited again by an answer that ended after it was sent. Its result came at once, so that the loop never gave way for the callback.

Evidence: the stacks of two spinning gateways, both in _answers and _check; the new test fails before.

Why it holds: a check that is done is never awaited again.

--- a/berylhollow/liveness.py
+++ b/berylhollow/liveness.py
@@ -363,13 +363,15 @@
         return await asyncio.shield(self._begin_check())
 
     def _begin_check(self) -> asyncio.Task:
-        if self.checking is None:
+        # One that has ended may still be here: its callbacks run later.
+        if self.checking is None or self.checking.done():
             self.checking = asyncio.create_task(self._send_check())
             self.checking.add_done_callback(self._check_ended)
         return self.checking
 
-    def _check_ended(self, _checking: asyncio.Task) -> None:
-        self.checking = None
+    def _check_ended(self, checking: asyncio.Task) -> None:
+        if self.checking is checking:
+            self.checking = None
 
     async def _send_check(self) -> bool:
         """Send a check; return whether the process answered it."""
--- a/test/hosted/test_answer_ends.py
+++ b/test/hosted/test_answer_ends.py
@@ -163,6 +163,23 @@
         self.assertEqual(set(), watch.observations)
         self.assertIsNone(watch.keeping)
 
+    async def test_check_that_has_just_ended_is_not_awaited_again(self):
+        """Guards against a gateway that spins after it was frozen.
+
+        An answer ends in the same step of the event loop as a check that was
+        sent before; whoever waits for that check again gets its result at
+        once, without end.
+        """
+        endpoint = direct_helper.RawEndpoint(ANSWER, closes=False)
+        await self.begin_answer(endpoint)
+        (watch,) = self.runs.calls.watches.by_endpoint.values()
+        ended = asyncio.create_task(asyncio.sleep(0, True))
+        await ended
+        watch.checking = ended
+        self.assertIsNot(ended, watch._begin_check())
+        self.end_answers(endpoint)
+        await self.assert_served()
+
     async def test_cancelled_answer_leaves_the_check_to_the_others(self):
         """Guards against whole answers lost as another caller leaves."""
         endpoint = direct_helper.RawEndpoint(ANSWER, closes=False)
