Put two constants beside the docstrings that are theirs

REPORT_PATH stood between START_TIME_FIELD and its docstring, and MAX_ANSWER_BYTES between CALL_TIMEOUT_MS and its own. No behaviour changes; lint and test_any_values pass.

--- a/berylhollow/platform/_order.py
+++ b/berylhollow/platform/_order.py
@@ -15,13 +15,14 @@
 from berylhollow import routes
 
 CALL_TIMEOUT_MS = 200
-MAX_ANSWER_BYTES = 1024 * 1024
-"""Many times the report of an endpoint with hundreds of adapters."""
 """The endpoint is on the same instance and answers within milliseconds.
 
 An unanswered order blocks all later ones. Giving up on it early is safe: if
 it arrives after another order was accepted, the endpoint refuses it."""
 
+MAX_ANSWER_BYTES = 1024 * 1024
+"""Many times the report of an endpoint with hundreds of adapters."""
+
 FENCING_TOKEN = 1
 """The fencing token of every order.
 
--- a/berylhollow/platform/_records.py
+++ b/berylhollow/platform/_records.py
@@ -26,8 +26,8 @@
     'tokens': workspaces.Unit.TOKENS,
 }
 
-START_TIME_FIELD = 'born'
 REPORT_PATH = '/v1/report'
+START_TIME_FIELD = 'born'
 """Start time of an endpoint as a Unix time in milliseconds.
 
 It is in every document that an endpoint writes about itself. The endpoint's
