Take no answer whose connection was closed here for a complete one

What callers could see: an answer with neither a length nor chunks that ends early and looks complete, without a crash.

Cause: the HTTP library takes any end of such a connection for the end of the body, our own close too. The endpoint lives, so that the check after the end is answered.

Change: a connection notes whether its peer has sent its end. An answer whose connection went without it is broken off; so is a call's body.

Evidence: the test failed before (the answer ended as complete) and passes now. It holds because only a FIN, a reset or an error ends a peer's bytes; the last two were told apart already.

--- a/berylhollow/answer_body.py
+++ b/berylhollow/answer_body.py
@@ -179,6 +179,8 @@
             return ''
         if self.response.was_reset:
             return 'connection reset before the end of the body'
+        if self.response.was_closed_here:
+            return 'connection closed here before the end of the body'
         if self.stream_end is not None and not self.stream_end.has_event:
             return 'event stream without a length ended before an event'
         return ''
--- a/berylhollow/outgoing.py
+++ b/berylhollow/outgoing.py
@@ -106,9 +106,10 @@
 
     ``opened`` is when it was opened, ``asked`` when its last request was sent,
     ``answered`` when its first response arrived, all by the event loop's
-    clock.
+    clock. ``peer_ended`` is set once the peer has sent its last byte.
     """
 
+    peer_ended = False
     peer_reset = False
     peer: tuple | None = None
     opened = 0.0
@@ -197,6 +198,7 @@
     def eof_received(self) -> None:
         """Check whether the peer closed or reset the connection."""
         self._cancel_head_timeout()
+        self.peer_ended = True
         opened_socket = self.transport.get_extra_info('socket')
         # The transport's socket object can't be read; a duplicate can.
         with socket.socket(fileno=os.dup(opened_socket.fileno())) as copy:
@@ -338,6 +340,11 @@
         """Whether the connection ended with an error."""
         return isinstance(self.protocol.exception(), OSError)
 
+    @property
+    def was_closed_here(self) -> bool:
+        """Whether the connection was closed before its peer ended it."""
+        return not self.protocol.peer_ended
+
 
 async def send_without_retry(
     request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
@@ -486,6 +493,8 @@
         raise CallOutcomeUnknown(str(error) or type(error).__name__) from error
     if response.is_delimited_by_close and response.was_reset:
         raise CallOutcomeUnknown('connection reset before the end of the body')
+    if response.is_delimited_by_close and response.was_closed_here:
+        raise CallOutcomeUnknown('connection closed here')
     return bytes(body)
 
 
--- a/test/hosted/test_end_interleavings.py
+++ b/test/hosted/test_end_interleavings.py
@@ -143,6 +143,14 @@
         self.process.end()
         self.assertIsInstance(await outcome, messages.Failed)
 
+    async def test_connection_that_is_closed_here_ends_no_answer(self):
+        """Guards against our own close of a connection, taken for an end."""
+        await self.listen(self.process)
+        await self.begin_shown_answer()
+        (connection,) = self.runs.calls.session.connector._acquired
+        connection.close()
+        self.assertIsInstance(await self.outcome(), messages.Failed)
+
     async def test_waiting_connection_is_accepted_by_the_next_start(self):
         """Guards against a connection that the crashed process never took.
 
