Give requests the connections for checks where an endpoint allows no more

What callers saw: a request is reset at an endpoint that allows no more connections than its callers use, because one of them is kept for checks.

Cause: connections for checks were kept beside those of requests, whatever the endpoint allows, and no request could use them.

Change: a connection that is reset within a second, before anything was answered on it, while older ones stay open, shows that the endpoint is at its limit. For 10 s no further connection is opened for checks then, and a request that finds no connection gets the newest of those for checks. One that was handed over still proves the end of an earlier answer once its request is over. The first answer without a length gets its second connection for checks 10 ms after its head, 100 ms before, so that the limit is seen by that connection rather than by a request.

Ruled out by a trial: handing them over always and opening new ones for checks instead.

What is left: where callers use all but one connection and no answer is without a length, the first request beyond is reset before the limit is known.

--- a/berylhollow/endpoint/_endpoint_client.py
+++ b/berylhollow/endpoint/_endpoint_client.py
@@ -122,7 +122,7 @@
         )
         target = liveness.Target(self.url, '', following.DEFAULT_CHECK_PATH)
         watch = self.watches.watch(target)
-        await watch.prepare()
+        await watch.prepare(is_pooled=request.idempotent)
         response = await outgoing.open_call(
             session,
             request.method,
--- a/berylhollow/liveness.py
+++ b/berylhollow/liveness.py
@@ -40,6 +40,10 @@
 """Interval of checks that keep connections open while answers are running."""
 
 MIN_REFRESH_MS = 100
+SHORT_ANSWER_MS = 10
+"""Time after which the first answer without a length gets a second connection
+for checks, which shows whether the endpoint allows that many."""
+
 PREPARE_INTERVAL_MS = 1000
 """Shortest time between two connections that are opened for requests. An
 endpoint resets those beyond its limit."""
@@ -55,6 +59,10 @@
 USED_AT_ONCE = 2
 """Connections for checks while answers run: one may close after its use."""
 
+LIMITED_MS = 10_000
+"""How long an endpoint that reset a new connection is taken to be at its
+limit. As long, requests may use the connections for checks."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Target:
@@ -110,8 +118,9 @@
     """The connections that lead to one process of an endpoint.
 
     One that was open before a check was sent is added once the process has
-    answered that check over another: it listened all the while. ``shown`` is
-    when the last check that it answered was sent.
+    answered that check over another: it listened all the while. Those that
+    were handed over to requests stay. ``shown`` is when the last check that
+    it answered was sent.
     """
 
     def __init__(self, connection: outgoing.Connection):
@@ -121,6 +130,11 @@
     @property
     def open_connections(self) -> list[outgoing.Connection]:
         """Return the connections that a check may be sent over."""
+        return [x for x in self.all_open if not x.is_handed_over]
+
+    @property
+    def all_open(self) -> list[outgoing.Connection]:
+        """Return the open connections, with those that requests may use."""
         return [x for x in self.connections if x.is_connected()]
 
     def got_request(self, answering: outgoing.Connection) -> bool:
@@ -136,7 +150,8 @@
         before = answering.opened if is_reused else asked
         return any(
             x.opened <= before or _answered_before(x, asked)
-            for x in self.open_connections
+            for x in self.all_open
+            if x is not answering
         )
 
 
@@ -199,12 +214,16 @@
         self.checking: asyncio.Task | None = None
         self.keeping: asyncio.Task | None = None
 
-    async def prepare(self) -> None:
+    async def prepare(self, is_pooled: bool = True) -> None:
         """Begin to open a connection before a request, if none would show.
 
-        A short answer has ended before one that is opened later can be.
+        A short answer has ended before one that is opened later can be. A
+        request ``is_pooled`` if it may use a connection that was open before.
         """
-        if self._is_open or self.opening:
+        is_limited = self._is_limited
+        if is_limited and is_pooled:
+            self._hand_over()
+        if self._is_open or self.opening or is_limited:
             return
         now = self.loop.time()
         if now < self.prepare_again:
@@ -255,6 +274,51 @@
             return Evidence.NO_CONNECTION
         return Evidence.CONNECTION_LOST
 
+    @property
+    def _is_limited(self) -> bool:
+        """Whether the endpoint allows no further connection, as it seems.
+
+        It reset a new one and left older ones open.
+        """
+        url = self.target.url
+        pooled = self.watches.pooled_session.connector
+        connectors = (pooled, self.watches.session.connector)
+        resets = [
+            reset
+            for reset in (x.early_reset(url) for x in connectors)
+            if reset is not None
+        ]
+        if not resets:
+            return False
+        last = max(resets)
+        if self.loop.time() >= last + LIMITED_MS / MS_PER_SECOND:
+            return False
+        known = [] if self.process is None else self.process.all_open
+        return any(
+            x.opened < last for x in (*known, *pooled.kept_connections(url))
+        )
+
+    def _hand_over(self) -> None:
+        """Let a request that finds no connection use one of those for checks.
+
+        It would be reset on a new one.
+        """
+        url = self.target.url
+        pooled = self.watches.pooled_session.connector
+        if self.process is None or pooled.kept_connections(url):
+            return
+        connector = self.watches.session.connector
+        kept = connector.kept_connections(url)
+        unused = [
+            x
+            for x in self.process.open_connections
+            if x in kept and not x.has_unread
+        ]
+        if unused:
+            # The others are older, so that they prove the answer's end.
+            newest = max(unused, key=lambda x: x.opened)
+            connector.hand_over(url, newest, pooled)
+
     @property
     def _is_open(self) -> bool:
         return self.process is not None and bool(self.process.open_connections)
@@ -275,23 +339,31 @@
         """Tell whether a kept connection shows that the process lives.
 
         It leads to the process that has written the answer if that answered
-        on it before the request was sent.
+        on it before the request was sent, or if it was one for checks.
         """
         session = self.watches.pooled_session
         asked = observation.connection.asked
+        process = observation.process
+        known = [] if process is None else process.connections
         for _ in range(MAX_POOLED_CHECKS):
             kept = session.connector.kept_connections(self.target.url)
             for connection in kept:
                 if connection.has_unread:
                     connection.close()
-            kept = [x for x in kept if x.is_connected()]
-            if not any(_answered_before(x, asked) for x in kept):
+            proving = [
+                x
+                for x in kept
+                if x.is_connected()
+                and (x in known or _answered_before(x, asked))
+            ]
+            if not proving:
                 return False
+            session.connector.prefer(self.target.url, proving[0])
             try:
                 checked = await self.watches.send(session, self.target)
             except outgoing.CallError:
                 continue
-            if _answered_before(checked.connection, asked):
+            if checked.connection in proving:
                 return True
         return False
 
@@ -301,7 +373,8 @@
         Most have ended before the first check.
         """
         if self._is_open:
-            await asyncio.sleep(MIN_REFRESH_MS / MS_PER_SECOND)
+            pause_ms = MIN_REFRESH_MS if self.has_unframed else SHORT_ANSWER_MS
+            await asyncio.sleep(pause_ms / MS_PER_SECOND)
         self.wanted = USED_AT_ONCE
         while True:
             if not await self._check() or await self._has_lost_connection():
@@ -383,8 +456,9 @@
             opened += len(self.process.open_connections)
         if self.has_unframed or len(self.observations) > 1:
             self.wanted = USED_AT_ONCE
-        for _ in range(opened, self.wanted):
-            await self._open()
+        if not self._is_limited:
+            for _ in range(opened, self.wanted):
+                await self._open()
         if not self._is_open:
             return False
         process = self.process
@@ -414,13 +488,15 @@
 
     def _drop_unusable(self) -> None:
         """Close connections with bytes that no check has asked for."""
-        known = self.process.connections if self.process is not None else []
+        known = []
+        if self.process is not None:
+            known = self.process.open_connections
         for connection in (*known, *self.spares):
             if connection.is_connected() and connection.has_unread:
                 connection.close()
         self.spares = [x for x in self.spares if x.is_connected()]
         if self.process is not None:
-            self.process.connections = self.process.open_connections
+            self.process.connections = self.process.all_open
 
 
 class Watches:
--- a/berylhollow/outgoing.py
+++ b/berylhollow/outgoing.py
@@ -18,9 +18,12 @@
 import aiohappyeyeballs
 import aiohttp
 from aiohttp import client_proto
+from aiohttp import client_reqrep
 from aiohttp import http_exceptions
 import yarl
 
+from berylhollow.util import bounded
+
 CONNECT_TIMEOUT_MS = 1000
 CALL_TIMEOUT_MS = 5000
 MS_PER_SECOND = 1000
@@ -32,6 +35,13 @@
 thirty does not end a connection. Callers abandon a stream that pauses for
 2 s."""
 
+NEW_MS = 1000
+"""A connection that is reset within this time, before anything was answered,
+may be one more than its peer allows."""
+
+MAX_KEYS = 1000
+"""Peers that a connector remembers something of."""
+
 KEEPALIVE_INTERVAL_S = 1
 """Idle time and interval of keep-alive probes: the minimum for TCP."""
 
@@ -106,9 +116,12 @@
 
     ``opened`` is when it was opened, ``asked`` when its last request was sent,
     ``answered`` when its first response arrived, all by the event loop's
-    clock. ``peer_ended`` is set once the peer has sent its last byte.
+    clock. ``peer_ended`` is set once the peer has sent its last byte,
+    ``is_handed_over`` once it belongs to another connector.
     """
 
+    connector: 'Connector | None' = None
+    is_handed_over = False
     peer_ended = False
     peer_reset = False
     peer: tuple | None = None
@@ -213,6 +226,7 @@
         self._cancel_head_timeout()
         if exc is None and self.peer_reset:
             exc = ConnectionResetError('reset by the peer')
+        self._note_early_reset(exc)
         super().connection_lost(exc)
         closed = self.closed
         if closed is not None and not closed.cancelled():
@@ -220,24 +234,64 @@
             closed.exception()
 
 
+    def _note_early_reset(self, error: BaseException | None) -> None:
+        age_ms = (self._loop.time() - self.opened) * MS_PER_SECOND
+        if (
+            isinstance(error, ConnectionResetError)
+            and self.answered is None
+            and age_ms < NEW_MS
+            and self.connector is not None
+            and self.peer is not None
+        ):
+            self.connector.note_early_reset(self.peer, self._loop.time())
+
+
 class Connector(aiohttp.TCPConnector):
     """A connector whose connections tell a reset from a close."""
 
     def __init__(self, **options):
         super().__init__(**options)
-        self._factory = functools.partial(Connection, loop=self._loop)
+        self._factory = self._new_connection
+        self._keys: dict[str, client_reqrep.ConnectionKey] = {}
+        self._early_resets: dict[tuple[str, int], float] = {}
 
     def kept_connections(self, url: str) -> list[Connection]:
         """Return the open connections to a URL's host that no call uses."""
-        kept = self._conns.get(self._request(url).connection_key, ())
+        kept = self._conns.get(self._key(url), ())
         return [x for x, _ in kept if x.is_connected()]
 
+    def hand_over(
+        self, url: str, connection: Connection, other: 'Connector'
+    ) -> None:
+        """Move a kept connection to another connector, for its next call."""
+        key = self._key(url)
+        kept = self._conns.get(key, ())
+        for entry in kept:
+            if entry[0] is connection:
+                kept.remove(entry)
+                connection.is_handed_over = True
+                other._release(key, connection)
+                other.prefer(url, connection)
+                return
+
+    def note_early_reset(self, peer: tuple, at: float) -> None:
+        """Note that a peer reset a new connection before any answer."""
+        self._early_resets[peer[:2]] = at
+        bounded.drop_oldest(self._early_resets, MAX_KEYS)
+
+    def early_reset(self, url: str) -> float | None:
+        """Return when a URL's host last reset a new connection, if it did."""
+        if not self._early_resets:
+            return None
+        key = self._key(url)
+        return self._early_resets.get((key.host, key.port))
+
     def prefer(self, url: str, connection: Connection) -> None:
         """Let the next call to a URL's host use a connection, if it is kept.
 
         Otherwise it takes the one that has been unused for longest.
         """
-        kept = self._conns.get(self._request(url).connection_key, ())
+        kept = self._conns.get(self._key(url), ())
         for entry in kept:
             if entry[0] is connection:
                 kept.remove(entry)
@@ -259,6 +313,18 @@
         self._release(request.connection_key, connection)
         return connection
 
+    def _new_connection(self) -> Connection:
+        connection = Connection(loop=self._loop)
+        connection.connector = self
+        return connection
+
+    def _key(self, url: str) -> client_reqrep.ConnectionKey:
+        key = self._keys.get(url)
+        if key is None:
+            key = self._keys[url] = self._request(url).connection_key
+            bounded.drop_oldest(self._keys, MAX_KEYS)
+        return key
+
     def _request(self, url: str) -> aiohttp.ClientRequest:
         return aiohttp.ClientRequest('GET', yarl.URL(url), loop=self._loop)
 
--- a/berylhollow/platform/_endpoint_calls.py
+++ b/berylhollow/platform/_endpoint_calls.py
@@ -132,7 +132,7 @@
         url = yarl.URL(f'http://{address}{offer.path}', encoded=True)
         target = liveness.Target(f'http://{address}', instance, check_path)
         watch = self.watches.watch(target)
-        await watch.prepare()
+        await watch.prepare(is_pooled=not offer.is_probe)
         response = await outgoing.open_call(
             self.probe_session if offer.is_probe else self.session,
             offer.method,
