--- a/tools/soak/_schedule.py
+++ b/tools/soak/_schedule.py
@@ -220,7 +220,10 @@
         )
         duration_s = self.chance.uniform(0.5, 9)
         await asyncio.gather(
-            *(self._mode(f'{name} store', mode, duration_s) for name in names)
+            *(
+                self.switch_link(f'{name} store', mode, duration_s)
+                for name in names
+            )
         )
 
     async def channel(self) -> None:
@@ -233,9 +236,10 @@
             self.world.proxies[name].reset()
             await self.during('reset', name, 0.1)
             return
-        await self._mode(name, mode, self.lasting())
+        await self.switch_link(name, mode, self.lasting())
 
-    async def _mode(self, name: str, mode, duration_s: float) -> None:
+    async def switch_link(self, name: str, mode, duration_s: float) -> None:
+        """Change what becomes of the bytes on a link for some time."""
         proxy = self.world.proxies[name]
         proxy.switch(mode)
         await self.during(mode.value, name, duration_s)
@@ -335,7 +339,7 @@
         async with asyncio.TaskGroup() as group:
             for name in self.world.gateways:
                 group.create_task(
-                    self._mode(f'{name} store', mode, LONGEST_CUT_S)
+                    self.switch_link(f'{name} store', mode, LONGEST_CUT_S)
                 )
             group.create_task(self.operator.replace_key())
 
--- a/tools/soak/_streams.py
+++ b/tools/soak/_streams.py
@@ -27,6 +27,12 @@
 GOES_ON_SHARE = 0.9
 LEAST_RESUMED = 12
 FRAMINGS = ('chunks', 'length', 'connection')
+PADDING_HEADER = 'Soak-Padding'
+HALF_S = 0.01
+"""Between the two halves in which a padded event is written."""
+
+SLOW_READ_BYTES = 4096
+SLOW_READ_S = 0.04
 
 
 async def answer(
@@ -39,26 +45,34 @@
     headers['Content-Type'] = 'text/event-stream'
     first = int(request.headers.get('Last-Event-Id', '0')) + 1
     run = f'{os.getpid()}-{time.monotonic_ns()} {first}'
+    padding = 'x' * int(request.headers.get(PADDING_HEADER, '0'))
+    if padding:
+        run += f'\npadding: {padding}'
     events = [
         f'id: {number}\ndata: {software}\nrun: {run}\n\n'.encode()
         for number in range(first, EVENTS + 1)
     ]
     plan = _answers.decode(request.headers.get(_answers.PLAN_HEADER))
     if plan.framing == 'connection':
-        return await _write_unframed(request, headers, events)
+        return await _write_unframed(request, headers, events, padding)
     response = web.StreamResponse(headers=headers)
     if plan.framing == 'length':
         response.content_length = sum(map(len, events))
     await response.prepare(request)
     for event in events:
-        await response.write(event)
+        for part in _parts(event, padding):
+            await response.write(part)
+            await asyncio.sleep(HALF_S if padding else 0)
         await asyncio.sleep(EVENT_S)
     await response.write_eof()
     return response
 
 
 async def _write_unframed(
-    request: web.BaseRequest, headers: dict[str, str], events: list[bytes]
+    request: web.BaseRequest,
+    headers: dict[str, str],
+    events: list[bytes],
+    padding: str,
 ) -> web.Response:
     """Write events without the library, which would frame them."""
     lines = ['HTTP/1.1 200 OK', 'Connection: close']
@@ -68,12 +82,20 @@
         raise ConnectionResetError
     transport.write('\r\n'.join([*lines, '', '']).encode())
     for event in events:
-        transport.write(event)
+        for part in _parts(event, padding):
+            transport.write(part)
+            await asyncio.sleep(HALF_S if padding else 0)
         await asyncio.sleep(EVENT_S)
     transport.close()
     return web.Response()
 
 
+def _parts(event: bytes, padding: str) -> list[bytes]:
+    """Return what is written of an event at once, half of a padded one."""
+    middle = len(event) // 2 if padding else 0
+    return [part for part in (event[:middle], event[middle:]) if part]
+
+
 @dataclasses.dataclass
 class Try:
     """One request for a stream; times are monotonic.
@@ -133,7 +155,8 @@
     """Begin streams all the time, and take up those that break.
 
     ``framings`` are those that answers may have, ``model`` is the one that
-    requests name.
+    requests name. Events have ``padding_bytes`` more than usual; a share of
+    the callers reads slowly.
     """
 
     def __init__(
@@ -142,8 +165,12 @@
         seed: int,
         framings: tuple[str, ...] = FRAMINGS[:1],
         model: str = '',
+        padding_bytes: int = 0,
+        slow_share: float = 0.0,
     ):
         self.world = world
+        self.padding_bytes = padding_bytes
+        self.slow_share = slow_share
         self.framings = framings
         self.model = model
         self.chance = random.Random(seed)
@@ -180,6 +207,10 @@
             'Deadline-Ms': str(max(1, int((until - now) * 1000))),
             _answers.PLAN_HEADER: _answers.Plan(attempt.framing).encode(),
         }
+        if self.padding_bytes:
+            headers[PADDING_HEADER] = str(self.padding_bytes)
+        is_slow = self.chance.random() < self.slow_share
+        options = {'read_bufsize': SLOW_READ_BYTES} if is_slow else {}
         if self.model:
             headers['Model'] = self.model
         if stream.received:
@@ -194,22 +225,26 @@
         try:
             async with (
                 asyncio.timeout(PATIENCE_S),
-                aiohttp.ClientSession() as session,
+                aiohttp.ClientSession(**options) as session,
                 session.post(url, headers=headers, data=body) as response,
             ):
                 attempt.status = response.status
                 pause_s = float(response.headers.get('Retry-After', PAUSE_S))
                 if response.status == 200:
-                    await self._read(stream, attempt, response)
+                    await self._read(stream, attempt, response, is_slow)
         except (aiohttp.ClientError, OSError, TimeoutError):
             pass
         finally:
             attempt.ended = time.monotonic()
         return pause_s
 
-    async def _read(self, stream: Stream, attempt: Try, response) -> None:
+    async def _read(
+        self, stream: Stream, attempt: Try, response, is_slow: bool
+    ) -> None:
         pending = b''
-        async for part in response.content.iter_any():
+        limit = SLOW_READ_BYTES if is_slow else -1
+        while part := await _read_part(response.content, limit):
+            await asyncio.sleep(SLOW_READ_S if is_slow else 0)
             pending += part
             while b'\n\n' in pending:
                 event, _, pending = pending.partition(b'\n\n')
@@ -223,3 +258,9 @@
                     attempt.runs.append(run)
                     attempt.is_joined |= first != named['id']
         attempt.is_whole = True
+
+
+async def _read_part(content: aiohttp.StreamReader, limit: int) -> bytes:
+    if limit > 0:
+        return await content.read(limit)
+    return await content.readany()
--- a/tools/soak/restarts.py
+++ b/tools/soak/restarts.py
@@ -18,6 +18,7 @@
 import time
 
 from tools.soak import _operator
+from tools.soak import _proxy
 from tools.soak import _schedule
 from tools.soak import _series
 from tools.soak import _streams
@@ -38,6 +39,8 @@
 
 VERSIONS = ('v1', 'v2')
 LONGEST_DOWN_S = 2.0
+LONGEST_HARM_S = 1.5
+LINKS = ('slow', 'silent', 'deaf')
 SHOWN = 5
 
 Kind = collections.abc.Callable[
@@ -146,6 +149,17 @@
 WITH_PROXIES = frozenset({'reset', 'mixture'})
 
 
+async def _harm_links(schedule: _schedule.Schedule, mode: _proxy.Mode):
+    """Harm the link to one endpoint after the other."""
+    while True:
+        await schedule.switch_link(
+            schedule.chance.choice(schedule.world.streaming),
+            mode,
+            schedule.chance.uniform(0.1, LONGEST_HARM_S),
+        )
+        await asyncio.sleep(schedule.chance.uniform(0.1, 1))
+
+
 async def _play_faults(schedule: _schedule.Schedule, kind: Kind, gap_s: float):
     end = time.monotonic() + schedule.duration_s
     number = 0
@@ -171,7 +185,7 @@
         builds,
         releases=True,
         keeps_software=True,
-        direct=arguments.kind not in WITH_PROXIES,
+        direct=arguments.kind not in WITH_PROXIES and not arguments.links,
     )
     operator = _operator.Operator(
         world,
@@ -187,6 +201,8 @@
         arguments.seed,
         _streams.FRAMINGS,
         _operator.MODEL if arguments.models else '',
+        arguments.padding,
+        arguments.slow_readers,
     )
     tasks = []
     try:
@@ -197,7 +213,15 @@
             tasks.append(asyncio.create_task(callers.call()))
             await asyncio.sleep(STREAM_S / arguments.callers)
         await asyncio.sleep(CALM_S)
+        harming = None
+        if arguments.links:
+            mode = _proxy.Mode(arguments.links)
+            harming = asyncio.create_task(_harm_links(schedule, mode))
         await _play_faults(schedule, KINDS[arguments.kind], arguments.gap)
+        if harming is not None:
+            harming.cancel()
+            for proxy in world.proxies.values():
+                proxy.switch(_proxy.Mode.OPEN)
         await asyncio.sleep(CALM_S)
         stopped = time.monotonic()
         for task in tasks:
@@ -296,6 +320,20 @@
     parser.add_argument(
         '--gap', type=float, default=1.0, help='seconds between two faults'
     )
+    parser.add_argument(
+        '--links',
+        choices=LINKS,
+        help='links to endpoints are harmed as well, one after the other',
+    )
+    parser.add_argument(
+        '--padding', type=int, default=0, help='bytes added to each event'
+    )
+    parser.add_argument(
+        '--slow-readers',
+        type=float,
+        default=0.0,
+        help='share of the callers who read slowly',
+    )
     parser.add_argument(
         '--other',
         type=pathlib.Path,
