Reset idle connections, too, when the soak's endpoint crashes

A crash of the soak's endpoints is modelled within one process: it reset the connections that carried a request and left idle ones open, and /healthz and the report were answered while it was down. No process that has ended does that.

Now all connections are reset but those of the soak's own control calls, and nothing is answered while it is down. The checks are unchanged.

--- a/tools/soak/_standins.py
+++ b/tools/soak/_standins.py
@@ -33,6 +33,7 @@
 DOWN_S = 1.0
 """How long an endpoint is down after a request has crashed it."""
 
+CONTROL_PREFIX = '/control/'
 CRASH_BODY = b'crash'
 BAD_PART = 'bad'
 """Begins the ids of the parts of prompts that crash endpoints."""
@@ -102,14 +103,27 @@
         self.written = asyncio.Event()
         self.is_down = False
         self.crashing: asyncio.Task | None = None
-        self.transports: set[asyncio.Transport] = set()
+        self.server: web.Server | None = None
+        self.controls: set[web.RequestHandler] = set()
 
     def add_to(self, application: web.Application) -> None:
         application.router.add_post('/control/leave', self._leave)
         application.router.add_post('/control/newest', self._newest)
         application.router.add_post('/control/notices', self._set_notices)
+        application.middlewares.append(self._handle)
         super().add_to(application)
 
+    @web.middleware
+    async def _handle(self, request: web.Request, handler):
+        """Answer nothing but the soak itself while the process is down."""
+        if request.path.startswith(CONTROL_PREFIX):
+            self.controls &= set(self.server.connections)
+            self.controls.add(request.protocol)
+        elif self.is_down:
+            request.transport.abort()
+            return web.Response(status=503)
+        return await handler(request)
+
     async def _leave(self, _request: web.Request) -> web.Response:
         """Answer once the store has taken it that we leave."""
         self.state = 'draining'
@@ -131,14 +145,17 @@
     async def _crash(self) -> None:
         """Reset all connections, and start anew under the same name.
 
-        The port stays open: a plain close would look like that of an endpoint
+        Idle ones are reset, too, as those of a process that has ended. The
+        port stays open: a plain close would look like that of an endpoint
         that lives.
         """
         say(crashed=self.instance)
         self.is_down = True
-        for transport in [*self.transports]:
-            _proxy.reset_on_close(transport)
-            transport.abort()
+        for connection in self.server.connections:
+            transport = connection.transport
+            if transport is not None and connection not in self.controls:
+                _proxy.reset_on_close(transport)
+                transport.abort()
         await asyncio.sleep(DOWN_S)
         self.restart(self.instance)
         self.started_ms = time.time_ns() // 1_000_000
@@ -158,16 +175,6 @@
         return response
 
     async def _request(self, request) -> web.StreamResponse:
-        if self.is_down:
-            request.transport.abort()
-            return web.Response(status=503)
-        self.transports.add(request.transport)
-        try:
-            return await self._request_while_up(request)
-        finally:
-            self.transports.discard(request.transport)
-
-    async def _request_while_up(self, request) -> web.StreamResponse:
         say(
             got=request.headers.get('Request-Id', ''),
             instance=self.instance,
@@ -274,6 +281,7 @@
     say(waiting=listen)
     await _listen(runner, host, int(port))
     if endpoint is not None:
+        endpoint.server = runner.server
         endpoint.started_ms = time.time_ns() // 1_000_000
         beating = asyncio.create_task(endpoint.beat())
         beating.add_done_callback(lambda _: sys.exit(1))
