--- a/tools/soak/restarts.py
+++ b/tools/soak/restarts.py
@@ -13,6 +13,7 @@
 import json
 import pathlib
 import random
+import signal
 import sys
 import tempfile
 import time
@@ -41,6 +42,7 @@
 LONGEST_DOWN_S = 2.0
 LONGEST_HARM_S = 1.5
 LINKS = ('slow', 'silent', 'deaf')
+SHARE_PERIOD_S = 0.1
 SHOWN = 5
 
 Kind = collections.abc.Callable[
@@ -160,6 +162,21 @@
         await asyncio.sleep(schedule.chance.uniform(0.1, 1))
 
 
+async def _limit_processor(world: _world.World, share: float) -> None:
+    """Let each gateway run for a share of the time only."""
+    while True:
+        gateways = [world.processes.get(x) for x in world.gateways]
+        running = [x for x in gateways if x is not None]
+        for process in running:
+            process.signal(signal.SIGSTOP)
+        try:
+            await asyncio.sleep(SHARE_PERIOD_S * (1 - share))
+        finally:
+            for process in running:
+                process.signal(signal.SIGCONT)
+        await asyncio.sleep(SHARE_PERIOD_S * share)
+
+
 async def _play_faults(schedule: _schedule.Schedule, kind: Kind, gap_s: float):
     end = time.monotonic() + schedule.duration_s
     number = 0
@@ -213,15 +230,19 @@
             tasks.append(asyncio.create_task(callers.call()))
             await asyncio.sleep(STREAM_S / arguments.callers)
         await asyncio.sleep(CALM_S)
-        harming = None
+        beside = []
         if arguments.links:
             mode = _proxy.Mode(arguments.links)
-            harming = asyncio.create_task(_harm_links(schedule, mode))
+            beside.append(asyncio.create_task(_harm_links(schedule, mode)))
+        if arguments.share < 1:
+            beside.append(
+                asyncio.create_task(_limit_processor(world, arguments.share))
+            )
         await _play_faults(schedule, KINDS[arguments.kind], arguments.gap)
-        if harming is not None:
-            harming.cancel()
-            for proxy in world.proxies.values():
-                proxy.switch(_proxy.Mode.OPEN)
+        for task in beside:
+            task.cancel()
+        for proxy in world.proxies.values():
+            proxy.switch(_proxy.Mode.OPEN)
         await asyncio.sleep(CALM_S)
         stopped = time.monotonic()
         for task in tasks:
@@ -325,6 +346,12 @@
         choices=LINKS,
         help='links to endpoints are harmed as well, one after the other',
     )
+    parser.add_argument(
+        '--share',
+        type=float,
+        default=1.0,
+        help='share of the time in which gateways run',
+    )
     parser.add_argument(
         '--padding', type=int, default=0, help='bytes added to each event'
     )
