Let the first requests to an endpoint wait for the connection for checks

Cause: the connection for checks is opened at the same time as the request's own one. Where it takes a little longer, or a second request comes meanwhile, the request is sent first and proves nothing. After one that couldn't be opened, the next was opened a second later.

Change: a request that finds neither kept connection nor one for checks waits until that is open, 20 ms at most; so do others that come meanwhile.

--- a/berylhollow/liveness.py
+++ b/berylhollow/liveness.py
@@ -47,8 +47,11 @@
 for checks, which shows whether the endpoint allows that many."""
 
 PREPARE_INTERVAL_MS = 1000
-"""Shortest time between two connections that are opened for requests. An
-endpoint resets those beyond its limit."""
+"""Shortest time between two connections that are opened for requests, while
+no answer has been without a length. Each is closed after some idle time."""
+
+OPEN_MS = 20
+"""How long a request that opens a connection waits for one for checks."""
 
 KEEP_UNUSED_MS = 60_000
 """How long an unused connection is kept for the checks to come."""
@@ -266,19 +269,24 @@
         is_limited = self._is_limited
         if is_limited and is_pooled:
             self._hand_over()
-        if self._is_open or self.opening or is_limited or self._is_without:
-            return
-        now = self.loop.time()
-        if now < self.prepare_again:
+        if self._is_open or is_limited or self._is_without:
             return
-        self.prepare_again = now + PREPARE_INTERVAL_MS / MS_PER_SECOND
         connector = self.watches.pooled_session.connector
         kept = connector.kept_connections(self.target.url)
-        if len(kept) < KEPT_FOR_PROOF:
-            self.opening = asyncio.create_task(self._open())
-            self.opening.add_done_callback(self._opened)
+        now = self.loop.time()
+        if self.opening is None and now >= self.prepare_again:
+            interval_ms = (
+                RETRY_MS if self.has_unframed else PREPARE_INTERVAL_MS
+            )
+            self.prepare_again = now + interval_ms / MS_PER_SECOND
+            if len(kept) < KEPT_FOR_PROOF:
+                self.opening = asyncio.create_task(self._open())
+                self.opening.add_done_callback(self._opened)
+        if self.opening is not None:
             # So that it is older than the request's own connection.
-            await asyncio.sleep(0)
+            await asyncio.wait(
+                [self.opening], timeout=0 if kept else OPEN_MS / MS_PER_SECOND
+            )
 
     def begin(self, connection: outgoing.Connection) -> Observation:
         """Begin to watch for an answer whose head has just arrived."""
@@ -540,6 +548,7 @@
             connection = await connector.open_kept(self.target.url)
         except outgoing.CallError as error:
             LOG.debug('no connection for health checks: %s', error)
+            self.prepare_again = 0.0
             return
         if self._is_open:
             self.spares.append(connection)
--- a/test/hosted/test_end_interleavings.py
+++ b/test/hosted/test_end_interleavings.py
@@ -340,6 +340,50 @@
                 self.assertIsInstance(await self.outcome(), messages.End)
             await asyncio.sleep(SETTLE_S)
 
+    async def test_first_requests_to_an_endpoint_that_has_just_started(self):
+        """Guards against whole answers lost right after a start.
+
+        Two requests come together, while the first connection for checks is
+        being opened, which takes longer than theirs.
+        """
+        await self.listen(self.process)
+        connector = self.runs.calls.watches.session.connector
+        open_kept = connector.open_kept
+
+        async def open_slowly(url):
+            await asyncio.sleep(0.005)
+            return await open_kept(url)
+
+        connector.open_kept = open_slowly
+        for number in (1, 2):
+            self.send_offer(number=number)
+        await self.until(lambda: len(self.process.requests) == 2)
+        await asyncio.sleep(SETTLE_S)
+        for writer in self.process.requests:
+            writer.close()
+        outcomes = [type(await self.outcome()) for _ in range(2)]
+        self.assertEqual(2, outcomes.count(messages.End), outcomes)
+
+    async def test_first_answer_of_a_next_start_that_was_down(self):
+        """Guards against whole answers lost right after a restart.
+
+        A request was refused while the endpoint was down; the next one comes
+        a little later.
+        """
+        await self.listen(self.process)
+        await self.begin_shown_answer()
+        port = int(self.address.rpartition(':')[2])
+        self.process.server.close()
+        self.process.end()
+        self.assertIsInstance(await self.outcome(), messages.Failed)
+        self.send_offer(number=2)
+        self.assertIsInstance(await self.outcome(), messages.Failed)
+        self.process = EndpointProcess()
+        await self.listen(self.process, port)
+        await self.begin_answer(number=3)
+        self.process.requests[-1].close()
+        self.assertIsInstance(await self.outcome(), messages.End)
+
     async def test_first_answer_whose_head_is_slow(self):
         """Guards against an endpoint that is slow, taken for a serial one.
 
