Split what tells that a process lives into a folder of modules

Checks as they are sent, the connections to one process and the watch over them are modules of their own now; nothing but names of modules changed in them.

--- a/berylhollow/liveness.py
+++ b/berylhollow/liveness/_watch.py
@@ -1,27 +1,18 @@
-"""Tells whether the process that wrote an answer has outlived it.
-
-An endpoint that crashes ends its answers without a length as one does that
-has finished them. Its address shows nothing: a next start may listen there at
-once. An open connection leads to the same process as before. So a process has
-outlived its answer if it answers a health check that was sent after the
-answer's end, over a connection that led to it before the request was sent.
-Design: ``docs/design/0026-ends-of-answers.md``.
-"""
+"""Watches over the processes of endpoints that write answers."""
 
 import asyncio
 import collections.abc
-import dataclasses
-import enum
 import functools
 import logging
-import typing
 
+from berylhollow import clock
+from berylhollow.liveness import _checks
+from berylhollow.liveness import _process
 from berylhollow import outgoing
 from berylhollow.util import bounded
 
 LOG = logging.getLogger(__name__)
 
-MS_PER_SECOND = 1000
 PROOF_TIMEOUT_MS = 1500
 """Time limit for the proof at an answer's end. Callers abandon a stream that
 pauses for 2 s."""
@@ -29,12 +20,7 @@
 LATE_MS = 50
 """Time to read a proof that arrived while this process stood still."""
 
-CHECK_TIMEOUT_MS = 4000
-CHECK_DEADLINE_MS = 400
-"""Deadline that a check tells the endpoint, which may queue it. An endpoint
-that refuses it has answered, too."""
 
-MAX_CHECK_BYTES = 1024 * 1024
 RETRY_MS = 200
 """Pause after a health check that failed."""
 
@@ -68,7 +54,7 @@
 """How long a request has waited for a head when it is tested whether the
 endpoint serves several connections at once."""
 
-SHARING_TEST_MS = CHECK_DEADLINE_MS + 200
+SHARING_TEST_MS = _checks.CHECK_DEADLINE_MS + 200
 MIN_WITHOUT_MS = 5000
 MAX_WITHOUT_MS = 60_000
 """How long no connection is kept for checks after a test that failed. The time
@@ -79,97 +65,6 @@
 limit. As long, requests may use the connections for checks."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Target:
-    """The endpoint that a health check is for, and the path it is sent to.
-
-    ``instance`` is its name in the platform's list, empty if it has none.
-    """
-
-    url: str
-    instance: str
-    path: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Checked:
-    """The answer to a health check.
-
-    ``connection`` is the one that it came over, ``keep_open_ms`` is how long
-    the endpoint keeps it open without a request, None if it doesn't say.
-    """
-
-    connection: outgoing.Connection
-    keep_open_ms: int | None = None
-
-
-class Sender(typing.Protocol):
-    """Sends a health check, in the endpoint's protocol."""
-
-    async def __call__(self, session, target: Target) -> Checked:
-        """Return the endpoint's answer, whatever its status.
-
-        Raises ``outgoing.CallError`` if it doesn't answer, or if another
-        endpoint does.
-        """
-
-
-class Evidence(enum.Enum):
-    """What shows, or fails to show, that a process has outlived its answer."""
-
-    CHECKED = 'answered a check'
-    POOLED = 'answered a check over a kept connection'
-    NO_CONNECTION = 'no connection that is older than the request'
-    CONNECTION_LOST = 'the connection to it was lost'
-    UNANSWERED = 'did not answer a check'
-
-    @property
-    def is_proof(self) -> bool:
-        """Whether the process has outlived its answer."""
-        return self in (Evidence.CHECKED, Evidence.POOLED)
-
-
-class Process:
-    """The connections that lead to one process of an endpoint.
-
-    One that was open before a check was sent is added once the process has
-    answered that check over another: it listened all the while. Those that
-    were handed over to requests stay. ``shown`` is when the last check that
-    it answered was sent.
-    """
-
-    def __init__(self, connection: outgoing.Connection):
-        self.connections = [connection]
-        self.shown: float | None = None
-
-    @property
-    def open_connections(self) -> list[outgoing.Connection]:
-        """Return the connections that a check may be sent over."""
-        return [x for x in self.all_open if not x.is_handed_over]
-
-    @property
-    def all_open(self) -> list[outgoing.Connection]:
-        """Return the open connections, with those that requests may use."""
-        return [x for x in self.connections if x.is_connected()]
-
-    def got_request(self, answering: outgoing.Connection) -> bool:
-        """Tell whether a request on a connection reached this process.
-
-        It did if a connection here is older than that one, or was answered on
-        before the request was sent. One that is newer than a reused one may
-        still wait to be accepted, by a next start with the same listening
-        socket.
-        """
-        asked = answering.asked
-        is_reused = _answered_before(answering, asked)
-        before = answering.opened if is_reused else asked
-        return any(
-            x.opened <= before or _answered_before(x, asked)
-            for x in self.all_open
-            if x is not answering
-        )
-
-
 class Observation:
     """The proof for one answer, while it is being read.
 
@@ -181,21 +76,25 @@
         self,
         watch: 'Watch',
         connection: outgoing.Connection,
-        process: Process | None,
+        process: _process.Process | None,
     ):
         self.watch = watch
         self.connection = connection
         self.process = process
 
-    async def evidence(self) -> Evidence:
+    async def evidence(self) -> _process.Evidence:
         """Return the evidence after the answer's end."""
         finding = asyncio.ensure_future(self.watch.evidence_for(self))
         try:
             for timeout_ms in (PROOF_TIMEOUT_MS, LATE_MS):
                 await asyncio.wait(
-                    [finding], timeout=timeout_ms / MS_PER_SECOND
+                    [finding], timeout=timeout_ms / clock.MS_PER_SECOND
                 )
-            return finding.result() if finding.done() else Evidence.UNANSWERED
+            return (
+                finding.result()
+                if finding.done()
+                else _process.Evidence.UNANSWERED
+            )
         finally:
             finding.cancel()
 
@@ -217,11 +116,11 @@
     out, and none is kept before ``without_until`` after it seemed to.
     """
 
-    def __init__(self, watches: 'Watches', target: Target):
+    def __init__(self, watches: 'Watches', target: _checks.Target):
         self.watches = watches
         self.target = target
         self.loop = asyncio.get_running_loop()
-        self.process: Process | None = None
+        self.process: _process.Process | None = None
         self.spares: list[outgoing.Connection] = []
         self.idle_ms: float | None = None
         self.observations: set[Observation] = set()
@@ -252,7 +151,7 @@
         if self.serves_several:
             return await call()
         test = self.loop.call_later(
-            HEAD_WAIT_MS / MS_PER_SECOND, self._begin_test
+            HEAD_WAIT_MS / clock.MS_PER_SECOND, self._begin_test
         )
         try:
             response = await call()
@@ -278,14 +177,15 @@
             interval_ms = (
                 RETRY_MS if self.has_unframed else PREPARE_INTERVAL_MS
             )
-            self.prepare_again = now + interval_ms / MS_PER_SECOND
+            self.prepare_again = now + interval_ms / clock.MS_PER_SECOND
             if len(kept) < KEPT_FOR_PROOF:
                 self.opening = asyncio.create_task(self._open())
                 self.opening.add_done_callback(self._opened)
         if self.opening is not None:
             # So that it is older than the request's own connection.
             await asyncio.wait(
-                [self.opening], timeout=0 if kept else OPEN_MS / MS_PER_SECOND
+                [self.opening],
+                timeout=0 if kept else OPEN_MS / clock.MS_PER_SECOND,
             )
 
     def begin(self, connection: outgoing.Connection) -> Observation:
@@ -313,17 +213,19 @@
             if task is not None:
                 task.cancel()
 
-    async def evidence_for(self, observation: Observation) -> Evidence:
+    async def evidence_for(
+        self, observation: Observation
+    ) -> _process.Evidence:
         """Return what shows that the process has outlived an answer."""
         ended = self.loop.time()
         process = observation.process
         if process is not None and await self._answers(process, ended):
-            return Evidence.CHECKED
+            return _process.Evidence.CHECKED
         if await self._answers_over_pool(observation):
-            return Evidence.POOLED
+            return _process.Evidence.POOLED
         if process is None:
-            return Evidence.NO_CONNECTION
-        return Evidence.CONNECTION_LOST
+            return _process.Evidence.NO_CONNECTION
+        return _process.Evidence.CONNECTION_LOST
 
     async def listening_since(self) -> float | None:
         """Return since when the process that answers now has been up.
@@ -367,7 +269,7 @@
         if not resets:
             return False
         last = max(resets)
-        if self.loop.time() >= last + LIMITED_MS / MS_PER_SECOND:
+        if self.loop.time() >= last + LIMITED_MS / clock.MS_PER_SECOND:
             return False
         known = [] if self.process is None else self.process.all_open
         return any(
@@ -412,14 +314,18 @@
         session.connector.prefer(self.target.url, newest)
         check = asyncio.create_task(self.watches.send(session, self.target))
         check.add_done_callback(functools.partial(_finish, newest))
-        await asyncio.wait([check], timeout=SHARING_TEST_MS / MS_PER_SECOND)
+        await asyncio.wait(
+            [check], timeout=SHARING_TEST_MS / clock.MS_PER_SECOND
+        )
         if check.done():
             if not check.cancelled() and check.exception() is None:
                 self._note_answer(check.result().connection)
             return
         if self.serves_several:
             return
-        self.without_until = self.loop.time() + self.without_ms / MS_PER_SECOND
+        self.without_until = (
+            self.loop.time() + self.without_ms / clock.MS_PER_SECOND
+        )
         self.without_ms = min(2 * self.without_ms, MAX_WITHOUT_MS)
         LOG.info(
             'no connection is kept for checks, requests wait behind it',
@@ -456,7 +362,7 @@
     def _is_open(self) -> bool:
         return self.process is not None and bool(self.process.open_connections)
 
-    async def _answers(self, process: Process, ended: float) -> bool:
+    async def _answers(self, process: _process.Process, ended: float) -> bool:
         """Tell whether a process answers a check sent after a time.
 
         One check serves all the answers that ended before it was sent.
@@ -487,7 +393,7 @@
                 x
                 for x in kept
                 if x.is_connected()
-                and (x in known or _answered_before(x, asked))
+                and (x in known or _process.answered_before(x, asked))
             ]
             if not proving:
                 return False
@@ -507,11 +413,11 @@
         """
         if self._is_open:
             pause_ms = MIN_REFRESH_MS if self.has_unframed else SHORT_ANSWER_MS
-            await asyncio.sleep(pause_ms / MS_PER_SECOND)
+            await asyncio.sleep(pause_ms / clock.MS_PER_SECOND)
         self.wanted = USED_AT_ONCE
         while True:
             if not await self._check() or await self._has_lost_connection():
-                await asyncio.sleep(RETRY_MS / MS_PER_SECOND)
+                await asyncio.sleep(RETRY_MS / clock.MS_PER_SECOND)
 
     async def _has_lost_connection(self) -> bool:
         """Wait until a connection is to be used again, or one is lost."""
@@ -523,7 +429,7 @@
         if None not in closed.values():
             await asyncio.wait(
                 closed.values(),
-                timeout=max(MIN_REFRESH_MS, refresh_ms) / MS_PER_SECOND,
+                timeout=max(MIN_REFRESH_MS, refresh_ms) / clock.MS_PER_SECOND,
                 return_when=asyncio.FIRST_COMPLETED,
             )
         lost = [x for x in connections if not x.is_connected()]
@@ -537,7 +443,7 @@
         One that was closed sooner than checks could follow was not idle.
         """
         used = max(connection.opened, connection.asked)
-        unused_ms = (self.loop.time() - used) * MS_PER_SECOND
+        unused_ms = (self.loop.time() - used) * clock.MS_PER_SECOND
         if unused_ms >= 2 * MIN_REFRESH_MS:
             self.idle_ms = unused_ms
 
@@ -553,7 +459,7 @@
         if self._is_open:
             self.spares.append(connection)
         else:
-            self.process = Process(connection)
+            self.process = _process.Process(connection)
             self.spares.clear()
 
     def _opened(self, opening: asyncio.Task) -> None:
@@ -641,13 +547,13 @@
     serve as well.
     """
 
-    def __init__(self, send: Sender, pooled_session):
+    def __init__(self, send: _checks.Sender, pooled_session):
         self.send = send
         self.pooled_session = pooled_session
         self.session = outgoing.open_session(keep_unused_ms=KEEP_UNUSED_MS)
         self.by_endpoint: dict[tuple[str, str], Watch] = {}
 
-    def watch(self, target: Target) -> Watch:
+    def watch(self, target: _checks.Target) -> Watch:
         """Return the watch of an endpoint, which checks this path now."""
         endpoint = (target.url, target.instance)
         watch = self.by_endpoint.pop(endpoint, None) or Watch(self, target)
@@ -668,39 +574,3 @@
     if not check.cancelled():
         check.exception()
     connection.finish()
-
-
-def _answered_before(connection: outgoing.Connection, at: float) -> bool:
-    answered = connection.answered
-    return answered is not None and answered < at
-
-
-async def send_check(
-    session, target: Target, headers: typing.Mapping[str, str]
-) -> tuple[outgoing.Response, Checked]:
-    """Send a health check over HTTP; return the response that was read.
-
-    Raises ``outgoing.CallError`` if there is none.
-    """
-    response = await outgoing.open_call(
-        session,
-        'GET',
-        target.url + target.path,
-        CHECK_TIMEOUT_MS,
-        headers=headers,
-    )
-    connection = response.protocol
-    keep_open_ms = _keep_open_ms(response.headers.get('Keep-Alive', ''))
-    async with response:
-        await outgoing.read_body(response, MAX_CHECK_BYTES)
-    return response, Checked(connection, keep_open_ms)
-
-
-def _keep_open_ms(header: str) -> int | None:
-    """Return the time that a ``Keep-Alive`` header states."""
-    for part in header.split(','):
-        name, _, value = part.partition('=')
-        value = value.strip()
-        if name.strip().lower() == 'timeout' and value.isdecimal():
-            return int(value[:6]) * MS_PER_SECOND
-    return None
