Show a notice of leaving that a late list loses

What callers could see: requests that are sent to an endpoint 2 s and more after its answer said that it leaves.

Trace: the next start of i-p1 answered under its name and said that it leaves; the gateway had read no list for 7.6 s, kept the notice for the start that it knew, and dropped it 2 s later (LISTING_LAG_MS). 6.3 s after the notice the list showed the new start, which got four requests in 30 ms until its first answer said so again.

Cause: the same class as the ends of answers. The notice is of a process and is kept for a name, for as long as a list takes that is read; nothing counts that none was read.

A health check over a new connection could tell, since one that leaves refuses it.

--- a/test/hosted/test_restarts_in_place.py
+++ b/test/hosted/test_restarts_in_place.py
@@ -191,6 +191,23 @@
         run = self.state.endpoints['i-1@1'].lost[FINGERPRINT]
         self.assertFalse(run.endpoint_answered)
 
+    def test_start_that_leaves_and_is_listed_late_gets_no_request(self):
+        """Guards against a notice of leaving that a late list loses.
+
+        The next start says in an answer that it leaves. The gateway takes it
+        for the start before, as it reads no list for 6 s.
+        """
+        offer = self.answer_at('i-1@1', 'other', 1000)
+        notice = events.EndpointNotice(leaving=True)
+        self.feed(events.NoticeReceived(1010, 'i-1@1', 1000, notice))
+        self.receive(messages.End(offer.attempt_id, 1), 1020, 'i-1@1')
+        self.end_answer(offer, 1030)
+        self.list_next_start('i-1@1', 7000)
+        for number in range(4):
+            self.send(f'later {number}', 7010 + number)
+            peer, _ = self.offered()
+            self.assertEqual('i-2@1', peer)
+
     def test_run_cut_off_later_is_not_held_against_the_ended_start(self):
         """Guards against two crashes that count as one.
 
