Tell callers who left before the end of an answer apart in plays

Trace: each run began 2 to 4 s after its request, as all slots were taken, and ended exactly 6.0 s after it was sent: the caller's patience had ended between the last event and the end.

An answer isn't counted now if its caller left within 0.5 s of the last event. One that gets all events and no end for longer still is, which a test shows.

--- a/test/soak/test_restarts.py
+++ b/test/soak/test_restarts.py
@@ -47,6 +47,15 @@
             'whole but broken off in calm',
         )
 
+    def test_caller_who_leaves_before_the_end(self):
+        """Only one who leaves right after the last event saw no fault."""
+        left = {'is_whole': False, 'ended': SENT + 3, 'has_left': True}
+        self.check(_stream(**left, last_at=SENT + 2.9))
+        self.check(
+            _stream(**left, last_at=SENT + 2),
+            'whole but broken off in calm',
+        )
+
     def test_event_of_another_version(self):
         stream = _stream()
         stream.received[-1] = (_streams.EVENTS, 'v2')
--- a/tools/soak/_streams.py
+++ b/tools/soak/_streams.py
@@ -104,7 +104,8 @@
     counts those that it has brought. ``is_whole`` is set if it ended as a
     complete answer, ``framing`` is that of the endpoint's answer. ``runs``
     are those whose events it has; ``is_joined`` is set if one of them had
-    begun with another event than the first one of it here.
+    begun with another event than the first one of it here. The last event
+    came at ``last_at``; ``has_left`` is set if the caller waited no longer.
     """
 
     request_id: str
@@ -118,6 +119,8 @@
     is_whole: bool = False
     runs: list[str] = dataclasses.field(default_factory=list)
     is_joined: bool = False
+    last_at: float = 0.0
+    has_left: bool = False
 
     @property
     def has_last(self) -> bool:
@@ -232,7 +235,9 @@
                 pause_s = float(response.headers.get('Retry-After', PAUSE_S))
                 if response.status == 200:
                     await self._read(stream, attempt, response, is_slow)
-        except (aiohttp.ClientError, OSError, TimeoutError):
+        except TimeoutError:
+            attempt.has_left = True
+        except (aiohttp.ClientError, OSError):
             pass
         finally:
             attempt.ended = time.monotonic()
@@ -253,6 +258,7 @@
                 )
                 stream.received.append((int(named['id']), named['data']))
                 attempt.got += 1
+                attempt.last_at = time.monotonic()
                 run, first = named['run'].split()
                 if attempt.runs[-1:] != [run]:
                     attempt.runs.append(run)
--- a/tools/soak/restarts.py
+++ b/tools/soak/restarts.py
@@ -32,6 +32,9 @@
 BROKEN_OFF_S = 1.0
 """An answer that ends this long after a fault may have been cut by it."""
 
+END_S = 0.5
+"""From the last event to the end: a caller who leaves meanwhile has left."""
+
 GATEWAYS = 3
 ENDPOINTS = 6
 KEEPERS = 2
@@ -303,7 +306,10 @@
         'whole but broken off in calm': [
             x
             for x in begun
-            if x.has_last and not x.is_whole and not _faults_before(x, faults)
+            if x.has_last
+            and not x.is_whole
+            and not (x.has_left and x.ended < x.last_at + END_S)
+            and not _faults_before(x, faults)
         ],
         'of two versions': [
             x.tries[-1] for x in streams if len(x.versions) > 1
