Take no reset request for an endpoint at its limit

What callers could see: whole answers without a length, broken off for 10 s after an endpoint that lives has reset one request early: requests got the connections for checks, as if it were at its limit of connections.

Cause: any new connection that was reset within a second, before an answer, counted as one beyond the limit.

Change: only a reset within 100 ms of the opening counts; a peer at its limit resets a connection as it accepts it.

Evidence: test_endpoint_that_resets_a_request_is_not_at_its_limit fails with the second and passes with 100 ms.

--- a/berylhollow/outgoing.py
+++ b/berylhollow/outgoing.py
@@ -35,9 +35,9 @@
 thirty does not end a connection. Callers abandon a stream that pauses for
 2 s."""
 
-NEW_MS = 1000
-"""A connection that is reset within this time, before anything was answered,
-may be one more than its peer allows."""
+REFUSAL_MS = 100
+"""A peer that allows no further connection resets it within this time. One
+that resets a request later has accepted its connection."""
 
 MAX_KEYS = 1000
 """Peers that a connector remembers something of."""
@@ -248,7 +248,7 @@
         if (
             isinstance(error, ConnectionResetError)
             and self.answered is None
-            and age_ms < NEW_MS
+            and age_ms < REFUSAL_MS
             and self.connector is not None
             and self.peer is not None
         ):
--- a/test/hosted/test_end_interleavings.py
+++ b/test/hosted/test_end_interleavings.py
@@ -508,6 +508,31 @@
         self.process.requests[0].close()
         self.assertIsInstance(await self.outcome(), messages.End)
 
+    async def test_endpoint_that_resets_a_request_is_not_at_its_limit(self):
+        """Guards against answers without a proof after any reset request.
+
+        A request is reset 0.2 s after its connection was opened; the next
+        one, while an answer runs, must not get the connection for checks.
+        """
+        await self.listen(self.process)
+        await self.begin_shown_answer(number=1)
+        self.process.head_s = direct_helper.HANG_S
+        self.send_offer(number=2)
+        await self.until(lambda: len(self.process.requests) == 2)
+        await asyncio.sleep(2 * SETTLE_S)
+        writer = self.process.requests[1]
+        writer.get_extra_info('socket').setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, direct_helper.RESET
+        )
+        writer.transport.abort()
+        self.assertIsInstance(await self.outcome(), messages.Failed)
+        opened = [*self.process.opened]
+        self.send_offer(number=3)
+        await self.until(lambda: len(self.process.requests) == 3)
+        self.assertNotIn(self.process.requests[2], opened)
+        self.process.requests[0].close()
+        self.assertIsInstance(await self.outcome(), messages.End)
+
     async def listen_to_two(self):
         """Have the endpoint accept two connections and reset any others."""
         serve = self.process.serve
