--- a/test/hosted/test_end_interleavings.py
+++ b/test/hosted/test_end_interleavings.py
@@ -487,24 +487,14 @@
         The endpoint accepts two connections and resets any others; two
         requests come.
         """
-        await self.listen_to_two()
-        await self.begin_answer(number=1)
-        await asyncio.sleep(SETTLE_S)
-        self.process.answer = STREAM['length']
-        self.send_offer(number=2)
-        self.assertIsInstance(await self.outcome(), messages.End)
+        await self.serve_two()
 
     async def test_connection_that_a_request_got_proves_an_earlier_end(self):
         """Guards against whole answers lost at a limit of connections.
 
         The connection for checks was given to a request meanwhile.
         """
-        await self.listen_to_two()
-        await self.begin_answer(number=1)
-        await asyncio.sleep(SETTLE_S)
-        self.process.answer = STREAM['length']
-        self.send_offer(number=2)
-        self.assertIsInstance(await self.outcome(), messages.End)
+        await self.serve_two()
         self.process.requests[0].close()
         self.assertIsInstance(await self.outcome(), messages.End)
 
@@ -533,6 +523,15 @@
         self.process.requests[0].close()
         self.assertIsInstance(await self.outcome(), messages.End)
 
+    async def serve_two(self):
+        """Have the second of two requests served while the first one runs."""
+        await self.listen_to_two()
+        await self.begin_answer(number=1)
+        await asyncio.sleep(SETTLE_S)
+        self.process.answer = STREAM['length']
+        self.send_offer(number=2)
+        self.assertIsInstance(await self.outcome(), messages.End)
+
     async def listen_to_two(self):
         """Have the endpoint accept two connections and reset any others."""
         serve = self.process.serve
