Log for how long no connection is kept for checks

Operators saw twice the time in without_ms: it was logged after it had been doubled for the next test. Found by reading the change again; the line is logged before.

--- a/berylhollow/liveness/_watch.py
+++ b/berylhollow/liveness/_watch.py
@@ -326,7 +326,6 @@
         self.without_until = (
             self.loop.time() + self.without_ms / clock.MS_PER_SECOND
         )
-        self.without_ms = min(2 * self.without_ms, MAX_WITHOUT_MS)
         LOG.info(
             'no connection is kept for checks, requests wait behind it',
             extra={
@@ -334,6 +333,7 @@
                 'without_ms': self.without_ms,
             },
         )
+        self.without_ms = min(2 * self.without_ms, MAX_WITHOUT_MS)
         for connection in (*self.process.open_connections, *self.spares):
             connection.finish()
 
