Take a status outside 100 to 599 for no answer

Callers got HTTP/1.1 0, 1, 99, 600 or 999 as an answer, with the endpoint's body: at once where the request may not be repeated and, below 500, also where it may. An order to load with such an answer counted as refused, and a health check as passed.

Cause: the HTTP library takes every number of three digits for a status, and nothing after it looked again.

Connection.feed_data, which all calls go through, now asks answer_head.received_fault about each head. A head that is none in HTTP closes the connection and fails the call with CallOutcomeUnknown, like bytes that the library itself can't parse. So the request is repeated only where it may be, the caller gets 502 otherwise, the endpoint is judged as after any broken answer, and the line "attempt failed" names the status. As the check stands before every reader, it holds for answers to callers, sidecars, health checks, reports, orders and the store alike; each has a test.

--- a/berylhollow/outgoing.py
+++ b/berylhollow/outgoing.py
@@ -22,6 +22,7 @@
 from aiohttp import http_exceptions
 import yarl
 
+from berylhollow import answer_head
 from berylhollow.util import bounded
 
 CONNECT_TIMEOUT_MS = 1000
@@ -50,7 +51,6 @@
 KEEP_ON_CLOSE = struct.pack('ii', 0, 0)
 HEAD = 'HEAD'
 BODYLESS_STATUSES = frozenset({204, 304})
-INTERIM_STATUSES = range(100, 200)
 MAX_INTERIM_RESPONSES = 16
 """Interim responses before a final one. Nothing here asks for any."""
 
@@ -174,13 +174,22 @@
             )
 
     def feed_data(self, data: tuple, size: int = 0) -> None:
-        """Pass on the head of a response; close after too many interim ones.
+        """Pass on the head of a response, or close if it is none in HTTP.
 
-        The library reads them up to the deadline of the call.
+        Too many interim ones close the connection too: the library reads them
+        up to the deadline of the call. What follows a head that closed the
+        connection is dropped; what follows a whole response is not judged.
         """
         message, _ = data
         self._cancel_head_timeout()
-        if message.code not in INTERIM_STATUSES:
+        if self.exception() is not None:
+            return
+        if self.awaits_head:
+            fault = answer_head.received_fault(message)
+            if fault:
+                self._fail_head(f'invalid response: {fault}')
+                return
+        if message.code not in answer_head.INTERIM_STATUSES:
             self.awaits_head = False
             self.interim_responses = 0
             if self.answered is None:
@@ -190,7 +199,7 @@
         self.interim_responses += 1
         if self.interim_responses <= MAX_INTERIM_RESPONSES:
             super().feed_data(data, size)
-        elif self.exception() is None:
+        else:
             self._fail_head('too many interim responses')
 
     def _fail_head(self, reason: str) -> None:
--- a/test/hosted/direct_helper.py
+++ b/test/hosted/direct_helper.py
@@ -116,7 +116,8 @@
         elif self.closes:
             writer.close()
         else:
-            await reader.read()
+            with contextlib.suppress(ConnectionError):
+                await reader.read()
 
 
 class EndlessEndpoint(RawEndpoint):
--- /dev/null
+++ b/test/hosted/test_broken_answers.py
@@ -0,0 +1,92 @@
+"""What callers of a gateway get when endpoints send answers that are none."""
+
+import asyncio
+import http
+
+import aiohttp
+
+from berylhollow.standin import direct_endpoint
+from test import broken_answers
+from test.hosted import direct_helper
+from test.hosted import hosted_helper
+from test import platform_builders as builders
+
+REQUESTS = 3
+"""Requests to each service, no more than may be tried again at first."""
+
+CLOSED = 0
+"""Stands for a status where a connection ended without one."""
+
+
+class BrokenAnswerTest(hosted_helper.HostedTestCase):
+    """Each answer comes from an endpoint with a service of its own.
+
+    A second service has a sound endpoint too. Its requests may run more than
+    once, those of the first may not.
+    """
+
+    async def begin_all(self, answers):
+        """Start the endpoints for each answer, and the gateway."""
+        self.alone = {}
+        routes = []
+        for number, (name, raw) in enumerate(answers.items()):
+            alone, beside = f'alone{number}', f'beside{number}'
+            self.alone[name] = await self.add_broken(raw, alone)
+            await self.add_broken(raw, beside)
+            sound = direct_endpoint.DirectEndpoint(f'i-sound-{number}')
+            await self.register(sound, await self.serve(sound), beside)
+            repeated = {'Kind': 'safe', 'MaxAttempts': 2}
+            routes += [
+                builders.plain_route(alone, f'/{alone}/', Service=alone),
+                builders.plain_route(
+                    beside, f'/{beside}/', Service=beside, **repeated
+                ),
+            ]
+        await self.publish(8, routes=routes)
+        self.gateway = await self.begin('gateway')
+        await self.wait_until_ready()
+
+    async def add_broken(self, raw, service):
+        """Start and register an endpoint that sends the same bytes always."""
+        endpoint = direct_helper.RawEndpoint(raw, closes=False)
+        endpoint.instance = f'i-{service}'
+        server = await asyncio.start_server(endpoint.serve, '127.0.0.1', 0)
+        self.stack.callback(server.close)
+        port = server.sockets[0].getsockname()[1]
+        await self.register(endpoint, port, service)
+        return endpoint
+
+    async def status_of(self, path, request_id):
+        try:
+            async with self.open_request(path, request_id) as got:
+                await got.read()
+                return got.status
+        except aiohttp.ClientError:
+            return CLOSED
+
+    async def statuses_of(self, path):
+        # The answers are to the request with this id.
+        return [await self.status_of(path, 'id-1') for _ in range(REQUESTS)]
+
+    async def assert_none_reaches_a_caller(self, answers):
+        await self.begin_all(answers)
+        for number, name in enumerate(answers):
+            with self.subTest(name):
+                statuses = await self.statuses_of(f'/alone{number}/x')
+                bad_gateway = http.HTTPStatus.BAD_GATEWAY
+                self.assertEqual(bad_gateway, statuses[0])
+                self.assertLessEqual(
+                    {*statuses},
+                    {bad_gateway, http.HTTPStatus.SERVICE_UNAVAILABLE},
+                )
+                sent = statuses.count(bad_gateway)
+                self.assertEqual(sent, len(self.alone[name].answering))
+                statuses = await self.statuses_of(f'/beside{number}/x')
+                self.assertEqual([http.HTTPStatus.OK] * REQUESTS, statuses)
+        self.assertIsNone(self.gateway.process.returncode)
+
+    async def test_status_outside_http_reaches_no_caller(self):
+        """Guards against status 000 of an endpoint, passed to callers."""
+        await self.assert_none_reaches_a_caller(
+            broken_answers.INVALID_STATUSES
+        )
--- /dev/null
+++ b/test/test_broken_answers.py
@@ -0,0 +1,153 @@
+"""Answers that are none in HTTP, at everything that reads answers."""
+
+import collections.abc
+import unittest
+
+from berylhollow import endpoint
+from berylhollow import errors
+from berylhollow import liveness
+from berylhollow import messages
+from berylhollow import outgoing
+from berylhollow import platform
+from test import broken_answers
+from test.hosted import direct_helper
+from test import test_outgoing
+
+ORDER = platform.Order(True, 'm', 0, 'i-1', 'h-1')
+
+
+async def read_whole(session, url):
+    """Send a call and read its answer, whatever its status."""
+    response = await outgoing.open_call(session, 'GET', url)
+    return await outgoing.read_body(response)
+
+
+async def run_beside_endpoint(session, url):
+    """Send a request as a sidecar does and read the answer."""
+    client = endpoint.EndpointClient(url, False, session, session)
+    request = endpoint.EndpointRequest('GET', '/x', idempotent=True)
+    try:
+        answer = await client.open(request)
+        return [part async for part in answer.chunks()]
+    finally:
+        await client.watches.close()
+
+
+def check_health(session, url):
+    """Send a health check."""
+    return liveness.send_check(session, liveness.Target(url, '', '/'), {})
+
+
+def read_report(session, url):
+    """Read the report of an endpoint."""
+    client = platform.EndpointControlClient(url[len('http://') :], session)
+    return client.state()
+
+
+def send_order(session, url):
+    """Send an order to an endpoint."""
+    client = platform.EndpointControlClient(url[len('http://') :], session)
+    return client.order(ORDER)
+
+
+def read_store(session, url):
+    """Read records from the platform's store, without a second try."""
+    client = platform.StoreClient(url[len('http://') :], session)
+    client.is_healthy = False
+    return client.newest('s')
+
+
+def append_to_store(session, url):
+    """Append a record to the platform's store."""
+    client = platform.StoreClient(url[len('http://') :], session)
+    return client.append('s', b'')
+
+
+READERS: dict[str, collections.abc.Callable] = {
+    'call': read_whole,
+    'sidecar': run_beside_endpoint,
+    'health check': check_health,
+    'report': read_report,
+    'order': send_order,
+    'store, read': read_store,
+    'store, append': append_to_store,
+}
+
+
+class BrokenAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """None of them counts as an answer, and its connection is not reused."""
+
+    async def assert_no_answer(self, raw, read):
+        server = test_outgoing.RecordingServer(raw, keep_open=True)
+        url = (await server.start(self)).removesuffix('/x')
+        async with outgoing.open_session() as session:
+            for _ in range(2):
+                with self.assertRaises(outgoing.CallOutcomeUnknown) as caught:
+                    await read(session, url)
+                self.assertTrue(str(caught.exception).isprintable())
+        self.assertEqual(2, server.connections)
+
+    async def assert_none_is_an_answer(self, answers):
+        for name, raw in answers.items():
+            for reader, read in READERS.items():
+                with self.subTest(name, reader=reader):
+                    await self.assert_no_answer(raw, read)
+
+    async def test_status_outside_http_is_no_answer(self):
+        """Guards against status 000 of an endpoint, taken for an answer."""
+        await self.assert_none_is_an_answer(broken_answers.INVALID_STATUSES)
+
+    async def test_unusual_answer_is_read(self):
+        """Guards against whole answers that are taken for broken ones."""
+        for name, raw in broken_answers.WHOLE.items():
+            with self.subTest(name):
+                server = test_outgoing.RecordingServer(raw, keep_open=True)
+                url = await server.start(self)
+                async with outgoing.open_session() as session:
+                    body = await read_whole(session, url)
+                self.assertEqual(broken_answers.BODY, body)
+
+    async def test_answer_with_surplus_bytes_is_read(self):
+        """Guards against an answer that is lost to bytes after its end."""
+        for name, raw in broken_answers.INVALID_STATUSES.items():
+            with self.subTest(name):
+                whole = broken_answers.answer()
+                server = test_outgoing.RecordingServer(whole + raw)
+                url = await server.start(self)
+                async with outgoing.open_session() as session:
+                    for _ in range(2):
+                        body = await read_whole(session, url)
+                        self.assertEqual(broken_answers.BODY, body)
+                self.assertEqual(2, server.connections)
+
+
+class BrokenAttemptTest(direct_helper.DirectTestCase):
+    """An attempt at an endpoint that gives none may have run."""
+
+    async def assert_attempts_fail(self, answers):
+        for number, (name, raw) in enumerate(answers.items()):
+            for another in (False, True):
+                with self.subTest(name, another=another):
+                    await self.begin_raw(raw)
+                    with self.assertLogs('berylhollow', 'INFO') as logs:
+                        self.send_offer(number=number, another=another)
+                        told = await self.messages_to_end()
+                    (failed,) = told
+                    self.assertIsInstance(failed, messages.Failed)
+                    self.assertIs(errors.Ran.UNKNOWN, failed.ran)
+                    self.assertIs(errors.Kind.ENGINE_RESTARTED, failed.kind)
+                    (record,) = logs.records
+                    self.assertTrue(record.reason.isprintable())
+
+    async def test_status_outside_http_fails_the_attempt(self):
+        """Guards against status 000 of an endpoint, passed to a caller."""
+        await self.assert_attempts_fail(broken_answers.INVALID_STATUSES)
+
+    async def test_unusual_answer_is_relayed(self):
+        """Guards against whole answers that are taken for broken ones."""
+        for number, (name, raw) in enumerate(broken_answers.WHOLE.items()):
+            with self.subTest(name):
+                await self.begin_raw(raw)
+                self.send_offer(number=number)
+                told = await self.messages_to_end()
+                self.assertIsInstance(told[-1], messages.End)
