Take a 101 that nobody asked for for no answer

Callers got "101 Switching Protocols" without a body as their answer; where an answer followed on the connection, it was dropped.

Cause: the HTTP library ends the interim responses of a request with a 101, as for a client that asks for another protocol. No call here does, so an endpoint that sends one is broken (RFC 9110, section 15.2.2).

answer_head takes it for a fault of the head now, wherever it comes among the responses, with what every such fault leads to: outcome unknown, connection closed.

--- a/berylhollow/answer_head.py
+++ b/berylhollow/answer_head.py
@@ -10,6 +10,9 @@
 STATUSES = range(100, 600)
 """RFC 9110, section 15: other values are invalid."""
 
+SWITCHING_PROTOCOLS = 101
+"""Only sent to a client that asks for another protocol. Nothing here does."""
+
 
 def received_fault(message: http_parser.RawResponseMessage) -> str:
     """Return what is wrong with a head that was received, '' if nothing."""
@@ -19,4 +22,6 @@
 def _status_fault(status: int) -> str:
     if status not in STATUSES:
         return f'status {status:03} is outside 100 to 599'
+    if status == SWITCHING_PROTOCOLS:
+        return 'status 101 without a request for another protocol'
     return ''
--- a/test/broken_answers.py
+++ b/test/broken_answers.py
@@ -21,6 +21,20 @@
     for status in (b'000', b'001', b'099', b'600', b'601', b'999')
 }
 
+SWITCHING_PROTOCOLS = {
+    '101': answer(b'HTTP/1.1 101 Switching Protocols'),
+    '101 with Upgrade': answer(
+        b'HTTP/1.1 101 Switching Protocols',
+        b'Connection: upgrade\r\nUpgrade: websocket\r\n',
+        b'',
+    ),
+    '101 before an answer': b'HTTP/1.1 101 Switching Protocols\r\n\r\n'
+    + answer(),
+    '101 after an interim response': b'HTTP/1.1 100 Continue\r\n\r\n'
+    + answer(b'HTTP/1.1 101 Switching Protocols'),
+}
+"""No call here asks for another protocol."""
+
 WHOLE = {
     'no reason': answer(b'HTTP/1.1 200'),
     'HTTP/1.0': answer(b'HTTP/1.0 200 OK'),
--- a/test/hosted/test_broken_answers.py
+++ b/test/hosted/test_broken_answers.py
@@ -90,3 +90,9 @@
         await self.assert_none_reaches_a_caller(
             broken_answers.INVALID_STATUSES
         )
+
+    async def test_change_of_protocol_reaches_no_caller(self):
+        """Guards against a 101 that nobody asked for, passed to callers."""
+        await self.assert_none_reaches_a_caller(
+            broken_answers.SWITCHING_PROTOCOLS
+        )
--- a/test/test_broken_answers.py
+++ b/test/test_broken_answers.py
@@ -97,6 +97,10 @@
         """Guards against status 000 of an endpoint, taken for an answer."""
         await self.assert_none_is_an_answer(broken_answers.INVALID_STATUSES)
 
+    async def test_change_of_protocol_is_no_answer(self):
+        """Guards against a 101 that nobody asked for, taken for an answer."""
+        await self.assert_none_is_an_answer(broken_answers.SWITCHING_PROTOCOLS)
+
     async def test_unusual_answer_is_read(self):
         """Guards against whole answers that are taken for broken ones."""
         for name, raw in broken_answers.WHOLE.items():
@@ -143,6 +147,10 @@
         """Guards against status 000 of an endpoint, passed to a caller."""
         await self.assert_attempts_fail(broken_answers.INVALID_STATUSES)
 
+    async def test_change_of_protocol_fails_the_attempt(self):
+        """Guards against a 101 that nobody asked for, passed to a caller."""
+        await self.assert_attempts_fail(broken_answers.SWITCHING_PROTOCOLS)
+
     async def test_unusual_answer_is_relayed(self):
         """Guards against whole answers that are taken for broken ones."""
         for number, (name, raw) in enumerate(broken_answers.WHOLE.items()):
