Take a status line that isn't HTTP/1 for no answer

Callers got 200 with the body where the endpoint had answered in RTSP or ICE, in HTTP/2.0 or HTTP/0.9, with a control byte in the reason, or with a line that begins with a blank before the first field: the parser dropped the blank and made a field of it.

Cause: the parser is lenient with responses and tells neither the protocol nor the line itself, only numbers taken from it.

A connection now keeps the bytes of a head until it is parsed, a few hundred mostly, and ReceivedHeads.take matches the status line itself (RFC 9112, section 4): for each head, so also for one after an interim response in the same read, and for one that comes in pieces. Line ends before a head aren't kept: they may come without end.

Kept as they were, since HTTP/1 allows a recipient to read them: a bare LF as line end (RFC 9112, 2.2), a folded field line, which is passed on joined (5.2), bytes over 0x7f in the reason, a missing reason, an empty line before a head.

Now all pass.

--- a/berylhollow/answer_head.py
+++ b/berylhollow/answer_head.py
@@ -4,6 +4,8 @@
 valid that HTTP does not allow. Sources: RFC 9110 and RFC 9112.
 """
 
+import re
+
 from aiohttp import http_parser
 
 INTERIM_STATUSES = range(100, 200)
@@ -13,10 +15,54 @@
 SWITCHING_PROTOCOLS = 101
 """Only sent to a client that asks for another protocol. Nothing here does."""
 
+STATUS_LINE = re.compile(
+    rb'(HTTP/1\.[01] [0-9]{3}(?: [\t\x20-\x7e\x80-\xff]*)?)\r?\n'
+)
+"""RFC 9112, section 4. A reason may be left out with the blank before it."""
+
+LINE_ENDS = b'\r\n'
+"""Skipped before a head, as the parser does."""
+
+BLANK_LINE = re.compile(rb'\r?\n\r?\n')
+MAX_SHOWN = 80
+"""Characters or bytes of what is wrong that a reason shows."""
+
+
+class ReceivedHeads:
+    """Judges the heads of the responses to one request.
+
+    The parser doesn't tell all that was received: it also takes other
+    protocols than HTTP, for example. ``received`` are the bytes from the
+    start of the next head on; the parser limits how many a head may have.
+    """
+
+    def __init__(self):
+        self.received = bytearray()
+
+    def add(self, data: bytes) -> None:
+        """Add bytes, before they are parsed."""
+        self.received += data if self.received else data.lstrip(LINE_ENDS)
+
+    def take(self, message: http_parser.RawResponseMessage) -> str:
+        """Return what is wrong with the next head, '' if nothing.
+
+        ``message`` is what it was parsed to.
+        """
+        line = STATUS_LINE.match(self.received)
+        if line is None:
+            return f'invalid status line {self._shown_start()}'
+        if self.received[line.end() : line.end() + 1] in (b' ', b'\t'):
+            return 'blank before the first field'
+        if message.code in INTERIM_STATUSES:
+            end = BLANK_LINE.search(self.received, line.end(1)).end()
+            self.received = self.received[end:].lstrip(LINE_ENDS)
+        else:
+            self.received.clear()
+        return _status_fault(message.code)
 
-def received_fault(message: http_parser.RawResponseMessage) -> str:
-    """Return what is wrong with a head that was received, '' if nothing."""
-    return _status_fault(message.code)
+    def _shown_start(self) -> str:
+        start = bytes(self.received[:MAX_SHOWN]).partition(b'\n')[0]
+        return repr(start)
 
 
 def _status_fault(status: int) -> str:
--- a/berylhollow/outgoing.py
+++ b/berylhollow/outgoing.py
@@ -117,8 +117,9 @@
 
     ``opened`` is when it was opened, ``asked`` when its last request was sent,
     ``answered`` when its first response arrived, all by the event loop's
-    clock. ``peer_ended`` is set once the peer has sent its last byte,
-    ``is_handed_over`` once it belongs to another connector.
+    clock. ``heads`` are those of the responses to it. ``peer_ended`` is set
+    once the peer has sent its last byte, ``is_handed_over`` once it belongs
+    to another connector.
     """
 
     connector: 'Connector | None' = None
@@ -131,6 +132,7 @@
     answered: float | None = None
     interim_responses = 0
     awaits_head = False
+    heads: answer_head.ReceivedHeads
     head_timeout: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -155,6 +157,7 @@
     def set_response_params(self, **options: typing.Any) -> None:
         """Expect the head of the next response."""
         self.awaits_head = True
+        self.heads = answer_head.ReceivedHeads()
         self.asked = self._loop.time()
         super().set_response_params(**options)
 
@@ -163,6 +166,8 @@
 
         The library waits for its last byte up to the deadline of the call.
         """
+        if self.awaits_head:
+            self.heads.add(data)
         super().data_received(data)
         if not self.awaits_head or self.head_timeout is not None:
             return
@@ -185,7 +190,7 @@
         if self.exception() is not None:
             return
         if self.awaits_head:
-            fault = answer_head.received_fault(message)
+            fault = self.heads.take(message)
             if fault:
                 self._fail_head(f'invalid response: {fault}')
                 return
--- a/test/broken_answers.py
+++ b/test/broken_answers.py
@@ -2,6 +2,7 @@
 
 OWN = b'Request-Id: id-1\r\nServer-Seal: s\r\n'
 BODY = b'whole'
+INTERIM = b'HTTP/1.1 100 Continue\r\n\r\n'
 LENGTH = b'Content-Length: %d\r\n' % len(BODY)
 
 
@@ -30,18 +31,52 @@
     ),
     '101 before an answer': b'HTTP/1.1 101 Switching Protocols\r\n\r\n'
     + answer(),
-    '101 after an interim response': b'HTTP/1.1 100 Continue\r\n\r\n'
+    '101 after an interim response': INTERIM
     + answer(b'HTTP/1.1 101 Switching Protocols'),
 }
 """No call here asks for another protocol."""
 
+INVALID_STARTS = {
+    'another protocol': answer(b'RTSP/1.0 200 OK'),
+    'another protocol with our version': answer(b'RTSP/1.1 200 OK'),
+    'another protocol after an interim response': INTERIM
+    + answer(b'ICE/1.0 200 OK'),
+    'interim response of another protocol': answer(b'ICE/1.1 100 OK')
+    + answer(),
+    'HTTP/2.0': answer(b'HTTP/2.0 200 OK'),
+    'HTTP/0.9': answer(b'HTTP/0.9 200 OK'),
+    'control byte in the reason': answer(b'HTTP/1.1 200 O\x01K'),
+    'NUL in the reason': answer(b'HTTP/1.1 200 O\x00K'),
+    'DEL in the reason': answer(b'HTTP/1.1 200 O\x7fK'),
+    'blank before the first field': answer(b'HTTP/1.1 200 OK\r\n A: b'),
+    'tab before the first field': answer(b'HTTP/1.1 200 OK\r\n\tA: b'),
+    'HTTP/1.9': answer(b'HTTP/1.9 200 OK'),
+    'lower case': answer(b'http/1.1 200 OK'),
+    'no protocol': answer(b'ICY 200 OK'),
+    'two blanks': answer(b'HTTP/1.1  200 OK'),
+    'tab': answer(b'HTTP/1.1\t200 OK'),
+    'status of 2 digits': answer(b'HTTP/1.1 20 OK'),
+    'status of 4 digits': answer(b'HTTP/1.1 2000 OK'),
+    'signed status': answer(b'HTTP/1.1 +20 OK'),
+    'status with a letter': answer(b'HTTP/1.1 20x OK'),
+    'no status': answer(b'HTTP/1.1'),
+}
+
 WHOLE = {
     'no reason': answer(b'HTTP/1.1 200'),
     'HTTP/1.0': answer(b'HTTP/1.0 200 OK'),
     'lowest final status': answer(b'HTTP/1.1 200 OK'),
     'unregistered status': answer(b'HTTP/1.1 299 Odd'),
     'highest status': answer(b'HTTP/1.1 599 Odd'),
-    'interim responses': b'HTTP/1.1 100 Continue\r\n\r\n'
-    b'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n' + answer(),
+    'bytes over 0x7f in the reason': answer(b'HTTP/1.1 200 \xe9\xc3\xa9'),
+    'tab in the reason': answer(b'HTTP/1.1 200 a\tb'),
+    'empty line before the head': b'\r\n' + answer(),
+    'bare LF': answer().replace(b'\r\n', b'\n'),
+    'interim responses': INTERIM
+    + b'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n'
+    + answer(),
+    'interim responses with bare LF': (INTERIM + INTERIM + answer()).replace(
+        b'\r\n', b'\n'
+    ),
 }
 """Answers that are unusual, but break nothing."""
--- a/test/hosted/test_broken_answers.py
+++ b/test/hosted/test_broken_answers.py
@@ -96,3 +96,7 @@
         await self.assert_none_reaches_a_caller(
             broken_answers.SWITCHING_PROTOCOLS
         )
+
+    async def test_start_line_outside_http_reaches_no_caller(self):
+        """Guards against another protocol's response, passed to callers."""
+        await self.assert_none_reaches_a_caller(broken_answers.INVALID_STARTS)
--- a/test/test_broken_answers.py
+++ b/test/test_broken_answers.py
@@ -1,8 +1,12 @@
 """Answers that are none in HTTP, at everything that reads answers."""
 
+import asyncio
 import collections.abc
 import unittest
 
+from aiohttp import http_exceptions
+
+from berylhollow import answer_head
 from berylhollow import endpoint
 from berylhollow import errors
 from berylhollow import liveness
@@ -101,6 +105,23 @@
         """Guards against a 101 that nobody asked for, taken for an answer."""
         await self.assert_none_is_an_answer(broken_answers.SWITCHING_PROTOCOLS)
 
+    async def test_start_line_outside_http_is_no_answer(self):
+        """Guards against another protocol's response, taken for an answer."""
+        await self.assert_none_is_an_answer(broken_answers.INVALID_STARTS)
+
+    async def test_start_line_in_pieces_is_read(self):
+        """Guards against a start line that is only known in one piece."""
+        for name, raw in broken_answers.INVALID_STARTS.items():
+            for whole in (raw, broken_answers.INTERIM + raw):
+                connection = outgoing.Connection(asyncio.get_running_loop())
+                connection.set_response_params()
+                for byte in whole:
+                    connection.data_received(bytes((byte,)))
+                error = http_exceptions.HttpProcessingError
+                with self.subTest(name), self.assertRaises(error):
+                    while (await connection.read())[0].code < 200:
+                        pass
+
     async def test_unusual_answer_is_read(self):
         """Guards against whole answers that are taken for broken ones."""
         for name, raw in broken_answers.WHOLE.items():
@@ -111,6 +132,13 @@
                     body = await read_whole(session, url)
                 self.assertEqual(broken_answers.BODY, body)
 
+    def test_line_ends_without_end_are_not_kept(self):
+        """Guards against bytes that are no answer and take all memory."""
+        heads = answer_head.ReceivedHeads()
+        for _ in range(1000):
+            heads.add(b'\r\n' * 1000)
+        self.assertEqual(b'', heads.received)
+
     async def test_answer_with_surplus_bytes_is_read(self):
         """Guards against an answer that is lost to bytes after its end."""
         for name, raw in broken_answers.INVALID_STATUSES.items():
@@ -151,6 +179,10 @@
         """Guards against a 101 that nobody asked for, passed to a caller."""
         await self.assert_attempts_fail(broken_answers.SWITCHING_PROTOCOLS)
 
+    async def test_start_line_outside_http_fails_the_attempt(self):
+        """Guards against another protocol's response, passed to a caller."""
+        await self.assert_attempts_fail(broken_answers.INVALID_STARTS)
+
     async def test_unusual_answer_is_relayed(self):
         """Guards against whole answers that are taken for broken ones."""
         for number, (name, raw) in enumerate(broken_answers.WHOLE.items()):
