Take a field name with a blank for no answer, also a known one

Callers got 200, 404, 500 or 503 with the endpoint's body where a name that the parser knows had a blank in it or before its colon: Connection, Upgrade, Proxy-Connection, Content-Length, Transfer-Encoding. The line was passed on, save that of chunks: there the parser read chunks where this side, which looks for the field without the blank, saw a body that ends with its connection, so that the answer broke off in the middle. A refusal of this kind counted as proof that the request had not run.

Cause: lenient parsing skips blanks after the names that the parser matches itself; other names with a blank, and all with other characters that no name may have, were refused already.

ReceivedHeads.take checks each name against RFC 9110, section 5.1, so both readings of a head are of the same fields. A trailer is not seen here; the parser refuses invalid names in one, and no field of a trailer is passed on.

--- a/berylhollow/answer_head.py
+++ b/berylhollow/answer_head.py
@@ -4,6 +4,7 @@
 valid that HTTP does not allow. Sources: RFC 9110 and RFC 9112.
 """
 
+import collections.abc
 import re
 
 from aiohttp import http_parser
@@ -24,6 +25,9 @@
 """Skipped before a head, as the parser does."""
 
 BLANK_LINE = re.compile(rb'\r?\n\r?\n')
+FIELD_NAME = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
+"""A token: RFC 9110, section 5.1."""
+
 MAX_SHOWN = 80
 """Characters or bytes of what is wrong that a reason shows."""
 
@@ -58,7 +62,7 @@
             self.received = self.received[end:].lstrip(LINE_ENDS)
         else:
             self.received.clear()
-        return _status_fault(message.code)
+        return _status_fault(message.code) or _fields_fault(message.headers)
 
     def _shown_start(self) -> str:
         start = bytes(self.received[:MAX_SHOWN]).partition(b'\n')[0]
@@ -71,3 +75,10 @@
     if status == SWITCHING_PROTOCOLS:
         return 'status 101 without a request for another protocol'
     return ''
+
+
+def _fields_fault(fields: collections.abc.Mapping[str, str]) -> str:
+    for name in fields:
+        if not FIELD_NAME.fullmatch(name):
+            return f'invalid field name {name[:MAX_SHOWN]!a}'
+    return ''
--- a/test/broken_answers.py
+++ b/test/broken_answers.py
@@ -62,6 +62,58 @@
     'no status': answer(b'HTTP/1.1'),
 }
 
+CHUNKED_BODY = b'%x\r\n%b\r\n0\r\n\r\n' % (len(BODY), BODY)
+
+
+def chunked(field: bytes = b'Transfer-Encoding: chunked\r\n') -> bytes:
+    """Return an answer in chunks; ``field`` is the line that says so."""
+    return answer(end=field).removesuffix(BODY) + CHUNKED_BODY
+
+
+INVALID_NAME_LINES = {
+    'blank in it': b'X Y: z',
+    'blank before the colon': b'X : z',
+    'tab': b'X\tY: z',
+    'tab before the colon': b'X\t: z',
+    'control byte': b'X\x01Y: z',
+    'NUL': b'X\x00Y: z',
+    'DEL': b'X\x7fY: z',
+    'CR': b'X\rY: z',
+    'LF': b'X\nY: z',
+    'byte over 0x7f': b'X\xe9Y: z',
+    'quotes': b'"X": z',
+    'brackets': b'(X): z',
+    'slash': b'X/Y: z',
+    'empty': b': z',
+    'no colon': b'X',
+    'Connection with a blank before the colon': b'Connection : x',
+    'Connection with a blank in it': b'Connection x: y',
+    'Upgrade with a blank before the colon': b'Upgrade : x',
+    'Proxy-Connection with a blank before the colon': b'Proxy-Connection : x',
+}
+
+INVALID_NAMES = {
+    f'{name}, {start.decode()}': answer(start, line + b'\r\n')
+    for name, line in INVALID_NAME_LINES.items()
+    for start in (b'HTTP/1.1 200 OK', b'HTTP/1.1 404 No')
+} | {
+    'length with a blank before the colon': answer(
+        end=b'Content-Length : %d\r\n' % len(BODY)
+    ),
+    'length with a blank in it': answer(
+        end=b'Content-Length x: %d\r\n' % len(BODY)
+    ),
+    'chunks with a blank before the colon': chunked(
+        b'Transfer-Encoding : chunked\r\n'
+    ),
+    'in a failure': answer(b'HTTP/1.1 500 No', b'Upgrade : x\r\n'),
+    'in a refusal': answer(
+        b'HTTP/1.1 503 Busy', b'Upgrade : x\r\nNot-Executed: 1\r\n'
+    ),
+    'in an interim response': INTERIM[:-2] + b'Upgrade : x\r\n\r\n' + answer(),
+    'in a trailer': chunked()[:-2] + b'X Y: z\r\n\r\n',
+}
+
 WHOLE = {
     'no reason': answer(b'HTTP/1.1 200'),
     'HTTP/1.0': answer(b'HTTP/1.0 200 OK'),
@@ -70,6 +122,10 @@
     'highest status': answer(b'HTTP/1.1 599 Odd'),
     'bytes over 0x7f in the reason': answer(b'HTTP/1.1 200 \xe9\xc3\xa9'),
     'tab in the reason': answer(b'HTTP/1.1 200 a\tb'),
+    'chunks': chunked(),
+    'every character of a name': answer(
+        fields=b"!#$%&'*+-.^_`|~09AZaz: a\r\n"
+    ),
     'empty line before the head': b'\r\n' + answer(),
     'bare LF': answer().replace(b'\r\n', b'\n'),
     'interim responses': INTERIM
--- a/test/hosted/test_broken_answers.py
+++ b/test/hosted/test_broken_answers.py
@@ -100,3 +100,7 @@
     async def test_start_line_outside_http_reaches_no_caller(self):
         """Guards against another protocol's response, passed to callers."""
         await self.assert_none_reaches_a_caller(broken_answers.INVALID_STARTS)
+
+    async def test_field_name_outside_http_reaches_no_caller(self):
+        """Guards against a name with a blank, passed to callers."""
+        await self.assert_none_reaches_a_caller(broken_answers.INVALID_NAMES)
--- a/test/test_broken_answers.py
+++ b/test/test_broken_answers.py
@@ -87,7 +87,8 @@
         async with outgoing.open_session() as session:
             for _ in range(2):
                 with self.assertRaises(outgoing.CallOutcomeUnknown) as caught:
-                    await read(session, url)
+                    async with asyncio.timeout(direct_helper.HANG_S):
+                        await read(session, url)
                 self.assertTrue(str(caught.exception).isprintable())
         self.assertEqual(2, server.connections)
 
@@ -109,6 +110,10 @@
         """Guards against another protocol's response, taken for an answer."""
         await self.assert_none_is_an_answer(broken_answers.INVALID_STARTS)
 
+    async def test_field_name_outside_http_is_no_answer(self):
+        """Guards against a name with a blank, taken for an answer's field."""
+        await self.assert_none_is_an_answer(broken_answers.INVALID_NAMES)
+
     async def test_start_line_in_pieces_is_read(self):
         """Guards against a start line that is only known in one piece."""
         for name, raw in broken_answers.INVALID_STARTS.items():
@@ -183,6 +188,10 @@
         """Guards against another protocol's response, passed to a caller."""
         await self.assert_attempts_fail(broken_answers.INVALID_STARTS)
 
+    async def test_field_name_outside_http_fails_the_attempt(self):
+        """Guards against a name with a blank, passed to a caller."""
+        await self.assert_attempts_fail(broken_answers.INVALID_NAMES)
+
     async def test_unusual_answer_is_relayed(self):
         """Guards against whole answers that are taken for broken ones."""
         for number, (name, raw) in enumerate(broken_answers.WHOLE.items()):
