Take a control character in a field's value for no answer

Callers got a connection closed without an answer after the request had run, whether it may be repeated or not: the HTTP library refuses to write such a value, which showed only when the answer was passed on. Nobody tried the request again, answered 502 or counted the answer against the endpoint. Where the field isn't passed on (Keep-Alive, an interim response, a refusal), the answer was taken like any other.

Cause: the lenient parser lets control characters in values through; the library's own writer doesn't.

ReceivedHeads.take refuses them (RFC 9110, section 5.5). The characters are those that the writer refuses, so that no value which arrives can fail there. Tabs and bytes over 0x7f are allowed and still pass.

Now all pass.

--- a/berylhollow/answer_head.py
+++ b/berylhollow/answer_head.py
@@ -28,6 +28,9 @@
 FIELD_NAME = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 """A token: RFC 9110, section 5.1."""
 
+CONTROL_CHARACTER = re.compile(r'[\x00-\x08\x0a-\x1f\x7f]')
+"""What no value may have: RFC 9110, section 5.5."""
+
 MAX_SHOWN = 80
 """Characters or bytes of what is wrong that a reason shows."""
 
@@ -78,7 +81,9 @@
 
 
 def _fields_fault(fields: collections.abc.Mapping[str, str]) -> str:
-    for name in fields:
+    for name, value in fields.items():
         if not FIELD_NAME.fullmatch(name):
             return f'invalid field name {name[:MAX_SHOWN]!a}'
+        if CONTROL_CHARACTER.search(value):
+            return f'control character in the value of {name[:MAX_SHOWN]}'
     return ''
--- a/test/broken_answers.py
+++ b/test/broken_answers.py
@@ -114,6 +114,30 @@
     'in a trailer': chunked()[:-2] + b'X Y: z\r\n\r\n',
 }
 
+CONTROL_CHARACTERS = b'\x01\x08\x0b\x0c\x0e\x1b\x1f\x7f'
+
+INVALID_VALUES = {
+    f'0x{code:02x}': answer(fields=b'X: a%cb\r\n' % code)
+    for code in CONTROL_CHARACTERS
+} | {
+    'NUL': answer(fields=b'X: a\x00b\r\n'),
+    'CR': answer(fields=b'X: a\rb\r\n'),
+    'at the start': answer(fields=b'X: \x01b\r\n'),
+    'at the end': answer(fields=b'X: b\x01\r\n'),
+    'in a folded line': answer(fields=b'X: a\r\n b\x01\r\n'),
+    'in the type': answer(fields=b'Content-Type: text/plain\x01\r\n'),
+    'in a cookie': answer(fields=b'Set-Cookie: a=b\x01\r\n'),
+    'in a field of the connection': answer(
+        fields=b'Keep-Alive: timeout=5\x01\r\n'
+    ),
+    'in a failure': answer(b'HTTP/1.1 500 No', b'X: a\x01b\r\n'),
+    'in a refusal': answer(
+        b'HTTP/1.1 503 Busy', b'X: a\x01b\r\nNot-Executed: 1\r\n'
+    ),
+    'in an interim response': INTERIM[:-2] + b'X: a\x01b\r\n\r\n' + answer(),
+    'in a redirect': answer(b'HTTP/1.1 302 Found', b'Location: /\x01\r\n'),
+}
+
 WHOLE = {
     'no reason': answer(b'HTTP/1.1 200'),
     'HTTP/1.0': answer(b'HTTP/1.0 200 OK'),
@@ -123,6 +147,10 @@
     'bytes over 0x7f in the reason': answer(b'HTTP/1.1 200 \xe9\xc3\xa9'),
     'tab in the reason': answer(b'HTTP/1.1 200 a\tb'),
     'chunks': chunked(),
+    'tab in a value': answer(fields=b'X: a\tb\r\n'),
+    'bytes over 0x7f in a value': answer(fields=b'X: \xe9\xc3\xa9\xff\r\n'),
+    'folded value': answer(fields=b'X: a\r\n b\r\n'),
+    'empty value': answer(fields=b'X:\r\n'),
     'every character of a name': answer(
         fields=b"!#$%&'*+-.^_`|~09AZaz: a\r\n"
     ),
--- a/test/hosted/test_broken_answers.py
+++ b/test/hosted/test_broken_answers.py
@@ -104,3 +104,7 @@
     async def test_field_name_outside_http_reaches_no_caller(self):
         """Guards against a name with a blank, passed to callers."""
         await self.assert_none_reaches_a_caller(broken_answers.INVALID_NAMES)
+
+    async def test_control_character_in_a_value_reaches_no_caller(self):
+        """Guards against a connection closed in place of a 502."""
+        await self.assert_none_reaches_a_caller(broken_answers.INVALID_VALUES)
--- a/test/test_broken_answers.py
+++ b/test/test_broken_answers.py
@@ -114,6 +114,10 @@
         """Guards against a name with a blank, taken for an answer's field."""
         await self.assert_none_is_an_answer(broken_answers.INVALID_NAMES)
 
+    async def test_control_character_in_a_value_is_no_answer(self):
+        """Guards against an answer that can't be passed on once it has run."""
+        await self.assert_none_is_an_answer(broken_answers.INVALID_VALUES)
+
     async def test_start_line_in_pieces_is_read(self):
         """Guards against a start line that is only known in one piece."""
         for name, raw in broken_answers.INVALID_STARTS.items():
@@ -192,6 +196,10 @@
         """Guards against a name with a blank, passed to a caller."""
         await self.assert_attempts_fail(broken_answers.INVALID_NAMES)
 
+    async def test_control_character_in_a_value_fails_the_attempt(self):
+        """Guards against an answer that can't be passed on once it has run."""
+        await self.assert_attempts_fail(broken_answers.INVALID_VALUES)
+
     async def test_unusual_answer_is_relayed(self):
         """Guards against whole answers that are taken for broken ones."""
         for number, (name, raw) in enumerate(broken_answers.WHOLE.items()):
