Read a value that is not UTF-8 as text that can be passed on

Where the gateway calls the endpoint itself, the caller got the value without these bytes.

Cause: the HTTP library decodes bytes that are not UTF-8 to lone surrogates. Neither CBOR, in which links and records are encoded, nor the library's own writer takes them: the link raised in the sidecar's shell, and the writer leaves them out. Values over 0x7f are allowed (RFC 9110, section 5.5), so that the answer must pass.

Its caller gets the same text in UTF-8: the writer has no way to send other bytes. Valid UTF-8 and ASCII stay what they were.

Before: both new tests failed, one with a time-out after the sidecar had failed, one with 'caf' for the value. Now both pass.

--- a/berylhollow/answer_head.py
+++ b/berylhollow/answer_head.py
@@ -8,6 +8,9 @@
 import re
 
 from aiohttp import http_parser
+import multidict
+
+from berylhollow.util import texts
 
 INTERIM_STATUSES = range(100, 200)
 STATUSES = range(100, 600)
@@ -72,6 +75,39 @@
         return repr(start)
 
 
+def with_text_values(
+    message: http_parser.RawResponseMessage,
+) -> http_parser.RawResponseMessage:
+    """Return a head whose values can be written and sent over links.
+
+    The parser decodes bytes that are not UTF-8 to lone surrogates. Such a
+    value is read as ISO-8859-1, as in earlier versions of HTTP (RFC 9110,
+    section 5.5).
+    """
+    if all(map(texts.is_encodable, message.headers.values())):
+        return message
+    headers = multidict.CIMultiDict(
+        (name, _text(value)) for name, value in message.headers.items()
+    )
+    return http_parser.RawResponseMessage(
+        message.version,
+        message.code,
+        message.reason,
+        multidict.CIMultiDictProxy(headers),
+        message.raw_headers,
+        message.should_close,
+        message.compression,
+        message.upgrade,
+        message.chunked,
+    )
+
+
+def _text(value: str) -> str:
+    if texts.is_encodable(value):
+        return value
+    return value.encode(errors='surrogateescape').decode('iso-8859-1')
+
+
 def _status_fault(status: int) -> str:
     if status not in STATUSES:
         return f'status {status:03} is outside 100 to 599'
--- a/berylhollow/outgoing.py
+++ b/berylhollow/outgoing.py
@@ -185,7 +185,7 @@
         up to the deadline of the call. What follows a head that closed the
         connection is dropped; what follows a whole response is not judged.
         """
-        message, _ = data
+        message, payload = data
         self._cancel_head_timeout()
         if self.exception() is not None:
             return
@@ -194,6 +194,7 @@
             if fault:
                 self._fail_head(f'invalid response: {fault}')
                 return
+            data = answer_head.with_text_values(message), payload
         if message.code not in answer_head.INTERIM_STATUSES:
             self.awaits_head = False
             self.interim_responses = 0
--- a/test/hosted/test_broken_answers.py
+++ b/test/hosted/test_broken_answers.py
@@ -108,3 +108,11 @@
     async def test_control_character_in_a_value_reaches_no_caller(self):
         """Guards against a connection closed in place of a 502."""
         await self.assert_none_reaches_a_caller(broken_answers.INVALID_VALUES)
+
+    async def test_value_that_is_not_utf_8_reaches_its_caller(self):
+        """Guards against a value that loses bytes on its way to a caller."""
+        fields = b'X: caf\xe9\r\nServer-Limit: \xe9\r\n'
+        await self.begin_all({'bytes': broken_answers.answer(fields=fields)})
+        async with self.open_request('/alone0/x', 'id-1') as got:
+            self.assertEqual('caf\xe9', got.headers['X'])
+            self.assertEqual(broken_answers.BODY, await got.read())
--- a/test/test_broken_answers.py
+++ b/test/test_broken_answers.py
@@ -16,6 +16,7 @@
 from test import broken_answers
 from test.hosted import direct_helper
 from test import test_outgoing
+from test import whole_helper
 
 ORDER = platform.Order(True, 'm', 0, 'i-1', 'h-1')
 
@@ -208,3 +209,47 @@
                 self.send_offer(number=number)
                 told = await self.messages_to_end()
                 self.assertIsInstance(told[-1], messages.End)
+
+
+class SidecarTest(whole_helper.WholeTestCase):
+    """Answers of a plain service that pass a sidecar and a link."""
+
+    async def serve_service(self, instance):
+        endpoint = test_outgoing.RecordingServer(keep_open=True)
+        url = await endpoint.start(self)
+        self.endpoint = endpoint
+        return url.removesuffix('/x')
+
+    async def answer_to(self, key):
+        url = (
+            f'{self.gateways[0].url}/v1/services/'
+            f'{whole_helper.PLAIN_SERVICE}/book'
+        )
+        async with self.session.post(
+            url, json={}, headers={'Idempotency-Key': key}
+        ) as response:
+            return response.headers.get('X'), await response.read()
+
+    async def test_value_that_is_not_utf_8_passes_a_sidecar(self):
+        """Guards against an answer that ends the sidecar that reads it.
+
+        Neither a message to a gateway nor a record of the answer for a key
+        can have its bytes.
+        """
+        await self.begin(gateways=1, engines=0)
+        whole = broken_answers.BODY
+        for number, (raw, text) in enumerate(
+            {
+                b'caf\xe9': 'caf\xe9',
+                b'caf\xc3\xa9': 'caf\xe9',
+                b'\xff': '\xff',
+            }.items()
+        ):
+            self.endpoint.script = broken_answers.answer(
+                fields=b'X: %b\r\n' % raw
+            )
+            for _ in range(2):
+                async with asyncio.timeout(whole_helper.HANG_S):
+                    got = await self.answer_to(f'key-{number}')
+                self.assertEqual((text, whole), got)
+        self.assertEqual(3, len(self.endpoint.heads))
