Take a transfer coding that nobody asked for for no answer

Callers got a body that wasn't the endpoint's, as whole, where the answer had a transfer coding besides chunks: still coded, without the field that says so (gzip, chunked), or with the framing of the chunks in it (chunked, gzip; chunked;a=b; "chunked"). Only a connection that ended at the right moment decided between this and an answer broken off.

Cause: the parser reads chunks only where it finds the coding last, and else to the end of the connection; this side looked for the same with other rules (a no-break space counted as a blank here and not there), and neither asked whether the body can be understood.

No call here says that it understands a coding, so that an endpoint may only use chunks (RFC 9112, section 7.4). ReceivedHeads.take allows a single "chunked", in any case, and "identity", which changes nothing and was read rightly before; Response.is_chunked reads the field by the same function. "chunked, chunked" is refused too, as a sender must not apply it twice, and chunks in HTTP/1.0, whose framing counts as faulty (section 6.1).

A coding beside a length was refused already.

--- a/berylhollow/answer_head.py
+++ b/berylhollow/answer_head.py
@@ -34,6 +34,12 @@
 CONTROL_CHARACTER = re.compile(r'[\x00-\x08\x0a-\x1f\x7f]')
 """What no value may have: RFC 9110, section 5.5."""
 
+TRANSFER_ENCODING = 'Transfer-Encoding'
+CHUNKED = 'chunked'
+UNDERSTOOD_CODINGS = frozenset({CHUNKED, 'identity'})
+"""Identity, which RFC 2616 has and later ones have not, changes nothing."""
+
+HTTP_1_1 = (1, 1)
 MAX_SHOWN = 80
 """Characters or bytes of what is wrong that a reason shows."""
 
@@ -68,13 +74,22 @@
             self.received = self.received[end:].lstrip(LINE_ENDS)
         else:
             self.received.clear()
-        return _status_fault(message.code) or _fields_fault(message.headers)
+        return (
+            _status_fault(message.code)
+            or _fields_fault(message.headers)
+            or _coding_fault(message)
+        )
 
     def _shown_start(self) -> str:
         start = bytes(self.received[:MAX_SHOWN]).partition(b'\n')[0]
         return repr(start)
 
 
+def is_chunked(fields: collections.abc.Mapping[str, str]) -> bool:
+    """Return whether a body comes in chunks, by the fields of its head."""
+    return _transfer_coding(fields.get(TRANSFER_ENCODING, '')) == CHUNKED
+
+
 def with_text_values(
     message: http_parser.RawResponseMessage,
 ) -> http_parser.RawResponseMessage:
@@ -123,3 +138,26 @@
         if CONTROL_CHARACTER.search(value):
             return f'control character in the value of {name[:MAX_SHOWN]}'
     return ''
+
+
+def _coding_fault(message: http_parser.RawResponseMessage) -> str:
+    """Return why a body can't be decoded, '' if it can.
+
+    An endpoint may only use codings that the request says are understood.
+    HTTP/1.0 has none: the framing of such a body counts as faulty (RFC 9112,
+    sections 6.1 and 7.4).
+    """
+    values = message.headers.getall(TRANSFER_ENCODING, ())
+    if not values:
+        return ''
+    if message.version < HTTP_1_1:
+        return 'transfer coding in HTTP/1.0'
+    if len(values) > 1 or _transfer_coding(values[0]) not in (
+        UNDERSTOOD_CODINGS
+    ):
+        return f'transfer coding {", ".join(values)[:MAX_SHOWN]!a}'
+    return ''
+
+
+def _transfer_coding(value: str) -> str:
+    return value.strip(' \t').lower()
--- a/berylhollow/outgoing.py
+++ b/berylhollow/outgoing.py
@@ -422,8 +422,7 @@
     @property
     def is_chunked(self) -> bool:
         """Whether the body comes in chunks."""
-        codings = self.headers.get('Transfer-Encoding', '').lower()
-        return codings.rpartition(',')[2].strip() == 'chunked'
+        return answer_head.is_chunked(self.headers)
 
     @property
     def was_reset(self) -> bool:
--- a/test/broken_answers.py
+++ b/test/broken_answers.py
@@ -138,6 +138,39 @@
     'in a redirect': answer(b'HTTP/1.1 302 Found', b'Location: /\x01\r\n'),
 }
 
+CODED = b'Transfer-Encoding: %b\r\n'
+
+INVALID_CODINGS = {
+    coding.decode('latin-1'): chunked(CODED % coding)
+    for coding in (
+        b'gzip',
+        b'gzip, chunked',
+        b'chunked, gzip',
+        b'chunked, chunked',
+        b'chunked, identity',
+        b'xchunked',
+        b'chunked;a=b',
+        b'"chunked"',
+        b'chunked,',
+        b'\xc2\xa0chunked',
+        b'\xa0chunked',
+        b'',
+    )
+} | {
+    'chunked, in two fields': chunked(2 * (CODED % b'chunked')),
+    'gzip and chunked, in two fields': chunked(
+        CODED % b'gzip' + CODED % b'chunked'
+    ),
+    'chunked and gzip, in two fields': chunked(
+        CODED % b'chunked' + CODED % b'gzip'
+    ),
+    'chunked in HTTP/1.0': chunked().replace(b'HTTP/1.1', b'HTTP/1.0'),
+    'chunked beside a length': chunked(CODED % b'chunked' + LENGTH),
+    'unknown beside a length': answer(end=CODED % b'x' + LENGTH),
+    'empty beside a length': answer(end=CODED % b'' + LENGTH),
+}
+"""No call here says that it understands any coding but chunks."""
+
 WHOLE = {
     'no reason': answer(b'HTTP/1.1 200'),
     'HTTP/1.0': answer(b'HTTP/1.0 200 OK'),
@@ -147,6 +180,8 @@
     'bytes over 0x7f in the reason': answer(b'HTTP/1.1 200 \xe9\xc3\xa9'),
     'tab in the reason': answer(b'HTTP/1.1 200 a\tb'),
     'chunks': chunked(),
+    'identity': answer(end=CODED % b'identity'),
+    'chunks, in capitals': chunked(b'transfer-encoding:\t CHUNKED \r\n'),
     'tab in a value': answer(fields=b'X: a\tb\r\n'),
     'bytes over 0x7f in a value': answer(fields=b'X: \xe9\xc3\xa9\xff\r\n'),
     'folded value': answer(fields=b'X: a\r\n b\r\n'),
--- a/test/hosted/test_broken_answers.py
+++ b/test/hosted/test_broken_answers.py
@@ -109,6 +109,10 @@
         """Guards against a connection closed in place of a 502."""
         await self.assert_none_reaches_a_caller(broken_answers.INVALID_VALUES)
 
+    async def test_unknown_transfer_coding_reaches_no_caller(self):
+        """Guards against a coded body, passed to callers."""
+        await self.assert_none_reaches_a_caller(broken_answers.INVALID_CODINGS)
+
     async def test_value_that_is_not_utf_8_reaches_its_caller(self):
         """Guards against a value that loses bytes on its way to a caller."""
         fields = b'X: caf\xe9\r\nServer-Limit: \xe9\r\n'
--- a/test/test_broken_answers.py
+++ b/test/test_broken_answers.py
@@ -119,6 +119,10 @@
         """Guards against an answer that can't be passed on once it has run."""
         await self.assert_none_is_an_answer(broken_answers.INVALID_VALUES)
 
+    async def test_unknown_transfer_coding_is_no_answer(self):
+        """Guards against a coded body, taken for the endpoint's own."""
+        await self.assert_none_is_an_answer(broken_answers.INVALID_CODINGS)
+
     async def test_start_line_in_pieces_is_read(self):
         """Guards against a start line that is only known in one piece."""
         for name, raw in broken_answers.INVALID_STARTS.items():
@@ -136,7 +140,7 @@
         """Guards against whole answers that are taken for broken ones."""
         for name, raw in broken_answers.WHOLE.items():
             with self.subTest(name):
-                server = test_outgoing.RecordingServer(raw, keep_open=True)
+                server = test_outgoing.RecordingServer(raw)
                 url = await server.start(self)
                 async with outgoing.open_session() as session:
                     body = await read_whole(session, url)
@@ -201,6 +205,10 @@
         """Guards against an answer that can't be passed on once it has run."""
         await self.assert_attempts_fail(broken_answers.INVALID_VALUES)
 
+    async def test_unknown_transfer_coding_fails_the_attempt(self):
+        """Guards against a coded body, passed to a caller."""
+        await self.assert_attempts_fail(broken_answers.INVALID_CODINGS)
+
     async def test_unusual_answer_is_relayed(self):
         """Guards against whole answers that are taken for broken ones."""
         for number, (name, raw) in enumerate(broken_answers.WHOLE.items()):
