Check heads that come over links

A gateway passed on whatever head a sidecar sent over its link: status 0, 101 or 600, a name with a blank; a value that can't be written closed the caller's connection after the run. Sidecars of this version refuse such heads themselves, but during a rollout older ones run beside newer gateways.

answer_head.relayed_fault applies the same checks to a head that another process has read. The gateway's links turn one that is none into a failed attempt with an unknown outcome, log it with the reason, and cancel the run.

--- a/berylhollow/answer_head.py
+++ b/berylhollow/answer_head.py
@@ -10,6 +10,7 @@
 from aiohttp import http_parser
 import multidict
 
+from berylhollow import messages
 from berylhollow.util import texts
 
 INTERIM_STATUSES = range(100, 200)
@@ -76,7 +77,7 @@
             self.received.clear()
         return (
             _status_fault(message.code)
-            or _fields_fault(message.headers)
+            or _fields_fault(message.headers.items())
             or _coding_fault(message)
         )
 
@@ -85,6 +86,19 @@
         return repr(start)
 
 
+def relayed_fault(status: int, headers: tuple[messages.Header, ...]) -> str:
+    """Return why an answer can't be passed on, '' if it can.
+
+    For heads that another process has read: it may run a version that checks
+    less.
+    """
+    if status in INTERIM_STATUSES:
+        return f'status {status} is not final'
+    return _status_fault(status) or _fields_fault(
+        (header.name, header.value) for header in headers
+    )
+
+
 def is_chunked(fields: collections.abc.Mapping[str, str]) -> bool:
     """Return whether a body comes in chunks, by the fields of its head."""
     return _transfer_coding(fields.get(TRANSFER_ENCODING, '')) == CHUNKED
@@ -131,8 +145,8 @@
     return ''
 
 
-def _fields_fault(fields: collections.abc.Mapping[str, str]) -> str:
-    for name, value in fields.items():
+def _fields_fault(fields: collections.abc.Iterable[tuple[str, str]]) -> str:
+    for name, value in fields:
         if not FIELD_NAME.fullmatch(name):
             return f'invalid field name {name[:MAX_SHOWN]!a}'
         if CONTROL_CHARACTER.search(value):
--- a/berylhollow/gateway/_links.py
+++ b/berylhollow/gateway/_links.py
@@ -4,8 +4,10 @@
 import logging
 import typing
 
+from berylhollow import answer_head
 from berylhollow import clock
 from berylhollow import effects
+from berylhollow import errors
 from berylhollow import events
 from berylhollow import link as links
 from berylhollow import messages
@@ -172,8 +174,29 @@
         name = link.peer.instance_id
         current = self.open_links.get(name)
         if current is not None and current.link is link:
+            if type(message) is messages.Started:
+                message = self._checked_head(name, message)
             self.owner.message(name, message)
 
+    def _checked_head(
+        self, name: str, message: messages.Started
+    ) -> messages.Started | messages.Failed:
+        """Return the head of an answer, or a failure if it is none in HTTP.
+
+        The run is cancelled then: nobody can get its answer.
+        """
+        fault = answer_head.relayed_fault(message.status, message.headers)
+        if not fault:
+            return message
+        attempt_id = message.attempt_id
+        LOG.warning(
+            'invalid head from a sidecar',
+            extra={'peer': name, 'attempt_id': attempt_id, 'reason': fault},
+        )
+        self.send(name, messages.Cancel(attempt_id))
+        kind = errors.Kind.ENDPOINT_FAILED
+        return messages.Failed(attempt_id, kind, errors.Ran.UNKNOWN, 0, fault)
+
     def link_down(self, link: links.Link, expected: str | None) -> None:
         """Feed LinkClosed for the link in use, or LinkRefused."""
         if expected is not None:
--- a/test/test_broken_answers.py
+++ b/test/test_broken_answers.py
@@ -14,6 +14,8 @@
 from berylhollow import outgoing
 from berylhollow import platform
 from test import broken_answers
+from test import builders
+from test import gateway_helper
 from test.hosted import direct_helper
 from test import test_outgoing
 from test import whole_helper
@@ -261,3 +263,48 @@
                     got = await self.answer_to(f'key-{number}')
                 self.assertEqual((text, whole), got)
         self.assertEqual(3, len(self.endpoint.heads))
+
+
+class LinkTest(gateway_helper.GatewayTestCase):
+    """Heads that a sidecar of another version sends over its link."""
+
+    BROKEN = (
+        (0, 'X', 'a'),
+        (99, 'X', 'a'),
+        (101, 'X', 'a'),
+        (102, 'X', 'a'),
+        (600, 'X', 'a'),
+        (200, 'X Y', 'a'),
+        (200, 'X ', 'a'),
+        (200, '', 'a'),
+        (200, 'X', 'a\x01'),
+        (200, 'X', 'a\r\nb'),
+        (404, 'X', 'a\x7f'),
+    )
+
+    async def test_head_outside_http_reaches_no_caller(self):
+        """Guards against status 000 from a link, passed to a caller."""
+        await self.begin()
+        await self.add_sidecar()
+        for status, name, value in self.BROKEN:
+            with self.subTest(status=status, name=name, value=value):
+                answer = self.post(X_Deadline_Ms='5000')
+                attempt_id = await self.sidecar.offered()
+                header = messages.Header(name, value)
+                adapter = builders.adapter()
+                with self.assertLogs('berylhollow', 'WARNING') as logs:
+                    self.sidecar.send(
+                        messages.Started(
+                            attempt_id, status, (header,), adapter
+                        )
+                    )
+                    await self.assert_problem(
+                        answer, 502, 'endpoint_failed', 'unknown'
+                    )
+                (record,) = logs.records
+                self.assertTrue(record.reason.isprintable())
+                cancel = await self.sidecar.next(messages.Cancel)
+                self.assertEqual(attempt_id, cancel.attempt_id)
+                # What follows belongs to nothing.
+                self.sidecar.answer(attempt_id, b'late')
+                self.sidecar.end(attempt_id, 1)
