Check the stored answers of requests with a key

With status 0, another gateway's verdict was even taken for an error that had not run.

Such an answer counts as none now: the caller is told that its request has run, without the answer (already_ran).

--- a/berylhollow/gateway/_claim_verdict.py
+++ b/berylhollow/gateway/_claim_verdict.py
@@ -1,11 +1,15 @@
 """Verdicts on claims to idempotency keys, and their wire messages."""
 
 import dataclasses
+import logging
 
+from berylhollow import answer_head
 from berylhollow import claims
 from berylhollow import errors
 from berylhollow import messages
 
+LOG = logging.getLogger(__name__)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Verdict:
@@ -33,7 +37,7 @@
     if holding.fingerprint != claim.fingerprint:
         return Verdict(kind=errors.Kind.KEY_REUSED)
     if holding.answer is not None:
-        return Verdict(answer=holding.answer)
+        return _answered(holding.answer)
     if holding.outcome is claims.Outcome.RAN:
         return Verdict(kind=errors.Kind.ALREADY_RAN, ran=errors.Ran.RAN)
     return _judge_unsettled(holding, log_ms)
@@ -66,20 +70,27 @@
 
 def from_message(message: messages.ClaimDecided) -> Verdict:
     """Convert a leader's message to a verdict."""
-    answer = None
-    if message.status:
-        answer = claims.StoredAnswer(
-            message.status, message.headers, message.body
+    if message.status or message.headers or message.body:
+        return _answered(
+            claims.StoredAnswer(message.status, message.headers, message.body)
         )
     return Verdict(
-        message.holds,
-        message.kind,
-        message.ran,
-        message.retry_after_ms,
-        answer,
+        message.holds, message.kind, message.ran, message.retry_after_ms
     )
 
 
+def _answered(answer: claims.StoredAnswer) -> Verdict:
+    """Return the verdict on a claim whose key has an answer already.
+
+    One that can't be passed on only shows that the request has run.
+    """
+    fault = answer_head.relayed_fault(answer.status, answer.headers)
+    if fault:
+        LOG.warning('invalid stored answer', extra={'reason': fault})
+        return Verdict(kind=errors.Kind.ALREADY_RAN, ran=errors.Ran.RAN)
+    return Verdict(answer=answer)
+
+
 def _judge_unsettled(holding: claims.Holding, log_ms: int) -> Verdict:
     """Return the verdict where the log has no definite outcome of the holder.
 
--- a/test/test_broken_answers.py
+++ b/test/test_broken_answers.py
@@ -7,8 +7,10 @@
 from aiohttp import http_exceptions
 
 from berylhollow import answer_head
+from berylhollow import claims
 from berylhollow import endpoint
 from berylhollow import errors
+from berylhollow.gateway import _claim_verdict
 from berylhollow import liveness
 from berylhollow import messages
 from berylhollow import outgoing
@@ -308,3 +310,34 @@
                 # What follows belongs to nothing.
                 self.sidecar.answer(attempt_id, b'late')
                 self.sidecar.end(attempt_id, 1)
+
+    async def test_stored_head_outside_http_reaches_no_caller(self):
+        """Guards against status 000 in a record, passed to a caller."""
+        for status, name, value in self.BROKEN:
+            with self.subTest(status=status, name=name, value=value):
+                answer = claims.StoredAnswer(
+                    status, (messages.Header(name, value),), b'whole'
+                )
+                holding = claims.Holding(
+                    'other', b'f', 0, 1, claims.Outcome.RAN, answer
+                )
+                claim = claims.Claim(b'k', 'own', b'f', 1)
+                verdict = _claim_verdict.judge(claim, holding, 0)
+                self.assertIsNone(verdict.answer)
+                self.assertIs(errors.Kind.ALREADY_RAN, verdict.kind)
+                self.assertIs(errors.Ran.RAN, verdict.ran)
+                decided = messages.ClaimDecided(
+                    0,
+                    'own',
+                    False,
+                    errors.Kind.INTERNAL,
+                    errors.Ran.NOT_RUN,
+                    0,
+                    status,
+                    answer.headers,
+                    answer.body,
+                )
+                verdict = _claim_verdict.from_message(decided)
+                self.assertIsNone(verdict.answer)
+                self.assertIs(errors.Kind.ALREADY_RAN, verdict.kind)
+                self.assertIs(errors.Ran.RAN, verdict.ran)
