Take a body of another shape for no answer of the store or log

A 200 of the store without the fields of a page, or with other types, ended the task that reads: the reducer was told of no outcome, neither of a read nor of an append, and a page whose End was a string or negative was passed on as read. The same for an append without its offset, for a 410 without the first offset that is kept, at the log service too, for JSON nested too deeply and for infinite numbers.

Cause: what went wrong raised KeyError, TypeError, OverflowError and others, where callers of these clients handle CallError, as for every call that got no answer.

The store's client reads these bodies with the checked fields that records are read with and raises CallOutcomeUnknown; a key that isn't valid Unicode only makes its own record unreadable, so that no other writer can hide the rest. The other clients share one tuple of what a wrong shape raises.

--- a/berylhollow/endpoint/_engine_client.py
+++ b/berylhollow/endpoint/_engine_client.py
@@ -28,7 +28,7 @@
         )
         try:
             return _parse_status(reply.value())
-        except (KeyError, TypeError, ValueError) as error:
+        except outgoing.SHAPE_ERRORS as error:
             raise outgoing.CallOutcomeUnknown(
                 'the answer is not an engine status'
             ) from error
@@ -88,7 +88,7 @@
             return tuple(
                 _parse_event(item) for item in reply.value()['events']
             )
-        except (KeyError, TypeError, ValueError) as error:
+        except outgoing.SHAPE_ERRORS as error:
             raise outgoing.CallOutcomeUnknown(
                 'the answer is not a list of events'
             ) from error
--- a/berylhollow/log_service/_instance_client.py
+++ b/berylhollow/log_service/_instance_client.py
@@ -81,7 +81,7 @@
         return tuple(
             parse_instance(item) for item in reply.value()['instances']
         )
-    except (KeyError, TypeError, ValueError) as error:
+    except outgoing.SHAPE_ERRORS as error:
         raise outgoing.CallOutcomeUnknown(
             'the response is not an instance list'
         ) from error
--- a/berylhollow/log_service/_log_client.py
+++ b/berylhollow/log_service/_log_client.py
@@ -53,7 +53,7 @@
         )
         try:
             return int(reply.value()['offset'])
-        except (KeyError, TypeError, ValueError) as error:
+        except outgoing.SHAPE_ERRORS as error:
             raise outgoing.CallOutcomeUnknown(
                 'the response has no offset'
             ) from error
@@ -86,11 +86,11 @@
             )
         except outgoing.CallRefused as refused:
             if refused.kind == OFFSET_GONE:
-                raise OffsetGone(refused) from refused
+                raise _offset_gone(refused) from refused
             raise
         try:
             return _read_result(reply.value())
-        except (KeyError, TypeError, ValueError) as error:
+        except outgoing.SHAPE_ERRORS as error:
             raise outgoing.CallOutcomeUnknown(
                 'the response is not a page of records'
             ) from error
@@ -104,6 +104,15 @@
         await self.session.close()
 
 
+def _offset_gone(refused: outgoing.CallRefused) -> outgoing.CallError:
+    try:
+        return OffsetGone(refused)
+    except outgoing.SHAPE_ERRORS:
+        return outgoing.CallOutcomeUnknown(
+            'the refusal has no first offset that is kept'
+        )
+
+
 def _read_result(value: dict) -> _types.ReadResult:
     records = tuple(
         messages.LogEntry(
--- a/berylhollow/outgoing.py
+++ b/berylhollow/outgoing.py
@@ -62,6 +62,9 @@
 """Largest answer that is held in memory, several times the largest
 configuration of the users."""
 
+SHAPE_ERRORS = (KeyError, TypeError, ValueError, OverflowError)
+"""Raised by reading a JSON value that is not of the shape that is expected."""
+
 REFUSAL_STATUSES = frozenset({400, 404, 405, 409, 410, 413, 422, 429, 503})
 
 
@@ -101,7 +104,7 @@
         """Return the JSON object; raises CallOutcomeUnknown without one."""
         try:
             value = json.loads(self.body)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise CallOutcomeUnknown('the answer is not valid JSON') from error
         if not isinstance(value, dict):
             raise CallOutcomeUnknown('the answer is not a JSON object')
--- a/berylhollow/platform/_records.py
+++ b/berylhollow/platform/_records.py
@@ -55,8 +55,12 @@
 
 
 def encode_keyed(key: str, value: bytes) -> bytes:
-    """Encode a record from its key and value."""
-    name = key.encode()
+    """Encode a record from its key and value.
+
+    A key that is not valid Unicode makes a record that can't be decoded.
+    Raises ValueError for a key of over 255 bytes.
+    """
+    name = key.encode(errors='surrogatepass')
     return bytes([len(name)]) + name + value
 
 
--- a/berylhollow/platform/_store.py
+++ b/berylhollow/platform/_store.py
@@ -11,7 +11,9 @@
 from berylhollow import log_service
 from berylhollow import messages
 from berylhollow import outgoing
+from berylhollow.platform import _fields
 from berylhollow.platform import _records
+from berylhollow import routes
 from berylhollow.util import hedging
 from berylhollow.util import shared_task
 
@@ -54,6 +56,18 @@
 PAGE_KB = 1024
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _NewestPage:
+    """A page of the newest record of each key.
+
+    ``last_key`` is the one to continue after, None on the last page.
+    """
+
+    end: int
+    entries: tuple[messages.LogEntry, ...]
+    last_key: str | None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Answer:
     """The body of an answer to a call that was sent at ``begun_ms``."""
@@ -101,20 +115,16 @@
         params = {'Topic': stream, 'part': PARTITION}
         for _ in range(MAX_PAGES):
             answer = await self._get('log-newest', params)
-            page = _parse_object(answer.body)
+            page = _decode_newest_page(answer.body)
             eras.add(answer.era)
             # The pages are not one snapshot. Reading on from the end of the
             # first page covers what has changed since.
             if first_end is None:
-                first_end, begun_ms = page['End'], answer.begun_ms
-            for item in page['items']:
-                data = _records.encode_keyed(
-                    item['Key'], base64.b64decode(item['Value'])
-                )
-                entries.append(messages.LogEntry(int(item['Offset']), 0, data))
-            if not page.get('HasMore'):
+                first_end, begun_ms = page.end, answer.begun_ms
+            entries += page.entries
+            if page.last_key is None:
                 break
-            params['after'] = page['items'][-1]['Key']
+            params['after'] = page.last_key
         if len(eras) > 1:
             raise outgoing.CallNotSent(
                 'the store era changed between two pages'
@@ -165,7 +175,7 @@
             raise outgoing.CallNotSent(f'HTTP {response.status}')
         if response.status != OK_STATUS:
             raise outgoing.CallOutcomeUnknown(f'HTTP {response.status}')
-        return int(_parse_object(body)['Offset'])
+        return _parse_offset(body, 'Offset')
 
     async def close(self) -> None:
         """Close all connections."""
@@ -235,7 +245,7 @@
             LOG.info('large answer received', extra=fields)
         era = self._check_era(response.headers.get(ERA_HEADER, '0'))
         if response.status == GONE_STATUS:
-            detail = {'first_offset': _parse_object(body)['First']}
+            detail = {'first_offset': _parse_offset(body, 'First')}
             raise log_service.OffsetGone(
                 outgoing.CallRefused('offset_gone', GONE_STATUS, detail)
             )
@@ -255,9 +265,54 @@
         return era
 
 
-def _parse_object(body: bytes) -> dict:
-    """Return a JSON object; raises CallOutcomeUnknown without a whole one."""
-    return outgoing.Reply(OK_STATUS, body).value()
+def _parse_offset(body: bytes, field: str) -> int:
+    """Return a field of a JSON object that is an offset.
+
+    Raises ``outgoing.CallOutcomeUnknown`` without one.
+    """
+    try:
+        return _fields.integer(_fields.parse_object(body), field)
+    except routes.MalformedRecordError as error:
+        raise _malformed(error) from error
+
+
+def _decode_newest_page(body: bytes) -> _NewestPage:
+    """Decode a page of the newest records.
+
+    Raises ``outgoing.CallOutcomeUnknown`` if it is none.
+    """
+    try:
+        page = _fields.parse_object(body)
+        if page.get('items') is None:
+            raise routes.MalformedRecordError('a page without items')
+        items = _fields.objects(page, 'items')
+        entries = tuple(_decode_newest(item) for item in items)
+        has_more = _fields.boolean(page, 'HasMore')
+        if has_more and not items:
+            raise routes.MalformedRecordError('an empty page is not the last')
+        last_key = items[-1]['Key'] if has_more else None
+        return _NewestPage(_fields.integer(page, 'End'), entries, last_key)
+    except routes.MalformedRecordError as error:
+        raise _malformed(error) from error
+
+
+def _decode_newest(item: dict) -> messages.LogEntry:
+    """Decode the newest record of a key; raises MalformedRecordError."""
+    try:
+        data = _records.encode_keyed(
+            item['Key'], base64.b64decode(item['Value'])
+        )
+    except (LookupError, TypeError, ValueError, AttributeError) as error:
+        raise routes.MalformedRecordError(
+            'an item is not a key with a value'
+        ) from error
+    return messages.LogEntry(_fields.integer(item, 'Offset'), 0, data)
+
+
+def _malformed(
+    error: routes.MalformedRecordError,
+) -> outgoing.CallOutcomeUnknown:
+    return outgoing.CallOutcomeUnknown(f'invalid answer: {error}')
 
 
 def _is_large(response: aiohttp.ClientResponse) -> bool:
--- a/test/platform/test_store.py
+++ b/test/platform/test_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 import struct
 import unittest
 
@@ -9,6 +10,8 @@
 
 from berylhollow import outgoing
 from berylhollow import platform
+from berylhollow.platform import _records
+from berylhollow import routes
 from berylhollow.standin import _http
 from test import slow_answers
 
@@ -285,3 +288,99 @@
                 self.assertEqual(
                     (8, False), (result.next_offset, result.whole)
                 )
+
+
+class MalformedAnswerTest(StoreTestCase):
+    """Bodies that are not what a call of the store returns.
+
+    Guards against a gateway that never reads again: whoever waits for a read
+    is told of an error of the call only, not of any other exception.
+    """
+
+    NESTED = b'{"End": ' + 100_000 * b'['
+    OBJECTS = (
+        b'',
+        b'x',
+        b'{}',
+        b'[]',
+        b'1',
+        b'null',
+        b'\xff\xfe',
+        NESTED,
+        b'{"End": ' + 5000 * b'9' + b'}',
+    )
+    PAGES = (
+        *OBJECTS,
+        b'{"End": 1}',
+        b'{"End": "1", "items": []}',
+        b'{"End": -1, "items": []}',
+        b'{"End": 1, "items": {}}',
+        b'{"End": 1, "items": null}',
+        b'{"End": 1, "items": [1]}',
+        b'{"End": 1, "items": [{}]}',
+        b'{"End": 1, "items": [], "HasMore": true}',
+    )
+    ITEMS = (
+        {'Key': 1, 'Value': '', 'Offset': 0},
+        {'Key': 'k' * 256, 'Value': '', 'Offset': 0},
+        {'Key': 'k', 'Value': 'x', 'Offset': 0},
+        {'Key': 'k', 'Value': 1, 'Offset': 0},
+        {'Key': 'k', 'Value': '\xe9', 'Offset': 0},
+        {'Key': 'k', 'Value': '', 'Offset': 'x'},
+        {'Key': 'k', 'Value': '', 'Offset': None},
+        {'Key': 'k', 'Value': '', 'Offset': 1e999},
+    )
+
+    async def assert_no_answer(self, call, body, status=200):
+        async def respond(_request):
+            return web.Response(status=status, body=body)
+
+        self.answers = [respond] * (self.calls + 2)
+        self.client.is_healthy = False
+        with self.subTest(body[:80], status=status):
+            with self.assertRaises(outgoing.CallOutcomeUnknown):
+                await call()
+
+    async def test_page_of_newest_records(self):
+        items = [
+            json.dumps({'End': 1, 'items': [item]}).encode()
+            for item in self.ITEMS
+        ]
+        for body in (*self.PAGES, *items):
+            await self.assert_no_answer(
+                lambda: self.client.newest(STREAM), body
+            )
+
+    async def test_key_that_is_no_text_hides_no_other(self):
+        """Guards against a foreign record that keeps all others unread."""
+        records = [
+            {'Key': key, 'Value': '', 'Offset': offset}
+            for offset, key in enumerate(('\ud800', 'k'))
+        ]
+        body = json.dumps({'End': 2, 'items': records}).encode()
+
+        async def respond(_request):
+            return web.Response(body=body)
+
+        self.answers = [respond]
+        result = await self.client.newest(STREAM)
+        odd, own = result.records
+        self.assertEqual(('k', b''), _records.decode_keyed(own.data))
+        with self.assertRaises(routes.MalformedRecordError):
+            _records.decode_keyed(odd.data)
+
+    async def test_offset_of_an_append(self):
+        values = (b'"1"', b'null', b'-1', b'1.5', b'true', b'[1]')
+        offsets = [b'{"Offset": %b}' % value for value in values]
+        for body in (*self.OBJECTS, *offsets):
+            await self.assert_no_answer(
+                lambda: self.client.append(STREAM, b'x'), body
+            )
+
+    async def test_first_offset_that_is_kept(self):
+        values = (b'"1"', b'null', b'-1', b'1.5', b'true', b'[1]')
+        offsets = [b'{"First": %b}' % value for value in values]
+        for body in (*self.OBJECTS, *offsets):
+            await self.assert_no_answer(
+                lambda: self.client.read(STREAM, 7), body, status=410
+            )
--- a/test/test_log_client.py
+++ b/test/test_log_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import math
 import unittest
 from unittest import mock
 
@@ -49,3 +50,61 @@
         with self.assertRaises(outgoing.CallOutcomeUnknown):
             await self.client.read('operators', 0)
         self.may_end.set()
+
+
+class MalformedAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """Bodies that are not what a call of the log returns."""
+
+    async def test_refusal_without_the_first_offset_is_no_answer(self):
+        """Guards against a reader that never reads again."""
+        bodies = (
+            {},
+            {'first_offset': None},
+            {'first_offset': 'x'},
+            {'first_offset': [1]},
+            {'first_offset': math.inf},
+        )
+        for fields in bodies:
+
+            async def respond(_request, fields=fields):
+                return web.json_response(
+                    {'error': 'offset_gone'} | fields, status=410
+                )
+
+            application = web.Application()
+            application.router.add_get('/{path:.*}', respond)
+            async with _http.listening(application, '127.0.0.1', 0) as port:
+                client = log_service.LogClient(f'http://127.0.0.1:{port}')
+                with self.subTest(fields):
+                    with self.assertRaises(outgoing.CallOutcomeUnknown):
+                        await client.read('operators', 0)
+                await client.close()
+
+    async def test_infinite_offset_is_no_answer(self):
+        """Guards against a number that no integer can have."""
+
+        async def respond(_request):
+            return web.json_response(
+                {
+                    'offset': math.inf,
+                    'records': [],
+                    'first_offset': math.inf,
+                    'next_offset': math.inf,
+                }
+            )
+
+        application = web.Application()
+        application.router.add_route('*', '/{path:.*}', respond)
+        async with _http.listening(application, '127.0.0.1', 0) as port:
+            client = log_service.LogClient(f'http://127.0.0.1:{port}')
+            with self.assertRaises(outgoing.CallOutcomeUnknown):
+                await client.read('operators', 0)
+            with self.assertRaises(outgoing.CallOutcomeUnknown):
+                await client.append('operators', b'')
+            await client.close()
+
+    async def test_nested_json_is_no_answer(self):
+        """Guards against JSON that the library can't read to its end."""
+        reply = outgoing.Reply(200, 100_000 * b'[')
+        with self.assertRaises(outgoing.CallOutcomeUnknown):
+            reply.value()
