Play endpoints that send bytes without end, many at once

For the report of a machine that ran out of memory with them: nineteen endpoints of as many services send the parts of a head, a body, a chunk's size or extension, or more answers, until they are closed, to callers that read nothing, while requests to another service are answered.

Nothing else changed for this report.

--- a/test/hosted/test_broken_answers.py
+++ b/test/hosted/test_broken_answers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import http
+import pathlib
 
 import aiohttp
 
@@ -120,3 +121,67 @@
         async with self.open_request('/alone0/x', 'id-1') as got:
             self.assertEqual('caf\xe9', got.headers['X'])
             self.assertEqual(broken_answers.BODY, await got.read())
+
+
+class EndlessAnswerTest(hosted_helper.HostedTestCase):
+    """Endpoints that send bytes without end, many of them at once."""
+
+    MEMORY_KIB = 300 * 1024
+    """What the platform gives a gateway."""
+
+    OPEN_S = 3.0
+    """Longer than a head may take."""
+
+    async def add_endless(self, number, start, more):
+        service = f'endless{number}'
+        endpoint = direct_helper.EndlessEndpoint(start, more)
+        endpoint.instance = f'i-{service}'
+        server = await asyncio.start_server(endpoint.serve, '127.0.0.1', 0)
+        self.stack.callback(server.close)
+        port = server.sockets[0].getsockname()[1]
+        await self.register(endpoint, port, service)
+        return builders.plain_route(
+            service, f'/{service}/', Service=service, TimeoutMs=20_000
+        )
+
+    async def hold(self, path):
+        """Send a request and read nothing of its answer."""
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', self.ports[2], limit=1024
+        )
+        self.stack.callback(writer.transport.abort)
+        writer.write(
+            b'POST %b HTTP/1.1\r\nHost: %b\r\nRequest-Id: id-1\r\n'
+            b'Deadline-Ms: 20000\r\nContent-Length: 0\r\n\r\n'
+            % (path.encode(), builders.HOST.encode())
+        )
+        return reader
+
+    async def test_bytes_without_end_take_no_memory(self):
+        """Guards against a gateway that runs out of memory with them."""
+        endless = (
+            *broken_answers.ENDLESS_HEADS,
+            *broken_answers.ENDLESS_BODIES,
+        )
+        routes = [
+            await self.add_endless(number, *parts)
+            for number, parts in enumerate(endless)
+        ]
+        await self.register_all()
+        await self.publish(8, routes=[*routes, builders.plain_route()])
+        self.gateway = await self.begin('gateway')
+        await self.wait_until_ready()
+        for number in range(len(endless)):
+            await self.hold(f'/endless{number}/x')
+        ended = asyncio.get_running_loop().time() + self.OPEN_S
+        while asyncio.get_running_loop().time() < ended:
+            async with self.open_request('/puxa403/x', 'id-2') as got:
+                self.assertEqual(http.HTTPStatus.OK, got.status)
+        status = pathlib.Path(f'/proc/{self.gateway.process.pid}/status')
+        (peak,) = (
+            int(line.split()[1])
+            for line in status.read_text().splitlines()
+            if line.startswith('VmHWM:')
+        )
+        self.assertLess(peak, self.MEMORY_KIB)
+        self.assertIsNone(self.gateway.process.returncode)
