Answer what outlasts a planned stop instead of cutting it

A request that still waited for its answer at the end of a gateway's grace was cut: its caller got a closed connection, also where it hadn't been sent to any endpoint, and learned of neither.

Cause: the reducer asked for the exit, and the connections were closed with what was on them.

At the end of its grace the gateway now gives each request without an answer a final one: 503, not run, if it has never been sent, else 502, outcome unknown. Answers that have begun go on for as long as before (LAST_ANSWERS_MS) and are cut then, as no status could follow. Runs with a key go on at their sidecar, as after a caller that leaves.

What a caller is promised: a request that came before the stop and ends within its grace is served; one that doesn't gets an error in time, not a cut.

Sidecars need no such change: gateways answer for what they lose there.

--- a/berylhollow/gateway/_shutdown.py
+++ b/berylhollow/gateway/_shutdown.py
@@ -1,7 +1,9 @@
 """Graceful shutdown of a gateway."""
 
 from berylhollow import effects
+from berylhollow import errors
 from berylhollow import events
+from berylhollow.gateway import _attempts
 from berylhollow.gateway import _settlement
 from berylhollow.gateway import _state
 
@@ -21,6 +23,8 @@
 def tick(state: _state.State, at_ms: int) -> Effects:
     """Exit once nothing is in flight, or the grace period is over.
 
+    What still waits for its answer then gets an error in place of one.
+
     The outcomes of claimed requests are appended to the log first. Otherwise
     a caller that sends its key again would be told that the outcome is
     unknown.
@@ -33,4 +37,23 @@
     if has_work and at_ms < state.stop_by_ms:
         return []
     state.exited = True
-    return [effects.Exit(1 if has_work else 0)]
+    answers = _answer_unbegun(state)
+    return [*answers, effects.Exit(1 if has_work else 0)]
+
+
+def _answer_unbegun(state: _state.State) -> Effects:
+    """Give the requests without an answer a final one.
+
+    Answers that have begun may still end while the last ones are written.
+    """
+    result: Effects = []
+    for active in list(state.requests.values()):
+        if active.phase is _state.Phase.RELAYING:
+            continue
+        kind, ran = errors.Kind.OUTCOME_UNKNOWN, errors.Ran.UNKNOWN
+        if not active.offered and not active.may_have_run:
+            kind, ran = errors.Kind.LEAVING, errors.Ran.NOT_RUN
+        if active.request.key is None:
+            result += _attempts.cancel(state, active)
+        result += _attempts.give_up(state, active, kind, ran)
+    return result
--- a/test/hosted/direct_helper.py
+++ b/test/hosted/direct_helper.py
@@ -100,7 +100,8 @@
         self.answering.append(writer)
         self.arrived.set()
         if self.hangs:
-            await reader.read()
+            with contextlib.suppress(ConnectionError):
+                await reader.read()
             return
         writer.write(self.answer)
         await writer.drain()
--- a/test/hosted/hosted_helper.py
+++ b/test/hosted/hosted_helper.py
@@ -92,7 +92,12 @@
 
 
 class HostedTestCase(unittest.IsolatedAsyncioTestCase):
-    """A gateway, a sidecar, a store, a model endpoint and a plain endpoint."""
+    """A gateway, a sidecar, a store, a model endpoint and a plain endpoint.
+
+    ``node_changes`` are lines of the node file and what replaces them.
+    """
+
+    node_changes: dict[str, str] = {}
 
     async def asyncSetUp(self):
         self.stack = contextlib.AsyncExitStack()
@@ -154,6 +159,8 @@
                 f'Ip = "127.0.0.1"\nPortRange = [{self.ports[0]}',
                 f'Ip = "127.0.0.2"\nPortRange = [{self.ports[0]}',
             )
+        for line, changed in self.node_changes.items():
+            node = node.replace(line, changed)
         path = pathlib.Path(self.folder, f'{role}.toml')
         path.write_text(node)
         process = Process(role, str(path))
