Send no request that a planned stop would cut

For 2.5 s after SIGTERM, until the load balancer has seen that it isn't ready, a gateway took every request, also one that couldn't end in the 4.8 s that follow: it ran, then was cut at the end of the grace, requests that must not be repeated among them.

Cause: nothing compared what a request may take with the time that is left.

The reducer now hears of the stop when it begins (StopAnnounced) and from then on sends a request only if it ends in time: because of its deadline, or if it takes as long as the longest one of its service in the last one to two minutes, ended or given up. Others are refused at once, as not run, with a Retry-After of 0.2 s: they are likely to reach another gateway, and the load balancer stops to send here within two seconds. The same holds for requests that wait here when the stop comes. One that may have run already is tried on: it has nothing to lose.

Ruled out: closing the port once two checks were answered with "not ready". Others may ask that page too, and it wouldn't help what came before.

Where requests are short or their deadlines are, none is refused (test_short_request_is_served_to_the_end).

--- a/berylhollow/events.py
+++ b/berylhollow/events.py
@@ -41,6 +41,17 @@
     seed: float = 0.5
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopAnnounced:
+    """The process is to shut down; callers may come for ``notice_ms`` yet.
+
+    ``StopRequested`` follows when no more can.
+    """
+
+    at_ms: int
+    notice_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StopRequested:
     """The process was asked to shut down gracefully."""
@@ -578,6 +589,7 @@
 Event = (
     Started
     | Ticked
+    | StopAnnounced
     | StopRequested
     | LinkOpened
     | LinkClosed
--- a/berylhollow/gateway/_attempts.py
+++ b/berylhollow/gateway/_attempts.py
@@ -27,6 +27,7 @@
 from berylhollow.gateway import _rate_limits
 from berylhollow.gateway import _refusal
 from berylhollow.gateway import _resumption
+from berylhollow.gateway import _run_times
 from berylhollow.gateway import _settlement
 from berylhollow.gateway import _state
 from berylhollow.gateway import _workspaces
@@ -77,6 +78,9 @@
             state, active, errors.Kind.OVERLOADED, errors.Ran.NOT_RUN
         )
     active.retry_at_ms = None
+    leaving = _run_times.refusal_before_stop(state, active, at_ms)
+    if leaving is not None:
+        return _refuse(state, active, leaving)
     configuration = state.follower.current
     kind = configuration.request_error(active.service, active.request.adapter)
     if kind is not None:
--- a/berylhollow/gateway/_reducer.py
+++ b/berylhollow/gateway/_reducer.py
@@ -226,6 +226,7 @@
 _HANDLERS = {
     events.Started: _started,
     events.Ticked: _ticked,
+    events.StopAnnounced: _shutdown.announce,
     events.StopRequested: _shutdown.start_draining,
     events.InstancesListed: _membership.listed,
     events.LinkOpened: _link_opened,
--- a/berylhollow/gateway/_requests.py
+++ b/berylhollow/gateway/_requests.py
@@ -17,6 +17,7 @@
 from berylhollow.gateway import _quarantine
 from berylhollow.gateway import _quotas
 from berylhollow.gateway import _resumption
+from berylhollow.gateway import _run_times
 from berylhollow.gateway import _settlement
 from berylhollow.gateway import _state
 from berylhollow.gateway import _superseded
@@ -125,6 +126,7 @@
     active = state.requests.get(event.request_id)
     if active is None:
         return []
+    _run_times.record(state, active, event.at_ms)
     if active.request.key is not None:
         if active.offered:
             return []
@@ -140,6 +142,7 @@
     stored = None
     if event.body is not None:
         stored = claims.StoredAnswer(event.status, event.headers, event.body)
+    _run_times.record(state, active, event.at_ms)
     _settlement.settle(state, active, errors.Ran.RAN, stored)
     _admissions.record_gap(state, active, event.longest_gap_ms)
     done = _attempts.record_success(state, active)
@@ -170,6 +173,7 @@
     state: _state.State, active: _state.ActiveRequest, at_ms: int
 ) -> Effects:
     if at_ms >= active.deadline_ms:
+        _run_times.record(state, active, at_ms)
         return _expire(state, active)
     if active.resume_by_ms is not None and at_ms >= active.resume_by_ms:
         return _attempts.resume_failed(state, active, at_ms)
--- a/berylhollow/gateway/_shell.py
+++ b/berylhollow/gateway/_shell.py
@@ -152,6 +152,8 @@
         """
         self.stopping = True
         if not self.ended.done():
+            notice_ms = self.settings.stop_notice_ms
+            self.feed(events.StopAnnounced(self.time.now_ms(), notice_ms))
             await self.notice()
         self.front_end.stop_listening()
         self.feed(events.StopRequested(self.time.now_ms()))
--- a/berylhollow/gateway/_shutdown.py
+++ b/berylhollow/gateway/_shutdown.py
@@ -10,6 +10,14 @@
 Effects = list[effects.Effect]
 
 
+def announce(state: _state.State, event: events.StopAnnounced) -> Effects:
+    """Send only requests that end before the stop from now on."""
+    if not state.stopping:
+        closes_ms = event.at_ms + event.notice_ms
+        state.stop_by_ms = closes_ms + state.options.stop_grace_ms
+    return []
+
+
 def start_draining(
     state: _state.State, event: events.StopRequested
 ) -> Effects:
--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -16,6 +16,7 @@
 from berylhollow import rate_limits
 from berylhollow import resumption
 from berylhollow.util import hash_ring
+from berylhollow.util import longest
 from berylhollow.util import token_bucket
 from berylhollow import workspaces
 
@@ -683,6 +684,9 @@
     ticked_ms: int = 0
     instances_read_ms: int = clock.NEVER_MS
     listed_ms: int = clock.NEVER_MS
+    longest_runs: dict[str, longest.LongestDuration] = dataclasses.field(
+        default_factory=dict
+    )
     stopping: bool = False
     stop_by_ms: int = 0
     exited: bool = False
--- a/test/hosted/test_stop_in_calm.py
+++ b/test/hosted/test_stop_in_calm.py
@@ -75,9 +75,59 @@
             await asyncio.sleep(PAUSE_S)
         return await asyncio.gather(*asking[:-1])
 
+    async def test_request_that_comes_late_is_not_cut(self):
+        """Guards against requests that are taken in the stop and then cut."""
+        self.assertEqual(SERVED, await self.status_of('/slow/x'))
+        self.gateway.process.terminate()
+        statuses = await self.send_until_closed('/slow/x')
+        self.assertLessEqual({*statuses}, {SERVED, REFUSED})
+        self.assertEqual(SERVED, statuses[0])
+        self.assertEqual(sorted(statuses), statuses)
+        self.assertEqual(0, await self.gateway.process.wait())
+
+    async def test_short_request_is_served_to_the_end(self):
+        """Guards against refusals in a stop that nothing would be cut in."""
+        await self.register_all()
+        await self.publish(
+            9, routes=[*self.routes, builders.plain_route(TimeoutMs=20_000)]
+        )
+
+        async def served():
+            return await self.status_of('/puxa403/x') == SERVED
+
+        await self.wait_until(served)
+        self.gateway.process.terminate()
+        statuses = await self.send_until_closed('/puxa403/x')
+        self.assertEqual({SERVED}, {*statuses})
+        self.assertEqual(0, await self.gateway.process.wait())
+
     async def test_request_that_outlasts_the_stop_is_answered(self):
         """Guards against requests that are cut without an answer."""
         asking = asyncio.create_task(self.status_of('/mute/x'))
         await self.mute.arrived.wait()
         self.gateway.process.terminate()
         self.assertEqual(UNKNOWN, await asking)
+
+    async def test_request_that_may_outlast_the_stop_is_refused(self):
+        """Guards against requests that are taken to be cut.
+
+        How long those of its service take isn't known.
+        """
+        self.gateway.process.terminate()
+        statuses = await self.send_until_closed('/mute/x')
+        self.assertEqual({REFUSED}, {*statuses})
+        self.assertFalse(self.mute.arrived.is_set())
+
+    async def test_stop_at_the_start_cuts_nothing(self):
+        """Guards against requests cut by a stop that comes at the start."""
+        await self.gateway.stop()
+        self.gateway = await self.begin('gateway')
+
+        async def listens():
+            return self.gateway.logged('listening')
+
+        await self.wait_until(listens)
+        self.gateway.process.terminate()
+        statuses = await self.send_until_closed('/slow/x')
+        self.assertLessEqual({*statuses}, {SERVED, REFUSED})
+        self.assertEqual(0, await self.gateway.process.wait())
