Play kills of all gateways around a release of one version

For the report of streams joined from two software versions: 30 plays of 60 streams each, with all gateways killed at once and started again, the old version's endpoints leaving 300 ms before to 400 ms after that, some or all of them, and none, one or three of the sidecars that keep origins killed in the same moment. No stream is joined; with the check of the version taken out, all 30 plays fail with streams of both versions.

Nothing else changed for this report.

--- a/test/hosted/test_resumption.py
+++ b/test/hosted/test_resumption.py
@@ -201,3 +201,49 @@
         self.fleet.kill_gateway('g1')
         self.check(share=0)
         self.assertEqual([], self.fleet.went_on)
+
+
+class AllGatewaysKilledTest(FleetTestCase):
+    """All gateways are killed at once around a release of one version."""
+
+    OFFSETS_MS = (-300, -100, 0, 100, 400)
+    LOST_SIDECARS = (0, 1, 3)
+
+    def play(self, offset_ms, lost_sidecars, released):
+        """Kill the gateways, with the release ``offset_ms`` after that."""
+        self.begin(max_tries=4)
+        killed_ms = 3900
+        addresses = [
+            address
+            for address, version in self.fleet.versions.items()
+            if version == 'v1'
+        ]
+        for address in addresses[:released]:
+            begins_ms = killed_ms + offset_ms - self.fleet.now_ms
+            self.fleet.after(begins_ms, self.fleet.release, address, 'v2')
+        self.fleet.run_until(killed_ms)
+        for peer in list(self.fleet.sidecars)[:lost_sidecars]:
+            self.fleet.kill_sidecar(peer)
+        self.fleet.restart_gateways(['g1', 'g2'], 200)
+        self.fleet.run_until(25_000)
+
+    def test_no_stream_is_joined_from_two_versions(self):
+        """Guards against the rest of a stream from the version that is left.
+
+        The old version's endpoints leave before, with or after the kill, all
+        of them or some, and sidecars that keep origins are lost with it.
+        """
+        resumed = 0
+        for offset_ms in self.OFFSETS_MS:
+            for lost_sidecars in self.LOST_SIDECARS:
+                for released in (2, 3):
+                    with self.subTest(
+                        offset_ms=offset_ms,
+                        lost_sidecars=lost_sidecars,
+                        released=released,
+                    ):
+                        self.play(offset_ms, lost_sidecars, released)
+                        mixed = [sorted(x.versions) for x in self.fleet.mixed]
+                        self.assertEqual([], mixed)
+                        resumed += len(self.fleet.resumed)
+        self.assertGreater(resumed, STREAMS)
