Log each response that is none

An answer that broke HTTP was named in a log line only where a gateway had sent the request itself. Sidecars logged that the attempt had ended, without the reason; reads of the store, reports, orders and health checks logged nothing.

--- a/berylhollow/outgoing.py
+++ b/berylhollow/outgoing.py
@@ -9,6 +9,7 @@
 import dataclasses
 import functools
 import json
+import logging
 import os
 import select
 import socket
@@ -25,6 +26,8 @@
 from berylhollow import answer_head
 from berylhollow.util import bounded
 
+LOG = logging.getLogger(__name__)
+
 CONNECT_TIMEOUT_MS = 1000
 CALL_TIMEOUT_MS = 5000
 MS_PER_SECOND = 1000
@@ -65,6 +68,9 @@
 SHAPE_ERRORS = (KeyError, TypeError, ValueError, OverflowError)
 """Raised by reading a JSON value that is not of the shape that is expected."""
 
+MAX_LOGGED_REASON = 200
+"""Characters of what is wrong with a response."""
+
 REFUSAL_STATUSES = frozenset({400, 404, 405, 409, 410, 413, 422, 429, 503})
 
 
@@ -211,6 +217,21 @@
         else:
             self._fail_head('too many interim responses')
 
+    def set_exception(self, exc: BaseException, *cause: typing.Any) -> None:
+        """End the current call with an error; log a response that is none."""
+        is_first = self.exception() is None
+        if is_first and isinstance(exc, http_exceptions.HttpProcessingError):
+            reason = ' '.join(exc.message.split())
+            fields = {
+                'peer': self._peer_address(),
+                'reason': reason[:MAX_LOGGED_REASON],
+            }
+            LOG.info('invalid response', extra=fields)
+        super().set_exception(exc, *cause)
+
+    def _peer_address(self) -> str:
+        return '' if self.peer is None else '{}:{}'.format(*self.peer[:2])
+
     def _fail_head(self, reason: str) -> None:
         error = http_exceptions.HttpProcessingError(message=reason)
         # A close drops the exception of a connection.
