Count a run of less than a millisecond

A service that answers within the millisecond in which a request is sent seemed to have had no run, so that its requests were refused in a planned stop though they would end in time. Found by reading the change again; the new test failed before.

--- a/berylhollow/util/longest.py
+++ b/berylhollow/util/longest.py
@@ -16,10 +16,10 @@
     def record(self, duration_ms: int, at_ms: int) -> None:
         """Record a duration that ended at a time."""
         self._move_to(at_ms)
-        self.current_ms = max(self.current_ms, duration_ms)
+        self.current_ms = max(1, self.current_ms, duration_ms)
 
     def at(self, at_ms: int) -> int | None:
-        """Return the longest duration, None without one."""
+        """Return the longest duration, at least 1 ms; None without one."""
         self._move_to(at_ms)
         return max(self.current_ms, self.previous_ms) or None
 
--- a/test/hosted/test_run_times.py
+++ b/test/hosted/test_run_times.py
@@ -84,6 +84,12 @@
         self.announce(8000)
         self.assertFalse(self.is_sent(9000))
 
+    def test_run_of_less_than_a_millisecond_counts(self):
+        """Guards against a fast service that seems to have had no run."""
+        self.run_for(0, at_ms=1000)
+        self.announce(2000)
+        self.assertTrue(self.is_sent(2001))
+
     def test_request_without_a_stop_is_sent(self):
         self.assertTrue(self.is_sent(1000))
 
