Play damaged answers through a connection

3,000 of the answers that the tests have, with bytes changed, put in or taken out, come in pieces of 1 to 5,000 bytes: none makes the connection raise, and no head gets through with a status, a name or a value that HTTP doesn't allow.

--- a/berylhollow/gateway/_state.py
+++ b/berylhollow/gateway/_state.py
@@ -572,6 +572,9 @@
     software versions of each service; ``list_watched_since_ms`` is since when
     the list was read without a long gap.
 
+    ``longest_runs`` has, by service, how long its longest run took lately;
+    ``stop_by_ms`` is when the gateway ends, 0 unless it was told to stop.
+
     ``allowances`` has what this gateway may use of each workspace's quota,
     ``quota_uses_reported`` the usage last reported to the ``quota_books``.
     """
--- a/test/broken_answers.py
+++ b/test/broken_answers.py
@@ -1,5 +1,7 @@
 """Answers of endpoints that break HTTP in one place, for tests of readers."""
 
+import random
+
 OWN = b'Request-Id: id-1\r\nServer-Seal: s\r\n'
 BODY = b'whole'
 INTERIM = b'HTTP/1.1 100 Continue\r\n\r\n'
@@ -200,6 +202,32 @@
 }
 """Answers that are unusual, but break nothing."""
 
+EVERY = tuple(
+    raw
+    for answers in (
+        INVALID_STATUSES,
+        SWITCHING_PROTOCOLS,
+        INVALID_STARTS,
+        INVALID_NAMES,
+        INVALID_VALUES,
+        INVALID_CODINGS,
+        WHOLE,
+    )
+    for raw in answers.values()
+)
+
+
+def damaged(source: random.Random) -> bytes:
+    """Return one of the answers, or two, with some bytes changed."""
+    raw = bytearray(source.choice((b'', INTERIM)) + source.choice(EVERY))
+    for _ in range(source.randrange(4)):
+        at = source.randrange(len(raw))
+        raw[at : at + source.randrange(2)] = source.choice(
+            (b'\r', b'\n', b'\r\n\r\n', b' ', b':', b'\x00', b'0', INTERIM)
+        )
+    return bytes(raw)
+
+
 ENDLESS_HEADS = tuple(
     (start, more * 1000)
     for start, more in (
--- a/test/test_broken_answers.py
+++ b/test/test_broken_answers.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import collections.abc
+import random
 import unittest
+from unittest import mock
 
+from aiohttp import client_proto
 from aiohttp import http_exceptions
 
 from berylhollow import answer_head
@@ -161,6 +164,43 @@
                     body = await read_whole(session, url)
                 self.assertEqual(broken_answers.BODY, body)
 
+    async def test_damaged_answers_are_judged(self):
+        """Guards against bytes that make a connection raise, or get through.
+
+        They come in pieces of any size.
+        """
+        source = random.Random(1)
+        heads = 0
+        for _ in range(3000):
+            raw = broken_answers.damaged(source)
+            size = source.choice((1, 2, 3, 7, 50, 5000))
+            for message in self.heads_of(raw, size):
+                heads += 1
+                with self.subTest(raw):
+                    self.assertIn(message.code, answer_head.STATUSES)
+                    self.assertNotEqual(101, message.code)
+                    for name, value in message.headers.items():
+                        self.assertRegex(name, answer_head.FIELD_NAME)
+                        self.assertNotRegex(
+                            value, answer_head.CONTROL_CHARACTER
+                        )
+                        value.encode()
+        self.assertGreater(heads, 300)
+
+    def heads_of(self, raw, size):
+        """Return the heads of a call that a connection passes on."""
+        connection = outgoing.Connection(asyncio.get_running_loop())
+        connection.set_response_params()
+        with mock.patch.object(
+            client_proto.ResponseHandler, 'feed_data', autospec=True
+        ) as passed_on:
+            for start in range(0, len(raw), size):
+                if connection.awaits_head:
+                    connection.data_received(raw[start : start + size])
+        heads = [call.args[1][0] for call in passed_on.call_args_list]
+        final = [x for x in heads if x.code not in range(100, 200)]
+        return heads[: heads.index(final[0]) + 1] if final else heads
+
     def test_head_without_end_is_not_kept(self):
         """Guards against bytes that are no answer and take all memory."""
         for start, more in broken_answers.ENDLESS_HEADS:
