Begin the plays of a stop once the gateway knows of it

One of them failed once, in a run of all tests beside other load: its first request got 502 in place of 503. It had been sent right after the signal and came before the gateway handled it, so it was taken as one from before the stop, and got the error that is promised for one that outlasts the grace. The plays wait until the gateway says that it isn't ready.

--- a/test/hosted/test_stop_in_calm.py
+++ b/test/hosted/test_stop_in_calm.py
@@ -66,6 +66,15 @@
             except aiohttp.ClientError:
                 return CLOSED
 
+    async def tell_to_stop(self):
+        """Return once the gateway knows that it is to stop."""
+        self.gateway.process.terminate()
+
+        async def is_stopping():
+            return await self.ready() != SERVED
+
+        await self.wait_until(is_stopping)
+
     async def send_until_closed(self, path):
         """Send requests until none is accepted; return their statuses."""
         asking = []
@@ -81,7 +90,7 @@
         self.slow.wait_s = LONGEST_RUN_S
         self.assertEqual(SERVED, await self.status_of('/slow/x'))
         self.slow.wait_s = RUN_S
-        self.gateway.process.terminate()
+        await self.tell_to_stop()
         statuses = await self.send_until_closed('/slow/x')
         self.assertEqual({SERVED, REFUSED}, {*statuses})
         self.assertEqual(SERVED, statuses[0])
@@ -98,7 +107,7 @@
             return await self.status_of('/puxa403/x') == SERVED
 
         await self.wait_until(served)
-        self.gateway.process.terminate()
+        await self.tell_to_stop()
         statuses = await self.send_until_closed('/puxa403/x')
         self.assertEqual({SERVED}, {*statuses})
         self.assertEqual(0, await self.gateway.process.wait())
@@ -107,7 +116,7 @@
         """Guards against requests that are cut without an answer."""
         asking = asyncio.create_task(self.status_of('/mute/x'))
         await self.mute.arrived.wait()
-        self.gateway.process.terminate()
+        await self.tell_to_stop()
         self.assertEqual(UNKNOWN, await asking)
 
     async def test_request_that_may_outlast_the_stop_is_refused(self):
@@ -115,7 +124,7 @@
 
         How long those of its service take isn't known.
         """
-        self.gateway.process.terminate()
+        await self.tell_to_stop()
         statuses = await self.send_until_closed('/mute/x')
         self.assertEqual({REFUSED}, {*statuses})
         self.assertFalse(self.mute.arrived.is_set())
@@ -129,7 +138,7 @@
             return self.gateway.logged('listening')
 
         await self.wait_until(listens)
-        self.gateway.process.terminate()
+        await self.tell_to_stop()
         statuses = await self.send_until_closed('/slow/x')
         self.assertLessEqual({*statuses}, {SERVED, REFUSED})
         self.assertEqual(0, await self.gateway.process.wait())
