Tell when a lost run was sent in one place

Two functions that settle losses worked out the same bound, the time at which a run was sent less the delay of another gateway's report, each in its own way. Both call _earliest_start_ms now. Nothing changes in what is settled: the tests of lost runs, probes and restarts in place pass as they did (the one that is listed as known red still fails).

--- a/berylhollow/gateway/_probes.py
+++ b/berylhollow/gateway/_probes.py
@@ -409,8 +409,7 @@
         lost_ms = loss.lost_ms
         before_ms = lost_ms
         if endpoint.instance.may_restart_under_name:
-            delay_ms = state.options.suspicion.report_delay_ms
-            before_ms = loss.began_ms - (0 if loss.is_own else delay_ms)
+            before_ms = _earliest_start_ms(state, loss)
         if active.offered_ms <= before_ms:
             is_outlived = at_ms >= lost_ms + ALIVE_AFTER_MS
         else:
@@ -440,11 +439,8 @@
     emitted: Effects = []
     for key in state.unsettled.keys_at(name):
         loss = state.unsettled.loss(key, name)
-        delay_ms = (
-            0 if loss.is_own else state.options.suspicion.report_delay_ms
-        )
         if (
-            event.since_ms <= loss.began_ms - delay_ms
+            event.since_ms <= _earliest_start_ms(state, loss)
             and loss.lost_ms + ALIVE_AFTER_MS <= event.until_ms
         ):
             emitted += _settle(
@@ -458,6 +454,18 @@
     return emitted
 
 
+def _earliest_start_ms(
+    state: _state.State, loss: quarantine.UnsettledLoss
+) -> int:
+    """Return when a lost run was sent at the earliest.
+
+    Another gateway's report of it takes some time to arrive.
+    """
+    if loss.is_own:
+        return loss.began_ms
+    return loss.began_ms - state.options.suspicion.report_delay_ms
+
+
 def _settle(
     state: _state.State,
     key: str,
--- a/berylhollow/quarantine/__init__.py
+++ b/berylhollow/quarantine/__init__.py
@@ -18,6 +18,7 @@
 from berylhollow.quarantine._records import STREAM
 from berylhollow.quarantine._suspects import Rules
 from berylhollow.quarantine._suspects import Suspects
+from berylhollow.quarantine._unsettled import UnsettledLoss
 from berylhollow.quarantine._unsettled import UnsettledLosses
 
 __all__ = [
@@ -30,6 +31,7 @@
     'Rules',
     'Suspects',
     'Taken',
+    'UnsettledLoss',
     'UnsettledLosses',
     'decode',
     'encode',
