Start raw endpoints of the tests of real processes in one place

Three places started a server for an endpoint that writes bytes, registered it and made a route to its service.

--- a/test/hosted/hosted_helper.py
+++ b/test/hosted/hosted_helper.py
@@ -133,6 +133,17 @@
         data = json.dumps(value).encode()
         await self.store.put(stream, endpoint.instance, data)
 
+    async def add_raw_endpoint(self, endpoint, service):
+        """Start and register an endpoint; return a route to its service."""
+        endpoint.instance = f'i-{service}'
+        server = await asyncio.start_server(endpoint.serve, '127.0.0.1', 0)
+        self.stack.callback(server.close)
+        port = server.sockets[0].getsockname()[1]
+        await self.register(endpoint, port, service)
+        return builders.plain_route(
+            service, f'/{service}/', Service=service, TimeoutMs=20_000
+        )
+
     async def register_all(self):
         await self.register(
             self.model, self.model_port, builders.MODEL_SERVICE
--- a/test/hosted/test_broken_answers.py
+++ b/test/hosted/test_broken_answers.py
@@ -32,37 +32,19 @@
         routes = []
         for number, (name, raw) in enumerate(answers.items()):
             alone, beside = f'alone{number}', f'beside{number}'
-            self.alone[name] = await self.add_broken(raw, alone)
-            await self.add_broken(raw, beside)
+            endpoints = [
+                direct_helper.RawEndpoint(raw, closes=False) for _ in range(2)
+            ]
+            self.alone[name] = endpoints[0]
+            routes.append(await self.add_raw_endpoint(endpoints[0], alone))
+            route = await self.add_raw_endpoint(endpoints[1], beside)
+            routes.append(route | {'Kind': 'safe', 'MaxAttempts': 2})
             sound = direct_endpoint.DirectEndpoint(f'i-sound-{number}')
             await self.register(sound, await self.serve(sound), beside)
-            routes += [
-                self.route_to(alone),
-                self.route_to(beside, Kind='safe', MaxAttempts=2),
-            ]
         await self.publish(8, routes=routes)
         self.gateway = await self.begin('gateway')
         await self.wait_until_ready()
 
-    async def add_broken(self, raw, service):
-        """Start and register an endpoint that sends the same bytes always."""
-        endpoint = direct_helper.RawEndpoint(raw, closes=False)
-        endpoint.instance = f'i-{service}'
-        server = await asyncio.start_server(endpoint.serve, '127.0.0.1', 0)
-        self.stack.callback(server.close)
-        port = server.sockets[0].getsockname()[1]
-        await self.register(endpoint, port, service)
-        return endpoint
-
-    def route_to(self, service, **changes):
-        return builders.plain_route(
-            service,
-            f'/{service}/',
-            Service=service,
-            TimeoutMs=20_000,
-            **changes,
-        )
-
     async def status_of(self, path, request_id):
         try:
             async with self.open_request(path, request_id) as got:
@@ -138,18 +120,6 @@
     OPEN_S = 3.0
     """Longer than a head may take."""
 
-    async def add_endless(self, number, start, more):
-        service = f'endless{number}'
-        endpoint = direct_helper.EndlessEndpoint(start, more)
-        endpoint.instance = f'i-{service}'
-        server = await asyncio.start_server(endpoint.serve, '127.0.0.1', 0)
-        self.stack.callback(server.close)
-        port = server.sockets[0].getsockname()[1]
-        await self.register(endpoint, port, service)
-        return builders.plain_route(
-            service, f'/{service}/', Service=service, TimeoutMs=20_000
-        )
-
     async def hold(self, path):
         """Send a request and read nothing of its answer."""
         reader, writer = await asyncio.open_connection(
@@ -170,7 +140,9 @@
             *broken_answers.ENDLESS_BODIES,
         )
         routes = [
-            await self.add_endless(number, *parts)
+            await self.add_raw_endpoint(
+                direct_helper.EndlessEndpoint(*parts), f'endless{number}'
+            )
             for number, parts in enumerate(endless)
         ]
         await self.register_all()
--- a/test/hosted/test_stop_in_calm.py
+++ b/test/hosted/test_stop_in_calm.py
@@ -32,19 +32,11 @@
         answer = broken_answers.answer()
         self.slow = direct_helper.SlowEndpoint(answer, RUN_S)
         self.mute = direct_helper.RawEndpoint(b'', hangs=True)
-        self.routes = routes = []
-        for name, endpoint in (('slow', self.slow), ('mute', self.mute)):
-            endpoint.instance = f'i-{name}'
-            server = await asyncio.start_server(endpoint.serve, '127.0.0.1', 0)
-            self.stack.callback(server.close)
-            port = server.sockets[0].getsockname()[1]
-            await self.register(endpoint, port, name)
-            routes.append(
-                builders.plain_route(
-                    name, f'/{name}/', Service=name, TimeoutMs=20_000
-                )
-            )
-        await self.publish(8, routes=routes)
+        self.routes = [
+            await self.add_raw_endpoint(self.slow, 'slow'),
+            await self.add_raw_endpoint(self.mute, 'mute'),
+        ]
+        await self.publish(8, routes=self.routes)
         self.gateway = await self.begin('gateway')
         await self.wait_until_ready()
 
