--- a/review/rig.py
+++ b/review/rig.py
@@ -33,7 +33,7 @@
 Region = "r1"
 PortRange = [{low}, {high}]
 Seeds = []
-Bootstrap = true
+Bootstrap = {bootstrap}
 Discovery = "platform"
 Entry = "vip"
 HeartbeatMs = 1200
@@ -611,6 +611,7 @@
                 high=self.rig.high,
                 front=self.rig.front,
                 ready=self.rig.ready,
+                bootstrap='true' if self.process is None else 'false',
                 **{
                     'app': '',
                     'service': '',
