Show a key that works again after a drill and a power loss

Cause: that the log came back from an older copy, and may lack what was written since, is noted only by a process that has seen an earlier era. One that starts takes its first read for a proof of the keys.

The rig's store knows eras, copies and being away.

--- a/review/rig.py
+++ b/review/rig.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import base64
+import copy
 import json
 import os
 import pathlib
@@ -240,13 +241,16 @@
         super().__init__(host)
         self.topics = {}
         self.changed = asyncio.Condition()
-        self.hook = None
+        self.is_away = False
+        self.era = 0
 
     def topic(self, name):
         return self.topics.setdefault(name, Topic())
 
     async def put(self, topic, key, value):
         """Write a record of a key, as the operator and the runners do."""
+        if self.is_away:
+            return
         data = value if isinstance(value, bytes) else json.dumps(value).encode()
         async with self.changed:
             kept = self.topic(topic)
@@ -257,14 +261,31 @@
                 kept.newest.pop(key, None)
             self.changed.notify_all()
 
+    def copy(self):
+        """Return what the store holds now, for a drill."""
+        return copy.deepcopy(self.topics)
+
+    def go_away(self):
+        """Answer nothing, and accept no writes of others."""
+        self.is_away = True
+        self.reset_all()
+
+    async def come_back(self, older):
+        """Come back from an older copy; the era rises by one."""
+        async with self.changed:
+            self.topics = copy.deepcopy(older)
+            self.era += 1
+            self.is_away = False
+            self.changed.notify_all()
+
     async def serve(self, request, reader, writer):
         body = await read_body(reader, request)
         path, _, query = request.target.partition('?')
         given = dict(x.partition('=')[::2] for x in query.split('&') if x)
-        if self.hook is not None:
-            verdict = await self.hook(request, path, given, writer)
-            if verdict is not None:
-                return verdict
+        if self.is_away:
+            reset(writer)
+            return False
+        era = [('Store-Era', self.era)]
         topic = self.topic(given.get('Topic', ''))
         if path == '/v1/log-newest':
             after = given.get('after', '')
@@ -286,13 +307,16 @@
             kind = 'application/json'
         elif path == '/v1/log-read':
             since = int(given['From'])
-            if since < topic.first:
+            if not topic.first <= since <= topic.end:
                 answer = json.dumps({'First': topic.first}).encode()
-                writer.write(whole(410, [], answer))
+                writer.write(whole(410, era, answer))
                 await writer.drain()
                 return True
             if int(given.get('WaitMs', 0)):
                 await self._wait(topic, since, int(given['WaitMs']) / 1000)
+            if self.is_away or era[0][1] != self.era:
+                reset(writer)
+                return False
             answer = struct.pack('>QQ', topic.end, topic.first)
             for record in topic.records[since - topic.first:]:
                 answer += struct.pack('>I', len(record)) + record
@@ -303,10 +327,10 @@
             answer = json.dumps({'Offset': offset, 'End': topic.end}).encode()
             kind = 'application/json'
         else:
-            writer.write(whole(404, [], b''))
+            writer.write(whole(404, era, b''))
             await writer.drain()
             return True
-        writer.write(whole(200, [('Content-Type', kind)], answer))
+        writer.write(whole(200, [*era, ('Content-Type', kind)], answer))
         await writer.drain()
         return True
 
@@ -655,7 +679,7 @@
 class Rig:
     """The store, the programs and the runners of one case."""
 
-    def __init__(self, folder, bounds=''):
+    def __init__(self, folder, bounds):
         if not (DEPS / 'berylhollow').is_dir():
             raise CannotRun('target/deps is not built')
         self.record = Record(folder)
@@ -780,13 +804,13 @@
     }
 
 
-def main(folder, play, limit_s=110):
+def main(folder, play, bounds='', limit_s=110):
     """Play a case; exit with 1 if it broke the rule, 0 if not, else 2."""
 
     async def run():
         rig = None
         try:
-            rig = Rig(folder)
+            rig = Rig(folder, bounds)
             rig.record.note(f'TROUBLE={int(TROUBLE)}')
             async with asyncio.timeout(limit_s):
                 return await play(rig)
